--- /dev/null
+++ b/Makefile
@@ -0,0 +1,41 @@
+# Entry points for people and CI; the build itself is CMake's.
+BUILD ?= build
+JOBS ?= $(shell nproc)
+
+.PHONY: all deps build test lint format check-spec demo run bench proto clean
+
+all: build
+
+deps:
+	scripts/install_dependencies.sh
+
+build:
+	cmake -S . -B $(BUILD) -G Ninja > /dev/null
+	cmake --build $(BUILD) -- -j $(JOBS)
+
+test: deps build
+	scripts/run_tests.sh $(BUILD)
+
+check-spec: deps
+	scripts/check_spec.sh
+
+lint: deps build
+	scripts/lint.sh $(BUILD)
+
+format:
+	git ls-files '*.cpp' '*.h' | grep -v src/generated | xargs clang-format -i
+
+proto:
+	protoc -I proto --cpp_out=src/generated proto/*.proto
+
+demo: deps build
+	scripts/demo.sh $(BUILD)
+
+run: deps build
+	scripts/run.sh $(BUILD)
+
+bench: deps build
+	scripts/bench.sh $(BUILD)
+
+clean:
+	rm -rf $(BUILD)
--- /dev/null
+++ b/scripts/embed_charts.cmake
@@ -0,0 +1,13 @@
+# Writes a C++ file with the text of every state chart in CHART_DIR.
+file(GLOB FILES ${CHART_DIR}/*.scxml)
+list(SORT FILES)
+set(BODY "#include \"chart/embedded_charts.h\"\n\nnamespace fernmoor {\n\n")
+string(APPEND BODY "const std::vector<EmbeddedChart>& embeddedCharts() {\n")
+string(APPEND BODY "  static const std::vector<EmbeddedChart> kCharts = {\n")
+foreach(FILE ${FILES})
+  get_filename_component(NAME ${FILE} NAME_WE)
+  file(READ ${FILE} TEXT)
+  string(APPEND BODY "      {\"${NAME}\", R\"scxml(${TEXT})scxml\"},\n")
+endforeach()
+string(APPEND BODY "  };\n  return kCharts;\n}\n\n}  // namespace fernmoor\n")
+file(WRITE ${OUTPUT} "${BODY}")
--- /dev/null
+++ b/test/main.cpp
@@ -0,0 +1,4 @@
+/// @file
+/// Entry point of the unit tests.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
