--- /dev/null
+++ b/standin/engine_model.h
@@ -0,0 +1,133 @@
+/// @file
+/// The emulated model engine: continuous batching, prefix cache with eviction, late events and
+/// lagging load, on time that the caller passes in. The stand-in process serves it over HTTP; the
+/// simulator runs hundreds of them on its virtual clock. Not thread-safe.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "common/error.h"
+#include "common/ids.h"
+#include "common/time.h"
+#include "engine/engine_state.h"
+#include "prefix/block_chain.h"
+
+namespace fernmoor::standin {
+
+/// Speeds and sizes of one engine.
+struct EngineOptions {
+  EngineId id;
+  ModelId model;
+  WeightsVersion weightsVersion{1};
+  Incarnation incarnation{1};
+  double prefillTokensPerSecond = 20000;
+  Duration tokenInterval{25000};     ///< Between tokens of a stream while the batch is small.
+  int64_t batchSlots = 32;           ///< Streams decoded at once.
+  int64_t cacheBlocks = 8192;        ///< Prefix blocks held at most; least recently used go first.
+  int64_t resumableAttempts = 256;   ///< Ended or broken-off attempts kept for resuming.
+  Duration eventDelay{200000};       ///< Between a cache change and its event.
+  Duration loadLag{250000};          ///< Age of the reported load.
+  Duration weightsLoadTime{500000};  ///< Of one order to load weights.
+  uint64_t seed = 1;
+};
+
+/// A request as it reaches the engine.
+struct EngineRequest {
+  AttemptId attempt;
+  RequestId request;
+  TenantId tenant;
+  ModelId model;
+  AdapterId adapter;
+  Incarnation placedIncarnation;  ///< 0: not checked.
+  WeightsVersion placedWeights;   ///< 0: not checked.
+  int64_t priority = 5;
+  std::string prompt;
+  int64_t firstPosition = 0;  ///< Output tokens already delivered elsewhere.
+  int64_t maxTokens = 16;     ///< Length of the whole answer, the delivered part included.
+};
+
+/// A piece of one attempt's output.
+struct EngineFrame {
+  AttemptId attempt;
+  int64_t position = 0;  ///< Position of its first token in the whole answer.
+  std::string text;      ///< One or more tokens; empty in a frame that only ends.
+  int64_t tokens = 0;
+  bool end = false;  ///< True in the last frame only.
+  int64_t promptTokens = 0;
+  int64_t cachedTokens = 0;  ///< Prompt tokens that were not recomputed.
+};
+
+enum class CacheEventKind { kStored, kRemoved, kCleared };
+
+struct CacheEvent {
+  uint64_t sequence = 0;  ///< Consecutive within an incarnation, from 1.
+  CacheEventKind kind = CacheEventKind::kStored;
+  BlockHash block = 0;
+};
+
+/// What an engine tells of its cache since a sequence number.
+struct CacheEventBatch {
+  Incarnation incarnation;
+  bool gap = false;  ///< Events between the asked sequence and the first one here were lost.
+  std::vector<CacheEvent> events;
+};
+
+class EngineModel {
+ public:
+  explicit EngineModel(EngineOptions options);
+  ~EngineModel();
+  EngineModel(const EngineModel&) = delete;
+  EngineModel& operator=(const EngineModel&) = delete;
+
+  /// Takes a request, or says why not: kWrongIncarnation, kWrongWeights, kUnavailable (loading),
+  /// kNotFound (model). A refused request did not run. Doubled attempt ids are kConflict.
+  Result<Done> submit(const EngineRequest& request, Time now);
+  /// Stops an attempt and frees its place. Unknown attempts are ignored.
+  void cancel(const AttemptId& attempt, Time now);
+  /// Makes the engine repeat an attempt's output from a position, running or ended.
+  Result<Done> resume(const AttemptId& attempt, int64_t position, Time now);
+
+  /// Runs the batch up to `now`.
+  /// @return the frames produced since the last call, in order.
+  std::vector<EngineFrame> advance(Time now);
+  /// @return when advance() will next have something; none while idle.
+  std::optional<Time> nextChange() const;
+
+  /// Cache events after `sequence` whose delay has passed.
+  CacheEventBatch events(uint64_t sequence, Time now) const;
+  /// Load as it was loadLag ago.
+  EngineLoad load(Time now) const;
+  /// @return how many leading blocks of the chain are cached right now (the oracle's view).
+  int64_t matchedBlocks(const std::vector<BlockHash>& chain) const;
+
+  /// Copies blocks out of, or into, the cache (export and import of KV).
+  /// @return the blocks that are held here.
+  std::vector<BlockHash> exportBlocks(const std::vector<BlockHash>& blocks) const;
+  void importBlocks(const std::vector<BlockHash>& blocks, Time now);
+
+  /// Carries out a fenced order to serve a model, adapter and weights version.
+  /// @return kConflict where a higher token was seen already.
+  Result<Done> order(FencingToken token, const ModelId& model, const AdapterId& adapter,
+                     WeightsVersion weights, EngineRole role, Time now);
+
+  /// Faults. A crash loses all attempts and the cache and starts a new incarnation.
+  void crash(Time now);
+  void freezeUntil(Time until);
+  void dropEvents(int64_t count);  ///< Loses the next events, leaving a gap.
+
+  const EngineOptions& options() const;
+  Incarnation incarnation() const;
+  WeightsVersion weightsVersion() const;
+  /// Tokens recomputed though some block of them had been here before; for reports.
+  int64_t prefilledTokens() const;
+
+ private:
+  class Implementation;
+  std::unique_ptr<Implementation> implementation_;
+};
+
+}  // namespace fernmoor::standin
