Wire: sealed envelopes over UDP, larger ones over TCP

Cause: roles need a way to other nodes that strangers cannot use. Ruled out: one TCP connection a pair of nodes kept open (380 connections a node for mostly idle pairs). Conclusion: messages from strangers, cut, flipped and random bytes are refused before decoding.

--- a/src/common/role.h
+++ b/src/common/role.h
@@ -23,6 +23,10 @@
   }
 };
 
+inline std::ostream& operator<<(std::ostream& out, const NodeLife& life) {
+  return out << life.node << "/" << life.incarnation;
+}
+
 /// One duty of a node (membership, table, claims, ...). Implementations guard their own state with
 /// a RankedMutex and may be called from any thread.
 class Role {
--- /dev/null
+++ b/src/wire/peer_transport.cpp
@@ -0,0 +1,213 @@
+#include "wire/peer_transport.h"
+
+#include <Poco/ByteOrder.h>
+#include <Poco/Exception.h>
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
+
+#include <algorithm>
+#include <array>
+#include <vector>
+
+namespace fernmoor {
+
+namespace {
+
+constexpr long kPollMicroseconds = 100000;        ///< How soon stop() is noticed.
+constexpr long kTcpTimeoutMicroseconds = 500000;  ///< A peer slower than this is skipped.
+constexpr size_t kMaxDatagramBytes = 65536;
+constexpr size_t kMaxLargeQueue = 256;  ///< Larger backlogs mean dead peers; the oldest go.
+constexpr int kSocketBufferBytes = 1 << 21;
+
+Poco::Net::SocketAddress toPoco(const SocketAddress& address) {
+  return Poco::Net::SocketAddress(address.host, address.port);
+}
+
+/// Reads exactly `size` bytes; false at the end of the connection.
+bool receiveAll(Poco::Net::StreamSocket& socket, char* buffer, size_t size) {
+  size_t received = 0;
+  while (received < size) {
+    const int count = socket.receiveBytes(buffer + received, static_cast<int>(size - received));
+    if (count <= 0) {
+      return false;
+    }
+    received += static_cast<size_t>(count);
+  }
+  return true;
+}
+
+void sendAll(Poco::Net::StreamSocket& socket, const char* buffer, size_t size) {
+  size_t sent = 0;
+  while (sent < size) {
+    sent += static_cast<size_t>(socket.sendBytes(buffer + sent, static_cast<int>(size - sent)));
+  }
+}
+
+}  // namespace
+
+PeerTransport::PeerTransport(const SocketAddress& listen, NodeLife self,
+                             const std::string& clusterKey, const Knobs& knobs,
+                             AddressLookup lookup)
+    : self_(self), sealer_(clusterKey), knobs_(knobs), lookup_(std::move(lookup)) {
+  datagramSocket_.bind(toPoco(listen), true);
+  datagramSocket_.setReceiveBufferSize(kSocketBufferBytes);
+  serverSocket_.bind(toPoco(listen), true);
+  serverSocket_.listen();
+}
+
+PeerTransport::~PeerTransport() {
+  stop();
+}
+
+void PeerTransport::start(Handler handler) {
+  handler_ = std::move(handler);
+  threads_.emplace_back([this] { receiveDatagrams(); });
+  threads_.emplace_back([this] { acceptConnections(); });
+  threads_.emplace_back([this] { sendLargeMessages(); });
+}
+
+void PeerTransport::stop() {
+  if (stopping_.exchange(true)) {
+    return;
+  }
+  largeReady_.notify_all();
+  for (std::thread& thread : threads_) {
+    thread.join();
+  }
+  datagramSocket_.close();
+  serverSocket_.close();
+}
+
+void PeerTransport::send(NodeId to, const proto::Envelope& envelope) {
+  const std::optional<SocketAddress> address = lookup_(to);
+  if (!address) {
+    ++counters_.dropped;
+    return;
+  }
+  proto::Envelope signedEnvelope = envelope;
+  signedEnvelope.mutable_sender()->set_node_id(self_.node.value());
+  signedEnvelope.mutable_sender()->set_incarnation(self_.incarnation.value());
+  std::string bytes = sealer_.seal(signedEnvelope);
+  ++counters_.messagesSent;
+  counters_.bytesSent += bytes.size();
+  if (static_cast<int64_t>(bytes.size()) > knobs_.maxDatagramBytes) {
+    enqueueLarge(*address, std::move(bytes));
+    return;
+  }
+  try {
+    datagramSocket_.sendTo(bytes.data(), static_cast<int>(bytes.size()), toPoco(*address));
+  } catch (const Poco::Exception&) {
+    ++counters_.dropped;
+  }
+}
+
+void PeerTransport::enqueueLarge(const SocketAddress& address, std::string bytes) {
+  {
+    const std::lock_guard<std::mutex> lock(largeMutex_);
+    if (largeMessages_.size() >= kMaxLargeQueue) {
+      largeMessages_.pop_front();
+      ++counters_.dropped;
+    }
+    largeMessages_.push_back(LargeMessage{address, std::move(bytes)});
+  }
+  largeReady_.notify_one();
+}
+
+void PeerTransport::sendLargeMessages() {
+  while (!stopping_) {
+    LargeMessage message;
+    {
+      std::unique_lock<std::mutex> lock(largeMutex_);
+      largeReady_.wait_for(lock, std::chrono::microseconds(kPollMicroseconds),
+                           [this] { return stopping_ || !largeMessages_.empty(); });
+      if (largeMessages_.empty()) {
+        continue;
+      }
+      message = std::move(largeMessages_.front());
+      largeMessages_.pop_front();
+    }
+    if (!sendOverTcp(message)) {
+      ++counters_.dropped;
+    }
+  }
+}
+
+bool PeerTransport::sendOverTcp(const LargeMessage& message) {
+  try {
+    Poco::Net::StreamSocket socket;
+    socket.connect(toPoco(message.address), Poco::Timespan(kTcpTimeoutMicroseconds));
+    socket.setSendTimeout(Poco::Timespan(kTcpTimeoutMicroseconds));
+    const auto size = Poco::ByteOrder::toNetwork(static_cast<Poco::UInt32>(message.bytes.size()));
+    sendAll(socket, reinterpret_cast<const char*>(&size), sizeof(size));
+    sendAll(socket, message.bytes.data(), message.bytes.size());
+    return true;
+  } catch (const Poco::Exception&) {
+    return false;
+  }
+}
+
+void PeerTransport::receiveDatagrams() {
+  std::vector<char> buffer(kMaxDatagramBytes);
+  while (!stopping_) {
+    try {
+      if (!datagramSocket_.poll(Poco::Timespan(kPollMicroseconds),
+                                Poco::Net::Socket::SELECT_READ)) {
+        continue;
+      }
+      Poco::Net::SocketAddress sender;
+      const int size =
+          datagramSocket_.receiveFrom(buffer.data(), static_cast<int>(buffer.size()), sender);
+      deliver(buffer.data(), static_cast<size_t>(std::max(size, 0)));
+    } catch (const Poco::Exception&) {
+      // A port-unreachable answer to an earlier send ends up here; the next message may be fine.
+      ++counters_.dropped;
+    }
+  }
+}
+
+void PeerTransport::acceptConnections() {
+  while (!stopping_) {
+    try {
+      if (!serverSocket_.poll(Poco::Timespan(kPollMicroseconds), Poco::Net::Socket::SELECT_READ)) {
+        continue;
+      }
+      receiveConnection(serverSocket_.acceptConnection());
+    } catch (const Poco::Exception&) {
+      ++counters_.dropped;
+    }
+  }
+}
+
+void PeerTransport::receiveConnection(Poco::Net::StreamSocket socket) {
+  socket.setReceiveTimeout(Poco::Timespan(kTcpTimeoutMicroseconds));
+  Poco::UInt32 size = 0;
+  if (!receiveAll(socket, reinterpret_cast<char*>(&size), sizeof(size))) {
+    return;
+  }
+  size = Poco::ByteOrder::fromNetwork(size);
+  if (static_cast<int64_t>(size) > knobs_.maxPeerMessageBytes) {
+    ++counters_.refused;
+    return;
+  }
+  std::vector<char> bytes(size);
+  if (receiveAll(socket, bytes.data(), bytes.size())) {
+    deliver(bytes.data(), bytes.size());
+  }
+}
+
+void PeerTransport::deliver(const char* bytes, size_t size) {
+  const auto opened = sealer_.open(std::string_view(bytes, size));
+  if (!isOk(opened)) {
+    ++counters_.refused;
+    return;
+  }
+  ++counters_.messagesReceived;
+  counters_.bytesReceived += size;
+  const proto::Envelope& envelope = valueOf(opened);
+  handler_(
+      NodeLife{NodeId(envelope.sender().node_id()), Incarnation(envelope.sender().incarnation())},
+      envelope);
+}
+
+}  // namespace fernmoor
