HTTP client with event streams, and the engine client on it

Cause: the relay reads token streams from engines and must notice a vanished caller meanwhile. Change: kept-alive connections per address, event streams that can be waited for together with another socket, typed engine calls; progress tells whether a byte left, so that a refusal can honestly say not_run. Ruled out: retrying inside the client (a not-repeatable request must never be sent twice).

--- /dev/null
+++ b/src/engine/engine_client.h
@@ -0,0 +1,96 @@
+/// @file
+/// Client of the model engines' protocol (docs/PROTOCOL-ENGINE.md).
+#pragma once
+
+#include <memory>
+#include <string>
+#include <variant>
+
+#include "common/error.h"
+#include "engine/engine_state.h"
+#include "http/http_client.h"
+
+namespace fernmoor {
+
+/// One attempt as it is sent to an engine.
+struct GenerateRequest {
+  AttemptId attempt;
+  RequestId request;
+  TenantId tenant;
+  ModelId model;
+  AdapterId adapter;
+  Placement placement;
+  int64_t priority = 5;
+  std::string prompt;
+  int64_t firstPosition = 0;  ///< Output tokens that the caller already has.
+  int64_t maxTokens = 0;      ///< Length of the whole answer.
+};
+
+/// A piece of an attempt's output.
+struct AttemptFrame {
+  int64_t position = 0;  ///< Of the first token, in the whole answer.
+  int64_t tokens = 0;
+  std::string text;
+  bool end = false;
+  int64_t promptTokens = 0;  ///< 0 where the frame does not say.
+  int64_t cachedTokens = 0;
+};
+
+using AttemptRead = std::variant<AttemptFrame, StreamQuiet, StreamInterrupted, StreamClosed>;
+
+/// Output of one attempt. Not thread-safe.
+class AttemptStream {
+ public:
+  explicit AttemptStream(std::unique_ptr<EventStream> events) : events_(std::move(events)) {}
+  /// Waits for a frame; see EventStream::next. A malformed frame closes the stream.
+  AttemptRead next(Duration timeout, const Poco::Net::Socket* other);
+
+ private:
+  std::unique_ptr<EventStream> events_;
+};
+
+/// A cache event as an engine publishes it.
+enum class EngineCacheEventKind { kStored, kRemoved, kCleared };
+
+struct EngineCacheEvent {
+  uint64_t sequence = 0;
+  EngineCacheEventKind kind = EngineCacheEventKind::kStored;
+  uint64_t block = 0;
+};
+
+/// Events of one incarnation in order; `gap` where some before the first were lost.
+struct EngineCacheEvents {
+  Incarnation incarnation;
+  bool gap = false;
+  std::vector<EngineCacheEvent> events;
+};
+
+/// Thread-safe.
+class EngineClient {
+ public:
+  explicit EngineClient(HttpClient& http) : http_(http) {}
+
+  /// Starts an attempt. Errors: what the engine said (kWrongIncarnation, kWrongWeights,
+  /// kNotFound, kConflict, kUnavailable), with runState kNotRun where the engine says so or no
+  /// byte was sent, else kUnknown.
+  Result<std::unique_ptr<AttemptStream>> generate(const GenerateRequest& request, Duration timeout);
+  /// Takes up an attempt again on the same incarnation.
+  Result<std::unique_ptr<AttemptStream>> resume(const Placement& placement,
+                                                const AttemptId& attempt, int64_t position,
+                                                Duration timeout);
+  /// Stops an attempt; failures are ignored, since engines drop attempts without a reader.
+  void cancel(const SocketAddress& address, const AttemptId& attempt);
+
+  /// @return state and load; zone and address are left as the caller gave them.
+  Result<EngineState> state(const EngineState& known, Time now);
+  /// Waits up to `wait` for events after the sequence number.
+  Result<EngineCacheEvents> events(const SocketAddress& address, Incarnation incarnation,
+                                   uint64_t after, Duration wait);
+
+ private:
+  Result<std::unique_ptr<AttemptStream>> openAttempt(const HttpCall& call);
+
+  HttpClient& http_;
+};
+
+}  // namespace fernmoor
--- /dev/null
+++ b/src/http/http_client.h
@@ -0,0 +1,130 @@
+/// @file
+/// HTTP client over Poco for back ends: kept-alive connections, JSON calls, and event streams that
+/// can be waited for together with another socket.
+#pragma once
+
+#include <Poco/JSON/Object.h>
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "common/error.h"
+#include "membership/member.h"
+
+namespace fernmoor {
+
+/// One header of a request.
+struct HttpHeader {
+  std::string name;
+  std::string value;
+};
+
+struct HttpCall {
+  SocketAddress address;
+  std::string method = "GET";
+  std::string path;
+  std::string body;  ///< JSON; empty: none.
+  std::vector<HttpHeader> headers;
+  Duration timeout{2000000};  ///< For connecting and for each read.
+};
+
+/// How far a failed call got; decides whether a request may be tried again.
+enum class CallProgress {
+  kNotSent,   ///< No byte left this process.
+  kSent,      ///< Bytes left; no answer came.
+  kAnswered,  ///< The back end answered.
+};
+
+struct HttpAnswer {
+  int status = 0;
+  std::string body;
+};
+
+/// Failure of a call.
+struct HttpFailure {
+  CallProgress progress = CallProgress::kNotSent;
+  std::string detail;
+};
+
+using HttpOutcome = std::variant<HttpAnswer, HttpFailure>;
+
+/// One server-sent event's data.
+struct StreamEvent {
+  std::string data;
+};
+/// Nothing came within the time waited.
+struct StreamQuiet {};
+/// The other socket that was waited for became readable or was closed.
+struct StreamInterrupted {};
+/// The stream ended or broke.
+struct StreamClosed {};
+using StreamRead = std::variant<StreamEvent, StreamQuiet, StreamInterrupted, StreamClosed>;
+
+class HttpConnection;
+class HttpClient;
+
+/// An open text/event-stream answer. Not thread-safe. Returns its connection when it ended well.
+class EventStream {
+ public:
+  EventStream(HttpClient& client, std::unique_ptr<HttpConnection> connection, std::istream& body);
+  ~EventStream();
+  EventStream(const EventStream&) = delete;
+  EventStream& operator=(const EventStream&) = delete;
+
+  /// Waits for the next event.
+  /// @param timeout longest wait.
+  /// @param other a socket to watch at the same time, or null.
+  StreamRead next(Duration timeout, const Poco::Net::Socket* other);
+
+ private:
+  enum class Waited { kReadable, kQuiet, kInterrupted };
+  Waited waitReadable(Duration timeout, const Poco::Net::Socket* other);
+
+  HttpClient& client_;
+  std::unique_ptr<HttpConnection> connection_;
+  std::istream& body_;
+  std::string line_;
+};
+
+/// Outcome of opening a stream: the stream, an answer with an error status, or a failure.
+using StreamOutcome = std::variant<std::unique_ptr<EventStream>, HttpAnswer, HttpFailure>;
+
+/// Thread-safe; keeps idle connections per address.
+class HttpClient {
+ public:
+  HttpClient();
+  ~HttpClient();
+  /// Makes a call and reads the whole answer (at most 64 MB).
+  HttpOutcome call(const HttpCall& call);
+  /// Makes a call whose answer is an event stream.
+  StreamOutcome open(const HttpCall& call);
+
+ private:
+  friend class EventStream;
+  struct Started {
+    std::unique_ptr<HttpConnection> connection;
+    std::istream* body = nullptr;
+    int status = 0;
+  };
+  std::variant<Started, HttpFailure> start(const HttpCall& call);
+  std::variant<Started, HttpFailure> startOn(std::unique_ptr<HttpConnection> connection,
+                                             const HttpCall& call);
+  std::unique_ptr<HttpConnection> takeIdle(const SocketAddress& address);
+  void giveBack(std::unique_ptr<HttpConnection> connection);
+
+  std::mutex mutex_;
+  std::vector<std::unique_ptr<HttpConnection>> idle_;
+};
+
+/// Makes a call and reads a JSON object.
+/// @return kUnavailable where nothing answered; the answer's own error kind is lost, its status is
+///         named in the message.
+Result<Poco::JSON::Object::Ptr> callJson(HttpClient& client, const HttpCall& call);
+
+}  // namespace fernmoor
