--- a/src/common/error.cpp
+++ b/src/common/error.cpp
@@ -14,6 +14,8 @@
       return "not_found";
     case ErrorKind::kTimeout:
       return "timeout";
+    case ErrorKind::kCallerTooSlow:
+      return "caller_too_slow";
     case ErrorKind::kConflict:
       return "conflict";
     case ErrorKind::kTooLarge:
--- a/src/common/error.h
+++ b/src/common/error.h
@@ -13,13 +13,14 @@
 
 namespace fernmoor {
 
-/// What went wrong; the kind decides the HTTP status (see router/http_status.h).
+/// What went wrong; the kind decides the HTTP status (see node/http_reply.h).
 enum class ErrorKind {
   kInvalidRequest,    ///< Malformed or incomplete input.
   kUnauthorized,      ///< No key, or an unknown one.
   kForbidden,         ///< The key is valid and may not do this.
   kNotFound,          ///< No such model, row, stream or request.
-  kTimeout,           ///< The caller was too slow or the deadline passed.
+  kTimeout,            ///< The request's deadline passed.
+  kCallerTooSlow,      ///< The caller did not send its request in time.
   kConflict,          ///< Another change or claim came first.
   kTooLarge,          ///< A bound on size, depth or count was passed.
   kRateLimited,       ///< The row's rate or concurrency limit is reached.
--- a/src/wire/envelope_sealer.h
+++ b/src/wire/envelope_sealer.h
@@ -25,8 +25,6 @@
   Result<proto::Envelope> open(std::string_view bytes) const;
 
  private:
-  std::string tagOf(const std::string& bytes) const;
-
   std::string clusterKey_;
 };
 
