Client of the platform's object API over HTTP

Cause: table, ownership and operators' edits need the platform's objects, watches and machine list. Ruled out: kept-alive connections, since calls are few and a session is not thread-safe. Change: interface PlatformClient with typed results, HttpPlatformClient by Poco Net with bounded time and answer size; a change whose answer was lost is told as outcome unknown, a read as a timeout.

--- /dev/null
+++ b/src/platform/http_platform_client.cpp
@@ -0,0 +1,193 @@
+#include "platform/http_platform_client.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Timespan.h>
+#include <Poco/URI.h>
+
+#include <utility>
+
+#include "platform/platform_codec.h"
+
+namespace fernmoor {
+
+namespace {
+
+using Poco::Net::HTTPRequest;
+using Poco::Net::HTTPResponse;
+
+constexpr size_t kReadChunkBytes = 65536;
+
+Poco::Timespan toTimespan(Duration duration) {
+  return Poco::Timespan(static_cast<Poco::Timespan::TimeDiff>(duration.count()));
+}
+
+std::string escape(const std::string& segment) {
+  std::string escaped;
+  Poco::URI::encode(segment, "/?#%", escaped);
+  return escaped;
+}
+
+std::string objectPath(const CollectionName& collection, const ObjectName& name) {
+  return "/objects/" + escape(collection.value()) + "/" + escape(name.value());
+}
+
+std::string collectionPath(const CollectionName& collection) {
+  return "/objects/" + escape(collection.value());
+}
+
+Error unreachable(const SocketAddress& address, const std::string& reason) {
+  return Error{ErrorKind::kUnavailable,
+               "the platform at " + address.host + ":" + std::to_string(address.port) +
+                   " can't be reached (" + reason + "); check its address and whether it is up.",
+               RunState::kNotRun, std::nullopt};
+}
+
+Error answerLost(const std::string& reason, bool mutation) {
+  if (!mutation) {
+    return Error{ErrorKind::kTimeout,
+                 "the platform gave no whole answer (" + reason + "); try again.",
+                 RunState::kNotRun, std::nullopt};
+  }
+  return Error{ErrorKind::kOutcomeUnknown,
+               "the platform's answer to a change was lost (" + reason +
+                   "); look the change up by its id, or send it again with the same id.",
+               RunState::kUnknown, std::nullopt};
+}
+
+/// Reads to the end, or until more than `limit` bytes came.
+std::string readUpTo(std::istream& in, size_t limit) {
+  std::string body;
+  std::vector<char> chunk(kReadChunkBytes);
+  while (in && body.size() <= limit) {
+    in.read(chunk.data(), static_cast<std::streamsize>(chunk.size()));
+    body.append(chunk.data(), static_cast<size_t>(in.gcount()));
+  }
+  return body;
+}
+
+Error tooLarge(int64_t limit) {
+  return Error{ErrorKind::kTooLarge,
+               "the platform's answer is larger than " + std::to_string(limit) +
+                   " bytes; raise the knob platformMaxAnswerBytes or remove objects.",
+               RunState::kUnknown, std::nullopt};
+}
+
+/// A body cut short by a lost connection must not pass for a whole one.
+bool isCutShort(const HTTPResponse& response, const std::string& body) {
+  return response.hasContentLength() &&
+         body.size() != static_cast<size_t>(response.getContentLength64());
+}
+
+}  // namespace
+
+HttpPlatformClient::HttpPlatformClient(SocketAddress address, const Knobs& knobs)
+    : address_(std::move(address)), knobs_(knobs) {}
+
+HttpPlatformClient::Call HttpPlatformClient::read(const std::string& path) const {
+  return Call{HTTPRequest::HTTP_GET, path, "", knobs_.platformTimeout, false};
+}
+
+HttpPlatformClient::Call HttpPlatformClient::change(const std::string& method,
+                                                    const std::string& path,
+                                                    std::string body) const {
+  return Call{method, path, std::move(body), knobs_.platformTimeout, true};
+}
+
+Result<std::string> HttpPlatformClient::perform(const Call& call) const {
+  Poco::Net::HTTPClientSession session(address_.host, address_.port);
+  session.setTimeout(toTimespan(knobs_.platformConnectTimeout), toTimespan(knobs_.platformTimeout),
+                     toTimespan(call.receiveTimeout));
+  session.setKeepAlive(false);
+  bool connected = false;
+  try {
+    HTTPRequest request(call.method, call.path, Poco::Net::HTTPMessage::HTTP_1_1);
+    request.setContentType("application/json");
+    request.setContentLength64(static_cast<Poco::Int64>(call.body.size()));
+    std::ostream& out = session.sendRequest(request);
+    connected = true;
+    out << call.body << std::flush;
+    HTTPResponse response;
+    std::istream& in = session.receiveResponse(response);
+    const std::string body = readUpTo(in, static_cast<size_t>(knobs_.platformMaxAnswerBytes));
+    if (body.size() > static_cast<size_t>(knobs_.platformMaxAnswerBytes)) {
+      return tooLarge(knobs_.platformMaxAnswerBytes);
+    }
+    if (isCutShort(response, body)) {
+      return answerLost("the connection ended early", call.mutation);
+    }
+    if (response.getStatus() != HTTPResponse::HTTP_OK) {
+      return platform_codec::readError(response.getStatus(), body, call.mutation);
+    }
+    return body;
+  } catch (const Poco::Exception& exception) {
+    if (!connected) {
+      return unreachable(address_, exception.displayText());
+    }
+    return answerLost(exception.displayText(), call.mutation);
+  }
+}
+
+namespace {
+
+/// Reads the body of a call that succeeded.
+template <class Reader>
+auto readAnswer(const Result<std::string>& answer, Reader reader) -> decltype(reader("")) {
+  if (!isOk(answer)) {
+    return errorOf(answer);
+  }
+  return reader(valueOf(answer));
+}
+
+}  // namespace
+
+Result<PlatformObject> HttpPlatformClient::get(const CollectionName& collection,
+                                               const ObjectName& name) {
+  return readAnswer(perform(read(objectPath(collection, name))), platform_codec::readObject);
+}
+
+Result<CollectionRevision> HttpPlatformClient::put(const CollectionName& collection,
+                                                   const ObjectChange& objectChange,
+                                                   const ChangeId& changeId) {
+  const std::string& method =
+      objectChange.valueJson ? HTTPRequest::HTTP_PUT : HTTPRequest::HTTP_DELETE;
+  return readAnswer(perform(change(method, objectPath(collection, objectChange.name),
+                                   platform_codec::writeChange(objectChange, changeId))),
+                    platform_codec::readRevision);
+}
+
+Result<CollectionRevision> HttpPlatformClient::apply(const CollectionName& collection,
+                                                     const ChangeBatch& batch) {
+  return readAnswer(perform(change(HTTPRequest::HTTP_POST, collectionPath(collection),
+                                   platform_codec::writeBatch(batch))),
+                    platform_codec::readRevision);
+}
+
+Result<CollectionSnapshot> HttpPlatformClient::list(const CollectionName& collection) {
+  return readAnswer(perform(read(collectionPath(collection))), platform_codec::readSnapshot);
+}
+
+Result<WatchBatch> HttpPlatformClient::watch(const CollectionName& collection,
+                                             CollectionRevision after, Duration wait) {
+  const int64_t waitMilliseconds = duration_cast<std::chrono::milliseconds>(wait).count();
+  Call call =
+      read("/watch/" + escape(collection.value()) + "?after=" + std::to_string(after.value()) +
+           "&wait_ms=" + std::to_string(waitMilliseconds));
+  call.receiveTimeout = wait + knobs_.platformTimeout;
+  return readAnswer(perform(call), platform_codec::readWatchBatch);
+}
+
+Result<CollectionRevision> HttpPlatformClient::findChange(const CollectionName& collection,
+                                                          const ChangeId& changeId) {
+  const std::string path =
+      "/changes/" + escape(collection.value()) + "/" + escape(changeId.value());
+  return readAnswer(perform(read(path)), platform_codec::readRevision);
+}
+
+Result<std::vector<Machine>> HttpPlatformClient::machines() {
+  return readAnswer(perform(read("/machines")), platform_codec::readMachines);
+}
+
+}  // namespace fernmoor
