--- a/src/membership/member.h
+++ b/src/membership/member.h
@@ -7,18 +7,10 @@
 
 #include "common/ids.h"
 #include "common/role.h"
+#include "common/socket_address.h"
 
 namespace fernmoor {
 
-/// An IP number and a port. Names are never resolved.
-struct SocketAddress {
-  std::string host;
-  uint16_t port = 0;
-  friend bool operator==(const SocketAddress& a, const SocketAddress& b) {
-    return a.host == b.host && a.port == b.port;
-  }
-};
-
 /// Life cycle of a member as others see it. Alive members are given new duties; draining ones
 /// finish what they have; suspect ones are asked last; dead ones are forgotten after a while.
 enum class MemberState { kAlive, kSuspect, kDraining, kDead };
