--- a/standin/answer.cpp
+++ b/standin/answer.cpp
@@ -2,23 +2,37 @@
 
 #include <xxhash.h>
 
-#include <cstdio>
-
 namespace fernmoor::standin {
 
+namespace {
+constexpr int kDigitsPerToken = 8;
+constexpr int kTopDigitShift = 28;
+}  // namespace
+
+AnswerKey::AnswerKey(std::string_view model, std::string_view prompt)
+    : hash_(XXH3_64bits_withSeed(prompt.data(), prompt.size(),
+                                 XXH3_64bits(model.data(), model.size()))) {}
+
+void AnswerKey::append(std::string& text, int64_t position, int64_t tokens) const {
+  for (int64_t next = position; next < position + tokens; ++next) {
+    auto bits = static_cast<uint32_t>(XXH3_64bits_withSeed(&next, sizeof(next), hash_));
+    text += ' ';
+    for (int digit = 0; digit < kDigitsPerToken; ++digit) {
+      text += "0123456789abcdef"[bits >> kTopDigitShift];
+      bits <<= 4;
+    }
+  }
+}
+
 std::string answerToken(std::string_view model, std::string_view prompt, int64_t position) {
-  const uint64_t seed = XXH3_64bits(model.data(), model.size()) + static_cast<uint64_t>(position);
-  const uint64_t hash = XXH3_64bits_withSeed(prompt.data(), prompt.size(), seed);
-  char text[10];
-  std::snprintf(text, sizeof(text), " %08x", static_cast<unsigned>(hash));
+  std::string text;
+  AnswerKey(model, prompt).append(text, position, 1);
   return text;
 }
 
 std::string answerText(std::string_view model, std::string_view prompt, int64_t tokens) {
   std::string text;
-  for (int64_t position = 0; position < tokens; ++position) {
-    text += answerToken(model, prompt, position);
-  }
+  AnswerKey(model, prompt).append(text, 0, tokens);
   return text;
 }
 
--- a/standin/answer.h
+++ b/standin/answer.h
@@ -10,6 +10,18 @@
 
 namespace fernmoor::standin {
 
+/// Stands for prompt and model of one answer, so that a long prompt is hashed only once.
+class AnswerKey {
+ public:
+  AnswerKey() = default;
+  AnswerKey(std::string_view model, std::string_view prompt);
+  /// Appends the answer's tokens from a position on.
+  void append(std::string& text, int64_t position, int64_t tokens) const;
+
+ private:
+  uint64_t hash_ = 0;
+};
+
 /// @return the text of the answer's token at that position, e.g. " 7f3a1c09"; 9 bytes.
 std::string answerToken(std::string_view model, std::string_view prompt, int64_t position);
 
--- a/standin/engine_model.h
+++ b/standin/engine_model.h
@@ -33,6 +33,12 @@
   Duration loadLag{250000};          ///< Age of the reported load.
   Duration weightsLoadTime{500000};  ///< Of one order to load weights.
   uint64_t seed = 1;
+  std::vector<AdapterId> adapters;  ///< Loaded from the start.
+  EngineRole role = EngineRole::kMixed;
+  /// Tokens in a frame after the first; 0: only a first frame of one token and a last one.
+  int64_t tokensPerFrame = 1;
+  bool emitText = true;        ///< False: frames count tokens but carry no text.
+  int64_t keptEvents = 16384;  ///< Cache events kept for readers that come late.
 };
 
 /// A request as it reaches the engine.
@@ -59,6 +65,7 @@
   bool end = false;  ///< True in the last frame only.
   int64_t promptTokens = 0;
   int64_t cachedTokens = 0;  ///< Prompt tokens that were not recomputed.
+  Time at;                   ///< When it was produced.
 };
 
 enum class CacheEventKind { kStored, kRemoved, kCleared };
@@ -76,6 +83,8 @@
   std::vector<CacheEvent> events;
 };
 
+/// One engine. Calls must not go back in time, and advance(now) comes before any other call that
+/// takes the same `now`, so that what was due earlier happens first.
 class EngineModel {
  public:
   explicit EngineModel(EngineOptions options);
@@ -88,7 +97,8 @@
   Result<Done> submit(const EngineRequest& request, Time now);
   /// Stops an attempt and frees its place. Unknown attempts are ignored.
   void cancel(const AttemptId& attempt, Time now);
-  /// Makes the engine repeat an attempt's output from a position, running or ended.
+  /// Makes the engine repeat an attempt's output from a position, running or ended; the kept part
+  /// comes in one frame. Unknown attempts are kNotFound, positions not yet reached kInvalidRequest.
   Result<Done> resume(const AttemptId& attempt, int64_t position, Time now);
 
   /// Runs the batch up to `now`.
@@ -99,6 +109,9 @@
 
   /// Cache events after `sequence` whose delay has passed.
   CacheEventBatch events(uint64_t sequence, Time now) const;
+  /// @return when an event after `sequence` is or becomes visible; none if there is none.
+  std::optional<Time> nextEventVisible(uint64_t sequence) const;
+  uint64_t lastEventSequence() const;
   /// Load as it was loadLag ago.
   EngineLoad load(Time now) const;
   /// @return how many leading blocks of the chain are cached right now (the oracle's view).
@@ -109,21 +122,32 @@
   std::vector<BlockHash> exportBlocks(const std::vector<BlockHash>& blocks) const;
   void importBlocks(const std::vector<BlockHash>& blocks, Time now);
 
-  /// Carries out a fenced order to serve a model, adapter and weights version.
+  /// Carries out a fenced order to serve a model, adapter and weights version. While they load,
+  /// new requests are refused and those inside are finished.
   /// @return kConflict where a higher token was seen already.
   Result<Done> order(FencingToken token, const ModelId& model, const AdapterId& adapter,
                      WeightsVersion weights, EngineRole role, Time now);
 
-  /// Faults. A crash loses all attempts and the cache and starts a new incarnation.
+  /// Keeps the engine loading until the given time at least (a slow weight store).
+  void extendLoading(Time until);
+
+  /// Faults. A crash loses all attempts, the cache and the highest fencing token, and starts a new
+  /// incarnation with the model, adapters, weights and role of the first options.
   void crash(Time now);
-  void freezeUntil(Time until);
+  void freezeUntil(Time until);    ///< Produces nothing until then.
   void dropEvents(int64_t count);  ///< Loses the next events, leaving a gap.
 
+  /// @return the options in force: orders and crashes change model, adapters, weights version,
+  /// role and incarnation.
   const EngineOptions& options() const;
   Incarnation incarnation() const;
   WeightsVersion weightsVersion() const;
-  /// Tokens recomputed though some block of them had been here before; for reports.
+  EngineStatus status(Time now) const;
+  FencingToken highestFencingToken() const;
+  /// @return tokens prefilled since the start, all incarnations together; for reports.
   int64_t prefilledTokens() const;
+  /// @return true while the attempt waits, is in prefill or is being decoded.
+  bool isRunning(const AttemptId& attempt) const;
 
  private:
   class Implementation;
