--- /dev/null
+++ b/src/node/completion_sink.h
@@ -0,0 +1,55 @@
+/// @file
+/// Writes a relayed answer to a caller over HTTP, whole or as server-sent events.
+#pragma once
+
+#include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/Net/StreamSocket.h>
+
+#include <ostream>
+#include <string>
+
+#include "node/completion_api.h"
+#include "node/stream_token.h"
+#include "relay/stream_relay.h"
+
+namespace fernmoor {
+
+/// One caller's answer. Used by one thread. Headers go out with the first token, so that a refusal
+/// before it has its own status.
+class CompletionSink : public AnswerSink {
+ public:
+  CompletionSink(Poco::Net::HTTPServerRequest& request, Poco::Net::HTTPServerResponse& response,
+                 const StreamTokenSealer& sealer, TenantId tenant, AnswerFacts facts, bool stream);
+
+  bool attemptStarted(const AttemptId& attempt, const Placement& placement,
+                      const AttemptFrame& firstFrame) override;
+  bool text(int64_t position, int64_t tokens, const std::string& text) override;
+  bool finish(int64_t totalTokens) override;
+  bool refuse(const Error& error) override;
+  const Poco::Net::Socket* callerSocket() override;
+  bool callerGone() override;
+
+ private:
+  void setHeaders();
+  void startStream();
+  bool sendEvent(const std::string& data);
+  bool sendWhole(int64_t totalTokens);
+
+  Poco::Net::HTTPServerResponse& response_;
+  const StreamTokenSealer& sealer_;
+  const TenantId tenant_;
+  const AnswerFacts facts_;
+  const bool stream_;
+  Poco::Net::StreamSocket socket_;
+  bool watchSocket_ = true;  ///< False once the caller sent a further request on the connection.
+  std::ostream* out_ = nullptr;
+  std::string wholeText_;
+  std::string announcedStream_;  ///< Stream id not yet sent in a chunk.
+  EngineId engine_;
+  std::string streamId_;
+  int64_t promptTokens_ = 0;
+  int64_t cachedTokens_ = 0;
+};
+
+}  // namespace fernmoor
--- /dev/null
+++ b/src/node/engine_chooser.cpp
@@ -0,0 +1,135 @@
+#include "node/engine_chooser.h"
+
+#include <algorithm>
+
+namespace fernmoor {
+
+namespace {
+
+/// Spread of Retry-After where no engine is there, so that callers don't return together.
+constexpr Duration kEarliestRetry{1000000};
+constexpr Duration kLatestRetry{3000000};
+
+bool contains(const std::vector<EngineId>& ids, const EngineId& id) {
+  return std::find(ids.begin(), ids.end(), id) != ids.end();
+}
+
+}  // namespace
+
+EngineChooser::EngineChooser(EngineDirectory& directory, RoutingPolicy& policy,
+                             PrefixMatcher& matcher, const Clock& clock, const Row& row,
+                             const RelayRequest& request, Random random)
+    : directory_(directory),
+      policy_(policy),
+      matcher_(matcher),
+      clock_(clock),
+      row_(row),
+      request_(request),
+      random_(random) {}
+
+Error EngineChooser::noEngine() const {
+  Random random = random_;
+  return Error{ErrorKind::kUnavailable,
+               "no live engine serves model " + row_.model.value() +
+                   "; see fernmoorctl engines, and come back later.",
+               RunState::kNotRun, random.between(kEarliestRetry, kLatestRetry)};
+}
+
+std::vector<EngineEntry> EngineChooser::candidatesWithout(
+    const std::vector<EngineId>& excluded) const {
+  const std::vector<EngineEntry> all =
+      directory_.candidates(row_.model, row_.adapter, clock_.now());
+  std::vector<EngineEntry> kept;
+  for (const EngineEntry& entry : all) {
+    if (!contains(excluded, entry.state.id)) {
+      kept.push_back(entry);
+    }
+  }
+  // An engine that failed once is still better than none.
+  return kept.empty() ? all : kept;
+}
+
+const BlockChain& EngineChooser::chainFor(WeightsVersion weights) {
+  if (!chainMade_ || chainWeights_ != weights) {
+    chain_ =
+        hashPrompt(ChainSeed{request_.tenant, row_.model, row_.adapter, weights}, request_.prompt);
+    chainWeights_ = weights;
+    chainMade_ = true;
+  }
+  return chain_;
+}
+
+std::vector<EngineCandidate> EngineChooser::weigh(const std::vector<EngineEntry>& entries) {
+  const std::vector<PrefixMatch> matches = matcher_.match(chain_, entries);
+  std::vector<EngineCandidate> candidates;
+  candidates.reserve(entries.size());
+  for (size_t i = 0; i < entries.size(); ++i) {
+    EngineCandidate candidate;
+    candidate.engine = entries[i].state;
+    candidate.placedPrefillTokens = entries[i].placedPrefillTokens;
+    candidate.placedStreams = entries[i].placedStreams;
+    candidate.matchedBlocks = matches[i].blocks;
+    candidate.matchKnown = matches[i].known;
+    candidates.push_back(std::move(candidate));
+  }
+  return candidates;
+}
+
+Result<PlacedAttempt> EngineChooser::place(const std::vector<EngineId>& excluded) {
+  std::vector<EngineEntry> entries = candidatesWithout(excluded);
+  if (entries.empty()) {
+    return noEngine();
+  }
+  // While weights change, only engines with the newest ones are chosen: chains differ by version.
+  WeightsVersion newest;
+  for (const EngineEntry& entry : entries) {
+    newest = std::max(newest, entry.state.weightsVersion);
+  }
+  entries.erase(std::remove_if(
+                    entries.begin(), entries.end(),
+                    [&](const EngineEntry& entry) { return entry.state.weightsVersion != newest; }),
+                entries.end());
+  const BlockChain& chain = chainFor(newest);
+  const std::vector<EngineCandidate> candidates = weigh(entries);
+  RoutingRequest routing;
+  routing.row = row_.key;
+  routing.priority = row_.priority;
+  routing.deadlineClass = row_.deadlineClass;
+  routing.recomputationWeight = row_.recomputationWeight;
+  routing.chain = &chain;
+  routing.expectedOutputTokens = request_.maxTokens;
+  const RoutingChoice choice = policy_.choose(routing, candidates, clock_.now(), random_);
+  const EngineCandidate& chosen = candidates[choice.candidate];
+
+  PlacedAttempt placed;
+  placed.placement.engine = chosen.engine.id;
+  placed.placement.address = chosen.engine.address;
+  placed.placement.incarnation = chosen.engine.incarnation;
+  placed.placement.weightsVersion = chosen.engine.weightsVersion;
+  placed.placement.expectedMatchedBlocks = chosen.matchedBlocks;
+  placed.reason = policy_.name() + ": " + choice.reason;
+  placed.expectedSeconds = choice.expectedSeconds;
+  for (const EngineCandidate& candidate : candidates) {
+    placed.considered.push_back(ConsideredEngine{candidate.engine.id, candidate.matchedBlocks, 0});
+  }
+  const int64_t missed = chain.tokenCount - chosen.matchedBlocks * kTokensPerBlock;
+  directory_.notePlaced(chosen.engine.id, std::max<int64_t>(0, missed), clock_.now());
+  matcher_.notePlaced(chain, placed.placement);
+  return placed;
+}
+
+void EngineChooser::reportFailure(const Placement& placement, const Error& error) {
+  if (error.kind == ErrorKind::kWrongIncarnation || error.kind == ErrorKind::kWrongWeights) {
+    directory_.reportStale(placement.engine, placement.incarnation);
+    return;
+  }
+  if (error.kind == ErrorKind::kUnavailable || error.kind == ErrorKind::kTimeout) {
+    directory_.reportFailure(placement.engine, clock_.now());
+  }
+}
+
+void EngineChooser::reportHit(const Placement& placement, const AttemptFrame& firstFrame) {
+  directory_.reportSuccess(placement.engine);
+}
+
+}  // namespace fernmoor
