--- /dev/null
+++ b/src/routing/least_expected_time.cpp
@@ -0,0 +1,125 @@
+/// @file
+/// The project's own policy: the engine with the least expected time to first token. Its terms are
+/// the prefill queue, the part of the prompt that has to be recomputed (weighted by the row's
+/// recomputationWeight) and the wait for a place in the batch. Engines that are no home of the
+/// prefix pay a small penalty, so that a new prefix goes to one place; docs/ROUTING.md has the
+/// figures.
+#include <algorithm>
+
+#include "common/lock_order.h"
+#include "routing/engine_load_score.h"
+#include "routing/hot_prefix_tracker.h"
+#include "routing/policies.h"
+#include "routing/prefix_affinity.h"
+
+namespace fernmoor {
+
+namespace {
+
+/// Used where an engine has not yet told its speed; only its order of magnitude matters.
+constexpr double kAssumedPrefillTokensPerSecond = 10000;
+/// Used where the caller gave no bound on the answer's length.
+constexpr int64_t kAssumedOutputTokens = 128;
+
+double prefillRate(const EngineCandidate& candidate) {
+  const double reported = candidate.engine.load.prefillTokensPerSecond;
+  return reported > 0 ? reported : kAssumedPrefillTokensPerSecond;
+}
+
+/// @return seconds until a place in the batch comes free, 0 while there is one.
+double slotWaitSeconds(const RoutingRequest& request, const EngineCandidate& candidate) {
+  const EngineLoad& load = candidate.engine.load;
+  const int64_t ahead = outstandingRequests(candidate) + 1 - load.maxStreams;
+  if (load.maxStreams <= 0 || ahead <= 0) {
+    return 0;
+  }
+  const int64_t outputTokens =
+      request.expectedOutputTokens > 0 ? request.expectedOutputTokens : kAssumedOutputTokens;
+  const double streamSeconds = static_cast<double>(outputTokens) * toSeconds(load.tokenInterval);
+  return static_cast<double>(ahead) * streamSeconds / static_cast<double>(load.maxStreams);
+}
+
+double missedSeconds(const RoutingRequest& request, const EngineCandidate& candidate) {
+  const int64_t matched = candidate.matchedBlocks * kTokensPerBlock;
+  const int64_t missed = std::max<int64_t>(0, request.chain->tokenCount - matched);
+  return static_cast<double>(missed) / prefillRate(candidate);
+}
+
+/// The terms of one engine's score, in seconds.
+struct ExpectedTime {
+  double queue = 0;
+  double missed = 0;
+  double slotWait = 0;
+  double total() const { return queue + missed + slotWait; }
+};
+
+ExpectedTime expectedTime(const RoutingRequest& request, const EngineCandidate& candidate,
+                          Time now) {
+  ExpectedTime time;
+  time.queue = prefillQueueSeconds(candidate, now);
+  time.missed = missedSeconds(request, candidate);
+  time.slotWait = slotWaitSeconds(request, candidate);
+  return time;
+}
+
+std::string describe(const ExpectedTime& time, const EngineCandidate& candidate, size_t homes) {
+  return "expected " + std::to_string(time.total()) + " s: queue " + std::to_string(time.queue) +
+         ", recomputation " + std::to_string(time.missed) + ", batch " +
+         std::to_string(time.slotWait) + "; " + std::to_string(candidate.matchedBlocks) +
+         " blocks matched, " + std::to_string(homes) + " homes";
+}
+
+class LeastExpectedTime : public RoutingPolicy {
+ public:
+  explicit LeastExpectedTime(const Knobs& knobs)
+      : affinityBlocks_(knobs.affinityPrefixBlocks),
+        nonHomePenalty_(knobs.nonHomePenaltySeconds),
+        hotPrefixes_(knobs) {}
+
+  std::string name() const override { return "least_expected_time"; }
+
+  RoutingChoice choose(const RoutingRequest& request,
+                       const std::vector<EngineCandidate>& candidates, Time now,
+                       Random& random) override {
+    const uint64_t prefix = affinityKey(request, affinityBlocks_);
+    const size_t homes = countRequest(prefix, now);
+    const std::vector<size_t> order = homeOrder(prefix, candidates);
+    RoutingChoice choice;
+    ExpectedTime chosen;
+    double bestScore = 0;
+    for (size_t rank = 0; rank < order.size(); ++rank) {
+      const EngineCandidate& candidate = candidates[order[rank]];
+      const ExpectedTime time = expectedTime(request, candidate, now);
+      const double penalty = rank < homes ? 0 : nonHomePenalty_;
+      const double score =
+          time.queue + time.slotWait + time.missed * request.recomputationWeight + penalty;
+      if (rank == 0 || score < bestScore) {
+        bestScore = score;
+        choice.candidate = order[rank];
+        chosen = time;
+      }
+    }
+    choice.expectedSeconds = chosen.total();
+    choice.reason = describe(chosen, candidates[choice.candidate], homes);
+    return choice;
+  }
+
+ private:
+  size_t countRequest(uint64_t prefix, Time now) {
+    const RankedLock lock(mutex_);
+    return hotPrefixes_.countRequest(prefix, now);
+  }
+
+  int64_t affinityBlocks_;
+  double nonHomePenalty_;
+  RankedMutex mutex_{LockRank::kRouting};
+  HotPrefixTracker hotPrefixes_;
+};
+
+}  // namespace
+
+std::unique_ptr<RoutingPolicy> makeLeastExpectedTime(const Knobs& knobs) {
+  return std::make_unique<LeastExpectedTime>(knobs);
+}
+
+}  // namespace fernmoor
--- a/src/routing/routing_policy.h
+++ b/src/routing/routing_policy.h
@@ -58,4 +58,7 @@
 Result<std::unique_ptr<RoutingPolicy>> makeRoutingPolicy(const std::string& name,
                                                          const Knobs& knobs);
 
+/// @return the names of all policies.
+std::vector<std::string> routingPolicyNames();
+
 }  // namespace fernmoor
