--- a/standin/engine_model.cpp
+++ b/standin/engine_model.cpp
@@ -62,6 +62,7 @@
   }
 
   void load(const ModelId& model, WeightsVersion weights, Time now) {
+    ++loadsBegun;
     loadingUntil = now + options.weightsLoadTime;
     if (model == options.model && weights == options.weightsVersion) {
       return;  // Only an adapter came; the blocks of the others stay right.
@@ -79,6 +80,7 @@
   EngineBatch batch;
   FencingToken highestToken;
   Time loadingUntil;
+  uint64_t loadsBegun = 0;
 };
 
 EngineModel::EngineModel(EngineOptions options)
@@ -168,8 +170,12 @@
   return Done{};
 }
 
-void EngineModel::extendLoading(Time until) {
-  implementation_->loadingUntil = std::max(implementation_->loadingUntil, until);
+uint64_t EngineModel::loadsBegun() const {
+  return implementation_->loadsBegun;
+}
+
+void EngineModel::setLoadingUntil(Time until) {
+  implementation_->loadingUntil = until;
 }
 
 void EngineModel::crash(Time now) {
@@ -181,6 +187,7 @@
   engine.batch.clear(now);
   engine.cache.restart(now);
   engine.loadingUntil = Time();
+  ++engine.loadsBegun;  // Nobody waits for the former one any more.
 }
 
 void EngineModel::freezeUntil(Time until) {
--- a/standin/engine_model.h
+++ b/standin/engine_model.h
@@ -128,8 +128,10 @@
   Result<Done> order(FencingToken token, const ModelId& model, const AdapterId& adapter,
                      WeightsVersion weights, EngineRole role, Time now);
 
-  /// Keeps the engine loading until the given time at least (a slow weight store).
-  void extendLoading(Time until);
+  /// @return how many loads orders have begun; tells whether an order began one.
+  uint64_t loadsBegun() const;
+  /// Sets when the loading under way ends, where the weight store decides that.
+  void setLoadingUntil(Time until);
 
   /// Faults. A crash loses all attempts, the cache and the highest fencing token, and starts a new
   /// incarnation with the model, adapters, weights and role of the first options.
