--- /dev/null
+++ b/src/common/metrics.cpp
@@ -0,0 +1,158 @@
+#include "common/metrics.h"
+
+#include <prometheus/text_serializer.h>
+
+#include <limits>
+
+namespace fernmoor {
+
+namespace {
+
+/// Pairs of service and tenant with measures of their own; each takes about 11 KiB.
+constexpr size_t kMaximumClasses = 128;
+const char* const kOther = "other";
+
+using Buckets = prometheus::Histogram::BucketBoundaries;
+
+/// Seconds; fine around the few milliseconds to seconds that first tokens take.
+const Buckets kFirstTokenBuckets = {0.002, 0.005, 0.01, 0.02, 0.035, 0.05, 0.075, 0.1, 0.15, 0.2,
+                                    0.3,   0.5,   0.75, 1,    1.5,   2.5,  5,     10,  30,   60};
+const Buckets kTokenIntervalBuckets = {0.005, 0.01, 0.02, 0.03, 0.04, 0.06, 0.1, 0.2, 0.5, 1, 5};
+const Buckets kQueueBuckets = {0.001, 0.005, 0.02, 0.1, 0.5, 1, 2, 5, 10, 30, 60, 300};
+const Buckets kViewAgeBuckets = {0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10, 30};
+
+prometheus::Family<prometheus::Counter>& counter(prometheus::Registry& registry, const char* name,
+                                                 const char* help) {
+  return prometheus::BuildCounter().Name(name).Help(help).Register(registry);
+}
+
+prometheus::Family<prometheus::Gauge>& gauge(prometheus::Registry& registry, const char* name,
+                                             const char* help) {
+  return prometheus::BuildGauge().Name(name).Help(help).Register(registry);
+}
+
+prometheus::Family<prometheus::Histogram>& histogram(prometheus::Registry& registry,
+                                                     const char* name, const char* help) {
+  return prometheus::BuildHistogram().Name(name).Help(help).Register(registry);
+}
+
+}  // namespace
+
+void ClassMetrics::countRefusal(ErrorKind kind) {
+  refusals_[static_cast<size_t>(kind)]->Increment();
+}
+
+void ClassMetrics::countPrefixBlocks(int64_t hit, int64_t asked) {
+  blocksHit_->Increment(static_cast<double>(hit));
+  blocksAsked_->Increment(static_cast<double>(asked));
+}
+
+ClassTotals ClassMetrics::totals() const {
+  ClassTotals totals;
+  totals.requestClass = class_;
+  totals.requests = requests_->Value();
+  totals.blocksHit = blocksHit_->Value();
+  totals.blocksAsked = blocksAsked_->Value();
+  totals.recomputedTokens = recomputedTokens_->Value();
+  for (const prometheus::Counter* refusal : refusals_) {
+    totals.refusals += refusal->Value();
+  }
+  double below = 0;
+  for (const auto& bucket : firstToken_->Collect().histogram.bucket) {
+    const auto cumulative = static_cast<double>(bucket.cumulative_count);
+    totals.firstTokenBounds.push_back(bucket.upper_bound);
+    totals.firstTokenCounts.push_back(cumulative - below);
+    below = cumulative;
+  }
+  return totals;
+}
+
+Metrics::Metrics()
+    : viewAge_(&histogram(registry_, "fernmoor_view_age_seconds",
+                          "Age of the cache view by which a request was placed.")
+                    .Add({}, kViewAgeBuckets)),
+      tableVersion_(
+          &gauge(registry_, "fernmoor_table_version", "Table version in force on this node.")
+               .Add({})),
+      openStreams_(
+          &gauge(registry_, "fernmoor_open_streams", "Answers being passed on now.").Add({})),
+      platformAvailable_(&gauge(registry_, "fernmoor_platform_available",
+                                "1 if the last call to the platform succeeded, else 0.")
+                              .Add({})) {
+  auto& control = counter(registry_, "fernmoor_control_bytes_total",
+                          "Bytes between nodes and of engines' events and load reports.");
+  controlSent_ = &control.Add({{"direction", "sent"}});
+  controlReceived_ = &control.Add({{"direction", "received"}});
+}
+
+void Metrics::setMembers(const MemberCounts& counts) {
+  auto& members = gauge(registry_, "fernmoor_members", "Nodes by state, as this node sees them.");
+  members.Add({{"state", "alive"}}).Set(static_cast<double>(counts.alive));
+  members.Add({{"state", "suspect"}}).Set(static_cast<double>(counts.suspect));
+  members.Add({{"state", "draining"}}).Set(static_cast<double>(counts.draining));
+  members.Add({{"state", "dead"}}).Set(static_cast<double>(counts.dead));
+}
+
+ClassMetrics& Metrics::of(const ServiceId& service, const TenantId& tenant) {
+  const std::lock_guard<RankedMutex> lock(mutex_);
+  MetricClass requestClass{service, tenant};
+  const bool known = classes_.count(requestClass) > 0;
+  if (!known && classes_.size() >= kMaximumClasses) {
+    requestClass = MetricClass{ServiceId(kOther), TenantId(kOther)};
+  }
+  std::unique_ptr<ClassMetrics>& entry = classes_[requestClass];
+  if (entry == nullptr) {
+    entry = makeClass(requestClass);
+  }
+  return *entry;
+}
+
+std::unique_ptr<ClassMetrics> Metrics::makeClass(const MetricClass& requestClass) {
+  const prometheus::Labels labels = {{"service", requestClass.service.value()},
+                                     {"tenant", requestClass.tenant.value()}};
+  auto made = std::make_unique<ClassMetrics>();
+  made->class_ = requestClass;
+  made->requests_ =
+      &counter(registry_, "fernmoor_requests_total", "Requests that arrived.").Add(labels);
+  made->retries_ =
+      &counter(registry_, "fernmoor_retries_total", "Attempts after the first.").Add(labels);
+  made->blocksHit_ = &counter(registry_, "fernmoor_prefix_blocks_hit_total",
+                              "Prompt blocks that the engine had cached.")
+                          .Add(labels);
+  made->blocksAsked_ =
+      &counter(registry_, "fernmoor_prefix_blocks_asked_total", "Prompt blocks placed.")
+           .Add(labels);
+  made->recomputedTokens_ = &counter(registry_, "fernmoor_recomputed_tokens_total",
+                                     "Tokens computed although an engine held them.")
+                                 .Add(labels);
+  made->firstToken_ = &histogram(registry_, "fernmoor_time_to_first_token_seconds",
+                                 "From arrival to the first byte passed on.")
+                           .Add(labels, kFirstTokenBuckets);
+  made->tokenInterval_ = &histogram(registry_, "fernmoor_time_between_tokens_seconds",
+                                    "Between tokens passed on in one stream.")
+                              .Add(labels, kTokenIntervalBuckets);
+  made->queueTime_ = &histogram(registry_, "fernmoor_queue_seconds", "From arrival to placement.")
+                          .Add(labels, kQueueBuckets);
+  auto& refusals = counter(registry_, "fernmoor_refusals_total", "Refused or failed requests.");
+  for (size_t kind = 0; kind < ClassMetrics::kErrorKinds; ++kind) {
+    prometheus::Labels withKind = labels;
+    withKind["kind"] = toString(static_cast<ErrorKind>(kind));
+    made->refusals_[kind] = &refusals.Add(withKind);
+  }
+  return made;
+}
+
+std::vector<ClassTotals> Metrics::classTotals() const {
+  const std::lock_guard<RankedMutex> lock(mutex_);
+  std::vector<ClassTotals> all;
+  for (const auto& [requestClass, metrics] : classes_) {
+    all.push_back(metrics->totals());
+  }
+  return all;
+}
+
+std::string Metrics::serialize() const {
+  return prometheus::TextSerializer().Serialize(registry_.Collect());
+}
+
+}  // namespace fernmoor
--- /dev/null
+++ b/src/common/metrics.h
@@ -0,0 +1,140 @@
+/// @file
+/// Measures of a node in Prometheus text, through prometheus-cpp. Every measure has a method here;
+/// no other module names one. docs/OPERATIONS.md tells what each is good for.
+///
+/// Labels are bounded: service and tenant come from the table's rows, and beyond a fixed number of
+/// pairs the rest is counted under "other".
+#pragma once
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <array>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "common/error.h"
+#include "common/ids.h"
+#include "common/lock_order.h"
+#include "common/time.h"
+
+namespace fernmoor {
+
+/// Requests of one tenant to one service.
+struct MetricClass {
+  ServiceId service;
+  TenantId tenant;
+  friend bool operator<(const MetricClass& a, const MetricClass& b) {
+    return a.service != b.service ? a.service < b.service : a.tenant < b.tenant;
+  }
+};
+
+/// Sums of a class since the program started; the difference of two gives rates.
+struct ClassTotals {
+  MetricClass requestClass;
+  double requests = 0;
+  double refusals = 0;
+  double blocksHit = 0;
+  double blocksAsked = 0;
+  double recomputedTokens = 0;
+  std::vector<double>
+      firstTokenBounds;  ///< Upper bounds of the buckets in seconds; last: infinity.
+  std::vector<double> firstTokenCounts;  ///< Observations in each bucket, not cumulative.
+};
+
+class Metrics;
+
+/// Measures of one class. Lives as long as its Metrics; thread-safe.
+class ClassMetrics {
+ public:
+  /// A request arrived, whatever becomes of it.
+  void countRequest() { requests_->Increment(); }
+  /// A request was refused or failed.
+  void countRefusal(ErrorKind kind);
+  /// A further attempt was made for a request.
+  void countRetry() { retries_->Increment(); }
+  /// From arrival to the first byte of the answer passed on.
+  void observeFirstToken(Duration time) { firstToken_->Observe(toSeconds(time)); }
+  void observeTokenInterval(Duration time) { tokenInterval_->Observe(toSeconds(time)); }
+  /// From arrival to placement.
+  void observeQueueTime(Duration time) { queueTime_->Observe(toSeconds(time)); }
+  /// @param hit blocks that the engine reported as cached.
+  /// @param asked whole blocks of the prompt.
+  void countPrefixBlocks(int64_t hit, int64_t asked);
+  /// Tokens that an engine computed although some engine was believed to hold them.
+  void countRecomputedTokens(int64_t tokens) {
+    recomputedTokens_->Increment(static_cast<double>(tokens));
+  }
+  ClassTotals totals() const;
+
+ private:
+  friend class Metrics;
+  MetricClass class_;
+  prometheus::Counter* requests_ = nullptr;
+  prometheus::Counter* retries_ = nullptr;
+  prometheus::Counter* blocksHit_ = nullptr;
+  prometheus::Counter* blocksAsked_ = nullptr;
+  prometheus::Counter* recomputedTokens_ = nullptr;
+  prometheus::Histogram* firstToken_ = nullptr;
+  prometheus::Histogram* tokenInterval_ = nullptr;
+  prometheus::Histogram* queueTime_ = nullptr;
+  static constexpr size_t kErrorKinds = static_cast<size_t>(ErrorKind::kInternal) + 1;
+  std::array<prometheus::Counter*, kErrorKinds> refusals_{};
+};
+
+/// Number of members in each state, as this node sees them.
+struct MemberCounts {
+  int64_t alive = 0;
+  int64_t suspect = 0;
+  int64_t draining = 0;
+  int64_t dead = 0;
+};
+
+/// All measures of one node. Thread-safe.
+class Metrics {
+ public:
+  Metrics();
+
+  /// @return the measures of a class, made at the first call; the reference stays valid. Callers
+  /// on the request path keep it.
+  ClassMetrics& of(const ServiceId& service, const TenantId& tenant);
+
+  /// Age of an engine's cache view at the moment a request was placed by it.
+  void observeViewAge(Duration age) { viewAge_->Observe(toSeconds(age)); }
+  void setTableVersion(TableVersion version) {
+    tableVersion_->Set(static_cast<double>(version.value()));
+  }
+  void setMembers(const MemberCounts& counts);
+  void setOpenStreams(int64_t count) { openStreams_->Set(static_cast<double>(count)); }
+  /// Whether the last call to the platform succeeded.
+  void setPlatformAvailable(bool available) { platformAvailable_->Set(available ? 1 : 0); }
+  /// Bytes of node-to-node messages and of engines' events and load reports.
+  void countControlSent(size_t bytes) { controlSent_->Increment(static_cast<double>(bytes)); }
+  void countControlReceived(size_t bytes) {
+    controlReceived_->Increment(static_cast<double>(bytes));
+  }
+
+  /// @return the sums of all classes, for rates over an interval.
+  std::vector<ClassTotals> classTotals() const;
+  /// @return everything in Prometheus text format 0.0.4.
+  std::string serialize() const;
+
+ private:
+  std::unique_ptr<ClassMetrics> makeClass(const MetricClass& requestClass);
+
+  prometheus::Registry registry_;
+  prometheus::Histogram* viewAge_;
+  prometheus::Gauge* tableVersion_;
+  prometheus::Gauge* openStreams_;
+  prometheus::Gauge* platformAvailable_;
+  prometheus::Counter* controlSent_;
+  prometheus::Counter* controlReceived_;
+  mutable RankedMutex mutex_{LockRank::kMetrics};
+  std::map<MetricClass, std::unique_ptr<ClassMetrics>> classes_;
+};
+
+}  // namespace fernmoor
