Claims: at-most-once protocol for not-repeatable requests

Change: src/claim holds the replica duty (votes, tombstones, answers, crash vectors, recovery of an emptied replica, sealing at a change of the group, birth floor), the dispatching duty and a thread-safe service around both. charts/claim.scxml names the states of a record. Each rule is a switch of ClaimRules, for tests only.

Ruled out: keys without a birth time (a lost record could not be told from a new request); recovery of the whole node before any vote (one dead member would stop every recovery: keys are settled one by one instead); saying "not run" without a grant (a former send may have run).

--- /dev/null
+++ b/src/claim/claim_service.h
@@ -0,0 +1,68 @@
+/// @file
+/// The claims of a node for its request threads: both duties behind one lock, with outcomes as
+/// futures.
+#pragma once
+
+#include <functional>
+#include <future>
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "claim/claim_coordinator.h"
+#include "claim/claim_replica.h"
+#include "common/lock_order.h"
+#include "common/role.h"
+
+namespace fernmoor {
+
+/// A begin() whose end is awaited.
+struct PendingClaim {
+  ClaimTicket ticket;
+  std::future<ClaimOutcome> outcome;
+};
+
+/// Thread-safe. Messages of the claim role and ticks are passed in by the node; begin(),
+/// complete() and release() may come from any thread. No lock is held while a future is set.
+class ClaimService : public Role {
+ public:
+  /// @param wallMicrosecondsAtZero wall clock minus monotonic clock, in microseconds.
+  ClaimService(NodeLife self, int64_t wallMicrosecondsAtZero, const Knobs& knobs, uint64_t seed);
+
+  void onMessage(NodeLife from, const proto::Envelope& envelope, Time now,
+                 MessageSender& sender) override;
+  void onTick(Time now, MessageSender& sender) override;
+
+  /// Takes a newer group configuration; see ClaimReplica::setGroupConfiguration().
+  void setGroupConfiguration(const GroupConfiguration& configuration, Time now,
+                             MessageSender& sender);
+
+  /// Starts to claim a key. The outcome comes within the claim timeout, given ticks.
+  PendingClaim begin(const ClaimKey& key, uint64_t digest, Time now, MessageSender& sender);
+  /// Records the answer of a granted request.
+  /// @return whether a majority keeps it; comes at the latest after the release time.
+  std::future<bool> complete(ClaimTicket ticket, const ClaimAnswer& answer, Time now,
+                             MessageSender& sender);
+  /// Gives a claim back, granted or not yet; see ClaimCoordinator::release(). A future that is not
+  /// ready by then is broken.
+  void release(ClaimTicket ticket, Time now, MessageSender& sender);
+
+  ClaimReplicaStatus status() const;
+
+ private:
+  class LoopbackSender;
+
+  /// Runs a step under the lock, delivers messages to itself, and then settles the futures.
+  void run(Time now, MessageSender& sender, const std::function<void(MessageSender&)>& step);
+  void dispatch(const NodeLife& from, const proto::Envelope& envelope, Time now,
+                MessageSender& sender);
+
+  NodeLife self_;
+  mutable RankedMutex mutex_{LockRank::kClaims};
+  ClaimReplica replica_;
+  ClaimCoordinator coordinator_;
+  std::map<ClaimTicket, std::promise<ClaimOutcome>> claims_;
+  std::map<ClaimTicket, std::promise<bool>> completions_;
+};
+
+}  // namespace fernmoor
--- /dev/null
+++ b/test/claim/claim_protocol_test.cpp
@@ -0,0 +1,149 @@
+/// @file
+/// The whole claim protocol under faults drawn from seeds: at most one run of a key, true
+/// "not run", progress once the faults end; and for each rule, that the checks fail without it.
+#include <doctest/doctest.h>
+
+#include "claim_world.h"
+
+namespace fernmoor {
+
+namespace {
+
+constexpr uint64_t kSeeds = 150;
+
+ClaimWorldOptions withCrashes() {
+  ClaimWorldOptions options;
+  options.crashes = 3;
+  return options;
+}
+
+/// Votes of a former life meet votes of a later one.
+ClaimWorldOptions withCrashesAndLateMessages() {
+  ClaimWorldOptions options;
+  options.crashes = 5;
+  options.lateProbability = 0.5;
+  options.duplicateProbability = 0.0;
+  options.sendsPerKey = 6;
+  options.keys = 8;
+  return options;
+}
+
+ClaimWorldOptions withGroupChange(int crashes) {
+  ClaimWorldOptions options;
+  options.changesGroup = true;
+  options.crashes = crashes;
+  return options;
+}
+
+ClaimWorldOptions withHerdRestart() {
+  ClaimWorldOptions options;
+  options.herdRestart = true;
+  return options;
+}
+
+bool isSafe(const ClaimWorldReport& report) {
+  return report.doubleRuns == 0 && report.falseNotRun == 0 && report.wrongAnswers == 0;
+}
+
+/// Runs all seeds with all rules. @param keepsAllKeys no key may be given up in this scenario.
+void checkAllSeeds(const ClaimWorldOptions& options, bool keepsAllKeys) {
+  int runs = 0;
+  int recorded = 0;
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    CAPTURE(seed);
+    const ClaimWorldReport report = ClaimWorld(seed, options, ClaimRules{}).run();
+    CHECK(report.doubleRuns == 0);
+    CHECK(report.falseNotRun == 0);
+    CHECK(report.wrongAnswers == 0);
+    CHECK(report.unresolved == 0);
+    CHECK(report.freshKeysRefused == 0);
+    if (keepsAllKeys) {
+      CHECK(report.stuckKeys == 0);
+    }
+    runs += report.runs;
+    recorded += report.recorded;
+  }
+  CHECK(runs > 0);
+  CHECK(recorded > 0);
+}
+
+/// @return seeds in which the checks fail with the rules given.
+int failingSeeds(const ClaimWorldOptions& options, const ClaimRules& rules, uint64_t seeds) {
+  int failing = 0;
+  for (uint64_t seed = 1; seed <= seeds; ++seed) {
+    failing += isSafe(ClaimWorld(seed, options, rules).run()) ? 0 : 1;
+  }
+  return failing;
+}
+
+}  // namespace
+
+TEST_CASE("a key runs at most once and none is lost with lost, late and doubled messages") {
+  checkAllSeeds(ClaimWorldOptions{}, true);
+}
+
+TEST_CASE("a key runs at most once when nodes lose their memory") {
+  checkAllSeeds(withCrashes(), false);
+}
+
+TEST_CASE("a key runs at most once when late messages meet nodes that lost their memory") {
+  checkAllSeeds(withCrashesAndLateMessages(), false);
+}
+
+TEST_CASE("a key runs at most once when the group changes") {
+  // Dispatchers that compete for a key while the group changes may void it.
+  checkAllSeeds(withGroupChange(0), false);
+}
+
+TEST_CASE("a key runs at most once when the group changes while nodes lose their memory") {
+  checkAllSeeds(withGroupChange(3), false);
+}
+
+TEST_CASE("a key runs at most once when all nodes lose their memory at once") {
+  checkAllSeeds(withHerdRestart(), false);
+}
+
+TEST_CASE("without a rule of the protocol the checks fail") {
+  constexpr uint64_t kManySeeds = 300;
+  ClaimRules rules;
+  SUBCASE("majority vote") {
+    rules.majorityVote = false;
+    CHECK(failingSeeds(ClaimWorldOptions{}, rules, kManySeeds) > 0);
+  }
+  SUBCASE("first claim wins") {
+    rules.firstClaimWins = false;
+    CHECK(failingSeeds(ClaimWorldOptions{}, rules, kManySeeds) > 0);
+  }
+  SUBCASE("voting while empty") {
+    rules.silentWhileEmpty = false;
+    CHECK(failingSeeds(withCrashes(), rules, kManySeeds) > 0);
+  }
+  SUBCASE("sealing before a new epoch votes") {
+    rules.sealBeforeVote = false;
+    CHECK(failingSeeds(withGroupChange(0), rules, kManySeeds) > 0);
+  }
+  SUBCASE("birth check") {
+    rules.birthCheck = false;
+    CHECK(failingSeeds(withHerdRestart(), rules, kManySeeds) > 0);
+  }
+  SUBCASE("crash vectors") {
+    rules.crashVectors = false;
+    CHECK(failingSeeds(withCrashesAndLateMessages(), rules, kManySeeds) > 0);
+  }
+  SUBCASE("voiding conflicts") {
+    rules.voidConflicts = false;
+    CHECK(failingSeeds(withCrashes(), rules, kManySeeds) > 0);
+  }
+}
+
+TEST_CASE("without tombstones a late claim of a released attempt blocks its key") {
+  ClaimRules rules;
+  rules.tombstones = false;
+  int stuck = 0;
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    stuck += ClaimWorld(seed, ClaimWorldOptions{}, rules).run().stuckKeys;
+  }
+  CHECK(stuck > 0);
+}
+
+}  // namespace fernmoor
