Membership role: SWIM probing, refutation, anti-entropy and version spread

Cause: nodes need to know who is alive, in which life, draining or not, and which table version is in force where, within the control budget of a node. Ruled out: full-mesh heartbeats (380 x 379 messages a second at the target); dead by hearsay as in plain SWIM, since the healing of a partition would make both sides' members dead for a moment. Faults and the target's size are not run yet.

--- /dev/null
+++ b/src/membership/member_status.h
@@ -0,0 +1,74 @@
+/// @file
+/// What the members say about each other, and which of two statements counts.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+
+#include "common/role.h"
+#include "membership/member.h"
+
+namespace fernmoor {
+
+/// How one life of a member is held to be; the later enumerator counts for the same sequence.
+enum class MemberHealth : uint8_t {
+  kAlive,
+  kSuspect,
+  kDead,
+  kLeft,  ///< Said by the member itself when it stops; needs no suspicion before it.
+};
+
+/// What can change in one life of a member.
+struct MemberStatus {
+  NodeLife life;
+  uint32_t sequence = 0;  ///< Raised by the member alone.
+  MemberHealth health = MemberHealth::kAlive;
+  bool draining = false;
+  TableVersion tableVersion;  ///< Last known to be in force there; never falls in one life.
+};
+
+/// What stays the same in one life of a member.
+struct MemberIdentity {
+  ZoneId zone;
+  RegionId region;
+  SocketAddress peerAddress;
+  SocketAddress httpAddress;
+};
+
+/// A statement about one life of one member, as it is passed on.
+struct MemberStatement {
+  MemberStatus status;
+  std::optional<MemberIdentity> identity;  ///< Absent where the life is expected to be known.
+};
+
+/// Order of statements about one node: by incarnation, then sequence, then health. (The order of
+/// SWIM with one change: a greater sequence also overrides "dead", so that a node which was only
+/// paused or cut off returns in the same life.)
+/// @return whether `candidate` replaces `held`.
+inline bool overrides(const MemberStatus& candidate, const MemberStatus& held) {
+  if (candidate.life.incarnation != held.life.incarnation) {
+    return candidate.life.incarnation > held.life.incarnation;
+  }
+  if (candidate.sequence != held.sequence) {
+    return candidate.sequence > held.sequence;
+  }
+  return candidate.health > held.health;
+}
+
+/// @return whether the member still takes part: alive, suspect or draining.
+inline bool isLive(MemberHealth health) {
+  return health == MemberHealth::kAlive || health == MemberHealth::kSuspect;
+}
+
+/// @return the state that other modules see.
+inline MemberState stateOf(const MemberStatus& status) {
+  if (!isLive(status.health)) {
+    return MemberState::kDead;
+  }
+  if (status.health == MemberHealth::kSuspect) {
+    return MemberState::kSuspect;
+  }
+  return status.draining ? MemberState::kDraining : MemberState::kAlive;
+}
+
+}  // namespace fernmoor
--- /dev/null
+++ b/src/membership/member_table.h
@@ -0,0 +1,103 @@
+/// @file
+/// The state of all members as one node holds it, and the rules by which statements change it.
+/// A plain data structure of state, statements and time; not thread-safe.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <vector>
+
+#include "common/knobs.h"
+#include "common/random.h"
+#include "common/time.h"
+#include "membership/member_status.h"
+
+namespace fernmoor {
+
+/// What became of a statement.
+enum class MergeOutcome {
+  kStale,            ///< Nothing new.
+  kChanged,          ///< Accepted; worth passing on.
+  kNewLife,          ///< Accepted, and the life was unknown; pass on with its identity.
+  kRefuted,          ///< It accused this node, whose sequence has grown; pass on its own state.
+  kSuperseded,       ///< Another life of this node, with a greater incarnation, was heard of.
+  kIdentityMissing,  ///< The life is unknown and no identity came with it; ask for it.
+  kConflict,         ///< Held to be dead here and live there; let the member itself decide.
+};
+
+/// One member as held.
+struct MemberEntry {
+  MemberStatus status;
+  MemberIdentity identity;
+  Time suspectUntil;  ///< When a suspect counts as dead.
+  Time deadSince;     ///< Since when a dead member is remembered.
+};
+
+/// All members, this node included.
+class MemberTable {
+ public:
+  /// Buckets of the comparison between two tables.
+  static constexpr size_t kBuckets = 32;
+  using BucketHashes = std::array<uint32_t, kBuckets>;
+
+  MemberTable(const MemberStatus& self, const MemberIdentity& identity, const Knobs& knobs);
+
+  /// Takes a statement of another node.
+  MergeOutcome merge(const MemberStatement& statement, Time now);
+  /// Raises the version known to be in force on a life; a lower one or another life is ignored.
+  /// @return whether it rose.
+  bool raiseTableVersion(NodeLife life, TableVersion version);
+
+  /// Changes this node's own state; its sequence grows.
+  void setSelfDraining(bool draining);
+  void setSelfLeft();
+  void setSelfTableVersion(TableVersion version);
+
+  /// A probe of the member failed: an alive member becomes suspect.
+  /// @return whether it did.
+  bool suspect(NodeLife life, Time now);
+  /// Turns suspects whose time is over into dead members and forgets old dead ones.
+  /// @return how many died.
+  size_t expire(Time now);
+  /// Gives all suspects more time, after this process itself was stopped.
+  void extendSuspicions(Duration extension);
+
+  /// @return the member, or null if unknown.
+  const MemberEntry* find(NodeId node) const;
+  const MemberEntry& self() const { return *find(self_); }
+  NodeId selfId() const { return self_; }
+  const std::map<NodeId, MemberEntry>& entries() const { return entries_; }
+  /// @return all live members but this node, by node id.
+  const std::vector<NodeId>& livePeers() const;
+  /// @return up to `count` different live members other than this node, drawn at random.
+  std::vector<NodeId> randomLivePeers(size_t count, Random& random) const;
+
+  /// @return a hash of the live members in each bucket; equal tables have equal hashes.
+  BucketHashes bucketHashes() const;
+  static size_t bucketOf(NodeId node) { return node.value() % kBuckets; }
+
+  /// Counts changes of anything that readers see.
+  uint64_t changes() const { return changes_; }
+
+ private:
+  MergeOutcome mergeSelf(const MemberStatus& status);
+  MergeOutcome mergeUnknown(const MemberStatement& statement, Time now);
+  MergeOutcome mergeKnown(MemberEntry& entry, const MemberStatement& statement, Time now);
+  MergeOutcome mergeNewLife(MemberEntry& entry, const MemberStatement& statement, Time now);
+  void replace(MemberEntry& entry, const MemberStatus& status, Time now);
+  MemberEntry& mutableSelf() { return entries_.at(self_); }
+  bool makeRoom();
+  void noteChange();
+
+  NodeId self_;
+  Duration suspicionTimeout_;
+  Duration deadRetention_;
+  size_t maximumMembers_;
+  std::map<NodeId, MemberEntry> entries_;
+  uint64_t changes_ = 1;
+  mutable std::vector<NodeId> livePeers_;
+  mutable uint64_t livePeersAsOf_ = 0;
+};
+
+}  // namespace fernmoor
--- /dev/null
+++ b/src/membership/membership_role.cpp
@@ -0,0 +1,382 @@
+#include "membership/membership_role.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+#include "membership/member_codec.h"
+
+namespace fernmoor {
+
+namespace {
+
+/// Bounds the work that one message can cause.
+constexpr int kMaximumUpdatesPerMessage = 512;
+
+MemberStatus initialStatus(const Member& self) {
+  MemberStatus status;
+  status.life = self.life;
+  status.draining = self.state == MemberState::kDraining;
+  status.tableVersion = self.tableVersion;
+  return status;
+}
+
+MemberIdentity identityOf(const Member& self) {
+  return MemberIdentity{self.zone, self.region, self.peerAddress, self.httpAddress};
+}
+
+Member memberOf(const MemberEntry& entry) {
+  Member member;
+  member.life = entry.status.life;
+  member.zone = entry.identity.zone;
+  member.region = entry.identity.region;
+  member.peerAddress = entry.identity.peerAddress;
+  member.httpAddress = entry.identity.httpAddress;
+  member.state = stateOf(entry.status);
+  member.tableVersion = entry.status.tableVersion;
+  return member;
+}
+
+void sendAll(const std::vector<OutgoingMessage>& messages, MessageSender& sender) {
+  for (const OutgoingMessage& message : messages) {
+    sender.send(message.to, message.envelope);
+  }
+}
+
+/// Adds the seeds that no member is known for; keeps the order by node id.
+void addSeedAddresses(const std::vector<Seed>& seeds, const MemberTable& table,
+                      std::vector<NodeAddress>& addresses) {
+  for (const Seed& seed : seeds) {
+    if (table.find(seed.node) == nullptr) {
+      addresses.push_back(NodeAddress{seed.node, seed.peerAddress});
+    }
+  }
+  std::sort(addresses.begin(), addresses.end(),
+            [](const NodeAddress& a, const NodeAddress& b) { return a.node < b.node; });
+}
+
+}  // namespace
+
+MembershipRole::MembershipRole(const MembershipSettings& settings)
+    : knobs_(settings.knobs),
+      random_(settings.randomSeed),
+      table_(initialStatus(settings.self), identityOf(settings.self), knobs_),
+      messenger_(table_, updates_, versions_, knobs_),
+      prober_(table_, messenger_, random_, knobs_),
+      synchronizer_(table_, messenger_, random_, knobs_) {
+  assert(settings.self.life.node.value() != 0);
+  synchronizer_.addSeeds(settings.seeds);
+  versions_.noteInForce(settings.self.life.node, settings.self.tableVersion, 0);
+  publishIfChanged();
+}
+
+void MembershipRole::onMessage(NodeLife from, const proto::Envelope& envelope, Time now,
+                               MessageSender& sender) {
+  std::vector<OutgoingMessage> outbox;
+  {
+    const RankedLock lock(mutex_);
+    const bool own = from.node == table_.selfId();
+    if (isSilent() || own || !envelope.has_membership()) {
+      return;
+    }
+    handle(from, envelope.membership(), now);
+    // The transport needs a new member's address before it can send the answer.
+    if (addressesChanged_) {
+      publishIfChanged();
+    }
+    outbox = messenger_.takeOutbox();
+  }
+  sendAll(outbox, sender);
+}
+
+void MembershipRole::onTick(Time now, MessageSender& sender) {
+  std::vector<OutgoingMessage> outbox;
+  {
+    const RankedLock lock(mutex_);
+    if (isSilent()) {
+      return;
+    }
+    notePause(now);
+    takeFailures(prober_.onTick(now), now);
+    counters_.deaths += table_.expire(now);
+    synchronizer_.onTick(now);
+    gossip(now);
+    publishIfChanged();
+    outbox = messenger_.takeOutbox();
+  }
+  sendAll(outbox, sender);
+}
+
+Member MembershipRole::self() const {
+  return snapshot()->selfMember();
+}
+
+std::vector<Member> MembershipRole::members() const {
+  return snapshot()->members;
+}
+
+std::shared_ptr<const MembershipSnapshot> MembershipRole::snapshot() const {
+  return std::atomic_load(&snapshot_);
+}
+
+void MembershipRole::addSeeds(const std::vector<Seed>& seeds) {
+  const RankedLock lock(mutex_);
+  synchronizer_.addSeeds(seeds);
+  addressesChanged_ = true;
+  publishIfChanged();
+}
+
+void MembershipRole::setLocalTableVersion(TableVersion version) {
+  const RankedLock lock(mutex_);
+  if (version <= table_.self().status.tableVersion) {
+    return;
+  }
+  table_.setSelfTableVersion(version);
+  versions_.noteInForce(table_.selfId(), version, messenger_.gossipRounds());
+  versions_.noteSetGrew(messenger_.gossipRounds());
+  publishIfChanged();
+}
+
+void MembershipRole::setDraining(bool draining) {
+  const RankedLock lock(mutex_);
+  if (table_.self().status.draining == draining) {
+    return;
+  }
+  table_.setSelfDraining(draining);
+  updates_.add(table_.selfId(), false);
+  publishIfChanged();
+}
+
+void MembershipRole::leave(MessageSender& sender) {
+  std::vector<OutgoingMessage> outbox;
+  {
+    const RankedLock lock(mutex_);
+    if (isSilent()) {
+      return;
+    }
+    table_.setSelfLeft();
+    updates_.add(table_.selfId(), false);
+    const auto told = static_cast<size_t>(messenger_.retransmitLimit());
+    for (const NodeId peer : table_.randomLivePeers(told, random_)) {
+      messenger_.gossip(peer, false);
+    }
+    outbox = messenger_.takeOutbox();
+  }
+  sendAll(outbox, sender);
+}
+
+bool MembershipRole::joined() const {
+  const RankedLock lock(mutex_);
+  return synchronizer_.joined();
+}
+
+std::optional<Incarnation> MembershipRole::supersededBy() const {
+  const RankedLock lock(mutex_);
+  return supersededBy_;
+}
+
+MembershipCounters MembershipRole::counters() const {
+  const RankedLock lock(mutex_);
+  return counters_;
+}
+
+bool MembershipRole::isSilent() const {
+  return supersededBy_ || table_.self().status.health == MemberHealth::kLeft;
+}
+
+void MembershipRole::handle(NodeLife from, const proto::MembershipMessage& message, Time now) {
+  const MemberEntry* const known = table_.find(from.node);
+  const bool formerLife = known != nullptr && known->status.life.incarnation > from.incarnation;
+  if (formerLife) {
+    // Late, or from a process that does not know that it was superseded; the answer tells it.
+    if (message.has_ping()) {
+      messenger_.ack(from.node, message.ping().nonce());
+    }
+    return;
+  }
+  // Updates first: the one about the sender may carry its identity.
+  const bool changed = takeUpdates(from.node, message, now);
+  if (!takeHeartbeat(from, message, now)) {
+    return;
+  }
+  takeVersions(from, message);
+  takeKind(from, message, changed, now);
+}
+
+bool MembershipRole::takeHeartbeat(NodeLife from, const proto::MembershipMessage& message,
+                                   Time now) {
+  proto::MemberUpdate heartbeat;
+  heartbeat.set_node_id(from.node.value());
+  heartbeat.set_incarnation(from.incarnation.value());
+  heartbeat.set_sequence(message.sequence());
+  heartbeat.set_draining(message.draining());
+  heartbeat.set_table_version(message.table_version());
+  const std::optional<MemberStatement> statement = decodeStatement(heartbeat);
+  if (!statement) {
+    ++counters_.statementsRejected;
+    return false;
+  }
+  take(from.node, *statement, now);
+  return true;
+}
+
+bool MembershipRole::takeUpdates(NodeId from, const proto::MembershipMessage& message, Time now) {
+  bool changed = false;
+  const int count = std::min(message.updates_size(), kMaximumUpdatesPerMessage);
+  for (int index = 0; index < count; ++index) {
+    const std::optional<MemberStatement> statement = decodeStatement(message.updates(index));
+    if (!statement) {
+      ++counters_.statementsRejected;
+      continue;
+    }
+    changed = take(from, *statement, now) || changed;
+  }
+  return changed;
+}
+
+bool MembershipRole::take(NodeId from, const MemberStatement& statement, Time now) {
+  const NodeId node = statement.status.life.node;
+  switch (table_.merge(statement, now)) {
+    case MergeOutcome::kStale:
+      return false;
+    case MergeOutcome::kChanged:
+      updates_.add(node, false);
+      return true;
+    case MergeOutcome::kNewLife:
+      updates_.add(node, true);
+      prober_.noteNewMember(node);
+      addressesChanged_ = true;
+      return true;
+    case MergeOutcome::kRefuted:
+      ++counters_.refutations;
+      updates_.add(node, false);
+      return true;
+    case MergeOutcome::kSuperseded:
+      supersededBy_ = statement.status.life.incarnation;
+      return false;
+    case MergeOutcome::kIdentityMissing:
+      synchronizer_.askSoon(from);
+      return false;
+    case MergeOutcome::kConflict:
+      prober_.challenge(node);
+      return false;
+  }
+  return false;
+}
+
+void MembershipRole::takeVersions(NodeLife from, const proto::MembershipMessage& message) {
+  const int64_t rounds = messenger_.gossipRounds();
+  versions_.noteInForce(from.node, TableVersion(message.table_version()), rounds);
+  versions_.noteInForce(NodeId(message.newest_holder()), TableVersion(message.newest_version()),
+                        rounds);
+  if (!message.has_version_report()) {
+    return;
+  }
+  if (versions_.applyReport(message.version_report(), table_)) {
+    versions_.noteSetGrew(rounds);
+  }
+}
+
+void MembershipRole::takeKind(NodeLife from, const proto::MembershipMessage& message, bool changed,
+                              Time now) {
+  switch (message.kind_case()) {
+    case proto::MembershipMessage::kPing:
+      messenger_.ack(from.node, message.ping().nonce());
+      return;
+    case proto::MembershipMessage::kAck:
+      prober_.onAck(from.node, message.ack().nonce());
+      return;
+    case proto::MembershipMessage::kIndirectPing:
+      prober_.onIndirectPing(from.node, message.indirect_ping(), now);
+      return;
+    case proto::MembershipMessage::kSyncRequest:
+      synchronizer_.onRequest(from.node, message.sync_request());
+      return;
+    case proto::MembershipMessage::kSyncPage:
+      synchronizer_.onPage(from.node, message.sync_page(), changed, now);
+      return;
+    case proto::MembershipMessage::kGossip:
+    case proto::MembershipMessage::KIND_NOT_SET:
+      return;
+  }
+}
+
+void MembershipRole::notePause(Time now) {
+  const Duration gap = lastTickAt_ ? now - *lastTickAt_ : Duration::zero();
+  lastTickAt_ = now;
+  if (gap < knobs_.membershipPauseThreshold) {
+    return;
+  }
+  ++counters_.pauses;
+  prober_.abandon(now);
+  table_.extendSuspicions(gap);
+  synchronizer_.compareSoon();
+}
+
+void MembershipRole::takeFailures(const std::vector<ProbeFailure>& failures, Time now) {
+  for (const ProbeFailure& failure : failures) {
+    if (failure.purpose == ProbePurpose::kChallenge) {
+      // Still no answer: tell those who hold it to be live.
+      updates_.add(failure.target.node, false);
+      continue;
+    }
+    ++counters_.probesFailed;
+    if (table_.suspect(failure.target, now)) {
+      ++counters_.suspicionsRaised;
+      updates_.add(failure.target.node, false);
+      messenger_.gossip(failure.target.node, false);  // It may refute at once.
+    }
+  }
+}
+
+void MembershipRole::gossip(Time now) {
+  const bool news = !updates_.empty() || versions_.newsPending();
+  const bool newsDue = news && now >= nextGossipAt_;
+  const bool reportDue = versions_.reportPending() && now >= nextReportAt_;
+  if (!newsDue && !reportDue) {
+    return;
+  }
+  const auto fanout = static_cast<size_t>(knobs_.membershipGossipFanout);
+  for (const NodeId peer : table_.randomLivePeers(fanout, random_)) {
+    messenger_.gossip(peer, reportDue);
+  }
+  nextGossipAt_ = now + knobs_.membershipGossipInterval;
+  versions_.noteNewsRound();
+  if (reportDue) {
+    nextReportAt_ = now + knobs_.membershipReportInterval;
+    versions_.noteReportRound();
+  }
+}
+
+void MembershipRole::publishIfChanged() {
+  const bool unchanged = publishedChanges_ == table_.changes() && !addressesChanged_ &&
+                         publishedNewest_ == versions_.newest();
+  if (unchanged) {
+    return;
+  }
+  publishedChanges_ = table_.changes();
+  publishedNewest_ = versions_.newest();
+  addressesChanged_ = false;
+  ++publishedVersion_;
+  std::atomic_store(&snapshot_, makeSnapshot());
+}
+
+std::shared_ptr<const MembershipSnapshot> MembershipRole::makeSnapshot() const {
+  auto made = std::make_shared<MembershipSnapshot>();
+  made->version = publishedVersion_;
+  made->self = table_.self().status.life;
+  made->members.reserve(table_.entries().size());
+  for (const auto& entry : table_.entries()) {
+    made->addresses.push_back(NodeAddress{entry.first, entry.second.identity.peerAddress});
+    const bool listed = isLive(entry.second.status.health) || entry.first == table_.selfId();
+    if (listed) {
+      made->members.push_back(memberOf(entry.second));
+    }
+  }
+  addSeedAddresses(synchronizer_.seeds(), table_, made->addresses);
+  made->newestTableVersion = versions_.newest();
+  made->newestTableHolder = versions_.holder();
+  return made;
+}
+
+}  // namespace fernmoor
--- /dev/null
+++ b/src/membership/prober.h
@@ -0,0 +1,89 @@
+/// @file
+/// Probes one member per period in random order, directly and then through relays, as in SWIM
+/// (A. Das, I. Gupta, A. Motivala, "SWIM: Scalable Weakly-consistent Infection-style Process Group
+/// Membership Protocol", DSN 2002, sections 3.1 and 4.3).
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "common/knobs.h"
+#include "common/random.h"
+#include "membership/member_table.h"
+#include "membership/messenger.h"
+
+namespace fernmoor {
+
+/// Why a member is probed.
+enum class ProbePurpose {
+  kPeriodic,   ///< Its turn came.
+  kChallenge,  ///< Held to be dead here, live elsewhere: it shall refute, or the others be told.
+};
+
+/// A probe that nobody answered.
+struct ProbeFailure {
+  NodeLife target;
+  ProbePurpose purpose = ProbePurpose::kPeriodic;
+};
+
+/// Not thread-safe; works on state that its owner guards.
+class Prober {
+ public:
+  /// All references outlive the prober.
+  Prober(const MemberTable& table, Messenger& messenger, Random& random, const Knobs& knobs);
+
+  /// Starts the periodic probe when it is due, asks relays, and gives up.
+  /// @return the probes that failed.
+  std::vector<ProbeFailure> onTick(Time now);
+  /// Takes an answer, direct or passed on.
+  void onAck(NodeId from, uint32_t nonce);
+  /// Pings the target for the sender.
+  void onIndirectPing(NodeId from, const proto::MembershipIndirectPing& request, Time now);
+
+  /// Wants a member that is held to be dead to be asked soon; at most a few per tick are.
+  void challenge(NodeId target);
+  /// A member is new: its first probe comes at a random place of the present round.
+  void noteNewMember(NodeId node);
+  /// Forgets the probes under way, after this process itself was stopped.
+  void abandon(Time now);
+
+ private:
+  struct Probe {
+    NodeLife target;
+    ProbePurpose purpose = ProbePurpose::kPeriodic;
+    uint32_t nonce = 0;
+    Time askRelaysAt;
+    Time failsAt;
+    bool relaysAsked = false;
+  };
+  /// A ping sent for somebody else.
+  struct Relay {
+    NodeId asker;
+    uint32_t askerNonce = 0;
+    NodeId target;
+    uint32_t nonce = 0;
+    Time expiresAt;
+  };
+
+  void startDueProbe(Time now);
+  void startChallenges(Time now);
+  void startProbe(NodeLife target, ProbePurpose purpose, Time now);
+  void askRelays(Probe& probe);
+  std::optional<NodeId> nextInRound();
+  std::vector<NodeId> chooseRelays(NodeId target);
+  Duration giveUpAfter() const;
+
+  const MemberTable& table_;
+  Messenger& messenger_;
+  Random& random_;
+  const Knobs& knobs_;
+  std::vector<NodeId> round_;  ///< Members still to be probed in this round, the next one last.
+  std::vector<Probe> probes_;
+  std::vector<Relay> relays_;
+  std::vector<NodeId> challenges_;
+  std::optional<Time> nextProbeAt_;
+  uint32_t nextNonce_ = 1;
+};
+
+}  // namespace fernmoor
