--- a/src/engine/engine_client.cpp
+++ b/src/engine/engine_client.cpp
@@ -90,14 +90,14 @@
   return load;
 }
 
-EngineCacheEvent eventOf(const Poco::JSON::Object& object) {
-  EngineCacheEvent event;
+CacheEvent eventOf(const Poco::JSON::Object& object) {
+  CacheEvent event;
   event.sequence = static_cast<uint64_t>(integerMember(object, "sequence"));
   const std::string kind = stringMember(object, "kind");
   if (kind == "removed") {
-    event.kind = EngineCacheEventKind::kRemoved;
+    event.kind = CacheEventKind::kRemoved;
   } else if (kind == "cleared") {
-    event.kind = EngineCacheEventKind::kCleared;
+    event.kind = CacheEventKind::kCleared;
   }
   Poco::UInt64 block = 0;
   Poco::NumberParser::tryParseHex64(stringMember(object, "block", "0"), block);
@@ -212,7 +212,7 @@
   return state;
 }
 
-Result<EngineCacheEvents> EngineClient::events(const SocketAddress& address,
+Result<CacheEventBatch> EngineClient::events(const SocketAddress& address,
                                                Incarnation incarnation, uint64_t after,
                                                Duration wait) {
   HttpCall call;
@@ -225,7 +225,7 @@
     return errorOf(answer);
   }
   const auto& object = *valueOf(answer);
-  EngineCacheEvents batch;
+  CacheEventBatch batch;
   batch.incarnation = Incarnation(static_cast<uint64_t>(integerMember(object, "incarnation")));
   batch.gap = booleanMember(object, "gap");
   if (const auto events = object.getArray("events")) {
