Admission: fair queue between tenants, limits of rows, retry budget, controller

Cause: requests have to start, wait or be refused at once by priority, weight, limits and the engines' load. Change: AdmissionQueue (bands by class and priority, start-time fair queueing inside a band, every fourth grant to a band behind that waited for half of its time), TokenBucket, ConcurrencyLimit, RetryBudget, LocalRowLimiter, freePlaces() for back pressure, AdmissionController as the thread-safe facade; Retry-After is spread over twice the base. Ruled out: one list of overdue requests over all bands. Conclusion: limits hold on each node alone so far; across nodes they come next.

--- /dev/null
+++ b/src/admission/admission_request.cpp
@@ -0,0 +1,24 @@
+#include "admission/admission_request.h"
+
+namespace fernmoor {
+
+namespace {
+
+/// Application engines are one pool: any of them carries out any operation.
+constexpr const char* kApplicationPool = "application";
+
+}  // namespace
+
+AdmissionRequest admissionRequestOf(const Row& row, Time now) {
+  AdmissionRequest request;
+  request.limits = RowLimits{row.key, row.ratePerSecond, row.burst, row.concurrency};
+  request.pool = PoolId(row.backEnd == BackEndKind::kModel ? row.model.value() : kApplicationPool);
+  request.priority = row.priority;
+  request.weight = row.weight;
+  request.deadlineClass = row.deadlineClass;
+  request.maxWait = row.maxWait;
+  request.deadline = now + row.deadline;
+  return request;
+}
+
+}  // namespace fernmoor
--- a/src/routing/hot_prefix_tracker.h
+++ b/src/routing/hot_prefix_tracker.h
@@ -7,6 +7,7 @@
 
 #include "common/knobs.h"
 #include "common/time.h"
+#include "routing/decaying_rate.h"
 
 namespace fernmoor {
 
@@ -23,21 +24,15 @@
   /// @return the decayed rate in requests a second.
   double rate(uint64_t prefix, Time now) const;
   /// @return number of prefixes held.
-  size_t size() const { return entries_.size(); }
+  size_t size() const { return rates_.size(); }
 
  private:
-  struct Entry {
-    double weight = 0;  ///< Requests, each halved in every half-life since.
-    Time updatedAt;
-  };
-
-  double decayed(const Entry& entry, Time now) const;
   void dropColdest(Time now);
 
   double requestsPerHome_;
-  double halfLifeSeconds_;
+  Duration halfLife_;
   size_t maximumEntries_;
-  std::unordered_map<uint64_t, Entry> entries_;
+  std::unordered_map<uint64_t, DecayingRate> rates_;
 };
 
 }  // namespace fernmoor
--- /dev/null
+++ b/test/admission/limits_test.cpp
@@ -0,0 +1,62 @@
+/// @file
+/// Tests of token_bucket.h, retry_budget.h and row_limiter.h in src/admission/.
+#include <doctest/doctest.h>
+
+#include "admission/retry_budget.h"
+#include "admission/row_limiter.h"
+
+namespace fernmoor {
+
+namespace {
+constexpr Time kStart{Duration(1000000)};
+}  // namespace
+
+TEST_CASE("a token bucket lets the burst and then the rate pass") {
+  TokenBucket bucket(100, 5, kStart);
+  int passed = 0;
+  for (int millisecond = 0; millisecond <= 1000; ++millisecond) {
+    passed += bucket.tryTake(kStart + Duration(millisecond * 1000)) ? 1 : 0;
+  }
+  CHECK(passed == 105);
+  const Time later = kStart + Duration(1000000);
+  CHECK(bucket.timeUntilToken(later).count() > 0);
+  CHECK(bucket.timeUntilToken(later).count() <= 10001);  // Rounded up.
+  bucket.configure(0, 5, later);
+  CHECK((bucket.timeUntilToken(later) == Duration::max()));
+}
+
+TEST_CASE("retries stay a tenth of the requests, with a few allowed in thin traffic") {
+  RetryBudget budget{Knobs{}};
+  CHECK(budget.tryRetry(kStart));
+  int retries = 0;
+  for (int request = 0; request < 10000; ++request) {
+    const Time now = kStart + Duration(request * 1000);
+    budget.countRequest(now);
+    retries += budget.tryRetry(now) ? 1 : 0;
+  }
+  CHECK(retries > 500);
+  CHECK(retries < 1200);
+}
+
+TEST_CASE("a row's rate and concurrency are refused with the time to come back") {
+  LocalRowLimiter limiter;
+  RowLimits limits;
+  limits.row = RowKey{ServiceId("alerts"), TenantId("ward")};
+  limits.concurrency = 2;
+  CHECK(isOk(limiter.tryAcquire(limits, kStart)));
+  CHECK(isOk(limiter.tryAcquire(limits, kStart)));
+  const auto refused = limiter.tryAcquire(limits, kStart);
+  REQUIRE_FALSE(isOk(refused));
+  CHECK((errorOf(refused).kind == ErrorKind::kRateLimited));
+  CHECK((errorOf(refused).runState == RunState::kNotRun));
+  limiter.release(limits.row, kStart);
+  limits.ratePerSecond = 10;
+  CHECK(isOk(limiter.tryAcquire(limits, kStart)));
+  limits.concurrency = 0;
+  const auto tooFast = limiter.tryAcquire(limits, kStart);
+  REQUIRE_FALSE(isOk(tooFast));
+  CHECK(errorOf(tooFast).retryAfter->count() == 100000);
+  CHECK(limiter.inFlight(limits.row) == 2);
+}
+
+}  // namespace fernmoor
