--- /dev/null
+++ b/src/bench/engine_fleet.h
@@ -0,0 +1,76 @@
+/// @file
+/// The emulated model engines of an experiment, with what their owner nodes know of them: cache
+/// views fed by late events with gaps, and load reports that lag. Not thread-safe.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include "bench/workload_file.h"
+#include "engine/cache_view.h"
+#include "engine/engine_state.h"
+#include "sim/event_queue.h"
+#include "standin/engine_model.h"
+
+namespace fernmoor::bench {
+
+/// How far the owners' knowledge lags behind the engines.
+struct StalenessOptions {
+  Duration age{500000};        ///< Delay of cache events and age of load reports.
+  bool perfect = false;        ///< Views and load are read from the engines themselves.
+  Duration gapEvery{20000000};  ///< Mean time between gaps in one engine's events; 0: none.
+  int64_t gapEvents = 50;      ///< Events lost in one gap.
+};
+
+/// Takes the frames that an engine produced. Called on the queue's thread.
+using FrameHandler = std::function<void(size_t engine, const standin::EngineFrame& frame)>;
+
+class EngineFleet {
+ public:
+  /// @param queue outlives the fleet.
+  EngineFleet(const FleetSpec& spec, const StalenessOptions& staleness, uint64_t seed,
+              sim::EventQueue& queue, FrameHandler handler);
+  EngineFleet(const EngineFleet&) = delete;
+  EngineFleet& operator=(const EngineFleet&) = delete;
+
+  size_t size() const { return engines_.size(); }
+  /// @return the zone's number, from 0.
+  int64_t zoneOf(size_t engine) const;
+
+  /// Hands a request to an engine now.
+  Result<Done> submit(size_t engine, const standin::EngineRequest& request);
+  /// Stops an attempt now.
+  void cancel(size_t engine, const AttemptId& attempt);
+  /// Crashes an engine, which comes back empty with its next incarnation.
+  void crash(size_t engine);
+
+  /// @return what a router that asks the engine's owner now learns of the engine.
+  EngineState state(size_t engine);
+  /// @return leading blocks that the owner believes cached.
+  int64_t believedBlocks(size_t engine, const BlockChain& chain);
+  /// @return leading blocks that are cached at this moment.
+  int64_t cachedBlocks(size_t engine, const BlockChain& chain) const;
+  /// @return the most leading blocks that any one engine holds at this moment.
+  int64_t mostCachedBlocks(const BlockChain& chain) const;
+
+ private:
+  struct Engine;
+
+  void pullEvents(Engine& engine);
+  void wakeWhenNeeded(size_t index);
+  void run(size_t index);
+  void scheduleGap(size_t index);
+
+  FleetSpec spec_;
+  StalenessOptions staleness_;
+  Random random_;
+  sim::EventQueue& queue_;
+  FrameHandler handler_;
+  std::vector<std::unique_ptr<Engine>> engines_;
+
+ public:
+  ~EngineFleet();
+};
+
+}  // namespace fernmoor::bench
