--- a/src/bench/engine_fleet.h
+++ b/src/bench/engine_fleet.h
@@ -4,11 +4,12 @@
 #pragma once
 
 #include <functional>
+#include <optional>
 #include <memory>
 #include <vector>
 
 #include "bench/workload_file.h"
-#include "engine/cache_view.h"
+#include "common/random.h"
 #include "engine/engine_state.h"
 #include "sim/event_queue.h"
 #include "standin/engine_model.h"
@@ -31,6 +32,7 @@
   /// @param queue outlives the fleet.
   EngineFleet(const FleetSpec& spec, const StalenessOptions& staleness, uint64_t seed,
               sim::EventQueue& queue, FrameHandler handler);
+  ~EngineFleet();
   EngineFleet(const EngineFleet&) = delete;
   EngineFleet& operator=(const EngineFleet&) = delete;
 
@@ -68,9 +70,6 @@
   sim::EventQueue& queue_;
   FrameHandler handler_;
   std::vector<std::unique_ptr<Engine>> engines_;
-
- public:
-  ~EngineFleet();
 };
 
 }  // namespace fernmoor::bench
--- a/src/bench/experiment_report.cpp
+++ b/src/bench/experiment_report.cpp
@@ -5,28 +5,19 @@
 #include <Poco/JSON/Object.h>
 #include <Poco/JSON/Parser.h>
 
-#include <algorithm>
 #include <cstdio>
 #include <sstream>
 
-#include "prefix/block_chain.h"
-
 namespace fernmoor::bench {
 
 namespace {
 
-constexpr int kCurveSteps = 100;
 constexpr int kLastErrorKind = static_cast<int>(ErrorKind::kInternal);
 
 double ratio(int64_t part, int64_t whole) {
   return whole > 0 ? static_cast<double>(part) / static_cast<double>(whole) : 0;
 }
 
-TimeQuantiles quantilesOf(const Samples& samples) {
-  return TimeQuantiles{samples.quantile(0.5), samples.quantile(0.95), samples.quantile(0.99),
-                       samples.quantile(0.999)};
-}
-
 Poco::JSON::Object::Ptr quantilesToJson(const TimeQuantiles& quantiles) {
   Poco::JSON::Object::Ptr object = new Poco::JSON::Object;
   object->set("p50", quantiles.p50);
@@ -147,42 +138,6 @@
 
 }  // namespace
 
-void GroupMetrics::countRefusal(ErrorKind kind) {
-  for (RefusalCount& refusal : refusals) {
-    if (refusal.kind == kind) {
-      ++refusal.count;
-      return;
-    }
-  }
-  refusals.push_back(RefusalCount{kind, 1});
-}
-
-GroupReport summarize(const GroupMetrics& metrics) {
-  GroupReport report;
-  report.name = metrics.name;
-  report.offered = metrics.offered;
-  report.completed = metrics.completed;
-  report.inTime = metrics.inTime;
-  report.retries = metrics.retries;
-  report.promptTokens = metrics.promptTokens;
-  report.recomputedTokens = metrics.promptTokens - metrics.cachedTokens;
-  report.recomputedHeldTokens = metrics.recomputedHeldTokens;
-  report.blockHitRate = ratio(metrics.cachedBlocks, metrics.promptBlocks);
-  report.tokenHitRate = ratio(metrics.cachedTokens, metrics.promptTokens);
-  report.oracleHitRate = ratio(metrics.oracleTokens, metrics.promptTokens);
-  report.firstToken = quantilesOf(metrics.firstTokenMilliseconds);
-  report.betweenTokens = quantilesOf(metrics.betweenTokensMilliseconds);
-  report.queue = quantilesOf(metrics.queueMilliseconds);
-  report.refusals = metrics.refusals;
-  if (metrics.firstTokenMilliseconds.count() > 0) {
-    for (int step = 0; step <= kCurveSteps; ++step) {
-      report.firstTokenCurve.push_back(
-          metrics.firstTokenMilliseconds.quantile(static_cast<double>(step) / kCurveSteps));
-    }
-  }
-  return report;
-}
-
 std::string toText(const ExperimentReport& report) {
   std::ostringstream out;
   out << "workload " << report.workload << ", policy " << report.policy << ", seed " << report.seed
--- a/src/bench/experiment_report.h
+++ b/src/bench/experiment_report.h
@@ -2,13 +2,10 @@
 /// What an experiment found, as plain values: written as text and JSON, read back for comparisons.
 #pragma once
 
-#include <array>
 #include <string>
 #include <vector>
 
-#include "bench/statistics.h"
 #include "common/error.h"
-#include "common/time.h"
 
 namespace fernmoor::bench {
 
@@ -25,27 +22,6 @@
   double p999 = 0;
 };
 
-/// Collects the outcomes of one group of requests: a class, a tenant, or all. Plain data.
-struct GroupMetrics {
-  std::string name;
-  int64_t offered = 0;
-  int64_t completed = 0;
-  int64_t inTime = 0;  ///< Completed before their deadline.
-  int64_t retries = 0;
-  int64_t promptTokens = 0;
-  int64_t cachedTokens = 0;      ///< Found in the chosen engine's cache.
-  int64_t oracleTokens = 0;      ///< Held by some engine when the request reached the chosen one.
-  int64_t recomputedHeldTokens = 0;  ///< Held by some engine, yet recomputed.
-  int64_t promptBlocks = 0;
-  int64_t cachedBlocks = 0;
-  Samples firstTokenMilliseconds;
-  Samples betweenTokensMilliseconds;
-  Samples queueMilliseconds;
-  std::vector<RefusalCount> refusals;
-
-  void countRefusal(ErrorKind kind);
-};
-
 /// One group's figures.
 struct GroupReport {
   std::string name;
@@ -83,9 +59,6 @@
   std::vector<GroupReport> tenants;
 };
 
-/// @return the figures of what was collected.
-GroupReport summarize(const GroupMetrics& metrics);
-
 /// @return a table for people.
 std::string toText(const ExperimentReport& report);
 /// @return one JSON object.
