--- a/programs/fernmoor-bench/policies_command.cpp
+++ b/programs/fernmoor-bench/policies_command.cpp
@@ -11,6 +11,7 @@
 #include "commands.h"
 #include "experiment_flags.h"
 #include "flags.h"
+#include "routing/routing_policy.h"
 
 namespace fernmoor::bench {
 
--- a/src/bench/engine_fleet.cpp
+++ b/src/bench/engine_fleet.cpp
@@ -2,18 +2,59 @@
 
 #include <algorithm>
 #include <optional>
+#include <unordered_set>
 #include <utility>
 
-#include "engine/cache_view.h"
-
 namespace fernmoor::bench {
 
+/// What the owner believes cached: a plain set fed by the events that arrived.
+class BelievedCache {
+ public:
+  /// Takes the events that are visible by now.
+  void update(const standin::EngineModel& model, Time now) {
+    const standin::CacheEventBatch batch = model.events(sequence_, now);
+    if (batch.incarnation != incarnation_) {
+      incarnation_ = batch.incarnation;
+      blocks_.clear();
+    }
+    for (const standin::CacheEvent& event : batch.events) {
+      apply(event);
+    }
+  }
+
+  int64_t matchedBlocks(const std::vector<BlockHash>& chain) const {
+    const auto missed = std::find_if(chain.begin(), chain.end(), [this](BlockHash block) {
+      return blocks_.count(block) == 0;
+    });
+    return missed - chain.begin();
+  }
+
+ private:
+  void apply(const standin::CacheEvent& event) {
+    sequence_ = event.sequence;
+    switch (event.kind) {
+      case standin::CacheEventKind::kStored:
+        blocks_.insert(event.block);
+        break;
+      case standin::CacheEventKind::kRemoved:
+        blocks_.erase(event.block);
+        break;
+      case standin::CacheEventKind::kCleared:
+        blocks_.clear();
+        break;
+    }
+  }
+
+  Incarnation incarnation_;
+  uint64_t sequence_ = 0;
+  std::unordered_set<BlockHash> blocks_;
+};
+
 struct EngineFleet::Engine {
-  Engine(const standin::EngineOptions& options, const Knobs& knobs)
-      : model(options), view(knobs) {}
+  explicit Engine(const standin::EngineOptions& options) : model(options) {}
 
   standin::EngineModel model;
-  CacheView view;
+  BelievedCache view;
   std::optional<Time> wakeAt;  ///< Of the scheduled wake-up that counts.
 };
 
@@ -32,6 +73,7 @@
   options.cacheBlocks = spec.cacheBlocks;
   options.eventDelay = staleness.perfect ? Duration(0) : staleness.age;
   options.loadLag = staleness.perfect ? Duration(0) : staleness.age;
+  options.emitText = false;
   options.seed = seed * 1000 + static_cast<uint64_t>(index);
   return options;
 }
@@ -46,8 +88,7 @@
       queue_(queue),
       handler_(std::move(handler)) {
   for (int64_t index = 0; index < spec.engines; ++index) {
-    engines_.push_back(
-        std::make_unique<Engine>(engineOptions(spec, staleness, seed, index), Knobs()));
+    engines_.push_back(std::make_unique<Engine>(engineOptions(spec, staleness, seed, index)));
     scheduleGap(static_cast<size_t>(index));
   }
 }
@@ -92,7 +133,7 @@
   if (staleness_.perfect) {
     return cachedBlocks(engine, chain);
   }
-  pullEvents(*engines_[engine]);
+  engines_[engine]->view.update(engines_[engine]->model, queue_.now());
   return engines_[engine]->view.matchedBlocks(chain.hashes);
 }
 
@@ -108,9 +149,6 @@
   return most;
 }
 
-void EngineFleet::pullEvents(Engine& engine) {
-}
-
 /// Lets the engine work up to now, hands out what it produced, and schedules its next wake-up.
 void EngineFleet::run(size_t index) {
   for (const standin::EngineFrame& frame : engines_[index]->model.advance(queue_.now())) {
--- a/src/bench/engine_fleet.h
+++ b/src/bench/engine_fleet.h
@@ -59,7 +59,6 @@
  private:
   struct Engine;
 
-  void pullEvents(Engine& engine);
   void wakeWhenNeeded(size_t index);
   void run(size_t index);
   void scheduleGap(size_t index);
