--- a/src/membership/member_table.cpp
+++ b/src/membership/member_table.cpp
@@ -28,7 +28,7 @@
       suspicionTimeout_(knobs.membershipSuspicionTimeout),
       deadRetention_(knobs.membershipDeadRetention),
       maximumMembers_(static_cast<size_t>(knobs.membershipMaximumMembers)) {
-  entries_[self_] = MemberEntry{self, identity, {}, {}};
+  entries_[self_] = MemberEntry{self, identity, {}, {}, {}};
 }
 
 MergeOutcome MemberTable::merge(const MemberStatement& statement, Time now) {
@@ -66,8 +66,10 @@
   if (!makeRoom()) {
     return MergeOutcome::kStale;
   }
-  MemberEntry entry{statement.status, *statement.identity, now + suspicionTimeout_, now};
-  entries_[statement.status.life.node] = entry;
+  MemberEntry& entry = entries_[statement.status.life.node];
+  entry.status = statement.status;
+  entry.identity = *statement.identity;
+  startSuspicion(entry, now);
   noteChange();
   return MergeOutcome::kNewLife;
 }
@@ -106,7 +108,9 @@
   if (!statement.identity) {
     return MergeOutcome::kIdentityMissing;
   }
-  entry = MemberEntry{statement.status, *statement.identity, now + suspicionTimeout_, now};
+  entry.status = statement.status;
+  entry.identity = *statement.identity;
+  startSuspicion(entry, now);
   noteChange();
   return MergeOutcome::kNewLife;
 }
@@ -115,18 +119,27 @@
   assert(entry.status.life == status.life);
   assert(overrides(status, entry.status));
   assert(entry.status.health != MemberHealth::kAlive || status.health != MemberHealth::kDead);
-  if (status.health == MemberHealth::kSuspect && entry.status.health != MemberHealth::kSuspect) {
-    entry.suspectUntil = now + suspicionTimeout_;
+  const MemberStatus former = entry.status;
+  entry.status = status;
+  entry.status.tableVersion = std::max(former.tableVersion, status.tableVersion);
+  if (status.health == MemberHealth::kSuspect && former.health != MemberHealth::kSuspect) {
+    startSuspicion(entry, now);
   }
-  if (!fernmoor::isLive(status.health) && isLive(entry)) {
+  if (!fernmoor::isLive(status.health) && fernmoor::isLive(former.health)) {
     entry.deadSince = now;
+    expireBy(now + deadRetention_);
   }
-  const TableVersion version = std::max(entry.status.tableVersion, status.tableVersion);
-  entry.status = status;
-  entry.status.tableVersion = version;
   noteChange();
 }
 
+void MemberTable::startSuspicion(MemberEntry& entry, Time now) {
+  entry.askAgainAt = now + suspicionTimeout_ / 2;
+  entry.suspectUntil = now + suspicionTimeout_;
+  if (entry.status.health == MemberHealth::kSuspect) {
+    expireBy(entry.askAgainAt);
+  }
+}
+
 bool MemberTable::raiseTableVersion(NodeLife life, TableVersion version) {
   const auto found = entries_.find(life.node);
   if (found == entries_.end() || life.node == self_) {
@@ -179,30 +192,49 @@
   return true;
 }
 
-size_t MemberTable::expire(Time now) {
-  size_t deaths = 0;
+Expiry MemberTable::expire(Time now) {
+  Expiry expiry;
+  if (now < nextExpiry_) {
+    return expiry;
+  }
+  nextExpiry_ = Time::max();
   for (auto next = entries_.begin(); next != entries_.end();) {
     MemberEntry& entry = next->second;
-    if (entry.status.health == MemberHealth::kSuspect && now >= entry.suspectUntil) {
-      MemberStatus status = entry.status;
-      status.health = MemberHealth::kDead;
-      replace(entry, status, now);
-      ++deaths;
+    if (entry.status.health == MemberHealth::kSuspect) {
+      expireSuspect(entry, now, expiry);
     }
-    const bool forgotten =
-        next->first != self_ && !isLive(entry) && now - entry.deadSince >= deadRetention_;
-    if (forgotten) {
+    const bool remembered = isLive(entry) || next->first == self_;
+    if (remembered) {
+      ++next;
+    } else if (now < entry.deadSince + deadRetention_) {
+      expireBy(entry.deadSince + deadRetention_);
+      ++next;
+    } else {
       next = entries_.erase(next);
       noteChange();
-    } else {
-      ++next;
     }
   }
-  return deaths;
+  return expiry;
+}
+
+void MemberTable::expireSuspect(MemberEntry& entry, Time now, Expiry& expiry) {
+  if (now >= entry.suspectUntil) {
+    MemberStatus status = entry.status;
+    status.health = MemberHealth::kDead;
+    replace(entry, status, now);
+    ++expiry.deaths;
+    return;
+  }
+  if (now >= entry.askAgainAt) {
+    entry.askAgainAt = entry.suspectUntil;
+    expiry.toAskAgain.push_back(entry.status.life.node);
+  }
+  expireBy(entry.askAgainAt);
 }
 
 void MemberTable::extendSuspicions(Duration extension) {
   for (auto& entry : entries_) {
+    entry.second.askAgainAt += extension;
     entry.second.suspectUntil += extension;
   }
 }
@@ -241,6 +273,14 @@
   return chosen;
 }
 
+std::vector<NodeId> MemberTable::shuffledLivePeers(Random& random) const {
+  std::vector<NodeId> peers = livePeers();
+  for (size_t last = peers.size(); last > 1; --last) {
+    std::swap(peers[last - 1], peers[random.below(last)]);
+  }
+  return peers;
+}
+
 MemberTable::BucketHashes MemberTable::bucketHashes() const {
   BucketHashes hashes{};
   for (const auto& entry : entries_) {
--- a/src/membership/member_table.h
+++ b/src/membership/member_table.h
@@ -3,6 +3,7 @@
 /// A plain data structure of state, statements and time; not thread-safe.
 #pragma once
 
+#include <algorithm>
 #include <array>
 #include <cstdint>
 #include <map>
@@ -30,10 +31,17 @@
 struct MemberEntry {
   MemberStatus status;
   MemberIdentity identity;
+  Time askAgainAt;    ///< When a suspect is asked directly, in case its refutation was lost.
   Time suspectUntil;  ///< When a suspect counts as dead.
   Time deadSince;     ///< Since when a dead member is remembered.
 };
 
+/// What the passing of time did to the suspects.
+struct Expiry {
+  size_t deaths = 0;               ///< Suspects that count as dead from now on.
+  std::vector<NodeId> toAskAgain;  ///< Suspects that half their time is over for.
+};
+
 /// All members, this node included.
 class MemberTable {
  public:
@@ -58,8 +66,7 @@
   /// @return whether it did.
   bool suspect(NodeLife life, Time now);
   /// Turns suspects whose time is over into dead members and forgets old dead ones.
-  /// @return how many died.
-  size_t expire(Time now);
+  Expiry expire(Time now);
   /// Gives all suspects more time, after this process itself was stopped.
   void extendSuspicions(Duration extension);
 
@@ -72,6 +79,8 @@
   const std::vector<NodeId>& livePeers() const;
   /// @return up to `count` different live members other than this node, drawn at random.
   std::vector<NodeId> randomLivePeers(size_t count, Random& random) const;
+  /// @return all live members but this node, in random order.
+  std::vector<NodeId> shuffledLivePeers(Random& random) const;
 
   /// @return a hash of the live members in each bucket; equal tables have equal hashes.
   BucketHashes bucketHashes() const;
@@ -86,6 +95,9 @@
   MergeOutcome mergeKnown(MemberEntry& entry, const MemberStatement& statement, Time now);
   MergeOutcome mergeNewLife(MemberEntry& entry, const MemberStatement& statement, Time now);
   void replace(MemberEntry& entry, const MemberStatus& status, Time now);
+  void startSuspicion(MemberEntry& entry, Time now);
+  void expireSuspect(MemberEntry& entry, Time now, Expiry& expiry);
+  void expireBy(Time instant) { nextExpiry_ = std::min(nextExpiry_, instant); }
   MemberEntry& mutableSelf() { return entries_.at(self_); }
   bool makeRoom();
   void noteChange();
@@ -95,6 +107,7 @@
   Duration deadRetention_;
   size_t maximumMembers_;
   std::map<NodeId, MemberEntry> entries_;
+  Time nextExpiry_ = Time::max();  ///< No entry expires before; spares looking at all each tick.
   uint64_t changes_ = 1;
   mutable std::vector<NodeId> livePeers_;
   mutable uint64_t livePeersAsOf_ = 0;
--- a/src/membership/membership_role.cpp
+++ b/src/membership/membership_role.cpp
@@ -98,7 +98,7 @@
     }
     notePause(now);
     takeFailures(prober_.onTick(now), now);
-    counters_.deaths += table_.expire(now);
+    takeExpiry(table_.expire(now));
     synchronizer_.onTick(now);
     gossip(now);
     publishIfChanged();
@@ -258,7 +258,7 @@
       synchronizer_.askSoon(from);
       return false;
     case MergeOutcome::kConflict:
-      prober_.challenge(node);
+      prober_.askSoon(node, ProbePurpose::kChallenge);
       return false;
   }
   return false;
@@ -315,6 +315,9 @@
 
 void MembershipRole::takeFailures(const std::vector<ProbeFailure>& failures, Time now) {
   for (const ProbeFailure& failure : failures) {
+    if (failure.purpose == ProbePurpose::kLastWord) {
+      continue;
+    }
     if (failure.purpose == ProbePurpose::kChallenge) {
       // Still no answer: tell those who hold it to be live.
       updates_.add(failure.target.node, false);
@@ -329,6 +332,13 @@
   }
 }
 
+void MembershipRole::takeExpiry(const Expiry& expiry) {
+  counters_.deaths += expiry.deaths;
+  for (const NodeId node : expiry.toAskAgain) {
+    prober_.askSoon(node, ProbePurpose::kLastWord);
+  }
+}
+
 void MembershipRole::gossip(Time now) {
   const bool news = !updates_.empty() || versions_.newsPending();
   const bool newsDue = news && now >= nextGossipAt_;
@@ -336,8 +346,7 @@
   if (!newsDue && !reportDue) {
     return;
   }
-  const auto fanout = static_cast<size_t>(knobs_.membershipGossipFanout);
-  for (const NodeId peer : table_.randomLivePeers(fanout, random_)) {
+  for (const NodeId peer : nextGossipTargets()) {
     messenger_.gossip(peer, reportDue);
   }
   nextGossipAt_ = now + knobs_.membershipGossipInterval;
@@ -348,6 +357,24 @@
   }
 }
 
+std::vector<NodeId> MembershipRole::nextGossipTargets() {
+  // All peers in turn, in random order: a small cluster is then told as a whole, which independent
+  // draws would leave to chance.
+  const auto fanout = static_cast<size_t>(knobs_.membershipGossipFanout);
+  std::vector<NodeId> targets;
+  if (gossipOrder_.empty()) {
+    gossipOrder_ = table_.shuffledLivePeers(random_);
+  }
+  while (!gossipOrder_.empty() && targets.size() < fanout) {
+    const MemberEntry* const entry = table_.find(gossipOrder_.back());
+    if (entry != nullptr && isLive(entry->status.health)) {
+      targets.push_back(gossipOrder_.back());
+    }
+    gossipOrder_.pop_back();
+  }
+  return targets;
+}
+
 void MembershipRole::publishIfChanged() {
   const bool unchanged = publishedChanges_ == table_.changes() && !addressesChanged_ &&
                          publishedNewest_ == versions_.newest();
--- a/src/membership/membership_role.h
+++ b/src/membership/membership_role.h
@@ -85,7 +85,9 @@
   void takeKind(NodeLife from, const proto::MembershipMessage& message, bool changed, Time now);
   void notePause(Time now);
   void takeFailures(const std::vector<ProbeFailure>& failures, Time now);
+  void takeExpiry(const Expiry& expiry);
   void gossip(Time now);
+  std::vector<NodeId> nextGossipTargets();
   void publishIfChanged();
   std::shared_ptr<const MembershipSnapshot> makeSnapshot() const;
 
@@ -101,6 +103,7 @@
   MembershipCounters counters_;
   std::optional<Incarnation> supersededBy_;
   std::optional<Time> lastTickAt_;
+  std::vector<NodeId> gossipOrder_;  ///< Peers still to be told in this turn, the next one last.
   Time nextGossipAt_;
   Time nextReportAt_;
   bool addressesChanged_ = false;
--- a/src/membership/messenger.cpp
+++ b/src/membership/messenger.cpp
@@ -13,6 +13,8 @@
 
 /// Left free in a datagram for the envelope, the sender's life and the tag.
 constexpr size_t kEnvelopeReserveBytes = 64;
+/// Enough for a small cluster to be told as a whole by the first teller.
+constexpr int64_t kMinimumTransmissions = 9;
 /// Hashes and numbers of a sync page, beside its members.
 constexpr size_t kPageHeaderBytes = 48 + 4 * MemberTable::kBuckets;
 
@@ -126,7 +128,8 @@
 
 int64_t Messenger::retransmitLimit() const {
   const double members = static_cast<double>(table_.livePeers().size()) + 2;
-  return static_cast<int64_t>(std::ceil(knobs_.membershipRetransmitFactor * std::log(members)));
+  const double times = std::ceil(knobs_.membershipRetransmitFactor * std::log(members));
+  return std::max(kMinimumTransmissions, static_cast<int64_t>(times));
 }
 
 int64_t Messenger::gossipRounds() const {
--- a/src/membership/prober.cpp
+++ b/src/membership/prober.cpp
@@ -8,8 +8,8 @@
 
 /// Bounds what other nodes can make this one remember and send.
 constexpr size_t kMaximumRelays = 256;
-constexpr size_t kMaximumChallenges = 1024;
-constexpr size_t kChallengesPerTick = 4;
+constexpr size_t kMaximumWanted = 1024;
+constexpr size_t kWantedPerTick = 4;
 constexpr size_t kMaximumProbes = 512;
 
 }  // namespace
@@ -19,7 +19,7 @@
 
 std::vector<ProbeFailure> Prober::onTick(Time now) {
   startDueProbe(now);
-  startChallenges(now);
+  startWanted(now);
   std::vector<ProbeFailure> failures;
   for (auto probe = probes_.begin(); probe != probes_.end();) {
     if (now >= probe->askRelaysAt && !probe->relaysAsked) {
@@ -64,13 +64,14 @@
   messenger_.ping(target, relays_.back().nonce);
 }
 
-void Prober::challenge(NodeId target) {
+void Prober::askSoon(NodeId target, ProbePurpose purpose) {
   const bool known =
-      std::find(challenges_.begin(), challenges_.end(), target) != challenges_.end() ||
+      std::any_of(wanted_.begin(), wanted_.end(),
+                  [target](const WantedProbe& probe) { return probe.target == target; }) ||
       std::any_of(probes_.begin(), probes_.end(),
                   [target](const Probe& probe) { return probe.target.node == target; });
-  if (!known && challenges_.size() < kMaximumChallenges) {
-    challenges_.push_back(target);
+  if (!known && wanted_.size() < kMaximumWanted) {
+    wanted_.push_back(WantedProbe{target, purpose});
   }
 }
 
@@ -102,15 +103,16 @@
   }
 }
 
-void Prober::startChallenges(Time now) {
+void Prober::startWanted(Time now) {
   size_t started = 0;
-  while (!challenges_.empty() && started < kChallengesPerTick) {
-    const MemberEntry* const entry = table_.find(challenges_.back());
-    challenges_.pop_back();
-    if (entry == nullptr || isLive(entry->status.health)) {
-      continue;
+  while (!wanted_.empty() && started < kWantedPerTick) {
+    const WantedProbe next = wanted_.back();
+    wanted_.pop_back();
+    const MemberEntry* const entry = table_.find(next.target);
+    if (entry == nullptr || entry->status.health == MemberHealth::kAlive) {
+      continue;  // It spoke up in the meantime.
     }
-    startProbe(entry->status.life, ProbePurpose::kChallenge, now);
+    startProbe(entry->status.life, next.purpose, now);
     ++started;
   }
 }
@@ -132,7 +134,7 @@
 void Prober::askRelays(Probe& probe) {
   probe.relaysAsked = true;
   messenger_.ping(probe.target.node, probe.nonce);  // The first one may merely have been lost.
-  if (probe.purpose == ProbePurpose::kChallenge) {
+  if (probe.purpose != ProbePurpose::kPeriodic) {
     return;
   }
   for (const NodeId relay : chooseRelays(probe.target.node)) {
@@ -152,10 +154,7 @@
       return node;
     }
   }
-  round_ = table_.livePeers();
-  for (size_t last = round_.size(); last > 1; --last) {
-    std::swap(round_[last - 1], round_[random_.below(last)]);
-  }
+  round_ = table_.shuffledLivePeers(random_);
   if (round_.empty()) {
     return std::nullopt;
   }
@@ -172,9 +171,6 @@
   std::vector<NodeId> candidates =
       table_.randomLivePeers(wanted * kCandidatesPerRelay + 1, random_);
   candidates.erase(std::remove(candidates.begin(), candidates.end(), target), candidates.end());
-  for (size_t last = candidates.size(); last > 1; --last) {
-    std::swap(candidates[last - 1], candidates[random_.below(last)]);
-  }
   std::vector<NodeId> chosen;
   std::vector<ZoneId> usedZones = {table_.self().identity.zone, table_.find(target)->identity.zone};
   std::vector<NodeId> others;
--- a/src/membership/prober.h
+++ b/src/membership/prober.h
@@ -19,6 +19,7 @@
 enum class ProbePurpose {
   kPeriodic,   ///< Its turn came.
   kChallenge,  ///< Held to be dead here, live elsewhere: it shall refute, or the others be told.
+  kLastWord,   ///< A suspect that half its time is over for: its refutation may have been lost.
 };
 
 /// A probe that nobody answered.
@@ -41,8 +42,9 @@
   /// Pings the target for the sender.
   void onIndirectPing(NodeId from, const proto::MembershipIndirectPing& request, Time now);
 
-  /// Wants a member that is held to be dead to be asked soon; at most a few per tick are.
-  void challenge(NodeId target);
+  /// Wants a member that is held to be dead or suspect to be asked soon, directly; at most a few
+  /// per tick are.
+  void askSoon(NodeId target, ProbePurpose purpose);
   /// A member is new: its first probe comes at a random place of the present round.
   void noteNewMember(NodeId node);
   /// Forgets the probes under way, after this process itself was stopped.
@@ -66,8 +68,14 @@
     Time expiresAt;
   };
 
+  /// A direct probe that is to be sent soon.
+  struct WantedProbe {
+    NodeId target;
+    ProbePurpose purpose = ProbePurpose::kChallenge;
+  };
+
   void startDueProbe(Time now);
-  void startChallenges(Time now);
+  void startWanted(Time now);
   void startProbe(NodeLife target, ProbePurpose purpose, Time now);
   void askRelays(Probe& probe);
   std::optional<NodeId> nextInRound();
@@ -81,7 +89,7 @@
   std::vector<NodeId> round_;  ///< Members still to be probed in this round, the next one last.
   std::vector<Probe> probes_;
   std::vector<Relay> relays_;
-  std::vector<NodeId> challenges_;
+  std::vector<WantedProbe> wanted_;
   std::optional<Time> nextProbeAt_;
   uint32_t nextNonce_ = 1;
 };
