--- a/src/sim/fake_platform.cpp
+++ b/src/sim/fake_platform.cpp
@@ -35,6 +35,11 @@
   changesToDelay_ = count;
 }
 
+void FakePlatform::goDownAfterNextChange() {
+  const Lock lock(mutex_);
+  goesDownAfterChange_ = true;
+}
+
 void FakePlatform::setAnswerDelay(Duration delay) {
   const Lock lock(mutex_);
   answerDelay_ = delay;
@@ -154,6 +159,11 @@
     return lostAnswer();
   }
   const Result<CollectionRevision> applied = applyLocked(collections_[collection], batch);
+  if (goesDownAfterChange_) {
+    goesDownAfterChange_ = false;
+    down_ = true;
+    return lostAnswer();
+  }
   if (answersToLose_ > 0) {
     --answersToLose_;
     return lostAnswer();
--- a/src/sim/fake_platform.h
+++ b/src/sim/fake_platform.h
@@ -27,6 +27,8 @@
   /// The next `count` changes are applied only at the following call, and their answers are lost:
   /// a change that arrives after its sender gave up.
   void delayChanges(int count);
+  /// The next change is applied, its answer is lost, and the platform is down from then on.
+  void goDownAfterNextChange();
   /// What a simulated caller adds to each call.
   void setAnswerDelay(Duration delay);
   Duration answerDelay() const;
@@ -81,6 +83,7 @@
   bool down_ = false;
   int answersToLose_ = 0;
   int changesToDelay_ = 0;
+  bool goesDownAfterChange_ = false;
   Duration answerDelay_{0};
   Duration machineListLag_{0};
   size_t historyLimit_ = 1000;
