--- /dev/null
+++ b/src/engine/probe_waiter.h
@@ -0,0 +1,49 @@
+/// @file
+/// Answers of engines' owners to one question, as they come in.
+#pragma once
+
+#include <functional>
+#include <vector>
+
+#include "common/lock_order.h"
+#include "engine/engine_life.h"
+
+namespace fernmoor {
+
+/// What is known of one engine for one prompt.
+struct ProbeResult {
+  EngineLife life;
+  bool known = false;         ///< False where no owner answered (yet).
+  int64_t matchedBlocks = 0;  ///< Leading blocks held, at least; exact to the sample's stride.
+  bool doubtful = false;      ///< Known only from before a gap in the engine's events.
+};
+
+/// The answers to one question as they come in. Thread-safe.
+class ProbeWaiter {
+ public:
+  /// Called once, on the thread that completes the answers, with no lock held.
+  using CompletionHandler = std::function<void()>;
+
+  /// @param results one for each engine asked for, with what is known already.
+  /// @param owners answers that are still to come.
+  ProbeWaiter(std::vector<ProbeResult> results, size_t owners)
+      : results_(std::move(results)), pendingOwners_(owners) {}
+
+  /// @return what is known by now, in the order of the engines asked for.
+  std::vector<ProbeResult> results() const;
+  /// @return true once every owner that was asked has answered.
+  bool isComplete() const;
+  /// Sets the handler; it is called at once where the answers are complete.
+  void onComplete(CompletionHandler handler);
+
+  /// Takes one owner's answer; for the role.
+  void add(const std::vector<ProbeResult>& answers);
+
+ private:
+  mutable RankedMutex mutex_{LockRank::kRequests};
+  std::vector<ProbeResult> results_;
+  size_t pendingOwners_;
+  CompletionHandler handler_;
+};
+
+}  // namespace fernmoor
--- a/src/routing/placement_memory.cpp
+++ b/src/routing/placement_memory.cpp
@@ -15,10 +15,6 @@
   return depth < kFineDepth ? depth + kFineStep : depth + kCoarseStep;
 }
 
-uint64_t hashOf(const EngineLife& life) {
-  return rendezvousWeight(stableHash(life.engine.value()), life.incarnation.value());
-}
-
 }  // namespace
 
 PlacementMemory::PlacementMemory(const Knobs& knobs)
@@ -29,7 +25,7 @@
 void PlacementMemory::recordSent(const EngineLife& life, const BlockChain& chain,
                                  int64_t missedTokens, Time now) {
   loads_[life.engine].push_back(LoadChange{now, PlacedLoad{missedTokens, 1}});
-  const uint64_t engine = hashOf(life);
+  const uint64_t engine = engineLifeHash(life);
   for (size_t depth = kFineStep; depth <= chain.hashes.size(); depth = nextMarkDepth(depth)) {
     addMark(rendezvousWeight(chain.hashes[depth - 1], engine), now);
   }
@@ -41,7 +37,7 @@
 
 int64_t PlacementMemory::expectedBlocks(const EngineLife& life, const BlockChain& chain,
                                         Time now) const {
-  const uint64_t engine = hashOf(life);
+  const uint64_t engine = engineLifeHash(life);
   size_t matched = 0;
   for (size_t depth = kFineStep; depth <= chain.hashes.size(); depth = nextMarkDepth(depth)) {
     const auto mark = marks_.find(rendezvousWeight(chain.hashes[depth - 1], engine));
--- a/src/routing/placement_memory.h
+++ b/src/routing/placement_memory.h
@@ -11,6 +11,7 @@
 #include "common/ids.h"
 #include "common/knobs.h"
 #include "common/time.h"
+#include "engine/engine_life.h"
 #include "prefix/block_chain.h"
 
 namespace fernmoor {
@@ -21,12 +22,6 @@
   int64_t streams = 0;  ///< Started less ended, so it may be negative.
 };
 
-/// One life of an engine, as a placement names it.
-struct EngineLife {
-  EngineId engine;
-  Incarnation incarnation;
-};
-
 /// Not thread-safe; callers guard it with rank kRouting.
 class PlacementMemory {
  public:
