--- a/src/engine/engine_client.h
+++ b/src/engine/engine_client.h
@@ -7,6 +7,7 @@
 #include <variant>
 
 #include "common/error.h"
+#include "engine/cache_event.h"
 #include "engine/engine_state.h"
 #include "http/http_client.h"
 
@@ -49,22 +50,6 @@
   std::unique_ptr<EventStream> events_;
 };
 
-/// A cache event as an engine publishes it.
-enum class EngineCacheEventKind { kStored, kRemoved, kCleared };
-
-struct EngineCacheEvent {
-  uint64_t sequence = 0;
-  EngineCacheEventKind kind = EngineCacheEventKind::kStored;
-  uint64_t block = 0;
-};
-
-/// Events of one incarnation in order; `gap` where some before the first were lost.
-struct EngineCacheEvents {
-  Incarnation incarnation;
-  bool gap = false;
-  std::vector<EngineCacheEvent> events;
-};
-
 /// Thread-safe.
 class EngineClient {
  public:
@@ -84,8 +69,8 @@
   /// @return state and load; zone and address are left as the caller gave them.
   Result<EngineState> state(const EngineState& known, Time now);
   /// Waits up to `wait` for events after the sequence number.
-  Result<EngineCacheEvents> events(const SocketAddress& address, Incarnation incarnation,
-                                   uint64_t after, Duration wait);
+  Result<CacheEventBatch> events(const SocketAddress& address, Incarnation incarnation,
+                                 uint64_t after, Duration wait);
 
  private:
   Result<std::unique_ptr<AttemptStream>> openAttempt(const HttpCall& call);
