--- a/src/node/http_front.cpp
+++ b/src/node/http_front.cpp
@@ -47,6 +47,27 @@
   }
 };
 
+/// Answers whether callers' requests can be served: a table is in force.
+class ReadyHandler : public Poco::Net::HTTPRequestHandler {
+ public:
+  explicit ReadyHandler(const NodeServices& services) : services_(services) {}
+  void handleRequest(Poco::Net::HTTPServerRequest& request,
+                     Poco::Net::HTTPServerResponse& response) override {
+    if (services_.table.version() == TableVersion(0)) {
+      sendError(response,
+                Error{ErrorKind::kUnavailable,
+                      "no table is in force yet; check the platform and the seeds.",
+                      RunState::kNotRun, std::nullopt},
+                RequestId());
+      return;
+    }
+    sendJson(response, "{\"status\":\"ready\"}");
+  }
+
+ private:
+  const NodeServices& services_;
+};
+
 /// Counts the request while the handler runs; keeps a handler's exception from ending the thread
 /// without an answer.
 class CountingHandler : public Poco::Net::HTTPRequestHandler {
@@ -109,6 +130,9 @@
   if (path == "/healthz") {
     return std::make_unique<HealthHandler>();
   }
+  if (path == "/readyz") {
+    return std::make_unique<ReadyHandler>(services);
+  }
   return std::make_unique<ErrorHandler>(unknownPath(path));
 }
 
