--- a/programs/fernmoor-standin/main.cpp
+++ b/programs/fernmoor-standin/main.cpp
@@ -13,8 +13,10 @@
 #include <string>
 
 #include "common/time.h"
+#include "standin/application_server.h"
 #include "standin/engine_server.h"
 #include "standin/json_client.h"
+#include "standin/kv_store_server.h"
 #include "standin/machine_registration.h"
 #include "standin/platform_server.h"
 
@@ -43,6 +45,9 @@
 DEFINE_double(load_lag_ms, 250, "engine: age of the reported load");
 DEFINE_double(weights_load_ms, 500, "engine, platform: time of one load of weights");
 
+DEFINE_double(work_ms, 20, "appengine: time of one operation");
+DEFINE_int64(max_running, 64, "appengine: operations at once");
+
 DEFINE_double(machine_lag_ms, 500, "platform: age of the machine list");
 DEFINE_int64(parallel_loads, 2, "platform: loads of weights at full rate");
 DEFINE_int64(maximum_loads, 16, "platform: loads of weights served at once");
@@ -123,6 +128,26 @@
   return service;
 }
 
+Service makeApplicationEngine(const SocketAddress& listen) {
+  ApplicationServerOptions options;
+  options.id = EngineId(FLAGS_id);
+  options.incarnation = startIncarnation();
+  options.listen = listen;
+  options.workTime = fromMilliseconds(FLAGS_work_ms);
+  options.maxRunning = FLAGS_max_running;
+  const auto server = std::make_shared<ApplicationServer>(options);
+  Service service = serviceOf(server, "application");
+  service.busy = [server] { return server->busy(); };
+  return service;
+}
+
+Service makeKvStore(const SocketAddress& listen) {
+  KvStoreServerOptions options;
+  options.listen = listen;
+  options.cacheBlocks = FLAGS_cache_blocks;
+  return serviceOf(std::make_shared<KvStoreServer>(options), "kvstore");
+}
+
 Service makePlatform(const SocketAddress& listen) {
   PlatformServerOptions options;
   options.listen = listen;
@@ -139,6 +164,12 @@
   if (kind == "engine") {
     return makeEngine(listen, platform);
   }
+  if (kind == "appengine") {
+    return makeApplicationEngine(listen);
+  }
+  if (kind == "kvstore") {
+    return makeKvStore(listen);
+  }
   if (kind == "platform") {
     return makePlatform(listen);
   }
@@ -189,6 +220,7 @@
       return;
     }
   }
+  waitForSignal(kCheck);  // For the last bytes of the answers to leave.
 }
 
 int fail(const std::string& message, int exitCode) {
--- a/standin/engine_server.cpp
+++ b/standin/engine_server.cpp
@@ -37,7 +37,7 @@
 }
 
 Result<Done> EngineServer::start() {
-  const auto started = service_.start();
+  auto started = service_.start();
   if (isOk(started)) {
     modelThread_ = std::thread([this] { runModel(); });
   }
@@ -64,7 +64,7 @@
 
 bool EngineServer::busy() const {
   const std::lock_guard<std::mutex> lock(mutex_);
-  return model_.nextChange().has_value();
+  return model_.nextChange().has_value() || streams_.hasReaders();
 }
 
 std::vector<EngineRun> EngineServer::runs() const {
--- a/standin/engine_server.h
+++ b/standin/engine_server.h
@@ -36,7 +36,7 @@
   Result<Done> start();
   void stop();
   uint16_t port() const { return service_.port(); }
-  /// @return true while any attempt runs.
+  /// @return true while any attempt runs or is being read.
   bool busy() const;
   /// @return attempts recorded, however they ended; for tests in the same process.
   std::vector<EngineRun> runs() const;
--- a/standin/engine_streams.h
+++ b/standin/engine_streams.h
@@ -49,6 +49,7 @@
   void forgetLastRun();
   const std::deque<EngineRun>& runs() const { return runs_; }
 
+  bool hasReaders() const { return channels_.size() > unread_; }
   /// Makes the caller the attempt's only reader.
   Reader attach(const AttemptId& attempt);
   void detach(const Reader& reader, Time now);
--- a/standin/http_service.cpp
+++ b/standin/http_service.cpp
@@ -11,6 +11,7 @@
 namespace fernmoor::standin {
 
 namespace {
+
 constexpr int kFewestThreads = 2;
 constexpr int kMostThreads = 900;  ///< One for each open connection: 400 streams and the rest.
 constexpr int kThreadIdleSeconds = 30;
@@ -19,6 +20,19 @@
 constexpr int kMostQueued = 1024;
 constexpr int kKeepAliveSeconds = 60;
 constexpr Duration kReopenRetry{20000};
+
+/// Counts a request while it lives.
+class InFlight {
+ public:
+  explicit InFlight(std::atomic<int64_t>& count) : count_(count) { ++count_; }
+  ~InFlight() { --count_; }
+  InFlight(const InFlight&) = delete;
+  InFlight& operator=(const InFlight&) = delete;
+
+ private:
+  std::atomic<int64_t>& count_;
+};
+
 }  // namespace
 
 class HttpService::RequestHandler : public Poco::Net::HTTPRequestHandler {
@@ -26,6 +40,7 @@
   explicit RequestHandler(HttpService& service) : service_(service) {}
   void handleRequest(Poco::Net::HTTPServerRequest& request,
                      Poco::Net::HTTPServerResponse& response) override {
+    const InFlight counted(service_.inFlight_);
     HttpExchange exchange(request, response);
     service_.handle(exchange);
   }
--- a/standin/http_service.h
+++ b/standin/http_service.h
@@ -46,7 +46,8 @@
   void freeze(Duration duration);
   /// Waits while frozen; for handlers that began before the freeze.
   void waitWhileFrozen();
-  bool isDown() const { return down_; }
+  /// @return how many requests are being handled.
+  int64_t requestsInFlight() const { return inFlight_; }
 
  private:
   class HandlerFactory;
@@ -69,6 +70,7 @@
 
   SystemClock clock_;
   std::atomic<bool> down_{false};
+  std::atomic<int64_t> inFlight_{0};
   std::mutex mutex_;  ///< Guards what follows.
   std::condition_variable changed_;
   bool stopping_ = false;
--- a/standin/platform_server.cpp
+++ b/standin/platform_server.cpp
@@ -11,7 +11,7 @@
 }
 }  // namespace
 
-PlatformServer::PlatformServer(PlatformServerOptions options)
+PlatformServer::PlatformServer(const PlatformServerOptions& options)
     : service_(options.listen, [this](HttpExchange& exchange) { handle(exchange); }),
       objects_(options.keptChanges, options.watchesPerCollection),
       machines_(options.machineLag),
--- a/standin/platform_server.h
+++ b/standin/platform_server.h
@@ -24,7 +24,7 @@
 
 class PlatformServer {
  public:
-  explicit PlatformServer(PlatformServerOptions options);
+  explicit PlatformServer(const PlatformServerOptions& options);
   ~PlatformServer();
   PlatformServer(const PlatformServer&) = delete;
   PlatformServer& operator=(const PlatformServer&) = delete;
