Membership: fewer transmissions while many updates are pending, ordered queue

Ruled out: a bound on gossip bytes a second (it delays agreement, which is what a restart needs first).

--- a/src/membership/membership_role.cpp
+++ b/src/membership/membership_role.cpp
@@ -46,11 +46,15 @@
 /// Adds the seeds that no member is known for; keeps the order by node id.
 void addSeedAddresses(const std::vector<Seed>& seeds, const MemberTable& table,
                       std::vector<NodeAddress>& addresses) {
+  const size_t members = addresses.size();
   for (const Seed& seed : seeds) {
     if (table.find(seed.node) == nullptr) {
       addresses.push_back(NodeAddress{seed.node, seed.peerAddress});
     }
   }
+  if (addresses.size() == members) {
+    return;
+  }
   std::sort(addresses.begin(), addresses.end(),
             [](const NodeAddress& a, const NodeAddress& b) { return a.node < b.node; });
 }
@@ -80,11 +84,10 @@
       return;
     }
     handle(from, envelope.membership(), now);
-    // The transport needs a new member's address before it can send the answer.
-    if (addressesChanged_) {
+    outbox = messenger_.takeOutbox();
+    if (addressesChanged_ && !canReach(outbox)) {
       publishIfChanged();
     }
-    outbox = messenger_.takeOutbox();
   }
   sendAll(outbox, sender);
 }
@@ -203,6 +206,14 @@
   takeKind(from, message, changed, now);
 }
 
+bool MembershipRole::canReach(const std::vector<OutgoingMessage>& messages) const {
+  const auto published = snapshot();
+  return std::all_of(messages.begin(), messages.end(), [&](const OutgoingMessage& message) {
+    const MemberEntry* const entry = table_.find(message.to);
+    return entry == nullptr || published->addressOf(message.to) == entry->identity.peerAddress;
+  });
+}
+
 bool MembershipRole::takeHeartbeat(NodeLife from, const proto::MembershipMessage& message,
                                    Time now) {
   proto::MemberUpdate heartbeat;
@@ -393,6 +404,7 @@
   made->version = publishedVersion_;
   made->self = table_.self().status.life;
   made->members.reserve(table_.entries().size());
+  made->addresses.reserve(table_.entries().size());
   for (const auto& entry : table_.entries()) {
     made->addresses.push_back(NodeAddress{entry.first, entry.second.identity.peerAddress});
     const bool listed = isLive(entry.second.status.health) || entry.first == table_.selfId();
--- a/src/membership/membership_role.h
+++ b/src/membership/membership_role.h
@@ -77,6 +77,9 @@
  private:
   bool isSilent() const;
   void handle(NodeLife from, const proto::MembershipMessage& message, Time now);
+  /// @return whether the published snapshot holds the receivers' addresses, which the transport
+  /// needs to send the messages.
+  bool canReach(const std::vector<OutgoingMessage>& messages) const;
   bool takeHeartbeat(NodeLife from, const proto::MembershipMessage& message, Time now);
   bool takeUpdates(NodeId from, const proto::MembershipMessage& message, Time now);
   /// @return whether the statement told anything new.
--- a/src/membership/messenger.cpp
+++ b/src/membership/messenger.cpp
@@ -15,6 +15,10 @@
 constexpr size_t kEnvelopeReserveBytes = 64;
 /// Enough for a small cluster to be told as a whole by the first teller.
 constexpr int64_t kMinimumTransmissions = 9;
+/// With more updates pending than this, as after a restart of all nodes, each is sent fewer times:
+/// the comparisons of tables repair what some nodes missed at a lower cost.
+constexpr size_t kManyUpdates = 64;
+constexpr int64_t kTransmissionsOfMany = 4;
 /// Hashes and numbers of a sync page, beside its members.
 constexpr size_t kPageHeaderBytes = 48 + 4 * MemberTable::kBuckets;
 
@@ -132,6 +136,10 @@
   return std::max(kMinimumTransmissions, static_cast<int64_t>(times));
 }
 
+int64_t Messenger::updateLimit() const {
+  return updates_.size() > kManyUpdates ? kTransmissionsOfMany : retransmitLimit();
+}
+
 int64_t Messenger::gossipRounds() const {
   return retransmitLimit() / knobs_.membershipGossipFanout + 1;
 }
@@ -159,26 +167,23 @@
 
 void Messenger::piggyback(NodeId to, proto::MembershipMessage& message) {
   const auto budget = static_cast<size_t>(knobs_.maxDatagramBytes) - kEnvelopeReserveBytes;
-  const int64_t limit = retransmitLimit();
   size_t bytes = message.ByteSizeLong();
-  for (const PendingUpdate& pending : updates_.inOrder()) {
+  const auto fits = [&](const PendingUpdate& pending) {
     const MemberEntry* const entry = table_.find(pending.node);
     if (entry == nullptr) {
-      updates_.remove(pending.node);
-      continue;
-    }
-    if (pending.node == to) {
-      continue;  // It knows its own state, and an accusation is in the message already.
+      return true;  // Forgotten; leaves the queue unsent.
     }
     proto::MemberUpdate update;
     encodeStatement(statementOf(*entry, pending.withIdentity), update);
     if (bytes + encodedBytes(update) > budget) {
-      return;
+      return false;
     }
     bytes += encodedBytes(update);
     *message.add_updates() = std::move(update);
-    updates_.noteSent(pending.node, limit);
-  }
+    return true;
+  };
+  // The receiver knows its own state, and an accusation of it is in the message already.
+  updates_.take(fits, to, updateLimit());
 }
 
 void Messenger::push(NodeId to, proto::MembershipMessage&& message) {
--- a/src/membership/messenger.h
+++ b/src/membership/messenger.h
@@ -54,6 +54,7 @@
   /// Starts a message with the heartbeat, and with the accusation if the receiver is held to be
   /// suspect or dead, so that it can refute.
   proto::MembershipMessage start(NodeId to) const;
+  int64_t updateLimit() const;
   void piggyback(NodeId to, proto::MembershipMessage& message);
   void push(NodeId to, proto::MembershipMessage&& message);
 
--- a/src/membership/update_queue.cpp
+++ b/src/membership/update_queue.cpp
@@ -1,46 +1,52 @@
 #include "membership/update_queue.h"
 
-#include <algorithm>
+#include <vector>
 
 namespace fernmoor {
 
 void UpdateQueue::add(NodeId node, bool withIdentity) {
-  Entry& entry = entries_[node];
-  entry.timesSent = 0;
-  entry.order = nextOrder_++;
-  entry.withIdentity = entry.withIdentity || withIdentity;
+  PendingUpdate update{node, withIdentity};
+  const auto known = places_.find(node);
+  if (known != places_.end()) {
+    update.withIdentity = update.withIdentity || pending_.at(known->second).withIdentity;
+    pending_.erase(known->second);
+  }
+  put(Place{0, nextOrder_++}, update);
 }
 
-std::vector<PendingUpdate> UpdateQueue::inOrder() const {
-  struct Candidate {
-    NodeId node;
-    Entry entry;
-  };
-  std::vector<Candidate> candidates;
-  candidates.reserve(entries_.size());
-  for (const auto& entry : entries_) {
-    candidates.push_back(Candidate{entry.first, entry.second});
-  }
-  std::sort(candidates.begin(), candidates.end(), [](const Candidate& a, const Candidate& b) {
-    return a.entry.timesSent != b.entry.timesSent ? a.entry.timesSent < b.entry.timesSent
-                                                  : a.entry.order < b.entry.order;
-  });
-  std::vector<PendingUpdate> ordered;
-  ordered.reserve(candidates.size());
-  for (const Candidate& candidate : candidates) {
-    ordered.push_back(PendingUpdate{candidate.node, candidate.entry.withIdentity});
+void UpdateQueue::remove(NodeId node) {
+  const auto known = places_.find(node);
+  if (known == places_.end()) {
+    return;
   }
-  return ordered;
+  pending_.erase(known->second);
+  places_.erase(known);
 }
 
-void UpdateQueue::noteSent(NodeId node, int64_t limit) {
-  const auto found = entries_.find(node);
-  if (found == entries_.end()) {
-    return;
+void UpdateQueue::take(const std::function<bool(const PendingUpdate&)>& fits, NodeId except,
+                       int64_t limit) {
+  std::vector<Place> taken;
+  for (const auto& entry : pending_) {
+    if (entry.second.node == except) {
+      continue;
+    }
+    if (!fits(entry.second)) {
+      break;
+    }
+    taken.push_back(entry.first);
   }
-  if (++found->second.timesSent >= limit) {
-    entries_.erase(found);
+  for (const Place& place : taken) {
+    const PendingUpdate update = pending_.at(place);
+    remove(update.node);
+    if (place.timesSent + 1 < limit) {
+      put(Place{place.timesSent + 1, place.order}, update);
+    }
   }
 }
 
+void UpdateQueue::put(const Place& place, const PendingUpdate& update) {
+  pending_[place] = update;
+  places_[update.node] = place;
+}
+
 }  // namespace fernmoor
--- a/src/membership/update_queue.h
+++ b/src/membership/update_queue.h
@@ -5,8 +5,9 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
-#include <vector>
+#include <unordered_map>
 
 #include "common/ids.h"
 
@@ -24,22 +25,30 @@
   /// Passes the member's state on from now on, afresh if it was already.
   void add(NodeId node, bool withIdentity);
   /// Drops what is pending about the member.
-  void remove(NodeId node) { entries_.erase(node); }
-  bool empty() const { return entries_.empty(); }
-  size_t size() const { return entries_.size(); }
+  void remove(NodeId node);
+  bool empty() const { return pending_.empty(); }
+  size_t size() const { return pending_.size(); }
 
-  /// @return all that is pending, the least-sent first.
-  std::vector<PendingUpdate> inOrder() const;
-  /// Notes that the member's state was sent; it leaves the queue after `limit` times.
-  void noteSent(NodeId node, int64_t limit);
+  /// Takes updates for one message, the least-sent first.
+  /// @param fits called for each in turn; adds it to the message and returns true, or returns false
+  /// if there is no room for it, which ends the message.
+  /// @param except a member whose state is passed over, since it is the receiver.
+  /// @param limit an update leaves the queue after it was sent so many times.
+  void take(const std::function<bool(const PendingUpdate&)>& fits, NodeId except, int64_t limit);
 
  private:
-  struct Entry {
+  struct Place {
     int64_t timesSent = 0;
-    uint64_t order = 0;
-    bool withIdentity = false;
+    uint64_t order = 0;  ///< Unique; the elder first.
+    friend bool operator<(const Place& a, const Place& b) {
+      return a.timesSent != b.timesSent ? a.timesSent < b.timesSent : a.order < b.order;
+    }
   };
-  std::map<NodeId, Entry> entries_;
+
+  void put(const Place& place, const PendingUpdate& update);
+
+  std::map<Place, PendingUpdate> pending_;
+  std::unordered_map<NodeId, Place> places_;
   uint64_t nextOrder_ = 0;
 };
 
