Ownership of engines, and leases with fencing tokens for orders to them

Cause: views and load of an engine need one owner and a warm second that everybody can compute, and orders of a paused holder must do no harm. Ruled out: leases for ownership itself (600 objects renewed all the time against a platform that bears few calls), wall clocks in the lease (machines' clocks differ). Change: OwnershipRole (rendezvous hashing over the zone's alive members), EngineLease (decisions), EngineLeaseKeeper (calls); the object's version is the token, the lease runs on the holder's clock from the sending, and others wait from when they first saw it. Conclusion: an order after the lapse is refused by the holder and by the engine emulator; a suspected owner's engines go to their seconds and no other moves.

--- /dev/null
+++ b/src/engine/engine_lease_keeper.cpp
@@ -0,0 +1,87 @@
+#include "engine/engine_lease_keeper.h"
+
+#include <utility>
+
+namespace fernmoor {
+
+EngineLeaseKeeper::EngineLeaseKeeper(PlatformClient& platform, NodeLife self, const Clock& clock,
+                                     const Knobs& knobs)
+    : platform_(platform), self_(self), clock_(clock), knobs_(knobs) {}
+
+EngineLease& EngineLeaseKeeper::leaseOf(const EngineId& engine) {
+  return leases_.try_emplace(engine, self_, knobs_).first->second;
+}
+
+Result<FencingToken> EngineLeaseKeeper::acquire(const EngineId& engine) {
+  const Result<LeaseStep> step = read(engine);
+  if (!isOk(step)) {
+    return errorOf(step);
+  }
+  switch (valueOf(step).kind) {
+    case LeaseStep::Kind::kNothing:
+      return authorize(engine);
+    case LeaseStep::Kind::kTake:
+      return take(engine, valueOf(step).expectedVersion);
+    case LeaseStep::Kind::kWait:
+      break;
+  }
+  return Error{ErrorKind::kConflict,
+               "another node may hold the lease on engine " + engine.value() +
+                   "; try again when it has lapsed.",
+               RunState::kNotRun, valueOf(step).until - clock_.now()};
+}
+
+Result<LeaseStep> EngineLeaseKeeper::read(const EngineId& engine) {
+  const auto object = platform_.get(engineLeaseCollection(), ObjectName(engine.value()));
+  if (!isOk(object) && errorOf(object).kind != ErrorKind::kNotFound) {
+    return errorOf(object);
+  }
+  const RankedLock lock(mutex_);
+  EngineLease& lease = leaseOf(engine);
+  lease.onRead(isOk(object) ? std::optional<PlatformObject>(valueOf(object)) : std::nullopt,
+               clock_.now());
+  return lease.nextStep(clock_.now());
+}
+
+Result<FencingToken> EngineLeaseKeeper::take(const EngineId& engine,
+                                             CollectionRevision expectedVersion) {
+  ObjectChange change{ObjectName(engine.value()), expectedVersion,
+                      writeLeaseRecord(LeaseRecord{self_, knobs_.engineLeaseDuration})};
+  ChangeId changeId;
+  {
+    const RankedLock lock(mutex_);
+    changeId =
+        ChangeId("lease-" + std::to_string(self_.node.value()) + "-" +
+                 std::to_string(self_.incarnation.value()) + "-" + std::to_string(++lastChange_));
+  }
+  const Time sentAt = clock_.now();
+  Result<CollectionRevision> taken = platform_.put(engineLeaseCollection(), change, changeId);
+  if (!isOk(taken) && errorOf(taken).runState == RunState::kUnknown) {
+    // Only a write known to have worked counts; one that arrives later is seen at the next read.
+    const auto found = platform_.findChange(engineLeaseCollection(), changeId);
+    taken = isOk(found) ? found : taken;
+  }
+  {
+    const RankedLock lock(mutex_);
+    if (isOk(taken)) {
+      leaseOf(engine).onTaken(valueOf(taken), sentAt);
+    } else {
+      leaseOf(engine).onFailed();
+    }
+  }
+  if (!isOk(taken)) {
+    return errorOf(taken);
+  }
+  return authorize(engine);
+}
+
+Result<FencingToken> EngineLeaseKeeper::authorize(const EngineId& engine) const {
+  const RankedLock lock(mutex_);
+  const auto lease = leases_.find(engine);
+  if (lease == leases_.end()) {
+    return EngineLease(self_, knobs_).authorize(clock_.now());
+  }
+  return lease->second.authorize(clock_.now());
+}
+
+}  // namespace fernmoor
