Experiment: the daemon's views, memory of placements and admission in place of own ones

Cause: the experiment judged policies on a set of its own instead of the code that serves. Change: HollowRouter uses EngineViews, AdmissionController and freePlaces.

--- a/programs/fernmoor-bench/experiment_flags.cpp
+++ b/programs/fernmoor-bench/experiment_flags.cpp
@@ -49,6 +49,7 @@
   options.length = fromSeconds(FLAGS_seconds);
   options.warmUp = fromSeconds(FLAGS_warm_up_seconds);
   options.loadFactor = FLAGS_load;
+  options.admission = FLAGS_admission;
   options.staleness.age = fromSeconds(FLAGS_staleness_ms / 1000);
   options.staleness.perfect = FLAGS_perfect;
   options.staleness.gapEvery = fromSeconds(FLAGS_gap_every_seconds);
--- a/programs/fernmoor-bench/flags.h
+++ b/programs/fernmoor-bench/flags.h
@@ -15,6 +15,7 @@
 DECLARE_double(load);
 DECLARE_double(gap_every_seconds);
 DECLARE_double(crash_every_seconds);
+DECLARE_bool(admission);
 DECLARE_string(knobs);
 DECLARE_int32(threads);
 DECLARE_string(json);
--- a/programs/fernmoor-bench/main.cpp
+++ b/programs/fernmoor-bench/main.cpp
@@ -18,6 +18,7 @@
 DEFINE_double(load, 1, "Load factor: multiplies the rates of the workload file.");
 DEFINE_double(gap_every_seconds, 20, "Mean time between gaps in one engine's events; 0: none.");
 DEFINE_double(crash_every_seconds, 0, "Mean time between engine crashes; 0: none.");
+DEFINE_bool(admission, true, "Requests pass the routers' admission.");
 DEFINE_string(knobs, "", "Tunables to change, e.g. affinityPrefixBlocks=64,nonHomePenaltySeconds=0");
 DEFINE_int32(threads, 4, "Runs at the same time, at most 4.");
 DEFINE_string(json, "", "Write the report as JSON to this file.");
--- a/src/bench/engine_fleet.cpp
+++ b/src/bench/engine_fleet.cpp
@@ -2,59 +2,14 @@
 
 #include <algorithm>
 #include <optional>
-#include <unordered_set>
 #include <utility>
 
 namespace fernmoor::bench {
 
-/// What the owner believes cached: a plain set fed by the events that arrived.
-class BelievedCache {
- public:
-  /// Takes the events that are visible by now.
-  void update(const standin::EngineModel& model, Time now) {
-    const standin::CacheEventBatch batch = model.events(sequence_, now);
-    if (batch.incarnation != incarnation_) {
-      incarnation_ = batch.incarnation;
-      blocks_.clear();
-    }
-    for (const standin::CacheEvent& event : batch.events) {
-      apply(event);
-    }
-  }
-
-  int64_t matchedBlocks(const std::vector<BlockHash>& chain) const {
-    const auto missed = std::find_if(chain.begin(), chain.end(), [this](BlockHash block) {
-      return blocks_.count(block) == 0;
-    });
-    return missed - chain.begin();
-  }
-
- private:
-  void apply(const standin::CacheEvent& event) {
-    sequence_ = event.sequence;
-    switch (event.kind) {
-      case standin::CacheEventKind::kStored:
-        blocks_.insert(event.block);
-        break;
-      case standin::CacheEventKind::kRemoved:
-        blocks_.erase(event.block);
-        break;
-      case standin::CacheEventKind::kCleared:
-        blocks_.clear();
-        break;
-    }
-  }
-
-  Incarnation incarnation_;
-  uint64_t sequence_ = 0;
-  std::unordered_set<BlockHash> blocks_;
-};
-
 struct EngineFleet::Engine {
   explicit Engine(const standin::EngineOptions& options) : model(options) {}
 
   standin::EngineModel model;
-  BelievedCache view;
   std::optional<Time> wakeAt;  ///< Of the scheduled wake-up that counts.
 };
 
@@ -129,12 +84,8 @@
   return state;
 }
 
-int64_t EngineFleet::believedBlocks(size_t engine, const BlockChain& chain) {
-  if (staleness_.perfect) {
-    return cachedBlocks(engine, chain);
-  }
-  engines_[engine]->view.update(engines_[engine]->model, queue_.now());
-  return engines_[engine]->view.matchedBlocks(chain.hashes);
+CacheEventBatch EngineFleet::events(size_t engine, uint64_t after) const {
+  return engines_[engine]->model.events(after, queue_.now());
 }
 
 int64_t EngineFleet::cachedBlocks(size_t engine, const BlockChain& chain) const {
--- a/src/bench/engine_fleet.h
+++ b/src/bench/engine_fleet.h
@@ -1,6 +1,6 @@
 /// @file
-/// The emulated model engines of an experiment, with what their owner nodes know of them: cache
-/// views fed by late events with gaps, and load reports that lag. Not thread-safe.
+/// The emulated model engines of an experiment, and what they tell of themselves: late cache events
+/// with gaps, and load reports that lag. Not thread-safe.
 #pragma once
 
 #include <functional>
@@ -10,13 +10,14 @@
 
 #include "bench/workload_file.h"
 #include "common/random.h"
+#include "engine/cache_event.h"
 #include "engine/engine_state.h"
 #include "sim/event_queue.h"
 #include "standin/engine_model.h"
 
 namespace fernmoor::bench {
 
-/// How far the owners' knowledge lags behind the engines.
+/// How far the routers' knowledge lags behind the engines.
 struct StalenessOptions {
   Duration age{500000};        ///< Delay of cache events and age of load reports.
   bool perfect = false;        ///< Views and load are read from the engines themselves.
@@ -47,10 +48,12 @@
   /// Crashes an engine, which comes back empty with its next incarnation.
   void crash(size_t engine);
 
-  /// @return what a router that asks the engine's owner now learns of the engine.
+  /// @return what the engine's latest report says.
   EngineState state(size_t engine);
-  /// @return leading blocks that the owner believes cached.
-  int64_t believedBlocks(size_t engine, const BlockChain& chain);
+  /// @return cache events after the sequence number that have arrived by now.
+  CacheEventBatch events(size_t engine, uint64_t after) const;
+  /// @return whether routers are to read the caches themselves, as an oracle would.
+  bool isPerfect() const { return staleness_.perfect; }
   /// @return leading blocks that are cached at this moment.
   int64_t cachedBlocks(size_t engine, const BlockChain& chain) const;
   /// @return the most leading blocks that any one engine holds at this moment.
--- a/src/bench/routing_experiment.cpp
+++ b/src/bench/routing_experiment.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <memory>
+#include <unordered_map>
 #include <utility>
 
 #include "bench/application_fleet.h"
@@ -20,6 +21,9 @@
 constexpr Duration kDrainTime{60000000};
 constexpr uint64_t kCrashSeed = 0x637261;
 
+/// How often routers look at the engines' free places and at their waiting requests.
+constexpr Duration kAdmissionTick{30000};
+
 /// One request on its way.
 struct Flight {
   std::string prompt;
@@ -27,6 +31,9 @@
   Row row;
   size_t router = 0;
   size_t engine = 0;
+  Placement placement;
+  std::optional<AdmissionRequest> admitted;  ///< To be released at the end.
+  std::optional<TicketId> ticket;            ///< Waits for admission.
   int64_t attempt = 0;
   bool running = false;  ///< An attempt is at an engine.
   bool finished = false;
@@ -58,10 +65,15 @@
       if (!isOk(policy)) {
         return errorOf(policy);
       }
-      const uint64_t seed = options_.seed * 100 + static_cast<uint64_t>(index);
-      routers_.push_back(std::make_unique<HollowRouter>(
-          std::move(valueOf(policy)), engines_, index % spec_.fleet.zones, seed));
+      HollowRouterOptions router;
+      router.zone = index % spec_.fleet.zones;
+      router.routers = routers;
+      router.seed = options_.seed * 100 + static_cast<uint64_t>(index);
+      router.knobs = options_.knobs;
+      routers_.push_back(
+          std::make_unique<HollowRouter>(std::move(valueOf(policy)), engines_, router));
     }
+    waiting_.resize(routers_.size());
     return Done{};
   }
 
@@ -72,6 +84,9 @@
     start_ = queue_.now();
     scheduleArrival(0);
     scheduleCrash();
+    if (options_.admission) {
+      tickAdmission();
+    }
     queue_.runUntil(start_ + options_.length + kDrainTime);
     return report();
   }
@@ -98,6 +113,75 @@
     });
   }
 
+  /// Each router looks at the engines' load and grants or refuses what waits.
+  void tickAdmission() {
+    for (size_t router = 0; router < routers_.size(); ++router) {
+      routers_[router]->updateCapacity(PoolId(spec_.fleet.model.value()), queue_.now());
+      takeDecisions(router);
+    }
+    queue_.scheduleAfter(kAdmissionTick, [this] { tickAdmission(); });
+  }
+
+  void takeDecisions(size_t router) {
+    for (const TicketDecision& decision :
+         routers_[router]->admission().takeDecisions(queue_.now())) {
+      const auto found = waiting_[router].find(decision.ticket);
+      if (found == waiting_[router].end()) {
+        continue;
+      }
+      const size_t number = found->second;
+      waiting_[router].erase(found);
+      decide(number, decision);
+    }
+  }
+
+  void decide(size_t number, const TicketDecision& decision) {
+    Flight& flight = flights_[number];
+    flight.ticket.reset();
+    const double waited = toMilliseconds(decision.waited);
+    count(number, [&](GroupMetrics& metrics) { metrics.queueMilliseconds.add(waited); });
+    if (!isOk(decision.result)) {
+      flight.admitted.reset();
+      refuse(number, errorOf(decision.result).kind);
+      return;
+    }
+    start(number);
+  }
+
+  /// Asks the router's admission; the request starts, waits or is refused.
+  void admit(size_t number) {
+    Flight& flight = flights_[number];
+    if (!options_.admission) {
+      start(number);
+      return;
+    }
+    const Time now = queue_.now();
+    AdmissionRequest request = admissionRequestOf(flight.row, now);
+    request.deadline = start_ + requests_[number].deadline;
+    AdmissionController& admission = routers_[flight.router]->admission();
+    const Result<AdmissionOutcome> outcome = admission.admit(request, now);
+    if (!isOk(outcome)) {
+      refuse(number, errorOf(outcome).kind);
+      return;
+    }
+    flight.admitted = request;
+    if (const auto* queued = std::get_if<Queued>(&valueOf(outcome))) {
+      flight.ticket = queued->ticket;
+      waiting_[flight.router].emplace(queued->ticket, number);
+      takeDecisions(flight.router);
+      return;
+    }
+    start(number);
+  }
+
+  void start(size_t number) {
+    if (flights_[number].row.backEnd == BackEndKind::kApplication) {
+      runApplication(number);
+    } else {
+      place(number);
+    }
+  }
+
   bool isCounted(size_t number) const { return requests_[number].arrival >= options_.warmUp; }
 
   template <class Change>
@@ -116,15 +200,13 @@
     flight.router = static_cast<size_t>(request.zone + local * spec_.fleet.zones);
     count(number, [](GroupMetrics& metrics) { ++metrics.offered; });
     queue_.schedule(start_ + request.deadline, [this, number] { expire(number); });
-    if (flight.row.backEnd == BackEndKind::kApplication) {
-      queue_.scheduleAfter(spec_.fleet.clientLatency, [this, number] { runApplication(number); });
-      return;
+    if (flight.row.backEnd == BackEndKind::kModel) {
+      flight.prompt = writer_.write(request);
+      const ChainSeed seed{flight.row.key.tenant, flight.row.model, flight.row.adapter,
+                           WeightsVersion(1)};
+      flight.chain = hashPrompt(seed, flight.prompt);
     }
-    flight.prompt = writer_.write(request);
-    const ChainSeed seed{flight.row.key.tenant, flight.row.model, flight.row.adapter,
-                         WeightsVersion(1)};
-    flight.chain = hashPrompt(seed, flight.prompt);
-    queue_.scheduleAfter(spec_.fleet.clientLatency, [this, number] { place(number); });
+    queue_.scheduleAfter(spec_.fleet.clientLatency, [this, number] { admit(number); });
   }
 
   Duration latencyTo(const Flight& flight, int64_t zone) const {
@@ -165,21 +247,20 @@
     request.recomputationWeight = flight.row.recomputationWeight;
     request.chain = &flight.chain;
     request.expectedOutputTokens = requests_[number].outputTokens;
-    EngineState placedOn;
-    flight.engine = routers_[flight.router]->place(request, queue_.now(), placedOn);
+    const RouterPlacement placed = routers_[flight.router]->place(request, queue_.now());
+    flight.engine = placed.engine;
+    flight.placement = placed.placement;
     ++flight.attempt;
     const Duration latency = latencyTo(flight, engines_.zoneOf(flight.engine));
     queue_.scheduleAfter(2 * spec_.fleet.crossZoneLatency + latency,
-                         [this, number, attempt = flight.attempt, placedOn] {
-                           submit(number, attempt, placedOn);
-                         });
+                         [this, number, attempt = flight.attempt] { submit(number, attempt); });
   }
 
   static AttemptId attemptId(size_t number, int64_t attempt) {
     return AttemptId(std::to_string(number) + "." + std::to_string(attempt));
   }
 
-  void submit(size_t number, int64_t attempt, const EngineState& placedOn) {
+  void submit(size_t number, int64_t attempt) {
     Flight& flight = flights_[number];
     if (flight.finished || attempt != flight.attempt) {
       return;
@@ -189,8 +270,8 @@
     request.request = RequestId(std::to_string(number));
     request.tenant = flight.row.key.tenant;
     request.model = flight.row.model;
-    request.placedIncarnation = placedOn.incarnation;
-    request.placedWeights = placedOn.weightsVersion;
+    request.placedIncarnation = flight.placement.incarnation;
+    request.placedWeights = flight.placement.weightsVersion;
     request.priority = flight.row.priority;
     request.prompt = flight.prompt;
     request.firstPosition = flight.delivered;
@@ -206,7 +287,9 @@
 
   void retry(size_t number, ErrorKind kind) {
     Flight& flight = flights_[number];
-    if (flight.attempt >= kMaxAttempts) {
+    HollowRouter& router = *routers_[flight.router];
+    router.reportEnded(flight.placement, queue_.now());
+    if (flight.attempt >= kMaxAttempts || !router.admission().tryRetry(queue_.now())) {
       refuse(number, kind);
       return;
     }
@@ -245,6 +328,8 @@
   void countTokens(size_t number, const standin::EngineFrame& frame, Time receivedAt) {
     Flight& flight = flights_[number];
     if (!flight.lastFrameAt) {
+      routers_[flight.router]->reportHit(flight.placement, flight.chain,
+                                         frame.cachedTokens / kTokensPerBlock);
       countFirstToken(number, receivedAt);
       countPrefix(number, frame);
     } else {
@@ -302,6 +387,11 @@
     if (flight.finished) {
       return;
     }
+    if (flight.ticket) {
+      routers_[flight.router]->admission().cancel(*flight.ticket, queue_.now());
+      waiting_[flight.router].erase(*flight.ticket);
+      flight.admitted.reset();
+    }
     const bool running = flight.running;
     const size_t engine = flight.engine;
     const AttemptId attempt = attemptId(number, flight.attempt);
@@ -313,6 +403,14 @@
 
   void finish(size_t number) {
     Flight& flight = flights_[number];
+    HollowRouter& router = *routers_[flight.router];
+    if (flight.attempt > 0) {
+      router.reportEnded(flight.placement, queue_.now());
+    }
+    if (flight.admitted) {
+      router.admission().release(*flight.admitted, queue_.now());
+      flight.admitted.reset();
+    }
     flight.finished = true;
     flight.running = false;
     std::string().swap(flight.prompt);
@@ -351,6 +449,7 @@
   MetricsBook metrics_;
   std::vector<double> recomputedByEngine_;
   std::vector<std::unique_ptr<HollowRouter>> routers_;
+  std::vector<std::unordered_map<TicketId, size_t>> waiting_;  ///< Flights, for each router.
   std::vector<WorkloadRequest> requests_;
   std::vector<Flight> flights_;
   Time start_;
