One type for cache events in the emulator too

Cause: after merging, the emulator's own event types and the router's had to be converted. Change: the emulator uses engine/cache_event.h. Conclusion: one conversion fewer.

--- a/standin/engine_model.h
+++ b/standin/engine_model.h
@@ -13,6 +13,7 @@
 #include "common/error.h"
 #include "common/ids.h"
 #include "common/time.h"
+#include "engine/cache_event.h"
 #include "engine/engine_state.h"
 #include "prefix/block_chain.h"
 
@@ -68,23 +69,10 @@
   Time at;                   ///< When it was produced.
 };
 
-enum class CacheEventKind { kStored, kRemoved, kCleared };
+using fernmoor::CacheEvent;
+using fernmoor::CacheEventBatch;
+using fernmoor::CacheEventKind;
 
-struct CacheEvent {
-  uint64_t sequence = 0;  ///< Consecutive within an incarnation, from 1.
-  CacheEventKind kind = CacheEventKind::kStored;
-  BlockHash block = 0;
-};
-
-/// What an engine tells of its cache since a sequence number.
-struct CacheEventBatch {
-  Incarnation incarnation;
-  bool gap = false;  ///< Events between the asked sequence and the first one here were lost.
-  std::vector<CacheEvent> events;
-};
-
-/// One engine. Calls must not go back in time, and advance(now) comes before any other call that
-/// takes the same `now`, so that what was due earlier happens first.
 class EngineModel {
  public:
   explicit EngineModel(EngineOptions options);
