Node on its roles: membership, table spread, ownership, probes, claims group

Cause: each node polled the platform for the table and followed every engine itself. Change: RoleSet composes the roles, ControlPlane gives them sockets, ticks and the platform's readers; engines are followed by their owner only and asked for by probes; seeds carry node ids. Ruled out: full views on every node (880 MB at the target).

--- a/scripts/cluster.py
+++ b/scripts/cluster.py
@@ -204,7 +204,7 @@
 
     def settings_text(self, index):
         http, peer = self.node_addresses(index)
-        seeds = [self.node_addresses(other)[1]
+        seeds = [f"{other + 1}@{self.node_addresses(other)[1]}"
                  for other in range(self.nodes_per_zone * len(self.zones)) if other != index]
         lines = [f"node_id = {index + 1}", f'zone = "{self.zones[index % len(self.zones)]}"',
                  f'region = "{REGION}"', f'http_address = "{http}"', f'peer_address = "{peer}"',
--- a/src/node/engine_views.cpp
+++ b/src/bench/engine_views.cpp
@@ -1,4 +1,4 @@
-#include "node/engine_views.h"
+#include "bench/engine_views.h"
 
 #include <algorithm>
 
--- a/src/bench/hollow_router.h
+++ b/src/bench/hollow_router.h
@@ -8,7 +8,7 @@
 
 #include "admission/admission_controller.h"
 #include "bench/engine_fleet.h"
-#include "node/engine_views.h"
+#include "bench/engine_views.h"
 #include "routing/routing_policy.h"
 
 namespace fernmoor::bench {
--- a/src/engine/engine_directory.cpp
+++ b/src/engine/engine_directory.cpp
@@ -42,7 +42,13 @@
     entry.failures = 0;
     entry.suspectUntil = Time{};
   }
+  const EngineState known = entry.state;
   entry.state = state;
+  if (state.address.port == 0) {
+    // Reports of owners leave out what the machine list tells.
+    entry.state.address = known.address;
+    entry.state.zone = known.zone;
+  }
   entry.reported = true;
   entry.lastReport = now;
 }
--- a/src/node/completion_handler.cpp
+++ b/src/node/completion_handler.cpp
@@ -136,8 +136,8 @@
   relayRequest.priority = row.priority;
   relayRequest.prompt = completion.prompt;
   relayRequest.maxTokens = completion.maxTokens;
-  EngineChooser chooser(services_.engines, services_.policy, services_.views, services_.clock, row,
-                        relayRequest, Random(services_.requestIds.seedOf(id)));
+  EngineChooser chooser(services_.engines, services_.policy, services_.knowledge, services_.clock,
+                        row, relayRequest, Random(services_.requestIds.seedOf(id)));
   CompletionSink sink(request, response, services_.streamTokens, row.key.tenant,
                       factsOf(services_, id, completion.model, shape_), completion.stream);
   StreamRelay relay(services_.engineClient, services_.clock, chooser, sink, relayRequest,
--- a/src/node/engine_chooser.cpp
+++ b/src/node/engine_chooser.cpp
@@ -16,12 +16,12 @@
 
 }  // namespace
 
-EngineChooser::EngineChooser(EngineDirectory& directory, RoutingPolicy& policy, EngineViews& views,
-                             const Clock& clock, const Row& row, const RelayRequest& request,
-                             Random random)
+EngineChooser::EngineChooser(EngineDirectory& directory, RoutingPolicy& policy,
+                             EngineKnowledge& knowledge, const Clock& clock, const Row& row,
+                             const RelayRequest& request, Random random)
     : directory_(directory),
       policy_(policy),
-      views_(views),
+      knowledge_(knowledge),
       clock_(clock),
       row_(row),
       request_(request),
@@ -60,7 +60,7 @@
 }
 
 std::vector<EngineCandidate> EngineChooser::weigh(const std::vector<EngineState>& entries) {
-  const std::vector<EngineKnowledge> known = views_.knowledge(chain_, entries, clock_.now());
+  const std::vector<EngineFacts> known = knowledge_.lookUp(chain_, entries, clock_.now());
   std::vector<EngineCandidate> candidates;
   candidates.reserve(entries.size());
   for (size_t i = 0; i < entries.size(); ++i) {
@@ -113,7 +113,7 @@
     placed.considered.push_back(ConsideredEngine{candidate.engine.id, candidate.matchedBlocks, 0});
   }
   const int64_t missed = chain.tokenCount - chosen.matchedBlocks * kTokensPerBlock;
-  views_.recordSent(placed.placement, chain, std::max<int64_t>(0, missed), clock_.now());
+  knowledge_.recordSent(placed.placement, chain, std::max<int64_t>(0, missed), clock_.now());
   return placed;
 }
 
@@ -129,11 +129,11 @@
 
 void EngineChooser::reportHit(const Placement& placement, const AttemptFrame& firstFrame) {
   directory_.reportSuccess(placement.engine);
-  views_.confirm(placement, chain_, firstFrame.cachedTokens / kTokensPerBlock);
+  knowledge_.confirm(placement, chain_, firstFrame.cachedTokens / kTokensPerBlock);
 }
 
 void EngineChooser::reportEnded(const Placement& placement) {
-  views_.recordEnded(placement, clock_.now());
+  knowledge_.recordEnded(placement, clock_.now());
 }
 
 }  // namespace fernmoor
--- a/src/node/engine_chooser.h
+++ b/src/node/engine_chooser.h
@@ -6,7 +6,7 @@
 #include <vector>
 
 #include "engine/engine_directory.h"
-#include "node/engine_views.h"
+#include "node/engine_knowledge.h"
 #include "relay/stream_relay.h"
 #include "routing/routing_policy.h"
 
@@ -16,7 +16,7 @@
 class EngineChooser : public EnginePlacer {
  public:
   /// @param row must outlive the chooser.
-  EngineChooser(EngineDirectory& directory, RoutingPolicy& policy, EngineViews& views,
+  EngineChooser(EngineDirectory& directory, RoutingPolicy& policy, EngineKnowledge& knowledge,
                 const Clock& clock, const Row& row, const RelayRequest& request, Random random);
 
   Result<PlacedAttempt> place(const std::vector<EngineId>& excluded) override;
@@ -32,7 +32,7 @@
 
   EngineDirectory& directory_;
   RoutingPolicy& policy_;
-  EngineViews& views_;
+  EngineKnowledge& knowledge_;
   const Clock& clock_;
   const Row& row_;
   const RelayRequest& request_;
--- a/src/node/engine_monitor.cpp
+++ b/src/node/engine_monitor.cpp
@@ -4,9 +4,9 @@
 
 namespace fernmoor {
 
-EngineMonitor::EngineMonitor(EngineClient& client, EngineDirectory& directory, EngineViews& views,
+EngineMonitor::EngineMonitor(EngineClient& client, EngineDirectory& directory, OwnedEngines& owned,
                              const Clock& clock, const Knobs& knobs)
-    : client_(client), directory_(directory), views_(views), clock_(clock), knobs_(knobs) {}
+    : client_(client), directory_(directory), owned_(owned), clock_(clock), knobs_(knobs) {}
 
 EngineMonitor::~EngineMonitor() {
   stop();
@@ -32,7 +32,7 @@
         continue;
       }
       entry->second->stopping = true;
-      views_.drop(entry->first);
+      owned_.drop(entry->first);
       ended.push_back(std::move(entry->second));
       entry = followers_.erase(entry);
     }
@@ -61,14 +61,14 @@
   }
   known = valueOf(state);
   directory_.update(known, clock_.now());
-  views_.align(known);
-  const uint64_t after = views_.sequenceOf(known.id, known.incarnation);
+  owned_.update(known, clock_.now());
+  const uint64_t after = owned_.sequence(known.id);
   const Result<CacheEventBatch> events =
       client_.events(known.address, known.incarnation, after, knobs_.engineStateInterval);
   if (!isOk(events)) {
     return false;
   }
-  views_.apply(known.id, valueOf(events), clock_.now());
+  owned_.apply(known.id, valueOf(events), clock_.now());
   return true;
 }
 
--- a/src/node/engine_monitor.h
+++ b/src/node/engine_monitor.h
@@ -13,14 +13,14 @@
 #include "common/knobs.h"
 #include "engine/engine_client.h"
 #include "engine/engine_directory.h"
-#include "node/engine_views.h"
+#include "engine/owned_engines.h"
 
 namespace fernmoor {
 
 /// Thread-safe.
 class EngineMonitor {
  public:
-  EngineMonitor(EngineClient& client, EngineDirectory& directory, EngineViews& views,
+  EngineMonitor(EngineClient& client, EngineDirectory& directory, OwnedEngines& owned,
                 const Clock& clock, const Knobs& knobs);
   ~EngineMonitor();
 
@@ -42,7 +42,7 @@
 
   EngineClient& client_;
   EngineDirectory& directory_;
-  EngineViews& views_;
+  OwnedEngines& owned_;
   const Clock& clock_;
   const Knobs knobs_;
   std::mutex mutex_;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -1,21 +1,19 @@
 #include "node/node.h"
 
 #include <Poco/URI.h>
-#include <spdlog/spdlog.h>
 
 #include <chrono>
 #include <utility>
 
+#include "common/log.h"
 #include "platform/http_platform_client.h"
-#include "table/row_codec.h"
 
 namespace fernmoor {
 
 namespace {
 
-constexpr Duration kPlatformInterval{500000};
+constexpr Duration kHousekeepingInterval{500000};
 constexpr Duration kDrainCheckInterval{20000};
-const CollectionName kTableCollection("table");
 
 /// Greater after every restart, as long as the machine's clock does not go back by the time that a
 /// restart takes.
@@ -49,16 +47,19 @@
       keys_(settings_),
       engineClient_(http_),
       engines_(settings_.knobs),
-      views_(settings_.knobs),
+      owned_(settings_.knobs),
       streamTokens_(settings_.clusterKey),
       requestIds_(self_),
       requestLog_(static_cast<size_t>(settings_.knobs.requestRecords)),
       policy_(makePolicy(settings_.knobs)),
       platform_(makePlatformClient(settings_)),
-      monitor_(engineClient_, engines_, views_, clock_, settings_.knobs) {
+      control_(settings_, self_, clock_, table_, engines_, owned_, platform_.get(),
+               [this](const std::vector<Machine>& machines) { takeMachines(machines); }),
+      knowledge_(control_.roles().probes(), owned_, control_.sender(), settings_.knobs),
+      monitor_(engineClient_, engines_, owned_, clock_, settings_.knobs) {
   services_ = std::make_unique<NodeServices>(
-      NodeServices{settings_.knobs, clock_, self_, keys_, table_, engines_, views_, engineClient_,
-                   *policy_, streamTokens_, requestIds_, requestLog_});
+      NodeServices{settings_.knobs, clock_, self_, keys_, table_, engines_, knowledge_,
+                   engineClient_, *policy_, streamTokens_, requestIds_, requestLog_});
   front_ = std::make_unique<HttpFront>(*services_, settings_.httpAddress);
 }
 
@@ -67,65 +68,58 @@
 }
 
 void Node::start() {
+  control_.start();
   front_->start();
-  platformThread_ = std::thread([this] { pollPlatform(); });
-  spdlog::info("node {} serves at {}", self_.node.value(),
-               formatSocketAddress(settings_.httpAddress));
+  housekeepingThread_ = std::thread([this] { runHousekeeping(); });
+  logInfo("serving at " + formatSocketAddress(settings_.httpAddress));
 }
 
 void Node::drainAndStop(Duration patience) {
   if (stopping_.exchange(true)) {
     return;
   }
+  control_.drain();
   front_->stopAccepting();
   const Time end = clock_.now() + patience;
   while (front_->openRequests().count() > 0 && clock_.now() < end) {
     std::this_thread::sleep_for(kDrainCheckInterval);
   }
-  if (platformThread_.joinable()) {
-    platformThread_.join();
+  if (housekeepingThread_.joinable()) {
+    housekeepingThread_.join();
   }
   monitor_.stop();
+  control_.stop();
 }
 
-void Node::pollPlatform() {
-  while (!stopping_ && platform_ != nullptr) {
-    refreshTable();
-    refreshMachines();
-    views_.expire(clock_.now());
-    std::this_thread::sleep_for(kPlatformInterval);
+void Node::takeMachines(const std::vector<Machine>& machines) {
+  std::vector<EngineAddress> addresses;
+  for (const Machine& machine : machines) {
+    if (machine.kind == MachineKind::kEngine) {
+      addresses.push_back(engineAddressOf(machine));
+    }
   }
+  engines_.setAddresses(addresses, clock_.now());
+  control_.roles().ownership().setEngines(addresses);
 }
 
-void Node::refreshTable() {
-  const Result<CollectionSnapshot> listed = platform_->list(kTableCollection);
-  if (!isOk(listed)) {
-    return;
-  }
-  std::vector<Row> rows;
-  for (const PlatformObject& object : valueOf(listed).objects) {
-    Result<Row> row = rowFromJsonText(object.valueJson);
-    if (isOk(row)) {
-      rows.push_back(std::move(valueOf(row)));
-    }
+void Node::runHousekeeping() {
+  while (!stopping_) {
+    followDuties();
+    knowledge_.expire(clock_.now());
+    std::this_thread::sleep_for(kHousekeepingInterval);
   }
-  const TableVersion version(valueOf(listed).revision.value());
-  table_.replace(std::make_shared<const TableSnapshot>(version, std::move(rows)));
 }
 
-void Node::refreshMachines() {
-  const Result<std::vector<Machine>> machines = platform_->machines();
-  if (!isOk(machines)) {
-    return;
-  }
-  std::vector<EngineAddress> addresses;
-  for (const Machine& machine : valueOf(machines)) {
-    if (machine.kind == MachineKind::kEngine) {
-      addresses.push_back(engineAddressOf(machine));
+void Node::followDuties() {
+  std::vector<EngineState> followed;
+  for (const EngineId& engine :
+       control_.roles().ownership().enginesWithDuty(OwnershipDuty::kOwner)) {
+    const auto state = engines_.find(engine, clock_.now());
+    if (state) {
+      followed.push_back(*state);
     }
   }
-  engines_.setAddresses(addresses, clock_.now());
-  monitor_.follow(engines_.all(clock_.now()));
+  monitor_.follow(followed);
 }
 
 }  // namespace fernmoor
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -11,8 +11,9 @@
 #include "engine/engine_client.h"
 #include "engine/engine_directory.h"
 #include "http/http_client.h"
+#include "node/control_plane.h"
+#include "node/engine_knowledge.h"
 #include "node/engine_monitor.h"
-#include "node/engine_views.h"
 #include "node/http_front.h"
 #include "node/key_ring.h"
 #include "node/node_services.h"
@@ -37,9 +38,9 @@
   void drainAndStop(Duration patience);
 
  private:
-  void pollPlatform();
-  void refreshTable();
-  void refreshMachines();
+  void takeMachines(const std::vector<Machine>& machines);
+  void runHousekeeping();
+  void followDuties();
 
   const Settings settings_;
   SystemClock clock_;
@@ -49,17 +50,19 @@
   HttpClient http_;
   EngineClient engineClient_;
   EngineDirectory engines_;
-  EngineViews views_;
+  OwnedEngines owned_;
   StreamTokenSealer streamTokens_;
   RequestIds requestIds_;
   RequestLog requestLog_;
   std::unique_ptr<RoutingPolicy> policy_;
   std::unique_ptr<PlatformClient> platform_;
+  ControlPlane control_;
+  EngineKnowledge knowledge_;
   std::unique_ptr<NodeServices> services_;
   std::unique_ptr<HttpFront> front_;
   EngineMonitor monitor_;
   std::atomic<bool> stopping_{false};
-  std::thread platformThread_;
+  std::thread housekeepingThread_;
 };
 
 }  // namespace fernmoor
--- a/src/node/node_services.h
+++ b/src/node/node_services.h
@@ -9,7 +9,7 @@
 #include "engine/engine_client.h"
 #include "engine/engine_directory.h"
 #include "membership/member.h"
-#include "node/engine_views.h"
+#include "node/engine_knowledge.h"
 #include "node/key_ring.h"
 #include "node/request_ids.h"
 #include "node/stream_token.h"
@@ -26,7 +26,7 @@
   const KeyRing& keys;
   const Table& table;
   EngineDirectory& engines;
-  EngineViews& views;
+  EngineKnowledge& knowledge;
   EngineClient& engineClient;
   RoutingPolicy& policy;
   const StreamTokenSealer& streamTokens;
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <charconv>
 #include <set>
 
 #include "settings/toml_source.h"
@@ -25,6 +26,8 @@
 const char* const kAddressRemedy =
     "give an IP number and a port, e.g. \"127.0.0.1:7100\" or \"[::1]:7100\"; names are not "
     "resolved.";
+const char* const kSeedRemedy =
+    "give node id and peer address of another node, e.g. \"2@127.0.0.1:7100\".";
 const char* const kNameRemedy = "give a name of 1 to 64 letters, digits, '.', '_' or '-'.";
 const char* const kClusterKeyRemedy =
     "give the same secret on all nodes: 16 bytes or more of text, or \"hex:\" and 32 or more hex "
@@ -56,6 +59,22 @@
          std::all_of(text.begin(), text.end(), printable);
 }
 
+/// Reads "2@127.0.0.1:7100".
+std::optional<SeedAddress> parseSeed(const std::string& text) {
+  const size_t separator = text.find('@');
+  uint32_t node = 0;
+  const char* end = text.data() + (separator == std::string::npos ? 0 : separator);
+  const auto number = std::from_chars(text.data(), end, node);
+  if (number.ec != std::errc{} || number.ptr != end || node == 0) {
+    return std::nullopt;
+  }
+  const auto address = parseSocketAddress(text.substr(separator + 1));
+  if (!address) {
+    return std::nullopt;
+  }
+  return SeedAddress{NodeId(node), *address};
+}
+
 /// Decodes "hex:..."; other text stands for its own bytes.
 std::optional<std::string> decodeSecret(const std::string& text) {
   const std::string prefix = kHexPrefix;
@@ -113,15 +132,15 @@
   void readAddresses() {
     settings_.peerAddress = readAddress("peer_address");
     settings_.httpAddress = readAddress("http_address");
-    source_.forEach("seeds", "give an array of peer addresses.",
+    source_.forEach("seeds", "give an array of NODE_ID@PEER_ADDRESS texts.",
                     [this](const toml::node& value, const std::string& key) {
                       const auto text = value.value_exact<std::string>();
-                      const auto address = parseSocketAddress(text.value_or(""));
-                      if (!address) {
-                        source_.report(value, key, describeFound(value), kAddressRemedy);
+                      const auto seed = parseSeed(text.value_or(""));
+                      if (!seed) {
+                        source_.report(value, key, describeFound(value), kSeedRemedy);
                         return;
                       }
-                      settings_.seeds.push_back(*address);
+                      settings_.seeds.push_back(*seed);
                     });
   }
 
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -22,6 +22,12 @@
   TenantId tenant;
 };
 
+/// Another node that may be asked for the members.
+struct SeedAddress {
+  NodeId node;
+  SocketAddress peerAddress;
+};
+
 /// The checked settings of one node.
 struct Settings {
   NodeId nodeId;                          ///< node_id; unique in the deployment.
@@ -30,7 +36,7 @@
   SocketAddress peerAddress;              ///< peer_address; UDP and TCP port for other nodes.
   SocketAddress httpAddress;              ///< http_address; callers' and operators' port.
   std::string clusterKey;                 ///< cluster_key; raw bytes, shared by all nodes.
-  std::vector<SocketAddress> seeds;       ///< seeds; peer addresses of some other nodes.
+  std::vector<SeedAddress> seeds;         ///< seeds; some other nodes, each NODE_ID@ADDRESS.
   std::string platformUrl;                ///< platform_url; empty: run without the platform.
   std::vector<std::string> operatorKeys;  ///< operator_keys
   std::vector<TenantKey> tenantKeys;      ///< tenant_keys
--- a/test/settings/settings_test.cpp
+++ b/test/settings/settings_test.cpp
@@ -17,7 +17,7 @@
 peer_address = "127.0.0.3:7100"
 http_address = "127.0.0.3:8100"
 cluster_key = "hex:00112233445566778899aabbccddeeff"
-seeds = ["127.0.0.4:7100"]
+seeds = ["4@127.0.0.4:7100"]
 platform_url = "http://127.0.0.1:9000"
 operator_keys = ["operator-key"]
 tenant_keys = [{key = "ward-key-1", tenant = "ward"}]
@@ -51,7 +51,8 @@
   REQUIRE(check.problems.empty());
   CHECK(check.settings.nodeId == NodeId(3));
   CHECK(check.settings.clusterKey.size() == 16);
-  CHECK(check.settings.seeds.at(0) == SocketAddress{"127.0.0.4", 7100});
+  CHECK(check.settings.seeds.at(0).node == NodeId(4));
+  CHECK(check.settings.seeds.at(0).peerAddress == SocketAddress{"127.0.0.4", 7100});
   CHECK(check.settings.tenantKeys.at(0).tenant == TenantId("ward"));
   CHECK(check.settings.log.format == LogFormat::kJson);
   CHECK(check.settings.knobs.maxDatagramBytes == 1400);
