--- a/src/common/knobs.cpp
+++ b/src/common/knobs.cpp
@@ -20,7 +20,7 @@
 void assign(int64_t& target, double value) {
   target = static_cast<int64_t>(value);
 }
-void assign(double& target, double value) {
+[[maybe_unused]] void assign(double& target, double value) {
   target = value;
 }
 
