--- a/programs/fernmoor-standin/main.cpp
+++ b/programs/fernmoor-standin/main.cpp
@@ -13,6 +13,7 @@
 #include <string>
 
 #include "common/time.h"
+#include "measure_engine_model.h"
 #include "standin/application_server.h"
 #include "standin/engine_server.h"
 #include "standin/json_client.h"
@@ -257,12 +258,15 @@
 
 int run(int argc, char** argv) {
   gflags::SetUsageMessage(
-      "engine|kvstore|appengine|platform [--listen=ADDRESS:PORT] [flags]\n"
+      "engine|kvstore|appengine|platform|measure [--listen=ADDRESS:PORT] [flags]\n"
       "Examples:\n"
       "  fernmoor-standin platform --listen=127.0.0.1:7000\n"
       "  fernmoor-standin engine --id=e1 --model=m --platform=127.0.0.1:7000 --zone=a");
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   const std::string kind = argc == 2 ? argv[1] : "";
+  if (kind == "measure") {
+    return measureEngineModel();
+  }
   const auto listen = parseAddress(FLAGS_listen);
   if (!isOk(listen)) {
     return fail(errorOf(listen).message, kExitUsage);
