Engine stand-in: a mutex for each stream, threads made before they are needed

Cause: each step of the batch woke all readers, which then queued for the server's one mutex; and the first connections waited for Poco to make their threads (time to first token of a first burst of 300 streams: 120 to 819 ms at 95 in 100, against 60 to 86 ms of a later one). Ruled out: JSON as the main cost (perf: wake-ups and switches lead, malloc 8 in 100).

--- a/programs/fernmoor-standin/main.cpp
+++ b/programs/fernmoor-standin/main.cpp
@@ -42,6 +42,7 @@
 DEFINE_double(token_interval_ms, 25, "engine: time between tokens of a stream");
 DEFINE_int64(batch_slots, 32, "engine: streams served at once");
 DEFINE_int64(cache_blocks, 8192, "engine, kvstore: blocks held at most");
+DEFINE_int32(warm_threads, 64, "engine: connections that need not wait for a new thread");
 DEFINE_double(event_delay_ms, 200, "engine: time between a cache change and its event");
 DEFINE_double(load_lag_ms, 250, "engine: age of the reported load");
 DEFINE_double(weights_load_ms, 500, "engine, platform: time of one load of weights");
@@ -123,6 +124,7 @@
   options.engine = engineOptions();
   options.listen = listen;
   options.platform = platform;
+  options.warmThreads = FLAGS_warm_threads;
   const auto server = std::make_shared<EngineServer>(options);
   Service service = serviceOf(server, "engine");
   service.busy = [server] { return server->busy(); };
--- a/standin/engine_server.cpp
+++ b/standin/engine_server.cpp
@@ -29,7 +29,9 @@
 
 EngineServer::EngineServer(EngineServerOptions options)
     : options_(std::move(options)),
-      service_(options_.listen, [this](HttpExchange& exchange) { handle(exchange); }),
+      service_(
+          options_.listen, [this](HttpExchange& exchange) { handle(exchange); },
+          options_.warmThreads),
       model_(options_.engine) {}
 
 EngineServer::~EngineServer() {
@@ -194,28 +196,18 @@
 void EngineServer::sendStream(HttpExchange& exchange, const EngineStreams::Reader& reader) {
   exchange.startEvents();
   bool first = true;
-  std::deque<EngineFrame> frames;
   bool connected = true;
   while (connected) {
-    {
-      std::unique_lock<std::mutex> lock(mutex_);
-      if (reader.channel->frames.empty() && !reader.mustLeave()) {
-        reader.channel->changed.wait_until(lock, toSteady(clock_.now() + kReaderCheck));
-      }
-      if (reader.mustLeave()) {
-        lock.unlock();
-        exchange.cut();
-        return;
-      }
-      frames.swap(reader.channel->frames);
+    const FrameChannel::Batch batch =
+        reader.channel->take(reader.number, clock_.now() + kReaderCheck);
+    if (batch.mustLeave) {
+      exchange.cut();
+      return;
     }
-    connected = !frames.empty() || !exchange.peerClosed();
-    for (; connected && !frames.empty(); frames.pop_front()) {
-      connected = sendFrame(exchange, frames.front(), first);
+    connected = !batch.frames.empty() || !exchange.peerClosed();
+    for (const EngineFrame& frame : batch.frames) {
+      connected = connected && sendFrame(exchange, frame, first) && !frame.end;
       first = false;
-      if (frames.front().end) {
-        connected = false;
-      }
     }
   }
   const std::lock_guard<std::mutex> lock(mutex_);
--- a/standin/engine_server.h
+++ b/standin/engine_server.h
@@ -21,9 +21,10 @@
 struct EngineServerOptions {
   EngineOptions engine;
   SocketAddress listen{"127.0.0.1", 0};
-  std::optional<SocketAddress> platform;   ///< Its weight store decides how long loading takes.
-  Duration readerGrace{2000000};           ///< An attempt without a reader is cancelled after this.
-  double transferBlocksPerSecond = 20000;  ///< Of KV that is imported.
+  std::optional<SocketAddress> platform;  ///< Its weight store decides how long loading takes.
+  Duration readerGrace{2000000};          ///< An attempt without a reader is cancelled after this.
+  int warmThreads = HttpService::kFewestThreads;  ///< Connections that need not wait for a thread.
+  double transferBlocksPerSecond = 20000;         ///< Of KV that is imported.
 };
 
 class EngineServer {
--- a/standin/engine_streams.cpp
+++ b/standin/engine_streams.cpp
@@ -38,26 +38,26 @@
 }
 
 EngineStreams::Reader EngineStreams::attach(const AttemptId& attempt) {
-  std::shared_ptr<Channel>& channel = channels_[attempt];
-  if (!channel) {
-    channel = std::make_shared<Channel>();
+  Stream& stream = streams_[attempt];
+  if (!stream.channel) {
+    stream.channel = std::make_shared<FrameChannel>();
     ++unread_;
   }
-  unread_ -= channel->hasReader ? 0 : 1;
-  channel->hasReader = true;
-  channel->frames.clear();
-  ++channel->generation;
-  channel->changed.notify_all();
-  return Reader{attempt, channel, channel->generation};
+  unread_ -= stream.hasReader ? 0 : 1;
+  stream.hasReader = true;
+  stream.reader = stream.channel->newReader();
+  return Reader{attempt, stream.channel, stream.reader};
 }
 
 void EngineStreams::detach(const Reader& reader, Time now) {
-  if (reader.mustLeave()) {
-    return;
+  const auto found = streams_.find(reader.attempt);
+  if (found == streams_.end() || found->second.channel != reader.channel ||
+      found->second.reader != reader.number) {
+    return;  // Another reader has taken over, or the stream is broken off.
   }
-  reader.channel->hasReader = false;
-  reader.channel->readerLeftAt = now;
-  reader.channel->frames.clear();
+  found->second.hasReader = false;
+  found->second.readerLeftAt = now;
+  found->second.channel->clear();
   ++unread_;
 }
 
@@ -68,12 +68,11 @@
     run->cachedTokens = frame.cachedTokens;
     run->ended = run->ended || frame.end;
   }
-  const auto channel = channels_.find(frame.attempt);
-  if (channel == channels_.end() || !channel->second->hasReader) {
+  const auto stream = streams_.find(frame.attempt);
+  if (stream == streams_.end() || !stream->second.hasReader) {
     return;  // A later reader gets it by resuming.
   }
-  channel->second->frames.push_back(std::move(frame));
-  channel->second->changed.notify_all();
+  stream->second.channel->push(std::move(frame));
 }
 
 std::vector<AttemptId> EngineStreams::takeAbandoned(Duration grace, Time now) {
@@ -81,13 +80,13 @@
   if (unread_ == 0) {
     return abandoned;
   }
-  for (auto channel = channels_.begin(); channel != channels_.end();) {
-    if (channel->second->hasReader || now < channel->second->readerLeftAt + grace) {
-      ++channel;
+  for (auto stream = streams_.begin(); stream != streams_.end();) {
+    if (stream->second.hasReader || now < stream->second.readerLeftAt + grace) {
+      ++stream;
       continue;
     }
-    abandoned.push_back(channel->first);
-    channel = channels_.erase(channel);
+    abandoned.push_back(stream->first);
+    stream = streams_.erase(stream);
     --unread_;
   }
   return abandoned;
@@ -98,31 +97,29 @@
   if (unread_ == 0) {
     return next;
   }
-  for (const auto& [attempt, channel] : channels_) {
-    if (!channel->hasReader && (!next || channel->readerLeftAt + grace < *next)) {
-      next = channel->readerLeftAt + grace;
+  for (const auto& [attempt, stream] : streams_) {
+    if (!stream.hasReader && (!next || stream.readerLeftAt + grace < *next)) {
+      next = stream.readerLeftAt + grace;
     }
   }
   return next;
 }
 
 void EngineStreams::breakOne(const AttemptId& attempt) {
-  const auto found = channels_.find(attempt);
-  if (found == channels_.end()) {
+  const auto found = streams_.find(attempt);
+  if (found == streams_.end()) {
     return;
   }
-  found->second->broken = true;
-  found->second->changed.notify_all();
-  unread_ -= found->second->hasReader ? 0 : 1;
-  channels_.erase(found);
+  found->second.channel->breakOff();
+  unread_ -= found->second.hasReader ? 0 : 1;
+  streams_.erase(found);
 }
 
 void EngineStreams::breakAll() {
-  for (const auto& [attempt, channel] : channels_) {
-    channel->broken = true;
-    channel->changed.notify_all();
+  for (const auto& [attempt, stream] : streams_) {
+    stream.channel->breakOff();
   }
-  channels_.clear();
+  streams_.clear();
   unread_ = 0;
 }
 
--- a/standin/engine_streams.h
+++ b/standin/engine_streams.h
@@ -1,15 +1,15 @@
 /// @file
 /// Who reads which attempt of an emulated engine, and the record of what ran. Not thread-safe: the
-/// server's mutex guards it, and readers wait with that mutex.
+/// server's mutex guards it.
 #pragma once
 
-#include <condition_variable>
 #include <deque>
 #include <memory>
 #include <unordered_map>
 #include <vector>
 
 #include "standin/engine_model.h"
+#include "standin/frame_channel.h"
 
 namespace fernmoor::standin {
 
@@ -28,20 +28,11 @@
 
 class EngineStreams {
  public:
-  /// Frames on their way to the connection that reads an attempt.
-  struct Channel {
-    std::condition_variable changed;
-    std::deque<EngineFrame> frames;
-    uint64_t generation = 0;  ///< Grows with each reader; an older one must leave.
-    bool broken = false;      ///< The engine crashed or stopped.
-    bool hasReader = false;
-    Time readerLeftAt;
-  };
+  /// One connection's hold on an attempt.
   struct Reader {
     AttemptId attempt;
-    std::shared_ptr<Channel> channel;
-    uint64_t generation = 0;
-    bool mustLeave() const { return channel->broken || channel->generation != generation; }
+    std::shared_ptr<FrameChannel> channel;
+    uint64_t number = 0;  ///< Among the channel's readers.
   };
 
   void recordRun(const EngineRequest& request, Incarnation incarnation);
@@ -49,7 +40,7 @@
   void forgetLastRun();
   const std::deque<EngineRun>& runs() const { return runs_; }
 
-  bool hasReaders() const { return channels_.size() > unread_; }
+  bool hasReaders() const { return streams_.size() > unread_; }
   /// Makes the caller the attempt's only reader.
   Reader attach(const AttemptId& attempt);
   void detach(const Reader& reader, Time now);
@@ -65,13 +56,20 @@
   void breakAll();
 
  private:
+  struct Stream {
+    std::shared_ptr<FrameChannel> channel;
+    uint64_t reader = 0;  ///< The present one's or the last one's number.
+    bool hasReader = false;
+    Time readerLeftAt;
+  };
+
   EngineRun* findRun(const AttemptId& attempt);
 
   std::deque<EngineRun> runs_;
   uint64_t firstRun_ = 0;  ///< Number of the oldest run kept.
   std::unordered_map<AttemptId, uint64_t> runNumbers_;
-  std::unordered_map<AttemptId, std::shared_ptr<Channel>> channels_;
-  size_t unread_ = 0;  ///< Channels without a reader.
+  std::unordered_map<AttemptId, Stream> streams_;
+  size_t unread_ = 0;  ///< Streams without a reader.
 };
 
 }  // namespace fernmoor::standin
--- a/standin/http_service.cpp
+++ b/standin/http_service.cpp
@@ -12,9 +12,8 @@
 
 namespace {
 
-constexpr int kFewestThreads = 2;
 constexpr int kMostThreads = 900;  ///< One for each open connection: 400 streams and the rest.
-constexpr int kThreadIdleSeconds = 30;
+constexpr int kThreadIdleSeconds = 300;
 constexpr int kThreadStackBytes = 256 * 1024;
 constexpr int kBacklog = 512;
 constexpr int kMostQueued = 1024;
@@ -61,10 +60,10 @@
   HttpService& service_;
 };
 
-HttpService::HttpService(SocketAddress listen, Handler handler)
+HttpService::HttpService(SocketAddress listen, Handler handler, int warmThreads)
     : listen_(std::move(listen)),
       handler_(std::move(handler)),
-      threads_("standin", kFewestThreads, kMostThreads, kThreadIdleSeconds, kThreadStackBytes) {}
+      threads_("standin", warmThreads, kMostThreads, kThreadIdleSeconds, kThreadStackBytes) {}
 
 HttpService::~HttpService() {
   stop();
--- a/standin/http_service.h
+++ b/standin/http_service.h
@@ -25,10 +25,13 @@
 class HttpService {
  public:
   using Handler = std::function<void(HttpExchange&)>;
+  static constexpr int kFewestThreads = 2;
 
   /// @param listen port 0 takes a free one.
   /// @param handler called by many threads at once, one for each request.
-  HttpService(SocketAddress listen, Handler handler);
+  /// @param warmThreads made at the start; each further one delays the connection that needs it by
+  /// about a millisecond.
+  HttpService(SocketAddress listen, Handler handler, int warmThreads = kFewestThreads);
   ~HttpService();
   HttpService(const HttpService&) = delete;
   HttpService& operator=(const HttpService&) = delete;
