--- a/src/membership/membership_role.cpp
+++ b/src/membership/membership_role.cpp
@@ -351,21 +351,16 @@
 }
 
 void MembershipRole::gossip(Time now) {
-  const bool news = !updates_.empty() || versions_.newsPending();
-  const bool newsDue = news && now >= nextGossipAt_;
-  const bool reportDue = versions_.reportPending() && now >= nextReportAt_;
-  if (!newsDue && !reportDue) {
+  const bool report = versions_.reportPending();
+  const bool news = !updates_.empty() || versions_.newsPending() || report;
+  if (!news || now < nextGossipAt_) {
     return;
   }
-  for (const NodeId peer : nextGossipTargets()) {
-    messenger_.gossip(peer, reportDue);
-  }
   nextGossipAt_ = now + knobs_.membershipGossipInterval;
-  versions_.noteNewsRound();
-  if (reportDue) {
-    nextReportAt_ = now + knobs_.membershipReportInterval;
-    versions_.noteReportRound();
+  for (const NodeId peer : nextGossipTargets()) {
+    messenger_.gossip(peer, report);
   }
+  versions_.noteRound();
 }
 
 std::vector<NodeId> MembershipRole::nextGossipTargets() {
--- a/src/membership/membership_role.h
+++ b/src/membership/membership_role.h
@@ -108,7 +108,6 @@
   std::optional<Time> lastTickAt_;
   std::vector<NodeId> gossipOrder_;  ///< Peers still to be told in this turn, the next one last.
   Time nextGossipAt_;
-  Time nextReportAt_;
   bool addressesChanged_ = false;
   uint64_t publishedChanges_ = 0;
   uint64_t publishedVersion_ = 0;
--- a/src/membership/version_spread.cpp
+++ b/src/membership/version_spread.cpp
@@ -77,11 +77,8 @@
   newsRounds_ = rounds;
 }
 
-void VersionSpread::noteNewsRound() {
+void VersionSpread::noteRound() {
   newsRounds_ = std::max<int64_t>(0, newsRounds_ - 1);
-}
-
-void VersionSpread::noteReportRound() {
   reportRounds_ = std::max<int64_t>(0, reportRounds_ - 1);
 }
 
--- a/src/membership/version_spread.h
+++ b/src/membership/version_spread.h
@@ -32,8 +32,7 @@
   bool newsPending() const { return newsRounds_ > 0; }
   bool reportPending() const { return reportRounds_ > 0; }
   /// Notes that one round was sent.
-  void noteNewsRound();
-  void noteReportRound();
+  void noteRound();
 
   /// Writes the set of live members that have the newest version in force.
   void encodeReport(const MemberTable& table, proto::VersionReport& report) const;
