--- a/src/membership/member_codec.cpp
+++ b/src/membership/member_codec.cpp
@@ -1,5 +1,6 @@
 #include "membership/member_codec.h"
 
+#include <algorithm>
 #include <string>
 
 namespace fernmoor {
@@ -23,13 +24,16 @@
   encoded.set_http_port(identity.httpAddress.port);
 }
 
-bool isShort(const std::string& name) {
-  return name.size() <= static_cast<size_t>(kMaximumMemberNameBytes);
+/// Short and printable, so that names from other nodes can be logged as they are.
+bool isName(const std::string& name) {
+  const bool printable = std::all_of(
+      name.begin(), name.end(), [](char character) { return character > ' ' && character <= '~'; });
+  return printable && name.size() <= static_cast<size_t>(kMaximumMemberNameBytes);
 }
 
 std::optional<MemberIdentity> decodeIdentity(const proto::MemberIdentity& encoded) {
-  const bool bounded = isShort(encoded.zone()) && isShort(encoded.region()) &&
-                       isShort(encoded.peer_host()) && isShort(encoded.http_host()) &&
+  const bool bounded = isName(encoded.zone()) && isName(encoded.region()) &&
+                       isName(encoded.peer_host()) && isName(encoded.http_host()) &&
                        encoded.peer_port() <= kMaximumPort && encoded.http_port() <= kMaximumPort;
   if (!bounded) {
     return std::nullopt;
