--- a/src/membership/membership_role.cpp
+++ b/src/membership/membership_role.cpp
@@ -46,11 +46,15 @@
 /// Adds the seeds that no member is known for; keeps the order by node id.
 void addSeedAddresses(const std::vector<Seed>& seeds, const MemberTable& table,
                       std::vector<NodeAddress>& addresses) {
+  const size_t members = addresses.size();
   for (const Seed& seed : seeds) {
     if (table.find(seed.node) == nullptr) {
       addresses.push_back(NodeAddress{seed.node, seed.peerAddress});
     }
   }
+  if (addresses.size() == members) {
+    return;
+  }
   std::sort(addresses.begin(), addresses.end(),
             [](const NodeAddress& a, const NodeAddress& b) { return a.node < b.node; });
 }
@@ -80,11 +84,10 @@
       return;
     }
     handle(from, envelope.membership(), now);
-    // The transport needs a new member's address before it can send the answer.
-    if (addressesChanged_) {
+    outbox = messenger_.takeOutbox();
+    if (addressesChanged_ && !canReach(outbox)) {
       publishIfChanged();
     }
-    outbox = messenger_.takeOutbox();
   }
   sendAll(outbox, sender);
 }
@@ -98,7 +101,7 @@
     }
     notePause(now);
     takeFailures(prober_.onTick(now), now);
-    counters_.deaths += table_.expire(now);
+    takeExpiry(table_.expire(now));
     synchronizer_.onTick(now);
     gossip(now);
     publishIfChanged();
@@ -203,6 +206,14 @@
   takeKind(from, message, changed, now);
 }
 
+bool MembershipRole::canReach(const std::vector<OutgoingMessage>& messages) const {
+  const auto published = snapshot();
+  return std::all_of(messages.begin(), messages.end(), [&](const OutgoingMessage& message) {
+    const MemberEntry* const entry = table_.find(message.to);
+    return entry == nullptr || published->addressOf(message.to) == entry->identity.peerAddress;
+  });
+}
+
 bool MembershipRole::takeHeartbeat(NodeLife from, const proto::MembershipMessage& message,
                                    Time now) {
   proto::MemberUpdate heartbeat;
@@ -258,7 +269,7 @@
       synchronizer_.askSoon(from);
       return false;
     case MergeOutcome::kConflict:
-      prober_.challenge(node);
+      prober_.askSoon(node, ProbePurpose::kChallenge);
       return false;
   }
   return false;
@@ -315,6 +326,9 @@
 
 void MembershipRole::takeFailures(const std::vector<ProbeFailure>& failures, Time now) {
   for (const ProbeFailure& failure : failures) {
+    if (failure.purpose == ProbePurpose::kLastWord) {
+      continue;
+    }
     if (failure.purpose == ProbePurpose::kChallenge) {
       // Still no answer: tell those who hold it to be live.
       updates_.add(failure.target.node, false);
@@ -329,6 +343,13 @@
   }
 }
 
+void MembershipRole::takeExpiry(const Expiry& expiry) {
+  counters_.deaths += expiry.deaths;
+  for (const NodeId node : expiry.toAskAgain) {
+    prober_.askSoon(node, ProbePurpose::kLastWord);
+  }
+}
+
 void MembershipRole::gossip(Time now) {
   const bool news = !updates_.empty() || versions_.newsPending();
   const bool newsDue = news && now >= nextGossipAt_;
@@ -336,8 +357,7 @@
   if (!newsDue && !reportDue) {
     return;
   }
-  const auto fanout = static_cast<size_t>(knobs_.membershipGossipFanout);
-  for (const NodeId peer : table_.randomLivePeers(fanout, random_)) {
+  for (const NodeId peer : nextGossipTargets()) {
     messenger_.gossip(peer, reportDue);
   }
   nextGossipAt_ = now + knobs_.membershipGossipInterval;
@@ -348,6 +368,24 @@
   }
 }
 
+std::vector<NodeId> MembershipRole::nextGossipTargets() {
+  // All peers in turn, in random order: a small cluster is then told as a whole, which independent
+  // draws would leave to chance.
+  const auto fanout = static_cast<size_t>(knobs_.membershipGossipFanout);
+  std::vector<NodeId> targets;
+  if (gossipOrder_.empty()) {
+    gossipOrder_ = table_.shuffledLivePeers(random_);
+  }
+  while (!gossipOrder_.empty() && targets.size() < fanout) {
+    const MemberEntry* const entry = table_.find(gossipOrder_.back());
+    if (entry != nullptr && isLive(entry->status.health)) {
+      targets.push_back(gossipOrder_.back());
+    }
+    gossipOrder_.pop_back();
+  }
+  return targets;
+}
+
 void MembershipRole::publishIfChanged() {
   const bool unchanged = publishedChanges_ == table_.changes() && !addressesChanged_ &&
                          publishedNewest_ == versions_.newest();
@@ -366,6 +404,7 @@
   made->version = publishedVersion_;
   made->self = table_.self().status.life;
   made->members.reserve(table_.entries().size());
+  made->addresses.reserve(table_.entries().size());
   for (const auto& entry : table_.entries()) {
     made->addresses.push_back(NodeAddress{entry.first, entry.second.identity.peerAddress});
     const bool listed = isLive(entry.second.status.health) || entry.first == table_.selfId();
