--- a/src/operator_client/command_line.cpp
+++ b/src/operator_client/command_line.cpp
@@ -1,9 +1,13 @@
 #include "operator_client/command_line.h"
 
 #include <algorithm>
+#include <iomanip>
+#include <sstream>
 
+#include "common/knobs.h"
 #include "operator_client/fleet_commands.h"
 #include "operator_client/table_commands.h"
+#include "operator_client/text_table.h"
 
 namespace fernmoor {
 
@@ -21,6 +25,30 @@
     {"explain", explainRequest}, {"top", showTop},     {"version", showVersion},
 };
 
+std::string numberText(double value) {
+  std::ostringstream text;
+  text << std::setprecision(15) << value;
+  return text.str();
+}
+
+void printKnobs(std::ostream& out) {
+  TextTable table({"KNOB", "DEFAULT", "FROM", "TO", "UNIT", "REASON"});
+  for (const KnobDescription& knob : knobDescriptions()) {
+    table.add({knob.name, numberText(knob.defaultValue), numberText(knob.minimum),
+               numberText(knob.maximum), knob.unit, knob.reason});
+  }
+  table.print(out);
+}
+
+void printHelp(const CommandWords& words, std::ostream& out) {
+  const bool knobs = words.size() > 1 && words[1] == "knobs";
+  if (knobs) {
+    printKnobs(out);
+    return;
+  }
+  out << helpText();
+}
+
 }  // namespace
 
 std::string helpText() {
@@ -39,7 +67,7 @@
   explain REQUEST_ID                    why a request went where it went, or was refused
   top                                   rates of each service and tenant
   version                               version of the node and of its table
-  help                                  this text
+  help [knobs]                          this text, or all tunables of the settings file
 
 Flags:
   --node     any node; default: FERNMOOR_NODE, else http://127.0.0.1:8080
@@ -68,7 +96,7 @@
 ExitCode runCommand(const ClientOptions& options, const CommandWords& words, std::ostream& out,
                     std::ostream& err) {
   if (!words.empty() && words.front() == "help") {
-    out << helpText();
+    printHelp(words, out);
     return ExitCode::kOk;
   }
   OperatorConnection connection(options);
--- a/src/operator_client/rows_file.cpp
+++ b/src/operator_client/rows_file.cpp
@@ -67,6 +67,13 @@
   }
 }
 
+/// A bare list of rows is read like an object that has only them.
+std::string withRowsMember(const std::string& text) {
+  const size_t first = text.find_first_not_of(" \t\r\n");
+  const bool isList = first != std::string::npos && text[first] == '[';
+  return isList ? "{\"rows\":" + text + "}" : text;
+}
+
 Result<RowsFile> readJson(const std::string& path) {
   std::ifstream file(path);
   if (!file) {
@@ -74,7 +81,7 @@
   }
   std::ostringstream text;
   text << file.rdbuf();
-  const auto object = parseJsonObject(text.str());
+  const auto object = parseJsonObject(withRowsMember(text.str()));
   if (!isOk(object)) {
     return fileError(path + ": " + errorOf(object).message);
   }
--- a/src/operator_client/rows_file.h
+++ b/src/operator_client/rows_file.h
@@ -1,6 +1,6 @@
 /// @file
-/// Files of table rows that operators edit: JSON as `table get --output=json` writes it, or TOML
-/// with [[rows]].
+/// Files of table rows that operators edit: JSON as `table get --output=json` writes it, a bare
+/// JSON list of rows, or TOML with rows = [...] or [[rows]].
 #pragma once
 
 #include <Poco/JSON/Object.h>
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -34,14 +34,6 @@
 const char* const kTenantKeysRemedy =
     "give an array of tables, e.g. tenant_keys = [{key = \"...\", tenant = \"ward\"}].";
 
-const std::vector<std::string>& knownKeys() {
-  static const std::vector<std::string> kKeys = {
-      "node_id",     "zone",      "region",         "peer_address",  "http_address",
-      "cluster_key", "seeds",     "platform_url",   "operator_keys", "tenant_keys",
-      "log_format",  "log_level", "worker_threads", "knobs"};
-  return kKeys;
-}
-
 bool isName(const std::string& text) {
   const auto allowed = [](unsigned char c) {
     return std::isalnum(c) != 0 || c == '.' || c == '_' || c == '-';
@@ -80,7 +72,7 @@
   explicit SettingsReader(TomlSource& source) : source_(source) {}
 
   Settings read() {
-    source_.reportUnknownKeys(source_.root(), "", knownKeys());
+    source_.reportUnknownKeys(source_.root(), "", settingsKeys());
     readIdentity();
     readAddresses();
     readClusterKey();
@@ -269,6 +261,14 @@
 
 }  // namespace
 
+const std::vector<std::string>& settingsKeys() {
+  static const std::vector<std::string> kKeys = {
+      "node_id",     "zone",      "region",         "peer_address",  "http_address",
+      "cluster_key", "seeds",     "platform_url",   "operator_keys", "tenant_keys",
+      "log_format",  "log_level", "worker_threads", "knobs"};
+  return kKeys;
+}
+
 std::string toString(const SettingsProblem& problem) {
   const std::string key = problem.key.empty() ? "" : problem.key + " ";
   return problem.place + ": " + key + problem.found + "; " + problem.remedy;
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -78,6 +78,9 @@
   std::vector<SettingsProblem> problems;
 };
 
+/// @return the top-level keys of a settings file, for documentation.
+const std::vector<std::string>& settingsKeys();
+
 /// Reads and checks everything, and reports all problems, not just the first.
 /// @param path the TOML file.
 SettingsCheck checkSettings(const std::string& path, const SettingsOverrides& overrides);
--- a/test/operator_client/command_line_test.cpp
+++ b/test/operator_client/command_line_test.cpp
@@ -133,9 +133,12 @@
   std::remove(path.c_str());
 }
 
-TEST_CASE("applying the table's own JSON changes nothing") {
+TEST_CASE("applying the table's own JSON changes nothing, nor does a bare list of its rows") {
   Bench bench;
   bench.node.answer("GET /operator/table", 200, kTable);
+  const Poco::TemporaryFile list;
+  std::ofstream(list.path()) << R"([{"service":"alerts","tenant":"ward","priority":1}])";
+  CHECK(bench.run({"table", "diff", list.path()}).out == "no differences\n");
   const Poco::TemporaryFile file;
   std::ofstream(file.path()) << kTable;
   const Run run = bench.run({"table", "apply", file.path()});
@@ -160,6 +163,12 @@
   CHECK(contains(bench.run({"engines"}).out, "e?[2J1"));
 }
 
+TEST_CASE("help shows the commands and every knob") {
+  const Bench bench;
+  CHECK(contains(bench.run({"help"}).out, "Exit codes:"));
+  CHECK(contains(bench.run({"help", "knobs"}).out, "maxDatagramBytes"));
+}
+
 TEST_CASE("wrong usage, a refused key and an absent node have their own exit codes") {
   Bench bench;
   for (const CommandWords& words :
