Conflicts over several rows, removed rows, and stored changes with nobody missing

Cause: the change coordinator reports a list of conflicts, a side may have no row, and a change counts as stored while the platform does not tell which machines are live. Ruled out: showing only the first conflict. Change: fernmoorctl reads one conflict or a list, treats a missing side as no row, and says why a change is only stored. An unknown knob in the settings names the nearest known one.

--- a/src/operator_client/command.cpp
+++ b/src/operator_client/command.cpp
@@ -19,23 +19,30 @@
                {{"ROW", "row"}, {"COLUMN", "column"}, {"FOUND", "found"}, {"REMEDY", "remedy"}});
 }
 
-/// Shows the columns of a conflict in which the sides differ.
-void printSides(std::ostream& err, const Object& detail) {
-  const Object::Ptr base = detail.getObject("base");
-  const Object::Ptr theirs = detail.getObject("theirs");
-  const Object::Ptr mine = detail.getObject("mine");
-  if (theirs.isNull() || mine.isNull()) {
-    return;
-  }
-  TextTable table({"COLUMN", "BASE", "THEIRS", "MINE"});
-  Object all(*theirs);
-  for (const auto& [column, value] : *mine) {
+/// Every column of both sides, so that none is left out of the comparison.
+Object columnsOf(const Object& theirs, const Object& mine) {
+  Object all(theirs);
+  for (const auto& [column, value] : mine) {
     all.set(column, value);
   }
-  for (const auto& [column, value] : all) {
-    const std::string before = base.isNull() ? "-" : cellText(*base, column);
-    const std::string their = cellText(*theirs, column);
-    const std::string own = mine->has(column) ? cellText(*mine, column) : before;
+  return all;
+}
+
+/// Shows the columns of one row's conflict in which a side differs from the base. A side that is
+/// missing has no such row.
+void printSides(std::ostream& err, const Object& conflict) {
+  const Object none;
+  const Object::Ptr basePointer = conflict.getObject("base");
+  const Object::Ptr theirsPointer = conflict.getObject("theirs");
+  const Object::Ptr minePointer = conflict.getObject("mine");
+  const Object& base = basePointer.isNull() ? none : *basePointer;
+  const Object& theirs = theirsPointer.isNull() ? none : *theirsPointer;
+  const Object& mine = minePointer.isNull() ? none : *minePointer;
+  TextTable table({"COLUMN", "BASE", "THEIRS", "MINE"});
+  for (const auto& [column, value] : columnsOf(theirs, mine)) {
+    const std::string before = cellText(base, column);
+    const std::string their = cellText(theirs, column);
+    const std::string own = mine.has(column) ? cellText(mine, column) : before;
     if (their != before || own != before) {
       table.add({column, before, their, own});
     }
@@ -43,6 +50,22 @@
   table.print(err);
 }
 
+/// Shows the conflict itself, or each of a list of them.
+void printConflicts(std::ostream& err, const Object& detail) {
+  const Poco::JSON::Array::Ptr conflicts = detail.getArray("conflicts");
+  if (conflicts.isNull()) {
+    printSides(err, detail);
+    return;
+  }
+  for (size_t i = 0; i < conflicts->size(); ++i) {
+    const Object::Ptr conflict = conflicts->getObject(static_cast<unsigned>(i));
+    if (!conflict.isNull()) {
+      err << cellText(*conflict, "service") << " of " << cellText(*conflict, "tenant") << ":\n";
+      printSides(err, *conflict);
+    }
+  }
+}
+
 }  // namespace
 
 ExitCode usageError(CommandContext& context, const std::string& message) {
@@ -54,7 +77,9 @@
   context.err << failure.message << "\n";
   if (!failure.detail.isNull()) {
     printProblems(context.err, *failure.detail);
-    printSides(context.err, *failure.detail);
+  }
+  if (failure.exitCode == ExitCode::kConflict && !failure.detail.isNull()) {
+    printConflicts(context.err, *failure.detail);
   }
   if (!context.wantsJson()) {
     return failure.exitCode;
--- a/src/operator_client/table_commands.cpp
+++ b/src/operator_client/table_commands.cpp
@@ -110,9 +110,11 @@
     context.out << "accepted: version " << version << " is in force on every live node\n";
     return ExitCode::kOk;
   }
-  context.out << "stored as version " << version
-              << ", but not yet in force on nodes: " << cellText(body, "missing_nodes")
-              << "\nIt will come into force there by itself; `fernmoorctl nodes` shows each node's "
+  const std::string missing = cellText(body, "missing_nodes");
+  context.out << "stored as version " << version << ", but not yet in force everywhere: "
+              << (missing == "-" ? "the platform did not tell which machines are live"
+                                 : "nodes that lack it: " + missing)
+              << "\nIt stays stored and spreads by itself; `fernmoorctl nodes` shows each node's "
                  "version.\n";
   return ExitCode::kRefused;
 }
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -239,19 +239,31 @@
   }
 
   void readKnobs() {
-    source_.forEachEntry(
-        "knobs", "give a table, e.g. [knobs] and lines of name = number.",
-        [this](const toml::node& value, const std::string& name) {
-          const std::string key = "knobs." + name;
-          if (!value.is_number()) {
-            source_.report(value, key, describeFound(value), "give a number.");
-            return;
-          }
-          const auto outcome = setKnob(settings_.knobs, name, value.value<double>().value_or(0));
-          if (!isOk(outcome)) {
-            source_.report(value, key, describeFound(value), errorOf(outcome).message);
-          }
-        });
+    std::vector<std::string> names;
+    for (const KnobDescription& knob : knobDescriptions()) {
+      names.push_back(knob.name);
+    }
+    if (const toml::table* knobs = source_.root()["knobs"].as_table()) {
+      source_.reportUnknownKeys(*knobs, "knobs.", names);
+    }
+    source_.forEachEntry("knobs", "give a table, e.g. [knobs] and lines of name = number.",
+                         [this, &names](const toml::node& value, const std::string& name) {
+                           if (std::find(names.begin(), names.end(), name) != names.end()) {
+                             readKnob(value, name);
+                           }
+                         });
+  }
+
+  void readKnob(const toml::node& value, const std::string& name) {
+    const std::string key = "knobs." + name;
+    if (!value.is_number()) {
+      source_.report(value, key, describeFound(value), "give a number.");
+      return;
+    }
+    const auto outcome = setKnob(settings_.knobs, name, value.value<double>().value_or(0));
+    if (!isOk(outcome)) {
+      source_.report(value, key, describeFound(value), errorOf(outcome).message);
+    }
   }
 
   TomlSource& source_;
--- a/src/settings/toml_source.cpp
+++ b/src/settings/toml_source.cpp
@@ -36,7 +36,7 @@
   if (nearest != known.end() && editDistance(key, *nearest) <= kMaximumTypingErrors) {
     return "did you mean " + *nearest + "? Else remove the key.";
   }
-  return "remove the key; docs/OPERATIONS.md lists those that exist.";
+  return "remove the key; docs/OPERATIONS.md and `fernmoorctl help knobs` list those that exist.";
 }
 
 template <class T>
--- a/test/operator_client/command_line_test.cpp
+++ b/test/operator_client/command_line_test.cpp
@@ -83,7 +83,7 @@
                     R"({"status":"stored","version":13,"missing_nodes":[2,3]})");
   const Run run = bench.run({"table", "delete", "alerts", "ward"});
   CHECK((run.code == ExitCode::kRefused));
-  CHECK(contains(run.out, "not yet in force on nodes: 2, 3"));
+  CHECK(contains(run.out, "nodes that lack it: 2, 3"));
   CHECK(contains(bench.node.seen().at(0).body, R"("columns":null)"));
 }
 
@@ -97,6 +97,14 @@
   CHECK((run.code == ExitCode::kConflict));
   CHECK(contains(run.err, "priority  5     1       0"));
   CHECK_FALSE(contains(run.err, "weight"));
+  bench.node.answer(
+      "POST /operator/table", 409,
+      R"({"kind":"conflict","message":"one row was removed.","conflicts":[{"service":)"
+      R"("alerts","tenant":"ward","base":{"priority":5},"theirs":null,"mine":)"
+      R"({"priority":0}}]})");
+  const std::string removed = bench.run({"table", "set", "alerts", "ward", "priority=0"}).err;
+  CHECK(contains(removed, "alerts of ward:"));
+  CHECK(contains(removed, "priority  5     -       0"));
 }
 
 TEST_CASE("wrong cells are listed with their remedy") {
--- a/test/settings/settings_test.cpp
+++ b/test/settings/settings_test.cpp
@@ -81,6 +81,9 @@
   CHECK(problems.find("example.org:8100") != std::string::npos);
   CHECK(problems.find(":11: log_fromat is unknown; did you mean log_format?") != std::string::npos);
   CHECK(problems.find(":13: knobs.maxDatagramBytes found 1; ") != std::string::npos);
+  const std::string typing = problemsOf(replaced(kValid, "maxDatagramBytes", "maxDatagramByte"));
+  CHECK(typing.find("knobs.maxDatagramByte is unknown; did you mean maxDatagramBytes?") !=
+        std::string::npos);
   CHECK(problems.find("node_id is missing; give a whole number") != std::string::npos);
 }
 
