--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -37,14 +37,6 @@
 const char* const kTenantKeysRemedy =
     "give an array of tables, e.g. tenant_keys = [{key = \"...\", tenant = \"ward\"}].";
 
-const std::vector<std::string>& knownKeys() {
-  static const std::vector<std::string> kKeys = {
-      "node_id",     "zone",      "region",         "peer_address",  "http_address",
-      "cluster_key", "seeds",     "platform_url",   "operator_keys", "tenant_keys",
-      "log_format",  "log_level", "worker_threads", "knobs"};
-  return kKeys;
-}
-
 bool isName(const std::string& text) {
   const auto allowed = [](unsigned char c) {
     return std::isalnum(c) != 0 || c == '.' || c == '_' || c == '-';
@@ -99,7 +91,7 @@
   explicit SettingsReader(TomlSource& source) : source_(source) {}
 
   Settings read() {
-    source_.reportUnknownKeys(source_.root(), "", knownKeys());
+    source_.reportUnknownKeys(source_.root(), "", settingsKeys());
     readIdentity();
     readAddresses();
     readClusterKey();
@@ -266,19 +258,31 @@
   }
 
   void readKnobs() {
-    source_.forEachEntry(
-        "knobs", "give a table, e.g. [knobs] and lines of name = number.",
-        [this](const toml::node& value, const std::string& name) {
-          const std::string key = "knobs." + name;
-          if (!value.is_number()) {
-            source_.report(value, key, describeFound(value), "give a number.");
-            return;
-          }
-          const auto outcome = setKnob(settings_.knobs, name, value.value<double>().value_or(0));
-          if (!isOk(outcome)) {
-            source_.report(value, key, describeFound(value), errorOf(outcome).message);
-          }
-        });
+    std::vector<std::string> names;
+    for (const KnobDescription& knob : knobDescriptions()) {
+      names.push_back(knob.name);
+    }
+    if (const toml::table* knobs = source_.root()["knobs"].as_table()) {
+      source_.reportUnknownKeys(*knobs, "knobs.", names);
+    }
+    source_.forEachEntry("knobs", "give a table, e.g. [knobs] and lines of name = number.",
+                         [this, &names](const toml::node& value, const std::string& name) {
+                           if (std::find(names.begin(), names.end(), name) != names.end()) {
+                             readKnob(value, name);
+                           }
+                         });
+  }
+
+  void readKnob(const toml::node& value, const std::string& name) {
+    const std::string key = "knobs." + name;
+    if (!value.is_number()) {
+      source_.report(value, key, describeFound(value), "give a number.");
+      return;
+    }
+    const auto outcome = setKnob(settings_.knobs, name, value.value<double>().value_or(0));
+    if (!isOk(outcome)) {
+      source_.report(value, key, describeFound(value), errorOf(outcome).message);
+    }
   }
 
   TomlSource& source_;
@@ -288,6 +292,14 @@
 
 }  // namespace
 
+const std::vector<std::string>& settingsKeys() {
+  static const std::vector<std::string> kKeys = {
+      "node_id",     "zone",      "region",         "peer_address",  "http_address",
+      "cluster_key", "seeds",     "platform_url",   "operator_keys", "tenant_keys",
+      "log_format",  "log_level", "worker_threads", "knobs"};
+  return kKeys;
+}
+
 std::string toString(const SettingsProblem& problem) {
   const std::string key = problem.key.empty() ? "" : problem.key + " ";
   return problem.place + ": " + key + problem.found + "; " + problem.remedy;
