--- a/programs/fernmoor-bench/slopes_command.cpp
+++ b/programs/fernmoor-bench/slopes_command.cpp
@@ -21,6 +21,14 @@
 constexpr Part kParts[] = {
     {"hashing", measurePromptHashing},
     {"choice", measureRoutingDecision},
+    {"owner", measureEngineOwner},
+    {"probes", measureProbes},
+    {"membership", measureMembership},
+    {"table", measureTableMemory},
+    {"spread", measureTableSpread},
+    {"admission", measureAdmission},
+    {"claims", measureClaims},
+    {"wire", measureWire},
 };
 
 bool isWanted(const Part& part, const Arguments& names) {
--- a/src/bench/slopes.h
+++ b/src/bench/slopes.h
@@ -13,5 +13,21 @@
 std::vector<Slope> measurePromptHashing();
 /// One choice of an engine, by candidates.
 std::vector<Slope> measureRoutingDecision();
+/// The owner's view of an engine's cache, by blocks, and the intake of its events.
+std::vector<Slope> measureEngineOwner();
+/// Questions to engines' owners, by engines asked for, and the loads that owners push, by nodes.
+std::vector<Slope> measureProbes();
+/// Membership at rest, by nodes.
+std::vector<Slope> measureMembership();
+/// The table in memory, by rows.
+std::vector<Slope> measureTableMemory();
+/// Spreading of the table, by nodes.
+std::vector<Slope> measureTableSpread();
+/// Admission, by rows.
+std::vector<Slope> measureAdmission();
+/// Claims of not-repeatable requests, by claims.
+std::vector<Slope> measureClaims();
+/// Sealing, sending and opening of node-to-node messages, by bytes.
+std::vector<Slope> measureWire();
 
 }  // namespace fernmoor::bench
