--- a/programs/fernmoor-bench/commands.h
+++ b/programs/fernmoor-bench/commands.h
@@ -18,6 +18,7 @@
 int runRoutingCommand(const Arguments& arguments);
 int runPoliciesCommand(const Arguments& arguments);
 int runCompareCommand(const Arguments& arguments);
+int runSpreadCommand(const Arguments& arguments);
 int runSlopesCommand(const Arguments& arguments);
 
 }  // namespace fernmoor::bench
--- a/programs/fernmoor-bench/main.cpp
+++ b/programs/fernmoor-bench/main.cpp
@@ -38,6 +38,7 @@
     {"routing", fernmoor::bench::runRoutingCommand, "one policy on one workload, virtual time"},
     {"policies", fernmoor::bench::runPoliciesCommand, "all policies, or those named, in a table"},
     {"compare", fernmoor::bench::runCompareCommand, "HTML page and plots of two or more reports"},
+    {"spread", fernmoor::bench::runSpreadCommand, "table and membership at the target's size"},
     {"slopes", fernmoor::bench::runSlopesCommand, "costs by size, all parts or those named"},
 };
 
--- a/programs/fernmoor-bench/slopes_command.cpp
+++ b/programs/fernmoor-bench/slopes_command.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cstdio>
 
+#include "bench/capacity.h"
 #include "commands.h"
 #include "experiment_flags.h"
 #include "flags.h"
@@ -65,6 +66,10 @@
       slopes.push_back(slope);
     }
   }
+  const std::vector<RoleCost> roles = computeCapacity(slopes);
+  if (!roles.empty()) {
+    std::printf("Capacity of one node at the target\n\n%s", capacityTable(roles).c_str());
+  }
   if (FLAGS_json.empty()) {
     return kExitDone;
   }
--- a/src/bench/claim_slope.cpp
+++ b/src/bench/claim_slope.cpp
@@ -62,12 +62,14 @@
 
   void idle(Duration duration) { cluster_.run(duration); }
 
-  double bytesSent() {
-    double bytes = 0;
+  sim::TrafficCount sent() {
+    sim::TrafficCount sum;
     for (uint32_t node = 1; node <= kNodes; ++node) {
-      bytes += static_cast<double>(cluster_.network().trafficOf(NodeId(node)).sent.bytes);
+      const sim::TrafficCount& sent = cluster_.network().trafficOf(NodeId(node)).sent;
+      sum.bytes += sent.bytes;
+      sum.messages += sent.messages;
     }
-    return bytes;
+    return sum;
   }
 
   size_t records() {
@@ -139,6 +141,10 @@
   time.name = "claim-time";
   time.what = "processor time on all nodes together, codec included, the idle simulator taken off";
   time.costUnit = "us";
+  Slope messages = bytes;
+  messages.name = "claim-messages";
+  messages.what = "messages sent by all nodes together for the claims and their answers";
+  messages.costUnit = "messages";
   Slope memory = bytes;
   memory.name = "claim-memory";
   memory.what = "heap of the kept records";
@@ -151,16 +157,19 @@
     cluster.idle(claims * kClaimInterval);
     const double idle = threadCpuSeconds() - before;
     const int64_t heapBefore = heapBytes();
-    const double bytesBefore = cluster.bytesSent();
+    const sim::TrafficCount sentBefore = cluster.sent();
     before = threadCpuSeconds();
     const auto granted = static_cast<double>(cluster.claim(claims));
     const double busy = threadCpuSeconds() - before;
-    bytes.points.push_back(Point{granted, cluster.bytesSent() - bytesBefore});
+    const sim::TrafficCount sent = cluster.sent();
+    bytes.points.push_back(Point{granted, static_cast<double>(sent.bytes - sentBefore.bytes)});
+    messages.points.push_back(
+        Point{granted, static_cast<double>(sent.messages - sentBefore.messages)});
     time.points.push_back(Point{granted, (busy - idle) * 1e6});
     memory.points.push_back(Point{static_cast<double>(cluster.records()),
                                   static_cast<double>(heapBytes() - heapBefore)});
   }
-  return {bytes, time, memory};
+  return {bytes, messages, time, memory};
 }
 
 }  // namespace fernmoor::bench
