--- a/programs/fernmoor-bench/commands.h
+++ b/programs/fernmoor-bench/commands.h
@@ -19,6 +19,7 @@
 int runPoliciesCommand(const Arguments& arguments);
 int runCompareCommand(const Arguments& arguments);
 int runSpreadCommand(const Arguments& arguments);
+int runHttpCommand(const Arguments& arguments);
 int runSlopesCommand(const Arguments& arguments);
 
 }  // namespace fernmoor::bench
--- a/programs/fernmoor-bench/main.cpp
+++ b/programs/fernmoor-bench/main.cpp
@@ -39,6 +39,7 @@
     {"policies", fernmoor::bench::runPoliciesCommand, "all policies, or those named, in a table"},
     {"compare", fernmoor::bench::runCompareCommand, "HTML page and plots of two or more reports"},
     {"spread", fernmoor::bench::runSpreadCommand, "table and membership at the target's size"},
+    {"http", fernmoor::bench::runHttpCommand, "load over HTTP against running processes"},
     {"slopes", fernmoor::bench::runSlopesCommand, "costs by size, all parts or those named"},
 };
 
--- a/src/bench/engine_fleet.cpp
+++ b/src/bench/engine_fleet.cpp
@@ -85,16 +85,7 @@
 }
 
 CacheEventBatch EngineFleet::events(size_t engine, uint64_t after) const {
-  const standin::CacheEventBatch told = engines_[engine]->model.events(after, queue_.now());
-  CacheEventBatch batch;
-  batch.incarnation = told.incarnation;
-  batch.gap = told.gap;
-  batch.events.reserve(told.events.size());
-  for (const standin::CacheEvent& event : told.events) {
-    const auto kind = static_cast<CacheEventKind>(event.kind);
-    batch.events.push_back(CacheEvent{event.sequence, kind, event.block});
-  }
-  return batch;
+  return engines_[engine]->model.events(after, queue_.now());
 }
 
 int64_t EngineFleet::cachedBlocks(size_t engine, const BlockChain& chain) const {
--- a/src/bench/routing_experiment.cpp
+++ b/src/bench/routing_experiment.cpp
@@ -2,10 +2,11 @@
 
 #include <algorithm>
 #include <memory>
-#include <unordered_map>
 #include <utility>
 
 #include "bench/application_fleet.h"
+#include "bench/experiment_admission.h"
+#include "bench/experiment_flight.h"
 #include "bench/experiment_metrics.h"
 #include "bench/hollow_router.h"
 #include "bench/workload.h"
@@ -21,28 +22,6 @@
 constexpr Duration kDrainTime{60000000};
 constexpr uint64_t kCrashSeed = 0x637261;
 
-/// How often routers look at the engines' free places and at their waiting requests.
-constexpr Duration kAdmissionTick{30000};
-
-/// One request on its way.
-struct Flight {
-  std::string prompt;
-  BlockChain chain;
-  Row row;
-  size_t router = 0;
-  size_t engine = 0;
-  Placement placement;
-  std::optional<AdmissionRequest> admitted;  ///< To be released at the end.
-  std::optional<TicketId> ticket;            ///< Waits for admission.
-  int64_t attempt = 0;
-  bool running = false;  ///< An attempt is at an engine.
-  bool finished = false;
-  Time arrivedAt;
-  std::optional<Time> lastFrameAt;
-  int64_t delivered = 0;
-  int64_t oracleBlocks = 0;
-};
-
 class RoutingExperiment {
  public:
   RoutingExperiment(const WorkloadSpec& spec, const ExperimentOptions& options)
@@ -55,7 +34,8 @@
         applications_(spec.fleet, queue_),
         writer_(spec),
         metrics_(spec),
-        recomputedByEngine_(engines_.size(), 0) {}
+        recomputedByEngine_(engines_.size(), 0),
+        admission_(routers_, PoolId(spec.fleet.model.value()), queue_, handlers()) {}
 
   Result<Done> prepare() {
     const int64_t routers = spec_.fleet.zones * spec_.fleet.routersPerZone;
@@ -73,7 +53,6 @@
       routers_.push_back(
           std::make_unique<HollowRouter>(std::move(valueOf(policy)), engines_, router));
     }
-    waiting_.resize(routers_.size());
     return Done{};
   }
 
@@ -85,13 +64,20 @@
     scheduleArrival(0);
     scheduleCrash();
     if (options_.admission) {
-      tickAdmission();
+      admission_.begin();
     }
     queue_.runUntil(start_ + options_.length + kDrainTime);
     return report();
   }
 
  private:
+  AdmissionHandlers handlers() {
+    return AdmissionHandlers{
+        [this](size_t number) { start(number); },
+        [this](size_t number, const Error& error) { refuse(number, error.kind); },
+        [this](size_t number, Duration time) { waited(number, time); }};
+  }
+
   void scheduleArrival(size_t number) {
     if (number >= requests_.size()) {
       return;
@@ -113,65 +99,20 @@
     });
   }
 
-  /// Each router looks at the engines' load and grants or refuses what waits.
-  void tickAdmission() {
-    for (size_t router = 0; router < routers_.size(); ++router) {
-      routers_[router]->updateCapacity(PoolId(spec_.fleet.model.value()), queue_.now());
-      takeDecisions(router);
-    }
-    queue_.scheduleAfter(kAdmissionTick, [this] { tickAdmission(); });
-  }
-
-  void takeDecisions(size_t router) {
-    for (const TicketDecision& decision :
-         routers_[router]->admission().takeDecisions(queue_.now())) {
-      const auto found = waiting_[router].find(decision.ticket);
-      if (found == waiting_[router].end()) {
-        continue;
-      }
-      const size_t number = found->second;
-      waiting_[router].erase(found);
-      decide(number, decision);
-    }
-  }
-
-  void decide(size_t number, const TicketDecision& decision) {
-    Flight& flight = flights_[number];
-    flight.ticket.reset();
-    const double waited = toMilliseconds(decision.waited);
-    count(number, [&](GroupMetrics& metrics) { metrics.queueMilliseconds.add(waited); });
-    if (!isOk(decision.result)) {
-      flight.admitted.reset();
-      refuse(number, errorOf(decision.result).kind);
-      return;
-    }
-    start(number);
+  void waited(size_t number, Duration time) {
+    const double milliseconds = toMilliseconds(time);
+    count(number, [&](GroupMetrics& metrics) { metrics.queueMilliseconds.add(milliseconds); });
   }
 
-  /// Asks the router's admission; the request starts, waits or is refused.
   void admit(size_t number) {
-    Flight& flight = flights_[number];
     if (!options_.admission) {
       start(number);
       return;
     }
-    const Time now = queue_.now();
-    AdmissionRequest request = admissionRequestOf(flight.row, now);
+    const Flight& flight = flights_[number];
+    AdmissionRequest request = admissionRequestOf(flight.row, queue_.now());
     request.deadline = start_ + requests_[number].deadline;
-    AdmissionController& admission = routers_[flight.router]->admission();
-    const Result<AdmissionOutcome> outcome = admission.admit(request, now);
-    if (!isOk(outcome)) {
-      refuse(number, errorOf(outcome).kind);
-      return;
-    }
-    flight.admitted = request;
-    if (const auto* queued = std::get_if<Queued>(&valueOf(outcome))) {
-      flight.ticket = queued->ticket;
-      waiting_[flight.router].emplace(queued->ticket, number);
-      takeDecisions(flight.router);
-      return;
-    }
-    start(number);
+    admission_.admit(number, flight.router, request);
   }
 
   void start(size_t number) {
@@ -387,11 +328,6 @@
     if (flight.finished) {
       return;
     }
-    if (flight.ticket) {
-      routers_[flight.router]->admission().cancel(*flight.ticket, queue_.now());
-      waiting_[flight.router].erase(*flight.ticket);
-      flight.admitted.reset();
-    }
     const bool running = flight.running;
     const size_t engine = flight.engine;
     const AttemptId attempt = attemptId(number, flight.attempt);
@@ -407,10 +343,7 @@
     if (flight.attempt > 0) {
       router.reportEnded(flight.placement, queue_.now());
     }
-    if (flight.admitted) {
-      router.admission().release(*flight.admitted, queue_.now());
-      flight.admitted.reset();
-    }
+    admission_.end(number);
     flight.finished = true;
     flight.running = false;
     std::string().swap(flight.prompt);
@@ -449,7 +382,7 @@
   MetricsBook metrics_;
   std::vector<double> recomputedByEngine_;
   std::vector<std::unique_ptr<HollowRouter>> routers_;
-  std::vector<std::unordered_map<TicketId, size_t>> waiting_;  ///< Flights, for each router.
+  ExperimentAdmission admission_;
   std::vector<WorkloadRequest> requests_;
   std::vector<Flight> flights_;
   Time start_;
