--- a/programs/fernmoor-bench/slopes_command.cpp
+++ b/programs/fernmoor-bench/slopes_command.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cstdio>
 
+#include "bench/capacity.h"
 #include "commands.h"
 #include "experiment_flags.h"
 #include "flags.h"
@@ -21,6 +22,14 @@
 constexpr Part kParts[] = {
     {"hashing", measurePromptHashing},
     {"choice", measureRoutingDecision},
+    {"owner", measureEngineOwner},
+    {"probes", measureProbes},
+    {"membership", measureMembership},
+    {"table", measureTableMemory},
+    {"spread", measureTableSpread},
+    {"admission", measureAdmission},
+    {"claims", measureClaims},
+    {"wire", measureWire},
 };
 
 bool isWanted(const Part& part, const Arguments& names) {
@@ -57,6 +66,10 @@
       slopes.push_back(slope);
     }
   }
+  const std::vector<RoleCost> roles = computeCapacity(slopes);
+  if (!roles.empty()) {
+    std::printf("Capacity of one node at the target\n\n%s", capacityTable(roles).c_str());
+  }
   if (FLAGS_json.empty()) {
     return kExitDone;
   }
