Applications, claims, admission, operators' endpoints and measures in the node

Cause: the node served models only, without admission, and operators had no endpoint. Ruled out: holding a request at the gate until its deadline; it gets its refusal at once. Conclusion: not yet proved as a whole.

--- a/programs/fernmoord/main.cpp
+++ b/programs/fernmoord/main.cpp
@@ -1,11 +1,13 @@
 /// @file
 /// The router's daemon: reads its settings, serves until SIGTERM or SIGINT, then drains.
 #include <gflags/gflags.h>
-#include <spdlog/spdlog.h>
+#include <pthread.h>
 
 #include <csignal>
 #include <iostream>
+#include <thread>
 
+#include "common/log.h"
 #include "node/node.h"
 #include "settings/settings.h"
 
@@ -74,12 +76,22 @@
 
 int serve(fernmoor::Settings settings) {
   const sigset_t signals = blockStopSignals();
+  fernmoor::startLog(settings.log, settings.nodeId);
   fernmoor::Node node(std::move(settings));
   node.start();
-  int received = 0;
-  sigwait(&signals, &received);
-  spdlog::info("signal {}: draining", received);
+  std::thread signalWaiter([&] {
+    int received = 0;
+    sigwait(&signals, &received);
+    node.stopWaiting();
+  });
+  node.waitForDrainOrder();
+  // Where an operator gave the order, the waiter still waits for its signal.
+  pthread_kill(signalWaiter.native_handle(), SIGTERM);
+  signalWaiter.join();
+  fernmoor::logInfo("draining");
   node.drainAndStop(kDrainPatience);
+  fernmoor::logInfo("stopped");
+  fernmoor::stopLog();
   return 0;
 }
 
--- a/scripts/cluster.py
+++ b/scripts/cluster.py
@@ -67,7 +67,9 @@
 
     def start(self):
         with open(self.log_path, "ab") as log:
-            self.handle = subprocess.Popen(self.command, stdout=log, stderr=log)
+            self.handle = subprocess.Popen(
+                self.command, stdout=log, stderr=log,
+                preexec_fn=lambda: signal.pthread_sigmask(signal.SIG_SETMASK, set()))
 
     def signal(self, number):
         self.handle.send_signal(number)
@@ -237,12 +239,22 @@
             process.stop()
 
 
-def export_environment(cluster):
-    """Shell lines for people who want to talk to a running cluster."""
-    tenant = cluster.tenants[0]
-    return "\n".join([f"export FERNMOOR_NODE={cluster.nodes[0].url}",
-                      f"export FERNMOOR_KEY={OPERATOR_KEY}",
-                      f"export TENANT_KEY={tenant_key(tenant)}"])
+def wait_for_claim_group(cluster):
+    """Waits until the nodes keep claims: the group is stored and a first claim is granted."""
+    url = cluster.platform.url + "/objects/control/claim-group"
+    wait_until(lambda: call("GET", url)[0] == 200, "the claim group")
+    service = next((row for row in cluster.table if not row.get("repeatable", True)), None)
+    if service is None:
+        return
+
+    def granted(node):
+        status, _, _ = call("POST", f"{node.url}/v1/applications/{service['service']}",
+                            {"warm": node.name}, key=tenant_key(service["tenant"]),
+                            headers={"Idempotency-Key": f"{int(time.time())}-{os.urandom(8).hex()}"})
+        return status == 200
+
+    for node in cluster.nodes:
+        wait_until(lambda: granted(node), f"a claim through {node.name}")
 
 
 if __name__ == "__main__":
--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -1,7 +1,8 @@
 """Runs every test of the project and prints one closing line "N passed, N failed".
 
 Unit tests are the doctest cases of fernmoor_tests, spread over a few processes; process tests are
-the executable files test/process/*.sh, run one after another with the build folder as argument.
+the executable files test/process/*.sh and *_test.py, run one after another with the build folder
+as argument.
 """
 import argparse
 import concurrent.futures
@@ -83,7 +84,8 @@
     parser.add_argument("--root", type=pathlib.Path, required=True)
     arguments = parser.parse_args()
     outcomes = run_unit_tests(arguments.build / "fernmoor_tests")
-    for script in sorted((arguments.root / "test" / "process").glob("*.sh")):
+    folder = arguments.root / "test" / "process"
+    for script in sorted([*folder.glob("*.sh"), *folder.glob("*_test.py")]):
         if os.access(script, os.X_OK):
             outcomes.append(run_process_test(script, arguments.build))
             print(("ok   " if outcomes[-1][1] else "FAIL ") + script.name, flush=True)
--- a/src/admission/admission_controller.cpp
+++ b/src/admission/admission_controller.cpp
@@ -96,15 +96,16 @@
   grantWaiting(pool, now);
 }
 
-void AdmissionController::cancel(TicketId ticket, Time now) {
+bool AdmissionController::cancel(TicketId ticket, Time now) {
   const RankedLock lock(mutex_);
   for (auto& entry : pools_) {
     const auto removed = entry.second.queue.remove(ticket);
     if (removed) {
       limiter_->release(removed->request.limits.row, now);
-      return;
+      return true;
     }
   }
+  return false;
 }
 
 std::vector<TicketDecision> AdmissionController::takeDecisions(Time now) {
--- a/src/admission/admission_controller.h
+++ b/src/admission/admission_controller.h
@@ -49,7 +49,8 @@
   /// A request ended; its place and its row's concurrency are free again.
   void release(const AdmissionRequest& request, Time now);
   /// A waiting caller went away.
-  void cancel(TicketId ticket, Time now);
+  /// @return false where its decision was made already: it has to be taken and, if granted, ended.
+  bool cancel(TicketId ticket, Time now);
   /// @return grants and refusals that are due; the callers of these tickets have to be told now.
   /// Call it after setCapacity(), release(), admit() and every few tens of milliseconds.
   std::vector<TicketDecision> takeDecisions(Time now);
--- a/src/engine/owned_engines.h
+++ b/src/engine/owned_engines.h
@@ -31,6 +31,12 @@
   CacheViewCounters counters;
 };
 
+/// Size and age of one owned engine's view.
+struct OwnedViewFacts {
+  size_t blocks = 0;
+  Time updatedAt;
+};
+
 /// Thread-safe; takes the lock of rank kEngines.
 class OwnedEngines {
  public:
@@ -55,6 +61,8 @@
   /// @return none where the engine isn't owned.
   std::optional<EngineProbe> probe(const EngineId& engine, const ChainSample& sample) const;
   OwnedEnginesSummary summary(Time now) const;
+  /// @return none where the engine isn't owned.
+  std::optional<OwnedViewFacts> viewOf(const EngineId& engine) const;
 
  private:
   struct Entry {
--- a/src/node/completion_handler.cpp
+++ b/src/node/completion_handler.cpp
@@ -145,7 +145,16 @@
   RequestRecord record;
   record.request = id;
   record.row = row.key;
-  relay.run(record);
+  AdmissionRequest admission = admissionRequestOf(row, services_.clock.now());
+  const auto pass = services_.gate.enter(admission, [&sink] { return sink.callerGone(); });
+  if (isOk(pass)) {
+    record.queued = valueOf(pass)->waited();
+    relay.run(record);
+  } else {
+    record.refusal = errorOf(pass);
+    sink.refuse(errorOf(pass));
+  }
+  services_.measures.noteEnded(record);
   services_.requestLog.add(std::move(record));
 }
 
--- a/src/node/completion_sink.cpp
+++ b/src/node/completion_sink.cpp
@@ -1,8 +1,6 @@
 #include "node/completion_sink.h"
 
 #include <Poco/Exception.h>
-#include <Poco/Net/HTTPServerRequestImpl.h>
-#include <sys/socket.h>
 
 #include <utility>
 
@@ -11,14 +9,6 @@
 
 namespace fernmoor {
 
-namespace {
-
-Poco::Net::StreamSocket socketOf(Poco::Net::HTTPServerRequest& request) {
-  return static_cast<Poco::Net::HTTPServerRequestImpl&>(request).socket();
-}
-
-}  // namespace
-
 CompletionSink::CompletionSink(Poco::Net::HTTPServerRequest& request,
                                Poco::Net::HTTPServerResponse& response,
                                const StreamTokenSealer& sealer, TenantId tenant, AnswerFacts facts,
@@ -28,7 +18,7 @@
       tenant_(std::move(tenant)),
       facts_(std::move(facts)),
       stream_(stream),
-      socket_(socketOf(request)) {}
+      caller_(request) {}
 
 bool CompletionSink::attemptStarted(const AttemptId& attempt, const Placement& placement,
                                     const AttemptFrame& firstFrame) {
@@ -106,19 +96,4 @@
   }
 }
 
-const Poco::Net::Socket* CompletionSink::callerSocket() {
-  return watchSocket_ ? &socket_ : nullptr;
-}
-
-bool CompletionSink::callerGone() {
-  try {
-    char byte = 0;
-    const int received = socket_.receiveBytes(&byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    watchSocket_ = received == 0;
-    return received == 0;
-  } catch (const Poco::Exception&) {
-    return true;
-  }
-}
-
 }  // namespace fernmoor
--- a/src/node/completion_sink.h
+++ b/src/node/completion_sink.h
@@ -4,11 +4,11 @@
 
 #include <Poco/Net/HTTPServerRequest.h>
 #include <Poco/Net/HTTPServerResponse.h>
-#include <Poco/Net/StreamSocket.h>
 
 #include <ostream>
 #include <string>
 
+#include "node/caller_socket.h"
 #include "node/completion_api.h"
 #include "node/stream_token.h"
 #include "relay/stream_relay.h"
@@ -27,8 +27,8 @@
   bool text(int64_t position, int64_t tokens, const std::string& text) override;
   bool finish(int64_t totalTokens) override;
   bool refuse(const Error& error) override;
-  const Poco::Net::Socket* callerSocket() override;
-  bool callerGone() override;
+  const Poco::Net::Socket* callerSocket() override { return caller_.watched(); }
+  bool callerGone() override { return caller_.gone(); }
 
  private:
   void setHeaders();
@@ -41,8 +41,7 @@
   const TenantId tenant_;
   const AnswerFacts facts_;
   const bool stream_;
-  Poco::Net::StreamSocket socket_;
-  bool watchSocket_ = true;  ///< False once the caller sent a further request on the connection.
+  CallerSocket caller_;
   std::ostream* out_ = nullptr;
   std::string wholeText_;
   std::string announcedStream_;  ///< Stream id not yet sent in a chunk.
--- a/src/node/engine_knowledge.cpp
+++ b/src/node/engine_knowledge.cpp
@@ -67,6 +67,17 @@
   return facts;
 }
 
+std::vector<PlacedLoad> EngineKnowledge::placedLoads(
+    const std::vector<EngineState>& engines) const {
+  std::vector<PlacedLoad> loads;
+  loads.reserve(engines.size());
+  const RankedLock lock(mutex_);
+  for (const EngineState& engine : engines) {
+    loads.push_back(memory_.loadSince(lifeOf(engine), engine.load.measuredAt));
+  }
+  return loads;
+}
+
 void EngineKnowledge::recordSent(const Placement& placement, const BlockChain& chain,
                                  int64_t missedTokens, Time now) {
   const RankedLock lock(mutex_);
--- a/src/node/engine_knowledge.h
+++ b/src/node/engine_knowledge.h
@@ -33,6 +33,8 @@
   /// @return one entry for each engine, in their order.
   std::vector<EngineFacts> lookUp(const BlockChain& chain, const std::vector<EngineState>& engines,
                                   Time now);
+  /// @return what this node brought to each engine since its load was measured, in their order.
+  std::vector<PlacedLoad> placedLoads(const std::vector<EngineState>& engines) const;
   /// A request was sent to the engine.
   void recordSent(const Placement& placement, const BlockChain& chain, int64_t missedTokens,
                   Time now);
--- a/src/node/http_front.cpp
+++ b/src/node/http_front.cpp
@@ -7,8 +7,9 @@
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/NumberParser.h>
 #include <Poco/URI.h>
-#include <spdlog/spdlog.h>
 
+#include "common/log.h"
+#include "node/application_handler.h"
 #include "node/completion_handler.h"
 #include "node/http_reply.h"
 
@@ -20,6 +21,8 @@
 constexpr int kListenBacklog = 1024;
 constexpr int kMaxQueuedConnections = 1024;
 constexpr std::string_view kStreamsPath = "/v1/streams/";
+constexpr std::string_view kApplicationsPath = "/v1/applications/";
+constexpr std::string_view kOperatorPath = "/operator/";
 
 Poco::Timespan toTimespan(Duration duration) {
   return Poco::Timespan(duration.count());
@@ -53,6 +56,13 @@
   explicit ReadyHandler(const NodeServices& services) : services_(services) {}
   void handleRequest(Poco::Net::HTTPServerRequest& request,
                      Poco::Net::HTTPServerResponse& response) override {
+    if (services_.draining) {
+      sendError(response,
+                Error{ErrorKind::kDraining, "this node is stopping; use another one.",
+                      RunState::kNotRun, std::nullopt},
+                RequestId());
+      return;
+    }
     if (services_.table.version() == TableVersion(0)) {
       sendError(response,
                 Error{ErrorKind::kUnavailable,
@@ -68,27 +78,47 @@
   const NodeServices& services_;
 };
 
+/// Serves all measures in Prometheus text.
+class MetricsHandler : public Poco::Net::HTTPRequestHandler {
+ public:
+  explicit MetricsHandler(const Metrics& metrics) : metrics_(metrics) {}
+  void handleRequest(Poco::Net::HTTPServerRequest& request,
+                     Poco::Net::HTTPServerResponse& response) override {
+    const std::string text = metrics_.serialize();
+    response.setContentType("text/plain; version=0.0.4");
+    response.sendBuffer(text.data(), text.size());
+  }
+
+ private:
+  const Metrics& metrics_;
+};
+
 /// Counts the request while the handler runs; keeps a handler's exception from ending the thread
 /// without an answer.
 class CountingHandler : public Poco::Net::HTTPRequestHandler {
  public:
-  CountingHandler(OpenRequests& open, std::unique_ptr<Poco::Net::HTTPRequestHandler> handler)
-      : open_(open), handler_(std::move(handler)) {}
+  CountingHandler(OpenRequests& open, const std::atomic<bool>& draining,
+                  std::unique_ptr<Poco::Net::HTTPRequestHandler> handler)
+      : open_(open), draining_(draining), handler_(std::move(handler)) {}
 
   void handleRequest(Poco::Net::HTTPServerRequest& request,
                      Poco::Net::HTTPServerResponse& response) override {
     const OpenRequests::Guard guard(open_);
+    if (draining_) {
+      response.setKeepAlive(false);
+    }
     try {
       handler_->handleRequest(request, response);
-    } catch (const Poco::Exception& exception) {
+    } catch (const Poco::Exception&) {
       // The connection broke; there is nobody to answer.
-      spdlog::debug("caller's connection broke: {}", exception.displayText());
+      logDebug("a caller's connection broke");
       response.setKeepAlive(false);
     }
   }
 
  private:
   OpenRequests& open_;
+  const std::atomic<bool>& draining_;
   std::unique_ptr<Poco::Net::HTTPRequestHandler> handler_;
 };
 
@@ -109,8 +139,16 @@
 
 using HandlerPointer = std::unique_ptr<Poco::Net::HTTPRequestHandler>;
 
-HandlerPointer makeHandler(NodeServices& services, const std::string& method,
-                           const std::string& target) {
+/// @return the rest of the path behind the prefix, or nothing where it has another one.
+std::optional<std::string> restAfter(const std::string& path, std::string_view prefix) {
+  if (path.compare(0, prefix.size(), prefix) != 0 || path.size() == prefix.size()) {
+    return std::nullopt;
+  }
+  return path.substr(prefix.size());
+}
+
+HandlerPointer makeHandler(NodeServices& services, OperatorServices& operators,
+                           const std::string& method, const std::string& target) {
   const Poco::URI uri(target);
   const std::string path = uri.getPath();
   const bool isPost = method == Poco::Net::HTTPRequest::HTTP_POST;
@@ -120,9 +158,17 @@
   if (isPost && path == "/v1/chat/completions") {
     return std::make_unique<CompletionHandler>(services, CompletionShape::kChat);
   }
-  if (path.compare(0, kStreamsPath.size(), kStreamsPath) == 0) {
-    return std::make_unique<StreamHandler>(services, path.substr(kStreamsPath.size()),
-                                           positionOf(uri));
+  if (const auto service = restAfter(path, kApplicationsPath); isPost && service) {
+    return std::make_unique<ApplicationHandler>(services, ServiceId(*service));
+  }
+  if (const auto stream = restAfter(path, kStreamsPath)) {
+    return std::make_unique<StreamHandler>(services, *stream, positionOf(uri));
+  }
+  if (restAfter(path, kOperatorPath)) {
+    return std::make_unique<OperatorHandler>(operators);
+  }
+  if (path == "/metrics") {
+    return std::make_unique<MetricsHandler>(services.measures.metrics());
   }
   if (path == "/v1/models") {
     return std::make_unique<ModelsHandler>(services);
@@ -138,17 +184,18 @@
 
 class HandlerFactory : public Poco::Net::HTTPRequestHandlerFactory {
  public:
-  HandlerFactory(NodeServices& services, OpenRequests& open) : services_(services), open_(open) {}
+  HandlerFactory(NodeServices& services, OperatorServices& operators, OpenRequests& open)
+      : services_(services), operators_(operators), open_(open) {}
 
   Poco::Net::HTTPRequestHandler* createRequestHandler(
       const Poco::Net::HTTPServerRequest& request) override {
-    return new CountingHandler(open_, find(request));  // Poco deletes it after use.
+    return new CountingHandler(open_, services_.draining, find(request));  // Poco deletes it after use.
   }
 
  private:
   HandlerPointer find(const Poco::Net::HTTPServerRequest& request) {
     try {
-      return makeHandler(services_, request.getMethod(), request.getURI());
+      return makeHandler(services_, operators_, request.getMethod(), request.getURI());
     } catch (const Poco::SyntaxException&) {
       return std::make_unique<ErrorHandler>(Error{ErrorKind::kInvalidRequest,
                                                   "the request's URI is malformed.",
@@ -157,6 +204,7 @@
   }
 
   NodeServices& services_;
+  OperatorServices& operators_;
   OpenRequests& open_;
 };
 
@@ -178,12 +226,13 @@
 
 }  // namespace
 
-HttpFront::HttpFront(NodeServices& services, const SocketAddress& listen)
+HttpFront::HttpFront(NodeServices& services, OperatorServices& operators,
+                     const SocketAddress& listen)
     : threads_(kMinimumThreads, static_cast<int>(services.knobs.httpThreads), 60,
                static_cast<int>(services.knobs.httpThreadStackBytes)) {
-  server_ =
-      std::make_unique<Poco::Net::HTTPServer>(new HandlerFactory(services, open_), threads_,
-                                              bindSocket(listen), makeParameters(services.knobs));
+  server_ = std::make_unique<Poco::Net::HTTPServer>(new HandlerFactory(services, operators, open_),
+                                                    threads_, bindSocket(listen),
+                                                    makeParameters(services.knobs));
 }
 
 HttpFront::~HttpFront() {
@@ -198,4 +247,8 @@
   server_->stop();
 }
 
+bool HttpFront::idle() const {
+  return open_.count() == 0 && server_->currentConnections() == 0;
+}
+
 }  // namespace fernmoor
--- a/src/node/http_front.h
+++ b/src/node/http_front.h
@@ -9,6 +9,7 @@
 #include <memory>
 
 #include "node/node_services.h"
+#include "node/operator_api.h"
 
 namespace fernmoor {
 
@@ -35,12 +36,14 @@
 class HttpFront {
  public:
   /// Binds the port. Throws Poco::Net::NetException where it is in use.
-  HttpFront(NodeServices& services, const SocketAddress& listen);
+  HttpFront(NodeServices& services, OperatorServices& operators, const SocketAddress& listen);
   ~HttpFront();
 
   void start();
   /// Takes no new connections; requests that are being served go on.
   void stopAccepting();
+  /// @return whether no request is served and no connection is left that could bring one.
+  bool idle() const;
   const OpenRequests& openRequests() const { return open_; }
 
  private:
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -2,7 +2,7 @@
 
 #include <Poco/URI.h>
 
-#include <chrono>
+#include <algorithm>
 #include <utility>
 
 #include "common/log.h"
@@ -12,7 +12,8 @@
 
 namespace {
 
-constexpr Duration kHousekeepingInterval{500000};
+/// Between two rounds of housekeeping; queued requests wait for at most that long too much.
+constexpr Duration kHousekeepingInterval{50000};
 constexpr Duration kDrainCheckInterval{20000};
 
 /// Greater after every restart, as long as the machine's clock does not go back by the time that a
@@ -56,11 +57,22 @@
       control_(settings_, self_, clock_, table_, engines_, owned_, platform_.get(),
                [this](const std::vector<Machine>& machines) { takeMachines(machines); }),
       knowledge_(control_.roles().probes(), owned_, control_.sender(), settings_.knobs),
-      monitor_(engineClient_, engines_, owned_, clock_, settings_.knobs) {
-  services_ = std::make_unique<NodeServices>(
-      NodeServices{settings_.knobs, clock_, self_, keys_, table_, engines_, knowledge_,
-                   engineClient_, *policy_, streamTokens_, requestIds_, requestLog_});
-  front_ = std::make_unique<HttpFront>(*services_, settings_.httpAddress);
+      applications_(settings_.zone, settings_.knobs),
+      gate_(control_.roles().limits(), clock_, settings_.knobs, self_.incarnation.value()),
+      applicationRunner_(http_, applications_, gate_, clock_),
+      measures_(metrics_),
+      monitor_(engineClient_, engines_, owned_, clock_, settings_.knobs),
+      housekeeping_(control_, engines_, monitor_, knowledge_, gate_, metrics_, table_, clock_,
+                    settings_.knobs) {
+  services_ = std::make_unique<NodeServices>(NodeServices{
+      settings_.knobs, clock_, self_, keys_, table_, engines_, knowledge_, engineClient_, *policy_,
+      streamTokens_, requestIds_, requestLog_, gate_, applicationRunner_, control_.roles().claims(),
+      control_.sender(), measures_, draining_});
+  operators_ = std::make_unique<OperatorServices>(
+      OperatorServices{*services_, control_.roles().membership(), control_.roles().ownership(),
+                       owned_, platform_.get(), control_.roles().table(), [this] { orderDrain(); },
+                       [this] { return housekeeping_.latestRates(); }, kRateInterval});
+  front_ = std::make_unique<HttpFront>(*services_, *operators_, settings_.httpAddress);
 }
 
 Node::~Node() {
@@ -75,15 +87,19 @@
 }
 
 void Node::drainAndStop(Duration patience) {
-  if (stopping_.exchange(true)) {
+  if (drained_.exchange(true)) {
     return;
   }
+  // First the others send their callers elsewhere, then the door closes, then work runs out.
+  draining_ = true;
   control_.drain();
+  std::this_thread::sleep_for(std::min(patience, settings_.knobs.drainNoticeTime));
   front_->stopAccepting();
   const Time end = clock_.now() + patience;
-  while (front_->openRequests().count() > 0 && clock_.now() < end) {
+  while (!front_->idle() && clock_.now() < end) {
     std::this_thread::sleep_for(kDrainCheckInterval);
   }
+  stopping_ = true;
   if (housekeepingThread_.joinable()) {
     housekeepingThread_.join();
   }
@@ -98,28 +114,33 @@
       addresses.push_back(engineAddressOf(machine));
     }
   }
+  applications_.setMachines(machines);
   engines_.setAddresses(addresses, clock_.now());
   control_.roles().ownership().setEngines(addresses);
 }
 
 void Node::runHousekeeping() {
   while (!stopping_) {
-    followDuties();
-    knowledge_.expire(clock_.now());
+    housekeeping_.runOnce(front_->openRequests().count());
     std::this_thread::sleep_for(kHousekeepingInterval);
   }
 }
 
-void Node::followDuties() {
-  std::vector<EngineState> followed;
-  for (const EngineId& engine :
-       control_.roles().ownership().enginesWithDuty(OwnershipDuty::kOwner)) {
-    const auto state = engines_.find(engine, clock_.now());
-    if (state) {
-      followed.push_back(*state);
-    }
+void Node::orderDrain() {
+  {
+    const std::lock_guard<std::mutex> lock(drainMutex_);
+    drainWanted_ = true;
   }
-  monitor_.follow(followed);
+  drainOrdered_.notify_all();
+}
+
+void Node::stopWaiting() {
+  orderDrain();
+}
+
+void Node::waitForDrainOrder() {
+  std::unique_lock<std::mutex> lock(drainMutex_);
+  drainOrdered_.wait(lock, [this] { return drainWanted_; });
 }
 
 }  // namespace fernmoor
--- a/src/node/node_services.h
+++ b/src/node/node_services.h
@@ -5,13 +5,17 @@
 #include <atomic>
 #include <cstdint>
 
+#include "claim/claim_service.h"
 #include "common/knobs.h"
 #include "engine/engine_client.h"
 #include "engine/engine_directory.h"
 #include "membership/member.h"
+#include "node/application_runner.h"
 #include "node/engine_knowledge.h"
 #include "node/key_ring.h"
+#include "node/request_gate.h"
 #include "node/request_ids.h"
+#include "node/request_measures.h"
 #include "node/stream_token.h"
 #include "relay/request_log.h"
 #include "routing/routing_policy.h"
@@ -32,6 +36,12 @@
   const StreamTokenSealer& streamTokens;
   RequestIds& requestIds;
   RequestLog& requestLog;
+  RequestGate& gate;
+  ApplicationRunner& applications;
+  ClaimService& claims;
+  MessageSender& sender;
+  RequestMeasures& measures;
+  const std::atomic<bool>& draining;
 };
 
 }  // namespace fernmoor
--- a/src/node/role_set.cpp
+++ b/src/node/role_set.cpp
@@ -28,7 +28,8 @@
           options.self.life.node, owned,
           [this](const EngineId& engine) { return ownership_.ownerOf(engine); },
           [this] { return loadAudience(); },
-          [this](const EngineState& state) { noteEngine(state); }, options.knobs) {}
+          [this](const EngineState& state) { noteEngine(state); }, options.knobs),
+      limits_(membership_, options.knobs) {}
 
 Role* RoleSet::roleOf(const proto::Envelope& envelope) {
   switch (envelope.body_case()) {
@@ -40,6 +41,8 @@
       return &claims_;
     case proto::Envelope::kProbe:
       return &probes_;
+    case proto::Envelope::kLimit:
+      return &limits_;
     default:
       return nullptr;
   }
@@ -64,6 +67,7 @@
   ownership_.onTick(now, sender);
   claims_.onTick(now, sender);
   probes_.onTick(now, sender);
+  limits_.onTick(now, sender);
 }
 
 std::vector<NodeId> RoleSet::loadAudience() const {
--- a/src/node/role_set.h
+++ b/src/node/role_set.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <vector>
 
+#include "admission/limit_role.h"
 #include "claim/claim_service.h"
 #include "common/knobs.h"
 #include "common/role.h"
@@ -45,6 +46,7 @@
   OwnershipRole& ownership() { return ownership_; }
   ClaimService& claims() { return claims_; }
   ProbeRole& probes() { return probes_; }
+  LimitRole& limits() { return limits_; }
 
  private:
   Role* roleOf(const proto::Envelope& envelope);
@@ -59,6 +61,7 @@
   OwnershipRole ownership_;
   ClaimService claims_;
   ProbeRole probes_;
+  LimitRole limits_;
   std::atomic<Time::rep> now_{0};  ///< Of the latest message or tick, for listeners without one.
 };
 
