Claim models: one body for each kind of step, told by its chart transition

Cause: the checker of spec/ wants each rule as one WITHOUT_ flag and each chart transition reached at its own line; the models expanded every step for every attempt and replica, which hid the lines and took gcc long. Change: a step first chooses attempt and replica, then runs one body. The most telling steps come first, so that a violation is met early. Ruled out: d_step for marked steps (the checker cannot see inside).

--- a/spec/claim.pml
+++ b/spec/claim.pml
@@ -76,8 +76,15 @@
 #define ended false
 #endif
 
+/* What the step being taken is about; always 0 between steps. Each kind of step first chooses these
+   among all for which it may be taken. */
+byte theAttempt, theReplica, theOther;
+#define CHOOSE(a, r, condition) :: condition -> theAttempt = a; theReplica = r
+#define CHOOSE_PAIR(q, r, condition) :: condition -> theOther = q; theReplica = r
+#define STEP_IS_TAKEN theAttempt = 0; theReplica = 0; theOther = 0
+
 /* Scratch, always 0 between steps */
-byte i, j, k, m, x, y, theirs, others;
+byte i, j, k, m, x, y;
 
 #define NEXT(r)   (((r) + 1) % REPLICAS)
 #define AFTER(r)  (((r) + 2) % REPLICAS)
@@ -157,14 +164,12 @@
 
 /* A claim of attempt a, sent at any time before, reaches replica r. Without further faults only a
    dispatcher that still claims sends again. */
-#define ON_CLAIM(a, r) \
-  :: atomic { !ended && attempt[a] != IDLE && !recovering[r] && \
-       (!quiet || attempt[a] == CLAIMING) && \
-       MAY_CLAIM(a, r) && !(state[r] == CLAIMED && holder[r] == a) && \
-       !(tombstones[r] & BIT(a)) -> recordClaim(a, r) } \
-  :: d_step { !ended && attempt[a] == CLAIMING && !quorum[a] && !recovering[r] && \
-       state[r] == CLAIMED && holder[r] == a && VOTE(a, r, life[r]) == 0 -> \
-       sendVote(a, r) }
+#define IF_CLAIM_ARRIVES(a, r) CHOOSE(a, r, (!ended && attempt[a] != IDLE && !recovering[r] && \
+    (!quiet || attempt[a] == CLAIMING) && MAY_CLAIM(a, r) && \
+    !(state[r] == CLAIMED && holder[r] == a) && !(tombstones[r] & BIT(a))))
+#define IF_CLAIM_ARRIVES_AGAIN(a, r) CHOOSE(a, r, (!ended && attempt[a] == CLAIMING && \
+    !quorum[a] && !recovering[r] && state[r] == CLAIMED && holder[r] == a && \
+    VOTE(a, r, life[r]) == 0))
 
 inline recordClaim(a, r) {
   /* chart claim: unclaimed -claim-> claimed */
@@ -194,9 +199,8 @@
 #endif
 #define CHANGES(a, r) \
   (state[r] < COMPLETED && (!(tombstones[r] & BIT(a)) || (state[r] == CLAIMED && holder[r] == a)))
-#define ON_RELEASE(a, r) \
-  :: atomic { !ended && MAY_RELEASE(a) && !recovering[r] && \
-       (!IS_ACKNOWLEDGED(a, r) || (!quiet && CHANGES(a, r))) -> recordRelease(a, r) }
+#define IF_RELEASE_ARRIVES(a, r) CHOOSE(a, r, (!ended && MAY_RELEASE(a) && !recovering[r] && \
+    (!IS_ACKNOWLEDGED(a, r) || (!quiet && CHANGES(a, r)))))
 
 inline recordRelease(a, r) {
   d_step {
@@ -216,8 +220,7 @@
 }
 
 /* The answer of attempt a reaches replica r. */
-#define ON_COMPLETION(a, r) \
-  :: atomic { !ended && attempt[a] == RAN && state[r] != COMPLETED -> recordCompletion(r) }
+#define IF_ANSWER_ARRIVES(a, r) CHOOSE(a, r, (!ended && attempt[a] == RAN && state[r] != COMPLETED))
 
 inline recordCompletion(r) {
   if
@@ -246,15 +249,23 @@
   fi
 }
 
-/* Dispatcher's steps for attempt a. */
-#define DISPATCHER(a) \
-  /* granted and dispatched: it counts the votes at the last moment, the worst for it */ \
-  :: d_step { !ended && attempt[a] == CLAIMING && quorum[a] -> \
-       attempt[a] = RAN; quorum[a] = false; runs++; assert(runs <= 1) } \
-  /* given up by timeout, or because another attempt is in the way; a refusal with "not run" only \
-     if it had been granted and nothing was sent to a back end */ \
-  :: d_step { !ended && attempt[a] == CLAIMING -> \
-       assert(!quorum[a] || runs == 0); giveUp(a) }
+/* Granted and dispatched; the votes are counted at the last moment, the worst for the protocol. */
+#define IF_GRANTED(a) CHOOSE(a, 0, (!ended && attempt[a] == CLAIMING && quorum[a]))
+/* Given up by timeout, or because another attempt is in the way. */
+#define IF_CLAIMING(a) CHOOSE(a, 0, (!ended && attempt[a] == CLAIMING))
+
+inline dispatch(a) {
+  attempt[a] = RAN;
+  quorum[a] = false;
+  runs++;
+  assert(runs <= 1)
+}
+
+/* A refusal says "not run" only if the attempt had been granted. */
+inline refuse(a) {
+  assert(!quorum[a] || runs == 0);
+  giveUp(a)
+}
 
 inline forgetAnswers(r) {
   m = 0;
@@ -269,20 +280,24 @@
 }
 
 /* Replica r loses its memory and starts its next life. */
-#define CRASH(r) \
-  :: d_step { !ended && !quiet && crashes < MAX_CRASHES && \
-       (crashes > 0 || r == 0) -> \
-       crashes++; life[r]++; \
-       state[r] = UNCLAIMED; holder[r] = NOBODY; tombstones[r] = 0; \
-       KNOWN(r, NEXT(r)) = 0; KNOWN(r, AFTER(r)) = 0; KNOWN(r, r) = 0; \
-       forgetAnswers(r); \
-       recovering[r] = EMPTY_IS_SILENT }
+#define IF_MAY_CRASH(r) CHOOSE(0, r, (!ended && !quiet && crashes < MAX_CRASHES && \
+    (crashes > 0 || r == 0)))
+
 #ifdef WITHOUT_SILENCE_WHILE_EMPTY
 #define EMPTY_IS_SILENT false
 #else
 #define EMPTY_IS_SILENT true
 #endif
 
+inline crash(r) {
+  crashes++;
+  life[r]++;
+  state[r] = UNCLAIMED; holder[r] = NOBODY; tombstones[r] = 0;
+  KNOWN(r, NEXT(r)) = 0; KNOWN(r, AFTER(r)) = 0; KNOWN(r, r) = 0;
+  forgetAnswers(r);
+  recovering[r] = EMPTY_IS_SILENT
+}
+
 #ifdef WITHOUT_CRASH_VECTORS
 #define ANSWERS_CONSISTENT(s, t) true
 #else
@@ -296,14 +311,18 @@
 #define IS_STALE(r, q) \
   (answered[SLOT(r, q)] && answered[SLOT(r, THIRD(q, r))] && \
    answerLife[SLOT(r, q)] < answerKnown[SLOT(r, THIRD(q, r))])
-#define ANSWER(q, r) \
-  :: d_step { !ended && recovering[r] && !recovering[q] && \
-       (!answered[SLOT(r, q)] || IS_STALE(r, q)) -> \
-       KNOWN(q, r) = life[r]; \
-       answered[SLOT(r, q)] = true; answerState[SLOT(r, q)] = state[q]; \
-       answerHolder[SLOT(r, q)] = holder[q]; answerTombstones[SLOT(r, q)] = tombstones[q]; \
-       answerLife[SLOT(r, q)] = life[q]; \
-       answerKnown[SLOT(r, q)] = KNOWN(q, THIRD(q, r)) }
+#define IF_ASKED(q, r) CHOOSE_PAIR(q, r, (!ended && recovering[r] && !recovering[q] && \
+    (!answered[SLOT(r, q)] || IS_STALE(r, q))))
+
+inline answerRecovery(q, r) {
+  KNOWN(q, r) = life[r];
+  answered[SLOT(r, q)] = true;
+  answerState[SLOT(r, q)] = state[q];
+  answerHolder[SLOT(r, q)] = holder[q];
+  answerTombstones[SLOT(r, q)] = tombstones[q];
+  answerLife[SLOT(r, q)] = life[q];
+  answerKnown[SLOT(r, q)] = KNOWN(q, THIRD(q, r))
+}
 
 #define IS_LIVE_CLAIM(s) \
   (answerState[s] == CLAIMED && !(tombstones[i] & BIT(answerHolder[s])))
@@ -355,10 +374,8 @@
 #endif
 }
 
-#define RECOVER(r) \
-  :: atomic { !ended && recovering[r] && answered[SLOT(r, NEXT(r))] && \
-       answered[SLOT(r, AFTER(r))] && \
-       ANSWERS_CONSISTENT(SLOT(r, NEXT(r)), SLOT(r, AFTER(r))) -> mergeAnswers(r) }
+#define IF_MAY_RECOVER(r) CHOOSE(0, r, (!ended && recovering[r] && answered[SLOT(r, NEXT(r))] && \
+    answered[SLOT(r, AFTER(r))] && ANSWERS_CONSISTENT(SLOT(r, NEXT(r)), SLOT(r, AFTER(r)))))
 
 /* Recovery is given up: the key was born before this life, so it is granted to nobody. */
 #ifdef WITHOUT_BIRTH_CHECK
@@ -371,8 +388,7 @@
 #else
 #define MAY_GIVE_UP true
 #endif
-#define GIVE_UP(r) \
-  :: atomic { !ended && recovering[r] && MAY_GIVE_UP -> giveUpRecovery(r) }
+#define IF_MAY_GIVE_UP(r) CHOOSE(0, r, (!ended && recovering[r] && MAY_GIVE_UP))
 
 inline giveUpRecovery(r) {
   if
@@ -390,9 +406,23 @@
 #define REFUSES(r) (state[r] == VOIDED || state[r] == CLAIMED)
 #define KEEPS_ANSWER (state[0] == COMPLETED && state[1] == COMPLETED && state[2] == COMPLETED)
 
-#define FOR_REPLICAS(STEP, a) STEP(a, 0) STEP(a, 1) STEP(a, 2)
-#define ATTEMPT_STEPS(a) \
-  DISPATCHER(a) FOR_REPLICAS(ON_CLAIM, a) FOR_REPLICAS(ON_RELEASE, a) FOR_REPLICAS(ON_COMPLETION, a)
+#if ATTEMPTS == 2
+#define ANY_ATTEMPT(IF) IF(0) IF(1)
+#elif ATTEMPTS == 3
+#define ANY_ATTEMPT(IF) IF(0) IF(1) IF(2)
+#else
+#define ANY_ATTEMPT(IF) IF(0) IF(1) IF(2) IF(3)
+#endif
+#define ANY_REPLICA(IF) IF(0) IF(1) IF(2)
+#define AT_ANY(IF, a) IF(a, 0) IF(a, 1) IF(a, 2)
+#if ATTEMPTS == 2
+#define ANY_ATTEMPT_AT_ANY(IF) AT_ANY(IF, 0) AT_ANY(IF, 1)
+#elif ATTEMPTS == 3
+#define ANY_ATTEMPT_AT_ANY(IF) AT_ANY(IF, 0) AT_ANY(IF, 1) AT_ANY(IF, 2)
+#else
+#define ANY_ATTEMPT_AT_ANY(IF) AT_ANY(IF, 0) AT_ANY(IF, 1) AT_ANY(IF, 2) AT_ANY(IF, 3)
+#endif
+#define ANY_PAIR(IF) IF(0, 1) IF(0, 2) IF(1, 0) IF(1, 2) IF(2, 0) IF(2, 1)
 
 active proctype system() {
   d_step {
@@ -403,20 +433,30 @@
 end:
 #endif
   do
-  ATTEMPT_STEPS(0)
-  ATTEMPT_STEPS(1)
-#if ATTEMPTS > 2
-  ATTEMPT_STEPS(2)
-#endif
-#if ATTEMPTS > 3
-  ATTEMPT_STEPS(3)
-#endif
-  CRASH(0) CRASH(1) CRASH(2)
-  ANSWER(0, 1) ANSWER(0, 2) ANSWER(1, 0) ANSWER(1, 2) ANSWER(2, 0) ANSWER(2, 1)
-  RECOVER(0) RECOVER(1) RECOVER(2)
-  GIVE_UP(0) GIVE_UP(1) GIVE_UP(2)
 #ifdef PROGRESS
   :: d_step { !ended && !quiet -> quiet = true }
+#endif
+  :: atomic { if ANY_ATTEMPT(IF_GRANTED) fi;
+       d_step { dispatch(theAttempt); STEP_IS_TAKEN } }
+  :: atomic { if ANY_ATTEMPT_AT_ANY(IF_CLAIM_ARRIVES_AGAIN) fi;
+       d_step { sendVote(theAttempt, theReplica); STEP_IS_TAKEN } }
+  :: atomic { if ANY_REPLICA(IF_MAY_RECOVER) fi;
+       mergeAnswers(theReplica); d_step { STEP_IS_TAKEN } }
+  :: atomic { if ANY_PAIR(IF_ASKED) fi;
+       d_step { answerRecovery(theOther, theReplica); STEP_IS_TAKEN } }
+  :: atomic { if ANY_REPLICA(IF_MAY_CRASH) fi;
+       d_step { crash(theReplica); STEP_IS_TAKEN } }
+  :: atomic { if ANY_ATTEMPT_AT_ANY(IF_CLAIM_ARRIVES) fi;
+       recordClaim(theAttempt, theReplica); d_step { STEP_IS_TAKEN } }
+  :: atomic { if ANY_REPLICA(IF_MAY_GIVE_UP) fi;
+       giveUpRecovery(theReplica); d_step { STEP_IS_TAKEN } }
+  :: atomic { if ANY_ATTEMPT_AT_ANY(IF_RELEASE_ARRIVES) fi;
+       recordRelease(theAttempt, theReplica); d_step { STEP_IS_TAKEN } }
+  :: atomic { if ANY_ATTEMPT(IF_CLAIMING) fi;
+       d_step { refuse(theAttempt); STEP_IS_TAKEN } }
+  :: atomic { if ANY_ATTEMPT_AT_ANY(IF_ANSWER_ARRIVES) fi;
+       recordCompletion(theReplica); d_step { STEP_IS_TAKEN } }
+#ifdef PROGRESS
   /* Each crash costs at most one replica its vote on a key that never ran, and a run is on record
      everywhere. A step that never comes shows as an invalid end state. */
   :: d_step { !ended && quiet && IS_OVER(0) && IS_OVER(1) && IS_OVER(ATTEMPTS - 1) &&
--- a/spec/claim_group.pml
+++ b/spec/claim_group.pml
@@ -79,6 +79,12 @@
 bool claimed;                            /* an old replica has recorded a claim */
 bool asked;                              /* a new replica has asked */
 
+/* What the step being taken is about, as in claim.pml; always 0 between steps. */
+byte theAttempt, theReplica, theOther;
+#define CHOOSE(a, r, condition) :: condition -> theAttempt = a; theReplica = r
+#define CHOOSE_PAIR(r, o, condition) :: condition -> theReplica = r; theOther = o
+#define STEP_IS_TAKEN theAttempt = 0; theReplica = 0; theOther = 0
+
 /* Scratch, always 0 between steps */
 byte j, k, m, withState;
 bool lost;
@@ -154,13 +160,12 @@
 #define IS_SENT(a) (born && ((a) < 2 || changed))
 
 /* A claim of attempt a of the old epoch reaches the old replica r. */
-#define ON_OLD_CLAIM(a, r) \
-  :: atomic { IS_SENT(a) && !silent[r] && !sealed[r] && state[r] == UNCLAIMED && \
-       !(tombstones[r] & BIT(a)) && (touched || r == 0) && (claimed || a == 0) -> \
-       recordOldClaim(a, r) } \
-  :: d_step { attempt[a] == CLAIMING && !quorum[a] && !silent[r] && !sealed[r] && \
-       state[r] == CLAIMED && holder[r] == a && VOTE(a, r, life[r]) == 0 -> \
-       sendOldVote(a, r) }
+#define IF_OLD_CLAIM_ARRIVES(a, r) CHOOSE(a, r, (IS_SENT(a) && !silent[r] && !sealed[r] && \
+    state[r] == UNCLAIMED && !(tombstones[r] & BIT(a)) && (touched || r == 0) && \
+    (claimed || a == 0)))
+#define IF_OLD_CLAIM_ARRIVES_AGAIN(a, r) CHOOSE(a, r, (attempt[a] == CLAIMING && !quorum[a] && \
+    !silent[r] && !sealed[r] && state[r] == CLAIMED && holder[r] == a && \
+    VOTE(a, r, life[r]) == 0))
 
 inline recordOldClaim(a, r) {
   /* chart claim: unclaimed -claim-> claimed */
@@ -169,8 +174,7 @@
 }
 
 /* A claim of attempt 2 reaches the new replica r. */
-#define ON_NEW_CLAIM(r) \
-  :: atomic { IS_SENT(2) && !silent[r] && state[r] == UNCLAIMED -> recordNewClaim(r) }
+#define IF_NEW_CLAIM_ARRIVES(r) CHOOSE(2, r, (IS_SENT(2) && !silent[r] && state[r] == UNCLAIMED))
 
 inline recordNewClaim(r) {
   /* chart claim: unclaimed -claim-> claimed */
@@ -180,10 +184,9 @@
 
 /* A release of an attempt of the old epoch reaches a replica of either epoch. Its tombstone is of
    account in the old epoch only, and a release of attempt 2 frees nobody's way. */
-#define ON_RELEASE(a, r) \
-  :: atomic { attempt[a] == RELEASED && !silent[r] && state[r] < COMPLETED && \
-       ((!IS_NEW(r) && !(tombstones[r] & BIT(a))) || (state[r] == CLAIMED && holder[r] == a)) -> \
-       recordRelease(a, r) }
+#define IF_RELEASE_ARRIVES(a, r) CHOOSE(a, r, (attempt[a] == RELEASED && !silent[r] && \
+    state[r] < COMPLETED && \
+    ((!IS_NEW(r) && !(tombstones[r] & BIT(a))) || (state[r] == CLAIMED && holder[r] == a))))
 
 inline recordRelease(a, r) {
   tombstones[r] = (IS_NEW(r) -> 0 : (tombstones[r] | BIT(a)));
@@ -196,13 +199,23 @@
   fi
 }
 
-#define DISPATCHER(a) \
-  /* granted and dispatched: it counts the votes at the last moment, the worst for it */ \
-  :: d_step { attempt[a] == CLAIMING && quorum[a] -> \
-       attempt[a] = RAN; quorum[a] = false; runs++; assert(runs <= 1) } \
-  /* given up; a refusal with "not run" only if it had been granted */ \
-  :: d_step { IS_SENT(a) && attempt[a] == CLAIMING -> \
-       assert(!quorum[a] || runs == 0); giveUp(a) }
+/* Granted and dispatched; the votes are counted at the last moment, the worst for the protocol. */
+#define IF_GRANTED(a) CHOOSE(a, 0, (attempt[a] == CLAIMING && quorum[a]))
+/* Given up by timeout, or because another attempt is in the way. */
+#define IF_CLAIMING(a) CHOOSE(a, 0, (IS_SENT(a) && attempt[a] == CLAIMING))
+
+inline dispatch(a) {
+  attempt[a] = RAN;
+  quorum[a] = false;
+  runs++;
+  assert(runs <= 1)
+}
+
+/* A refusal says "not run" only if the attempt had been granted. */
+inline refuse(a) {
+  assert(!quorum[a] || runs == 0);
+  giveUp(a)
+}
 
 inline giveUp(a) {
   attempt[a] = RELEASED; quorum[a] = false;
@@ -248,15 +261,19 @@
 
 /* An emptied old replica recovers from both others, here in one step (claim.pml takes the answers
    apart). Sealed replicas give no records for the old epoch. */
-#define RECOVER(r) \
-  :: atomic { silent[r] && !silent[NEXT(r)] && !silent[AFTER(r)] && \
-       !sealed[0] && !sealed[1] && !sealed[2] -> \
-       KNOWN(NEXT(r), r) = life[r]; KNOWN(AFTER(r), r) = life[r]; \
-       KNOWN(r, NEXT(r)) = life[NEXT(r)]; KNOWN(r, AFTER(r)) = life[AFTER(r)]; \
-       mergedTombstones = tombstones[NEXT(r)] | tombstones[AFTER(r)]; \
-       mergeSource(state[NEXT(r)], holder[NEXT(r)]); \
-       mergeSource(state[AFTER(r)], holder[AFTER(r)]); \
-       adopt(r) }
+#define IF_MAY_RECOVER(r) CHOOSE(0, r, (silent[r] && !silent[NEXT(r)] && !silent[AFTER(r)] && \
+    !sealed[0] && !sealed[1] && !sealed[2]))
+
+inline recover(r) {
+  d_step {
+    KNOWN(NEXT(r), r) = life[r]; KNOWN(AFTER(r), r) = life[r];
+    KNOWN(r, NEXT(r)) = life[NEXT(r)]; KNOWN(r, AFTER(r)) = life[AFTER(r)];
+    mergedTombstones = tombstones[NEXT(r)] | tombstones[AFTER(r)]
+  };
+  mergeSource(state[NEXT(r)], holder[NEXT(r)]);
+  mergeSource(state[AFTER(r)], holder[AFTER(r)]);
+  adopt(r)
+}
 
 #ifdef WITHOUT_BIRTH_CHECK
 #define IS_LOST false
@@ -265,8 +282,12 @@
 #endif
 
 /* An old replica gives its recovery up: a key born before is granted to nobody. */
-#define OLD_GIVES_UP(r) \
-  :: atomic { silent[r] && !sealed[r] -> lost = IS_LOST; adopt(r) }
+#define IF_MAY_GIVE_UP(r) CHOOSE(0, r, (silent[r] && !sealed[r]))
+
+inline giveUpRecovery(r) {
+  lost = IS_LOST;
+  adopt(r)
+}
 
 inline forgetAnswer(n) {
   answer[(n) - GROUP] = NOTHING; answerFrom[(n) - GROUP] = 0; answerState[(n) - GROUP] = 0;
@@ -277,17 +298,26 @@
 
 /* Replica r loses its memory. A node that restarts knows the newest configuration, so that an old
    replica that restarts after the change takes no more part in its epoch. */
-#define CRASH_OLD(r) \
-  :: d_step { crashes < MAX_CRASHES && (touched || r == 0) -> \
-       touched = true; \
-       crashes++; life[r]++; silent[r] = true; sealed[r] = changed; \
-       state[r] = UNCLAIMED; holder[r] = NOBODY; tombstones[r] = 0; \
-       KNOWN(r, NEXT(r)) = 0; KNOWN(r, AFTER(r)) = 0 }
-#define CRASH_NEW(n) \
-  :: d_step { crashes < MAX_NEW_CRASHES && changed -> \
-       crashes++; silent[n] = true; emptied[(n) - GROUP] = true; \
-       state[n] = UNCLAIMED; holder[n] = NOBODY; tombstones[n] = 0; \
-       forgetAnswer(n) }
+#define IF_OLD_MAY_CRASH(r) CHOOSE(0, r, (crashes < MAX_CRASHES && (touched || r == 0)))
+#define IF_NEW_MAY_CRASH(n) CHOOSE(0, n, (crashes < MAX_NEW_CRASHES && changed))
+
+inline crashOld(r) {
+  touched = true;
+  crashes++;
+  life[r]++;
+  silent[r] = true;
+  sealed[r] = changed;
+  state[r] = UNCLAIMED; holder[r] = NOBODY; tombstones[r] = 0;
+  KNOWN(r, NEXT(r)) = 0; KNOWN(r, AFTER(r)) = 0
+}
+
+inline crashNew(n) {
+  crashes++;
+  silent[n] = true;
+  emptied[n - GROUP] = true;
+  state[n] = UNCLAIMED; holder[n] = NOBODY; tombstones[n] = 0;
+  forgetAnswer(n)
+}
 
 #ifdef WITHOUT_SEALING
 #define SEAL_AT(o) skip
@@ -310,51 +340,68 @@
 
 /* The new replica n asks the old replica o, which seals its epoch and answers. A first answer is
    held; so is one that shows the answer held to be out of date. */
-#define SEAL(n, o) \
-  :: d_step { changed && silent[n] && (touched || o == 0) && (asked || n == GROUP) && \
-       (HELD(n) == NOTHING || HELD_FROM(n) == o || !HELD_IS_CURRENT(n, o)) && \
-       !(HELD(n) != NOTHING && HELD_FROM(n) == o && answerLife[(n) - GROUP] == life[o]) -> \
-       touched = true; asked = true; \
-       SEAL_AT(o); \
-       forgetAnswer(n); \
-       HELD(n) = KIND(o); HELD_FROM(n) = o; answerLife[(n) - GROUP] = life[o]; \
-       if \
-       :: silent[o] \
-       :: else -> \
-          answerState[(n) - GROUP] = state[o]; answerHolder[(n) - GROUP] = holder[o]; \
-          answerTombstones[(n) - GROUP] = tombstones[o]; \
-          answerKnown[((n) - GROUP) * 3] = KNOWN(o, 0); \
-          answerKnown[((n) - GROUP) * 3 + 1] = KNOWN(o, 1); \
-          answerKnown[((n) - GROUP) * 3 + 2] = KNOWN(o, 2) \
-       fi }
+#define IF_MAY_ASK(n, o) CHOOSE_PAIR(n, o, (changed && silent[n] && (touched || o == 0) && \
+    (asked || n == GROUP) && \
+    (HELD(n) == NOTHING || HELD_FROM(n) == o || !HELD_IS_CURRENT(n, o)) && \
+    !(HELD(n) != NOTHING && HELD_FROM(n) == o && answerLife[n - GROUP] == life[o])))
+
+inline holdAnswer(n, o) {
+  touched = true;
+  asked = true;
+  SEAL_AT(o);
+  forgetAnswer(n);
+  HELD(n) = KIND(o);
+  HELD_FROM(n) = o;
+  answerLife[n - GROUP] = life[o];
+  if
+  :: silent[o]
+  :: else ->
+     answerState[n - GROUP] = state[o];
+     answerHolder[n - GROUP] = holder[o];
+     answerTombstones[n - GROUP] = tombstones[o];
+     answerKnown[(n - GROUP) * 3] = KNOWN(o, 0);
+     answerKnown[(n - GROUP) * 3 + 1] = KNOWN(o, 1);
+     answerKnown[(n - GROUP) * 3 + 2] = KNOWN(o, 2)
+  fi
+}
 
 /* With the answer of a second old replica the new replica n takes over. */
-#define SETTLE(n, o) \
-  :: atomic { changed && silent[n] && HELD(n) != NOTHING && HELD_FROM(n) != o && \
-       HELD_IS_CURRENT(n, o) -> \
-       SEAL_AT(o); \
-       withState = (HELD(n) == WITH_STATE) + (KIND(o) == WITH_STATE); \
-       lost = withState < 2 && IS_LOST && (HELD(n) == EMPTY_AFTER || KIND(o) == EMPTY_AFTER); \
-       mergedTombstones = answerTombstones[(n) - GROUP] | tombstones[o]; \
-       mergeSource(answerState[(n) - GROUP], answerHolder[(n) - GROUP]); \
-       mergeSource(state[o], holder[o]); \
-       lost = lost || (emptied[(n) - GROUP] && IS_LOST); \
-       withState = 0; \
-       adopt(n); forgetAnswer(n) }
+#define IF_MAY_SETTLE(n, o) CHOOSE_PAIR(n, o, (changed && silent[n] && HELD(n) != NOTHING && \
+    HELD_FROM(n) != o && HELD_IS_CURRENT(n, o)))
+
+inline settle(n, o) {
+  d_step {
+    SEAL_AT(o);
+    withState = (HELD(n) == WITH_STATE) + (KIND(o) == WITH_STATE);
+    lost = withState < 2 && IS_LOST && (HELD(n) == EMPTY_AFTER || KIND(o) == EMPTY_AFTER);
+    lost = lost || (emptied[n - GROUP] && IS_LOST);
+    withState = 0;
+    mergedTombstones = answerTombstones[n - GROUP] | tombstones[o]
+  };
+  mergeSource(answerState[n - GROUP], answerHolder[n - GROUP]);
+  mergeSource(state[o], holder[o]);
+  adopt(n);
+  d_step { forgetAnswer(n) }
+}
 
 #ifdef WITHOUT_SEAL_MAJORITY
 /* One answer is taken to be enough. */
-#define SETTLE_EARLY(n) \
-  :: atomic { changed && silent[n] && HELD(n) == WITH_STATE -> \
-       mergedTombstones = answerTombstones[(n) - GROUP]; \
-       mergeSource(answerState[(n) - GROUP], answerHolder[(n) - GROUP]); \
-       adopt(n); forgetAnswer(n) }
-#else
-#define SETTLE_EARLY(n)
+#define IF_SETTLES_EARLY(n) CHOOSE(0, n, (changed && silent[n] && HELD(n) == WITH_STATE))
+
+inline settleEarly(n) {
+  mergedTombstones = answerTombstones[n - GROUP];
+  mergeSource(answerState[n - GROUP], answerHolder[n - GROUP]);
+  adopt(n);
+  d_step { forgetAnswer(n) }
+}
 #endif
 
-#define FOR_OLD(STEP, a) STEP(a, 0) STEP(a, 1) STEP(a, 2)
-#define FOR_ALL(STEP, a) FOR_OLD(STEP, a) STEP(a, 3) STEP(a, 4)
+#define ANY_OLD(IF) IF(0) IF(1) IF(2)
+#define ANY_NEW(IF) IF(3) IF(4)
+#define ANY_ATTEMPT(IF) IF(0) IF(1) IF(2)
+#define ANY_OLD_ATTEMPT_AT_OLD(IF) IF(0, 0) IF(0, 1) IF(0, 2) IF(1, 0) IF(1, 1) IF(1, 2)
+#define ANY_OLD_ATTEMPT_AT_NEW(IF) IF(0, 3) IF(0, 4) IF(1, 3) IF(1, 4)
+#define ANY_NEW_AND_OLD(IF) IF(3, 0) IF(3, 1) IF(3, 2) IF(4, 0) IF(4, 1) IF(4, 2)
 
 active proctype system() {
   d_step {
@@ -366,15 +413,34 @@
   do
   :: d_step { !born -> born = true }
   :: d_step { !changed -> changed = true }
-  CRASH_OLD(0) CRASH_OLD(1) CRASH_OLD(2) CRASH_NEW(3) CRASH_NEW(4)
-  SETTLE_EARLY(3) SETTLE_EARLY(4)
-  SETTLE(3, 0) SETTLE(3, 1) SETTLE(3, 2) SETTLE(4, 0) SETTLE(4, 1) SETTLE(4, 2)
-  SEAL(3, 0) SEAL(3, 1) SEAL(3, 2) SEAL(4, 0) SEAL(4, 1) SEAL(4, 2)
-  RECOVER(0) RECOVER(1) RECOVER(2)
-  OLD_GIVES_UP(0) OLD_GIVES_UP(1) OLD_GIVES_UP(2)
-  ON_NEW_CLAIM(3) ON_NEW_CLAIM(4)
-  FOR_OLD(ON_OLD_CLAIM, 0) FOR_OLD(ON_OLD_CLAIM, 1)
-  DISPATCHER(0) DISPATCHER(1) DISPATCHER(2)
-  FOR_ALL(ON_RELEASE, 0) FOR_ALL(ON_RELEASE, 1)
+#ifdef WITHOUT_SEAL_MAJORITY
+  :: atomic { if ANY_NEW(IF_SETTLES_EARLY) fi;
+       settleEarly(theReplica); d_step { STEP_IS_TAKEN } }
+#endif
+  :: atomic { if ANY_ATTEMPT(IF_GRANTED) fi;
+       d_step { dispatch(theAttempt); STEP_IS_TAKEN } }
+  :: atomic { if ANY_OLD_ATTEMPT_AT_OLD(IF_OLD_CLAIM_ARRIVES_AGAIN) fi;
+       d_step { sendOldVote(theAttempt, theReplica); STEP_IS_TAKEN } }
+  :: atomic { if ANY_NEW(IF_NEW_CLAIM_ARRIVES) fi;
+       recordNewClaim(theReplica); d_step { STEP_IS_TAKEN } }
+  :: atomic { if ANY_NEW_AND_OLD(IF_MAY_SETTLE) fi;
+       settle(theReplica, theOther); d_step { STEP_IS_TAKEN } }
+  :: atomic { if ANY_OLD(IF_OLD_MAY_CRASH) fi;
+       d_step { crashOld(theReplica); STEP_IS_TAKEN } }
+  :: atomic { if ANY_OLD_ATTEMPT_AT_OLD(IF_OLD_CLAIM_ARRIVES) fi;
+       recordOldClaim(theAttempt, theReplica); d_step { STEP_IS_TAKEN } }
+  :: atomic { if ANY_NEW_AND_OLD(IF_MAY_ASK) fi;
+       d_step { holdAnswer(theReplica, theOther); STEP_IS_TAKEN } }
+  :: atomic { if ANY_OLD(IF_MAY_RECOVER) fi;
+       recover(theReplica); d_step { STEP_IS_TAKEN } }
+  :: atomic { if ANY_OLD(IF_MAY_GIVE_UP) fi;
+       giveUpRecovery(theReplica); d_step { STEP_IS_TAKEN } }
+  :: atomic { if ANY_NEW(IF_NEW_MAY_CRASH) fi;
+       d_step { crashNew(theReplica); STEP_IS_TAKEN } }
+  :: atomic { if ANY_OLD_ATTEMPT_AT_OLD(IF_RELEASE_ARRIVES)
+                 ANY_OLD_ATTEMPT_AT_NEW(IF_RELEASE_ARRIVES) fi;
+       recordRelease(theAttempt, theReplica); d_step { STEP_IS_TAKEN } }
+  :: atomic { if ANY_ATTEMPT(IF_CLAIMING) fi;
+       d_step { refuse(theAttempt); STEP_IS_TAKEN } }
   od
 }
--- a/spec/claim_progress.pml
+++ b/spec/claim_progress.pml
@@ -13,6 +13,7 @@
 /* Two emptied replicas wait for each other's records for ever. */
 #define NO_GIVING_UP
 #define MAX_CRASHES 2
+#define ATTEMPTS 2
 #else
 #define MAX_CRASHES 1
 #endif
