--- a/programs/fernmoor-standin/main.cpp
+++ b/programs/fernmoor-standin/main.cpp
@@ -13,6 +13,7 @@
 #include <string>
 
 #include "common/time.h"
+#include "measure_engine_model.h"
 #include "standin/application_server.h"
 #include "standin/engine_server.h"
 #include "standin/json_client.h"
@@ -41,6 +42,7 @@
 DEFINE_double(token_interval_ms, 25, "engine: time between tokens of a stream");
 DEFINE_int64(batch_slots, 32, "engine: streams served at once");
 DEFINE_int64(cache_blocks, 8192, "engine, kvstore: blocks held at most");
+DEFINE_int32(warm_threads, 64, "engine: connections that need not wait for a new thread");
 DEFINE_double(event_delay_ms, 200, "engine: time between a cache change and its event");
 DEFINE_double(load_lag_ms, 250, "engine: age of the reported load");
 DEFINE_double(weights_load_ms, 500, "engine, platform: time of one load of weights");
@@ -122,6 +124,7 @@
   options.engine = engineOptions();
   options.listen = listen;
   options.platform = platform;
+  options.warmThreads = FLAGS_warm_threads;
   const auto server = std::make_shared<EngineServer>(options);
   Service service = serviceOf(server, "engine");
   service.busy = [server] { return server->busy(); };
@@ -257,12 +260,15 @@
 
 int run(int argc, char** argv) {
   gflags::SetUsageMessage(
-      "engine|kvstore|appengine|platform [--listen=ADDRESS:PORT] [flags]\n"
+      "engine|kvstore|appengine|platform|measure [--listen=ADDRESS:PORT] [flags]\n"
       "Examples:\n"
       "  fernmoor-standin platform --listen=127.0.0.1:7000\n"
       "  fernmoor-standin engine --id=e1 --model=m --platform=127.0.0.1:7000 --zone=a");
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   const std::string kind = argc == 2 ? argv[1] : "";
+  if (kind == "measure") {
+    return measureEngineModel();
+  }
   const auto listen = parseAddress(FLAGS_listen);
   if (!isOk(listen)) {
     return fail(errorOf(listen).message, kExitUsage);
