--- a/spec/claim_group.pml
+++ b/spec/claim_group.pml
@@ -168,7 +168,6 @@
     VOTE(a, r, life[r]) == 0))
 
 inline recordOldClaim(a, r) {
-  /* chart claim: unclaimed -claim-> claimed */
   state[r] = CLAIMED;
   d_step { holder[r] = a; touched = true; claimed = true; sendOldVote(a, r) }
 }
@@ -177,7 +176,6 @@
 #define IF_NEW_CLAIM_ARRIVES(r) CHOOSE(2, r, (IS_SENT(2) && !silent[r] && state[r] == UNCLAIMED))
 
 inline recordNewClaim(r) {
-  /* chart claim: unclaimed -claim-> claimed */
   state[r] = CLAIMED;
   d_step { holder[r] = 2; sendNewVote(r) }
 }
@@ -192,7 +190,6 @@
   tombstones[r] = (IS_NEW(r) -> 0 : (tombstones[r] | BIT(a)));
   if
   :: state[r] == CLAIMED && holder[r] == a ->
-     /* chart claim: claimed -release-> unclaimed */
      state[r] = UNCLAIMED;
      holder[r] = NOBODY
   :: else
@@ -234,7 +231,6 @@
      :: mergedState == UNCLAIMED -> mergedState = CLAIMED; mergedHolder = sourceHolder
 #ifndef WITHOUT_VOIDING
      :: mergedState == CLAIMED && mergedHolder != sourceHolder ->
-        /* chart claim: claimed -void-> voided */
         mergedState = VOIDED
 #endif
      :: else
@@ -247,7 +243,6 @@
 inline adopt(r) {
   if
   :: lost ->
-     /* chart claim: unclaimed -void-> voided */
      state[r] = VOIDED
   :: else -> state[r] = mergedState
   fi;
--- a/src/claim/claim_record.cpp
+++ b/src/claim/claim_record.cpp
@@ -2,38 +2,19 @@
 
 #include <algorithm>
 
+#include "chart/typed_chart.h"
+
 namespace fernmoor {
 
 namespace {
 
 constexpr size_t kMaximumTombstones = 16;
 
-std::optional<RecordState> afterUnclaimed(RecordEvent event) {
-  switch (event) {
-    case RecordEvent::kClaim:
-      return RecordState::kClaimed;
-    case RecordEvent::kComplete:
-      return RecordState::kCompleted;
-    case RecordEvent::kVoid:
-      return RecordState::kVoided;
-    case RecordEvent::kRelease:
-      break;
-  }
-  return std::nullopt;
-}
-
-std::optional<RecordState> afterClaimed(RecordEvent event) {
-  switch (event) {
-    case RecordEvent::kRelease:
-      return RecordState::kUnclaimed;
-    case RecordEvent::kComplete:
-      return RecordState::kCompleted;
-    case RecordEvent::kVoid:
-      return RecordState::kVoided;
-    case RecordEvent::kClaim:
-      break;
-  }
-  return std::nullopt;
+const TypedChart<RecordState, RecordEvent>& claimChart() {
+  static const auto kChart = TypedChart<RecordState, RecordEvent>::fromEmbedded(
+      "claim", {"unclaimed", "claimed", "completed", "voided"},
+      {"claim", "release", "complete", "void"});
+  return kChart;
 }
 
 void uniteTombstones(ClaimRecord& merged, const std::vector<RecordView>& views) {
@@ -87,27 +68,11 @@
 
 }  // namespace
 
-std::optional<RecordState> nextState(RecordState state, RecordEvent event) {
-  switch (state) {
-    case RecordState::kUnclaimed:
-      return afterUnclaimed(event);
-    case RecordState::kClaimed:
-      return afterClaimed(event);
-    case RecordState::kVoided:
-      return event == RecordEvent::kComplete ? std::optional(RecordState::kCompleted)
-                                             : std::nullopt;
-    case RecordState::kCompleted:
-      break;
-  }
-  return std::nullopt;
-}
-
 bool ClaimRecord::apply(RecordEvent event) {
-  const std::optional<RecordState> next = nextState(state, event);
-  if (!next) {
+  if (!claimChart().accepts(state, event)) {
     return false;
   }
-  state = *next;
+  state = valueOf(claimChart().next(state, event));
   return true;
 }
 
--- a/src/claim/claim_record.h
+++ b/src/claim/claim_record.h
@@ -4,7 +4,6 @@
 #pragma once
 
 #include <cstdint>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -35,9 +34,6 @@
 enum class RecordState { kUnclaimed, kClaimed, kCompleted, kVoided };
 enum class RecordEvent { kClaim, kRelease, kComplete, kVoid };
 
-/// @return the state after the event, or nothing where the chart has no such transition.
-std::optional<RecordState> nextState(RecordState state, RecordEvent event);
-
 /// One key at one replica.
 struct ClaimRecord {
   RecordState state = RecordState::kUnclaimed;
