--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <charconv>
 #include <set>
 
 #include "settings/toml_source.h"
@@ -25,6 +26,8 @@
 const char* const kAddressRemedy =
     "give an IP number and a port, e.g. \"127.0.0.1:7100\" or \"[::1]:7100\"; names are not "
     "resolved.";
+const char* const kSeedRemedy =
+    "give node id and peer address of another node, e.g. \"2@127.0.0.1:7100\".";
 const char* const kNameRemedy = "give a name of 1 to 64 letters, digits, '.', '_' or '-'.";
 const char* const kClusterKeyRemedy =
     "give the same secret on all nodes: 16 bytes or more of text, or \"hex:\" and 32 or more hex "
@@ -34,14 +37,6 @@
 const char* const kTenantKeysRemedy =
     "give an array of tables, e.g. tenant_keys = [{key = \"...\", tenant = \"ward\"}].";
 
-const std::vector<std::string>& knownKeys() {
-  static const std::vector<std::string> kKeys = {
-      "node_id",     "zone",      "region",         "peer_address",  "http_address",
-      "cluster_key", "seeds",     "platform_url",   "operator_keys", "tenant_keys",
-      "log_format",  "log_level", "worker_threads", "knobs"};
-  return kKeys;
-}
-
 bool isName(const std::string& text) {
   const auto allowed = [](unsigned char c) {
     return std::isalnum(c) != 0 || c == '.' || c == '_' || c == '-';
@@ -56,6 +51,22 @@
          std::all_of(text.begin(), text.end(), printable);
 }
 
+/// Reads "2@127.0.0.1:7100".
+std::optional<SeedAddress> parseSeed(const std::string& text) {
+  const size_t separator = text.find('@');
+  uint32_t node = 0;
+  const char* end = text.data() + (separator == std::string::npos ? 0 : separator);
+  const auto number = std::from_chars(text.data(), end, node);
+  if (number.ec != std::errc{} || number.ptr != end || node == 0) {
+    return std::nullopt;
+  }
+  const auto address = parseSocketAddress(text.substr(separator + 1));
+  if (!address) {
+    return std::nullopt;
+  }
+  return SeedAddress{NodeId(node), *address};
+}
+
 /// Decodes "hex:..."; other text stands for its own bytes.
 std::optional<std::string> decodeSecret(const std::string& text) {
   const std::string prefix = kHexPrefix;
@@ -80,7 +91,7 @@
   explicit SettingsReader(TomlSource& source) : source_(source) {}
 
   Settings read() {
-    source_.reportUnknownKeys(source_.root(), "", knownKeys());
+    source_.reportUnknownKeys(source_.root(), "", settingsKeys());
     readIdentity();
     readAddresses();
     readClusterKey();
@@ -113,15 +124,15 @@
   void readAddresses() {
     settings_.peerAddress = readAddress("peer_address");
     settings_.httpAddress = readAddress("http_address");
-    source_.forEach("seeds", "give an array of peer addresses.",
+    source_.forEach("seeds", "give an array of NODE_ID@PEER_ADDRESS texts.",
                     [this](const toml::node& value, const std::string& key) {
                       const auto text = value.value_exact<std::string>();
-                      const auto address = parseSocketAddress(text.value_or(""));
-                      if (!address) {
-                        source_.report(value, key, describeFound(value), kAddressRemedy);
+                      const auto seed = parseSeed(text.value_or(""));
+                      if (!seed) {
+                        source_.report(value, key, describeFound(value), kSeedRemedy);
                         return;
                       }
-                      settings_.seeds.push_back(*address);
+                      settings_.seeds.push_back(*seed);
                     });
   }
 
@@ -247,19 +258,31 @@
   }
 
   void readKnobs() {
-    source_.forEachEntry(
-        "knobs", "give a table, e.g. [knobs] and lines of name = number.",
-        [this](const toml::node& value, const std::string& name) {
-          const std::string key = "knobs." + name;
-          if (!value.is_number()) {
-            source_.report(value, key, describeFound(value), "give a number.");
-            return;
-          }
-          const auto outcome = setKnob(settings_.knobs, name, value.value<double>().value_or(0));
-          if (!isOk(outcome)) {
-            source_.report(value, key, describeFound(value), errorOf(outcome).message);
-          }
-        });
+    std::vector<std::string> names;
+    for (const KnobDescription& knob : knobDescriptions()) {
+      names.push_back(knob.name);
+    }
+    if (const toml::table* knobs = source_.root()["knobs"].as_table()) {
+      source_.reportUnknownKeys(*knobs, "knobs.", names);
+    }
+    source_.forEachEntry("knobs", "give a table, e.g. [knobs] and lines of name = number.",
+                         [this, &names](const toml::node& value, const std::string& name) {
+                           if (std::find(names.begin(), names.end(), name) != names.end()) {
+                             readKnob(value, name);
+                           }
+                         });
+  }
+
+  void readKnob(const toml::node& value, const std::string& name) {
+    const std::string key = "knobs." + name;
+    if (!value.is_number()) {
+      source_.report(value, key, describeFound(value), "give a number.");
+      return;
+    }
+    const auto outcome = setKnob(settings_.knobs, name, value.value<double>().value_or(0));
+    if (!isOk(outcome)) {
+      source_.report(value, key, describeFound(value), errorOf(outcome).message);
+    }
   }
 
   TomlSource& source_;
@@ -269,6 +292,14 @@
 
 }  // namespace
 
+const std::vector<std::string>& settingsKeys() {
+  static const std::vector<std::string> kKeys = {
+      "node_id",     "zone",      "region",         "peer_address",  "http_address",
+      "cluster_key", "seeds",     "platform_url",   "operator_keys", "tenant_keys",
+      "log_format",  "log_level", "worker_threads", "knobs"};
+  return kKeys;
+}
+
 std::string toString(const SettingsProblem& problem) {
   const std::string key = problem.key.empty() ? "" : problem.key + " ";
   return problem.place + ": " + key + problem.found + "; " + problem.remedy;
--- a/test/operator_client/command_line_test.cpp
+++ b/test/operator_client/command_line_test.cpp
@@ -83,7 +83,7 @@
                     R"({"status":"stored","version":13,"missing_nodes":[2,3]})");
   const Run run = bench.run({"table", "delete", "alerts", "ward"});
   CHECK((run.code == ExitCode::kRefused));
-  CHECK(contains(run.out, "not yet in force on nodes: 2, 3"));
+  CHECK(contains(run.out, "nodes that lack it: 2, 3"));
   CHECK(contains(bench.node.seen().at(0).body, R"("columns":null)"));
 }
 
@@ -97,6 +97,14 @@
   CHECK((run.code == ExitCode::kConflict));
   CHECK(contains(run.err, "priority  5     1       0"));
   CHECK_FALSE(contains(run.err, "weight"));
+  bench.node.answer(
+      "POST /operator/table", 409,
+      R"({"kind":"conflict","message":"one row was removed.","conflicts":[{"service":)"
+      R"("alerts","tenant":"ward","base":{"priority":5},"theirs":null,"mine":)"
+      R"({"priority":0}}]})");
+  const std::string removed = bench.run({"table", "set", "alerts", "ward", "priority=0"}).err;
+  CHECK(contains(removed, "alerts of ward:"));
+  CHECK(contains(removed, "priority  5     -       0"));
 }
 
 TEST_CASE("wrong cells are listed with their remedy") {
@@ -133,9 +141,12 @@
   std::remove(path.c_str());
 }
 
-TEST_CASE("applying the table's own JSON changes nothing") {
+TEST_CASE("applying the table's own JSON changes nothing, nor does a bare list of its rows") {
   Bench bench;
   bench.node.answer("GET /operator/table", 200, kTable);
+  const Poco::TemporaryFile list;
+  std::ofstream(list.path()) << R"([{"service":"alerts","tenant":"ward","priority":1}])";
+  CHECK(bench.run({"table", "diff", list.path()}).out == "no differences\n");
   const Poco::TemporaryFile file;
   std::ofstream(file.path()) << kTable;
   const Run run = bench.run({"table", "apply", file.path()});
@@ -160,6 +171,12 @@
   CHECK(contains(bench.run({"engines"}).out, "e?[2J1"));
 }
 
+TEST_CASE("help shows the commands and every knob") {
+  const Bench bench;
+  CHECK(contains(bench.run({"help"}).out, "Exit codes:"));
+  CHECK(contains(bench.run({"help", "knobs"}).out, "maxDatagramBytes"));
+}
+
 TEST_CASE("wrong usage, a refused key and an absent node have their own exit codes") {
   Bench bench;
   for (const CommandWords& words :
--- a/test/settings/settings_test.cpp
+++ b/test/settings/settings_test.cpp
@@ -17,7 +17,7 @@
 peer_address = "127.0.0.3:7100"
 http_address = "127.0.0.3:8100"
 cluster_key = "hex:00112233445566778899aabbccddeeff"
-seeds = ["127.0.0.4:7100"]
+seeds = ["4@127.0.0.4:7100"]
 platform_url = "http://127.0.0.1:9000"
 operator_keys = ["operator-key"]
 tenant_keys = [{key = "ward-key-1", tenant = "ward"}]
@@ -51,7 +51,8 @@
   REQUIRE(check.problems.empty());
   CHECK(check.settings.nodeId == NodeId(3));
   CHECK(check.settings.clusterKey.size() == 16);
-  CHECK(check.settings.seeds.at(0) == SocketAddress{"127.0.0.4", 7100});
+  CHECK(check.settings.seeds.at(0).node == NodeId(4));
+  CHECK(check.settings.seeds.at(0).peerAddress == SocketAddress{"127.0.0.4", 7100});
   CHECK(check.settings.tenantKeys.at(0).tenant == TenantId("ward"));
   CHECK(check.settings.log.format == LogFormat::kJson);
   CHECK(check.settings.knobs.maxDatagramBytes == 1400);
@@ -81,6 +82,9 @@
   CHECK(problems.find("example.org:8100") != std::string::npos);
   CHECK(problems.find(":11: log_fromat is unknown; did you mean log_format?") != std::string::npos);
   CHECK(problems.find(":13: knobs.maxDatagramBytes found 1; ") != std::string::npos);
+  const std::string typing = problemsOf(replaced(kValid, "maxDatagramBytes", "maxDatagramByte"));
+  CHECK(typing.find("knobs.maxDatagramByte is unknown; did you mean maxDatagramBytes?") !=
+        std::string::npos);
   CHECK(problems.find("node_id is missing; give a whole number") != std::string::npos);
 }
 
