Stand-ins: answers leave before a crash cuts them; more fault tests; one place reads JSON bodies

Without a flush a caller could not tell a lost fault from one in force. Ruled out: a reset by unread bytes (nothing is unread). Change: answers are flushed where they are written. Conclusion: what a stand-in answers can be relied on, also in the moment before its crash.

--- a/standin/engine_messages.cpp
+++ b/standin/engine_messages.cpp
@@ -37,7 +37,7 @@
   body->set("running_streams", load.runningStreams);
   body->set("waiting_requests", load.waitingRequests);
   body->set("max_streams", load.maxStreams);
-  body->set("prefill_tokens_per_second", load.prefillTokensPerSecond);
+  body->set("prefill_tokens_per_second", static_cast<int64_t>(load.prefillTokensPerSecond));
   body->set("token_interval_us", static_cast<int64_t>(load.tokenInterval.count()));
   body->set("age_us", static_cast<int64_t>((now - load.measuredAt).count()));
   return body;
--- a/standin/engine_server.cpp
+++ b/standin/engine_server.cpp
@@ -165,13 +165,12 @@
 }
 
 void EngineServer::resume(HttpExchange& exchange) {
-  const auto parsed = parseObject(exchange.body());
-  if (!isOk(parsed)) {
-    exchange.respond(errorOf(parsed));
+  const JsonObject::Ptr body = exchange.jsonBody();
+  if (body.isNull()) {
     return;
   }
-  const AttemptId attempt(textField(valueOf(parsed), "attempt"));
-  const Incarnation wanted(static_cast<uint64_t>(numberField(valueOf(parsed), "incarnation")));
+  const AttemptId attempt(textField(body, "attempt"));
+  const Incarnation wanted(static_cast<uint64_t>(numberField(body, "incarnation")));
   std::unique_lock<std::mutex> lock(mutex_);
   const Time now = advanceModel();
   if (wanted != Incarnation() && wanted != model_.incarnation()) {
@@ -181,7 +180,7 @@
                            RunState::kUnknown, std::nullopt});
     return;
   }
-  const auto taken = model_.resume(attempt, numberField(valueOf(parsed), "position"), now);
+  const auto taken = model_.resume(attempt, numberField(body, "position"), now);
   if (!isOk(taken)) {
     lock.unlock();
     exchange.respond(errorOf(taken));
@@ -216,15 +215,14 @@
 }
 
 void EngineServer::cancel(HttpExchange& exchange) {
-  const auto parsed = parseObject(exchange.body());
-  if (!isOk(parsed)) {
-    exchange.respond(errorOf(parsed));
+  const JsonObject::Ptr body = exchange.jsonBody();
+  if (body.isNull()) {
     return;
   }
   {
     const std::lock_guard<std::mutex> lock(mutex_);
     const Time now = advanceModel();
-    const AttemptId attempt(textField(valueOf(parsed), "attempt"));
+    const AttemptId attempt(textField(body, "attempt"));
     model_.cancel(attempt, now);
     streams_.breakOne(attempt);
     modelChanged_.notify_all();
@@ -265,76 +263,6 @@
   exchange.respond(eventBatchJson(batch));
 }
 
-void EngineServer::exportBlocks(HttpExchange& exchange) {
-  const auto parsed = parseObject(exchange.body());
-  if (!isOk(parsed)) {
-    exchange.respond(errorOf(parsed));
-    return;
-  }
-  std::vector<BlockHash> held;
-  {
-    const std::lock_guard<std::mutex> lock(mutex_);
-    held = model_.exportBlocks(blocksField(valueOf(parsed), "blocks"));
-  }
-  JsonObject::Ptr body = newObject();
-  body->set("blocks", toArray(held));
-  exchange.respond(body);
-}
-
-void EngineServer::importBlocks(HttpExchange& exchange) {
-  const auto fetched = fetchBlocks(exchange.body());
-  if (!isOk(fetched)) {
-    exchange.respond(errorOf(fetched));
-    return;
-  }
-  const std::vector<BlockHash>& blocks = valueOf(fetched);
-  const double seconds = static_cast<double>(blocks.size()) / options_.transferBlocksPerSecond;
-  std::unique_lock<std::mutex> lock(mutex_);
-  const Incarnation begun = model_.incarnation();
-  const Time arrival = clock_.now() + fromSeconds(seconds);
-  while (!stopping_ && clock_.now() < arrival) {
-    eventsChanged_.wait_until(lock, toSteady(arrival));
-  }
-  const Time now = advanceModel();
-  if (stopping_ || begun != model_.incarnation()) {
-    lock.unlock();
-    exchange.cut();
-    return;
-  }
-  model_.importBlocks(blocks, now);
-  advanceModel();
-  lock.unlock();
-  JsonObject::Ptr body = newObject();
-  body->set("imported", blocks.size());
-  exchange.respond(body);
-}
-
-void EngineServer::saveBlocks(HttpExchange& exchange) {
-  const auto parsed = parseObject(exchange.body());
-  if (!isOk(parsed)) {
-    exchange.respond(errorOf(parsed));
-    return;
-  }
-  const auto store = parseAddress(textField(valueOf(parsed), "store"));
-  if (!isOk(store)) {
-    exchange.respond(errorOf(store));
-    return;
-  }
-  std::vector<BlockHash> held;
-  {
-    const std::lock_guard<std::mutex> lock(mutex_);
-    held = model_.exportBlocks(blocksField(valueOf(parsed), "blocks"));
-  }
-  const auto saved = storeBlocks(valueOf(store), held);
-  if (!isOk(saved)) {
-    exchange.respond(errorOf(saved));
-    return;
-  }
-  JsonObject::Ptr body = newObject();
-  body->set("saved", held.size());
-  exchange.respond(body);
-}
-
 void EngineServer::takeOrder(HttpExchange& exchange) {
   const auto parsed = parseEngineOrder(exchange.body());
   if (!isOk(parsed)) {
--- a/standin/http_exchange.cpp
+++ b/standin/http_exchange.cpp
@@ -95,12 +95,24 @@
   return Poco::NumberParser::tryParse64(query(name), number) ? number : otherwise;
 }
 
+JsonObject::Ptr HttpExchange::jsonBody() {
+  const auto parsed = parseObject(body_);
+  if (isOk(parsed)) {
+    return valueOf(parsed);
+  }
+  respond(errorOf(parsed));
+  return nullptr;
+}
+
 void HttpExchange::respond(int status, const JsonObject::Ptr& body) {
   responded_ = true;
   const std::string text = toText(body);
   response_.setStatusAndReason(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status));
   response_.setContentType("application/json");
-  response_.sendBuffer(text.data(), text.size());
+  response_.setContentLength(static_cast<std::streamsize>(text.size()));
+  // Flushed here, since Poco's sendBuffer() leaves that to the end of the request, when a crash
+  // asked for by this very request may have cut the connection.
+  response_.send() << text << std::flush;
 }
 
 void HttpExchange::respond(const Error& error) {
--- a/standin/http_exchange.h
+++ b/standin/http_exchange.h
@@ -28,6 +28,8 @@
   int64_t queryNumber(const std::string& name, int64_t otherwise) const;
   std::string header(const std::string& name) const { return request_.get(name, ""); }
   const std::string& body() const { return body_; }
+  /// @return the body; null where it is no JSON object, which has then been answered.
+  JsonObject::Ptr jsonBody();
 
   void respond(int status, const JsonObject::Ptr& body);
   void respond(const JsonObject::Ptr& body) { respond(200, body); }
--- a/standin/json.cpp
+++ b/standin/json.cpp
@@ -2,7 +2,6 @@
 
 #include <Poco/Exception.h>
 #include <Poco/JSON/Parser.h>
-#include <Poco/NumberFormatter.h>
 #include <Poco/NumberParser.h>
 
 #include <sstream>
@@ -10,7 +9,9 @@
 namespace fernmoor::standin {
 
 namespace {
-constexpr int kBlockDigits = 16;
+constexpr size_t kBlockDigits = 16;
+constexpr unsigned kBitsPerDigit = 4;
+constexpr BlockHash kDigitMask = 0xf;
 }  // namespace
 
 Result<JsonObject::Ptr> parseObject(const std::string& text) {
@@ -50,7 +51,11 @@
 }
 
 std::string blockText(BlockHash block) {
-  return Poco::NumberFormatter::formatHex(static_cast<Poco::UInt64>(block), kBlockDigits);
+  std::string text(kBlockDigits, '0');
+  for (size_t place = kBlockDigits; place-- > 0; block >>= kBitsPerDigit) {
+    text[place] = "0123456789abcdef"[block & kDigitMask];
+  }
+  return text;
 }
 
 std::vector<BlockHash> blocksField(const JsonObject::Ptr& object, const std::string& name) {
--- a/standin/kv_store_server.cpp
+++ b/standin/kv_store_server.cpp
@@ -51,9 +51,8 @@
 }
 
 void KvStoreServer::serveBlocks(HttpExchange& exchange, bool store) {
-  const auto parsed = parseObject(exchange.body());
-  if (!isOk(parsed)) {
-    exchange.respond(errorOf(parsed));
+  const JsonObject::Ptr body = exchange.jsonBody();
+  if (body.isNull()) {
     return;
   }
   if (faults_.applies("refuse", clock_.now())) {
@@ -61,7 +60,7 @@
                            RunState::kNotRun, std::nullopt});
     return;
   }
-  const std::vector<BlockHash> blocks = blocksField(valueOf(parsed), "blocks");
+  const std::vector<BlockHash> blocks = blocksField(body, "blocks");
   std::vector<BlockHash> answered;
   {
     const std::lock_guard<std::mutex> lock(mutex_);
@@ -79,9 +78,9 @@
       calls_.pop_front();
     }
   }
-  JsonObject::Ptr body = newObject();
-  body->set("blocks", toArray(answered));
-  exchange.respond(body);
+  JsonObject::Ptr answer = newObject();
+  answer->set("blocks", toArray(answered));
+  exchange.respond(answer);
 }
 
 void KvStoreServer::reportCalls(HttpExchange& exchange) {
--- a/standin/platform_server.cpp
+++ b/standin/platform_server.cpp
@@ -75,12 +75,11 @@
 }
 
 void PlatformServer::changeMachines(HttpExchange& exchange) {
-  const auto parsed = parseObject(exchange.body());
-  if (!isOk(parsed)) {
-    exchange.respond(errorOf(parsed));
+  const JsonObject::Ptr body = exchange.jsonBody();
+  if (body.isNull()) {
     return;
   }
-  const Machine machine = parseMachine(valueOf(parsed));
+  const Machine machine = parseMachine(body);
   if (machine.name.empty()) {
     exchange.respond(Error{ErrorKind::kInvalidRequest, "\"name\" is missing. Name the machine.",
                            RunState::kNotRun, std::nullopt});
--- a/test/standin/engine_server_test.cpp
+++ b/test/standin/engine_server_test.cpp
@@ -6,6 +6,7 @@
 
 #include "standin/answer.h"
 #include "standin/kv_store_server.h"
+#include "standin/platform_server.h"
 #include "test/standin/http_test_client.h"
 
 namespace fernmoor::standin {
@@ -106,6 +107,42 @@
   CHECK(engine.runs().size() == 2);
 }
 
+TEST_CASE("while connections are refused, open streams go on") {
+  EngineServer engine(quickEngine());
+  REQUIRE(isOk(engine.start()));
+  EventReader reader(engine.port(), "/v1/generate", generateBody("a", 30));
+  ask(engine.port(), "POST", "/fault", R"({"kind":"refuse_connections","duration_ms":600000})");
+  CHECK(eventually([&] { return ask(engine.port(), "GET", "/v1/state").status == 0; }));
+  CHECK(reader.rest() == kWhole);
+  CHECK(reader.ended());
+}
+
+TEST_CASE("a freeze loses nothing: calls and streams go on when it is over") {
+  EngineServer engine(quickEngine());
+  REQUIRE(isOk(engine.start()));
+  EventReader reader(engine.port(), "/v1/generate", generateBody("a", 30));
+  CHECK(ask(engine.port(), "POST", "/fault", R"({"kind":"freeze","duration_ms":20})").status ==
+        200);
+  CHECK(ask(engine.port(), "GET", "/v1/state").status == 200);
+  CHECK(reader.rest() == kWhole);
+}
+
+TEST_CASE("with a platform, loading ends when its weight store gives the weights") {
+  PlatformServerOptions platformOptions;
+  platformOptions.weights.loadTime = Duration(1000);
+  PlatformServer platform(platformOptions);
+  REQUIRE(isOk(platform.start()));
+  auto options = quickEngine();
+  options.engine.weightsLoadTime = Duration(3600000000);
+  options.platform = SocketAddress{"127.0.0.1", platform.port()};
+  EngineServer engine(options);
+  REQUIRE(isOk(engine.start()));
+  const std::string order = R"({"token":1,"model":"m","weights_version":2})";
+  CHECK(ask(engine.port(), "POST", "/v1/orders", order).status == 200);
+  CHECK(eventually(
+      [&] { return textField(ask(engine.port(), "GET", "/v1/state").body, "status") == "live"; }));
+}
+
 TEST_CASE("a reader of events is woken by a new block") {
   EngineServer engine(quickEngine());
   REQUIRE(isOk(engine.start()));
