--- a/src/membership/membership_role.cpp
+++ b/src/membership/membership_role.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "membership/member_codec.h"
+#include "membership/snapshot_builder.h"
 
 namespace fernmoor {
 
@@ -25,40 +26,12 @@
   return MemberIdentity{self.zone, self.region, self.peerAddress, self.httpAddress};
 }
 
-Member memberOf(const MemberEntry& entry) {
-  Member member;
-  member.life = entry.status.life;
-  member.zone = entry.identity.zone;
-  member.region = entry.identity.region;
-  member.peerAddress = entry.identity.peerAddress;
-  member.httpAddress = entry.identity.httpAddress;
-  member.state = stateOf(entry.status);
-  member.tableVersion = entry.status.tableVersion;
-  return member;
-}
-
 void sendAll(const std::vector<OutgoingMessage>& messages, MessageSender& sender) {
   for (const OutgoingMessage& message : messages) {
     sender.send(message.to, message.envelope);
   }
 }
 
-/// Adds the seeds that no member is known for; keeps the order by node id.
-void addSeedAddresses(const std::vector<Seed>& seeds, const MemberTable& table,
-                      std::vector<NodeAddress>& addresses) {
-  const size_t members = addresses.size();
-  for (const Seed& seed : seeds) {
-    if (table.find(seed.node) == nullptr) {
-      addresses.push_back(NodeAddress{seed.node, seed.peerAddress});
-    }
-  }
-  if (addresses.size() == members) {
-    return;
-  }
-  std::sort(addresses.begin(), addresses.end(),
-            [](const NodeAddress& a, const NodeAddress& b) { return a.node < b.node; });
-}
-
 }  // namespace
 
 MembershipRole::MembershipRole(const MembershipSettings& settings)
@@ -391,26 +364,8 @@
   publishedNewest_ = versions_.newest();
   addressesChanged_ = false;
   ++publishedVersion_;
-  std::atomic_store(&snapshot_, makeSnapshot());
-}
-
-std::shared_ptr<const MembershipSnapshot> MembershipRole::makeSnapshot() const {
-  auto made = std::make_shared<MembershipSnapshot>();
-  made->version = publishedVersion_;
-  made->self = table_.self().status.life;
-  made->members.reserve(table_.entries().size());
-  made->addresses.reserve(table_.entries().size());
-  for (const auto& entry : table_.entries()) {
-    made->addresses.push_back(NodeAddress{entry.first, entry.second.identity.peerAddress});
-    const bool listed = isLive(entry.second.status.health) || entry.first == table_.selfId();
-    if (listed) {
-      made->members.push_back(memberOf(entry.second));
-    }
-  }
-  addSeedAddresses(synchronizer_.seeds(), table_, made->addresses);
-  made->newestTableVersion = versions_.newest();
-  made->newestTableHolder = versions_.holder();
-  return made;
+  std::atomic_store(&snapshot_,
+                    buildSnapshot(publishedVersion_, table_, versions_, synchronizer_.seeds()));
 }
 
 }  // namespace fernmoor
--- a/src/membership/membership_role.h
+++ b/src/membership/membership_role.h
@@ -92,7 +92,6 @@
   void gossip(Time now);
   std::vector<NodeId> nextGossipTargets();
   void publishIfChanged();
-  std::shared_ptr<const MembershipSnapshot> makeSnapshot() const;
 
   const Knobs knobs_;
   mutable RankedMutex mutex_{LockRank::kMembership};
