Membership: find a cut-off zone by probing its other members; no gossip to suspects

Cause: on the small side of a cut (one zone of seven, 380 nodes) half of the unreachable members were known to be gone after 14.5 s, 99 in 100 after 33 s, some not within 60 s, at 409 KB sent per node: 86 in 100 messages went to unreachable members, tables compared differed all the time and were sent whole, and the answer to a wrong claim went to random nodes instead of the one that made it. Ruled out: a shorter probe period (cost in every quiet second). Change: a failed probe into another zone probes three more members there; gossip, relays and comparisons leave suspects out; hashes leave health out; a failed challenge tells the node that made the claim. Conclusion: kept; the small side is still slower than it should be.

--- a/src/membership/member_table.cpp
+++ b/src/membership/member_table.cpp
@@ -13,10 +13,11 @@
   return isLive(entry.status.health);
 }
 
+/// Leaves the health out: while many members are suspected in turn, tables would differ all the
+/// time, and whole tables would be sent.
 uint32_t hashOf(const MemberStatus& status) {
-  const uint64_t fields[3] = {
-      status.life.node.value(), status.life.incarnation.value(),
-      (static_cast<uint64_t>(status.sequence) << 8U) | static_cast<uint64_t>(status.health)};
+  const uint64_t fields[3] = {status.life.node.value(), status.life.incarnation.value(),
+                              status.sequence};
   return static_cast<uint32_t>(XXH3_64bits(fields, sizeof(fields)));
 }
 
@@ -244,22 +245,22 @@
   return found == entries_.end() ? nullptr : &found->second;
 }
 
-const std::vector<NodeId>& MemberTable::livePeers() const {
-  if (livePeersAsOf_ == changes_) {
-    return livePeers_;
+const std::vector<NodeId>& MemberTable::alivePeers() const {
+  if (alivePeersAsOf_ == changes_) {
+    return alivePeers_;
   }
-  livePeers_.clear();
+  alivePeers_.clear();
   for (const auto& entry : entries_) {
-    if (entry.first != self_ && isLive(entry.second)) {
-      livePeers_.push_back(entry.first);
+    if (entry.first != self_ && entry.second.status.health == MemberHealth::kAlive) {
+      alivePeers_.push_back(entry.first);
     }
   }
-  livePeersAsOf_ = changes_;
-  return livePeers_;
+  alivePeersAsOf_ = changes_;
+  return alivePeers_;
 }
 
-std::vector<NodeId> MemberTable::randomLivePeers(size_t count, Random& random) const {
-  const std::vector<NodeId>& peers = livePeers();
+std::vector<NodeId> MemberTable::randomAlivePeers(size_t count, Random& random) const {
+  const std::vector<NodeId>& peers = alivePeers();
   std::vector<NodeId> chosen;
   if (peers.size() <= count) {
     return peers;
@@ -273,8 +274,8 @@
   return chosen;
 }
 
-std::vector<NodeId> MemberTable::shuffledLivePeers(Random& random) const {
-  std::vector<NodeId> peers = livePeers();
+std::vector<NodeId> MemberTable::shuffledAlivePeers(Random& random) const {
+  std::vector<NodeId> peers = alivePeers();
   for (size_t last = peers.size(); last > 1; --last) {
     std::swap(peers[last - 1], peers[random.below(last)]);
   }
--- a/src/membership/member_table.h
+++ b/src/membership/member_table.h
@@ -75,12 +75,13 @@
   const MemberEntry& self() const { return *find(self_); }
   NodeId selfId() const { return self_; }
   const std::map<NodeId, MemberEntry>& entries() const { return entries_; }
-  /// @return all live members but this node, by node id.
-  const std::vector<NodeId>& livePeers() const;
-  /// @return up to `count` different live members other than this node, drawn at random.
-  std::vector<NodeId> randomLivePeers(size_t count, Random& random) const;
-  /// @return all live members but this node, in random order.
-  std::vector<NodeId> shuffledLivePeers(Random& random) const;
+  /// @return all members but this node that are held to be alive, by node id. Suspects are left
+  /// out: on the small side of a partition most messages would be wasted on them.
+  const std::vector<NodeId>& alivePeers() const;
+  /// @return up to `count` different alive peers, drawn at random.
+  std::vector<NodeId> randomAlivePeers(size_t count, Random& random) const;
+  /// @return all alive peers in random order.
+  std::vector<NodeId> shuffledAlivePeers(Random& random) const;
 
   /// @return a hash of the live members in each bucket; equal tables have equal hashes.
   BucketHashes bucketHashes() const;
@@ -109,8 +110,8 @@
   std::map<NodeId, MemberEntry> entries_;
   Time nextExpiry_ = Time::max();  ///< No entry expires before; spares looking at all each tick.
   uint64_t changes_ = 1;
-  mutable std::vector<NodeId> livePeers_;
-  mutable uint64_t livePeersAsOf_ = 0;
+  mutable std::vector<NodeId> alivePeers_;
+  mutable uint64_t alivePeersAsOf_ = 0;
 };
 
 }  // namespace fernmoor
--- a/src/membership/membership_role.cpp
+++ b/src/membership/membership_role.cpp
@@ -133,7 +133,7 @@
     table_.setSelfLeft();
     updates_.add(table_.selfId(), false);
     const auto told = static_cast<size_t>(messenger_.retransmitLimit());
-    for (const NodeId peer : table_.randomLivePeers(told, random_)) {
+    for (const NodeId peer : table_.randomAlivePeers(told, random_)) {
       messenger_.gossip(peer, false);
     }
     outbox = messenger_.takeOutbox();
@@ -171,12 +171,12 @@
     return;
   }
   // Updates first: the one about the sender may carry its identity.
-  const bool changed = takeUpdates(from.node, message, now);
+  const bool newLives = takeUpdates(from.node, message, now);
   if (!takeHeartbeat(from, message, now)) {
     return;
   }
   takeVersions(from, message);
-  takeKind(from, message, changed, now);
+  takeKind(from, message, newLives, now);
 }
 
 bool MembershipRole::canReach(const std::vector<OutgoingMessage>& messages) const {
@@ -205,7 +205,7 @@
 }
 
 bool MembershipRole::takeUpdates(NodeId from, const proto::MembershipMessage& message, Time now) {
-  bool changed = false;
+  bool newLives = false;
   const int count = std::min(message.updates_size(), kMaximumUpdatesPerMessage);
   for (int index = 0; index < count; ++index) {
     const std::optional<MemberStatement> statement = decodeStatement(message.updates(index));
@@ -213,9 +213,9 @@
       ++counters_.statementsRejected;
       continue;
     }
-    changed = take(from, *statement, now) || changed;
+    newLives = take(from, *statement, now) || newLives;
   }
-  return changed;
+  return newLives;
 }
 
 bool MembershipRole::take(NodeId from, const MemberStatement& statement, Time now) {
@@ -225,7 +225,7 @@
       return false;
     case MergeOutcome::kChanged:
       updates_.add(node, false);
-      return true;
+      return false;
     case MergeOutcome::kNewLife:
       updates_.add(node, true);
       prober_.noteNewMember(node);
@@ -234,7 +234,7 @@
     case MergeOutcome::kRefuted:
       ++counters_.refutations;
       updates_.add(node, false);
-      return true;
+      return false;
     case MergeOutcome::kSuperseded:
       supersededBy_ = statement.status.life.incarnation;
       return false;
@@ -242,7 +242,7 @@
       synchronizer_.askSoon(from);
       return false;
     case MergeOutcome::kConflict:
-      prober_.askSoon(node, ProbePurpose::kChallenge);
+      prober_.askSoon(node, ProbePurpose::kChallenge, from);
       return false;
   }
   return false;
@@ -261,7 +261,7 @@
   }
 }
 
-void MembershipRole::takeKind(NodeLife from, const proto::MembershipMessage& message, bool changed,
+void MembershipRole::takeKind(NodeLife from, const proto::MembershipMessage& message, bool newLives,
                               Time now) {
   switch (message.kind_case()) {
     case proto::MembershipMessage::kPing:
@@ -277,7 +277,7 @@
       synchronizer_.onRequest(from.node, message.sync_request());
       return;
     case proto::MembershipMessage::kSyncPage:
-      synchronizer_.onPage(from.node, message.sync_page(), changed, now);
+      synchronizer_.onPage(from.node, message.sync_page(), newLives, now);
       return;
     case proto::MembershipMessage::kGossip:
     case proto::MembershipMessage::KIND_NOT_SET:
@@ -303,8 +303,7 @@
       continue;
     }
     if (failure.purpose == ProbePurpose::kChallenge) {
-      // Still no answer: tell those who hold it to be live.
-      updates_.add(failure.target.node, false);
+      messenger_.tell(failure.teller, failure.target.node);
       continue;
     }
     ++counters_.probesFailed;
@@ -312,6 +311,7 @@
       ++counters_.suspicionsRaised;
       updates_.add(failure.target.node, false);
       messenger_.gossip(failure.target.node, false);  // It may refute at once.
+      prober_.askNeighbours(failure.target.node);
     }
   }
 }
@@ -342,11 +342,11 @@
   const auto fanout = static_cast<size_t>(knobs_.membershipGossipFanout);
   std::vector<NodeId> targets;
   if (gossipOrder_.empty()) {
-    gossipOrder_ = table_.shuffledLivePeers(random_);
+    gossipOrder_ = table_.shuffledAlivePeers(random_);
   }
   while (!gossipOrder_.empty() && targets.size() < fanout) {
     const MemberEntry* const entry = table_.find(gossipOrder_.back());
-    if (entry != nullptr && isLive(entry->status.health)) {
+    if (entry != nullptr && entry->status.health == MemberHealth::kAlive) {
       targets.push_back(gossipOrder_.back());
     }
     gossipOrder_.pop_back();
--- a/src/membership/membership_role.h
+++ b/src/membership/membership_role.h
@@ -82,10 +82,10 @@
   bool canReach(const std::vector<OutgoingMessage>& messages) const;
   bool takeHeartbeat(NodeLife from, const proto::MembershipMessage& message, Time now);
   bool takeUpdates(NodeId from, const proto::MembershipMessage& message, Time now);
-  /// @return whether the statement told anything new.
+  /// @return whether the statement told of a new life.
   bool take(NodeId from, const MemberStatement& statement, Time now);
   void takeVersions(NodeLife from, const proto::MembershipMessage& message);
-  void takeKind(NodeLife from, const proto::MembershipMessage& message, bool changed, Time now);
+  void takeKind(NodeLife from, const proto::MembershipMessage& message, bool newLives, Time now);
   void notePause(Time now);
   void takeFailures(const std::vector<ProbeFailure>& failures, Time now);
   void takeExpiry(const Expiry& expiry);
--- a/src/membership/messenger.cpp
+++ b/src/membership/messenger.cpp
@@ -83,6 +83,18 @@
   push(to, std::move(message));
 }
 
+void Messenger::tell(NodeId to, NodeId member) {
+  const MemberEntry* const entry = table_.find(member);
+  if (entry == nullptr || to == member) {
+    return;
+  }
+  proto::MembershipMessage message = start(to);
+  message.mutable_gossip();
+  encodeStatement(statementOf(*entry, false), *message.add_updates());
+  piggyback(to, message);
+  push(to, std::move(message));
+}
+
 void Messenger::syncRequest(NodeId to) {
   proto::MembershipMessage message = start(to);
   writeHashes(table_.bucketHashes(), *message.mutable_sync_request()->mutable_bucket_hashes());
@@ -131,7 +143,7 @@
 }
 
 int64_t Messenger::retransmitLimit() const {
-  const double members = static_cast<double>(table_.livePeers().size()) + 2;
+  const double members = static_cast<double>(table_.alivePeers().size()) + 2;
   const double times = std::ceil(knobs_.membershipRetransmitFactor * std::log(members));
   return std::max(kMinimumTransmissions, static_cast<int64_t>(times));
 }
--- a/src/membership/messenger.h
+++ b/src/membership/messenger.h
@@ -34,6 +34,8 @@
   void indirectPing(NodeId relay, NodeId target, uint32_t nonce);
   /// @param withReport adds which members have the newest table version in force.
   void gossip(NodeId to, bool withReport);
+  /// Tells one node how the member is held here.
+  void tell(NodeId to, NodeId member);
   void syncRequest(NodeId to);
   /// Sends all live members of the buckets whose hashes differ, in pages.
   /// @param answer adds this node's hashes, so that the asker can send what it has in addition.
--- a/src/membership/prober.cpp
+++ b/src/membership/prober.cpp
@@ -11,6 +11,8 @@
 constexpr size_t kMaximumWanted = 1024;
 constexpr size_t kWantedPerTick = 4;
 constexpr size_t kMaximumProbes = 512;
+/// Other members of a zone probed after one of them did not answer.
+constexpr size_t kNeighbours = 3;
 
 }  // namespace
 
@@ -26,7 +28,7 @@
       askRelays(*probe);
     }
     if (now >= probe->failsAt) {
-      failures.push_back(ProbeFailure{probe->target, probe->purpose});
+      failures.push_back(ProbeFailure{probe->target, probe->purpose, probe->teller});
       probe = probes_.erase(probe);
     } else {
       ++probe;
@@ -64,14 +66,28 @@
   messenger_.ping(target, relays_.back().nonce);
 }
 
-void Prober::askSoon(NodeId target, ProbePurpose purpose) {
+void Prober::askSoon(NodeId target, ProbePurpose purpose, NodeId teller) {
   const bool known =
       std::any_of(wanted_.begin(), wanted_.end(),
                   [target](const WantedProbe& probe) { return probe.target == target; }) ||
       std::any_of(probes_.begin(), probes_.end(),
                   [target](const Probe& probe) { return probe.target.node == target; });
   if (!known && wanted_.size() < kMaximumWanted) {
-    wanted_.push_back(WantedProbe{target, purpose});
+    wanted_.push_back(WantedProbe{target, purpose, teller});
+  }
+}
+
+void Prober::askNeighbours(NodeId target) {
+  const ZoneId& zone = table_.find(target)->identity.zone;
+  if (zone == table_.self().identity.zone) {
+    return;
+  }
+  size_t asked = 0;
+  for (const NodeId peer : table_.shuffledAlivePeers(random_)) {
+    if (asked < kNeighbours && table_.find(peer)->identity.zone == zone) {
+      askSoon(peer, ProbePurpose::kNeighbour);
+      ++asked;
+    }
   }
 }
 
@@ -99,7 +115,7 @@
   nextProbeAt_ = std::max(*nextProbeAt_ + knobs_.membershipProbePeriod, now);
   const std::optional<NodeId> target = nextInRound();
   if (target) {
-    startProbe(table_.find(*target)->status.life, ProbePurpose::kPeriodic, now);
+    startProbe(WantedProbe{*target, ProbePurpose::kPeriodic, NodeId()}, now);
   }
 }
 
@@ -108,33 +124,44 @@
   while (!wanted_.empty() && started < kWantedPerTick) {
     const WantedProbe next = wanted_.back();
     wanted_.pop_back();
-    const MemberEntry* const entry = table_.find(next.target);
-    if (entry == nullptr || entry->status.health == MemberHealth::kAlive) {
-      continue;  // It spoke up in the meantime.
+    if (!isWanted(next)) {
+      continue;
     }
-    startProbe(entry->status.life, next.purpose, now);
+    startProbe(next, now);
     ++started;
   }
 }
 
-void Prober::startProbe(NodeLife target, ProbePurpose purpose, Time now) {
+bool Prober::isWanted(const WantedProbe& probe) const {
+  const MemberEntry* const entry = table_.find(probe.target);
+  if (entry == nullptr) {
+    return false;
+  }
+  const bool alive = entry->status.health == MemberHealth::kAlive;
+  return probe.purpose == ProbePurpose::kNeighbour ? alive : !alive;
+}
+
+void Prober::startProbe(const WantedProbe& wanted, Time now) {
   if (probes_.size() >= kMaximumProbes) {
     return;
   }
   Probe probe;
-  probe.target = target;
-  probe.purpose = purpose;
+  probe.target = table_.find(wanted.target)->status.life;
+  probe.purpose = wanted.purpose;
+  probe.teller = wanted.teller;
   probe.nonce = nextNonce_++;
   probe.askRelaysAt = now + knobs_.membershipProbeTimeout;
   probe.failsAt = now + giveUpAfter();
   probes_.push_back(probe);
-  messenger_.ping(target.node, probe.nonce);
+  messenger_.ping(wanted.target, probe.nonce);
 }
 
 void Prober::askRelays(Probe& probe) {
   probe.relaysAsked = true;
   messenger_.ping(probe.target.node, probe.nonce);  // The first one may merely have been lost.
-  if (probe.purpose != ProbePurpose::kPeriodic) {
+  const bool accuses =
+      probe.purpose == ProbePurpose::kPeriodic || probe.purpose == ProbePurpose::kNeighbour;
+  if (!accuses) {
     return;
   }
   for (const NodeId relay : chooseRelays(probe.target.node)) {
@@ -143,18 +170,18 @@
 }
 
 std::optional<NodeId> Prober::nextInRound() {
-  const auto isLivePeer = [this](NodeId node) {
+  const auto isAlivePeer = [this](NodeId node) {
     const MemberEntry* const entry = table_.find(node);
-    return entry != nullptr && isLive(entry->status.health);
+    return entry != nullptr && entry->status.health == MemberHealth::kAlive;
   };
   while (!round_.empty()) {
     const NodeId node = round_.back();
     round_.pop_back();
-    if (isLivePeer(node)) {
+    if (isAlivePeer(node)) {
       return node;
     }
   }
-  round_ = table_.shuffledLivePeers(random_);
+  round_ = table_.shuffledAlivePeers(random_);
   if (round_.empty()) {
     return std::nullopt;
   }
@@ -169,7 +196,7 @@
   constexpr size_t kCandidatesPerRelay = 4;
   const auto wanted = static_cast<size_t>(knobs_.membershipIndirectProbes);
   std::vector<NodeId> candidates =
-      table_.randomLivePeers(wanted * kCandidatesPerRelay + 1, random_);
+      table_.randomAlivePeers(wanted * kCandidatesPerRelay + 1, random_);
   candidates.erase(std::remove(candidates.begin(), candidates.end(), target), candidates.end());
   std::vector<NodeId> chosen;
   std::vector<ZoneId> usedZones = {table_.self().identity.zone, table_.find(target)->identity.zone};
--- a/src/membership/prober.h
+++ b/src/membership/prober.h
@@ -18,6 +18,7 @@
 /// Why a member is probed.
 enum class ProbePurpose {
   kPeriodic,   ///< Its turn came.
+  kNeighbour,  ///< Another member of its zone did not answer: perhaps the whole zone is cut off.
   kChallenge,  ///< Held to be dead here, live elsewhere: it shall refute, or the others be told.
   kLastWord,   ///< A suspect that half its time is over for: its refutation may have been lost.
 };
@@ -26,6 +27,7 @@
 struct ProbeFailure {
   NodeLife target;
   ProbePurpose purpose = ProbePurpose::kPeriodic;
+  NodeId teller;  ///< Who holds a challenged member to be live.
 };
 
 /// Not thread-safe; works on state that its owner guards.
@@ -44,16 +46,27 @@
 
   /// Wants a member that is held to be dead or suspect to be asked soon, directly; at most a few
   /// per tick are.
-  void askSoon(NodeId target, ProbePurpose purpose);
+  /// @param teller of a challenge: who holds the target to be live.
+  void askSoon(NodeId target, ProbePurpose purpose, NodeId teller = NodeId());
+  /// Wants some other members of the target's zone to be probed soon, unless it is this node's own:
+  /// a cut-off zone is then found out in a few generations of probes instead of one by one.
+  void askNeighbours(NodeId target);
   /// A member is new: its first probe comes at a random place of the present round.
   void noteNewMember(NodeId node);
   /// Forgets the probes under way, after this process itself was stopped.
   void abandon(Time now);
 
  private:
+  /// A probe that is to be started soon.
+  struct WantedProbe {
+    NodeId target;
+    ProbePurpose purpose = ProbePurpose::kChallenge;
+    NodeId teller;
+  };
   struct Probe {
     NodeLife target;
     ProbePurpose purpose = ProbePurpose::kPeriodic;
+    NodeId teller;
     uint32_t nonce = 0;
     Time askRelaysAt;
     Time failsAt;
@@ -68,15 +81,10 @@
     Time expiresAt;
   };
 
-  /// A direct probe that is to be sent soon.
-  struct WantedProbe {
-    NodeId target;
-    ProbePurpose purpose = ProbePurpose::kChallenge;
-  };
-
+  bool isWanted(const WantedProbe& probe) const;
   void startDueProbe(Time now);
   void startWanted(Time now);
-  void startProbe(NodeLife target, ProbePurpose purpose, Time now);
+  void startProbe(const WantedProbe& wanted, Time now);
   void askRelays(Probe& probe);
   std::optional<NodeId> nextInRound();
   std::vector<NodeId> chooseRelays(NodeId target);
--- a/src/membership/synchronizer.cpp
+++ b/src/membership/synchronizer.cpp
@@ -70,7 +70,7 @@
   }
   askSoon_.clear();
   if (now >= nextSyncAt_) {
-    for (const NodeId peer : table_.randomLivePeers(1, random_)) {
+    for (const NodeId peer : table_.randomAlivePeers(1, random_)) {
       request(peer);
     }
     nextSyncAt_ = now + random_.between(syncInterval_ / 2, syncInterval_ * 3 / 2);
@@ -78,8 +78,8 @@
   }
   if (now >= nextReconnectAt_) {
     reconnect();
-    const Duration interval = table_.livePeers().empty() ? knobs_.membershipJoinInterval
-                                                         : knobs_.membershipReconnectInterval;
+    const Duration interval = table_.alivePeers().empty() ? knobs_.membershipJoinInterval
+                                                          : knobs_.membershipReconnectInterval;
     nextReconnectAt_ = now + random_.between(interval / 2, interval * 3 / 2);
   }
 }
@@ -93,9 +93,9 @@
   spend(messenger_.syncPages(from, *theirs, true, pages));
 }
 
-void Synchronizer::onPage(NodeId from, const proto::MembershipSyncPage& page, bool changed,
+void Synchronizer::onPage(NodeId from, const proto::MembershipSyncPage& page, bool newLives,
                           Time now) {
-  if (changed) {
+  if (newLives) {
     syncInterval_ = knobs_.membershipSyncInterval / kHurry;
     nextSyncAt_ = std::min(nextSyncAt_, now + syncInterval_);
   }
@@ -124,7 +124,7 @@
   }
   nextJoinAt_ = now + knobs_.membershipJoinInterval;
   answer_.reset();
-  std::vector<NodeId> targets = table_.randomLivePeers(kJoinTargets, random_);
+  std::vector<NodeId> targets = table_.randomAlivePeers(kJoinTargets, random_);
   for (size_t tries = 0; targets.size() < kJoinTargets && tries < kJoinTargets; ++tries) {
     if (!seeds_.empty()) {
       targets.push_back(seeds_[random_.below(seeds_.size())].node);
--- a/src/membership/synchronizer.h
+++ b/src/membership/synchronizer.h
@@ -34,8 +34,8 @@
 
   void onTick(Time now);
   void onRequest(NodeId from, const proto::MembershipSyncRequest& request);
-  /// @param changed whether the page told anything new.
-  void onPage(NodeId from, const proto::MembershipSyncPage& page, bool changed, Time now);
+  /// @param newLives whether the page told of lives that were unknown.
+  void onPage(NodeId from, const proto::MembershipSyncPage& page, bool newLives, Time now);
 
   /// Wants to know who the sender is, and whom it knows.
   void askSoon(NodeId node);
