Membership: the small side of a cut learns of the other side within seconds

Cause: 70 nodes, one zone of seven cut off: two unreachable members were still held alive inside after 10 s (new test, failed). A node that missed the gossip about a few members has only its one probe a second left to find out. Ruled out: the health in the compared hashes (whole tables are sent all the time). Change: one of three gossip targets is of the own zone; a failed probe asks six more members of that zone; where hearsay makes most of a zone suspect, those still held alive are probed; six transmissions instead of four while many are pending. Run: all tests pass, the new one too.

--- a/src/membership/member_table.cpp
+++ b/src/membership/member_table.cpp
@@ -274,6 +274,32 @@
   return chosen;
 }
 
+std::vector<NodeId> MemberTable::randomAlivePeersOfZone(const ZoneId& zone, Random& random) const {
+  std::vector<NodeId> peers;
+  for (const NodeId peer : alivePeers()) {
+    if (entries_.at(peer).identity.zone == zone) {
+      peers.push_back(peer);
+    }
+  }
+  if (peers.empty()) {
+    return peers;
+  }
+  return {peers[random.below(peers.size())]};
+}
+
+bool MemberTable::isMostlySuspect(const ZoneId& zone) const {
+  size_t alive = 0;
+  size_t suspect = 0;
+  for (const auto& entry : entries_) {
+    if (entry.second.identity.zone != zone) {
+      continue;
+    }
+    alive += entry.second.status.health == MemberHealth::kAlive ? 1 : 0;
+    suspect += entry.second.status.health == MemberHealth::kSuspect ? 1 : 0;
+  }
+  return suspect >= alive;
+}
+
 std::vector<NodeId> MemberTable::shuffledAlivePeers(Random& random) const {
   std::vector<NodeId> peers = alivePeers();
   for (size_t last = peers.size(); last > 1; --last) {
--- a/src/membership/member_table.h
+++ b/src/membership/member_table.h
@@ -80,6 +80,10 @@
   const std::vector<NodeId>& alivePeers() const;
   /// @return up to `count` different alive peers, drawn at random.
   std::vector<NodeId> randomAlivePeers(size_t count, Random& random) const;
+  /// @return one alive peer of the zone drawn at random, or nothing if there is none.
+  std::vector<NodeId> randomAlivePeersOfZone(const ZoneId& zone, Random& random) const;
+  /// @return whether at least as many live members of the zone are suspect as are alive.
+  bool isMostlySuspect(const ZoneId& zone) const;
   /// @return all alive peers in random order.
   std::vector<NodeId> shuffledAlivePeers(Random& random) const;
 
--- a/src/membership/membership_role.cpp
+++ b/src/membership/membership_role.cpp
@@ -225,6 +225,7 @@
       return false;
     case MergeOutcome::kChanged:
       updates_.add(node, false);
+      probeRestOfZone(node);
       return false;
     case MergeOutcome::kNewLife:
       updates_.add(node, true);
@@ -248,6 +249,14 @@
   return false;
 }
 
+void MembershipRole::probeRestOfZone(NodeId accused) {
+  const MemberEntry& entry = *table_.find(accused);
+  const bool suspect = entry.status.health == MemberHealth::kSuspect;
+  if (suspect && table_.isMostlySuspect(entry.identity.zone)) {
+    prober_.askNeighbours(accused);
+  }
+}
+
 void MembershipRole::takeVersions(NodeLife from, const proto::MembershipMessage& message) {
   const int64_t rounds = messenger_.gossipRounds();
   versions_.noteInForce(from.node, TableVersion(message.table_version()), rounds);
@@ -340,7 +349,7 @@
   // All peers in turn, in random order: a small cluster is then told as a whole, which independent
   // draws would leave to chance.
   const auto fanout = static_cast<size_t>(knobs_.membershipGossipFanout);
-  std::vector<NodeId> targets;
+  std::vector<NodeId> targets = table_.randomAlivePeersOfZone(table_.self().identity.zone, random_);
   if (gossipOrder_.empty()) {
     gossipOrder_ = table_.shuffledAlivePeers(random_);
   }
--- a/src/membership/membership_role.h
+++ b/src/membership/membership_role.h
@@ -84,6 +84,9 @@
   bool takeUpdates(NodeId from, const proto::MembershipMessage& message, Time now);
   /// @return whether the statement told of a new life.
   bool take(NodeId from, const MemberStatement& statement, Time now);
+  /// Where hearsay makes most of a zone suspect, asks those of it that are still held alive: the
+  /// hearsay about them may have been lost.
+  void probeRestOfZone(NodeId accused);
   void takeVersions(NodeLife from, const proto::MembershipMessage& message);
   void takeKind(NodeLife from, const proto::MembershipMessage& message, bool newLives, Time now);
   void notePause(Time now);
--- a/src/membership/messenger.cpp
+++ b/src/membership/messenger.cpp
@@ -18,7 +18,7 @@
 /// With more updates pending than this, as after a restart of all nodes, each is sent fewer times:
 /// the comparisons of tables repair what some nodes missed at a lower cost.
 constexpr size_t kManyUpdates = 64;
-constexpr int64_t kTransmissionsOfMany = 4;
+constexpr int64_t kTransmissionsOfMany = 6;
 /// Hashes and numbers of a sync page, beside its members.
 constexpr size_t kPageHeaderBytes = 48 + 4 * MemberTable::kBuckets;
 
--- a/src/membership/prober.cpp
+++ b/src/membership/prober.cpp
@@ -12,7 +12,7 @@
 constexpr size_t kWantedPerTick = 4;
 constexpr size_t kMaximumProbes = 512;
 /// Other members of a zone probed after one of them did not answer.
-constexpr size_t kNeighbours = 3;
+constexpr size_t kNeighbours = 6;
 
 }  // namespace
 
--- a/test/membership/membership_role_test.cpp
+++ b/test/membership/membership_role_test.cpp
@@ -274,6 +274,25 @@
   CHECK(cluster.isAgreed());
 }
 
+TEST_CASE("both sides of a cut zone know within ten seconds that the other side is gone") {
+  MembershipClusterSettings settings = settingsOf(17);
+  settings.zones = 7;
+  settings.nodes = 70;
+  Joined joined(settings);
+  MembershipCluster& cluster = joined.cluster;
+  cluster.network().isolateZone(ZoneId("zone-1"));
+  cluster.run(seconds(10));
+  uint32_t heldAlive = 0;
+  for (uint32_t id = 1; id <= settings.nodes; ++id) {
+    const auto snapshot = cluster.role(id).snapshot();
+    for (const Member& member : snapshot->members) {
+      const bool sameSide = (member.life.node.value() % 7 == 1) == (id % 7 == 1);
+      heldAlive += !sameSide && member.state == MemberState::kAlive ? 1 : 0;
+    }
+  }
+  CHECK(heldAlive == 0);
+}
+
 TEST_CASE("a region cut off and healed merges again") {
   MembershipClusterSettings settings = settingsOf(14);
   settings.zones = 7;
