Announcing a table version stands in a class of its own

Change: TableAnnouncer holds the rounds of announcements and the gossip; no change of behaviour. Conclusion: one file, one job.

--- a/src/table/table_role.cpp
+++ b/src/table/table_role.cpp
@@ -21,6 +21,7 @@
       membership_(membership),
       knobs_(knobs),
       random_(seed),
+      announcer_(knobs, peers_, random_),
       history_(knobs),
       archive_(knobs),
       polls_(knobs),
@@ -142,8 +143,7 @@
   if (peers_.highest() > version) {
     return;  // Still catching up: the peers know more than this node could tell them.
   }
-  announceRoundsLeft_ = knobs_.tableAnnounceRounds;
-  announceRound(now, sender);
+  announcer_.onNewVersion(version, now, sender);
 }
 
 // --- messages
@@ -305,37 +305,7 @@
   }
 }
 
-// --- telling others
-
-void TableRole::announceRound(Time now, MessageSender& sender) {
-  if (announceRoundsLeft_ == 0) {
-    return;
-  }
-  --announceRoundsLeft_;
-  nextAnnounce_ = now + knobs_.tableAnnounceInterval;
-  const TableVersion version = table_.version();
-  const auto announce = [&](PeerScope scope, int64_t fanout) {
-    const auto count = static_cast<size_t>(fanout);
-    for (const NodeId peer : peers_.sampleLacking(version, count, scope, random_)) {
-      sender.send(peer, tableAnnouncement(version));
-    }
-  };
-  announce(PeerScope::kOwnZone, knobs_.tableAnnounceFanout);
-  announce(PeerScope::kOtherZones, knobs_.tableAnnounceFarFanout);
-}
-
-void TableRole::gossip(Time now, MessageSender& sender) {
-  if (now < nextGossip_) {
-    return;
-  }
-  nextGossip_ =
-      now + random_.between(knobs_.tableGossipInterval / 2, knobs_.tableGossipInterval * 3 / 2);
-  gossipsFar_ = !gossipsFar_;
-  const PeerScope scope = gossipsFar_ ? PeerScope::kOtherZones : PeerScope::kOwnZone;
-  for (const NodeId peer : peers_.sample(1, scope, random_)) {
-    sender.send(peer, tableAnnouncement(table_.version()));
-  }
-}
+// --- after a start
 
 void TableRole::lookForHighest(Time now, MessageSender& sender) {
   if (ready()) {
@@ -397,10 +367,7 @@
   expireFetch(now);
   lookForHighest(now, sender);
   pursue(now, sender);
-  if (nextAnnounce_ <= now) {
-    announceRound(now, sender);
-  }
-  gossip(now, sender);
+  announcer_.onTick(table_.version(), now, sender);
   askForAcceptance(now, sender);
 }
 
--- a/src/table/table_role.h
+++ b/src/table/table_role.h
@@ -21,6 +21,7 @@
 #include "table/snapshot_transfer.h"
 #include "table/startup_search.h"
 #include "table/table.h"
+#include "table/table_announcer.h"
 #include "table/table_history.h"
 #include "table/table_peers.h"
 
@@ -101,8 +102,6 @@
   void pursue(Time now, MessageSender& sender);
   void requestFrom(NodeId peer, Time now, MessageSender& sender);
   void expireFetch(Time now);
-  void announceRound(Time now, MessageSender& sender);
-  void gossip(Time now, MessageSender& sender);
   void lookForHighest(Time now, MessageSender& sender);
   void askForAcceptance(Time now, MessageSender& sender);
 
@@ -114,6 +113,7 @@
   mutable RankedMutex mutex_{LockRank::kTable};
   Random random_;
   TablePeers peers_;
+  TableAnnouncer announcer_;
   TableHistory history_;
   SnapshotArchive archive_;
   SnapshotReceipt receipt_;
@@ -128,10 +128,6 @@
   bool platformIsEmpty_ = false;  ///< Nothing was ever stored: the first change follows version 0.
   std::optional<Fetch> fetch_;
   NodeId slowPeer_;  ///< Did not answer the last request in time.
-  int64_t announceRoundsLeft_ = 0;
-  Time nextAnnounce_;
-  Time nextGossip_;
-  bool gossipsFar_ = false;  ///< Whether the last gossip went to another zone.
 };
 
 }  // namespace fernmoor
