--- a/programs/fernmoor-bench/main.cpp
+++ b/programs/fernmoor-bench/main.cpp
@@ -18,6 +18,7 @@
 DEFINE_double(load, 1, "Load factor: multiplies the rates of the workload file.");
 DEFINE_double(gap_every_seconds, 20, "Mean time between gaps in one engine's events; 0: none.");
 DEFINE_double(crash_every_seconds, 0, "Mean time between engine crashes; 0: none.");
+DEFINE_bool(admission, true, "Requests pass the routers' admission.");
 DEFINE_string(knobs, "",
               "Tunables to change, e.g. affinityPrefixBlocks=64,nonHomePenaltySeconds=0");
 DEFINE_int32(threads, 4, "Runs at the same time, at most 4.");
@@ -38,6 +39,8 @@
     {"routing", fernmoor::bench::runRoutingCommand, "one policy on one workload, virtual time"},
     {"policies", fernmoor::bench::runPoliciesCommand, "all policies, or those named, in a table"},
     {"compare", fernmoor::bench::runCompareCommand, "HTML page and plots of two or more reports"},
+    {"spread", fernmoor::bench::runSpreadCommand, "table and membership at the target's size"},
+    {"http", fernmoor::bench::runHttpCommand, "load over HTTP against running processes"},
     {"slopes", fernmoor::bench::runSlopesCommand, "costs by size, all parts or those named"},
     {"table", fernmoor::bench::runTableCommand,
      "cost of the table, and time until a change is in force"},
--- a/programs/fernmoor-standin/main.cpp
+++ b/programs/fernmoor-standin/main.cpp
@@ -13,8 +13,11 @@
 #include <string>
 
 #include "common/time.h"
+#include "measure_engine_model.h"
+#include "standin/application_server.h"
 #include "standin/engine_server.h"
 #include "standin/json_client.h"
+#include "standin/kv_store_server.h"
 #include "standin/machine_registration.h"
 #include "standin/platform_server.h"
 
@@ -39,10 +42,14 @@
 DEFINE_double(token_interval_ms, 25, "engine: time between tokens of a stream");
 DEFINE_int64(batch_slots, 32, "engine: streams served at once");
 DEFINE_int64(cache_blocks, 8192, "engine, kvstore: blocks held at most");
+DEFINE_int32(warm_threads, 64, "engine: connections that need not wait for a new thread");
 DEFINE_double(event_delay_ms, 200, "engine: time between a cache change and its event");
 DEFINE_double(load_lag_ms, 250, "engine: age of the reported load");
 DEFINE_double(weights_load_ms, 500, "engine, platform: time of one load of weights");
 
+DEFINE_double(work_ms, 20, "appengine: time of one operation");
+DEFINE_int64(max_running, 64, "appengine: operations at once");
+
 DEFINE_double(machine_lag_ms, 500, "platform: age of the machine list");
 DEFINE_int64(parallel_loads, 2, "platform: loads of weights at full rate");
 DEFINE_int64(maximum_loads, 16, "platform: loads of weights served at once");
@@ -117,12 +124,33 @@
   options.engine = engineOptions();
   options.listen = listen;
   options.platform = platform;
+  options.warmThreads = FLAGS_warm_threads;
   const auto server = std::make_shared<EngineServer>(options);
   Service service = serviceOf(server, "engine");
   service.busy = [server] { return server->busy(); };
   return service;
 }
 
+Service makeApplicationEngine(const SocketAddress& listen) {
+  ApplicationServerOptions options;
+  options.id = EngineId(FLAGS_id);
+  options.incarnation = startIncarnation();
+  options.listen = listen;
+  options.workTime = fromMilliseconds(FLAGS_work_ms);
+  options.maxRunning = FLAGS_max_running;
+  const auto server = std::make_shared<ApplicationServer>(options);
+  Service service = serviceOf(server, "application");
+  service.busy = [server] { return server->busy(); };
+  return service;
+}
+
+Service makeKvStore(const SocketAddress& listen) {
+  KvStoreServerOptions options;
+  options.listen = listen;
+  options.cacheBlocks = FLAGS_cache_blocks;
+  return serviceOf(std::make_shared<KvStoreServer>(options), "kvstore");
+}
+
 Service makePlatform(const SocketAddress& listen) {
   PlatformServerOptions options;
   options.listen = listen;
@@ -139,6 +167,12 @@
   if (kind == "engine") {
     return makeEngine(listen, platform);
   }
+  if (kind == "appengine") {
+    return makeApplicationEngine(listen);
+  }
+  if (kind == "kvstore") {
+    return makeKvStore(listen);
+  }
   if (kind == "platform") {
     return makePlatform(listen);
   }
@@ -189,6 +223,7 @@
       return;
     }
   }
+  waitForSignal(kCheck);  // For the last bytes of the answers to leave.
 }
 
 int fail(const std::string& message, int exitCode) {
@@ -225,12 +260,15 @@
 
 int run(int argc, char** argv) {
   gflags::SetUsageMessage(
-      "engine|kvstore|appengine|platform [--listen=ADDRESS:PORT] [flags]\n"
+      "engine|kvstore|appengine|platform|measure [--listen=ADDRESS:PORT] [flags]\n"
       "Examples:\n"
       "  fernmoor-standin platform --listen=127.0.0.1:7000\n"
       "  fernmoor-standin engine --id=e1 --model=m --platform=127.0.0.1:7000 --zone=a");
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   const std::string kind = argc == 2 ? argv[1] : "";
+  if (kind == "measure") {
+    return measureEngineModel();
+  }
   const auto listen = parseAddress(FLAGS_listen);
   if (!isOk(listen)) {
     return fail(errorOf(listen).message, kExitUsage);
--- a/src/bench/routing_experiment.cpp
+++ b/src/bench/routing_experiment.cpp
@@ -5,6 +5,8 @@
 #include <utility>
 
 #include "bench/application_fleet.h"
+#include "bench/experiment_admission.h"
+#include "bench/experiment_flight.h"
 #include "bench/experiment_metrics.h"
 #include "bench/hollow_router.h"
 #include "bench/workload.h"
@@ -20,22 +22,6 @@
 constexpr Duration kDrainTime{60000000};
 constexpr uint64_t kCrashSeed = 0x637261;
 
-/// One request on its way.
-struct Flight {
-  std::string prompt;
-  BlockChain chain;
-  Row row;
-  size_t router = 0;
-  size_t engine = 0;
-  int64_t attempt = 0;
-  bool running = false;  ///< An attempt is at an engine.
-  bool finished = false;
-  Time arrivedAt;
-  std::optional<Time> lastFrameAt;
-  int64_t delivered = 0;
-  int64_t oracleBlocks = 0;
-};
-
 class RoutingExperiment {
  public:
   RoutingExperiment(const WorkloadSpec& spec, const ExperimentOptions& options)
@@ -48,7 +34,8 @@
         applications_(spec.fleet, queue_),
         writer_(spec),
         metrics_(spec),
-        recomputedByEngine_(engines_.size(), 0) {}
+        recomputedByEngine_(engines_.size(), 0),
+        admission_(routers_, PoolId(spec.fleet.model.value()), queue_, handlers()) {}
 
   Result<Done> prepare() {
     const int64_t routers = spec_.fleet.zones * spec_.fleet.routersPerZone;
@@ -58,9 +45,13 @@
       if (!isOk(policy)) {
         return errorOf(policy);
       }
-      const uint64_t seed = options_.seed * 100 + static_cast<uint64_t>(index);
-      routers_.push_back(std::make_unique<HollowRouter>(
-          std::move(valueOf(policy)), engines_, index % spec_.fleet.zones, seed));
+      HollowRouterOptions router;
+      router.zone = index % spec_.fleet.zones;
+      router.routers = routers;
+      router.seed = options_.seed * 100 + static_cast<uint64_t>(index);
+      router.knobs = options_.knobs;
+      routers_.push_back(
+          std::make_unique<HollowRouter>(std::move(valueOf(policy)), engines_, router));
     }
     return Done{};
   }
@@ -72,11 +63,21 @@
     start_ = queue_.now();
     scheduleArrival(0);
     scheduleCrash();
+    if (options_.admission) {
+      admission_.begin();
+    }
     queue_.runUntil(start_ + options_.length + kDrainTime);
     return report();
   }
 
  private:
+  AdmissionHandlers handlers() {
+    return AdmissionHandlers{
+        [this](size_t number) { start(number); },
+        [this](size_t number, const Error& error) { refuse(number, error.kind); },
+        [this](size_t number, Duration time) { waited(number, time); }};
+  }
+
   void scheduleArrival(size_t number) {
     if (number >= requests_.size()) {
       return;
@@ -98,6 +99,30 @@
     });
   }
 
+  void waited(size_t number, Duration time) {
+    const double milliseconds = toMilliseconds(time);
+    count(number, [&](GroupMetrics& metrics) { metrics.queueMilliseconds.add(milliseconds); });
+  }
+
+  void admit(size_t number) {
+    if (!options_.admission) {
+      start(number);
+      return;
+    }
+    const Flight& flight = flights_[number];
+    AdmissionRequest request = admissionRequestOf(flight.row, queue_.now());
+    request.deadline = start_ + requests_[number].deadline;
+    admission_.admit(number, flight.router, request);
+  }
+
+  void start(size_t number) {
+    if (flights_[number].row.backEnd == BackEndKind::kApplication) {
+      runApplication(number);
+    } else {
+      place(number);
+    }
+  }
+
   bool isCounted(size_t number) const { return requests_[number].arrival >= options_.warmUp; }
 
   template <class Change>
@@ -116,15 +141,13 @@
     flight.router = static_cast<size_t>(request.zone + local * spec_.fleet.zones);
     count(number, [](GroupMetrics& metrics) { ++metrics.offered; });
     queue_.schedule(start_ + request.deadline, [this, number] { expire(number); });
-    if (flight.row.backEnd == BackEndKind::kApplication) {
-      queue_.scheduleAfter(spec_.fleet.clientLatency, [this, number] { runApplication(number); });
-      return;
+    if (flight.row.backEnd == BackEndKind::kModel) {
+      flight.prompt = writer_.write(request);
+      const ChainSeed seed{flight.row.key.tenant, flight.row.model, flight.row.adapter,
+                           WeightsVersion(1)};
+      flight.chain = hashPrompt(seed, flight.prompt);
     }
-    flight.prompt = writer_.write(request);
-    const ChainSeed seed{flight.row.key.tenant, flight.row.model, flight.row.adapter,
-                         WeightsVersion(1)};
-    flight.chain = hashPrompt(seed, flight.prompt);
-    queue_.scheduleAfter(spec_.fleet.clientLatency, [this, number] { place(number); });
+    queue_.scheduleAfter(spec_.fleet.clientLatency, [this, number] { admit(number); });
   }
 
   Duration latencyTo(const Flight& flight, int64_t zone) const {
@@ -165,21 +188,20 @@
     request.recomputationWeight = flight.row.recomputationWeight;
     request.chain = &flight.chain;
     request.expectedOutputTokens = requests_[number].outputTokens;
-    EngineState placedOn;
-    flight.engine = routers_[flight.router]->place(request, queue_.now(), placedOn);
+    const RouterPlacement placed = routers_[flight.router]->place(request, queue_.now());
+    flight.engine = placed.engine;
+    flight.placement = placed.placement;
     ++flight.attempt;
     const Duration latency = latencyTo(flight, engines_.zoneOf(flight.engine));
     queue_.scheduleAfter(2 * spec_.fleet.crossZoneLatency + latency,
-                         [this, number, attempt = flight.attempt, placedOn] {
-                           submit(number, attempt, placedOn);
-                         });
+                         [this, number, attempt = flight.attempt] { submit(number, attempt); });
   }
 
   static AttemptId attemptId(size_t number, int64_t attempt) {
     return AttemptId(std::to_string(number) + "." + std::to_string(attempt));
   }
 
-  void submit(size_t number, int64_t attempt, const EngineState& placedOn) {
+  void submit(size_t number, int64_t attempt) {
     Flight& flight = flights_[number];
     if (flight.finished || attempt != flight.attempt) {
       return;
@@ -189,8 +211,8 @@
     request.request = RequestId(std::to_string(number));
     request.tenant = flight.row.key.tenant;
     request.model = flight.row.model;
-    request.placedIncarnation = placedOn.incarnation;
-    request.placedWeights = placedOn.weightsVersion;
+    request.placedIncarnation = flight.placement.incarnation;
+    request.placedWeights = flight.placement.weightsVersion;
     request.priority = flight.row.priority;
     request.prompt = flight.prompt;
     request.firstPosition = flight.delivered;
@@ -206,7 +228,9 @@
 
   void retry(size_t number, ErrorKind kind) {
     Flight& flight = flights_[number];
-    if (flight.attempt >= kMaxAttempts) {
+    HollowRouter& router = *routers_[flight.router];
+    router.reportEnded(flight.placement, queue_.now());
+    if (flight.attempt >= kMaxAttempts || !router.admission().tryRetry(queue_.now())) {
       refuse(number, kind);
       return;
     }
@@ -245,6 +269,8 @@
   void countTokens(size_t number, const standin::EngineFrame& frame, Time receivedAt) {
     Flight& flight = flights_[number];
     if (!flight.lastFrameAt) {
+      routers_[flight.router]->reportHit(flight.placement, flight.chain,
+                                         frame.cachedTokens / kTokensPerBlock);
       countFirstToken(number, receivedAt);
       countPrefix(number, frame);
     } else {
@@ -313,6 +339,11 @@
 
   void finish(size_t number) {
     Flight& flight = flights_[number];
+    HollowRouter& router = *routers_[flight.router];
+    if (flight.attempt > 0) {
+      router.reportEnded(flight.placement, queue_.now());
+    }
+    admission_.end(number);
     flight.finished = true;
     flight.running = false;
     std::string().swap(flight.prompt);
@@ -351,6 +382,7 @@
   MetricsBook metrics_;
   std::vector<double> recomputedByEngine_;
   std::vector<std::unique_ptr<HollowRouter>> routers_;
+  ExperimentAdmission admission_;
   std::vector<WorkloadRequest> requests_;
   std::vector<Flight> flights_;
   Time start_;
--- a/src/membership/membership_role.h
+++ b/src/membership/membership_role.h
@@ -77,6 +77,9 @@
  private:
   bool isSilent() const;
   void handle(NodeLife from, const proto::MembershipMessage& message, Time now);
+  /// @return whether the published snapshot holds the receivers' addresses, which the transport
+  /// needs to send the messages.
+  bool canReach(const std::vector<OutgoingMessage>& messages) const;
   bool takeHeartbeat(NodeLife from, const proto::MembershipMessage& message, Time now);
   bool takeUpdates(NodeId from, const proto::MembershipMessage& message, Time now);
   /// @return whether the statement told anything new.
@@ -105,7 +108,6 @@
   std::optional<Time> lastTickAt_;
   std::vector<NodeId> gossipOrder_;  ///< Peers still to be told in this turn, the next one last.
   Time nextGossipAt_;
-  Time nextReportAt_;
   bool addressesChanged_ = false;
   uint64_t publishedChanges_ = 0;
   uint64_t publishedVersion_ = 0;
--- a/standin/engine_server.h
+++ b/standin/engine_server.h
@@ -21,9 +21,10 @@
 struct EngineServerOptions {
   EngineOptions engine;
   SocketAddress listen{"127.0.0.1", 0};
-  std::optional<SocketAddress> platform;   ///< Its weight store decides how long loading takes.
-  Duration readerGrace{2000000};           ///< An attempt without a reader is cancelled after this.
-  double transferBlocksPerSecond = 20000;  ///< Of KV that is imported.
+  std::optional<SocketAddress> platform;  ///< Its weight store decides how long loading takes.
+  Duration readerGrace{2000000};          ///< An attempt without a reader is cancelled after this.
+  int warmThreads = HttpService::kFewestThreads;  ///< Connections that need not wait for a thread.
+  double transferBlocksPerSecond = 20000;         ///< Of KV that is imported.
 };
 
 class EngineServer {
@@ -36,7 +37,7 @@
   Result<Done> start();
   void stop();
   uint16_t port() const { return service_.port(); }
-  /// @return true while any attempt runs.
+  /// @return true while any attempt runs or is being read.
   bool busy() const;
   /// @return attempts recorded, however they ended; for tests in the same process.
   std::vector<EngineRun> runs() const;
--- a/standin/http_service.h
+++ b/standin/http_service.h
@@ -25,10 +25,13 @@
 class HttpService {
  public:
   using Handler = std::function<void(HttpExchange&)>;
+  static constexpr int kFewestThreads = 2;
 
   /// @param listen port 0 takes a free one.
   /// @param handler called by many threads at once, one for each request.
-  HttpService(SocketAddress listen, Handler handler);
+  /// @param warmThreads made at the start; each further one delays the connection that needs it by
+  /// about a millisecond.
+  HttpService(SocketAddress listen, Handler handler, int warmThreads = kFewestThreads);
   ~HttpService();
   HttpService(const HttpService&) = delete;
   HttpService& operator=(const HttpService&) = delete;
@@ -46,7 +49,8 @@
   void freeze(Duration duration);
   /// Waits while frozen; for handlers that began before the freeze.
   void waitWhileFrozen();
-  bool isDown() const { return down_; }
+  /// @return how many requests are being handled.
+  int64_t requestsInFlight() const { return inFlight_; }
 
  private:
   class HandlerFactory;
@@ -69,6 +73,7 @@
 
   SystemClock clock_;
   std::atomic<bool> down_{false};
+  std::atomic<int64_t> inFlight_{0};
   std::mutex mutex_;  ///< Guards what follows.
   std::condition_variable changed_;
   bool stopping_ = false;
