--- a/programs/fernmoor-bench/commands.h
+++ b/programs/fernmoor-bench/commands.h
@@ -21,5 +21,6 @@
 int runSpreadCommand(const Arguments& arguments);
 int runHttpCommand(const Arguments& arguments);
 int runSlopesCommand(const Arguments& arguments);
+int runTableCommand(const Arguments& arguments);
 
 }  // namespace fernmoor::bench
