Queue estimate: an engine that was idle between two requests did not work on the second

Cause: the age of a load report was taken off all that was placed since, also off work that came after the engine had run idle, so busy engines looked free for as long as the report was old. Change: PlacementMemory works the queue off step by step between the placements.

--- a/src/bench/engine_views.cpp
+++ b/src/bench/engine_views.cpp
@@ -72,7 +72,7 @@
     const EngineLife life = lifeOf(engines[i]);
     const int64_t expected = memory_.expectedBlocks(life, chain, now);
     result[i].matchedBlocks = std::max(result[i].matchedBlocks, expected);
-    result[i].placed = memory_.loadSince(life, engines[i].load.measuredAt);
+    result[i].placed = memory_.loadSince(life, engines[i].load);
   }
   return result;
 }
--- a/src/node/engine_knowledge.cpp
+++ b/src/node/engine_knowledge.cpp
@@ -62,7 +62,7 @@
     const int64_t expected = memory_.expectedBlocks(lives[i], chain, now);
     facts[i].matchedBlocks = std::max(answers[i].matchedBlocks, expected);
     facts[i].matchKnown = answers[i].known;
-    facts[i].placed = memory_.loadSince(lives[i], engines[i].load.measuredAt);
+    facts[i].placed = memory_.loadSince(lives[i], engines[i].load);
   }
   return facts;
 }
--- a/src/routing/placement_memory.cpp
+++ b/src/routing/placement_memory.cpp
@@ -1,5 +1,7 @@
 #include "routing/placement_memory.h"
 
+#include <algorithm>
+
 #include "common/rendezvous.h"
 
 namespace fernmoor {
@@ -49,19 +51,27 @@
   return static_cast<int64_t>(matched);
 }
 
-PlacedLoad PlacementMemory::loadSince(const EngineLife& life, Time measuredAt) const {
+PlacedLoad PlacementMemory::loadSince(const EngineLife& life, const EngineLoad& report) const {
   PlacedLoad sum;
   const auto found = loads_.find(life.engine);
   if (found == loads_.end()) {
     return sum;
   }
-  for (auto change = found->second.rbegin(); change != found->second.rend(); ++change) {
-    if (change->at <= measuredAt) {
-      break;
-    }
+  const auto first = std::partition_point(
+      found->second.begin(), found->second.end(),
+      [&](const LoadChange& change) { return change.at <= report.measuredAt; });
+  auto queue = static_cast<double>(report.queuedPrefillTokens);
+  double idleTokens = 0;
+  Time at = report.measuredAt;
+  for (auto change = first; change != found->second.end(); ++change) {
+    queue -= toSeconds(change->at - at) * report.prefillTokensPerSecond;
+    idleTokens += std::max(0.0, -queue);
+    queue = std::max(0.0, queue) + static_cast<double>(change->change.prefillTokens);
+    at = change->at;
     sum.prefillTokens += change->change.prefillTokens;
     sum.streams += change->change.streams;
   }
+  sum.prefillTokens += static_cast<int64_t>(idleTokens);
   return sum;
 }
 
--- a/src/routing/placement_memory.h
+++ b/src/routing/placement_memory.h
@@ -12,12 +12,16 @@
 #include "common/knobs.h"
 #include "common/time.h"
 #include "engine/engine_life.h"
+#include "engine/engine_state.h"
 #include "prefix/block_chain.h"
 
 namespace fernmoor {
 
-/// Load that this node brought to an engine after a given instant.
+/// Load that this node brought to an engine after its report.
 struct PlacedLoad {
+  /// Tokens sent, and those that the engine could have prefilled while it had nothing to do: added
+  /// to the reported queue, less the whole time since at the engine's rate, they give its queue
+  /// now.
   int64_t prefillTokens = 0;
   int64_t streams = 0;  ///< Started less ended, so it may be negative.
 };
@@ -36,8 +40,8 @@
   /// @return leading blocks that this node sent there within placedPrefixLifetime; exact to 8
   /// blocks up to depth 512 and to 64 blocks beyond.
   int64_t expectedBlocks(const EngineLife& life, const BlockChain& chain, Time now) const;
-  /// @return load brought there after `measuredAt`, the time of the engine's report.
-  PlacedLoad loadSince(const EngineLife& life, Time measuredAt) const;
+  /// @return load brought there after the engine measured its own.
+  PlacedLoad loadSince(const EngineLife& life, const EngineLoad& report) const;
 
   /// Forgets what is too old. Call it about once a second.
   void expire(Time now);
