--- a/src/operator_client/command.cpp
+++ b/src/operator_client/command.cpp
@@ -28,8 +28,8 @@
   return all;
 }
 
-/// Shows the columns of one row's conflict in which a side differs from the base. A side that is
-/// missing has no such row.
+/// Shows the columns of one row's conflict in which a side differs from the base, or the sides from
+/// each other where the base is not known. A side that is missing has no such row.
 void printSides(std::ostream& err, const Object& conflict) {
   const Object none;
   const Object::Ptr basePointer = conflict.getObject("base");
@@ -42,8 +42,9 @@
   for (const auto& [column, value] : columnsOf(theirs, mine)) {
     const std::string before = cellText(base, column);
     const std::string their = cellText(theirs, column);
-    const std::string own = mine.has(column) ? cellText(mine, column) : before;
-    if (their != before || own != before) {
+    const std::string unchanged = basePointer.isNull() ? their : before;
+    const std::string own = mine.has(column) ? cellText(mine, column) : unchanged;
+    if (their != unchanged || own != unchanged) {
       table.add({column, before, their, own});
     }
   }
--- a/src/operator_client/fleet_commands.cpp
+++ b/src/operator_client/fleet_commands.cpp
@@ -58,6 +58,59 @@
   }
 }
 
+/// A node that is told of a drain.
+struct DrainTarget {
+  std::string nodeId;
+  SocketAddress address;
+};
+
+/// @param onlyNode the one node to tell; empty: all, as each chooses engines by itself.
+std::vector<DrainTarget> drainTargets(const Object& members, const std::string& onlyNode) {
+  std::vector<DrainTarget> targets;
+  const Array::Ptr nodes = members.getArray("nodes");
+  for (size_t i = 0; !nodes.isNull() && i < nodes->size(); ++i) {
+    const Object::Ptr node = nodes->getObject(static_cast<unsigned>(i));
+    if (node.isNull() || cellText(*node, "state") == "dead") {
+      continue;
+    }
+    const std::string nodeId = cellText(*node, "node_id");
+    const auto address = parseSocketAddress(cellText(*node, "http"));
+    if (address && (onlyNode.empty() || onlyNode == nodeId)) {
+      targets.push_back({nodeId, *address});
+    }
+  }
+  return targets;
+}
+
+ExitCode sendDrain(CommandContext& context, const DrainTarget& target, const Object& order) {
+  ClientOptions options = context.options;
+  options.node = target.address;
+  OperatorConnection connection(options);
+  const OperatorOutcome outcome = connection.post("/operator/drain", order);
+  if (const auto* failure = std::get_if<OperatorFailure>(&outcome)) {
+    context.err << "node " << target.nodeId << " did not take the order; send it again:\n";
+    return reportFailure(context, *failure);
+  }
+  return ExitCode::kOk;
+}
+
+void reportDrain(CommandContext& context, const std::string& name, bool isNode,
+                 const std::vector<DrainTarget>& targets) {
+  if (context.wantsJson()) {
+    Object body;
+    Array::Ptr told = new Array;
+    for (const DrainTarget& target : targets) {
+      told->add(target.nodeId);
+    }
+    body.set("told_nodes", told);
+    printJson(context, body);
+    return;
+  }
+  context.out << (isNode ? "node " : "engine ") << name
+              << " takes no new work; what it has goes on to its end. `fernmoorctl "
+              << (isNode ? "nodes" : "engines") << "` shows its state.\n";
+}
+
 }  // namespace
 
 ExitCode showNodes(CommandContext& context, const CommandWords& words) {
@@ -98,22 +151,30 @@
   if (words.size() != 1) {
     return usageError(context, "drain needs one node number or engine name.");
   }
-  unsigned node = 0;
-  const bool isNode = Poco::NumberParser::tryParseUnsigned(words[0], node);
-  Object request;
-  request.set("kind", isNode ? "node" : "engine");
-  request.set("id", words[0]);
-  const OperatorOutcome outcome = context.connection.post("/operator/drain", request);
+  unsigned number = 0;
+  const bool isNode = Poco::NumberParser::tryParseUnsigned(words[0], number);
+  const OperatorOutcome outcome = context.connection.get("/operator/nodes");
   if (const auto* failure = std::get_if<OperatorFailure>(&outcome)) {
     return reportFailure(context, *failure);
   }
-  if (context.wantsJson()) {
-    printJson(context, *std::get<Object::Ptr>(outcome));
-    return ExitCode::kOk;
+  const std::vector<DrainTarget> targets =
+      drainTargets(*std::get<Object::Ptr>(outcome), isNode ? words[0] : "");
+  if (targets.empty()) {
+    return reportFailure(context, OperatorFailure{ExitCode::kRefused,
+                                                  "there is no live node " + words[0] +
+                                                      "; `fernmoorctl nodes` lists them.",
+                                                  nullptr});
+  }
+  Object order;
+  order.set("kind", isNode ? "node" : "engine");
+  order.set("id", words[0]);
+  for (const DrainTarget& target : targets) {
+    const ExitCode code = sendDrain(context, target, order);
+    if (code != ExitCode::kOk) {
+      return code;
+    }
   }
-  context.out << (isNode ? "node " : "engine ") << words[0]
-              << " takes no new work; what it has goes on to its end. `fernmoorctl "
-              << (isNode ? "nodes" : "engines") << "` shows its state.\n";
+  reportDrain(context, words[0], isNode, targets);
   return ExitCode::kOk;
 }
 
--- a/src/operator_client/fleet_commands.h
+++ b/src/operator_client/fleet_commands.h
@@ -10,7 +10,8 @@
 ExitCode showNodes(CommandContext& context, const CommandWords& words);
 /// `engines`: engines with load and the state of their cache views.
 ExitCode showEngines(CommandContext& context, const CommandWords& words);
-/// `drain NODE|ENGINE`: a number names a node, anything else an engine.
+/// `drain NODE|ENGINE`: a number names a node, which is told itself; anything else names an engine,
+/// of which every live node is told.
 ExitCode drain(CommandContext& context, const CommandWords& words);
 /// `explain REQUEST_ID`: what became of a request and why.
 ExitCode explainRequest(CommandContext& context, const CommandWords& words);
--- a/test/operator_client/command_line_test.cpp
+++ b/test/operator_client/command_line_test.cpp
@@ -154,21 +154,47 @@
   CHECK(run.out == "no differences\n");
 }
 
-TEST_CASE("explain, engines and drain speak the node's endpoints") {
+TEST_CASE("explain and engines speak the node's endpoints") {
   Bench bench;
   bench.node.answer("GET /operator/explain/r%2F1", 200,
                     R"({"request":"r/1","tenant":"ward","service":"alerts","outcome":"answered",)"
                     R"("run":"ran","queue_ms":3,"attempts":[{"attempt":"r/1-1","engine":"e2",)"
                     R"("reason":"least expected time","expected_ms":41,"result":"ended",)"
                     R"("considered":[{"engine":"e1","matched_blocks":4,"expected_ms":90}]}]})");
-  bench.node.answer("POST /operator/drain", 200, "{}");
   bench.node.answer("GET /operator/engines", 200, R"({"engines":[{"id":"e\u001b[2J1"}]})");
   CHECK(contains(bench.run({"explain", "r/1"}).out, "on engine e2: least expected time"));
+  CHECK(contains(bench.run({"engines"}).out, "e?[2J1"));
+}
+
+TEST_CASE("drain tells the node itself, and every live node of an engine") {
+  Bench bench;
+  FakeNode other;
+  const std::string own = formatSocketAddress(bench.node.address());
+  const std::string others = formatSocketAddress(other.address());
+  bench.node.answer("GET /operator/nodes", 200,
+                    R"({"nodes":[{"node_id":2,"state":"alive","http":")" + own +
+                        R"("},{"node_id":3,"state":"alive","http":")" + others +
+                        R"("},{"node_id":4,"state":"dead","http":"127.0.0.1:1"}]})");
+  bench.node.answer("POST /operator/drain", 200, "{}");
+  other.answer("POST /operator/drain", 200, "{}");
   CHECK((bench.run({"drain", "3"}).code == ExitCode::kOk));
-  CHECK(bench.node.seen().back().body == R"({"id":"3","kind":"node"})");
-  bench.run({"drain", "engine-3"});
+  REQUIRE(other.seen().size() == 1);
+  CHECK(other.seen().back().body == R"({"id":"3","kind":"node"})");
+  CHECK((bench.run({"drain", "engine-3"}).code == ExitCode::kOk));
   CHECK(bench.node.seen().back().body == R"({"id":"engine-3","kind":"engine"})");
-  CHECK(contains(bench.run({"engines"}).out, "e?[2J1"));
+  CHECK(other.seen().size() == 2);
+  CHECK((bench.run({"drain", "4"}).code == ExitCode::kRefused));
+}
+
+TEST_CASE("a conflict without a base shows where the sides differ") {
+  Bench bench;
+  bench.options.baseVersion = TableVersion(8);
+  bench.node.answer("POST /operator/table", 409,
+                    R"({"kind":"conflict","message":"x.","conflicts":[{"service":"a","tenant":"b",)"
+                    R"("theirs":{"priority":1,"weight":1},"mine":{"priority":0,"weight":1}}]})");
+  const std::string shown = bench.run({"table", "set", "a", "b", "priority=0"}).err;
+  CHECK(contains(shown, "priority  -     1       0"));
+  CHECK_FALSE(contains(shown, "weight"));
 }
 
 TEST_CASE("help shows the commands and every knob") {
