--- a/programs/fernmoor-bench/main.cpp
+++ b/programs/fernmoor-bench/main.cpp
@@ -19,7 +19,8 @@
 DEFINE_double(gap_every_seconds, 20, "Mean time between gaps in one engine's events; 0: none.");
 DEFINE_double(crash_every_seconds, 0, "Mean time between engine crashes; 0: none.");
 DEFINE_bool(admission, true, "Requests pass the routers' admission.");
-DEFINE_string(knobs, "", "Tunables to change, e.g. affinityPrefixBlocks=64,nonHomePenaltySeconds=0");
+DEFINE_string(knobs, "",
+              "Tunables to change, e.g. affinityPrefixBlocks=64,nonHomePenaltySeconds=0");
 DEFINE_int32(threads, 4, "Runs at the same time, at most 4.");
 DEFINE_string(json, "", "Write the report as JSON to this file.");
 DEFINE_string(out, "report", "Folder for the files of a comparison.");
@@ -44,7 +45,8 @@
 };
 
 std::string usage() {
-  std::string text = "fernmoor-bench COMMAND [FLAGS]: load, experiments and reports.\n\nCommands:\n";
+  std::string text =
+      "fernmoor-bench COMMAND [FLAGS]: load, experiments and reports.\n\nCommands:\n";
   for (const Command& command : kCommands) {
     text += "  " + std::string(command.name) + ": " + command.help + "\n";
   }
--- a/programs/fernmoor-bench/routing_command.cpp
+++ b/programs/fernmoor-bench/routing_command.cpp
@@ -22,8 +22,7 @@
   if (!isOk(workload)) {
     return printError(errorOf(workload));
   }
-  const Result<ExperimentReport> report =
-      runRoutingExperiment(valueOf(workload), valueOf(options));
+  const Result<ExperimentReport> report = runRoutingExperiment(valueOf(workload), valueOf(options));
   if (!isOk(report)) {
     return printError(errorOf(report));
   }
--- a/programs/fernmoor-bench/slopes_command.cpp
+++ b/programs/fernmoor-bench/slopes_command.cpp
@@ -1,11 +1,10 @@
 /// @file
 /// `fernmoor-bench slopes [PART...]`: costs by size, for docs/CAPACITY.md.
-#include "bench/slopes.h"
-
 #include <algorithm>
 #include <cstdio>
 
 #include "bench/capacity.h"
+#include "bench/slopes.h"
 #include "commands.h"
 #include "experiment_flags.h"
 #include "flags.h"
@@ -20,16 +19,11 @@
 };
 
 constexpr Part kParts[] = {
-    {"hashing", measurePromptHashing},
-    {"choice", measureRoutingDecision},
-    {"owner", measureEngineOwner},
-    {"probes", measureProbes},
-    {"membership", measureMembership},
-    {"table", measureTableMemory},
-    {"spread", measureTableSpread},
-    {"admission", measureAdmission},
-    {"claims", measureClaims},
-    {"wire", measureWire},
+    {"hashing", measurePromptHashing}, {"choice", measureRoutingDecision},
+    {"owner", measureEngineOwner},     {"probes", measureProbes},
+    {"membership", measureMembership}, {"table", measureTableMemory},
+    {"spread", measureTableSpread},    {"admission", measureAdmission},
+    {"claims", measureClaims},         {"wire", measureWire},
 };
 
 bool isWanted(const Part& part, const Arguments& names) {
--- a/scripts/bench_http.py
+++ b/scripts/bench_http.py
@@ -37,10 +37,14 @@
         probe.wait_ready()
         node = processes.nodes[0]
         key = cluster.tenant_key(TENANT)
-        cluster.wait_until(lambda: answers(node, key, "probe") and answers(node, key, "streams"),
-                           "an answer of each service")
         print(HEADER, flush=True)
         for streams in (0, 150, 300):
+            # A new process each time, so that its memory shows this run's streams only.
+            node.stop()
+            node.start()
+            cluster.wait_until(
+                lambda: answers(node, key, "probe") and answers(node, key, "streams"),
+                "an answer of each service")
             result = subprocess.run(
                 [build / "fernmoor-bench", "http", f"--node={node.url[len('http://'):]}",
                  f"--key={key}", "--stream_service=streams", "--probe_service=probe",
--- a/src/bench/admission_slope.cpp
+++ b/src/bench/admission_slope.cpp
@@ -16,8 +16,7 @@
 
 AdmissionRequest requestOf(size_t row, Time now) {
   AdmissionRequest request;
-  request.limits.row =
-      RowKey{ServiceId("service"), TenantId("tenant-" + std::to_string(row))};
+  request.limits.row = RowKey{ServiceId("service"), TenantId("tenant-" + std::to_string(row))};
   request.limits.ratePerSecond = 1000;
   request.limits.burst = 1000;
   request.limits.concurrency = 100;
--- a/src/bench/capacity.cpp
+++ b/src/bench/capacity.cpp
@@ -37,21 +37,20 @@
   const std::vector<Slope>& slopes_;
 };
 
-constexpr const char* kNeededSlopes[] = {
-    "hash-time",        "choice-time-least_expected_time",
-    "view-memory",      "view-event-time",
-    "event-json-time",  "event-json-bytes",
-    "probe-bytes",      "probe-time",
-    "push-bytes",       "push-cpu",
-    "membership-bytes", "membership-messages",
-    "membership-cpu",   "membership-memory",
-    "table-memory",     "table-lookup-time",
-    "table-idle-bytes", "table-idle-cpu",
-    "table-change-bytes", "table-catch-up-bytes",
-    "admission-time",   "admission-memory",
-    "claim-bytes",      "claim-time",
-    "claim-messages",   "claim-memory",
-    "seal-time",        "datagram-time"};
+constexpr const char* kNeededSlopes[] = {"hash-time",          "choice-time-least_expected_time",
+                                         "view-memory",        "view-event-time",
+                                         "event-json-time",    "event-json-bytes",
+                                         "probe-bytes",        "probe-time",
+                                         "push-bytes",         "push-cpu",
+                                         "membership-bytes",   "membership-messages",
+                                         "membership-cpu",     "membership-memory",
+                                         "table-memory",       "table-lookup-time",
+                                         "table-idle-bytes",   "table-idle-cpu",
+                                         "table-change-bytes", "table-catch-up-bytes",
+                                         "admission-time",     "admission-memory",
+                                         "claim-bytes",        "claim-time",
+                                         "claim-messages",     "claim-memory",
+                                         "seal-time",          "datagram-time"};
 
 std::string format(const char* pattern, double value) {
   char text[64];
@@ -80,8 +79,7 @@
     cost.role = "ingress";
     cost.state = "limits of rows in use, memory of placements, probe facts";
     cost.messages = format("%.0f/s (questions and answers)", messages);
-    cost.corePercent =
-        corePercent(microseconds, target::kRequestsPerNode) + wirePercent(messages);
+    cost.corePercent = corePercent(microseconds, target::kRequestsPerNode) + wirePercent(messages);
     cost.bytes = book_.atTarget("admission-memory") +
                  static_cast<double>(Knobs().placementMarks) * kPlacementMarkBytes;
     cost.sentBytesPerSecond = questionBytes * target::kRequestsPerNode;
@@ -134,15 +132,14 @@
 
   RoleCost claimReplica() const {
     const double claims = kNotRepeatableShare * target::kRequestsPerNode;
-    const double records = claims * static_cast<double>(Knobs().claimReplicaCount) *
-                           toSeconds(Knobs().claimRetention);
+    const double records =
+        claims * static_cast<double>(Knobs().claimReplicaCount) * toSeconds(Knobs().claimRetention);
     const double messages = claims * book_.each("claim-messages");
     RoleCost cost;
     cost.role = "claim replica";
     cost.state = format("%.0f records kept for 2 h", records);
     cost.messages = format("%.0f/s", messages);
-    cost.corePercent =
-        corePercent(book_.each("claim-time"), claims) + wirePercent(messages);
+    cost.corePercent = corePercent(book_.each("claim-time"), claims) + wirePercent(messages);
     cost.bytes = records * book_.each("claim-memory");
     cost.sentBytesPerSecond = claims * book_.each("claim-bytes");
     cost.computation =
@@ -160,8 +157,9 @@
         book_.atTarget("membership-cpu") + wirePercent(book_.atTarget("membership-messages"));
     cost.bytes = book_.atTarget("membership-memory");
     cost.sentBytesPerSecond = book_.atTarget("membership-bytes");
-    cost.computation = "membership-cpu + membership-messages x (seal-time + datagram-time); "
-                       "membership-memory; membership-bytes";
+    cost.computation =
+        "membership-cpu + membership-messages x (seal-time + datagram-time); "
+        "membership-memory; membership-bytes";
     return cost;
   }
 
--- a/src/bench/claim_slope.cpp
+++ b/src/bench/claim_slope.cpp
@@ -93,14 +93,14 @@
   }
 
   Open begin(int64_t index) {
-    const std::string text = mintClaimKeyText(cluster_.clock().wallMicroseconds(),
-                                              static_cast<uint64_t>(index));
+    const std::string text =
+        mintClaimKeyText(cluster_.clock().wallMicroseconds(), static_cast<uint64_t>(index));
     const Result<ClaimKey> key =
         parseClaimKey(TenantId("coast-district"), ServiceId("alert-receipt"), text);
     const size_t number = static_cast<size_t>(index) % kNodes;
     sim::SimulatedNode& node = *cluster_.nodes()[number];
-    return Open{number, node.role<ClaimService>()->begin(valueOf(key), 7, cluster_.now(),
-                                                         node.sender())};
+    return Open{number,
+                node.role<ClaimService>()->begin(valueOf(key), 7, cluster_.now(), node.sender())};
   }
 
   int64_t completeReady(std::vector<Open>& open) {
--- a/src/bench/comparison.cpp
+++ b/src/bench/comparison.cpp
@@ -97,11 +97,12 @@
 
 std::string groupTable(const std::vector<ExperimentReport>& reports, const std::string& name) {
   std::string html = "<h2>" + escapeHtml(name) + "</h2>\n<table><tr><th>run</th><th>offered</th>" +
-                     std::string("<th>in time %</th><th>hit % (blocks)</th><th>hit % (tokens)</th>"
-                                 "<th>oracle hit %</th><th>recomputed though held (tokens)</th>"
-                                 "<th>first token p50 ms</th><th>p95</th><th>p99</th><th>p99.9</th>"
-                                 "<th>between tokens p50 ms</th><th>p99</th><th>retries</th>"
-                                 "<th>refusals</th></tr>\n");
+                     std::string(
+                         "<th>in time %</th><th>hit % (blocks)</th><th>hit % (tokens)</th>"
+                         "<th>oracle hit %</th><th>recomputed though held (tokens)</th>"
+                         "<th>first token p50 ms</th><th>p95</th><th>p99</th><th>p99.9</th>"
+                         "<th>between tokens p50 ms</th><th>p99</th><th>retries</th>"
+                         "<th>refusals</th></tr>\n");
   for (const ExperimentReport& report : reports) {
     const GroupReport* group = findGroup(report, name);
     if (group != nullptr) {
--- a/src/bench/engine_fleet.h
+++ b/src/bench/engine_fleet.h
@@ -4,8 +4,8 @@
 #pragma once
 
 #include <functional>
-#include <optional>
 #include <memory>
+#include <optional>
 #include <vector>
 
 #include "bench/workload_file.h"
@@ -19,10 +19,10 @@
 
 /// How far the routers' knowledge lags behind the engines.
 struct StalenessOptions {
-  Duration age{500000};        ///< Delay of cache events and age of load reports.
-  bool perfect = false;        ///< Views and load are read from the engines themselves.
+  Duration age{500000};         ///< Delay of cache events and age of load reports.
+  bool perfect = false;         ///< Views and load are read from the engines themselves.
   Duration gapEvery{20000000};  ///< Mean time between gaps in one engine's events; 0: none.
-  int64_t gapEvents = 50;      ///< Events lost in one gap.
+  int64_t gapEvents = 50;       ///< Events lost in one gap.
 };
 
 /// Takes the frames that an engine produced. Called on the queue's thread.
--- a/src/bench/experiment_metrics.h
+++ b/src/bench/experiment_metrics.h
@@ -19,8 +19,8 @@
   int64_t inTime = 0;  ///< Completed before their deadline.
   int64_t retries = 0;
   int64_t promptTokens = 0;
-  int64_t cachedTokens = 0;      ///< Found in the chosen engine's cache.
-  int64_t oracleTokens = 0;      ///< Held by some engine when the request reached the chosen one.
+  int64_t cachedTokens = 0;  ///< Found in the chosen engine's cache.
+  int64_t oracleTokens = 0;  ///< Held by some engine when the request reached the chosen one.
   int64_t recomputedHeldTokens = 0;  ///< Held by some engine, yet recomputed.
   int64_t promptBlocks = 0;
   int64_t cachedBlocks = 0;
--- a/src/bench/experiment_report.h
+++ b/src/bench/experiment_report.h
@@ -50,10 +50,10 @@
   uint64_t seed = 0;
   double loadFactor = 1;
   double stalenessMilliseconds = 0;
-  double seconds = 0;                 ///< Virtual time measured, without the warm-up.
-  double decisionMicroseconds = 0;    ///< Processor time of one choice of an engine, mean.
-  double tenantFairness = 1;          ///< Jain's index of the tenants' shares served in time.
-  double engineFairness = 1;          ///< Jain's index of the engines' recomputed tokens.
+  double seconds = 0;               ///< Virtual time measured, without the warm-up.
+  double decisionMicroseconds = 0;  ///< Processor time of one choice of an engine, mean.
+  double tenantFairness = 1;        ///< Jain's index of the tenants' shares served in time.
+  double engineFairness = 1;        ///< Jain's index of the engines' recomputed tokens.
   GroupReport total;
   std::vector<GroupReport> classes;
   std::vector<GroupReport> tenants;
--- a/src/bench/hollow_router.cpp
+++ b/src/bench/hollow_router.cpp
@@ -85,8 +85,8 @@
   for (size_t index = 0; index < states.size(); ++index) {
     EngineCandidate& candidate = candidates[index];
     candidate.engine = std::move(states[index]);
-    candidate.matchedBlocks = fleet_.isPerfect() ? fleet_.cachedBlocks(index, chain)
-                                                 : known[index].matchedBlocks;
+    candidate.matchedBlocks =
+        fleet_.isPerfect() ? fleet_.cachedBlocks(index, chain) : known[index].matchedBlocks;
     candidate.matchKnown = known[index].matchKnown || fleet_.isPerfect();
     candidate.placedPrefillTokens = known[index].placed.prefillTokens;
     candidate.placedStreams = known[index].placed.streams;
--- a/src/bench/http_load.cpp
+++ b/src/bench/http_load.cpp
@@ -59,8 +59,7 @@
   call.body = R"({"attempt":"bench-)" + name + R"(.1","request":"bench-)" + name +
               R"(","tenant":"bench","model":")" + options.probeModel.value() +
               R"(","adapter":"","incarnation":0,"weights_version":0,"priority":5,"prompt":")" +
-              prompt + R"(","first_position":0,"max_tokens":)" + std::to_string(kProbeTokens) +
-              "}";
+              prompt + R"(","first_position":0,"max_tokens":)" + std::to_string(kProbeTokens) + "}";
   call.timeout = kReadTimeout;
   return call;
 }
@@ -124,9 +123,8 @@
     return false;
   }
   double firstToken = -1;
-  const bool ended = readStream(**stream, [&] {
-    firstToken = firstToken < 0 ? millisecondsSince(start) : firstToken;
-  });
+  const bool ended = readStream(
+      **stream, [&] { firstToken = firstToken < 0 ? millisecondsSince(start) : firstToken; });
   if (!ended || firstToken < 0) {
     return false;
   }
@@ -154,7 +152,9 @@
   return resident * sysconf(_SC_PAGESIZE);
 }
 
-bool isLoopback(const SocketAddress& address) { return address.host.rfind("127.", 0) == 0; }
+bool isLoopback(const SocketAddress& address) {
+  return address.host.rfind("127.", 0) == 0;
+}
 
 Result<Done> check(const HttpLoadOptions& options) {
   if (!isLoopback(options.node) || !isLoopback(options.probeEngine)) {
@@ -231,15 +231,14 @@
   const double perStream =
       streams > 0 ? static_cast<double>(report.nodeBytesOpen - report.nodeBytesIdle) / streams : 0;
   char text[1024];
-  std::snprintf(text, sizeof(text),
-                "| %ld | %zu | %.2f | %.2f | %.2f | %.2f | %.2f | %.2f | %.0f | %.1f | %.0f | %ld |\n",
-                static_cast<long>(options.openStreams), report.throughNodeMilliseconds.count(),
-                report.directMilliseconds.quantile(0.5),
-                report.throughNodeMilliseconds.quantile(0.5), added(0.5),
-                report.directMilliseconds.quantile(0.95),
-                report.throughNodeMilliseconds.quantile(0.95), added(0.95),
-                frames / report.seconds, perFrame, perStream / 1024,
-                static_cast<long>(report.streamFailures + report.probeFailures));
+  std::snprintf(
+      text, sizeof(text),
+      "| %ld | %zu | %.2f | %.2f | %.2f | %.2f | %.2f | %.2f | %.0f | %.1f | %.0f | %ld |\n",
+      static_cast<long>(options.openStreams), report.throughNodeMilliseconds.count(),
+      report.directMilliseconds.quantile(0.5), report.throughNodeMilliseconds.quantile(0.5),
+      added(0.5), report.directMilliseconds.quantile(0.95),
+      report.throughNodeMilliseconds.quantile(0.95), added(0.95), frames / report.seconds, perFrame,
+      perStream / 1024, static_cast<long>(report.streamFailures + report.probeFailures));
   return text;
 }
 
--- a/src/bench/policy_table.cpp
+++ b/src/bench/policy_table.cpp
@@ -60,9 +60,8 @@
     table += cell("%.0f", [](Report run) {
       return static_cast<double>(run.total.recomputedHeldTokens) / 1000;
     });
-    table += cell("%.0f", [](Report run) {
-      return static_cast<double>(run.total.recomputedTokens) / 1000;
-    });
+    table += cell(
+        "%.0f", [](Report run) { return static_cast<double>(run.total.recomputedTokens) / 1000; });
     table += cell("%.1f", [](Report run) { return share(run.total.inTime, run.total.offered); });
     table += cell("%.0f", [](Report run) {
       int64_t refused = 0;
@@ -80,13 +79,13 @@
 }
 
 std::string classTable(const std::vector<PolicyRuns>& policies, size_t index) {
-  std::string table = "\n" + policies.front().runs.front()->classes[index].name +
-                      "\n\n| policy | hit % | first token p50 ms | p95 | p99 | p99.9 | "
-                      "between tokens p50 ms | p99 | in time % |\n|---|---|---|---|---|---|---|---|---|\n";
+  std::string table =
+      "\n" + policies.front().runs.front()->classes[index].name +
+      "\n\n| policy | hit % | first token p50 ms | p95 | p99 | p99.9 | "
+      "between tokens p50 ms | p99 | in time % |\n|---|---|---|---|---|---|---|---|---|\n";
   for (const PolicyRuns& runs : policies) {
     const auto cell = [&](const char* pattern, auto figure) {
-      return " " +
-             format(pattern, runs.mean([&](const ExperimentReport& run) {
+      return " " + format(pattern, runs.mean([&](const ExperimentReport& run) {
                return figure(run.classes[index]);
              })) +
              " |";
--- a/src/bench/probe_slope.cpp
+++ b/src/bench/probe_slope.cpp
@@ -23,7 +23,9 @@
 constexpr double kPushedEnginesPerNode = target::kEngines / target::kNodes;
 constexpr Duration kPushTime{20000000};
 
-EngineId engineName(size_t number) { return EngineId("engine-" + std::to_string(1000 + number)); }
+EngineId engineName(size_t number) {
+  return EngineId("engine-" + std::to_string(1000 + number));
+}
 
 /// One zone; engine number i is owned by node i modulo the nodes.
 class ProbeZone {
--- a/src/bench/resource_usage.cpp
+++ b/src/bench/resource_usage.cpp
@@ -33,17 +33,25 @@
 
 }  // namespace
 
-double threadCpuSeconds() { return clockSeconds(CLOCK_THREAD_CPUTIME_ID); }
+double threadCpuSeconds() {
+  return clockSeconds(CLOCK_THREAD_CPUTIME_ID);
+}
 
-double processCpuSeconds() { return clockSeconds(CLOCK_PROCESS_CPUTIME_ID); }
+double processCpuSeconds() {
+  return clockSeconds(CLOCK_PROCESS_CPUTIME_ID);
+}
 
 int64_t heapBytes() {
   const struct mallinfo2 info = mallinfo2();
   return static_cast<int64_t>(info.uordblks + info.hblkhd);
 }
 
-int64_t peakResidentBytes() { return statusBytes("VmHWM"); }
+int64_t peakResidentBytes() {
+  return statusBytes("VmHWM");
+}
 
-int64_t residentBytes() { return statusBytes("VmRSS"); }
+int64_t residentBytes() {
+  return statusBytes("VmRSS");
+}
 
 }  // namespace fernmoor::bench
--- a/src/bench/routing_experiment.cpp
+++ b/src/bench/routing_experiment.cpp
@@ -159,10 +159,8 @@
     Flight& flight = flights_[number];
     const size_t engine = applications_.leastBusy();
     // A claim of a not-repeatable request waits for a majority of replicas in other zones.
-    const Duration claim =
-        flight.row.repeatable ? Duration(0) : 2 * spec_.fleet.crossZoneLatency;
-    const Duration latency =
-        latencyTo(flight, static_cast<int64_t>(engine) % spec_.fleet.zones);
+    const Duration claim = flight.row.repeatable ? Duration(0) : 2 * spec_.fleet.crossZoneLatency;
+    const Duration latency = latencyTo(flight, static_cast<int64_t>(engine) % spec_.fleet.zones);
     queue_.scheduleAfter(claim + latency, [this, number, engine, latency] {
       applications_.submit(engine, [this, number, latency] {
         queue_.scheduleAfter(latency + spec_.fleet.clientLatency, [this, number] {
@@ -285,9 +283,7 @@
 
   void countFirstToken(size_t number, Time receivedAt) {
     const double milliseconds = toMilliseconds(receivedAt - flights_[number].arrivedAt);
-    count(number, [&](GroupMetrics& metrics) {
-      metrics.firstTokenMilliseconds.add(milliseconds);
-    });
+    count(number, [&](GroupMetrics& metrics) { metrics.firstTokenMilliseconds.add(milliseconds); });
   }
 
   void countPrefix(size_t number, const standin::EngineFrame& frame) {
--- a/src/bench/routing_experiment.h
+++ b/src/bench/routing_experiment.h
@@ -20,7 +20,7 @@
   Duration warmUp{10000000};  ///< Requests that arrive earlier are served and not counted.
   double loadFactor = 1;
   StalenessOptions staleness;
-  bool admission = true;      ///< Requests pass the admission controller of their router.
+  bool admission = true;   ///< Requests pass the admission controller of their router.
   Duration crashEvery{0};  ///< Mean time between crashes of any engine; 0: none.
   Knobs knobs;
 };
--- a/src/bench/slope.h
+++ b/src/bench/slope.h
@@ -12,13 +12,13 @@
 namespace fernmoor::bench {
 
 struct Slope {
-  std::string name;         ///< Identifier in reports, e.g. "hash-time".
-  std::string what;         ///< What was measured, in words.
-  std::string sizeUnit;     ///< Unit of x.
-  std::string costUnit;     ///< Unit of y.
-  std::string mechanism;    ///< What carries the cost, with its file.
+  std::string name;       ///< Identifier in reports, e.g. "hash-time".
+  std::string what;       ///< What was measured, in words.
+  std::string sizeUnit;   ///< Unit of x.
+  std::string costUnit;   ///< Unit of y.
+  std::string mechanism;  ///< What carries the cost, with its file.
   std::vector<Point> points;
-  double targetSize = 0;    ///< x at the target.
+  double targetSize = 0;  ///< x at the target.
 
   LineFit fit() const { return fitLine(points); }
   /// @return the fitted cost at the target's size.
--- a/src/bench/spread_scenarios.cpp
+++ b/src/bench/spread_scenarios.cpp
@@ -87,13 +87,9 @@
   }
 
   double nodes() const { return static_cast<double>(options_.nodes); }
-  const sim::Placement& firstPlacement() {
-    return cluster_.cluster().nodes().front()->placement();
-  }
+  const sim::Placement& firstPlacement() { return cluster_.cluster().nodes().front()->placement(); }
   /// Spreads the chosen nodes over the whole deployment.
-  NodeId nodeAt(uint32_t number) const {
-    return NodeId(1 + (number * 5) % options_.nodes);
-  }
+  NodeId nodeAt(uint32_t number) const { return NodeId(1 + (number * 5) % options_.nodes); }
   TableVersion change() { return cluster_.store({sim::exampleTableRow(changes_++)}); }
 
   SpreadTimes measure(const std::string& scenario, const Goal& goal) {
@@ -178,8 +174,8 @@
 std::string toMarkdown(const std::vector<SpreadTimes>& scenarios) {
   std::string text = "| scenario | 50 % (s) | 99 % (s) | 100 % (s) |\n|---|---|---|---|\n";
   for (const SpreadTimes& one : scenarios) {
-    text += "| " + one.scenario + " |" + cell(one.half) + cell(one.ninetyNine) + cell(one.all) +
-            "\n";
+    text +=
+        "| " + one.scenario + " |" + cell(one.half) + cell(one.ninetyNine) + cell(one.all) + "\n";
   }
   return text;
 }
--- a/src/bench/table_spread_slope.cpp
+++ b/src/bench/table_spread_slope.cpp
@@ -62,8 +62,7 @@
   cost.idleBytesPerSecond = bytesSent(cluster, nodes) / nodeSeconds;
   cluster.cluster().network().resetTraffic();
   for (int change = 0; change < kChanges; ++change) {
-    const TableVersion version =
-        cluster.store({sim::exampleTableRow(static_cast<size_t>(change))});
+    const TableVersion version = cluster.store({sim::exampleTableRow(static_cast<size_t>(change))});
     const std::optional<Duration> time = cluster.runUntilInForce(version, 1, kSpreadLimit);
     cost.secondsToAll = std::max(cost.secondsToAll, toSeconds(time.value_or(kSpreadLimit)));
     cluster.run(std::max(Duration(0), kMeasuredTime - time.value_or(kSpreadLimit)));
--- a/src/bench/workload_file.cpp
+++ b/src/bench/workload_file.cpp
@@ -1,10 +1,11 @@
 #include "bench/workload_file.h"
 
+#include <toml++/toml.h>
+
 #include <algorithm>
 #include <fstream>
 #include <set>
 #include <sstream>
-#include <toml++/toml.h>
 #include <utility>
 
 namespace fernmoor::bench {
--- a/test/bench/routing_experiment_test.cpp
+++ b/test/bench/routing_experiment_test.cpp
@@ -70,9 +70,15 @@
 TEST_CASE("every request of an experiment has exactly one outcome") {
   ExperimentOptions options = optionsFor("least_expected_time");
   SUBCASE("in calm") {}
-  SUBCASE("with engine crashes") { options.crashEvery = fromSeconds(1); }
-  SUBCASE("at thirty times the load") { options.loadFactor = 30; }
-  SUBCASE("without admission") { options.admission = false; }
+  SUBCASE("with engine crashes") {
+    options.crashEvery = fromSeconds(1);
+  }
+  SUBCASE("at thirty times the load") {
+    options.loadFactor = 30;
+  }
+  SUBCASE("without admission") {
+    options.admission = false;
+  }
   const ExperimentReport report = run(options);
   CHECK(report.total.offered > 0);
   CHECK(report.total.completed + refusalsOf(report.total) == report.total.offered);
