Findings of clang-tidy in the benchmarks

Cause: clang-tidy reported five findings in src/bench (needless copies, a vector grown in a loop, a division whose divisor it could not see to be positive). Change: mended; no check was switched off.

--- a/src/bench/engine_owner_slope.cpp
+++ b/src/bench/engine_owner_slope.cpp
@@ -17,6 +17,7 @@
 
 constexpr int64_t kViewSizes[] = {1000, 10000, 50000, 100000, 200000};
 constexpr size_t kEventsPerBatch = 100;
+constexpr size_t kMeasuredBatches = 400;
 
 /// An engine whose cache is full: each new block evicts the oldest one.
 class FullCache {
@@ -88,7 +89,8 @@
 double secondsPerEvent(int64_t blocks) {
   FilledView filled(blocks);
   std::vector<CacheEventBatch> batches;
-  for (int count = 0; count < 400; ++count) {
+  batches.reserve(kMeasuredBatches);
+  for (size_t count = 0; count < kMeasuredBatches; ++count) {
     batches.push_back(filled.cache.replace(kEventsPerBatch));
   }
   const double before = threadCpuSeconds();
--- a/src/bench/probe_slope.cpp
+++ b/src/bench/probe_slope.cpp
@@ -1,5 +1,6 @@
 /// @file
 /// Cost of questions to engines' owners, and of the loads that owners push to their zone.
+#include <algorithm>
 #include <memory>
 #include <string>
 
@@ -30,14 +31,16 @@
 /// One zone; engine number i is owned by node i modulo the nodes.
 class ProbeZone {
  public:
-  ProbeZone(uint32_t nodes, size_t engines, bool push) : nodes_(nodes), cluster_(1, settings()) {
-    for (uint32_t number = 0; number < nodes; ++number) {
+  /// @param nodes at least 1.
+  ProbeZone(uint32_t nodes, size_t engines, bool push)
+      : nodes_(std::max(nodes, 1U)), cluster_(1, settings()) {
+    for (uint32_t number = 0; number < nodes_; ++number) {
       owned_.push_back(std::make_unique<OwnedEngines>(knobs_));
     }
     for (size_t engine = 0; engine < engines; ++engine) {
-      owned_[engine % nodes]->update(stateOf(engine), cluster_.now());
+      owned_[engine % owned_.size()]->update(stateOf(engine), cluster_.now());
     }
-    for (const sim::Placement& placement : sim::spreadOverZones(nodes, 1, 1)) {
+    for (const sim::Placement& placement : sim::spreadOverZones(nodes_, 1, 1)) {
       cluster_.addNode(placement,
                        [this, push](NodeLife life, Time) { return makeRoles(life, push); });
     }
--- a/src/bench/workload_file.cpp
+++ b/src/bench/workload_file.cpp
@@ -28,7 +28,7 @@
   }
 
   std::string requiredText(const std::string& key) {
-    const std::string value = text(key, "");
+    std::string value = text(key, "");
     if (value.empty()) {
       fail(key, "is missing; give it a string");
     }
@@ -226,10 +226,11 @@
     return all;
   }
   for (const toml::node& node : *array) {
-    const std::string place = source + ": " + key + " " + std::to_string(all.size() + 1);
+    std::string place = source;
+    place.append(": ").append(key).append(" ").append(std::to_string(all.size() + 1));
     const toml::table* table = node.as_table();
     if (table == nullptr) {
-      throw BadWorkload{place + " must be a table, written [[" + key + "]]."};
+      throw BadWorkload{place.append(" must be a table, written [[").append(key).append("]].")};
     }
     all.push_back(readOne(*table, place));
   }
