--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -15,7 +15,7 @@
 #include <vector>
 
 #include "common/error.h"
-#include "membership/member.h"
+#include "common/socket_address.h"
 
 namespace fernmoor {
 
--- a/src/node/engine_knowledge.cpp
+++ b/src/node/engine_knowledge.cpp
@@ -73,7 +73,7 @@
   loads.reserve(engines.size());
   const RankedLock lock(mutex_);
   for (const EngineState& engine : engines) {
-    loads.push_back(memory_.loadSince(lifeOf(engine), engine.load.measuredAt));
+    loads.push_back(memory_.loadSince(lifeOf(engine), engine.load));
   }
   return loads;
 }
--- a/src/wire/peer_transport.h
+++ b/src/wire/peer_transport.h
@@ -19,7 +19,7 @@
 #include "common/knobs.h"
 #include "common/message_sender.h"
 #include "common/role.h"
-#include "membership/member.h"
+#include "common/socket_address.h"
 #include "wire/envelope_sealer.h"
 
 namespace fernmoor {
