Stand-ins: numbers out of range in bodies and queries

Cause: reading the code again: a number beyond 64 bits raised an exception (status 500 in place of the field's default), and a huge wait_ms overflowed. Conclusion: nothing in a request makes a stand-in answer 500 for want of a check known to us.

--- a/standin/engine_server.cpp
+++ b/standin/engine_server.cpp
@@ -242,8 +242,7 @@
 void EngineServer::reportEvents(HttpExchange& exchange) {
   const Incarnation wanted(static_cast<uint64_t>(exchange.queryNumber("incarnation", 0)));
   const auto after = static_cast<uint64_t>(exchange.queryNumber("after", 0));
-  const Duration wait(exchange.queryNumber("wait_ms", 0) * 1000);
-  const Time deadline = clock_.now() + std::clamp(wait, Duration(0), kLongestEventWait);
+  const Time deadline = clock_.now() + exchange.queryWait("wait_ms", kLongestEventWait);
   CacheEventBatch batch;
   {
     std::unique_lock<std::mutex> lock(mutex_);
--- a/standin/http_exchange.cpp
+++ b/standin/http_exchange.cpp
@@ -5,6 +5,7 @@
 #include <Poco/Net/StreamSocket.h>
 #include <Poco/NumberParser.h>
 
+#include <algorithm>
 #include <ostream>
 
 namespace fernmoor::standin {
@@ -95,6 +96,12 @@
   return Poco::NumberParser::tryParse64(query(name), number) ? number : otherwise;
 }
 
+Duration HttpExchange::queryWait(const std::string& name, Duration longest) const {
+  const std::chrono::milliseconds most = duration_cast<std::chrono::milliseconds>(longest);
+  return std::chrono::milliseconds(
+      std::clamp<int64_t>(queryNumber(name, 0), 0, static_cast<int64_t>(most.count())));
+}
+
 JsonObject::Ptr HttpExchange::jsonBody() {
   const auto parsed = parseObject(body_);
   if (isOk(parsed)) {
--- a/standin/http_exchange.h
+++ b/standin/http_exchange.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "common/error.h"
+#include "common/time.h"
 #include "standin/json.h"
 
 namespace fernmoor::standin {
@@ -26,6 +27,8 @@
   const std::vector<std::string>& segments() const { return segments_; }
   std::string query(const std::string& name) const;
   int64_t queryNumber(const std::string& name, int64_t otherwise) const;
+  /// @return a wait given in milliseconds, from 0 to the longest one; 0 where it is absent.
+  Duration queryWait(const std::string& name, Duration longest) const;
   std::string header(const std::string& name) const { return request_.get(name, ""); }
   const std::string& body() const { return body_; }
   /// @return the body; null where it is no JSON object, which has then been answered.
--- a/standin/json.cpp
+++ b/standin/json.cpp
@@ -47,7 +47,14 @@
 
 int64_t numberField(const JsonObject::Ptr& object, const std::string& name, int64_t otherwise) {
   const Poco::Dynamic::Var value = object->get(name);
-  return value.isNumeric() && !value.isBoolean() ? value.convert<Poco::Int64>() : otherwise;
+  if (!value.isNumeric() || value.isBoolean()) {
+    return otherwise;
+  }
+  try {
+    return value.convert<Poco::Int64>();
+  } catch (const Poco::RangeException&) {
+    return otherwise;
+  }
 }
 
 std::string blockText(BlockHash block) {
--- a/standin/json.h
+++ b/standin/json.h
@@ -24,7 +24,8 @@
 /// @return the whole object as one line.
 std::string toText(const JsonObject::Ptr& object);
 
-/// Fields of an object; the default where the field is absent, null or of another type.
+/// Fields of an object; the default where the field is absent, null, of another type
+/// or out of range.
 std::string textField(const JsonObject::Ptr& object, const std::string& name,
                       const std::string& otherwise = "");
 int64_t numberField(const JsonObject::Ptr& object, const std::string& name, int64_t otherwise = 0);
--- a/standin/object_service.cpp
+++ b/standin/object_service.cpp
@@ -1,7 +1,5 @@
 #include "standin/object_service.h"
 
-#include <algorithm>
-
 #include "common/time.h"
 #include "standin/http_service.h"
 
@@ -208,8 +206,7 @@
 void ObjectService::watch(HttpExchange& exchange) {
   const SystemClock clock;
   const auto after = static_cast<uint64_t>(exchange.queryNumber("after", 0));
-  const Duration wait(exchange.queryNumber("wait_ms", 0) * 1000);
-  const Time deadline = clock.now() + std::clamp(wait, Duration(0), kLongestWatch);
+  const Time deadline = clock.now() + exchange.queryWait("wait_ms", kLongestWatch);
   ObjectHistory history;
   bool broken = false;
   {
