--- a/standin/engine_model.h
+++ b/standin/engine_model.h
@@ -13,6 +13,7 @@
 #include "common/error.h"
 #include "common/ids.h"
 #include "common/time.h"
+#include "engine/cache_event.h"
 #include "engine/engine_state.h"
 #include "prefix/block_chain.h"
 
@@ -33,6 +34,12 @@
   Duration loadLag{250000};          ///< Age of the reported load.
   Duration weightsLoadTime{500000};  ///< Of one order to load weights.
   uint64_t seed = 1;
+  std::vector<AdapterId> adapters;  ///< Loaded from the start.
+  EngineRole role = EngineRole::kMixed;
+  /// Tokens in a frame after the first; 0: only a first frame of one token and a last one.
+  int64_t tokensPerFrame = 1;
+  bool emitText = true;        ///< False: frames count tokens but carry no text.
+  int64_t keptEvents = 16384;  ///< Cache events kept for readers that come late.
 };
 
 /// A request as it reaches the engine.
@@ -59,22 +66,12 @@
   bool end = false;  ///< True in the last frame only.
   int64_t promptTokens = 0;
   int64_t cachedTokens = 0;  ///< Prompt tokens that were not recomputed.
+  Time at;                   ///< When it was produced.
 };
 
-enum class CacheEventKind { kStored, kRemoved, kCleared };
-
-struct CacheEvent {
-  uint64_t sequence = 0;  ///< Consecutive within an incarnation, from 1.
-  CacheEventKind kind = CacheEventKind::kStored;
-  BlockHash block = 0;
-};
-
-/// What an engine tells of its cache since a sequence number.
-struct CacheEventBatch {
-  Incarnation incarnation;
-  bool gap = false;  ///< Events between the asked sequence and the first one here were lost.
-  std::vector<CacheEvent> events;
-};
+using fernmoor::CacheEvent;
+using fernmoor::CacheEventBatch;
+using fernmoor::CacheEventKind;
 
 class EngineModel {
  public:
@@ -88,7 +85,8 @@
   Result<Done> submit(const EngineRequest& request, Time now);
   /// Stops an attempt and frees its place. Unknown attempts are ignored.
   void cancel(const AttemptId& attempt, Time now);
-  /// Makes the engine repeat an attempt's output from a position, running or ended.
+  /// Makes the engine repeat an attempt's output from a position, running or ended; the kept part
+  /// comes in one frame. Unknown attempts are kNotFound, positions not yet reached kInvalidRequest.
   Result<Done> resume(const AttemptId& attempt, int64_t position, Time now);
 
   /// Runs the batch up to `now`.
@@ -99,6 +97,9 @@
 
   /// Cache events after `sequence` whose delay has passed.
   CacheEventBatch events(uint64_t sequence, Time now) const;
+  /// @return when an event after `sequence` is or becomes visible; none if there is none.
+  std::optional<Time> nextEventVisible(uint64_t sequence) const;
+  uint64_t lastEventSequence() const;
   /// Load as it was loadLag ago.
   EngineLoad load(Time now) const;
   /// @return how many leading blocks of the chain are cached right now (the oracle's view).
@@ -109,21 +110,34 @@
   std::vector<BlockHash> exportBlocks(const std::vector<BlockHash>& blocks) const;
   void importBlocks(const std::vector<BlockHash>& blocks, Time now);
 
-  /// Carries out a fenced order to serve a model, adapter and weights version.
+  /// Carries out a fenced order to serve a model, adapter and weights version. While they load,
+  /// new requests are refused and those inside are finished.
   /// @return kConflict where a higher token was seen already.
   Result<Done> order(FencingToken token, const ModelId& model, const AdapterId& adapter,
                      WeightsVersion weights, EngineRole role, Time now);
 
-  /// Faults. A crash loses all attempts and the cache and starts a new incarnation.
+  /// @return how many loads orders have begun; tells whether an order began one.
+  uint64_t loadsBegun() const;
+  /// Sets when the loading under way ends, where the weight store decides that.
+  void setLoadingUntil(Time until);
+
+  /// Faults. A crash loses all attempts, the cache and the highest fencing token, and starts a new
+  /// incarnation with the model, adapters, weights and role of the first options.
   void crash(Time now);
-  void freezeUntil(Time until);
+  void freezeUntil(Time until);    ///< Produces nothing until then.
   void dropEvents(int64_t count);  ///< Loses the next events, leaving a gap.
 
+  /// @return the options in force: orders and crashes change model, adapters, weights version,
+  /// role and incarnation.
   const EngineOptions& options() const;
   Incarnation incarnation() const;
   WeightsVersion weightsVersion() const;
-  /// Tokens recomputed though some block of them had been here before; for reports.
+  EngineStatus status(Time now) const;
+  FencingToken highestFencingToken() const;
+  /// @return tokens prefilled since the start, all incarnations together; for reports.
   int64_t prefilledTokens() const;
+  /// @return true while the attempt waits, is in prefill or is being decoded.
+  bool isRunning(const AttemptId& attempt) const;
 
  private:
   class Implementation;
