--- a/src/membership/membership_role.cpp
+++ b/src/membership/membership_role.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "membership/member_codec.h"
+#include "membership/snapshot_builder.h"
 
 namespace fernmoor {
 
@@ -25,40 +26,12 @@
   return MemberIdentity{self.zone, self.region, self.peerAddress, self.httpAddress};
 }
 
-Member memberOf(const MemberEntry& entry) {
-  Member member;
-  member.life = entry.status.life;
-  member.zone = entry.identity.zone;
-  member.region = entry.identity.region;
-  member.peerAddress = entry.identity.peerAddress;
-  member.httpAddress = entry.identity.httpAddress;
-  member.state = stateOf(entry.status);
-  member.tableVersion = entry.status.tableVersion;
-  return member;
-}
-
 void sendAll(const std::vector<OutgoingMessage>& messages, MessageSender& sender) {
   for (const OutgoingMessage& message : messages) {
     sender.send(message.to, message.envelope);
   }
 }
 
-/// Adds the seeds that no member is known for; keeps the order by node id.
-void addSeedAddresses(const std::vector<Seed>& seeds, const MemberTable& table,
-                      std::vector<NodeAddress>& addresses) {
-  const size_t members = addresses.size();
-  for (const Seed& seed : seeds) {
-    if (table.find(seed.node) == nullptr) {
-      addresses.push_back(NodeAddress{seed.node, seed.peerAddress});
-    }
-  }
-  if (addresses.size() == members) {
-    return;
-  }
-  std::sort(addresses.begin(), addresses.end(),
-            [](const NodeAddress& a, const NodeAddress& b) { return a.node < b.node; });
-}
-
 }  // namespace
 
 MembershipRole::MembershipRole(const MembershipSettings& settings)
@@ -160,7 +133,7 @@
     table_.setSelfLeft();
     updates_.add(table_.selfId(), false);
     const auto told = static_cast<size_t>(messenger_.retransmitLimit());
-    for (const NodeId peer : table_.randomLivePeers(told, random_)) {
+    for (const NodeId peer : table_.randomAlivePeers(told, random_)) {
       messenger_.gossip(peer, false);
     }
     outbox = messenger_.takeOutbox();
@@ -198,12 +171,12 @@
     return;
   }
   // Updates first: the one about the sender may carry its identity.
-  const bool changed = takeUpdates(from.node, message, now);
+  const bool newLives = takeUpdates(from.node, message, now);
   if (!takeHeartbeat(from, message, now)) {
     return;
   }
   takeVersions(from, message);
-  takeKind(from, message, changed, now);
+  takeKind(from, message, newLives, now);
 }
 
 bool MembershipRole::canReach(const std::vector<OutgoingMessage>& messages) const {
@@ -232,7 +205,7 @@
 }
 
 bool MembershipRole::takeUpdates(NodeId from, const proto::MembershipMessage& message, Time now) {
-  bool changed = false;
+  bool newLives = false;
   const int count = std::min(message.updates_size(), kMaximumUpdatesPerMessage);
   for (int index = 0; index < count; ++index) {
     const std::optional<MemberStatement> statement = decodeStatement(message.updates(index));
@@ -240,9 +213,9 @@
       ++counters_.statementsRejected;
       continue;
     }
-    changed = take(from, *statement, now) || changed;
+    newLives = take(from, *statement, now) || newLives;
   }
-  return changed;
+  return newLives;
 }
 
 bool MembershipRole::take(NodeId from, const MemberStatement& statement, Time now) {
@@ -252,7 +225,8 @@
       return false;
     case MergeOutcome::kChanged:
       updates_.add(node, false);
-      return true;
+      probeRestOfZone(node);
+      return false;
     case MergeOutcome::kNewLife:
       updates_.add(node, true);
       prober_.noteNewMember(node);
@@ -261,7 +235,7 @@
     case MergeOutcome::kRefuted:
       ++counters_.refutations;
       updates_.add(node, false);
-      return true;
+      return false;
     case MergeOutcome::kSuperseded:
       supersededBy_ = statement.status.life.incarnation;
       return false;
@@ -269,12 +243,20 @@
       synchronizer_.askSoon(from);
       return false;
     case MergeOutcome::kConflict:
-      prober_.askSoon(node, ProbePurpose::kChallenge);
+      prober_.askSoon(node, ProbePurpose::kChallenge, from);
       return false;
   }
   return false;
 }
 
+void MembershipRole::probeRestOfZone(NodeId accused) {
+  const MemberEntry& entry = *table_.find(accused);
+  const bool suspect = entry.status.health == MemberHealth::kSuspect;
+  if (suspect && table_.isMostlySuspect(entry.identity.zone)) {
+    prober_.askNeighbours(accused);
+  }
+}
+
 void MembershipRole::takeVersions(NodeLife from, const proto::MembershipMessage& message) {
   const int64_t rounds = messenger_.gossipRounds();
   versions_.noteInForce(from.node, TableVersion(message.table_version()), rounds);
@@ -288,7 +270,7 @@
   }
 }
 
-void MembershipRole::takeKind(NodeLife from, const proto::MembershipMessage& message, bool changed,
+void MembershipRole::takeKind(NodeLife from, const proto::MembershipMessage& message, bool newLives,
                               Time now) {
   switch (message.kind_case()) {
     case proto::MembershipMessage::kPing:
@@ -304,7 +286,7 @@
       synchronizer_.onRequest(from.node, message.sync_request());
       return;
     case proto::MembershipMessage::kSyncPage:
-      synchronizer_.onPage(from.node, message.sync_page(), changed, now);
+      synchronizer_.onPage(from.node, message.sync_page(), newLives, now);
       return;
     case proto::MembershipMessage::kGossip:
     case proto::MembershipMessage::KIND_NOT_SET:
@@ -330,8 +312,7 @@
       continue;
     }
     if (failure.purpose == ProbePurpose::kChallenge) {
-      // Still no answer: tell those who hold it to be live.
-      updates_.add(failure.target.node, false);
+      messenger_.tell(failure.teller, failure.target.node);
       continue;
     }
     ++counters_.probesFailed;
@@ -339,6 +320,7 @@
       ++counters_.suspicionsRaised;
       updates_.add(failure.target.node, false);
       messenger_.gossip(failure.target.node, false);  // It may refute at once.
+      prober_.askNeighbours(failure.target.node);
     }
   }
 }
@@ -367,13 +349,13 @@
   // All peers in turn, in random order: a small cluster is then told as a whole, which independent
   // draws would leave to chance.
   const auto fanout = static_cast<size_t>(knobs_.membershipGossipFanout);
-  std::vector<NodeId> targets;
+  std::vector<NodeId> targets = table_.randomAlivePeersOfZone(table_.self().identity.zone, random_);
   if (gossipOrder_.empty()) {
-    gossipOrder_ = table_.shuffledLivePeers(random_);
+    gossipOrder_ = table_.shuffledAlivePeers(random_);
   }
   while (!gossipOrder_.empty() && targets.size() < fanout) {
     const MemberEntry* const entry = table_.find(gossipOrder_.back());
-    if (entry != nullptr && isLive(entry->status.health)) {
+    if (entry != nullptr && entry->status.health == MemberHealth::kAlive) {
       targets.push_back(gossipOrder_.back());
     }
     gossipOrder_.pop_back();
@@ -391,26 +373,8 @@
   publishedNewest_ = versions_.newest();
   addressesChanged_ = false;
   ++publishedVersion_;
-  std::atomic_store(&snapshot_, makeSnapshot());
-}
-
-std::shared_ptr<const MembershipSnapshot> MembershipRole::makeSnapshot() const {
-  auto made = std::make_shared<MembershipSnapshot>();
-  made->version = publishedVersion_;
-  made->self = table_.self().status.life;
-  made->members.reserve(table_.entries().size());
-  made->addresses.reserve(table_.entries().size());
-  for (const auto& entry : table_.entries()) {
-    made->addresses.push_back(NodeAddress{entry.first, entry.second.identity.peerAddress});
-    const bool listed = isLive(entry.second.status.health) || entry.first == table_.selfId();
-    if (listed) {
-      made->members.push_back(memberOf(entry.second));
-    }
-  }
-  addSeedAddresses(synchronizer_.seeds(), table_, made->addresses);
-  made->newestTableVersion = versions_.newest();
-  made->newestTableHolder = versions_.holder();
-  return made;
+  std::atomic_store(&snapshot_,
+                    buildSnapshot(publishedVersion_, table_, versions_, synchronizer_.seeds()));
 }
 
 }  // namespace fernmoor
--- a/src/node/engine_knowledge.cpp
+++ b/src/node/engine_knowledge.cpp
@@ -62,11 +62,22 @@
     const int64_t expected = memory_.expectedBlocks(lives[i], chain, now);
     facts[i].matchedBlocks = std::max(answers[i].matchedBlocks, expected);
     facts[i].matchKnown = answers[i].known;
-    facts[i].placed = memory_.loadSince(lives[i], engines[i].load.measuredAt);
+    facts[i].placed = memory_.loadSince(lives[i], engines[i].load);
   }
   return facts;
 }
 
+std::vector<PlacedLoad> EngineKnowledge::placedLoads(
+    const std::vector<EngineState>& engines) const {
+  std::vector<PlacedLoad> loads;
+  loads.reserve(engines.size());
+  const RankedLock lock(mutex_);
+  for (const EngineState& engine : engines) {
+    loads.push_back(memory_.loadSince(lifeOf(engine), engine.load.measuredAt));
+  }
+  return loads;
+}
+
 void EngineKnowledge::recordSent(const Placement& placement, const BlockChain& chain,
                                  int64_t missedTokens, Time now) {
   const RankedLock lock(mutex_);
