--- a/src/claim/claim_coordinator.cpp
+++ b/src/claim/claim_coordinator.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+/// Releases and completions are sent again ever more rarely, down to this often in their time.
+constexpr int kEndingResends = 8;
+
 bool isFinal(proto::ClaimVerdict verdict) {
   return verdict != proto::CLAIM_VERDICT_RECOVERING &&
          verdict != proto::CLAIM_VERDICT_WRONG_EPOCH && verdict != proto::CLAIM_VERDICT_UNSPECIFIED;
@@ -88,6 +91,7 @@
   attempt.group =
       replicaGroupFor(key, configuration_.members, static_cast<size_t>(knobs_.claimReplicaCount));
   attempt.deadline = deadline;
+  attempt.resendInterval = knobs_.claimResendInterval;
   sendDue(attempt, now, sender);
 }
 
@@ -328,11 +332,14 @@
 }
 
 void ClaimCoordinator::sendDue(Attempt& attempt, Time now, MessageSender& sender) {
-  attempt.nextSend = now + knobs_.claimResendInterval;
+  attempt.nextSend = now + attempt.resendInterval;
   if (attempt.phase == Phase::kClaiming) {
     sendClaim(attempt, sender);
   } else if (attempt.phase != Phase::kGranted) {
     sendEnd(attempt, sender);
+    // A dead replica would otherwise cost a message for each attempt and interval.
+    attempt.resendInterval =
+        std::min(2 * attempt.resendInterval, knobs_.claimReleaseTime / kEndingResends);
   }
 }
 
--- a/src/claim/claim_coordinator.h
+++ b/src/claim/claim_coordinator.h
@@ -104,6 +104,7 @@
     Phase phase = Phase::kClaiming;
     Time deadline{};
     Time nextSend{};
+    Duration resendInterval{};
     std::map<NodeId, Vote> votes;
     std::set<NodeId> unacknowledged;  ///< Replicas that have yet to take the completion or release.
     size_t acknowledged = 0;
--- a/test/claim/claim_protocol_test.cpp
+++ b/test/claim/claim_protocol_test.cpp
@@ -67,13 +67,14 @@
   CHECK(recorded > 0);
 }
 
-/// @return seeds in which the checks fail with the rules given.
-int failingSeeds(const ClaimWorldOptions& options, const ClaimRules& rules, uint64_t seeds) {
-  int failing = 0;
+/// @return true if the checks fail for one of the seeds with the rules given.
+bool failsForSomeSeed(const ClaimWorldOptions& options, const ClaimRules& rules, uint64_t seeds) {
   for (uint64_t seed = 1; seed <= seeds; ++seed) {
-    failing += isSafe(ClaimWorld(seed, options, rules).run()) ? 0 : 1;
+    if (!isSafe(ClaimWorld(seed, options, rules).run())) {
+      return true;
+    }
   }
-  return failing;
+  return false;
 }
 
 }  // namespace
@@ -104,35 +105,35 @@
 }
 
 TEST_CASE("without a rule of the protocol the checks fail") {
-  constexpr uint64_t kManySeeds = 300;
+  constexpr uint64_t kManySeeds = 3000;
   ClaimRules rules;
   SUBCASE("majority vote") {
     rules.majorityVote = false;
-    CHECK(failingSeeds(ClaimWorldOptions{}, rules, kManySeeds) > 0);
+    CHECK(failsForSomeSeed(ClaimWorldOptions{}, rules, kManySeeds));
   }
   SUBCASE("first claim wins") {
     rules.firstClaimWins = false;
-    CHECK(failingSeeds(ClaimWorldOptions{}, rules, kManySeeds) > 0);
+    CHECK(failsForSomeSeed(ClaimWorldOptions{}, rules, kManySeeds));
   }
   SUBCASE("voting while empty") {
     rules.silentWhileEmpty = false;
-    CHECK(failingSeeds(withCrashes(), rules, kManySeeds) > 0);
+    CHECK(failsForSomeSeed(withCrashes(), rules, kManySeeds));
   }
   SUBCASE("sealing before a new epoch votes") {
     rules.sealBeforeVote = false;
-    CHECK(failingSeeds(withGroupChange(0), rules, kManySeeds) > 0);
+    CHECK(failsForSomeSeed(withGroupChange(0), rules, kManySeeds));
   }
   SUBCASE("birth check") {
     rules.birthCheck = false;
-    CHECK(failingSeeds(withHerdRestart(), rules, kManySeeds) > 0);
+    CHECK(failsForSomeSeed(withHerdRestart(), rules, kManySeeds));
   }
   SUBCASE("crash vectors") {
     rules.crashVectors = false;
-    CHECK(failingSeeds(withCrashesAndLateMessages(), rules, kManySeeds) > 0);
+    CHECK(failsForSomeSeed(withCrashesAndLateMessages(), rules, kManySeeds));
   }
   SUBCASE("voiding conflicts") {
     rules.voidConflicts = false;
-    CHECK(failingSeeds(withCrashes(), rules, kManySeeds) > 0);
+    CHECK(failsForSomeSeed(withCrashes(), rules, kManySeeds));
   }
 }
 
