--- a/scripts/cluster.py
+++ b/scripts/cluster.py
@@ -7,6 +7,7 @@
 import os
 import pathlib
 import signal
+import socket
 import subprocess
 import tempfile
 import time
@@ -42,6 +43,18 @@
         return error.code, dict(error.headers), error.read().decode()
 
 
+def free_base_port(preferred):
+    """Returns the first of a few port ranges whose first port nobody listens on."""
+    for base_port in range(preferred, preferred + 40000, 1000):
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", base_port))
+                return base_port
+            except OSError:
+                continue
+    raise RuntimeError("no free range of ports; end other deployments first")
+
+
 def wait_until(condition, what, timeout=START_TIMEOUT_SECONDS):
     """Waits for an event; fails loudly where it does not come."""
     end = time.monotonic() + timeout
@@ -130,7 +143,7 @@
                  with_kvstore=True):
         self.build = pathlib.Path(build)
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="fernmoor-"))
-        self.base_port = base_port
+        self.base_port = free_base_port(base_port)
         self.zones = [f"zone{index + 1}" for index in range(zones)]
         self.engines_per_zone = engines_per_zone
         self.application_count = applications
--- a/test/process/node_frozen_test.py
+++ b/test/process/node_frozen_test.py
@@ -4,8 +4,7 @@
 import json
 import signal
 
-import cluster
-from process_testing import ask, check, new_key, pay, run, runs_of
+from process_testing import cluster, ask, check, new_key, pay, run, runs_of
 
 
 def states(node):
--- a/test/process/planned_stop_test.py
+++ b/test/process/planned_stop_test.py
@@ -3,8 +3,7 @@
 import signal
 import threading
 
-import cluster
-from process_testing import Stream, ask, check, run
+from process_testing import cluster, Stream, ask, check, run
 
 TOKENS = 100
 STREAMS = 12
--- a/test/process/platform_away_test.py
+++ b/test/process/platform_away_test.py
@@ -2,8 +2,7 @@
 """A node that restarts while the platform is down takes the table from its peers and serves. Where
 all nodes restart at once nobody has the table: they say so, and serve as soon as the platform is
 back."""
-import cluster
-from process_testing import ask, check, run
+from process_testing import cluster, ask, check, run
 
 DOWN_MILLISECONDS = 600000
 
