--- a/src/bench/table_cost.cpp
+++ b/src/bench/table_cost.cpp
@@ -36,9 +36,9 @@
 void measureBuild(TableCost& cost, Table& table) {
   std::vector<Row> rows = makeRows(cost.rows);
   const double begin = threadCpuSeconds();
-  auto snapshot = std::make_shared<const TableSnapshot>(TableVersion(1), std::move(rows));
+  const auto snapshot = std::make_shared<const TableSnapshot>(TableVersion(1), std::move(rows));
   cost.buildSeconds = threadCpuSeconds() - begin;
-  table.replace(std::move(snapshot));
+  table.replace(snapshot);
 }
 
 void measureFind(TableCost& cost, const Table& table) {
