--- a/test/table/table_test.cpp
+++ b/test/table/table_test.cpp
@@ -25,14 +25,30 @@
   return TableChange{TableVersion(version), "c", {RowChange{row.key, row}}};
 }
 
+using SortedPriorities = std::map<RowKey, int64_t, TenantThenService>;
+
+void checkSame(const PersistentRows& tree, const SortedPriorities& expected) {
+  CHECK(tree.size() == expected.size());
+  auto next = expected.begin();
+  tree.visitFrom(RowKey(), [&](const Row& row) {
+    REQUIRE(next != expected.end());
+    CHECK(row.key == next->first);
+    CHECK(row.priority == next->second);
+    CHECK(tree.find(row.key) == &row);
+    ++next;
+    return true;
+  });
+  CHECK(next == expected.end());
+}
+
 }  // namespace
 
 TEST_CASE("the tree behaves as a sorted map under random changes, and old trees stay") {
   Random random(1);
-  std::map<RowKey, int64_t, TenantThenService> expected;
+  SortedPriorities expected;
   PersistentRows rows;
   PersistentRows former;
-  std::map<RowKey, int64_t, TenantThenService> expectedFormer;
+  SortedPriorities expectedFormer;
   for (int step = 0; step < 4000; ++step) {
     const Row row = makeRow(random.below(40), random.below(20), step);
     if (random.chance(0.4)) {
@@ -47,19 +63,8 @@
       expectedFormer = expected;
     }
   }
-  for (const auto& [tree, map] : {std::pair(rows, expected), std::pair(former, expectedFormer)}) {
-    CHECK(tree.size() == map.size());
-    auto next = map.begin();
-    tree.visitFrom(RowKey(), [&, &wanted = map](const Row& row) {
-      REQUIRE(next != wanted.end());
-      CHECK(row.key == next->first);
-      CHECK(row.priority == next->second);
-      CHECK(tree.find(row.key) == &row);
-      ++next;
-      return true;
-    });
-    CHECK(next == map.end());
-  }
+  checkSame(rows, expected);
+  checkSame(former, expectedFormer);
 }
 
 TEST_CASE("a tree built at once equals one built row by row, the last of doubled keys counting") {
