--- a/src/routing/least_expected_time.cpp
+++ b/src/routing/least_expected_time.cpp
@@ -1,9 +1,9 @@
 /// @file
 /// The project's own policy: the engine with the least expected time to first token. Its terms are
-/// the prefill queue, the part of the prompt that has to be recomputed (weighted by the row's
-/// recomputationWeight) and the wait for a place in the batch. Engines that are no home of the
-/// prefix pay a small penalty, so that a new prefix goes to one place; docs/ROUTING.md has the
-/// figures.
+/// the part of the prefill queue that is served before the request, the part of the prompt that has
+/// to be recomputed (weighted by the row's recomputationWeight), the wait for a place in the batch
+/// and the fullness of the batch. Engines that are no home of the prefix pay a small penalty, so
+/// that a new prefix goes to one place; docs/ROUTING.md has the figures.
 #include <algorithm>
 
 #include "common/lock_order.h"
@@ -45,6 +45,12 @@
   return static_cast<double>(missed) / prefillRate(candidate);
 }
 
+/// @return part of the batch that is taken; more than 1 where requests wait for it.
+double batchFullness(const EngineCandidate& candidate) {
+  const int64_t slots = std::max<int64_t>(1, candidate.engine.load.maxStreams);
+  return static_cast<double>(outstandingRequests(candidate)) / static_cast<double>(slots);
+}
+
 /// The terms of one engine's score, in seconds.
 struct ExpectedTime {
   double queue = 0;
@@ -53,15 +59,6 @@
   double total() const { return queue + missed + slotWait; }
 };
 
-ExpectedTime expectedTime(const RoutingRequest& request, const EngineCandidate& candidate,
-                          Time now) {
-  ExpectedTime time;
-  time.queue = prefillQueueSeconds(candidate, now);
-  time.missed = missedSeconds(request, candidate);
-  time.slotWait = slotWaitSeconds(request, candidate);
-  return time;
-}
-
 std::string describe(const ExpectedTime& time, const EngineCandidate& candidate, size_t homes) {
   return "expected " + std::to_string(time.total()) + " s: queue " + std::to_string(time.queue) +
          ", recomputation " + std::to_string(time.missed) + ", batch " +
@@ -74,6 +71,8 @@
   explicit LeastExpectedTime(const Knobs& knobs)
       : affinityBlocks_(knobs.affinityPrefixBlocks),
         nonHomePenalty_(knobs.nonHomePenaltySeconds),
+        fullnessSeconds_(knobs.batchFullnessSeconds),
+        interactiveQueueShare_(knobs.interactiveQueueShare),
         hotPrefixes_(knobs) {}
 
   std::string name() const override { return "least_expected_time"; }
@@ -91,8 +90,8 @@
       const EngineCandidate& candidate = candidates[order[rank]];
       const ExpectedTime time = expectedTime(request, candidate, now);
       const double penalty = rank < homes ? 0 : nonHomePenalty_;
-      const double score =
-          time.queue + time.slotWait + time.missed * request.recomputationWeight + penalty;
+      const double score = time.queue + time.slotWait + time.missed * request.recomputationWeight +
+                           batchFullness(candidate) * fullnessSeconds_ + penalty;
       if (rank == 0 || score < bestScore) {
         bestScore = score;
         choice.candidate = order[rank];
@@ -105,6 +104,16 @@
   }
 
  private:
+  ExpectedTime expectedTime(const RoutingRequest& request, const EngineCandidate& candidate,
+                            Time now) const {
+    const bool interactive = request.deadlineClass == DeadlineClass::kInteractive;
+    ExpectedTime time;
+    time.queue = prefillQueueSeconds(candidate, now) * (interactive ? interactiveQueueShare_ : 1.0);
+    time.missed = missedSeconds(request, candidate);
+    time.slotWait = slotWaitSeconds(request, candidate);
+    return time;
+  }
+
   size_t countRequest(uint64_t prefix, Time now) {
     const RankedLock lock(mutex_);
     return hotPrefixes_.countRequest(prefix, now);
@@ -112,6 +121,8 @@
 
   int64_t affinityBlocks_;
   double nonHomePenalty_;
+  double fullnessSeconds_;
+  double interactiveQueueShare_;
   RankedMutex mutex_{LockRank::kRouting};
   HotPrefixTracker hotPrefixes_;
 };
