fernmoorctl drain tells every node even if one does not take the order

Cause: an engine that one node did not know yet stopped the order at that node; found by a run against three nodes just after their start. Ruled out: treating an unknown engine as drained (a typing error would look like success). Change: all nodes are told, and the exit code is that of the worst answer.

--- a/src/operator_client/fleet_commands.cpp
+++ b/src/operator_client/fleet_commands.cpp
@@ -3,6 +3,8 @@
 #include <Poco/NumberParser.h>
 #include <Poco/URI.h>
 
+#include <algorithm>
+
 #include "operator_client/text_table.h"
 
 namespace fernmoor {
@@ -168,11 +170,12 @@
   Object order;
   order.set("kind", isNode ? "node" : "engine");
   order.set("id", words[0]);
+  ExitCode worst = ExitCode::kOk;
   for (const DrainTarget& target : targets) {
-    const ExitCode code = sendDrain(context, target, order);
-    if (code != ExitCode::kOk) {
-      return code;
-    }
+    worst = std::max(worst, sendDrain(context, target, order));
+  }
+  if (worst != ExitCode::kOk) {
+    return worst;
   }
   reportDrain(context, words[0], isNode, targets);
   return ExitCode::kOk;
--- a/test/operator_client/command_line_test.cpp
+++ b/test/operator_client/command_line_test.cpp
@@ -183,6 +183,9 @@
   CHECK((bench.run({"drain", "engine-3"}).code == ExitCode::kOk));
   CHECK(bench.node.seen().back().body == R"({"id":"engine-3","kind":"engine"})");
   CHECK(other.seen().size() == 2);
+  bench.node.answer("POST /operator/drain", 404, "{}");
+  CHECK((bench.run({"drain", "engine-3"}).code == ExitCode::kRefused));
+  CHECK(other.seen().size() == 3);
   CHECK((bench.run({"drain", "4"}).code == ExitCode::kRefused));
 }
 
