--- a/scripts/bench.py
+++ b/scripts/bench.py
@@ -45,7 +45,9 @@
         sys.exit(f"{page} lacks the markers {begin} and {end}; put them back.")
     before, rest = old.split(begin, 1)
     after = rest.split(end, 1)[1]
-    page.write_text(f"{before}{begin}\n{text.strip()}\n{end}{after}")
+    new = page.with_suffix(".new")
+    new.write_text(f"{before}{begin}\n{text.strip()}\n{end}{after}")
+    new.replace(page)
 
 
 def shown(command):
@@ -68,14 +70,14 @@
         for staleness in (0, 500, 10000):
             section(MEASUREMENTS, f"{workload}-{staleness}",
                     [bench, "policies", f"--workload=examples/workloads/{workload}.toml",
-                     "--seed=1", "--seeds=3", f"--staleness_ms={staleness}"])
+                     "--seed=1", "--seeds=3", "--threads=3", f"--staleness_ms={staleness}"])
     for load in (2, 10):
         section(MEASUREMENTS, f"overload-{load}",
                 [bench, "policies", "least_expected_time", "least_loaded",
-                 "--workload=examples/workloads/neerkaval.toml", "--seed=1", "--seeds=2",
+                 "--workload=examples/workloads/neerkaval.toml", "--seed=1", "--seeds=2", "--threads=3",
                  "--seconds=40", f"--load={load}"])
     section(MEASUREMENTS, "spread", [bench, "spread", "--seed=1"])
-    section(MEASUREMENTS, "http", [sys.executable, "scripts/bench_http.py", str(build), "15"])
+    section(MEASUREMENTS, "http", ["python3", "scripts/bench_http.py", str(build), "15"])
     if not wanted or "slopes" in wanted:
         command = [bench, "slopes"]
         slopes, _, capacity = run(command).partition("Capacity of one node at the target")
