--- a/programs/fernmoor-bench/main.cpp
+++ b/programs/fernmoor-bench/main.cpp
@@ -42,6 +42,8 @@
     {"spread", fernmoor::bench::runSpreadCommand, "table and membership at the target's size"},
     {"http", fernmoor::bench::runHttpCommand, "load over HTTP against running processes"},
     {"slopes", fernmoor::bench::runSlopesCommand, "costs by size, all parts or those named"},
+    {"table", fernmoor::bench::runTableCommand,
+     "cost of the table, and time until a change is in force"},
 };
 
 std::string usage() {
--- a/src/table/table_role.cpp
+++ b/src/table/table_role.cpp
@@ -21,6 +21,7 @@
       membership_(membership),
       knobs_(knobs),
       random_(seed),
+      announcer_(knobs, peers_, random_),
       history_(knobs),
       archive_(knobs),
       polls_(knobs),
@@ -41,7 +42,7 @@
   const RankedLock lock(mutex_);
   nextRefresh_ = now + knobs_.tableMembersRefresh;
   self_ = self.life.node;
-  peers_.refresh(members, self_);
+  peers_.refresh(members, self);
   isWatcher_ = isWatcher(members, self);
 }
 
@@ -142,8 +143,7 @@
   if (peers_.highest() > version) {
     return;  // Still catching up: the peers know more than this node could tell them.
   }
-  announceRoundsLeft_ = knobs_.tableAnnounceRounds;
-  announceRound(now, sender);
+  announcer_.onNewVersion(version, now, sender);
 }
 
 // --- messages
@@ -305,31 +305,7 @@
   }
 }
 
-// --- telling others
-
-void TableRole::announceRound(Time now, MessageSender& sender) {
-  if (announceRoundsLeft_ == 0) {
-    return;
-  }
-  --announceRoundsLeft_;
-  nextAnnounce_ = now + knobs_.tableAnnounceInterval;
-  const TableVersion version = table_.version();
-  const auto count = static_cast<size_t>(knobs_.tableAnnounceFanout);
-  for (const NodeId peer : peers_.sampleLacking(version, count, random_)) {
-    sender.send(peer, tableAnnouncement(version));
-  }
-}
-
-void TableRole::gossip(Time now, MessageSender& sender) {
-  if (now < nextGossip_) {
-    return;
-  }
-  nextGossip_ =
-      now + random_.between(knobs_.tableGossipInterval / 2, knobs_.tableGossipInterval * 3 / 2);
-  for (const NodeId peer : peers_.sample(1, random_)) {
-    sender.send(peer, tableAnnouncement(table_.version()));
-  }
-}
+// --- after a start
 
 void TableRole::lookForHighest(Time now, MessageSender& sender) {
   if (ready()) {
@@ -344,27 +320,31 @@
     return;
   }
   const size_t count = startup_.wantedReplies(peers_.size());
-  for (const NodeId peer : peers_.sample(count, random_)) {
+  for (const NodeId peer : peers_.sample(count, PeerScope::kAll, random_)) {
     sender.send(peer, tableVersionQuery(kNoQuery));
   }
 }
 
 // --- acceptance
 
-Result<Done> TableRole::startAcceptance(TableVersion version, const std::vector<NodeId>& nodes,
-                                        Time now) {
+Result<AcceptancePollId> TableRole::startAcceptance(TableVersion version, Time now) {
   const RankedLock lock(mutex_);
-  return polls_.start(version, nodes, now);
+  return polls_.start(version, now);
 }
 
-std::vector<NodeId> TableRole::lacking(TableVersion version) const {
+void TableRole::addToAcceptance(AcceptancePollId poll, const std::vector<NodeId>& nodes) {
   const RankedLock lock(mutex_);
-  return polls_.lacking(version);
+  polls_.addNodes(poll, nodes);
 }
 
-void TableRole::stopAcceptance(TableVersion version) {
+std::vector<NodeId> TableRole::lacking(AcceptancePollId poll) const {
   const RankedLock lock(mutex_);
-  polls_.stop(version);
+  return polls_.lacking(poll);
+}
+
+void TableRole::stopAcceptance(AcceptancePollId poll) {
+  const RankedLock lock(mutex_);
+  polls_.stop(poll);
 }
 
 void TableRole::askForAcceptance(Time now, MessageSender& sender) {
@@ -391,10 +371,7 @@
   expireFetch(now);
   lookForHighest(now, sender);
   pursue(now, sender);
-  if (nextAnnounce_ <= now) {
-    announceRound(now, sender);
-  }
-  gossip(now, sender);
+  announcer_.onTick(table_.version(), now, sender);
   askForAcceptance(now, sender);
 }
 
--- a/src/table/table_role.h
+++ b/src/table/table_role.h
@@ -21,6 +21,7 @@
 #include "table/snapshot_transfer.h"
 #include "table/startup_search.h"
 #include "table/table.h"
+#include "table/table_announcer.h"
 #include "table/table_history.h"
 #include "table/table_peers.h"
 
@@ -68,11 +69,13 @@
   ///     higher version among its peers.
   bool ready() const { return ready_.load(std::memory_order_acquire); }
 
-  /// Begins to ask the nodes for their version until each reported at least this one.
-  Result<Done> startAcceptance(TableVersion version, const std::vector<NodeId>& nodes, Time now);
+  /// Begins to wait for a version's acceptance: nodes that are added are asked for their version
+  /// until each reported at least this one.
+  Result<AcceptancePollId> startAcceptance(TableVersion version, Time now);
+  void addToAcceptance(AcceptancePollId poll, const std::vector<NodeId>& nodes);
   /// @return the nodes that haven't reported the version, in order.
-  std::vector<NodeId> lacking(TableVersion version) const;
-  void stopAcceptance(TableVersion version);
+  std::vector<NodeId> lacking(AcceptancePollId poll) const;
+  void stopAcceptance(AcceptancePollId poll);
 
   TableCounters counters() const;
 
@@ -101,8 +104,6 @@
   void pursue(Time now, MessageSender& sender);
   void requestFrom(NodeId peer, Time now, MessageSender& sender);
   void expireFetch(Time now);
-  void announceRound(Time now, MessageSender& sender);
-  void gossip(Time now, MessageSender& sender);
   void lookForHighest(Time now, MessageSender& sender);
   void askForAcceptance(Time now, MessageSender& sender);
 
@@ -114,6 +115,7 @@
   mutable RankedMutex mutex_{LockRank::kTable};
   Random random_;
   TablePeers peers_;
+  TableAnnouncer announcer_;
   TableHistory history_;
   SnapshotArchive archive_;
   SnapshotReceipt receipt_;
@@ -128,9 +130,6 @@
   bool platformIsEmpty_ = false;  ///< Nothing was ever stored: the first change follows version 0.
   std::optional<Fetch> fetch_;
   NodeId slowPeer_;  ///< Did not answer the last request in time.
-  int64_t announceRoundsLeft_ = 0;
-  Time nextAnnounce_;
-  Time nextGossip_;
 };
 
 }  // namespace fernmoor
--- a/standin/http_exchange.cpp
+++ b/standin/http_exchange.cpp
@@ -5,6 +5,7 @@
 #include <Poco/Net/StreamSocket.h>
 #include <Poco/NumberParser.h>
 
+#include <algorithm>
 #include <ostream>
 
 namespace fernmoor::standin {
@@ -95,12 +96,30 @@
   return Poco::NumberParser::tryParse64(query(name), number) ? number : otherwise;
 }
 
+Duration HttpExchange::queryWait(const std::string& name, Duration longest) const {
+  const std::chrono::milliseconds most = duration_cast<std::chrono::milliseconds>(longest);
+  return std::chrono::milliseconds(
+      std::clamp<int64_t>(queryNumber(name, 0), 0, static_cast<int64_t>(most.count())));
+}
+
+JsonObject::Ptr HttpExchange::jsonBody() {
+  const auto parsed = parseObject(body_);
+  if (isOk(parsed)) {
+    return valueOf(parsed);
+  }
+  respond(errorOf(parsed));
+  return nullptr;
+}
+
 void HttpExchange::respond(int status, const JsonObject::Ptr& body) {
   responded_ = true;
   const std::string text = toText(body);
   response_.setStatusAndReason(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status));
   response_.setContentType("application/json");
-  response_.sendBuffer(text.data(), text.size());
+  response_.setContentLength(static_cast<std::streamsize>(text.size()));
+  // Flushed here, since Poco's sendBuffer() leaves that to the end of the request, when a crash
+  // asked for by this very request may have cut the connection.
+  response_.send() << text << std::flush;
 }
 
 void HttpExchange::respond(const Error& error) {
