Machine list spread between nodes; a restarted node serves while the platform is away

Cause: the process test showed that a node which restarts with the platform down took the table from its peers but knew no engine: addresses came from the platform only. Ruled out: keeping addresses in membership (engines are no members); a longer wait in the test. Change: MachineListRole asks a peer while its own list is stale and takes a later one; nodes that do not watch the table no longer read the list from the platform. A row that was removed after the operator looked is told as a conflict instead of coming back with defaults. A node whose id another process runs under stops. Readiness waits for the table role's look at its peers. Conclusion: one node or all of them can restart without the platform; where all lost the table they say not_run and serve when it is back.

--- a/src/node/completion_handler.cpp
+++ b/src/node/completion_handler.cpp
@@ -87,7 +87,7 @@
 
 Result<Table::Snapshot> tableInForce(const NodeServices& services) {
   Table::Snapshot table = services.table.current();
-  if (table->version() == TableVersion(0)) {
+  if (table->version() == TableVersion(0) || !services.tableRole.ready()) {
     return Error{ErrorKind::kUnavailable,
                  "no table is in force on this node yet; use another node or come back later.",
                  RunState::kNotRun, kNoTableRetryAfter};
--- a/src/node/control_plane.cpp
+++ b/src/node/control_plane.cpp
@@ -9,7 +9,6 @@
 namespace {
 
 constexpr Duration kTickInterval{20000};
-constexpr Duration kMachineInterval{1000000};
 /// Sleeps are cut into steps of this length, so that stop() is noticed.
 constexpr Duration kSleepStep{50000};
 /// A first group is written only after the others had time to join.
@@ -52,8 +51,7 @@
       clock_(clock),
       table_(table),
       platform_(platform),
-      onMachines_(std::move(onMachines)),
-      roles_(optionsFor(settings, self, clock), table, engines, owned),
+      roles_(optionsFor(settings, self, clock), table, engines, owned, std::move(onMachines)),
       transport_(settings.peerAddress, self, settings.clusterKey, settings.knobs,
                  [this](NodeId node) { return addressOf(node); }),
       startedAt_(clock.now()) {}
@@ -114,19 +112,32 @@
   while (!stopping_) {
     readMachines();
     readClaimGroup();
-    const Time end = clock_.now() + kMachineInterval;
+    const Time end = clock_.now() + settings_.knobs.machineListInterval;
     while (!stopping_ && clock_.now() < end) {
       std::this_thread::sleep_for(kSleepStep);
     }
   }
 }
 
+/// The platform bears few readers: those that watch the table read the list, the others take it
+/// from them and read it only where that fails.
+bool ControlPlane::shouldReadMachines() {
+  const Time now = clock_.now();
+  const std::optional<Duration> age = roles_.machines().age(now);
+  const bool stale = !age || *age > 2 * settings_.knobs.machineListStale;
+  return stale || roles_.table().platformNeed(now) != PlatformNeed::kNothing;
+}
+
 void ControlPlane::readMachines() {
+  if (!shouldReadMachines()) {
+    return;
+  }
   const Result<std::vector<Machine>> machines = platform_->machines();
   platformAvailable_ = isOk(machines);
   if (!isOk(machines)) {
     return;
   }
+  roles_.machines().onRead(valueOf(machines), clock_.now());
   std::vector<Seed> seeds;
   for (const Machine& machine : valueOf(machines)) {
     if (machine.kind == MachineKind::kNode && machine.node != self_.node) {
@@ -134,7 +145,6 @@
     }
   }
   roles_.membership().addSeeds(seeds);
-  onMachines_(valueOf(machines));
 }
 
 void ControlPlane::readClaimGroup() {
--- a/src/node/control_plane.h
+++ b/src/node/control_plane.h
@@ -19,8 +19,8 @@
 
 class ControlPlane {
  public:
-  /// Called with each machine list that the platform gave.
-  using MachineListener = std::function<void(const std::vector<Machine>&)>;
+  /// Called with each machine list that differs from the one before, on any thread.
+  using MachineListener = MachineListRole::Listener;
 
   /// @param platform null: run without one. All references outlive this object.
   ControlPlane(const Settings& settings, NodeLife self, const Clock& clock, Table& table,
@@ -44,6 +44,7 @@
   void runTicks();
   void runWatcher();
   void runPlatformReader();
+  bool shouldReadMachines();
   void readMachines();
   void readClaimGroup();
   std::optional<SocketAddress> addressOf(NodeId node);
@@ -53,7 +54,6 @@
   const Clock& clock_;
   Table& table_;
   PlatformClient* platform_;
-  MachineListener onMachines_;
   RoleSet roles_;
   PeerTransport transport_;
   std::atomic<bool> stopping_{false};
--- a/src/node/http_front.cpp
+++ b/src/node/http_front.cpp
@@ -63,12 +63,9 @@
                 RequestId());
       return;
     }
-    if (services_.table.version() == TableVersion(0)) {
-      sendError(response,
-                Error{ErrorKind::kUnavailable,
-                      "no table is in force yet; check the platform and the seeds.",
-                      RunState::kNotRun, std::nullopt},
-                RequestId());
+    const Result<Table::Snapshot> table = tableInForce(services_);
+    if (!isOk(table)) {
+      sendError(response, errorOf(table), RequestId());
       return;
     }
     sendJson(response, "{\"status\":\"ready\"}");
@@ -189,7 +186,8 @@
 
   Poco::Net::HTTPRequestHandler* createRequestHandler(
       const Poco::Net::HTTPServerRequest& request) override {
-    return new CountingHandler(open_, services_.draining, find(request));  // Poco deletes it after use.
+    return new CountingHandler(open_, services_.draining,
+                               find(request));  // Poco deletes it after use.
   }
 
  private:
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -65,9 +65,9 @@
       housekeeping_(control_, engines_, monitor_, knowledge_, gate_, metrics_, table_, clock_,
                     settings_.knobs) {
   services_ = std::make_unique<NodeServices>(NodeServices{
-      settings_.knobs, clock_, self_, keys_, table_, engines_, knowledge_, engineClient_, *policy_,
-      streamTokens_, requestIds_, requestLog_, gate_, applicationRunner_, control_.roles().claims(),
-      control_.sender(), measures_, draining_});
+      settings_.knobs, clock_, self_, keys_, table_, control_.roles().table(), engines_, knowledge_,
+      engineClient_, *policy_, streamTokens_, requestIds_, requestLog_, gate_, applicationRunner_,
+      control_.roles().claims(), control_.sender(), measures_, draining_});
   operators_ = std::make_unique<OperatorServices>(
       OperatorServices{*services_, control_.roles().membership(), control_.roles().ownership(),
                        owned_, platform_.get(), control_.roles().table(), [this] { orderDrain(); },
@@ -122,10 +122,19 @@
 void Node::runHousekeeping() {
   while (!stopping_) {
     housekeeping_.runOnce(front_->openRequests().count());
+    stopIfSuperseded();
     std::this_thread::sleep_for(kHousekeepingInterval);
   }
 }
 
+void Node::stopIfSuperseded() {
+  if (control_.roles().membership().supersededBy() && !draining_) {
+    logError(
+        "another process runs under this node's id; this one stops: give each its own node_id");
+    orderDrain();
+  }
+}
+
 void Node::orderDrain() {
   {
     const std::lock_guard<std::mutex> lock(drainMutex_);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -52,6 +52,7 @@
  private:
   void takeMachines(const std::vector<Machine>& machines);
   void runHousekeeping();
+  void stopIfSuperseded();
   void orderDrain();
 
   const Settings settings_;
--- a/src/node/node_services.h
+++ b/src/node/node_services.h
@@ -20,6 +20,7 @@
 #include "relay/request_log.h"
 #include "routing/routing_policy.h"
 #include "table/table.h"
+#include "table/table_role.h"
 
 namespace fernmoor {
 
@@ -29,6 +30,7 @@
   NodeLife self;
   const KeyRing& keys;
   const Table& table;
+  const TableRole& tableRole;
   EngineDirectory& engines;
   EngineKnowledge& knowledge;
   EngineClient& engineClient;
--- a/src/node/operator_table.cpp
+++ b/src/node/operator_table.cpp
@@ -2,6 +2,7 @@
 
 #include <Poco/JSON/Array.h>
 
+#include <algorithm>
 #include <thread>
 
 #include "http/json_text.h"
@@ -59,7 +60,23 @@
   return std::optional<Row>(valueOf(edited));
 }
 
-Result<TableEdit> readEdit(const Object& body, const TableSnapshot& table) {
+/// @return whether the row was removed after the operator looked; then the change must not bring it
+///     back with the defaults of the cells that it leaves out.
+Result<bool> removedSince(PlatformClient& platform, TableVersion base, const RowKey& key) {
+  const Result<WatchBatch> later =
+      platform.watch(kTableCollection, CollectionRevision(base.value()), Duration{0});
+  if (!isOk(later)) {
+    return errorOf(later);
+  }
+  const std::string name = rowObjectName(key);
+  const auto& changes = valueOf(later).changes;
+  return valueOf(later).compacted ||
+         std::any_of(changes.begin(), changes.end(),
+                     [&](const WatchedChange& change) { return change.name.value() == name; });
+}
+
+Result<TableEdit> readEdit(const Object& body, const TableSnapshot& table,
+                           PlatformClient& platform) {
   TableEdit edit;
   edit.changeId = ChangeId(stringMember(body, "change_id"));
   if (edit.changeId.empty()) {
@@ -88,6 +105,15 @@
     // Where the row changed after the version that the operator saw, the version tells the race.
     if (present != nullptr) {
       rowEdit.base = *present;
+    } else if (edit.baseVersion < table.version()) {
+      const Result<bool> removed = removedSince(platform, edit.baseVersion, rowEdit.key);
+      if (!isOk(removed)) {
+        return errorOf(removed);
+      }
+      if (valueOf(removed)) {
+        rowEdit.base = Row();
+        rowEdit.base->key = rowEdit.key;
+      }
     }
     edit.rows.push_back(std::move(rowEdit));
   }
@@ -122,6 +148,7 @@
   OperatorReply reply;
   reply.body = new Object;
   const bool accepted = report.standing == EditStanding::kAccepted;
+  reply.body->set("machine_list_read", report.machineListRead);
   reply.body->set("status", accepted ? "accepted" : "stored");
   reply.body->set("version", static_cast<Poco::UInt64>(report.version.value()));
   Array::Ptr missing = new Array;
@@ -163,7 +190,7 @@
     return errorOf(parsed);
   }
   const Table::Snapshot table = services.node.table.current();
-  const Result<TableEdit> edit = readEdit(*valueOf(parsed), *table);
+  const Result<TableEdit> edit = readEdit(*valueOf(parsed), *table, *services.platform);
   if (!isOk(edit)) {
     return errorOf(edit);
   }
--- a/src/node/role_set.cpp
+++ b/src/node/role_set.cpp
@@ -5,7 +5,7 @@
 namespace {
 
 /// Roles draw different random numbers from one seed.
-enum class SeedOffset : uint64_t { kMembership = 1, kTable = 2, kClaims = 3 };
+enum class SeedOffset : uint64_t { kMembership = 1, kTable = 2, kClaims = 3, kMachines = 4 };
 
 uint64_t seedFor(const RoleSetOptions& options, SeedOffset offset) {
   return rendezvousWeight(options.randomSeed, static_cast<uint64_t>(offset));
@@ -14,7 +14,7 @@
 }  // namespace
 
 RoleSet::RoleSet(const RoleSetOptions& options, Table& table, EngineDirectory& engines,
-                 OwnedEngines& owned)
+                 OwnedEngines& owned, MachineListRole::Listener onMachines)
     : knobs_(options.knobs),
       table_(table),
       engines_(engines),
@@ -29,7 +29,9 @@
           [this](const EngineId& engine) { return ownership_.ownerOf(engine); },
           [this] { return loadAudience(); },
           [this](const EngineState& state) { noteEngine(state); }, options.knobs),
-      limits_(membership_, options.knobs) {}
+      limits_(membership_, options.knobs),
+      machines_(membership_, std::move(onMachines), options.knobs,
+                seedFor(options, SeedOffset::kMachines)) {}
 
 Role* RoleSet::roleOf(const proto::Envelope& envelope) {
   switch (envelope.body_case()) {
@@ -43,6 +45,8 @@
       return &probes_;
     case proto::Envelope::kLimit:
       return &limits_;
+    case proto::Envelope::kMachineList:
+      return &machines_;
     default:
       return nullptr;
   }
@@ -68,6 +72,7 @@
   claims_.onTick(now, sender);
   probes_.onTick(now, sender);
   limits_.onTick(now, sender);
+  machines_.onTick(now, sender);
 }
 
 std::vector<NodeId> RoleSet::loadAudience() const {
--- a/src/node/role_set.h
+++ b/src/node/role_set.h
@@ -14,6 +14,7 @@
 #include "engine/owned_engines.h"
 #include "engine/ownership_role.h"
 #include "engine/probe_role.h"
+#include "membership/machine_list_role.h"
 #include "membership/membership_role.h"
 #include "table/table.h"
 #include "table/table_role.h"
@@ -34,7 +35,7 @@
  public:
   /// @param table,engines,owned outlive the roles.
   RoleSet(const RoleSetOptions& options, Table& table, EngineDirectory& engines,
-          OwnedEngines& owned);
+          OwnedEngines& owned, MachineListRole::Listener onMachines);
 
   /// Hands a message to its role.
   void onMessage(NodeLife from, const proto::Envelope& envelope, Time now, MessageSender& sender);
@@ -47,6 +48,7 @@
   ClaimService& claims() { return claims_; }
   ProbeRole& probes() { return probes_; }
   LimitRole& limits() { return limits_; }
+  MachineListRole& machines() { return machines_; }
 
  private:
   Role* roleOf(const proto::Envelope& envelope);
@@ -62,6 +64,7 @@
   ClaimService claims_;
   ProbeRole probes_;
   LimitRole limits_;
+  MachineListRole machines_;
   std::atomic<Time::rep> now_{0};  ///< Of the latest message or tick, for listeners without one.
 };
 
--- a/test/process/platform_away_test.py
+++ b/test/process/platform_away_test.py
@@ -22,7 +22,7 @@
                            f"{node.name} says that it is not ready")
         status, text, _ = ask(node)
         check(status == 503 and '"run":"not_run"' in text, f"refused wrongly: {text}")
-    deployment.platform.fault(kind="down", duration_ms=0)
+    deployment.platform.fault(kind="none")
     for node in deployment.nodes:
         cluster.wait_until(lambda: ask(node)[0] == 200, f"{node.name} serves again")
 
