Table: acceptance in two rounds; answers to a former life are dropped

Cause: the model (spec/table.pml) fails without three rules that the code did not have. WITHOUT_SECOND_ROUND and WITHOUT_SAME_LIFE: a node that had reported a version could restart and take an older table from a peer; the last report then made the change "accepted" while that node served the older rows.

Ruled out: a nonce per life, since the incarnation already is one and the transport signs it; the life in the request, since the receiver has it from the sender; a number for startup questions, since any reply to a question of this life names a version after the start.

Change: AcceptancePolls asks all nodes a second time, by questions sent after the last report of the first round, and wants the same incarnation; another one counts as a first report and the second round begins anew. addNodes became setNodes: a node that is asked no more must not keep the second round from beginning. Answers name the asker's incarnation (TableMessage.asker_incarnation); where it differs they are dropped and counted (formerLifeAnswers).

Changed tests: the damaged messages get the asker's incarnation after the damage, else most would be dropped unread; the same damage as before is read.

--- a/src/table/table_change_coordinator.cpp
+++ b/src/table/table_change_coordinator.cpp
@@ -188,7 +188,6 @@
 Result<EditReport> TableChangeCoordinator::awaitAccepted(TableVersion version) {
   const Time deadline = clock_.now() + knobs_.tableAcceptanceWait;
   std::optional<std::vector<Machine>> machines;
-  std::set<NodeId> asked;
   const Result<AcceptancePollId> poll = role_.startAcceptance(version, clock_.now());
   if (!isOk(poll)) {
     return errorOf(poll);
@@ -197,16 +196,9 @@
   report.version = version;
   do {
     const std::set<NodeId> live = liveNodes(machines);
-    std::vector<NodeId> added;
-    std::set_difference(live.begin(), live.end(), asked.begin(), asked.end(),
-                        std::back_inserter(added));
-    role_.addToAcceptance(valueOf(poll), added);
-    asked.insert(added.begin(), added.end());
+    role_.setAcceptanceNodes(valueOf(poll), {live.begin(), live.end()});
     waiter_(knobs_.tableAcceptanceInterval);
-    const std::vector<NodeId> silent = role_.lacking(valueOf(poll));
-    report.lacking.clear();
-    std::set_intersection(silent.begin(), silent.end(), live.begin(), live.end(),
-                          std::back_inserter(report.lacking));
+    report.lacking = role_.lacking(valueOf(poll));
     report.machineListRead = machines.has_value();
     if (report.lacking.empty() && report.machineListRead) {
       report.standing = EditStanding::kAccepted;
--- a/src/table/table_messages.cpp
+++ b/src/table/table_messages.cpp
@@ -26,6 +26,10 @@
   return envelope;
 }
 
+bool isTableAnswer(const proto::TableMessage& message) {
+  return message.has_changes() || message.has_snapshot_page() || message.has_version_reply();
+}
+
 proto::TableChange changeToProto(const TableChange& change) {
   proto::TableChange message;
   message.set_version(change.version.value());
--- a/src/table/table_messages.h
+++ b/src/table/table_messages.h
@@ -13,6 +13,9 @@
 proto::Envelope tableVersionQuery(uint64_t query);
 proto::Envelope tableVersionReply(uint64_t query, TableVersion version);
 
+/// @return whether the message answers a request, and so names the life of the node that asked.
+bool isTableAnswer(const proto::TableMessage& message);
+
 proto::TableChange changeToProto(const TableChange& change);
 /// Reads a change from another node; every row is checked.
 Result<TableChange> changeFromProto(const proto::TableChange& message);
--- a/src/table/table_role.cpp
+++ b/src/table/table_role.cpp
@@ -41,7 +41,7 @@
   const std::vector<Member> members = membership_.members();
   const RankedLock lock(mutex_);
   nextRefresh_ = now + knobs_.tableMembersRefresh;
-  self_ = self.life.node;
+  self_ = self.life;
   peers_.refresh(members, self);
   isWatcher_ = isWatcher(members, self);
 }
@@ -62,7 +62,7 @@
 
 void TableRole::onVersionSeen(NodeId node, TableVersion version) {
   const RankedLock lock(mutex_);
-  if (node != self_) {
+  if (node != self_.node) {
     peers_.noteHearsay(node, version);
   }
 }
@@ -153,12 +153,16 @@
   refreshMembers(now);
   const RankedLock lock(mutex_);
   const proto::TableMessage& message = envelope.table();
+  if (isForFormerLife(message)) {
+    ++counters_.formerLifeAnswers;
+    return;
+  }
   switch (message.body_case()) {
     case proto::TableMessage::kAnnouncement:
       onAnnouncement(from.node, TableVersion(message.announcement().version()), sender);
       break;
     case proto::TableMessage::kChangesRequest:
-      onChangesRequest(from.node, message.changes_request(), sender);
+      onChangesRequest(from, message.changes_request(), sender);
       break;
     case proto::TableMessage::kChanges:
       onChanges(from.node, message.changes(), now, sender);
@@ -167,17 +171,18 @@
       proto::Envelope answer;
       *answer.mutable_table()->mutable_snapshot_page() =
           archive_.answer(message.snapshot_request(), table_.current(), now);
-      sender.send(from.node, answer);
+      sendAnswer(from, std::move(answer), sender);
       break;
     }
     case proto::TableMessage::kSnapshotPage:
       onSnapshotPage(from.node, message.snapshot_page(), now, sender);
       break;
     case proto::TableMessage::kVersionQuery:
-      sender.send(from.node, tableVersionReply(message.version_query().query(), table_.version()));
+      sendAnswer(from, tableVersionReply(message.version_query().query(), table_.version()),
+                 sender);
       break;
     case proto::TableMessage::kVersionReply:
-      onVersionReply(from.node, message.version_reply());
+      onVersionReply(from, message.version_reply());
       break;
     case proto::TableMessage::BODY_NOT_SET:
       break;
@@ -185,6 +190,18 @@
   pursue(now, sender);
 }
 
+/// Rule of the model: WITHOUT_LIFE_IN_ANSWER. A late answer may hold a version that is older than
+/// one accepted since, and this life must not serve it on the strength of its former life's
+/// question.
+bool TableRole::isForFormerLife(const proto::TableMessage& message) const {
+  return isTableAnswer(message) && Incarnation(message.asker_incarnation()) != self_.incarnation;
+}
+
+void TableRole::sendAnswer(NodeLife asker, proto::Envelope answer, MessageSender& sender) {
+  answer.mutable_table()->set_asker_incarnation(asker.incarnation.value());
+  sender.send(asker.node, answer);
+}
+
 void TableRole::onAnnouncement(NodeId from, TableVersion version, MessageSender& sender) {
   peers_.note(from, version);
   if (version < table_.version()) {
@@ -192,10 +209,10 @@
   }
 }
 
-void TableRole::onChangesRequest(NodeId from, const proto::TableChangesRequest& request,
+void TableRole::onChangesRequest(NodeLife from, const proto::TableChangesRequest& request,
                                  MessageSender& sender) {
   const TableVersion after(request.after());
-  peers_.note(from, after);
+  peers_.note(from.node, after);
   proto::Envelope envelope;
   proto::TableChanges& answer = *envelope.mutable_table()->mutable_changes();
   answer.set_after(after.value());
@@ -206,7 +223,7 @@
       history_.fill(after, static_cast<size_t>(knobs_.tablePageBytes), answer);
     }
   }
-  sender.send(from, envelope);
+  sendAnswer(from, std::move(envelope), sender);
 }
 
 void TableRole::onChanges(NodeId from, const proto::TableChanges& message, Time now,
@@ -261,10 +278,10 @@
   }
 }
 
-void TableRole::onVersionReply(NodeId from, const proto::TableVersionReply& reply) {
+void TableRole::onVersionReply(NodeLife from, const proto::TableVersionReply& reply) {
   const TableVersion version(reply.version());
-  peers_.note(from, version);
-  startup_.onReply(from, version);
+  peers_.note(from.node, version);
+  startup_.onReply(from.node, version);
   polls_.onReply(from, reply.query(), version);
 }
 
@@ -332,9 +349,9 @@
   return polls_.start(version, now);
 }
 
-void TableRole::addToAcceptance(AcceptancePollId poll, const std::vector<NodeId>& nodes) {
+void TableRole::setAcceptanceNodes(AcceptancePollId poll, const std::vector<NodeId>& nodes) {
   const RankedLock lock(mutex_);
-  polls_.addNodes(poll, nodes);
+  polls_.setNodes(poll, nodes);
 }
 
 std::vector<NodeId> TableRole::lacking(AcceptancePollId poll) const {
@@ -351,7 +368,7 @@
   const std::vector<NodeId> due = polls_.takeDue(now);
   const uint64_t query = due.empty() ? kNoQuery : polls_.nextQuery();
   for (const NodeId node : due) {
-    if (node == self_) {
+    if (node == self_.node) {
       polls_.onReply(self_, query, table_.version());
       continue;
     }
--- a/src/table/table_role.h
+++ b/src/table/table_role.h
@@ -40,6 +40,7 @@
   uint64_t snapshotsApplied = 0;
   uint64_t unreadableRows = 0;     ///< Objects of the platform that hold no valid row.
   uint64_t malformedMessages = 0;  ///< Changes or pages of peers that were refused.
+  uint64_t formerLifeAnswers = 0;  ///< Answers to requests of a former life of this node; dropped.
   uint64_t fetchTimeouts = 0;
   uint64_t platformBehind = 0;  ///< Answers of the platform older than the version in force.
 };
@@ -69,11 +70,13 @@
   ///     higher version among its peers.
   bool ready() const { return ready_.load(std::memory_order_acquire); }
 
-  /// Begins to wait for a version's acceptance: nodes that are added are asked for their version
-  /// until each reported at least this one.
+  /// Begins to wait for a version's acceptance: the nodes are asked for their version until each
+  /// reported at least this one twice in one life, the second time after all had reported it.
   Result<AcceptancePollId> startAcceptance(TableVersion version, Time now);
-  void addToAcceptance(AcceptancePollId poll, const std::vector<NodeId>& nodes);
-  /// @return the nodes that haven't reported the version, in order.
+  /// Sets the nodes to ask.
+  void setAcceptanceNodes(AcceptancePollId poll, const std::vector<NodeId>& nodes);
+  /// @return the nodes that haven't reported the version in the present round, in order; none once
+  ///     it is accepted.
   std::vector<NodeId> lacking(AcceptancePollId poll) const;
   void stopAcceptance(AcceptancePollId poll);
 
@@ -88,12 +91,16 @@
   void refreshMembers(Time now);
   bool isWatcher(const std::vector<Member>& members, const Member& self) const;
 
-  void onChangesRequest(NodeId from, const proto::TableChangesRequest& request,
+  /// @return whether the message is an answer to a request of a former life of this node.
+  bool isForFormerLife(const proto::TableMessage& message) const;
+  /// Sends the answer to a request, for the life that asked only.
+  static void sendAnswer(NodeLife asker, proto::Envelope answer, MessageSender& sender);
+  void onChangesRequest(NodeLife from, const proto::TableChangesRequest& request,
                         MessageSender& sender);
   void onChanges(NodeId from, const proto::TableChanges& message, Time now, MessageSender& sender);
   void onSnapshotPage(NodeId from, const proto::TableSnapshotPage& page, Time now,
                       MessageSender& sender);
-  void onVersionReply(NodeId from, const proto::TableVersionReply& reply);
+  void onVersionReply(NodeLife from, const proto::TableVersionReply& reply);
   void onAnnouncement(NodeId from, TableVersion version, MessageSender& sender);
 
   /// @return whether the change followed the version in force and is in force now.
@@ -122,7 +129,7 @@
   AcceptancePolls polls_;
   StartupSearch startup_;
   TableCounters counters_;
-  NodeId self_;
+  NodeLife self_;
   bool isWatcher_ = false;
   Time nextRefresh_;
   bool needsPeerSnapshot_ = true;
--- a/test/table/table_change_coordinator_test.cpp
+++ b/test/table/table_change_coordinator_test.cpp
@@ -134,6 +134,57 @@
   CHECK((valueOf(healed).standing == EditStanding::kAccepted));
 }
 
+TEST_CASE("a node that restarted into an older table after its report holds acceptance up") {
+  TableClusterSettings settings;  // One node in each of three zones.
+  TableCluster cluster(settings);
+  const TableVersion old = cluster.store({exampleTableRow(0)});
+  REQUIRE(cluster.runUntilInForce(old, 1.0, kLimit));
+  cluster.setPlatformCut(ZoneId("zone-2"), true);
+  cluster.setPlatformCut(ZoneId("zone-3"), true);
+  SimulatedNetwork& network = cluster.cluster().network();
+  const auto cut = [&](uint32_t a, uint32_t b) {
+    network.cutNodes(NodeId(a), NodeId(b));
+    network.cutNodes(NodeId(b), NodeId(a));
+  };
+  std::vector<Machine> machines(3);
+  for (uint32_t index = 0; index < 3; ++index) {
+    machines[index].node = NodeId(index + 1);
+  }
+  cluster.platform().setMachines(machines);
+  network.isolateZone(ZoneId("zone-3"));
+  const TableVersion version = cluster.store({exampleTableRow(1)});
+  EventQueue& queue = cluster.cluster().queue();
+  queue.scheduleAfter(std::chrono::seconds(1), [&] {
+    // Node 2 has reported; it restarts where it meets only node 3, which is behind.
+    network.healAll();
+    cut(1, 2);
+    cut(1, 3);
+    cluster.cluster().node(NodeId(2)).start();
+  });
+  queue.scheduleAfter(std::chrono::seconds(3), [&] {
+    CHECK(cluster.role(NodeId(2))->ready());
+    CHECK(cluster.table(NodeId(2))->version() == old);
+    network.healAll();
+    cut(1, 2);
+    cut(2, 3);
+  });
+  TableChangeCoordinator coordinator(cluster.platform(), *cluster.table(NodeId(1)),
+                                     *cluster.role(NodeId(1)), cluster.membershipOf(NodeId(1)),
+                                     cluster.cluster().clock(), cluster.knobs(),
+                                     [&](Duration wait) { cluster.run(wait); });
+  const auto report = coordinator.awaitAccepted(version);
+  REQUIRE(isOk(report));
+  CHECK(cluster.table(NodeId(3))->version() == version);
+  CHECK(cluster.table(NodeId(2))->version() == old);
+  CHECK((valueOf(report).standing == EditStanding::kStored));
+  CHECK(valueOf(report).lacking == std::vector<NodeId>{NodeId(2)});
+  network.healAll();
+  const auto healed = coordinator.awaitAccepted(version);
+  REQUIRE(isOk(healed));
+  CHECK((valueOf(healed).standing == EditStanding::kAccepted));
+  CHECK(cluster.nodesWith(version) == 3);
+}
+
 TEST_CASE("a dead node holds acceptance up until the platform's list drops it") {
   Fixture fixture;
   fixture.cluster.cluster().node(NodeId(5)).crash();
--- a/test/table/table_messages_test.cpp
+++ b/test/table/table_messages_test.cpp
@@ -51,12 +51,15 @@
   proto::Envelope page;
   *page.mutable_table()->mutable_snapshot_page() = makeSnapshotPage(
       TableSnapshot(TableVersion(9), {sim::exampleTableRow(1)}), true, RowKey(), 1000);
+  const uint64_t life = cluster.cluster().node(node).life().incarnation.value();
   Random random(1);
   const google::protobuf::LogSilencer quiet;
   for (int step = 0; step < 5000; ++step) {
     const std::string text = (step % 2 == 0 ? changes : page).SerializeAsString();
     proto::Envelope damaged;
     if (damaged.ParseFromString(damage(text, random)) && damaged.has_table()) {
+      // Set after the damage: else most of these would be dropped unread.
+      damaged.mutable_table()->set_asker_incarnation(life);
       role->onMessage(NodeLife{NodeId(2), Incarnation(1)}, damaged, cluster.cluster().now(),
                       cluster.cluster().node(node).sender());
     }
--- a/test/table/table_role_test.cpp
+++ b/test/table/table_role_test.cpp
@@ -197,6 +197,58 @@
   }
 }
 
+TEST_CASE("a restarted node puts no table in force that its former life asked for") {
+  TableCluster cluster(settingsOf(2));
+  const TableVersion version = cluster.store(exampleRows(5));
+  REQUIRE(cluster.runUntilInForce(version, 1.0, kLimit));
+  cluster.platform().setDown(true);
+  const Duration oneWay = 4 * kSecond / 10;
+  cluster.cluster().network().setLatency(kFirstZone, ZoneId("zone-2"), {oneWay, oneWay});
+  const NodeId restarted(1);
+  const NodeId peer(2);
+  // The first life learns of the version by the reply to its question, at 0.8 s, and the rows that
+  // it asks for then are under way from 1.2 s to 1.6 s.
+  cluster.cluster().network().cutNodes(peer, restarted);
+  cluster.cluster().node(restarted).start();
+  cluster.run(8 * kSecond / 10);
+  cluster.cluster().network().healAll();
+  cluster.run(6 * kSecond / 10);
+  REQUIRE(cluster.table(restarted)->version() == TableVersion());
+  cluster.cluster().node(restarted).start();
+  cluster.cluster().network().cutNodes(restarted, peer);
+  cluster.run(5 * kSecond);
+  CHECK(cluster.table(restarted)->version() == TableVersion());
+  CHECK(cluster.role(restarted)->counters().formerLifeAnswers > 0);
+  cluster.cluster().network().healAll();
+  CHECK(cluster.runUntilInForce(version, 1.0, kLimit));
+}
+
+TEST_CASE("a version reply to a former life's question does not count for a poll of this life") {
+  TableCluster cluster(settingsOf(2));
+  const TableVersion version = cluster.store(exampleRows(5));
+  REQUIRE(cluster.runUntilInForce(version, 1.0, kLimit));
+  const Duration oneWay = 4 * kSecond / 10;
+  cluster.cluster().network().setLatency(kFirstZone, ZoneId("zone-2"), {oneWay, oneWay});
+  const NodeId asker(1);
+  const NodeId asked(2);
+  const auto startPoll = [&] {
+    const auto poll = cluster.role(asker)->startAcceptance(version, cluster.cluster().now());
+    REQUIRE(isOk(poll));
+    cluster.role(asker)->setAcceptanceNodes(valueOf(poll), {asked});
+    return valueOf(poll);
+  };
+  startPoll();
+  cluster.run(7 * kSecond / 10);
+  cluster.cluster().node(asker).start();
+  cluster.cluster().network().cutNodes(asker, asked);
+  const AcceptancePollId poll = startPoll();
+  cluster.run(kSecond);
+  CHECK(cluster.role(asker)->lacking(poll) == std::vector<NodeId>{asked});
+  cluster.cluster().network().healAll();
+  cluster.run(3 * kSecond);
+  CHECK(cluster.role(asker)->lacking(poll).empty());
+}
+
 TEST_CASE("an object that is no valid row is refused service on every node alike") {
   TableCluster cluster(settingsOf(3));
   REQUIRE(cluster.runUntilInForce(cluster.store(exampleRows(3)), 1.0, kLimit));
