--- a/programs/fernmoor-demo/main.cpp
+++ b/programs/fernmoor-demo/main.cpp
@@ -1,12 +1,11 @@
 /// @file
 /// Sends one request to a node and checks the answer against what the stand-in engines must say:
 /// whole, in order, and the caller's own. Prints one line; exit code 0 only for a right answer.
-#include <gflags/gflags.h>
-
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
+#include <gflags/gflags.h>
 
 #include <chrono>
 #include <cstdio>
@@ -154,8 +153,7 @@
   } catch (const Poco::Exception& exception) {
     received.error = exception.displayText();
   }
-  const std::string expected =
-      fernmoor::standin::answerText(FLAGS_model, prompt, FLAGS_max_tokens);
+  const std::string expected = fernmoor::standin::answerText(FLAGS_model, prompt, FLAGS_max_tokens);
   const bool right = received.complete && received.text == expected;
   std::printf("%-5s engine=%-10s prefix_blocks=%-5s first_token_ms=%-8.1f %s\n",
               right ? "right" : "WRONG", received.engine.c_str(), received.prefixBlocks.c_str(),
--- a/src/common/error.h
+++ b/src/common/error.h
@@ -19,8 +19,8 @@
   kUnauthorized,      ///< No key, or an unknown one.
   kForbidden,         ///< The key is valid and may not do this.
   kNotFound,          ///< No such model, row, stream or request.
-  kTimeout,            ///< The request's deadline passed.
-  kCallerTooSlow,      ///< The caller did not send its request in time.
+  kTimeout,           ///< The request's deadline passed.
+  kCallerTooSlow,     ///< The caller did not send its request in time.
   kConflict,          ///< Another change or claim came first.
   kTooLarge,          ///< A bound on size, depth or count was passed.
   kRateLimited,       ///< The row's rate or concurrency limit is reached.
