--- a/src/node/operator_table.cpp
+++ b/src/node/operator_table.cpp
@@ -75,6 +75,13 @@
                      [&](const WatchedChange& change) { return change.name.value() == name; });
 }
 
+Error removedConflict(const RowKey& key) {
+  return Error{ErrorKind::kConflict,
+               "somebody else removed or made the row of " + describeRowKey(key) +
+                   " after the version that this change is based on; read the table again.",
+               RunState::kNotRun, std::nullopt};
+}
+
 Result<TableEdit> readEdit(const Object& body, const TableSnapshot& table,
                            PlatformClient& platform) {
   TableEdit edit;
@@ -95,6 +102,15 @@
       return errorOf(change);
     }
     const Row* present = table.find(valueOf(change).key);
+    if (present == nullptr && edit.baseVersion < table.version()) {
+      const Result<bool> removed = removedSince(platform, edit.baseVersion, valueOf(change).key);
+      if (!isOk(removed)) {
+        return errorOf(removed);
+      }
+      if (valueOf(removed)) {
+        return removedConflict(valueOf(change).key);
+      }
+    }
     const Result<std::optional<Row>> mine = wantedRow(valueOf(change), present);
     if (!isOk(mine)) {
       return errorOf(mine);
@@ -105,15 +121,6 @@
     // Where the row changed after the version that the operator saw, the version tells the race.
     if (present != nullptr) {
       rowEdit.base = *present;
-    } else if (edit.baseVersion < table.version()) {
-      const Result<bool> removed = removedSince(platform, edit.baseVersion, rowEdit.key);
-      if (!isOk(removed)) {
-        return errorOf(removed);
-      }
-      if (valueOf(removed)) {
-        rowEdit.base = Row();
-        rowEdit.base->key = rowEdit.key;
-      }
     }
     edit.rows.push_back(std::move(rowEdit));
   }
--- a/test/admission/overload_test.cpp
+++ b/test/admission/overload_test.cpp
@@ -23,7 +23,9 @@
   std::vector<double> waits;
   double wait(double quantile) {
     std::sort(waits.begin(), waits.end());
-    return waits.empty() ? 0 : waits[static_cast<size_t>(quantile * (static_cast<double>(waits.size()) - 1.0))];
+    return waits.empty()
+               ? 0
+               : waits[static_cast<size_t>(quantile * (static_cast<double>(waits.size()) - 1.0))];
   }
 };
 
