--- /dev/null
+++ b/src/gateway/backend_protocol.h
@@ -0,0 +1,46 @@
+/// @file
+/// How a back end is spoken to: what the request path needs of an adapter.
+#pragma once
+
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+
+#include <optional>
+#include <string>
+
+#include "gateway/backend_set.h"
+#include "gateway/incoming_request.h"
+
+namespace fernmoor::gateway {
+
+/// What is said to a back end beside the caller's own request.
+struct SendPlan {
+  BackendListing backend;
+  uint64_t weightsVersion = 0;  ///< The back end must hold these; 0: unknown.
+  std::string cacheScope;       ///< Requests share cached prompts only within one scope.
+  std::optional<SocketAddress> fetchFrom;  ///< Where cached parts may be taken from.
+  std::optional<SocketAddress> saveTo;     ///< Where parts that are read anew are kept.
+  int urgency = 0;                         ///< 0 is the most urgent.
+  Duration timeLeft{};
+  std::string resumeAfter;  ///< Id of the last event delivered; empty: from the start.
+};
+
+/// What an answer's head tells.
+struct AnswerFacts {
+  bool isOurs = false;   ///< It answers the request that was sent.
+  bool didNotRun = false;  ///< The back end vouches that the request did not run.
+  bool isWrongLife = false;  ///< Another life of the back end, or other weights.
+  bool isSigned = false;     ///< It bears the back end's signature.
+  uint64_t weightsVersion = 0;  ///< 0: not told.
+};
+
+class BackendProtocol {
+ public:
+  virtual ~BackendProtocol() = default;
+  virtual void addHeaders(const IncomingRequest& request, const SendPlan& plan,
+                          Poco::Net::HTTPRequest& head) const = 0;
+  virtual AnswerFacts readAnswer(const IncomingRequest& request,
+                                 const Poco::Net::HTTPResponse& answer) const = 0;
+};
+
+}  // namespace fernmoor::gateway
--- /dev/null
+++ b/src/gateway/backend_set.cpp
@@ -0,0 +1,189 @@
+#include "gateway/backend_set.h"
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+
+namespace fernmoor::gateway {
+
+namespace {
+
+/// Memory of a back end's failures and successes.
+constexpr Duration kOutcomeHalfLife{3000000};
+/// Failures that count before a back end is left alone.
+constexpr double kFewestFailures = 2.5;
+/// Share of recent requests that must have failed.
+constexpr double kFailureShare = 0.25;
+constexpr Duration kFirstEjection{1500000};
+constexpr int kLongestEjectionDoublings = 2;
+
+}  // namespace
+
+uint64_t BackendSet::versionOf(const BackendListing& listing, const std::string& model) {
+  for (const HeldWeights& held : listing.weights) {
+    if (held.model == model) {
+      return held.version;
+    }
+  }
+  return 0;
+}
+
+void BackendSet::merge(Entry& entry, const BackendListing& listing) {
+  BackendListing merged = listing;
+  // The list lags behind what answers and moves have told: versions of one life only rise.
+  for (HeldWeights& held : merged.weights) {
+    held.version = std::max(held.version, versionOf(entry.listing, held.model));
+  }
+  entry.listing = std::move(merged);
+}
+
+void BackendSet::replaceAll(const std::vector<BackendListing>& listings, Time now) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  std::set<std::string> kept;
+  for (const BackendListing& listing : listings) {
+    merge(entries_[listing.id], listing);
+    kept.insert(listing.id);
+  }
+  for (auto entry = entries_.begin(); entry != entries_.end();) {
+    entry = kept.count(entry->first) == 0 ? entries_.erase(entry) : std::next(entry);
+  }
+}
+
+void BackendSet::update(const BackendListing& listing, Time now) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  merge(entries_[listing.id], listing);
+}
+
+void BackendSet::remove(const std::string& id) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  entries_.erase(id);
+}
+
+std::vector<BackendView> BackendSet::membersOf(const std::string& pool, const std::string& model,
+                                               Time now) const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  std::vector<BackendView> members;
+  for (const auto& [id, entry] : entries_) {
+    if (entry.listing.pool != pool || entry.listing.isDraining) {
+      continue;
+    }
+    BackendView view;
+    view.listing = entry.listing;
+    view.inFlight = entry.inFlight;
+    view.pendingTokens = entry.pendingTokens;
+    view.isAvoided = now < entry.avoidedUntil;
+    view.weightsVersion = versionOf(entry.listing, model);
+    members.push_back(std::move(view));
+  }
+  return members;
+}
+
+std::vector<BackendListing> BackendSet::all() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  std::vector<BackendListing> listings;
+  listings.reserve(entries_.size());
+  for (const auto& entry : entries_) {
+    listings.push_back(entry.second.listing);
+  }
+  return listings;
+}
+
+size_t BackendSet::size() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return entries_.size();
+}
+
+bool BackendSet::isUsable(const std::string& id) const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const auto found = entries_.find(id);
+  return found != entries_.end() && !found->second.listing.isDraining;
+}
+
+void BackendSet::started(const std::string& id, uint64_t promptTokens) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const auto found = entries_.find(id);
+  if (found != entries_.end()) {
+    ++found->second.inFlight;
+    found->second.pendingTokens += promptTokens;
+  }
+}
+
+void BackendSet::promptRead(const std::string& id, uint64_t promptTokens) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const auto found = entries_.find(id);
+  if (found != entries_.end()) {
+    found->second.pendingTokens -= std::min(found->second.pendingTokens, promptTokens);
+  }
+}
+
+void BackendSet::judge(Entry& entry, BackendVerdict verdict, Time now) {
+  if (verdict == BackendVerdict::kNeutral) {
+    return;
+  }
+  const double decay = std::exp2(-toSeconds(now - entry.countedAt) / toSeconds(kOutcomeHalfLife));
+  entry.failures *= decay;
+  entry.served *= decay;
+  entry.countedAt = now;
+  if (verdict == BackendVerdict::kServed) {
+    entry.served += 1;
+    return;
+  }
+  entry.failures += 1;
+  const double share = entry.failures / (entry.failures + entry.served);
+  if (entry.failures >= kFewestFailures && share >= kFailureShare) {
+    const int doublings = std::min(entry.ejections, kLongestEjectionDoublings);
+    entry.avoidedUntil = std::max(entry.avoidedUntil, now + kFirstEjection * (1 << doublings));
+    ++entry.ejections;
+    entry.failures = kFewestFailures / 2;
+    entry.served = 0;
+  }
+}
+
+void BackendSet::ended(const std::string& id, BackendVerdict verdict, Time now) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const auto found = entries_.find(id);
+  if (found == entries_.end()) {
+    return;
+  }
+  found->second.inFlight = std::max(0, found->second.inFlight - 1);
+  judge(found->second, verdict, now);
+}
+
+void BackendSet::noteWeights(const std::string& id, const std::string& model, uint64_t version) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const auto found = entries_.find(id);
+  if (found == entries_.end()) {
+    return;
+  }
+  for (HeldWeights& held : found->second.listing.weights) {
+    if (held.model == model) {
+      held.version = std::max(held.version, version);
+      return;
+    }
+  }
+  found->second.listing.weights.push_back(HeldWeights{model, version});
+}
+
+void BackendSet::correctWeights(const std::string& id, const std::string& model,
+                                uint64_t version) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const auto found = entries_.find(id);
+  if (found == entries_.end()) {
+    return;
+  }
+  for (HeldWeights& held : found->second.listing.weights) {
+    if (held.model == model) {
+      held.version = version;
+    }
+  }
+}
+
+void BackendSet::avoidUntil(const std::string& id, Time until) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const auto found = entries_.find(id);
+  if (found != entries_.end()) {
+    found->second.avoidedUntil = std::max(found->second.avoidedUntil, until);
+  }
+}
+
+}  // namespace fernmoor::gateway
--- /dev/null
+++ b/src/gateway/connection_pool.cpp
@@ -0,0 +1,56 @@
+#include "gateway/connection_pool.h"
+
+namespace fernmoor::gateway {
+
+namespace {
+
+/// A connection is left alone for the last part of the time that the back end keeps it, so that
+/// its closing never crosses a request.
+constexpr Duration kClosingMargin{700000};
+constexpr size_t kMostIdlePerOwner = 32;
+
+}  // namespace
+
+PooledConnection ConnectionPool::borrow(const std::string& owner, const SocketAddress& address,
+                                        Time now) {
+  while (true) {
+    Idle idle;
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      const auto found = idle_.find(owner);
+      if (found == idle_.end()) {
+        break;
+      }
+      if (found->second.empty()) {
+        idle_.erase(found);
+        break;
+      }
+      idle = std::move(found->second.back());
+      found->second.pop_back();
+    }
+    const bool usable = now < idle.usableUntil && !idle.connection->hasBufferedBytes() &&
+                        !idle.connection->socketReadable();
+    if (usable) {
+      return PooledConnection{std::move(idle.connection), true};
+    }
+  }
+  return PooledConnection{connectTo(address, options_), false};
+}
+
+void ConnectionPool::giveBack(const std::string& owner, std::unique_ptr<ByteConnection> connection,
+                              Duration keepFor, Time now) {
+  if (keepFor <= kClosingMargin || connection->hasBufferedBytes() ||
+      connection->socketReadable()) {
+    return;
+  }
+  const std::lock_guard<std::mutex> lock(mutex_);
+  std::deque<Idle>& idle = idle_[owner];
+  while (!idle.empty() && now >= idle.front().usableUntil) {
+    idle.pop_front();
+  }
+  if (idle.size() < kMostIdlePerOwner) {
+    idle.push_back(Idle{std::move(connection), now + keepFor - kClosingMargin});
+  }
+}
+
+}  // namespace fernmoor::gateway
--- /dev/null
+++ b/src/gateway/connection_pool.h
@@ -0,0 +1,46 @@
+/// @file
+/// Kept connections to back ends. A connection comes back only after a whole answer of ours with
+/// nothing after it, and is looked at again before it is used.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+
+#include "common/time.h"
+#include "http/byte_connection.h"
+
+namespace fernmoor::gateway {
+
+/// One borrowed connection.
+struct PooledConnection {
+  std::unique_ptr<ByteConnection> connection;
+  bool isReused = false;
+};
+
+/// Thread-safe.
+class ConnectionPool {
+ public:
+  explicit ConnectionPool(ConnectOptions options) : options_(options) {}
+
+  /// @param owner life of the back end; connections are never shared between two lives.
+  /// @return no connection where none could be opened; nothing was sent then.
+  PooledConnection borrow(const std::string& owner, const SocketAddress& address, Time now);
+  /// @param keepFor how long the back end keeps an idle connection.
+  void giveBack(const std::string& owner, std::unique_ptr<ByteConnection> connection,
+                Duration keepFor, Time now);
+
+ private:
+  struct Idle {
+    std::unique_ptr<ByteConnection> connection;
+    Time usableUntil;
+  };
+
+  ConnectOptions options_;
+  std::mutex mutex_;
+  std::map<std::string, std::deque<Idle>> idle_;
+};
+
+}  // namespace fernmoor::gateway
--- /dev/null
+++ b/src/gateway/forwarder.cpp
@@ -0,0 +1,14 @@
+#include "gateway/forwarder.h"
+
+#include "gateway/request_run.h"
+
+namespace fernmoor::gateway {
+
+Forwarder::Forwarder(ForwarderServices services, ForwarderOptions options)
+    : services_(services), options_(std::move(options)), random_(options_.randomSeed) {}
+
+void Forwarder::serve(const IncomingRequest& request, CallerChannel& caller) {
+  RequestRun(*this, request, caller).run();
+}
+
+}  // namespace fernmoor::gateway
--- /dev/null
+++ b/src/gateway/forwarder.h
@@ -0,0 +1,74 @@
+/// @file
+/// Serves one request: chooses a back end, sends the request on as it came, passes the answer back
+/// as it comes, and decides what happens when a back end refuses, fails, breaks off or falls
+/// silent. Whether a request may have run decides everything: one that may run at most once is
+/// never sent again unless the back end vouches that it did not run.
+#pragma once
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <string>
+
+#include "common/random.h"
+#include "common/time.h"
+#include "gateway/backend_protocol.h"
+#include "gateway/backend_set.h"
+#include "gateway/caller_channel.h"
+#include "gateway/connection_pool.h"
+#include "gateway/incoming_request.h"
+#include "gateway/second_send_budget.h"
+#include "gateway/table_in_force.h"
+#include "weights/wanted_weights.h"
+
+namespace fernmoor::gateway {
+
+/// What the forwarder works with; all outlive it.
+struct ForwarderServices {
+  const Clock& clock;
+  TableInForce& table;
+  BackendSet& backends;
+  ConnectionPool& connections;
+  SecondSendBudget& budget;
+  const BackendProtocol& protocol;
+  const weights::WantedWeights& wanted;
+};
+
+struct ForwarderOptions {
+  std::string zone;
+  /// Requests with a key are sent on only while the table is proven to be at most this old.
+  Duration keyFreshness{4500000};
+  uint64_t randomSeed = 0;
+};
+
+/// Counts since the start.
+struct ForwarderCounters {
+  std::atomic<uint64_t> requests{0};
+  std::atomic<uint64_t> delivered{0};
+  std::atomic<uint64_t> refused{0};
+  std::atomic<uint64_t> brokenOff{0};
+  std::atomic<uint64_t> callersGone{0};
+  std::atomic<uint64_t> secondSends{0};
+  std::atomic<uint64_t> resumed{0};
+};
+
+/// Thread-safe: serves many requests at once.
+class Forwarder {
+ public:
+  Forwarder(ForwarderServices services, ForwarderOptions options);
+
+  /// Serves the request to its end; the caller has its answer, or its broken connection, then.
+  void serve(const IncomingRequest& request, CallerChannel& caller);
+  const ForwarderCounters& counters() const { return counters_; }
+
+ private:
+  friend class RequestRun;
+
+  ForwarderServices services_;
+  ForwarderOptions options_;
+  ForwarderCounters counters_;
+  std::mutex randomMutex_;
+  Random random_;
+};
+
+}  // namespace fernmoor::gateway
--- /dev/null
+++ b/src/gateway/request_run.h
@@ -0,0 +1,72 @@
+/// @file
+/// One request on its way through the forwarder: its attempts and what the caller has so far.
+#pragma once
+
+#include <optional>
+#include <set>
+#include <string>
+
+#include "gateway/engine_attempt.h"
+#include "gateway/event_splitter.h"
+#include "gateway/forwarder.h"
+
+namespace fernmoor::gateway {
+
+/// Not thread-safe; used for one request.
+class RequestRun {
+ public:
+  RequestRun(Forwarder& forwarder, const IncomingRequest& request, CallerChannel& caller);
+  void run();
+
+ private:
+  /// What comes after an attempt.
+  enum class Next {
+    kFinished,     ///< The caller has its answer, or is gone.
+    kElsewhere,    ///< Another back end may be tried.
+    kGiveUp,       ///< No other back end may be tried; refuse or break off.
+  };
+
+  /// A whole answer that waits for a better one.
+  struct HeldAnswer {
+    AnswerHead head;
+    std::string body;
+  };
+
+  Next tryOnce();
+  std::optional<SendPlan> plan();
+  Next afterStep(AttemptStep step);
+  void noteWeights(const AnswerFacts& facts);
+  Next takeAnswer(EngineAttempt& attempt);
+  Next relayWhole(EngineAttempt& attempt);
+  Next relayStream(EngineAttempt& attempt);
+  Next passOnLarge(EngineAttempt& attempt, std::string body);
+  bool forwardEvents(EventSplitter& events);
+  bool sendStreamHead(EngineAttempt& attempt);
+  bool mayRunElsewhere() const;
+  bool maySendAgain();
+  Time stepDeadline() const;
+  void noteEnd(BackendVerdict verdict);
+  void notePromptRead();
+  void deliverHeld();
+  void giveUp();
+  void logEnd(const char* outcome) const;
+
+  Forwarder& forwarder_;
+  ForwarderServices& services_;
+  const IncomingRequest& request_;
+  CallerChannel& caller_;
+  std::set<std::string> tried_;
+  SendPlan plan_;
+  int runs_ = 0;             ///< Back ends that may have run the request.
+  int sends_ = 0;            ///< Back ends that it was sent to.
+  bool headSent_ = false;    ///< The caller has the answer's head.
+  bool mayHaveRun_ = false;
+  bool promptCounted_ = false;
+  bool atBackend_ = false;
+  std::string lastEventId_;  ///< Of the last event that the caller has.
+  bool callerGone_ = false;
+  bool secondSendPaid_ = false;  ///< The budget was asked before the back end was chosen.
+  std::optional<HeldAnswer> held_;
+};
+
+}  // namespace fernmoor::gateway
--- /dev/null
+++ b/src/gateway/traffic_table.cpp
@@ -0,0 +1,66 @@
+#include "gateway/traffic_table.h"
+
+#include <Poco/String.h>
+
+#include <algorithm>
+
+namespace fernmoor::gateway {
+
+std::string normalizedHost(const std::string& host) {
+  return Poco::toLower(host.substr(0, host.find(':')));
+}
+
+void TrafficTable::addRow(Row row) {
+  ++rowCount_;
+  row.host = normalizedHost(row.host);
+  rowsByHost_[row.host].push_back(std::move(row));
+}
+
+void TrafficTable::addPool(Pool pool) {
+  pools_[pool.name] = std::move(pool);
+}
+
+void TrafficTable::addTenant(Tenant tenant, const std::vector<std::string>& keys) {
+  for (const std::string& key : keys) {
+    tenantsByKey_[key] = tenant;
+  }
+}
+
+void TrafficTable::sortRows() {
+  for (auto& entry : rowsByHost_) {
+    std::sort(entry.second.begin(), entry.second.end(),
+              [](const Row& a, const Row& b) { return a.pathPrefix < b.pathPrefix; });
+  }
+}
+
+const Row* TrafficTable::findRow(const std::string& host, const std::string& path) const {
+  const auto found = rowsByHost_.find(normalizedHost(host));
+  if (found == rowsByHost_.end()) {
+    return nullptr;
+  }
+  const std::vector<Row>& rows = found->second;
+  // Prefixes end with a slash, so only the path's own beginnings up to a slash can match.
+  for (size_t end = path.rfind('/'); end != std::string::npos;
+       end = end == 0 ? std::string::npos : path.rfind('/', end - 1)) {
+    const std::string prefix = path.substr(0, end + 1);
+    const auto row = std::lower_bound(
+        rows.begin(), rows.end(), prefix,
+        [](const Row& each, const std::string& value) { return each.pathPrefix < value; });
+    if (row != rows.end() && row->pathPrefix == prefix) {
+      return &*row;
+    }
+  }
+  return nullptr;
+}
+
+const Tenant* TrafficTable::findTenant(const std::string& key) const {
+  const auto found = tenantsByKey_.find(key);
+  return found == tenantsByKey_.end() ? nullptr : &found->second;
+}
+
+const Pool* TrafficTable::findPool(const std::string& name) const {
+  const auto found = pools_.find(name);
+  return found == pools_.end() ? nullptr : &found->second;
+}
+
+}  // namespace fernmoor::gateway
--- /dev/null
+++ b/src/http/byte_connection.cpp
@@ -0,0 +1,146 @@
+#include "http/byte_connection.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/SocketAddress.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <memory>
+
+namespace fernmoor {
+
+namespace {
+
+constexpr int kKeepAliveProbes = 2;
+constexpr short kClosedEvents = POLLRDHUP | POLLHUP | POLLERR;
+
+int toPollMilliseconds(Duration timeout) {
+  const int64_t rounded = (timeout.count() + 999) / 1000;
+  return static_cast<int>(std::max<int64_t>(0, rounded));
+}
+
+}  // namespace
+
+ByteConnection::ByteConnection(const Poco::Net::StreamSocket& socket)
+    : Poco::Net::HTTPSession(socket, true) {}
+
+void ByteConnection::setIoTimeout(Duration timeout) {
+  const Poco::Timespan span(timeout.count());
+  socket().setReceiveTimeout(span);
+  socket().setSendTimeout(span);
+}
+
+bool ByteConnection::socketReadable() {
+  pollfd entry{socket().impl()->sockfd(), POLLIN, 0};
+  return ::poll(&entry, 1, 0) != 0;
+}
+
+bool ByteConnection::closedByPeer() {
+  pollfd entry{socket().impl()->sockfd(), POLLRDHUP, 0};
+  return ::poll(&entry, 1, 0) != 0 && (entry.revents & kClosedEvents) != 0;
+}
+
+WaitOutcome ByteConnection::waitReadable(Duration timeout, ByteConnection* other) {
+  if (hasBufferedBytes()) {
+    return WaitOutcome::kReadable;
+  }
+  pollfd entries[2] = {{socket().impl()->sockfd(), POLLIN, 0}, {-1, POLLRDHUP, 0}};
+  nfds_t count = 1;
+  if (other != nullptr) {
+    entries[1].fd = other->socket().impl()->sockfd();
+    count = 2;
+  }
+  const int ready = ::poll(entries, count, toPollMilliseconds(timeout));
+  if (ready <= 0) {
+    return WaitOutcome::kTimeout;
+  }
+  if (count == 2 && (entries[1].revents & kClosedEvents) != 0) {
+    return WaitOutcome::kOtherClosed;
+  }
+  return entries[0].revents != 0 ? WaitOutcome::kReadable : WaitOutcome::kTimeout;
+}
+
+ReadOutcome ByteConnection::readSome(char* buffer, size_t capacity, size_t& count) {
+  count = 0;
+  try {
+    const int received = read(buffer, static_cast<std::streamsize>(capacity));
+    if (received > 0) {
+      count = static_cast<size_t>(received);
+      return ReadOutcome::kBytes;
+    }
+    return received == 0 ? ReadOutcome::kEnd : ReadOutcome::kBroken;
+  } catch (const Poco::Exception&) {
+    return ReadOutcome::kBroken;
+  }
+}
+
+ReadOutcome ByteConnection::readByte(char& byte) {
+  if (!hasBufferedBytes()) {
+    try {
+      refill();
+    } catch (const Poco::Exception&) {
+      return ReadOutcome::kBroken;
+    }
+    if (!hasBufferedBytes()) {
+      return ReadOutcome::kEnd;
+    }
+  }
+  byte = static_cast<char>(get());
+  return ReadOutcome::kBytes;
+}
+
+bool ByteConnection::writeAll(std::string_view bytes) {
+  try {
+    while (!bytes.empty()) {
+      const int sent = socket().sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+      if (sent <= 0) {
+        return false;
+      }
+      bytes.remove_prefix(static_cast<size_t>(sent));
+    }
+    return true;
+  } catch (const Poco::Exception&) {
+    return false;
+  }
+}
+
+void ByteConnection::reset() {
+  try {
+    socket().setLinger(true, 0);
+    socket().close();
+  } catch (const Poco::Exception&) {
+    // The socket is closed already.
+  }
+}
+
+void guardAgainstSilence(Poco::Net::StreamSocket& socket, Duration silence) {
+  const int milliseconds = static_cast<int>(silence.count() / 1000);
+  const int seconds = std::max(1, milliseconds / 1000);
+  socket.setNoDelay(true);
+  socket.setKeepAlive(true);
+  socket.setOption(IPPROTO_TCP, TCP_USER_TIMEOUT, milliseconds);
+  socket.setOption(IPPROTO_TCP, TCP_KEEPIDLE, seconds);
+  socket.setOption(IPPROTO_TCP, TCP_KEEPINTVL, 1);
+  socket.setOption(IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
+}
+
+std::unique_ptr<ByteConnection> connectTo(const SocketAddress& address,
+                                          const ConnectOptions& options) {
+  try {
+    Poco::Net::StreamSocket socket;
+    socket.connect(Poco::Net::SocketAddress(address.host, address.port),
+                   Poco::Timespan(options.connectTimeout.count()));
+    guardAgainstSilence(socket, options.silenceTimeout);
+    auto connection = std::make_unique<ByteConnection>(socket);
+    connection->setIoTimeout(options.ioTimeout);
+    return connection;
+  } catch (const Poco::Exception&) {
+    return nullptr;
+  }
+}
+
+}  // namespace fernmoor
--- /dev/null
+++ b/src/http/byte_connection.h
@@ -0,0 +1,76 @@
+/// @file
+/// One TCP connection that carries HTTP messages, for both sides: headers are read and written by
+/// Poco, bodies by the caller of this class, byte by byte as they came.
+#pragma once
+
+#include <Poco/Net/HTTPSession.h>
+#include <Poco/Net/StreamSocket.h>
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "common/socket_address.h"
+#include "common/time.h"
+
+namespace fernmoor {
+
+/// How a wait for bytes ended.
+enum class WaitOutcome {
+  kReadable,     ///< The connection has bytes, or its end.
+  kOtherClosed,  ///< The other connection was closed by its peer.
+  kTimeout,      ///< Neither within the time.
+};
+
+/// How a read ended.
+enum class ReadOutcome {
+  kBytes,  ///< Some bytes were read.
+  kEnd,    ///< The peer closed its side in order.
+  kBroken  ///< Reset, timed out or failed: what was read so far is not known to be whole.
+};
+
+/// Not thread-safe. Closes its socket when it is destroyed.
+class ByteConnection : public Poco::Net::HTTPSession {
+ public:
+  explicit ByteConnection(const Poco::Net::StreamSocket& socket);
+  ~ByteConnection() override = default;
+
+  /// Bounds each blocking read and write.
+  void setIoTimeout(Duration timeout);
+
+  /// @return whether bytes that were already received wait to be read.
+  bool hasBufferedBytes() const { return buffered() > 0; }
+  /// @return whether the socket has bytes or its end, now, beside buffered ones.
+  bool socketReadable();
+  /// Waits for bytes of this connection.
+  /// @param other closed by its peer while we wait: ends the wait; null: none. Bytes that arrive
+  ///        there are left alone.
+  WaitOutcome waitReadable(Duration timeout, ByteConnection* other);
+
+  /// Reads at most `capacity` bytes; blocks up to the time set by setIoTimeout().
+  ReadOutcome readSome(char* buffer, size_t capacity, size_t& count);
+  /// Reads one byte. @return kBytes, kEnd or kBroken.
+  ReadOutcome readByte(char& byte);
+  /// Writes everything. @return false where the connection broke or the peer does not read.
+  bool writeAll(std::string_view bytes);
+  /// Closes so that the peer can tell the message from a complete one: by a reset.
+  void reset();
+  /// @return whether the peer has closed or reset its side.
+  bool closedByPeer();
+};
+
+/// Options of a connection to a peer that may fall silent without a word.
+struct ConnectOptions {
+  Duration connectTimeout{1000000};
+  Duration silenceTimeout{2000000};  ///< Unacknowledged bytes and unanswered keep-alive probes.
+  Duration ioTimeout{5000000};
+};
+
+/// Opens a connection. @return null where it could not be opened; nothing was sent then.
+std::unique_ptr<ByteConnection> connectTo(const SocketAddress& address,
+                                          const ConnectOptions& options);
+
+/// Sets no-delay and the times after which a silent peer counts as dead.
+void guardAgainstSilence(Poco::Net::StreamSocket& socket, Duration silence);
+
+}  // namespace fernmoor
--- /dev/null
+++ b/src/weights/move_ledger.h
@@ -0,0 +1,103 @@
+/// @file
+/// The ledger of moves: one object in a store with conditional writes. Whoever wants to order an
+/// engine first writes that into the ledger, on the condition that nobody wrote since; its revision
+/// is the fencing token of the order. So nobody needs a lease that runs out: a node takes over by
+/// writing, its predecessor's next write fails, and the ledger names the only engines that the
+/// predecessor may still be ordering. Those are left alone until the time between the orders of
+/// two nodes has passed; all others can be ordered at once.
+#pragma once
+
+#include <mutex>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "common/error.h"
+#include "common/time.h"
+
+namespace fernmoor::weights {
+
+/// One order that was about to be given.
+struct LedgerMove {
+  std::string engine;
+  std::string model;
+  uint64_t version = 0;
+  std::string holder;  ///< Node that gave it.
+  Time at;             ///< When, by this node's clock; never earlier than it was.
+};
+
+struct Ledger {
+  uint64_t revision = 0;  ///< 0: there is none yet.
+  std::string holder;     ///< Who wrote last.
+  std::vector<LedgerMove> moves;
+};
+
+/// How a conditional write ended: the new revision, or the ledger as it is.
+struct LedgerWritten {
+  uint64_t revision = 0;
+};
+struct LedgerChanged {
+  Ledger current;
+};
+using LedgerOutcome = std::variant<LedgerWritten, LedgerChanged>;
+
+/// The ledger's store.
+class LedgerStore {
+ public:
+  virtual ~LedgerStore() = default;
+  /// @return an empty ledger with revision 0 where none was written.
+  virtual Result<Ledger> read() = 0;
+  /// Writes if the revision is still `ledger.revision`. On an error it may have been written, or
+  /// may be later.
+  virtual Result<LedgerOutcome> write(const Ledger& ledger) = 0;
+};
+
+/// The newest ledger that this node has seen. Thread-safe.
+class LedgerView {
+ public:
+  /// @return whether it was newer than the one held.
+  bool take(const Ledger& ledger, Time now);
+  Ledger ledger() const;
+  /// @return when the ledger last changed here.
+  Time changedAt() const;
+
+ private:
+  mutable std::mutex mutex_;
+  Ledger ledger_;
+  Time changedAt_;
+};
+
+/// What an engine tells of itself.
+struct EngineReport {
+  bool isBusy = false;  ///< An order is being carried out.
+  uint64_t orders = 0;  ///< Orders taken in this life.
+  uint64_t version = 0;  ///< Of the asked model; 0: it does not serve it.
+};
+
+enum class OrderAnswer {
+  kTaken,     ///< It is being carried out.
+  kHolds,     ///< The engine holds the version already.
+  kNotNow,    ///< Another order runs, or other orders came since the report.
+  kRefused,   ///< Fenced off, another life, or no such order.
+  kUnknown,   ///< No answer: it may be carried out, also later.
+};
+
+/// One order to an engine.
+struct WeightOrder {
+  std::string engine;
+  std::string model;
+  uint64_t version = 0;
+  std::string holder;
+  uint64_t fence = 0;
+  uint64_t expectedOrders = 0;  ///< Carried out only if the engine took just so many.
+};
+
+/// The engines, as far as orders go.
+class EngineOrders {
+ public:
+  virtual ~EngineOrders() = default;
+  virtual Result<EngineReport> report(const std::string& engine, const std::string& model) = 0;
+  virtual OrderAnswer order(const WeightOrder& order) = 0;
+};
+
+}  // namespace fernmoor::weights
--- /dev/null
+++ b/src/weights/wanted_weights.cpp
@@ -0,0 +1,72 @@
+#include "weights/wanted_weights.h"
+
+#include <algorithm>
+
+namespace fernmoor::weights {
+
+namespace {
+
+constexpr size_t kVersionsKept = 64;
+/// A request may wait at its engine for so long before it begins.
+constexpr Duration kBeginMargin{1000000};
+
+}  // namespace
+
+void WantedWeights::note(const std::string& model, uint64_t version,
+                         std::optional<Time> namedBy) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  std::vector<NamedVersion>& versions = named_[model];
+  if (!versions.empty() && versions.back().version >= version) {
+    return;
+  }
+  // Time::min() lies so far back that a sum with the bound stays in range.
+  versions.push_back(NamedVersion{version, namedBy.value_or(Time::min() + std::chrono::hours(1))});
+  if (versions.size() > kVersionsKept) {
+    versions.erase(versions.begin());
+  }
+}
+
+uint64_t WantedWeights::newest(const std::string& model) const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const auto found = named_.find(model);
+  return found == named_.end() ? 0 : found->second.back().version;
+}
+
+std::optional<Time> WantedWeights::deadlineFor(const std::string& model, uint64_t held) const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const auto found = named_.find(model);
+  if (found == named_.end()) {
+    return std::nullopt;
+  }
+  for (const NamedVersion& named : found->second) {
+    if (named.version > held) {
+      return named.namedBy + inForce_;
+    }
+  }
+  return std::nullopt;
+}
+
+uint64_t WantedWeights::lowestServing(const std::string& model, Time now) const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const auto found = named_.find(model);
+  uint64_t lowest = 0;
+  if (found != named_.end()) {
+    for (const NamedVersion& named : found->second) {
+      if (named.namedBy + inForce_ - kBeginMargin <= now) {
+        lowest = named.version;
+      }
+    }
+  }
+  return lowest;
+}
+
+std::vector<std::string> WantedWeights::models() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  std::vector<std::string> names;
+  for (const auto& entry : named_) {
+    names.push_back(entry.first);
+  }
+  return names;
+}
+
+}  // namespace fernmoor::weights
--- /dev/null
+++ b/src/weights/weight_mover.cpp
@@ -0,0 +1,255 @@
+#include "weights/weight_mover.h"
+
+#include <algorithm>
+
+#include "common/log.h"
+
+namespace fernmoor::weights {
+
+namespace {
+
+constexpr Duration kIdleStep{500000};
+constexpr Duration kBusyStep{60000};
+constexpr Duration kAfterFailure{200000};
+/// The ledger stands still for so long before another node steps in.
+constexpr Duration kStandstill{1100000};
+constexpr Duration kStandstillSpread{500000};
+/// An order is given this soon after its intent began to be written, or not at all.
+constexpr Duration kIntentLifetime{350000};
+/// Margin on the time between the orders of two nodes.
+constexpr Duration kTurnMargin{400000};
+/// How long after an order an engine is first asked whether it is done.
+constexpr Duration kFirstQuestion{500000};
+constexpr Duration kNextQuestion{120000};
+/// A move that takes longer is looked at anew.
+constexpr Duration kLongestMove{4000000};
+constexpr Duration kSkipSilentEngine{1000000};
+/// Engines to one move at a time, and the fewest moves at once.
+constexpr size_t kEnginesPerMove = 6;
+constexpr size_t kFewestAtOnce = 2;
+/// New requests leave an engine alone for this part more than a move usually takes.
+constexpr double kAvoidFactor = 1.1;
+constexpr double kLearningRate = 0.3;
+constexpr size_t kLedgerMovesKept = 256;
+constexpr Duration kLedgerMemory{15000000};
+
+/// @return whether the ledger holds the last move of `intended` for every engine that it names.
+bool holdsMoves(const Ledger& ledger, const Ledger& intended, const std::string& holder) {
+  return std::all_of(
+      intended.moves.begin(), intended.moves.end(), [&](const LedgerMove& wanted) {
+        return wanted.holder != holder ||
+               std::any_of(ledger.moves.begin(), ledger.moves.end(), [&](const LedgerMove& move) {
+                 return move.engine == wanted.engine && move.holder == holder &&
+                        move.version == wanted.version;
+               });
+      });
+}
+
+}  // namespace
+
+void noteMovesOfOthers(const Ledger& ledger, const std::string& node, Duration moveTime,
+                       gateway::BackendSet& engines, Time now) {
+  for (const LedgerMove& move : ledger.moves) {
+    if (move.holder != node && now - move.at < moveTime) {
+      engines.avoidUntil(move.engine, move.at + moveTime);
+      engines.noteWeights(move.engine, move.model, move.version);
+    }
+  }
+}
+
+WeightMover::WeightMover(MoverServices services, MoverOptions options)
+    : services_(services), options_(std::move(options)), random_(options_.randomSeed) {
+  stepInDelay_ = kStandstill + random_.between(Duration(0), kStandstillSpread);
+}
+
+size_t WeightMover::atOnce() const {
+  size_t engines = 0;
+  for (const gateway::BackendListing& listing : services_.engines.all()) {
+    engines += listing.weights.empty() ? 0 : 1;
+  }
+  return std::max(kFewestAtOnce, engines / kEnginesPerMove);
+}
+
+void WeightMover::learnMoveTime(Duration took) {
+  const double learned = toSeconds(bounds_.moveTime) * (1 - kLearningRate) +
+                         toSeconds(took) * kLearningRate;
+  bounds_.moveTime = fromSeconds(std::clamp(learned, 0.2, 3.0));
+}
+
+void WeightMover::followMoves(Time now) {
+  for (auto move = underWay_.begin(); move != underWay_.end();) {
+    UnderWay& state = move->second;
+    if (now < state.askAt) {
+      ++move;
+      continue;
+    }
+    const Result<EngineReport> report = services_.orders.report(move->first, state.model);
+    const Time after = services_.clock.now();
+    const bool done = isOk(report) && !valueOf(report).isBusy &&
+                      valueOf(report).version >= state.version;
+    if (done) {
+      services_.engines.noteWeights(move->first, state.model, valueOf(report).version);
+      learnMoveTime(after - state.since);
+    }
+    const bool given_up = after - state.since > kLongestMove;
+    if (done || given_up || !services_.engines.isUsable(move->first)) {
+      move = underWay_.erase(move);
+      continue;
+    }
+    state.askAt = after + kNextQuestion;
+    ++move;
+  }
+}
+
+bool WeightMover::isMyTurn(const WeightPlan& plan, Time now) {
+  const Ledger ledger = services_.view.ledger();
+  if (ledger.holder == options_.node) {
+    return true;
+  }
+  if (ledger.revision == 0) {
+    return now >= *plan.startBy + stepInDelay_ - kStandstill;
+  }
+  return now >= *plan.startBy + stepInDelay_ &&
+         now >= services_.view.changedAt() + stepInDelay_;
+}
+
+bool WeightMover::isLeftAlone(const std::string& engine, const Ledger& ledger, Time now) const {
+  return std::any_of(ledger.moves.begin(), ledger.moves.end(), [&](const LedgerMove& move) {
+    return move.engine == engine && move.holder != options_.node &&
+           now < move.at + options_.orderTurn + kTurnMargin;
+  });
+}
+
+std::vector<WeightMover::Candidate> WeightMover::pickCandidates(const WeightPlan& plan,
+                                                                size_t room) {
+  std::vector<Candidate> picked;
+  const Ledger ledger = services_.view.ledger();
+  for (const PlannedMove& move : plan.moves) {
+    const Time now = services_.clock.now();
+    const auto skipped = skipUntil_.find(move.engine);
+    if (picked.size() >= room) {
+      break;
+    }
+    if (underWay_.count(move.engine) > 0 || isLeftAlone(move.engine, ledger, now) ||
+        (skipped != skipUntil_.end() && now < skipped->second)) {
+      continue;
+    }
+    const Result<EngineReport> report = services_.orders.report(move.engine, move.model);
+    if (!isOk(report)) {
+      skipUntil_[move.engine] = services_.clock.now() + kSkipSilentEngine;
+      continue;
+    }
+    if (valueOf(report).version >= move.version) {
+      services_.engines.noteWeights(move.engine, move.model, valueOf(report).version);
+      continue;
+    }
+    if (!valueOf(report).isBusy) {
+      picked.push_back(Candidate{move, valueOf(report)});
+    }
+  }
+  return picked;
+}
+
+std::optional<uint64_t> WeightMover::resolveUnknownWrite(const Ledger& intended) {
+  const Result<Ledger> found = services_.store.read();
+  if (!isOk(found)) {
+    return std::nullopt;
+  }
+  services_.view.take(valueOf(found), services_.clock.now());
+  const Ledger& current = valueOf(found);
+  // An earlier write of ours may have been done late: only the very moves intended count.
+  const bool ours = current.revision > intended.revision && current.holder == options_.node &&
+                    holdsMoves(current, intended, options_.node);
+  return ours ? std::optional<uint64_t>(current.revision) : std::nullopt;
+}
+
+std::optional<uint64_t> WeightMover::writeIntent(const std::vector<Candidate>& candidates) {
+  const Time now = services_.clock.now();
+  Ledger ledger = services_.view.ledger();
+  ledger.holder = options_.node;
+  std::vector<LedgerMove> kept;
+  for (const LedgerMove& move : ledger.moves) {
+    if (now - move.at < kLedgerMemory && kept.size() < kLedgerMovesKept) {
+      kept.push_back(move);
+    }
+  }
+  ledger.moves = std::move(kept);
+  for (const Candidate& candidate : candidates) {
+    ledger.moves.push_back(LedgerMove{candidate.move.engine, candidate.move.model,
+                                      candidate.move.version, options_.node, now});
+  }
+  const Result<LedgerOutcome> outcome = services_.store.write(ledger);
+  if (!isOk(outcome)) {
+    return resolveUnknownWrite(ledger);
+  }
+  if (const auto* changed = std::get_if<LedgerChanged>(&valueOf(outcome))) {
+    services_.view.take(changed->current, services_.clock.now());
+    return std::nullopt;
+  }
+  ledger.revision = std::get<LedgerWritten>(valueOf(outcome)).revision;
+  services_.view.take(ledger, services_.clock.now());
+  return ledger.revision;
+}
+
+void WeightMover::giveOrders(const std::vector<Candidate>& candidates, uint64_t fence,
+                             Time intendedAt) {
+  for (const Candidate& candidate : candidates) {
+    const Time now = services_.clock.now();
+    if (now - intendedAt > kIntentLifetime) {
+      return;  // Too long since the intent: another node may have taken over.
+    }
+    const Duration leave = fromSeconds(toSeconds(bounds_.moveTime) * kAvoidFactor);
+    services_.engines.avoidUntil(candidate.move.engine, now + leave);
+    WeightOrder order;
+    order.engine = candidate.move.engine;
+    order.model = candidate.move.model;
+    order.version = candidate.move.version;
+    order.holder = options_.node;
+    order.fence = fence;
+    order.expectedOrders = candidate.report.orders;
+    const OrderAnswer answer = services_.orders.order(order);
+    LogFields fields;
+    fields.engine = EngineId(order.engine);
+    logInfo(answer == OrderAnswer::kTaken ? "weights: order taken" : "weights: order not taken",
+            fields);
+    if (answer == OrderAnswer::kTaken || answer == OrderAnswer::kHolds) {
+      underWay_[order.engine] = UnderWay{order.model, order.version, now, now + kFirstQuestion};
+    } else if (answer == OrderAnswer::kUnknown) {
+      skipUntil_[order.engine] = services_.clock.now() + kAfterFailure;
+    }
+  }
+}
+
+Duration WeightMover::step() {
+  followMoves(services_.clock.now());
+  bounds_.atOnce = atOnce();
+  const WeightPlan plan = planMoves(services_.engines.all(), services_.wanted, bounds_);
+  const Time now = services_.clock.now();
+  if (!plan.startBy) {
+    return underWay_.empty() ? kIdleStep : kBusyStep;
+  }
+  if (now < *plan.startBy) {
+    const Duration wait = std::min(kIdleStep, *plan.startBy - now);
+    return underWay_.empty() ? wait : std::min(wait, kBusyStep);
+  }
+  if (underWay_.size() >= bounds_.atOnce) {
+    return kBusyStep;
+  }
+  if (!isMyTurn(plan, now)) {
+    return kBusyStep * 2;
+  }
+  const std::vector<Candidate> candidates =
+      pickCandidates(plan, bounds_.atOnce - underWay_.size());
+  if (candidates.empty()) {
+    return kBusyStep;
+  }
+  const Time intendedAt = services_.clock.now();
+  const std::optional<uint64_t> fence = writeIntent(candidates);
+  if (!fence) {
+    return kAfterFailure;
+  }
+  giveOrders(candidates, *fence, intendedAt);
+  return kBusyStep;
+}
+
+}  // namespace fernmoor::weights
--- /dev/null
+++ b/src/weights/weight_mover.h
@@ -0,0 +1,82 @@
+/// @file
+/// Moves engines to new weights. Every node runs one; the node that wrote to the ledger last goes
+/// on, the others step in only where moves are due and the ledger stands still.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "common/random.h"
+#include "common/time.h"
+#include "gateway/backend_set.h"
+#include "weights/move_ledger.h"
+#include "weights/wanted_weights.h"
+#include "weights/weight_plan.h"
+
+namespace fernmoor::weights {
+
+struct MoverOptions {
+  std::string node;          ///< This node's name, as the holder of orders.
+  Duration orderTurn{3000000};  ///< Between the orders of two nodes to one engine.
+  uint64_t randomSeed = 0;
+};
+
+/// What the mover works with; all outlive it.
+struct MoverServices {
+  const Clock& clock;
+  gateway::BackendSet& engines;
+  WantedWeights& wanted;
+  LedgerView& view;
+  LedgerStore& store;
+  EngineOrders& orders;
+};
+
+/// Leaves engines alone that another node is moving, and expects the new weights there afterwards.
+/// @param moveTime how long a move usually takes.
+void noteMovesOfOthers(const Ledger& ledger, const std::string& node, Duration moveTime,
+                       gateway::BackendSet& engines, Time now);
+
+/// Not thread-safe: one thread calls step().
+class WeightMover {
+ public:
+  WeightMover(MoverServices services, MoverOptions options);
+
+  /// Does what is due. @return when to call again at the latest.
+  Duration step();
+  /// @return whether orders are under way, so that a stopping node may hand over.
+  bool hasMovesUnderWay() const { return !underWay_.empty(); }
+
+ private:
+  struct UnderWay {
+    std::string model;
+    uint64_t version = 0;
+    Time since;
+    Time askAt;
+  };
+  struct Candidate {
+    PlannedMove move;
+    EngineReport report;
+  };
+
+  void followMoves(Time now);
+  bool isMyTurn(const WeightPlan& plan, Time now);
+  bool isLeftAlone(const std::string& engine, const Ledger& ledger, Time now) const;
+  std::vector<Candidate> pickCandidates(const WeightPlan& plan, size_t room);
+  std::optional<uint64_t> writeIntent(const std::vector<Candidate>& candidates);
+  std::optional<uint64_t> resolveUnknownWrite(const Ledger& intended);
+  void giveOrders(const std::vector<Candidate>& candidates, uint64_t fence, Time intendedAt);
+  void learnMoveTime(Duration took);
+  size_t atOnce() const;
+
+  MoverServices services_;
+  MoverOptions options_;
+  Random random_;
+  Duration stepInDelay_;
+  PlanBounds bounds_;
+  std::map<std::string, UnderWay> underWay_;
+  std::map<std::string, Time> skipUntil_;  ///< Engines that did not answer lately.
+};
+
+}  // namespace fernmoor::weights
--- /dev/null
+++ b/src/weights/weight_plan.cpp
@@ -0,0 +1,42 @@
+#include "weights/weight_plan.h"
+
+#include <algorithm>
+
+namespace fernmoor::weights {
+
+namespace {
+
+void addOwed(const gateway::BackendListing& engine, const WantedWeights& wanted,
+             std::vector<PlannedMove>& moves) {
+  for (const gateway::HeldWeights& held : engine.weights) {
+    const std::optional<Time> deadline = wanted.deadlineFor(held.model, held.version);
+    if (deadline) {
+      moves.push_back(
+          PlannedMove{engine.id, held.model, wanted.newest(held.model), *deadline});
+    }
+  }
+}
+
+}  // namespace
+
+WeightPlan planMoves(const std::vector<gateway::BackendListing>& engines,
+                     const WantedWeights& wanted, const PlanBounds& bounds) {
+  WeightPlan plan;
+  for (const gateway::BackendListing& engine : engines) {
+    if (!engine.isDraining) {
+      addOwed(engine, wanted, plan.moves);
+    }
+  }
+  std::stable_sort(
+      plan.moves.begin(), plan.moves.end(),
+      [](const PlannedMove& a, const PlannedMove& b) { return a.deadline < b.deadline; });
+  const size_t atOnce = std::max<size_t>(1, bounds.atOnce);
+  for (size_t index = 0; index < plan.moves.size(); ++index) {
+    const auto turns = static_cast<Duration::rep>(index / atOnce + 1);
+    const Time latest = plan.moves[index].deadline - bounds.reserve - bounds.moveTime * turns;
+    plan.startBy = plan.startBy ? std::min(*plan.startBy, latest) : latest;
+  }
+  return plan;
+}
+
+}  // namespace fernmoor::weights
