--- /dev/null
+++ b/src/gateway/pool_selector.h
@@ -0,0 +1,24 @@
+/// @file
+/// Shares a row's requests among its pools by their weights, evenly at every moment (smooth
+/// weighted round robin).
+#pragma once
+
+#include <map>
+#include <mutex>
+#include <string>
+
+#include "gateway/traffic_table.h"
+
+namespace fernmoor::gateway {
+
+/// Thread-safe.
+class PoolSelector {
+ public:
+  std::string select(const Row& row);
+
+ private:
+  std::mutex mutex_;
+  std::map<std::string, std::map<std::string, double>> credits_;  ///< By row and pool.
+};
+
+}  // namespace fernmoor::gateway
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -53,6 +53,14 @@
       reconnect();
     }
   }
+  /// Bounds each read. Poco's setTimeout() alone leaves a connection that is already open with the
+  /// bound of the call that opened it.
+  void boundReads(Duration timeout) {
+    setTimeout(toTimespan(timeout));
+    if (connected()) {
+      socket().setReceiveTimeout(toTimespan(timeout));
+    }
+  }
   /// True where an idle connection has something to read: the other side closed it.
   bool closedByPeer() {
     return !connected() || socket().poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ);
@@ -140,7 +148,7 @@
     std::unique_ptr<HttpConnection> connection, const HttpCall& call) {
   CallProgress progress = CallProgress::kNotSent;
   try {
-    connection->setTimeout(toTimespan(call.timeout));
+    connection->boundReads(call.timeout);
     Poco::Net::HTTPRequest request(call.method, call.path, Poco::Net::HTTPMessage::HTTP_1_1);
     for (const HttpHeader& header : call.headers) {
       request.set(header.name, header.value);
