--- a/scripts/check_layers.py
+++ b/scripts/check_layers.py
@@ -4,10 +4,12 @@
 import sys
 
 # Lowest first. A module may include itself and the modules before it.
-ORDER = ["common", "settings", "chart", "http", "wire", "platform", "membership", "table", "prefix",
+ORDER = ["common", "settings", "chart", "http", "wire", "objectstore", "membership", "table", "prefix",
          "engine", "routing", "admission", "claim", "relay", "node"]
 # Modules beside the order and what they may include of it.
-BESIDE = {"operator_client": ["common", "http"], "sim": ORDER, "standin": ORDER,
+BACKENDS = ["common", "http", "backends"]
+BESIDE = {"backends": BACKENDS, "weights": BACKENDS, "gateway": BACKENDS,
+          "operator_client": ["common", "http"], "sim": ORDER, "standin": ORDER,
           "bench": ORDER + ["sim", "standin"]}
 INCLUDE = re.compile(r'^\s*#\s*include\s+"([a-z_]+)/')
 
--- a/scripts/lint.py
+++ b/scripts/lint.py
@@ -13,7 +13,7 @@
 import subprocess
 import sys
 
-FOLDERS = ("src", "standin", "programs", "test")
+FOLDERS = ("src", "standin", "programs", "platform", "test")
 INCLUDE = re.compile(r'^\s*#\s*include\s+"([^"]+)"', re.MULTILINE)
 TIDY_TIMEOUT_SECONDS = 300
 
@@ -122,8 +122,9 @@
     format_faults = check_format(files)
     print(f"clang-format: {len(files)} files checked, {format_faults} with another format")
     layers = subprocess.run(["scripts/check_layers.sh"]).returncode
+    names = subprocess.run(["python3", "scripts/check_platform_names.py"]).returncode
     tidy_faults = check_tidy(root, arguments.build.resolve(), arguments.jobs)
-    sys.exit(1 if format_faults or layers or tidy_faults else 0)
+    sys.exit(1 if format_faults or layers or names or tidy_faults else 0)
 
 
 if __name__ == "__main__":
--- a/src/gateway/backend_set.cpp
+++ b/src/backends/backend_set.cpp
@@ -1,10 +1,10 @@
-#include "gateway/backend_set.h"
+#include "backends/backend_set.h"
 
 #include <algorithm>
 #include <cmath>
 #include <set>
 
-namespace fernmoor::gateway {
+namespace fernmoor {
 
 namespace {
 
@@ -164,8 +164,7 @@
   found->second.listing.weights.push_back(HeldWeights{model, version});
 }
 
-void BackendSet::correctWeights(const std::string& id, const std::string& model,
-                                uint64_t version) {
+void BackendSet::correctWeights(const std::string& id, const std::string& model, uint64_t version) {
   const std::lock_guard<std::mutex> lock(mutex_);
   const auto found = entries_.find(id);
   if (found == entries_.end()) {
@@ -186,4 +185,4 @@
   }
 }
 
-}  // namespace fernmoor::gateway
+}  // namespace fernmoor
--- a/src/gateway/backend_set.h
+++ b/src/backends/backend_set.h
@@ -15,7 +15,7 @@
 #include "common/socket_address.h"
 #include "common/time.h"
 
-namespace fernmoor::gateway {
+namespace fernmoor {
 
 /// Weights held of one model.
 struct HeldWeights {
@@ -37,10 +37,10 @@
 /// One back end as a choice sees it.
 struct BackendView {
   BackendListing listing;
-  int inFlight = 0;              ///< Requests of this node that run there.
-  uint64_t pendingTokens = 0;    ///< Prompt tokens of this node's requests without a first event.
-  bool isAvoided = false;        ///< Failed lately, or is taking new weights.
-  uint64_t weightsVersion = 0;   ///< Of the asked model; 0: unknown.
+  int inFlight = 0;             ///< Requests of this node that run there.
+  uint64_t pendingTokens = 0;   ///< Prompt tokens of this node's requests without a first event.
+  bool isAvoided = false;       ///< Failed lately, or is taking new weights.
+  uint64_t weightsVersion = 0;  ///< Of the asked model; 0: unknown.
 };
 
 /// How a request at a back end ended, as far as it tells of the back end's health.
@@ -95,4 +95,4 @@
   std::map<std::string, Entry> entries_;
 };
 
-}  // namespace fernmoor::gateway
+}  // namespace fernmoor
--- a/src/weights/wanted_weights.cpp
+++ b/src/backends/wanted_weights.cpp
@@ -1,8 +1,8 @@
-#include "weights/wanted_weights.h"
+#include "backends/wanted_weights.h"
 
 #include <algorithm>
 
-namespace fernmoor::weights {
+namespace fernmoor {
 
 namespace {
 
@@ -12,8 +12,7 @@
 
 }  // namespace
 
-void WantedWeights::note(const std::string& model, uint64_t version,
-                         std::optional<Time> namedBy) {
+void WantedWeights::note(const std::string& model, uint64_t version, std::optional<Time> namedBy) {
   const std::lock_guard<std::mutex> lock(mutex_);
   std::vector<NamedVersion>& versions = named_[model];
   if (!versions.empty() && versions.back().version >= version) {
@@ -69,4 +68,4 @@
   return names;
 }
 
-}  // namespace fernmoor::weights
+}  // namespace fernmoor
--- a/src/weights/wanted_weights.h
+++ b/src/backends/wanted_weights.h
@@ -12,7 +12,7 @@
 
 #include "common/time.h"
 
-namespace fernmoor::weights {
+namespace fernmoor {
 
 /// One named version.
 struct NamedVersion {
@@ -45,4 +45,4 @@
   std::map<std::string, std::vector<NamedVersion>> named_;  ///< By rising version.
 };
 
-}  // namespace fernmoor::weights
+}  // namespace fernmoor
--- a/src/engine/engine_lease.h
+++ b/src/engine/engine_lease.h
@@ -10,7 +10,7 @@
 
 #include "common/knobs.h"
 #include "common/role.h"
-#include "platform/platform_client.h"
+#include "objectstore/object_store_client.h"
 
 namespace fernmoor {
 
--- a/src/engine/engine_lease_keeper.cpp
+++ b/src/engine/engine_lease_keeper.cpp
@@ -4,7 +4,7 @@
 
 namespace fernmoor {
 
-EngineLeaseKeeper::EngineLeaseKeeper(PlatformClient& platform, NodeLife self, const Clock& clock,
+EngineLeaseKeeper::EngineLeaseKeeper(ObjectStoreClient& platform, NodeLife self, const Clock& clock,
                                      const Knobs& knobs)
     : platform_(platform), self_(self), clock_(clock), knobs_(knobs) {}
 
--- a/src/engine/engine_lease_keeper.h
+++ b/src/engine/engine_lease_keeper.h
@@ -8,7 +8,7 @@
 #include "common/knobs.h"
 #include "common/lock_order.h"
 #include "engine/engine_lease.h"
-#include "platform/platform_client.h"
+#include "objectstore/object_store_client.h"
 
 namespace fernmoor {
 
@@ -17,7 +17,7 @@
 class EngineLeaseKeeper {
  public:
   /// All references outlive the keeper.
-  EngineLeaseKeeper(PlatformClient& platform, NodeLife self, const Clock& clock,
+  EngineLeaseKeeper(ObjectStoreClient& platform, NodeLife self, const Clock& clock,
                     const Knobs& knobs);
 
   /// Takes the engine's lease, or renews it where its end is near.
@@ -35,7 +35,7 @@
   Result<FencingToken> take(const EngineId& engine, CollectionRevision expectedVersion);
   EngineLease& leaseOf(const EngineId& engine);
 
-  PlatformClient& platform_;
+  ObjectStoreClient& platform_;
   const NodeLife self_;
   const Clock& clock_;
   const Knobs knobs_;
--- a/src/gateway/answer_headers.cpp
+++ b/src/gateway/answer_headers.cpp
@@ -10,9 +10,8 @@
 namespace {
 
 constexpr std::array<const char*, 10> kConnectionHeaders = {
-    "Connection",         "Keep-Alive",          "Proxy-Connection", "Transfer-Encoding",
-    "Content-Length",     "Upgrade",             "TE",               "Trailer",
-    "Proxy-Authenticate", "Proxy-Authorization"};
+    "Connection", "Keep-Alive", "Proxy-Connection", "Transfer-Encoding",  "Content-Length",
+    "Upgrade",    "TE",         "Trailer",          "Proxy-Authenticate", "Proxy-Authorization"};
 
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
@@ -28,8 +27,7 @@
   AnswerHead head;
   head.status = static_cast<int>(answer.getStatus());
   head.reason = answer.getReason();
-  head.isBodyless =
-      method == "HEAD" || head.status == kNoContent || head.status == kNotModified;
+  head.isBodyless = method == "HEAD" || head.status == kNoContent || head.status == kNotModified;
   for (const auto& header : answer) {
     if (!isConnectionHeader(header.first)) {
       head.headers.add(header.first, header.second);
--- a/src/gateway/backend_choice.cpp
+++ b/src/gateway/backend_choice.cpp
@@ -90,9 +90,8 @@
       request.tenant && request.tenant->isIsolated ? request.tenant->name : "";
   const uint64_t key = stableHash(*part + "/" + owner);
   const size_t count = usable.size();
-  usable = rendezvousTop(key, std::move(usable), count, [](const BackendView* each) {
-    return stableHash(each->listing.id);
-  });
+  usable = rendezvousTop(key, std::move(usable), count,
+                         [](const BackendView* each) { return stableHash(each->listing.id); });
   return BackendChoice{*firstWithinBound(usable), usable.front()->listing.id};
 }
 
--- a/src/gateway/backend_choice.h
+++ b/src/gateway/backend_choice.h
@@ -11,16 +11,16 @@
 #include <string>
 #include <vector>
 
+#include "backends/backend_set.h"
 #include "common/random.h"
-#include "gateway/backend_set.h"
 #include "gateway/incoming_request.h"
 
 namespace fernmoor::gateway {
 
 /// What a choice goes by beside the request.
 struct ChoiceContext {
-  std::string zone;              ///< This node's.
-  std::set<std::string> tried;   ///< Ids of back ends that this request was sent to.
+  std::string zone;             ///< This node's.
+  std::set<std::string> tried;  ///< Ids of back ends that this request was sent to.
 };
 
 /// A choice.
--- a/src/gateway/backend_protocol.h
+++ b/src/gateway/backend_protocol.h
@@ -8,7 +8,7 @@
 #include <optional>
 #include <string>
 
-#include "gateway/backend_set.h"
+#include "backends/backend_set.h"
 #include "gateway/incoming_request.h"
 
 namespace fernmoor::gateway {
@@ -16,8 +16,8 @@
 /// What is said to a back end beside the caller's own request.
 struct SendPlan {
   BackendListing backend;
-  uint64_t weightsVersion = 0;  ///< The back end must hold these; 0: unknown.
-  std::string cacheScope;       ///< Requests share cached prompts only within one scope.
+  uint64_t weightsVersion = 0;             ///< The back end must hold these; 0: unknown.
+  std::string cacheScope;                  ///< Requests share cached prompts only within one scope.
   std::optional<SocketAddress> fetchFrom;  ///< Where cached parts may be taken from.
   std::optional<SocketAddress> saveTo;     ///< Where parts that are read anew are kept.
   int urgency = 0;                         ///< 0 is the most urgent.
@@ -27,10 +27,10 @@
 
 /// What an answer's head tells.
 struct AnswerFacts {
-  bool isOurs = false;   ///< It answers the request that was sent.
-  bool didNotRun = false;  ///< The back end vouches that the request did not run.
-  bool isWrongLife = false;  ///< Another life of the back end, or other weights.
-  bool isSigned = false;     ///< It bears the back end's signature.
+  bool isOurs = false;          ///< It answers the request that was sent.
+  bool didNotRun = false;       ///< The back end vouches that the request did not run.
+  bool isWrongLife = false;     ///< Another life of the back end, or other weights.
+  bool isSigned = false;        ///< It bears the back end's signature.
   uint64_t weightsVersion = 0;  ///< 0: not told.
 };
 
--- a/src/gateway/caller_channel.h
+++ b/src/gateway/caller_channel.h
@@ -18,9 +18,9 @@
 struct AnswerHead {
   int status = 0;
   std::string reason;
-  Poco::Net::MessageHeader headers;        ///< End-to-end headers only.
-  std::optional<uint64_t> contentLength;   ///< None: as long as the stream goes on.
-  bool isBodyless = false;                 ///< HEAD, 204, 304.
+  Poco::Net::MessageHeader headers;       ///< End-to-end headers only.
+  std::optional<uint64_t> contentLength;  ///< None: as long as the stream goes on.
+  bool isBodyless = false;                ///< HEAD, 204, 304.
 };
 
 /// Not thread-safe.
--- a/src/gateway/connection_pool.cpp
+++ b/src/gateway/connection_pool.cpp
@@ -39,8 +39,7 @@
 
 void ConnectionPool::giveBack(const std::string& owner, std::unique_ptr<ByteConnection> connection,
                               Duration keepFor, Time now) {
-  if (keepFor <= kClosingMargin || connection->hasBufferedBytes() ||
-      connection->socketReadable()) {
+  if (keepFor <= kClosingMargin || connection->hasBufferedBytes() || connection->socketReadable()) {
     return;
   }
   const std::lock_guard<std::mutex> lock(mutex_);
--- a/src/gateway/engine_attempt.cpp
+++ b/src/gateway/engine_attempt.cpp
@@ -47,8 +47,7 @@
     : request_(request), plan_(plan), protocol_(protocol), pool_(pool), clock_(clock) {}
 
 std::string EngineAttempt::headText() const {
-  Poco::Net::HTTPRequest head(request_.method, request_.target,
-                              Poco::Net::HTTPMessage::HTTP_1_1);
+  Poco::Net::HTTPRequest head(request_.method, request_.target, Poco::Net::HTTPMessage::HTTP_1_1);
   for (const auto& header : request_.headers) {
     head.add(header.first, header.second);
   }
@@ -94,8 +93,7 @@
 }
 
 AttemptStep EngineAttempt::send(CallerChannel& caller, Time deadline) {
-  PooledConnection pooled =
-      pool_.borrow(plan_.backend.id, plan_.backend.address, clock_.now());
+  PooledConnection pooled = pool_.borrow(plan_.backend.id, plan_.backend.address, clock_.now());
   if (pooled.connection == nullptr) {
     return AttemptStep::kNotSent;
   }
@@ -175,8 +173,7 @@
   const bool fit = connection_ != nullptr && sentWhole_ && bodyComplete() &&
                    shape_.framing != BodyFraming::kUntilClose;
   if (fit) {
-    pool_.giveBack(plan_.backend.id, std::move(connection_), statedKeepAlive(head_),
-                   clock_.now());
+    pool_.giveBack(plan_.backend.id, std::move(connection_), statedKeepAlive(head_), clock_.now());
   }
 }
 
--- a/src/gateway/event_splitter.h
+++ b/src/gateway/event_splitter.h
@@ -11,8 +11,8 @@
 
 /// One whole event as it came.
 struct RawEvent {
-  std::string bytes;       ///< Includes the empty line that ends it.
-  std::string id;          ///< Empty where the event has none.
+  std::string bytes;  ///< Includes the empty line that ends it.
+  std::string id;     ///< Empty where the event has none.
 };
 
 /// Not thread-safe.
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -10,16 +10,16 @@
 #include <mutex>
 #include <string>
 
+#include "backends/backend_set.h"
+#include "backends/wanted_weights.h"
 #include "common/random.h"
 #include "common/time.h"
 #include "gateway/backend_protocol.h"
-#include "gateway/backend_set.h"
 #include "gateway/caller_channel.h"
 #include "gateway/connection_pool.h"
 #include "gateway/incoming_request.h"
 #include "gateway/second_send_budget.h"
 #include "gateway/table_in_force.h"
-#include "weights/wanted_weights.h"
 
 namespace fernmoor::gateway {
 
@@ -31,7 +31,7 @@
   ConnectionPool& connections;
   SecondSendBudget& budget;
   const BackendProtocol& protocol;
-  const weights::WantedWeights& wanted;
+  const WantedWeights& wanted;
 };
 
 struct ForwarderOptions {
--- a/src/gateway/incoming_request.h
+++ b/src/gateway/incoming_request.h
@@ -21,9 +21,9 @@
 };
 
 struct IncomingRequest {
-  std::string id;      ///< The caller's id of this attempt of theirs.
+  std::string id;  ///< The caller's id of this attempt of theirs.
   std::string method;
-  std::string target;  ///< Path and query, unchanged.
+  std::string target;                ///< Path and query, unchanged.
   Poco::Net::MessageHeader headers;  ///< Those that are passed on as they came.
   std::string body;
   TrafficTablePtr table;  ///< Keeps the row alive.
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -37,8 +37,7 @@
     return each.weightsVersion != 0 && each.weightsVersion < lowestVersion;
   };
   if (!std::all_of(candidates.begin(), candidates.end(), isOld)) {
-    candidates.erase(std::remove_if(candidates.begin(), candidates.end(), isOld),
-                     candidates.end());
+    candidates.erase(std::remove_if(candidates.begin(), candidates.end(), isOld), candidates.end());
   }
 }
 
@@ -243,8 +242,8 @@
 
 void RequestRun::deliverHeld() {
   headSent_ = true;
-  callerGone_ = !caller_.sendHead(held_->head) || !caller_.sendBody(held_->body) ||
-                !caller_.finish();
+  callerGone_ =
+      !caller_.sendHead(held_->head) || !caller_.sendBody(held_->body) || !caller_.finish();
 }
 
 RequestRun::Next RequestRun::passOnLarge(EngineAttempt& attempt, std::string body) {
--- a/src/gateway/request_run.h
+++ b/src/gateway/request_run.h
@@ -21,9 +21,9 @@
  private:
   /// What comes after an attempt.
   enum class Next {
-    kFinished,     ///< The caller has its answer, or is gone.
-    kElsewhere,    ///< Another back end may be tried.
-    kGiveUp,       ///< No other back end may be tried; refuse or break off.
+    kFinished,   ///< The caller has its answer, or is gone.
+    kElsewhere,  ///< Another back end may be tried.
+    kGiveUp,     ///< No other back end may be tried; refuse or break off.
   };
 
   /// A whole answer that waits for a better one.
@@ -57,9 +57,9 @@
   CallerChannel& caller_;
   std::set<std::string> tried_;
   SendPlan plan_;
-  int runs_ = 0;             ///< Back ends that may have run the request.
-  int sends_ = 0;            ///< Back ends that it was sent to.
-  bool headSent_ = false;    ///< The caller has the answer's head.
+  int runs_ = 0;           ///< Back ends that may have run the request.
+  int sends_ = 0;          ///< Back ends that it was sent to.
+  bool headSent_ = false;  ///< The caller has the answer's head.
   bool mayHaveRun_ = false;
   bool promptCounted_ = false;
   bool atBackend_ = false;
--- a/src/gateway/table_in_force.h
+++ b/src/gateway/table_in_force.h
@@ -22,9 +22,7 @@
   Time provenAt;          ///< Meaningless while there is no table.
 
   /// @return whether everything acknowledged up to `age` before now is in force.
-  bool isFresh(Time now, Duration age) const {
-    return table != nullptr && now - provenAt <= age;
-  }
+  bool isFresh(Time now, Duration age) const { return table != nullptr && now - provenAt <= age; }
 };
 
 /// Thread-safe.
--- a/src/gateway/traffic_table.h
+++ b/src/gateway/traffic_table.h
@@ -36,10 +36,10 @@
   std::string pathPrefix;  ///< Begins and ends with a slash.
   std::vector<WeightedPool> pools;
   Repetition repetition = Repetition::kOnce;
-  bool isStream = false;     ///< Answers are event streams.
-  bool isResumable = false;  ///< A stream may go on elsewhere after its last event.
-  bool isPublic = false;     ///< Needs no key.
-  bool usesPrefixes = false; ///< Engines that hold a prompt's beginning are preferred.
+  bool isStream = false;      ///< Answers are event streams.
+  bool isResumable = false;   ///< A stream may go on elsewhere after its last event.
+  bool isPublic = false;      ///< Needs no key.
+  bool usesPrefixes = false;  ///< Engines that hold a prompt's beginning are preferred.
   Duration timeout{30000000};
   Duration target{1000000};
   int maxAttempts = 1;  ///< Most back ends that may run one request.
--- a/src/http/header_block.cpp
+++ b/src/http/header_block.cpp
@@ -63,9 +63,8 @@
 
 }  // namespace
 
-HeaderOutcome takeHeader(ByteConnection& connection, const HeaderBounds& bounds,
-                         const Clock& clock, ByteConnection* other, std::string& text,
-                         Time& firstByteAt) {
+HeaderOutcome takeHeader(ByteConnection& connection, const HeaderBounds& bounds, const Clock& clock,
+                         ByteConnection* other, std::string& text, Time& firstByteAt) {
   text.clear();
   LineState line;
   Time deadline = bounds.firstByteBy;
--- a/src/http/header_block.h
+++ b/src/http/header_block.h
@@ -13,12 +13,12 @@
 
 /// How taking a header ended.
 enum class HeaderOutcome {
-  kWhole,      ///< The text holds the header with its empty line.
-  kNothing,    ///< The connection ended, or the time was over, before the first byte.
-  kTimeout,    ///< The time was over in the middle of the header.
-  kTooLarge,   ///< Longer than allowed.
-  kMalformed,  ///< Bare line feed, folded line or control characters.
-  kBroken,     ///< The connection ended in the middle of the header.
+  kWhole,       ///< The text holds the header with its empty line.
+  kNothing,     ///< The connection ended, or the time was over, before the first byte.
+  kTimeout,     ///< The time was over in the middle of the header.
+  kTooLarge,    ///< Longer than allowed.
+  kMalformed,   ///< Bare line feed, folded line or control characters.
+  kBroken,      ///< The connection ended in the middle of the header.
   kOtherClosed  ///< The other connection was closed while we waited.
 };
 
@@ -32,8 +32,7 @@
 /// @param text replaced; holds the bytes read, also after a failure.
 /// @param firstByteAt set when the first byte was seen.
 /// @param other connection whose end ends the wait, or null.
-HeaderOutcome takeHeader(ByteConnection& connection, const HeaderBounds& bounds,
-                         const Clock& clock, ByteConnection* other, std::string& text,
-                         Time& firstByteAt);
+HeaderOutcome takeHeader(ByteConnection& connection, const HeaderBounds& bounds, const Clock& clock,
+                         ByteConnection* other, std::string& text, Time& firstByteAt);
 
 }  // namespace fernmoor
--- a/src/membership/machine_list_role.h
+++ b/src/membership/machine_list_role.h
@@ -14,7 +14,7 @@
 #include "common/role.h"
 #include "machine_list.pb.h"
 #include "membership/member.h"
-#include "platform/platform_client.h"
+#include "objectstore/object_store_client.h"
 
 namespace fernmoor {
 
--- a/src/node/application_directory.h
+++ b/src/node/application_directory.h
@@ -9,7 +9,7 @@
 #include "common/ids.h"
 #include "common/knobs.h"
 #include "common/lock_order.h"
-#include "platform/platform_client.h"
+#include "objectstore/object_store_client.h"
 
 namespace fernmoor {
 
--- a/src/node/control_plane.cpp
+++ b/src/node/control_plane.cpp
@@ -45,7 +45,7 @@
 
 ControlPlane::ControlPlane(const Settings& settings, NodeLife self, const Clock& clock,
                            Table& table, EngineDirectory& engines, OwnedEngines& owned,
-                           PlatformClient* platform, MachineListener onMachines)
+                           ObjectStoreClient* platform, MachineListener onMachines)
     : settings_(settings),
       self_(self),
       clock_(clock),
--- a/src/node/control_plane.h
+++ b/src/node/control_plane.h
@@ -10,7 +10,7 @@
 #include <vector>
 
 #include "node/role_set.h"
-#include "platform/platform_client.h"
+#include "objectstore/object_store_client.h"
 #include "settings/settings.h"
 #include "table/table_watcher.h"
 #include "wire/peer_transport.h"
@@ -24,7 +24,7 @@
 
   /// @param platform null: run without one. All references outlive this object.
   ControlPlane(const Settings& settings, NodeLife self, const Clock& clock, Table& table,
-               EngineDirectory& engines, OwnedEngines& owned, PlatformClient* platform,
+               EngineDirectory& engines, OwnedEngines& owned, ObjectStoreClient* platform,
                MachineListener onMachines);
   ~ControlPlane();
 
@@ -53,7 +53,7 @@
   const NodeLife self_;
   const Clock& clock_;
   Table& table_;
-  PlatformClient* platform_;
+  ObjectStoreClient* platform_;
   RoleSet roles_;
   PeerTransport transport_;
   std::atomic<bool> stopping_{false};
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -6,7 +6,7 @@
 #include <utility>
 
 #include "common/log.h"
-#include "platform/http_platform_client.h"
+#include "objectstore/http_object_store_client.h"
 
 namespace fernmoor {
 
@@ -22,12 +22,12 @@
   return NodeLife{settings.nodeId, Incarnation(static_cast<uint64_t>(clock.wallMicroseconds()))};
 }
 
-std::unique_ptr<PlatformClient> makePlatformClient(const Settings& settings) {
+std::unique_ptr<ObjectStoreClient> makePlatformClient(const Settings& settings) {
   if (settings.platformUrl.empty()) {
     return nullptr;
   }
   const Poco::URI uri(settings.platformUrl);
-  return std::make_unique<HttpPlatformClient>(SocketAddress{uri.getHost(), uri.getPort()},
+  return std::make_unique<HttpObjectStoreClient>(SocketAddress{uri.getHost(), uri.getPort()},
                                               settings.knobs);
 }
 
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -27,7 +27,7 @@
 #include "node/request_ids.h"
 #include "node/request_measures.h"
 #include "node/stream_token.h"
-#include "platform/platform_client.h"
+#include "objectstore/object_store_client.h"
 #include "relay/request_log.h"
 #include "settings/settings.h"
 #include "table/table.h"
@@ -68,7 +68,7 @@
   RequestIds requestIds_;
   RequestLog requestLog_;
   std::unique_ptr<RoutingPolicy> policy_;
-  std::unique_ptr<PlatformClient> platform_;
+  std::unique_ptr<ObjectStoreClient> platform_;
   ControlPlane control_;
   EngineKnowledge knowledge_;
   ApplicationDirectory applications_;
--- a/src/node/operator_api.h
+++ b/src/node/operator_api.h
@@ -21,7 +21,7 @@
   const MembershipView& membership;
   const OwnershipRole& ownership;
   OwnedEngines& owned;
-  PlatformClient* platform;  ///< Null: the table can't be changed.
+  ObjectStoreClient* platform;  ///< Null: the table can't be changed.
   TableRole& tableRole;
   std::function<void()> drainNode;  ///< Starts the drain of this node.
   /// Rates of the latest whole interval.
--- a/src/node/operator_table.cpp
+++ b/src/node/operator_table.cpp
@@ -62,7 +62,7 @@
 
 /// @return whether the row was removed after the operator looked; then the change must not bring it
 ///     back with the defaults of the cells that it leaves out.
-Result<bool> removedSince(PlatformClient& platform, TableVersion base, const RowKey& key) {
+Result<bool> removedSince(ObjectStoreClient& platform, TableVersion base, const RowKey& key) {
   const Result<WatchBatch> later =
       platform.watch(kTableCollection, CollectionRevision(base.value()), Duration{0});
   if (!isOk(later)) {
@@ -83,7 +83,7 @@
 }
 
 Result<TableEdit> readEdit(const Object& body, const TableSnapshot& table,
-                           PlatformClient& platform) {
+                           ObjectStoreClient& platform) {
   TableEdit edit;
   edit.changeId = ChangeId(stringMember(body, "change_id"));
   if (edit.changeId.empty()) {
--- a/src/platform/http_platform_client.cpp
+++ b/src/objectstore/http_object_store_client.cpp
@@ -1,4 +1,4 @@
-#include "platform/http_platform_client.h"
+#include "objectstore/http_object_store_client.h"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPClientSession.h>
@@ -9,7 +9,7 @@
 
 #include <utility>
 
-#include "platform/platform_codec.h"
+#include "objectstore/object_store_codec.h"
 
 namespace fernmoor {
 
@@ -83,20 +83,20 @@
 
 }  // namespace
 
-HttpPlatformClient::HttpPlatformClient(SocketAddress address, const Knobs& knobs)
+HttpObjectStoreClient::HttpObjectStoreClient(SocketAddress address, const Knobs& knobs)
     : address_(std::move(address)), knobs_(knobs) {}
 
-HttpPlatformClient::Call HttpPlatformClient::read(const std::string& path) const {
+HttpObjectStoreClient::Call HttpObjectStoreClient::read(const std::string& path) const {
   return Call{HTTPRequest::HTTP_GET, path, "", knobs_.platformTimeout, false};
 }
 
-HttpPlatformClient::Call HttpPlatformClient::change(const std::string& method,
+HttpObjectStoreClient::Call HttpObjectStoreClient::change(const std::string& method,
                                                     const std::string& path,
                                                     std::string body) const {
   return Call{method, path, std::move(body), knobs_.platformTimeout, true};
 }
 
-Result<std::string> HttpPlatformClient::perform(const Call& call) const {
+Result<std::string> HttpObjectStoreClient::perform(const Call& call) const {
   Poco::Net::HTTPClientSession session(address_.host, address_.port);
   session.setTimeout(toTimespan(knobs_.platformConnectTimeout), toTimespan(knobs_.platformTimeout),
                      toTimespan(call.receiveTimeout));
@@ -143,12 +143,12 @@
 
 }  // namespace
 
-Result<PlatformObject> HttpPlatformClient::get(const CollectionName& collection,
+Result<PlatformObject> HttpObjectStoreClient::get(const CollectionName& collection,
                                                const ObjectName& name) {
   return readAnswer(perform(read(objectPath(collection, name))), platform_codec::readObject);
 }
 
-Result<CollectionRevision> HttpPlatformClient::put(const CollectionName& collection,
+Result<CollectionRevision> HttpObjectStoreClient::put(const CollectionName& collection,
                                                    const ObjectChange& objectChange,
                                                    const ChangeId& changeId) {
   const std::string& method =
@@ -158,18 +158,18 @@
                     platform_codec::readRevision);
 }
 
-Result<CollectionRevision> HttpPlatformClient::apply(const CollectionName& collection,
+Result<CollectionRevision> HttpObjectStoreClient::apply(const CollectionName& collection,
                                                      const ChangeBatch& batch) {
   return readAnswer(perform(change(HTTPRequest::HTTP_POST, collectionPath(collection),
                                    platform_codec::writeBatch(batch))),
                     platform_codec::readRevision);
 }
 
-Result<CollectionSnapshot> HttpPlatformClient::list(const CollectionName& collection) {
+Result<CollectionSnapshot> HttpObjectStoreClient::list(const CollectionName& collection) {
   return readAnswer(perform(read(collectionPath(collection))), platform_codec::readSnapshot);
 }
 
-Result<WatchBatch> HttpPlatformClient::watch(const CollectionName& collection,
+Result<WatchBatch> HttpObjectStoreClient::watch(const CollectionName& collection,
                                              CollectionRevision after, Duration wait) {
   const int64_t waitMilliseconds = duration_cast<std::chrono::milliseconds>(wait).count();
   Call call =
@@ -179,14 +179,14 @@
   return readAnswer(perform(call), platform_codec::readWatchBatch);
 }
 
-Result<CollectionRevision> HttpPlatformClient::findChange(const CollectionName& collection,
+Result<CollectionRevision> HttpObjectStoreClient::findChange(const CollectionName& collection,
                                                           const ChangeId& changeId) {
   const std::string path =
       "/changes/" + escape(collection.value()) + "/" + escape(changeId.value());
   return readAnswer(perform(read(path)), platform_codec::readRevision);
 }
 
-Result<std::vector<Machine>> HttpPlatformClient::machines() {
+Result<std::vector<Machine>> HttpObjectStoreClient::machines() {
   return readAnswer(perform(read("/machines")), platform_codec::readMachines);
 }
 
--- a/src/platform/http_platform_client.h
+++ b/src/objectstore/http_object_store_client.h
@@ -1,19 +1,19 @@
 /// @file
-/// PlatformClient over HTTP.
+/// ObjectStoreClient over HTTP.
 #pragma once
 
 #include <string>
 
 #include "common/knobs.h"
-#include "platform/platform_client.h"
+#include "objectstore/object_store_client.h"
 
 namespace fernmoor {
 
 /// Speaks the platform's HTTP protocol; one connection for each call, since calls are few. Every
 /// call is bounded in time and in the size of its answer. Thread-safe: holds no state but settings.
-class HttpPlatformClient : public PlatformClient {
+class HttpObjectStoreClient : public ObjectStoreClient {
  public:
-  HttpPlatformClient(SocketAddress address, const Knobs& knobs);
+  HttpObjectStoreClient(SocketAddress address, const Knobs& knobs);
 
   Result<PlatformObject> get(const CollectionName& collection, const ObjectName& name) override;
   Result<CollectionRevision> put(const CollectionName& collection, const ObjectChange& change,
--- a/src/platform/platform_client.h
+++ b/src/objectstore/object_store_client.h
@@ -83,9 +83,9 @@
 /// Calls to the platform. Thread-safe. Errors: kNotFound, kConflict, kRateLimited, kUnavailable and
 /// kTimeout (runState tells whether a change may have been applied), kOutcomeUnknown where a
 /// change's answer was lost: resolve it by findChange or by sending the same change again.
-class PlatformClient {
+class ObjectStoreClient {
  public:
-  virtual ~PlatformClient() = default;
+  virtual ~ObjectStoreClient() = default;
   virtual Result<PlatformObject> get(const CollectionName& collection, const ObjectName& name) = 0;
   /// Sets or deletes one object. @return the change's revision.
   virtual Result<CollectionRevision> put(const CollectionName& collection,
--- a/src/platform/platform_codec.cpp
+++ b/src/objectstore/object_store_codec.cpp
@@ -1,4 +1,4 @@
-#include "platform/platform_codec.h"
+#include "objectstore/object_store_codec.h"
 
 #include <Poco/Exception.h>
 #include <Poco/JSON/Array.h>
--- a/src/platform/platform_codec.h
+++ b/src/objectstore/object_store_codec.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "platform/platform_client.h"
+#include "objectstore/object_store_client.h"
 
 namespace fernmoor::platform_codec {
 
--- a/src/sim/fake_platform.h
+++ b/src/sim/fake_platform.h
@@ -9,13 +9,13 @@
 #include <vector>
 
 #include "common/time.h"
-#include "platform/platform_client.h"
+#include "objectstore/object_store_client.h"
 
 namespace fernmoor::sim {
 
 /// Answers every call at once; a caller that simulates a slow platform delays its own steps by
 /// answerDelay(). Watches don't wait: with no change they answer an empty batch. Thread-safe.
-class FakePlatform : public PlatformClient {
+class FakePlatform : public ObjectStoreClient {
  public:
   /// @param clock decides how far the machine list lags; outlives the platform.
   explicit FakePlatform(const Clock& clock) : clock_(clock) {}
--- a/src/sim/table_cluster.cpp
+++ b/src/sim/table_cluster.cpp
@@ -49,7 +49,7 @@
 };
 
 /// The platform as one zone reaches it.
-class TableCluster::ZonePlatform : public PlatformClient {
+class TableCluster::ZonePlatform : public ObjectStoreClient {
  public:
   explicit ZonePlatform(FakePlatform& platform) : platform_(platform) {}
   bool cut = false;
--- a/src/table/platform_table.h
+++ b/src/table/platform_table.h
@@ -6,7 +6,7 @@
 #include <memory>
 #include <vector>
 
-#include "platform/platform_client.h"
+#include "objectstore/object_store_client.h"
 #include "table/table.h"
 
 namespace fernmoor {
--- a/src/table/table_change_coordinator.cpp
+++ b/src/table/table_change_coordinator.cpp
@@ -43,7 +43,7 @@
 
 }  // namespace
 
-TableChangeCoordinator::TableChangeCoordinator(PlatformClient& platform, const Table& table,
+TableChangeCoordinator::TableChangeCoordinator(ObjectStoreClient& platform, const Table& table,
                                                TableRole& role, const MembershipView& membership,
                                                const Clock& clock, const Knobs& knobs,
                                                Waiter waiter)
--- a/src/table/table_change_coordinator.h
+++ b/src/table/table_change_coordinator.h
@@ -10,7 +10,7 @@
 
 #include "common/knobs.h"
 #include "membership/member.h"
-#include "platform/platform_client.h"
+#include "objectstore/object_store_client.h"
 #include "table/table.h"
 #include "table/table_edit.h"
 #include "table/table_role.h"
@@ -41,7 +41,7 @@
   using Waiter = std::function<void(Duration)>;
 
   /// All references outlive the coordinator.
-  TableChangeCoordinator(PlatformClient& platform, const Table& table, TableRole& role,
+  TableChangeCoordinator(ObjectStoreClient& platform, const Table& table, TableRole& role,
                          const MembershipView& membership, const Clock& clock, const Knobs& knobs,
                          Waiter waiter);
 
@@ -67,7 +67,7 @@
   bool retryPause(Time deadline);
   std::set<NodeId> liveNodes(std::optional<std::vector<Machine>>& lastMachines);
 
-  PlatformClient& platform_;
+  ObjectStoreClient& platform_;
   const Table& table_;
   TableRole& role_;
   const MembershipView& membership_;
--- a/src/table/table_edit.h
+++ b/src/table/table_edit.h
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "common/knobs.h"
-#include "platform/platform_client.h"
+#include "objectstore/object_store_client.h"
 #include "table/table.h"
 
 namespace fernmoor {
--- a/src/table/table_role.h
+++ b/src/table/table_role.h
@@ -16,7 +16,7 @@
 #include "common/lock_order.h"
 #include "common/random.h"
 #include "common/role.h"
-#include "platform/platform_client.h"
+#include "objectstore/object_store_client.h"
 #include "table/acceptance_polls.h"
 #include "table/snapshot_transfer.h"
 #include "table/startup_search.h"
--- a/src/table/table_watcher.cpp
+++ b/src/table/table_watcher.cpp
@@ -6,7 +6,7 @@
 
 namespace fernmoor {
 
-TableWatcher::TableWatcher(PlatformClient& platform, TableRole& role, const Table& table,
+TableWatcher::TableWatcher(ObjectStoreClient& platform, TableRole& role, const Table& table,
                            const Clock& clock, MessageSender& sender, const Knobs& knobs,
                            uint64_t seed)
     : platform_(platform),
--- a/src/table/table_watcher.h
+++ b/src/table/table_watcher.h
@@ -6,7 +6,7 @@
 #include "common/knobs.h"
 #include "common/message_sender.h"
 #include "common/random.h"
-#include "platform/platform_client.h"
+#include "objectstore/object_store_client.h"
 #include "table/table.h"
 #include "table/table_role.h"
 
@@ -16,7 +16,7 @@
 class TableWatcher {
  public:
   /// All references outlive the watcher.
-  TableWatcher(PlatformClient& platform, TableRole& role, const Table& table, const Clock& clock,
+  TableWatcher(ObjectStoreClient& platform, TableRole& role, const Table& table, const Clock& clock,
                MessageSender& sender, const Knobs& knobs, uint64_t seed);
 
   /// Does one round: reads what the role needs, if anything, and hands it over. Blocks for at most
@@ -32,7 +32,7 @@
   std::optional<Error> readSnapshot();
   Duration pauseAfterFailure();
 
-  PlatformClient& platform_;
+  ObjectStoreClient& platform_;
   TableRole& role_;
   const Table& table_;
   const Clock& clock_;
--- a/src/weights/move_ledger.h
+++ b/src/weights/move_ledger.h
@@ -69,17 +69,17 @@
 
 /// What an engine tells of itself.
 struct EngineReport {
-  bool isBusy = false;  ///< An order is being carried out.
-  uint64_t orders = 0;  ///< Orders taken in this life.
+  bool isBusy = false;   ///< An order is being carried out.
+  uint64_t orders = 0;   ///< Orders taken in this life.
   uint64_t version = 0;  ///< Of the asked model; 0: it does not serve it.
 };
 
 enum class OrderAnswer {
-  kTaken,     ///< It is being carried out.
-  kHolds,     ///< The engine holds the version already.
-  kNotNow,    ///< Another order runs, or other orders came since the report.
-  kRefused,   ///< Fenced off, another life, or no such order.
-  kUnknown,   ///< No answer: it may be carried out, also later.
+  kTaken,    ///< It is being carried out.
+  kHolds,    ///< The engine holds the version already.
+  kNotNow,   ///< Another order runs, or other orders came since the report.
+  kRefused,  ///< Fenced off, another life, or no such order.
+  kUnknown,  ///< No answer: it may be carried out, also later.
 };
 
 /// One order to an engine.
--- a/src/weights/weight_mover.cpp
+++ b/src/weights/weight_mover.cpp
@@ -35,20 +35,19 @@
 
 /// @return whether the ledger holds the last move of `intended` for every engine that it names.
 bool holdsMoves(const Ledger& ledger, const Ledger& intended, const std::string& holder) {
-  return std::all_of(
-      intended.moves.begin(), intended.moves.end(), [&](const LedgerMove& wanted) {
-        return wanted.holder != holder ||
-               std::any_of(ledger.moves.begin(), ledger.moves.end(), [&](const LedgerMove& move) {
-                 return move.engine == wanted.engine && move.holder == holder &&
-                        move.version == wanted.version;
-               });
-      });
+  return std::all_of(intended.moves.begin(), intended.moves.end(), [&](const LedgerMove& wanted) {
+    return wanted.holder != holder ||
+           std::any_of(ledger.moves.begin(), ledger.moves.end(), [&](const LedgerMove& move) {
+             return move.engine == wanted.engine && move.holder == holder &&
+                    move.version == wanted.version;
+           });
+  });
 }
 
 }  // namespace
 
 void noteMovesOfOthers(const Ledger& ledger, const std::string& node, Duration moveTime,
-                       gateway::BackendSet& engines, Time now) {
+                       BackendSet& engines, Time now) {
   for (const LedgerMove& move : ledger.moves) {
     if (move.holder != node && now - move.at < moveTime) {
       engines.avoidUntil(move.engine, move.at + moveTime);
@@ -64,15 +63,15 @@
 
 size_t WeightMover::atOnce() const {
   size_t engines = 0;
-  for (const gateway::BackendListing& listing : services_.engines.all()) {
+  for (const BackendListing& listing : services_.engines.all()) {
     engines += listing.weights.empty() ? 0 : 1;
   }
   return std::max(kFewestAtOnce, engines / kEnginesPerMove);
 }
 
 void WeightMover::learnMoveTime(Duration took) {
-  const double learned = toSeconds(bounds_.moveTime) * (1 - kLearningRate) +
-                         toSeconds(took) * kLearningRate;
+  const double learned =
+      toSeconds(bounds_.moveTime) * (1 - kLearningRate) + toSeconds(took) * kLearningRate;
   bounds_.moveTime = fromSeconds(std::clamp(learned, 0.2, 3.0));
 }
 
@@ -85,8 +84,8 @@
     }
     const Result<EngineReport> report = services_.orders.report(move->first, state.model);
     const Time after = services_.clock.now();
-    const bool done = isOk(report) && !valueOf(report).isBusy &&
-                      valueOf(report).version >= state.version;
+    const bool done =
+        isOk(report) && !valueOf(report).isBusy && valueOf(report).version >= state.version;
     if (done) {
       services_.engines.noteWeights(move->first, state.model, valueOf(report).version);
       learnMoveTime(after - state.since);
@@ -109,8 +108,7 @@
   if (ledger.revision == 0) {
     return now >= *plan.startBy + stepInDelay_ - kStandstill;
   }
-  return now >= *plan.startBy + stepInDelay_ &&
-         now >= services_.view.changedAt() + stepInDelay_;
+  return now >= *plan.startBy + stepInDelay_ && now >= services_.view.changedAt() + stepInDelay_;
 }
 
 bool WeightMover::isLeftAlone(const std::string& engine, const Ledger& ledger, Time now) const {
@@ -238,8 +236,7 @@
   if (!isMyTurn(plan, now)) {
     return kBusyStep * 2;
   }
-  const std::vector<Candidate> candidates =
-      pickCandidates(plan, bounds_.atOnce - underWay_.size());
+  const std::vector<Candidate> candidates = pickCandidates(plan, bounds_.atOnce - underWay_.size());
   if (candidates.empty()) {
     return kBusyStep;
   }
--- a/src/weights/weight_mover.h
+++ b/src/weights/weight_mover.h
@@ -8,17 +8,17 @@
 #include <string>
 #include <vector>
 
+#include "backends/backend_set.h"
+#include "backends/wanted_weights.h"
 #include "common/random.h"
 #include "common/time.h"
-#include "gateway/backend_set.h"
 #include "weights/move_ledger.h"
-#include "weights/wanted_weights.h"
 #include "weights/weight_plan.h"
 
 namespace fernmoor::weights {
 
 struct MoverOptions {
-  std::string node;          ///< This node's name, as the holder of orders.
+  std::string node;             ///< This node's name, as the holder of orders.
   Duration orderTurn{3000000};  ///< Between the orders of two nodes to one engine.
   uint64_t randomSeed = 0;
 };
@@ -26,7 +26,7 @@
 /// What the mover works with; all outlive it.
 struct MoverServices {
   const Clock& clock;
-  gateway::BackendSet& engines;
+  BackendSet& engines;
   WantedWeights& wanted;
   LedgerView& view;
   LedgerStore& store;
@@ -36,7 +36,7 @@
 /// Leaves engines alone that another node is moving, and expects the new weights there afterwards.
 /// @param moveTime how long a move usually takes.
 void noteMovesOfOthers(const Ledger& ledger, const std::string& node, Duration moveTime,
-                       gateway::BackendSet& engines, Time now);
+                       BackendSet& engines, Time now);
 
 /// Not thread-safe: one thread calls step().
 class WeightMover {
--- a/src/weights/weight_plan.cpp
+++ b/src/weights/weight_plan.cpp
@@ -6,23 +6,22 @@
 
 namespace {
 
-void addOwed(const gateway::BackendListing& engine, const WantedWeights& wanted,
+void addOwed(const BackendListing& engine, const WantedWeights& wanted,
              std::vector<PlannedMove>& moves) {
-  for (const gateway::HeldWeights& held : engine.weights) {
+  for (const HeldWeights& held : engine.weights) {
     const std::optional<Time> deadline = wanted.deadlineFor(held.model, held.version);
     if (deadline) {
-      moves.push_back(
-          PlannedMove{engine.id, held.model, wanted.newest(held.model), *deadline});
+      moves.push_back(PlannedMove{engine.id, held.model, wanted.newest(held.model), *deadline});
     }
   }
 }
 
 }  // namespace
 
-WeightPlan planMoves(const std::vector<gateway::BackendListing>& engines,
-                     const WantedWeights& wanted, const PlanBounds& bounds) {
+WeightPlan planMoves(const std::vector<BackendListing>& engines, const WantedWeights& wanted,
+                     const PlanBounds& bounds) {
   WeightPlan plan;
-  for (const gateway::BackendListing& engine : engines) {
+  for (const BackendListing& engine : engines) {
     if (!engine.isDraining) {
       addOwed(engine, wanted, plan.moves);
     }
--- a/src/weights/weight_plan.h
+++ b/src/weights/weight_plan.h
@@ -9,9 +9,9 @@
 #include <string>
 #include <vector>
 
+#include "backends/backend_set.h"
+#include "backends/wanted_weights.h"
 #include "common/time.h"
-#include "gateway/backend_set.h"
-#include "weights/wanted_weights.h"
 
 namespace fernmoor::weights {
 
@@ -25,9 +25,9 @@
 
 /// What the plan goes by.
 struct PlanBounds {
-  size_t atOnce = 2;            ///< Moves that may run at the same time.
-  Duration moveTime{800000};    ///< How long one takes, from order to order.
-  Duration reserve{2200000};    ///< Kept free for a takeover by another node.
+  size_t atOnce = 2;          ///< Moves that may run at the same time.
+  Duration moveTime{800000};  ///< How long one takes, from order to order.
+  Duration reserve{2200000};  ///< Kept free for a takeover by another node.
 };
 
 /// The moves that are owed, the most urgent first, and when the first must start.
@@ -36,7 +36,7 @@
   std::optional<Time> startBy;
 };
 
-WeightPlan planMoves(const std::vector<gateway::BackendListing>& engines,
-                     const WantedWeights& wanted, const PlanBounds& bounds);
+WeightPlan planMoves(const std::vector<BackendListing>& engines, const WantedWeights& wanted,
+                     const PlanBounds& bounds);
 
 }  // namespace fernmoor::weights
--- /dev/null
+++ b/test/backends/backend_set_test.cpp
@@ -0,0 +1,111 @@
+/// @file
+/// Tests of src/backends/backend_set.h and wanted_weights.h.
+#include "backends/backend_set.h"
+
+#include <doctest/doctest.h>
+
+#include "backends/wanted_weights.h"
+
+namespace fernmoor {
+
+namespace {
+
+Time at(int64_t milliseconds) {
+  return Time(std::chrono::milliseconds(milliseconds));
+}
+
+BackendListing listing(const std::string& id, uint64_t version = 1) {
+  BackendListing made;
+  made.id = id;
+  made.pool = "pool";
+  made.weights.push_back(HeldWeights{"m", version});
+  return made;
+}
+
+BackendView only(const BackendSet& set, Time now) {
+  const std::vector<BackendView> members = set.membersOf("pool", "m", now);
+  REQUIRE(members.size() == 1);
+  return members.front();
+}
+
+}  // namespace
+
+TEST_CASE("members are those listed for the pool that are not leaving") {
+  BackendSet set;
+  BackendListing leaving = listing("b");
+  leaving.isDraining = true;
+  BackendListing elsewhere = listing("c");
+  elsewhere.pool = "other";
+  set.replaceAll({listing("a"), leaving, elsewhere}, at(0));
+  CHECK(only(set, at(0)).listing.id == "a");
+  CHECK(set.size() == 3);
+  CHECK_FALSE(set.isUsable("b"));
+  set.remove("a");
+  CHECK(set.membersOf("pool", "m", at(0)).empty());
+}
+
+TEST_CASE("a list that lags does not take back a version that the engine told") {
+  BackendSet set;
+  set.replaceAll({listing("a", 1)}, at(0));
+  set.noteWeights("a", "m", 3);
+  set.update(listing("a", 2), at(10));
+  CHECK(only(set, at(10)).weightsVersion == 3);
+  set.noteWeights("a", "m", 2);
+  CHECK(only(set, at(10)).weightsVersion == 3);
+  set.correctWeights("a", "m", 2);
+  CHECK(only(set, at(10)).weightsVersion == 2);
+}
+
+TEST_CASE("a back end that fails a good part of its requests is left alone for a while") {
+  BackendSet set;
+  set.replaceAll({listing("a")}, at(0));
+  for (int request = 0; request < 20; ++request) {
+    set.started("a", 10);
+    set.ended("a", BackendVerdict::kServed, at(0));
+  }
+  set.started("a", 10);
+  set.ended("a", BackendVerdict::kFailed, at(0));
+  CHECK_FALSE(only(set, at(0)).isAvoided);
+  for (int request = 0; request < 10; ++request) {
+    set.started("a", 10);
+    set.ended("a", BackendVerdict::kFailed, at(10));
+  }
+  CHECK(only(set, at(20)).isAvoided);
+  CHECK(only(set, at(20)).inFlight == 0);
+  CHECK_FALSE(only(set, at(60000)).isAvoided);
+}
+
+TEST_CASE("failures long ago no longer count") {
+  BackendSet set;
+  set.replaceAll({listing("a")}, at(0));
+  for (int request = 0; request < 6; ++request) {
+    set.started("a", 0);
+    set.ended("a", BackendVerdict::kFailed, at(request * 30000));
+  }
+  CHECK_FALSE(only(set, at(150001)).isAvoided);
+}
+
+TEST_CASE("an engine must leave a version when the first newer one has its time behind it") {
+  WantedWeights wanted(std::chrono::seconds(8));
+  CHECK_FALSE(wanted.deadlineFor("m", 1).has_value());
+  wanted.note("m", 2, at(1000));
+  wanted.note("m", 3, at(4000));
+  wanted.note("m", 3, at(9000));
+  wanted.note("m", 1, at(9000));
+  CHECK(wanted.newest("m") == 3);
+  CHECK(wanted.deadlineFor("m", 1) == at(9000));
+  CHECK(wanted.deadlineFor("m", 2) == at(12000));
+  CHECK_FALSE(wanted.deadlineFor("m", 3).has_value());
+  CHECK(wanted.lowestServing("m", at(7999)) == 0);
+  CHECK(wanted.lowestServing("m", at(8000)) == 2);
+  CHECK(wanted.lowestServing("m", at(11000)) == 3);
+}
+
+TEST_CASE("a version named nobody knows when is overdue") {
+  WantedWeights wanted(std::chrono::seconds(8));
+  wanted.note("m", 2, std::nullopt);
+  CHECK(*wanted.deadlineFor("m", 1) < at(0));
+  CHECK(wanted.lowestServing("m", at(0)) == 2);
+}
+
+}  // namespace fernmoor
--- /dev/null
+++ b/test/gateway/backend_choice_test.cpp
@@ -0,0 +1,102 @@
+/// @file
+/// Tests of src/gateway/backend_choice.h.
+#include "gateway/backend_choice.h"
+
+#include <doctest/doctest.h>
+
+#include <map>
+
+namespace fernmoor::gateway {
+
+namespace {
+
+std::vector<BackendView> engines(size_t count) {
+  std::vector<BackendView> made(count);
+  for (size_t index = 0; index < count; ++index) {
+    made[index].listing.id = "e" + std::to_string(index);
+    made[index].listing.zone = index % 2 == 0 ? "near" : "far";
+  }
+  return made;
+}
+
+struct Prompt {
+  explicit Prompt(const std::string& subject) {
+    row.usesPrefixes = true;
+    request.row = &row;
+    request.parts = {PromptPart{"common", 2500}, PromptPart{subject, 3800},
+                     PromptPart{"own", 2900}};
+  }
+  Row row;
+  IncomingRequest request;
+};
+
+std::string chosen(const IncomingRequest& request, const std::vector<BackendView>& candidates,
+                   const std::set<std::string>& tried = {}) {
+  Random random(1);
+  const auto choice = chooseBackend(request, candidates, ChoiceContext{"near", tried}, random);
+  return choice ? choice->backend.listing.id : "none";
+}
+
+}  // namespace
+
+TEST_CASE(
+    "requests on one subject have one home, which other engines coming and going seldom move") {
+  const auto before = engines(12);
+  auto after = before;
+  after.pop_back();
+  int moved = 0;
+  std::map<std::string, int> homes;
+  for (int subject = 0; subject < 240; ++subject) {
+    const Prompt prompt(std::to_string(subject));
+    const std::string home = chosen(prompt.request, before);
+    CHECK(home == chosen(prompt.request, before));
+    ++homes[home];
+    moved += home != chosen(prompt.request, after) && home != "e11" ? 1 : 0;
+  }
+  CHECK(moved == 0);
+  CHECK(homes.size() == 12);
+}
+
+TEST_CASE("a home with more than its share passes requests on, always to the same next one") {
+  const Prompt prompt("subject");
+  auto candidates = engines(6);
+  const std::string home = chosen(prompt.request, candidates);
+  for (BackendView& candidate : candidates) {
+    candidate.inFlight = candidate.listing.id == home ? 40 : 2;
+  }
+  const std::string second = chosen(prompt.request, candidates);
+  CHECK(second != home);
+  CHECK(second == chosen(prompt.request, candidates));
+}
+
+TEST_CASE("tenants that share nothing have homes of their own and scopes of their own") {
+  Prompt shared("subject");
+  Prompt isolated("subject");
+  isolated.request.tenant = Tenant{"sese", true, 0};
+  shared.request.tenant = Tenant{"lala", false, 0};
+  CHECK(cacheScopeOf(shared.request, 3) != cacheScopeOf(isolated.request, 3));
+  CHECK(cacheScopeOf(isolated.request, 3) != cacheScopeOf(isolated.request, 4));
+  Prompt other("subject");
+  CHECK(cacheScopeOf(shared.request, 3) == cacheScopeOf(other.request, 3));
+}
+
+TEST_CASE("engines that are left alone are used only where there is no other") {
+  const Prompt prompt("subject");
+  auto candidates = engines(2);
+  candidates[0].isAvoided = true;
+  CHECK(chosen(prompt.request, candidates) == "e1");
+  CHECK(chosen(prompt.request, candidates, {"e1"}) == "e0");
+  CHECK(chosen(prompt.request, candidates, {"e0", "e1"}) == "none");
+}
+
+TEST_CASE("requests without shared parts go to the least loaded, the own zone first") {
+  Row row;
+  IncomingRequest request;
+  request.row = &row;
+  auto candidates = engines(2);
+  CHECK(chosen(request, candidates) == "e0");
+  candidates[0].inFlight = 5;
+  CHECK(chosen(request, candidates) == "e1");
+}
+
+}  // namespace fernmoor::gateway
--- /dev/null
+++ b/test/gateway/forwarder_test.cpp
@@ -0,0 +1,316 @@
+/// @file
+/// Tests of src/gateway/forwarder.h over loopback: what reaches back ends and callers when back
+/// ends refuse, fail, break off, answer for somebody else or fall silent.
+#include "gateway/forwarder.h"
+
+#include <doctest/doctest.h>
+
+#include "test/gateway/forwarder_world.h"
+
+namespace fernmoor::gateway {
+
+namespace {
+
+using namespace test;  // NOLINT(google-build-using-namespace)
+
+Script always(const std::string& bytes, bool keeps = true) {
+  return [=](Poco::Net::StreamSocket& socket, const std::string&) {
+    say(socket, bytes);
+    return keeps;
+  };
+}
+
+/// Sends bytes and resets the connection.
+Script thenReset(const std::string& bytes) {
+  return [=](Poco::Net::StreamSocket& socket, const std::string&) {
+    if (!bytes.empty()) {
+      say(socket, bytes);
+      std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    }
+    socket.setLinger(true, 0);
+    socket.close();
+    return false;
+  };
+}
+
+int requestsOf(const ForwarderWorld& world) {
+  int sum = 0;
+  for (const auto& backend : world.scripted) {
+    sum += backend->requests();
+  }
+  return sum;
+}
+
+/// An answer of ours that does not promise that the request has not run.
+bool promisesNothing(const RecordingCaller& caller) {
+  return caller.refusals.size() == 1 && caller.refusals[0].runState == RunState::kUnknown &&
+         caller.refusals[0].kind == ErrorKind::kOutcomeUnknown;
+}
+
+bool promisesNotRun(const RecordingCaller& caller) {
+  return caller.refusals.size() == 1 && caller.refusals[0].runState == RunState::kNotRun &&
+         caller.refusals[0].retryAfter.has_value();
+}
+
+}  // namespace
+
+TEST_CASE("a request and its answer pass unchanged, on a kept connection") {
+  ForwarderWorld world;
+  ScriptedBackend& backend =
+      world.add("a", always(answer("201 Made", "the answer", "Id: r1\r\nSigned: yes\r\n")));
+  world.serve();
+  CHECK(backend.lastRequest().find("POST /a/b?c=d HTTP/1.1\r\n") == 0);
+  CHECK(backend.lastRequest().find("Expect-Life: a\r\n") != std::string::npos);
+  CHECK(backend.lastRequest().rfind("\r\n\r\nthe body") != std::string::npos);
+  REQUIRE(world.caller.heads.size() == 1);
+  CHECK(world.caller.heads[0].status == 201);
+  CHECK(world.caller.heads[0].reason == "Made");
+  CHECK(world.caller.heads[0].headers.get("Signed") == "yes");
+  CHECK(world.caller.body == "the answer");
+  CHECK(world.caller.finished);
+  world.serve();
+  CHECK(backend.requests() == 2);
+  CHECK(backend.connectionCount() == 1);
+}
+
+TEST_CASE("bytes after a whole answer belong to nobody and end the connection") {
+  ForwarderWorld world;
+  ScriptedBackend& backend = world.add("a", always(answer("200 OK", "x") + "HTTP/1.1 200 OK"));
+  world.serve();
+  world.serve();
+  CHECK(world.caller.body == "xx");
+  CHECK(backend.connectionCount() == 2);
+}
+
+TEST_CASE("an answer to another request is never passed on, and the request may have run") {
+  ForwarderWorld world;
+  world.add("a", always(answer("200 OK", "somebody else's", "Id: r0\r\n")));
+  world.add("b", always(answer("200 OK", "somebody else's", "Id: r0\r\n")));
+  world.serve();
+  CHECK(world.caller.heads.empty());
+  CHECK(promisesNothing(world.caller));
+  CHECK(requestsOf(world) == 1);
+}
+
+TEST_CASE("a request that may run once is not sent again after a reset") {
+  ForwarderWorld world;
+  world.add("a", thenReset(""));
+  world.add("b", thenReset(""));
+  world.serve();
+  CHECK(requestsOf(world) == 1);
+  CHECK(promisesNothing(world.caller));
+}
+
+TEST_CASE("a request that may run again is sent to another back end, within its attempts") {
+  ForwarderWorld world;
+  world.row.repetition = Repetition::kRepeatable;
+  for (const char* id : {"a", "b", "c"}) {
+    world.add(id, thenReset(""));
+  }
+  world.serve();
+  CHECK(requestsOf(world) == 2);
+  CHECK(promisesNothing(world.caller));
+}
+
+TEST_CASE("a back end that vouches not to have run a request frees it for another") {
+  ForwarderWorld world;
+  world.row.maxAttempts = 1;
+  bool refused = false;
+  const Script once = [&](Poco::Net::StreamSocket& socket, const std::string&) {
+    say(socket,
+        refused ? answer("200 OK", "done") : answer("503 Full", "", "Id: r1\r\nNot-Run: 1\r\n"));
+    refused = true;
+    return true;
+  };
+  world.add("a", once);
+  world.add("b", once);
+  world.serve();
+  CHECK(requestsOf(world) == 2);
+  CHECK(world.caller.body == "done");
+}
+
+TEST_CASE("refused by all, the caller hears at once that it has not run and when to come back") {
+  ForwarderWorld world;
+  const std::string full = answer("503 Full", "", "Id: r1\r\nNot-Run: 1\r\n");
+  world.add("a", always(full));
+  world.add("b", always(full));
+  world.serve();
+  CHECK(promisesNotRun(world.caller));
+}
+
+TEST_CASE("a second send needs the budget") {
+  ForwarderWorld world(0);
+  const std::string full = answer("503 Full", "", "Id: r1\r\nNot-Run: 1\r\n");
+  world.add("a", always(full));
+  world.add("b", always(full));
+  world.serve();
+  CHECK(requestsOf(world) == 1);
+  CHECK(promisesNotRun(world.caller));
+}
+
+TEST_CASE("without back ends a request is refused at once") {
+  ForwarderWorld world;
+  world.serve();
+  CHECK(promisesNotRun(world.caller));
+}
+
+TEST_CASE("a back end that takes no connection has not run anything") {
+  ForwarderWorld world;
+  BackendListing gone;
+  gone.id = "gone";
+  gone.pool = "pool";
+  {
+    Poco::Net::ServerSocket unused(Poco::Net::SocketAddress("127.0.0.1", 0));
+    gone.address = SocketAddress{"127.0.0.1", unused.address().port()};
+  }
+  world.backends.update(gone, world.clock.now());
+  world.serve();
+  CHECK(promisesNotRun(world.caller));
+}
+
+TEST_CASE("a failure of its own passes with its signature; a repeatable one is tried elsewhere") {
+  ForwarderWorld once;
+  once.add("a", always(answer("500 Oops", "failed", "Id: r1\r\nSigned: a\r\n")));
+  once.add("b", always(answer("500 Oops", "failed", "Id: r1\r\nSigned: a\r\n")));
+  once.serve();
+  CHECK(requestsOf(once) == 1);
+  REQUIRE(once.caller.heads.size() == 1);
+  CHECK(once.caller.heads[0].status == 500);
+  CHECK(once.caller.body == "failed");
+
+  ForwarderWorld again;
+  again.row.repetition = Repetition::kRepeatable;
+  bool failed = false;
+  const Script script = [&](Poco::Net::StreamSocket& socket, const std::string&) {
+    say(socket, failed ? answer("200 OK", "done") : answer("500 Oops", "failed"));
+    failed = true;
+    return true;
+  };
+  again.add("a", script);
+  again.add("b", script);
+  again.serve();
+  CHECK(again.caller.body == "done");
+}
+
+TEST_CASE("if nobody does better, the failure of a back end is the answer") {
+  ForwarderWorld world;
+  world.row.repetition = Repetition::kRepeatable;
+  world.add("a", always(answer("500 Oops", "failed", "Id: r1\r\nSigned: a\r\n")));
+  world.serve();
+  REQUIRE(world.caller.heads.size() == 1);
+  CHECK(world.caller.heads[0].status == 500);
+  CHECK(world.caller.body == "failed");
+  CHECK(world.caller.refusals.empty());
+}
+
+TEST_CASE("an answer that breaks off never reaches the caller as whole") {
+  for (const std::string& partial :
+       {std::string("HTTP/1.1 200 OK\r\nId: r1\r\nContent-Length: 9\r\n\r\nhalf"),
+        std::string("HTTP/1.1 200 OK\r\nId: r1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n"),
+        std::string("HTTP/1.1 200 OK\r\nId: r1\r\n\r\nhalf"), std::string("HTTP/1.1 2"),
+        std::string("garbage that is no answer\r\n\r\n")}) {
+    CAPTURE(partial);
+    ForwarderWorld world;
+    world.add("a", thenReset(partial));
+    world.serve();
+    CHECK(world.caller.heads.empty());
+    CHECK_FALSE(world.caller.finished);
+    CHECK(promisesNothing(world.caller));
+  }
+}
+
+TEST_CASE("a stream that breaks off and may not be resumed is broken off for the caller") {
+  ForwarderWorld world;
+  world.row.isStream = true;
+  world.add("a", thenReset(streamHead() + chunk(event(1) + "id: 2\ndata: ha")));
+  world.add("b", thenReset(streamHead() + chunk(event(1))));
+  world.serve();
+  CHECK(requestsOf(world) == 1);
+  CHECK(world.caller.body == event(1));
+  CHECK(world.caller.broken);
+  CHECK_FALSE(world.caller.finished);
+}
+
+TEST_CASE("a stream that may be resumed goes on elsewhere after its last whole event") {
+  ForwarderWorld world;
+  world.row.isStream = true;
+  world.row.isResumable = true;
+  std::atomic<int> turn{0};
+  std::string second;
+  const Script script = [&](Poco::Net::StreamSocket& socket, const std::string& request) {
+    if (turn++ == 0) {
+      return thenReset(streamHead() + chunk(event(1) + event(2) + "id: 3\ndata: ha"))(socket,
+                                                                                      request);
+    }
+    second = request;
+    say(socket, streamHead() + chunk(event(3)) + chunk(event(4)) + "0\r\n\r\n");
+    return true;
+  };
+  world.add("a", script);
+  world.add("b", script);
+  world.serve();
+  CHECK(second.find("Resume-After: 2\r\n") != std::string::npos);
+  CHECK(world.caller.heads.size() == 1);
+  CHECK(world.caller.body == event(1) + event(2) + event(3) + event(4));
+  CHECK(world.caller.finished);
+  CHECK_FALSE(world.caller.broken);
+}
+
+TEST_CASE("a stream that ends in the middle of an event is not complete") {
+  ForwarderWorld world;
+  world.row.isStream = true;
+  world.add("a", always(streamHead() + chunk(event(1) + "id: 2\nda") + "0\r\n\r\n"));
+  world.serve();
+  CHECK_FALSE(world.caller.finished);
+  CHECK(world.caller.broken);
+}
+
+TEST_CASE("when the caller leaves, the back end's connection is closed") {
+  ForwarderWorld world;
+  std::atomic<bool> closed{false};
+  world.add("a", [&](Poco::Net::StreamSocket& socket, const std::string&) {
+    world.caller.socket.far.close();
+    char byte = 0;
+    closed = socket.receiveBytes(&byte, 1) <= 0;
+    return false;
+  });
+  world.serve();
+  CHECK(world.caller.broken);
+  CHECK(world.caller.refusals.empty());
+  world.scripted.clear();  // Joins the script.
+  CHECK(closed);
+}
+
+TEST_CASE("a key is checked again right before a request is sent") {
+  ForwarderWorld world;
+  ScriptedBackend& backend = world.add("a", always(answer("200 OK", "x")));
+  IncomingRequest request = world.request();
+  request.tenant = Tenant{"sese", false, 0};
+  request.key = "key";
+  auto without = std::make_shared<TrafficTable>();
+  without->version = 2;
+  world.table.take(without, world.clock.now());
+  world.forwarder.serve(request, world.caller);
+  CHECK(backend.requests() == 0);
+  CHECK(promisesNotRun(world.caller));
+}
+
+TEST_CASE("a keyed request is refused while the table cannot be proven new enough") {
+  ForwarderWorld world;
+  ScriptedBackend& backend = world.add("a", always(answer("200 OK", "x")));
+  TableInForce old;
+  auto table = std::make_shared<TrafficTable>();
+  table->addTenant(Tenant{"sese", false, 0}, {"key"});
+  old.take(table, world.clock.now() - std::chrono::seconds(6));
+  Forwarder forwarder(ForwarderServices{world.clock, old, world.backends, world.connections,
+                                        world.budget, world.protocol, world.wanted},
+                      ForwarderOptions{"zone", std::chrono::seconds(5), 1});
+  IncomingRequest request = world.request();
+  request.tenant = Tenant{"sese", false, 0};
+  request.key = "key";
+  forwarder.serve(request, world.caller);
+  CHECK(backend.requests() == 0);
+  CHECK(promisesNotRun(world.caller));
+}
+
+}  // namespace fernmoor::gateway
--- /dev/null
+++ b/test/gateway/forwarder_world.h
@@ -0,0 +1,239 @@
+/// @file
+/// Scripted back ends over loopback and a caller that records what it gets, for tests of the
+/// forwarder.
+#pragma once
+
+#include <Poco/Net/ServerSocket.h>
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+#include "gateway/forwarder.h"
+#include "test/http/socket_pair.h"
+
+namespace fernmoor::gateway::test {
+
+/// What a script does with one request; returns whether the connection goes on.
+using Script = std::function<bool(Poco::Net::StreamSocket&, const std::string& request)>;
+
+/// A back end whose answers the test writes byte by byte.
+class ScriptedBackend {
+ public:
+  explicit ScriptedBackend(Script script)
+      : script_(std::move(script)),
+        socket_(Poco::Net::SocketAddress("127.0.0.1", 0)),
+        thread_([this] { accept(); }) {}
+  ~ScriptedBackend() {
+    stopping_ = true;
+    thread_.join();
+    for (std::thread& connection : connections_) {
+      connection.join();
+    }
+  }
+  SocketAddress address() const { return SocketAddress{"127.0.0.1", socket_.address().port()}; }
+  int requests() const { return requests_; }
+  int connectionCount() const { return connectionCount_; }
+  std::string lastRequest() {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return lastRequest_;
+  }
+
+ private:
+  void accept() {
+    while (!stopping_) {
+      if (socket_.poll(Poco::Timespan(20000), Poco::Net::Socket::SELECT_READ)) {
+        Poco::Net::StreamSocket connection = socket_.acceptConnection();
+        ++connectionCount_;
+        connections_.emplace_back([this, connection]() mutable { serve(connection); });
+      }
+    }
+  }
+  void serve(Poco::Net::StreamSocket connection) {
+    try {
+      std::string waiting;
+      while (!stopping_) {
+        if (!connection.poll(Poco::Timespan(20000), Poco::Net::Socket::SELECT_READ)) {
+          continue;
+        }
+        char buffer[8192];
+        const int count = connection.receiveBytes(buffer, sizeof(buffer));
+        if (count <= 0) {
+          return;
+        }
+        waiting.append(buffer, static_cast<size_t>(count));
+        if (!isWhole(waiting)) {
+          continue;
+        }
+        ++requests_;
+        const std::string request = std::move(waiting);
+        waiting.clear();
+        {
+          const std::lock_guard<std::mutex> lock(mutex_);
+          lastRequest_ = request;
+        }
+        if (!script_(connection, request)) {
+          return;
+        }
+      }
+    } catch (const Poco::Exception&) {
+      // The other side closed.
+    }
+  }
+  static bool isWhole(const std::string& text) {
+    const size_t end = text.find("\r\n\r\n");
+    if (end == std::string::npos) {
+      return false;
+    }
+    const size_t length = text.find("Content-Length: ");
+    return length == std::string::npos || length > end ||
+           text.size() - end - 4 >= std::strtoull(text.c_str() + length + 16, nullptr, 10);
+  }
+
+  Script script_;
+  Poco::Net::ServerSocket socket_;
+  std::atomic<bool> stopping_{false};
+  std::atomic<int> requests_{0};
+  std::atomic<int> connectionCount_{0};
+  std::mutex mutex_;
+  std::string lastRequest_;
+  std::vector<std::thread> connections_;
+  std::thread thread_;
+};
+
+/// Sends bytes as they are.
+inline void say(Poco::Net::StreamSocket& socket, const std::string& bytes) {
+  socket.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+}
+
+/// A head and body with a length.
+inline std::string answer(const std::string& status, const std::string& body,
+                          const std::string& headers = "Id: r1\r\n") {
+  return "HTTP/1.1 " + status + "\r\n" + headers +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+/// The head of an event stream in chunks.
+inline std::string streamHead() {
+  return "HTTP/1.1 200 OK\r\nId: r1\r\nSigned: yes\r\nContent-Type: text/event-stream\r\n"
+         "Transfer-Encoding: chunked\r\n\r\n";
+}
+inline std::string chunk(const std::string& bytes) {
+  char size[16];
+  std::snprintf(size, sizeof(size), "%zx\r\n", bytes.size());
+  return size + bytes + "\r\n";
+}
+inline std::string event(int id) {
+  return "id: " + std::to_string(id) + "\ndata: piece" + std::to_string(id) + "\n\n";
+}
+
+/// Headers of no real system: "Id" is echoed, "Not-Run" says that a request did not run.
+class TestProtocol : public BackendProtocol {
+ public:
+  void addHeaders(const IncomingRequest& request, const SendPlan& plan,
+                  Poco::Net::HTTPRequest& head) const override {
+    head.set("Expect-Life", plan.backend.id);
+    head.set("Time-Left", std::to_string(plan.timeLeft.count() / 1000));
+    if (!plan.resumeAfter.empty()) {
+      head.set("Resume-After", plan.resumeAfter);
+    }
+  }
+  AnswerFacts readAnswer(const IncomingRequest& request,
+                         const Poco::Net::HTTPResponse& answer) const override {
+    AnswerFacts facts;
+    facts.isOurs = answer.get("Id", "") == request.id;
+    facts.didNotRun = facts.isOurs && answer.has("Not-Run");
+    return facts;
+  }
+};
+
+/// Records what a caller gets.
+class RecordingCaller : public CallerChannel {
+ public:
+  bool sendHead(const AnswerHead& head) override {
+    heads.push_back(head);
+    return true;
+  }
+  bool sendBody(std::string_view bytes) override {
+    body.append(bytes);
+    if (onBody) {
+      onBody();
+    }
+    return true;
+  }
+  bool finish() override {
+    finished = true;
+    return true;
+  }
+  void breakOff() override { broken = true; }
+  void refuse(const Error& error) override { refusals.push_back(error); }
+  ByteConnection& connection() override { return socket.near; }
+
+  fernmoor::test::SocketPair socket;
+  std::vector<AnswerHead> heads;
+  std::string body;
+  bool finished = false;
+  bool broken = false;
+  std::vector<Error> refusals;
+  std::function<void()> onBody;
+};
+
+/// A forwarder before scripted back ends of one pool.
+class ForwarderWorld {
+ public:
+  explicit ForwarderWorld(double secondSends = 10)
+      : wanted(std::chrono::seconds(8)),
+        connections(ConnectOptions{}),
+        budget(SecondSendBounds{0, std::chrono::seconds(10), secondSends}),
+        forwarder(ForwarderServices{clock, table, backends, connections, budget, protocol, wanted},
+                  ForwarderOptions{"zone", std::chrono::seconds(5), 1}) {
+    row.name = "row";
+    row.maxAttempts = 2;
+    row.repetition = Repetition::kOnce;
+    auto first = std::make_shared<TrafficTable>();
+    first->version = 1;
+    first->addTenant(Tenant{"sese", false, 0}, {"key"});
+    table.take(first, clock.now());
+  }
+
+  ScriptedBackend& add(const std::string& id, Script script) {
+    scripted.push_back(std::make_unique<ScriptedBackend>(std::move(script)));
+    BackendListing listing;
+    listing.id = id;
+    listing.pool = "pool";
+    listing.address = scripted.back()->address();
+    backends.update(listing, clock.now());
+    return *scripted.back();
+  }
+  IncomingRequest request() {
+    IncomingRequest made;
+    made.id = "r1";
+    made.method = "POST";
+    made.target = "/a/b?c=d";
+    made.body = "the body";
+    made.table = table.view().table;
+    made.row = &row;
+    made.pool = "pool";
+    made.arrivedAt = clock.now();
+    made.deadline = made.arrivedAt + std::chrono::seconds(20);
+    return made;
+  }
+  void serve() { forwarder.serve(request(), caller); }
+
+  SystemClock clock;
+  TableInForce table;
+  BackendSet backends;
+  WantedWeights wanted;
+  ConnectionPool connections;
+  SecondSendBudget budget;
+  TestProtocol protocol;
+  Forwarder forwarder;
+  Row row;
+  RecordingCaller caller;
+  std::vector<std::unique_ptr<ScriptedBackend>> scripted;
+};
+
+}  // namespace fernmoor::gateway::test
--- /dev/null
+++ b/test/http/http_client_test.cpp
@@ -0,0 +1,56 @@
+/// @file
+/// Tests of src/http/http_client.h.
+#include "http/http_client.h"
+
+#include <Poco/Net/ServerSocket.h>
+#include <doctest/doctest.h>
+
+#include <thread>
+
+namespace fernmoor {
+
+namespace {
+
+const std::string kAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+
+/// Takes one connection and answers each request on it after the pause given for it.
+class PausingServer {
+ public:
+  explicit PausingServer(std::vector<Duration> pauses)
+      : socket_(Poco::Net::SocketAddress("127.0.0.1", 0)),
+        thread_([this, pauses] { serve(pauses); }) {}
+  ~PausingServer() { thread_.join(); }
+  SocketAddress address() const { return SocketAddress{"127.0.0.1", socket_.address().port()}; }
+
+ private:
+  void serve(const std::vector<Duration>& pauses) {
+    Poco::Net::StreamSocket connection = socket_.acceptConnection();
+    char buffer[4096];
+    for (const Duration pause : pauses) {
+      if (connection.receiveBytes(buffer, sizeof(buffer)) <= 0) {
+        return;
+      }
+      std::this_thread::sleep_for(pause);
+      connection.sendBytes(kAnswer.data(), static_cast<int>(kAnswer.size()));
+    }
+  }
+
+  Poco::Net::ServerSocket socket_;
+  std::thread thread_;
+};
+
+}  // namespace
+
+TEST_CASE("a kept connection waits as long as the call on it may, not as the first one might") {
+  PausingServer server({Duration(0), std::chrono::milliseconds(600)});
+  HttpClient client;
+  HttpCall call;
+  call.address = server.address();
+  call.path = "/";
+  call.timeout = std::chrono::milliseconds(200);
+  REQUIRE(std::holds_alternative<HttpAnswer>(client.call(call)));
+  call.timeout = std::chrono::seconds(30);
+  CHECK(std::holds_alternative<HttpAnswer>(client.call(call)));
+}
+
+}  // namespace fernmoor
--- a/test/platform/http_platform_client_test.cpp
+++ b/test/objectstore/http_object_store_client_test.cpp
@@ -1,6 +1,6 @@
 /// @file
-/// Tests of src/platform/http_platform_client.h against a scripted HTTP server on loopback.
-#include "platform/http_platform_client.h"
+/// Tests of src/objectstore/http_object_store_client.h against a scripted HTTP server on loopback.
+#include "objectstore/http_object_store_client.h"
 
 #include <Poco/Net/HTTPRequestHandler.h>
 #include <Poco/Net/HTTPRequestHandlerFactory.h>
@@ -78,7 +78,7 @@
   Poco::SharedPtr<ScriptedServer> script;
   Poco::Net::ServerSocket socket;
   Poco::Net::HTTPServer server;
-  HttpPlatformClient client;
+  HttpObjectStoreClient client;
 };
 
 const CollectionName kTable("table");
--- a/test/table/table_messages_test.cpp
+++ b/test/table/table_messages_test.cpp
@@ -5,7 +5,7 @@
 #include <doctest/doctest.h>
 #include <google/protobuf/stubs/logging.h>
 
-#include "platform/platform_codec.h"
+#include "objectstore/object_store_codec.h"
 #include "sim/table_cluster.h"
 #include "table/row_codec.h"
 
--- /dev/null
+++ b/test/weights/weight_mover_test.cpp
@@ -0,0 +1,148 @@
+/// @file
+/// Tests of src/weights on virtual time: engines are moved in time, by one holder at a time, also
+/// when the holder dies in the middle, the store fails or orders get no answer.
+#include "weights/weight_mover.h"
+
+#include <doctest/doctest.h>
+
+#include "test/weights/weight_world.h"
+
+namespace fernmoor::weights {
+
+namespace {
+
+using test::SeenOrder;
+using test::WeightWorld;
+
+/// The rule of the users: fences never fall at an engine, and orders of two holders to one engine
+/// are further apart than their turn.
+void checkOrders(const std::vector<SeenOrder>& seen, Duration turn) {
+  for (size_t later = 0; later < seen.size(); ++later) {
+    for (size_t earlier = 0; earlier < later; ++earlier) {
+      if (seen[earlier].engine != seen[later].engine) {
+        continue;
+      }
+      CHECK(seen[later].fence >= seen[earlier].fence);
+      if (seen[earlier].holder != seen[later].holder) {
+        CHECK(seen[later].at - seen[earlier].at >= turn);
+        CHECK(seen[later].fence != seen[earlier].fence);
+      }
+    }
+  }
+}
+
+constexpr Duration kTurn{3000000};
+
+}  // namespace
+
+TEST_CASE("all engines hold a new version within its bound, moved by one node") {
+  WeightWorld world(7, 12);
+  world.name(2);
+  world.run(std::chrono::milliseconds(7900));
+  CHECK(world.enginesAt(2) == 12);
+  CHECK(world.engines.seen.size() == 12);
+  for (const SeenOrder& order : world.engines.seen) {
+    CHECK(order.holder == world.engines.seen.front().holder);
+  }
+  checkOrders(world.engines.seen, kTurn);
+}
+
+TEST_CASE("versions in quick succession are skipped by engines that were not moved yet") {
+  WeightWorld world(3, 12);
+  for (uint64_t version = 2; version <= 5; ++version) {
+    world.name(version);
+    world.run(std::chrono::milliseconds(3200));
+  }
+  world.run(std::chrono::seconds(5));
+  CHECK(world.enginesAt(5) == 12);
+  CHECK(world.engines.seen.size() <= 36);  // 48 without skipping.
+  checkOrders(world.engines.seen, kTurn);
+}
+
+TEST_CASE("another node goes on when the holder dies, and leaves its last engines alone at first") {
+  for (int64_t diesAfter = 100; diesAfter <= 7000; diesAfter += 300) {
+    CAPTURE(diesAfter);
+    WeightWorld world(7, 12);
+    world.name(2);
+    world.run(std::chrono::milliseconds(diesAfter));
+    if (world.holder() != nullptr) {
+      world.holder()->isAlive = false;
+    }
+    world.run(std::chrono::milliseconds(12000));
+    CHECK(world.enginesAt(2) == 12);
+    checkOrders(world.engines.seen, kTurn);
+  }
+}
+
+TEST_CASE("a holder that stood still does not order on an old intent, and a successor may hold") {
+  WeightWorld world(3, 12);
+  world.name(2);
+  world.run(std::chrono::milliseconds(3000));
+  test::TestNode* first = world.holder();
+  REQUIRE(first != nullptr);
+  first->isAlive = false;
+  world.run(std::chrono::milliseconds(3000));
+  REQUIRE(world.holder() != first);
+  first->isAlive = true;
+  world.run(std::chrono::milliseconds(6000));
+  CHECK(world.enginesAt(2) == 12);
+  checkOrders(world.engines.seen, kTurn);
+}
+
+TEST_CASE("no order is given without the ledger, and moves go on when the store is back") {
+  WeightWorld world(3, 6);
+  world.name(2);
+  world.store.isDown = true;
+  world.run(std::chrono::seconds(6));
+  CHECK(world.engines.seen.empty());
+  world.store.isDown = false;
+  world.run(std::chrono::seconds(4));
+  CHECK(world.enginesAt(2) == 6);
+}
+
+TEST_CASE("an intent whose answer was lost is read back before orders are given on it") {
+  WeightWorld world(3, 6);
+  world.name(2);
+  world.store.losesAnswers = true;
+  world.run(std::chrono::seconds(9));
+  CHECK(world.enginesAt(2) == 6);
+  checkOrders(world.engines.seen, kTurn);
+}
+
+TEST_CASE("an order without an answer is not given twice to an engine that took it") {
+  WeightWorld world(1, 4);
+  world.name(2);
+  world.engines.answersLost = true;
+  world.run(std::chrono::seconds(10));
+  CHECK(world.enginesAt(2) == 4);
+  for (const auto& entry : world.engines.engines) {
+    CHECK(entry.second.orders == 1);
+  }
+}
+
+TEST_CASE("an engine that does not answer does not hold up the others") {
+  WeightWorld world(1, 12);
+  world.engines.silent.insert("e0");
+  world.name(2);
+  world.run(std::chrono::seconds(8));
+  CHECK(world.enginesAt(2) == 11);
+}
+
+TEST_CASE("others leave an engine alone while it is moved and expect the new weights there") {
+  BackendSet engines;
+  BackendListing listing;
+  listing.id = "e";
+  listing.pool = "pool";
+  listing.weights.push_back(HeldWeights{"m", 1});
+  const Time now(std::chrono::seconds(50));
+  engines.replaceAll({listing}, now);
+  Ledger ledger;
+  ledger.moves.push_back(LedgerMove{"e", "m", 2, "other", now});
+  noteMovesOfOthers(ledger, "me", std::chrono::milliseconds(800), engines, now);
+  CHECK(engines.membersOf("pool", "m", now + std::chrono::milliseconds(700)).front().isAvoided);
+  CHECK(engines.membersOf("pool", "m", now).front().weightsVersion == 2);
+  CHECK_FALSE(
+      engines.membersOf("pool", "m", now + std::chrono::milliseconds(900)).front().isAvoided);
+}
+
+}  // namespace fernmoor::weights
--- /dev/null
+++ b/test/weights/weight_plan_test.cpp
@@ -0,0 +1,54 @@
+/// @file
+/// Tests of src/weights/weight_plan.h.
+#include "weights/weight_plan.h"
+
+#include <doctest/doctest.h>
+
+namespace fernmoor::weights {
+
+namespace {
+
+Time at(int64_t milliseconds) {
+  return Time(std::chrono::milliseconds(milliseconds));
+}
+
+BackendListing engine(const std::string& id, uint64_t version) {
+  BackendListing made;
+  made.id = id;
+  made.weights.push_back(HeldWeights{"m", version});
+  return made;
+}
+
+}  // namespace
+
+TEST_CASE("the most urgent engines go first, all to the newest version") {
+  WantedWeights wanted(std::chrono::seconds(8));
+  wanted.note("m", 2, at(0));
+  wanted.note("m", 3, at(2000));
+  BackendListing leaving = engine("d", 1);
+  leaving.isDraining = true;
+  const WeightPlan plan =
+      planMoves({engine("a", 2), engine("b", 1), engine("c", 3), leaving}, wanted, PlanBounds{});
+  REQUIRE(plan.moves.size() == 2);
+  CHECK(plan.moves[0].engine == "b");
+  CHECK(plan.moves[1].engine == "a");
+  CHECK(plan.moves[0].version == 3);
+  CHECK(plan.moves[1].version == 3);
+}
+
+TEST_CASE("the first move starts as late as the last one's deadline allows") {
+  WantedWeights wanted(std::chrono::seconds(8));
+  wanted.note("m", 2, at(0));
+  PlanBounds bounds;
+  bounds.atOnce = 2;
+  bounds.moveTime = std::chrono::milliseconds(800);
+  bounds.reserve = std::chrono::milliseconds(2200);
+  std::vector<BackendListing> engines;
+  for (int index = 0; index < 4; ++index) {
+    engines.push_back(engine(std::to_string(index), 1));
+  }
+  CHECK(planMoves(engines, wanted, bounds).startBy == at(8000 - 2200 - 2 * 800));
+  CHECK_FALSE(planMoves({engine("a", 2)}, wanted, bounds).startBy.has_value());
+}
+
+}  // namespace fernmoor::weights
--- /dev/null
+++ b/test/weights/weight_world.h
@@ -0,0 +1,212 @@
+/// @file
+/// A store, engines and a clock under the test's control, for tests of the moves to new weights.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "backends/backend_set.h"
+#include "backends/wanted_weights.h"
+#include "weights/move_ledger.h"
+#include "weights/weight_mover.h"
+
+namespace fernmoor::weights::test {
+
+class TestClock : public Clock {
+ public:
+  Time now() const override { return now_; }
+  int64_t wallMicroseconds() const override { return 0; }
+  void advance(Duration by) { now_ += by; }
+
+ private:
+  Time now_{std::chrono::seconds(1000)};
+};
+
+/// The ledger's store with the faults of a real one.
+class TestStore : public LedgerStore {
+ public:
+  Result<Ledger> read() override {
+    if (isDown) {
+      return down();
+    }
+    return ledger;
+  }
+  Result<LedgerOutcome> write(const Ledger& wanted) override {
+    if (isDown) {
+      return down();
+    }
+    if (wanted.revision != ledger.revision) {
+      return LedgerOutcome(LedgerChanged{ledger});
+    }
+    ledger = wanted;
+    ledger.revision = ++revision;
+    if (losesAnswers) {
+      return down();
+    }
+    return LedgerOutcome(LedgerWritten{ledger.revision});
+  }
+
+  Ledger ledger;
+  uint64_t revision = 100;
+  bool isDown = false;
+  bool losesAnswers = false;
+
+ private:
+  static Error down() {
+    return Error{ErrorKind::kUnavailable, "down", RunState::kUnknown, std::nullopt};
+  }
+};
+
+/// One order that reached an engine.
+struct SeenOrder {
+  std::string engine;
+  std::string holder;
+  uint64_t version = 0;
+  uint64_t fence = 0;
+  Time at;
+};
+
+/// Engines that take new weights in a fixed time.
+class TestEngines : public EngineOrders {
+ public:
+  struct Engine {
+    uint64_t version = 1;
+    uint64_t next = 0;
+    uint64_t orders = 0;
+    uint64_t fence = 0;
+    Time doneAt;
+  };
+
+  explicit TestEngines(const TestClock& clock) : clock_(clock) {}
+
+  Result<EngineReport> report(const std::string& name, const std::string&) override {
+    if (silent.count(name) > 0) {
+      return Error{ErrorKind::kUnavailable, "silent", RunState::kUnknown, std::nullopt};
+    }
+    Engine& engine = settle(name);
+    return EngineReport{engine.next != 0, engine.orders, engine.version};
+  }
+  OrderAnswer order(const WeightOrder& order) override {
+    seen.push_back(SeenOrder{order.engine, order.holder, order.version, order.fence, clock_.now()});
+    Engine& engine = settle(order.engine);
+    if (order.fence < engine.fence) {
+      return OrderAnswer::kRefused;
+    }
+    engine.fence = order.fence;
+    if (engine.next != 0 || order.expectedOrders != engine.orders) {
+      return OrderAnswer::kNotNow;
+    }
+    ++engine.orders;
+    engine.next = order.version;
+    engine.doneAt = clock_.now() + loadTime;
+    return answersLost ? OrderAnswer::kUnknown : OrderAnswer::kTaken;
+  }
+  uint64_t versionOf(const std::string& name) { return settle(name).version; }
+
+  std::map<std::string, Engine> engines;
+  std::set<std::string> silent;
+  std::vector<SeenOrder> seen;
+  Duration loadTime{630000};
+  bool answersLost = false;
+
+ private:
+  Engine& settle(const std::string& name) {
+    Engine& engine = engines[name];
+    if (engine.next != 0 && clock_.now() >= engine.doneAt) {
+      engine.version = engine.next;
+      engine.next = 0;
+    }
+    return engine;
+  }
+
+  const TestClock& clock_;
+};
+
+/// One node's mover with what it knows.
+struct TestNode {
+  TestNode(const std::string& name, const TestClock& clock, TestStore& store, TestEngines& engines,
+           uint64_t seed)
+      : wanted(std::chrono::seconds(8)),
+        mover(MoverServices{clock, backends, wanted, view, store, engines},
+              MoverOptions{name, std::chrono::seconds(3), seed}) {}
+
+  BackendSet backends;
+  WantedWeights wanted;
+  LedgerView view;
+  WeightMover mover;
+  bool isAlive = true;
+};
+
+/// Several nodes before the same engines, stepped together on virtual time.
+class WeightWorld {
+ public:
+  WeightWorld(size_t nodeCount, size_t engineCount) : engines(clock) {
+    for (size_t index = 0; index < engineCount; ++index) {
+      engines.engines["e" + std::to_string(index)] = {};
+    }
+    for (size_t index = 0; index < nodeCount; ++index) {
+      nodes.push_back(std::make_unique<TestNode>("n" + std::to_string(index), clock, store, engines,
+                                                 index + 1));
+      nodes.back()->backends.replaceAll(listings(), clock.now());
+    }
+  }
+
+  void name(uint64_t version) {
+    for (const auto& node : nodes) {
+      node->wanted.note("m", version, clock.now());
+    }
+  }
+  /// Lets time pass; each living node learns of the ledger as its watch would tell it.
+  void run(Duration length) {
+    const Time end = clock.now() + length;
+    while (clock.now() < end) {
+      for (const auto& node : nodes) {
+        if (node->isAlive) {
+          if (!store.isDown) {
+            node->view.take(store.ledger, clock.now());
+          }
+          node->mover.step();
+        }
+      }
+      clock.advance(std::chrono::milliseconds(20));
+    }
+  }
+  size_t enginesAt(uint64_t version) {
+    size_t count = 0;
+    for (const auto& entry : engines.engines) {
+      count += engines.versionOf(entry.first) == version ? 1 : 0;
+    }
+    return count;
+  }
+  TestNode* holder() {
+    for (size_t index = 0; index < nodes.size(); ++index) {
+      if ("n" + std::to_string(index) == store.ledger.holder) {
+        return nodes[index].get();
+      }
+    }
+    return nullptr;
+  }
+
+  TestClock clock;
+  TestStore store;
+  TestEngines engines;
+  std::vector<std::unique_ptr<TestNode>> nodes;
+
+ private:
+  std::vector<BackendListing> listings() {
+    std::vector<BackendListing> all;
+    for (const auto& entry : engines.engines) {
+      BackendListing listing;
+      listing.id = entry.first;
+      listing.pool = "pool";
+      listing.weights.push_back(HeldWeights{"m", 1});
+      all.push_back(listing);
+    }
+    return all;
+  }
+};
+
+}  // namespace fernmoor::weights::test
