Long prompts and short ones on parts of the engines of their own; parts saved once a node; request log

Found with a line for each request in the log (first event, longest pause, sends). Change: rendezvous order of a pool's engines, two thirds for prompts of 2,048 tokens and more, the rest for short ones.

--- a/src/common/log.cpp
+++ b/src/common/log.cpp
@@ -89,6 +89,15 @@
   if (fields.elapsed) {
     writer.number("elapsed_ms", std::to_string(toMilliseconds(*fields.elapsed)));
   }
+  if (fields.firstEvent) {
+    writer.number("first_event_ms", std::to_string(toMilliseconds(*fields.firstEvent)));
+  }
+  if (fields.longestPause) {
+    writer.number("longest_pause_ms", std::to_string(toMilliseconds(*fields.longestPause)));
+  }
+  if (fields.sends) {
+    writer.number("sends", std::to_string(*fields.sends));
+  }
   return writer.take();
 }
 
--- a/src/common/log.h
+++ b/src/common/log.h
@@ -26,6 +26,9 @@
   std::optional<NodeId> peer;       ///< Another node.
   std::optional<ErrorKind> error;   ///< Kind of a failure.
   std::optional<Duration> elapsed;  ///< Written as elapsed_ms.
+  std::optional<Duration> firstEvent;    ///< Until a stream's first event; first_event_ms.
+  std::optional<Duration> longestPause;  ///< Between two of its events; longest_pause_ms.
+  std::optional<int> sends;              ///< Back ends that a request was sent to.
 };
 
 /// Starts the program's log. Call once, before other threads run; until then lines are dropped.
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -17,7 +17,9 @@
 #include "gateway/backend_protocol.h"
 #include "gateway/caller_channel.h"
 #include "gateway/connection_pool.h"
+#include "gateway/engine_division.h"
 #include "gateway/incoming_request.h"
+#include "gateway/part_memory.h"
 #include "gateway/second_send_budget.h"
 #include "gateway/table_in_force.h"
 
@@ -67,6 +69,8 @@
   ForwarderServices services_;
   ForwarderOptions options_;
   ForwarderCounters counters_;
+  EngineDivision division_;
+  PartMemory parts_;
   std::mutex randomMutex_;
   Random random_;
 };
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -27,6 +27,9 @@
 /// A back end that could not be reached is left alone for so long.
 constexpr Duration kUnreachablePause{1000000};
 
+/// How long a part counts as kept by the store after it was sent there.
+constexpr Duration kStoredMemory{15000000};
+
 bool isEventStream(const Poco::Net::HTTPResponse& head) {
   return head.get("Content-Type", "").rfind("text/event-stream", 0) == 0;
 }
@@ -96,20 +99,66 @@
   fields.service = ServiceId(request_.pool);
   fields.engine = EngineId(plan_.backend.id);
   fields.elapsed = services_.clock.now() - request_.arrivedAt;
+  fields.sends = allSends_;
+  if (firstEventAt_) {
+    fields.firstEvent = *firstEventAt_ - request_.arrivedAt;
+    fields.longestPause = longestPause_;
+  }
   logDebug(outcome, fields);
 }
 
-std::optional<SendPlan> RequestRun::plan() {
-  const Time now = services_.clock.now();
-  std::vector<BackendView> candidates =
+std::optional<BackendChoice> RequestRun::choose(Time now) {
+  std::vector<BackendView> members =
       services_.backends.membersOf(request_.pool, request_.model, now);
-  preferServing(candidates, services_.wanted.lowestServing(request_.model, now));
-  std::optional<BackendChoice> choice;
-  {
-    const std::lock_guard<std::mutex> lock(forwarder_.randomMutex_);
-    choice = chooseBackend(request_, candidates, ChoiceContext{forwarder_.options_.zone, tried_},
-                           forwarder_.random_);
+  preferServing(members, services_.wanted.lowestServing(request_.model, now));
+  const ChoiceContext context{forwarder_.options_.zone, tried_};
+  const std::lock_guard<std::mutex> lock(forwarder_.randomMutex_);
+  std::vector<BackendView> share = membersOfShare(members, share_);
+  share.erase(std::remove_if(share.begin(), share.end(),
+                             [](const BackendView& each) { return each.isAvoided; }),
+              share.end());
+  const std::optional<BackendChoice> choice =
+      chooseBackend(request_, share, context, forwarder_.random_);
+  return choice ? choice : chooseBackend(request_, members, context, forwarder_.random_);
+}
+
+size_t RequestRun::sharedParts() const {
+  return request_.parts.empty() ? 0 : request_.parts.size() - 1;
+}
+
+/// Saving sends all that is read, the request's own part included, so only requests with a part
+/// that was not saved lately ask for it.
+void RequestRun::planCache(SendPlan& plan, Time now) {
+  if (request_.table->cacheStores.empty() || sharedParts() == 0) {
+    return;
+  }
+  const SocketAddress store = request_.table->cacheStores.front().address;
+  plan.fetchFrom = store;
+  for (size_t index = 0; index < sharedParts(); ++index) {
+    const PartHint hint = forwarder_.parts_.find(plan.cacheScope, request_.parts[index].id);
+    if (!hint.isStored || now - hint.storedAt > kStoredMemory) {
+      plan.saveTo = store;
+    }
+  }
+}
+
+void RequestRun::notePartsRead() {
+  if (plan_.cacheScope.empty()) {
+    return;
   }
+  const Time now = services_.clock.now();
+  for (size_t index = 0; index < sharedParts(); ++index) {
+    const std::string& part = request_.parts[index].id;
+    forwarder_.parts_.noteRead(plan_.cacheScope, part, plan_.backend.id, now);
+    if (plan_.saveTo) {
+      forwarder_.parts_.noteStored(plan_.cacheScope, part, now);
+    }
+  }
+}
+
+std::optional<SendPlan> RequestRun::plan() {
+  const Time now = services_.clock.now();
+  const std::optional<BackendChoice> choice = choose(now);
   if (!choice) {
     return std::nullopt;
   }
@@ -122,10 +171,7 @@
   plan.urgency = std::clamp(tenantPriority * 3 + request_.row->priority, 0, 9);
   if (plan.weightsVersion != 0 && request_.row->usesPrefixes) {
     plan.cacheScope = cacheScopeOf(request_, plan.weightsVersion);
-    if (!request_.table->cacheStores.empty()) {
-      plan.fetchFrom = request_.table->cacheStores.front().address;
-      plan.saveTo = plan.fetchFrom;
-    }
+    planCache(plan, now);
   }
   return plan;
 }
@@ -172,6 +218,7 @@
                         services_.clock);
   AttemptStep step = attempt.send(caller_, stepDeadline());
   if (step != AttemptStep::kNotSent) {
+    ++allSends_;
     ++sends_;
   }
   if (step == AttemptStep::kDone) {
@@ -278,6 +325,16 @@
   return caller_.sendHead(answerHeadOf(attempt.head(), request_.method));
 }
 
+void RequestRun::noteEvents(Time now) {
+  if (firstEventAt_) {
+    longestPause_ = std::max(longestPause_, now - lastEventAt_);
+  } else {
+    firstEventAt_ = now;
+    notePartsRead();
+  }
+  lastEventAt_ = now;
+}
+
 bool RequestRun::forwardEvents(EventSplitter& events) {
   std::string whole;
   while (std::optional<RawEvent> event = events.next()) {
@@ -286,7 +343,11 @@
     }
     whole += event->bytes;
   }
-  return whole.empty() || caller_.sendBody(whole);
+  if (whole.empty()) {
+    return true;
+  }
+  noteEvents(services_.clock.now());
+  return caller_.sendBody(whole);
 }
 
 RequestRun::Next RequestRun::relayStream(EngineAttempt& attempt) {
@@ -345,6 +406,7 @@
 
 void RequestRun::run() {
   ++forwarder_.counters_.requests;
+  share_ = forwarder_.division_.note(request_, services_.clock.now());
   Next next = Next::kElsewhere;
   while (next == Next::kElsewhere) {
     const TableView view = services_.table.view();
--- a/src/gateway/request_run.h
+++ b/src/gateway/request_run.h
@@ -6,6 +6,7 @@
 #include <set>
 #include <string>
 
+#include "gateway/backend_choice.h"
 #include "gateway/engine_attempt.h"
 #include "gateway/event_splitter.h"
 #include "gateway/forwarder.h"
@@ -34,6 +35,10 @@
 
   Next tryOnce();
   std::optional<SendPlan> plan();
+  std::optional<BackendChoice> choose(Time now);
+  void planCache(SendPlan& plan, Time now);
+  void notePartsRead();
+  size_t sharedParts() const;
   Next afterStep(AttemptStep step);
   void noteWeights(const AnswerFacts& facts);
   Next takeAnswer(EngineAttempt& attempt);
@@ -41,6 +46,7 @@
   Next relayStream(EngineAttempt& attempt);
   Next passOnLarge(EngineAttempt& attempt, std::string body);
   bool forwardEvents(EventSplitter& events);
+  void noteEvents(Time now);
   bool sendStreamHead(EngineAttempt& attempt);
   bool mayRunElsewhere() const;
   bool maySendAgain();
@@ -67,6 +73,11 @@
   bool callerGone_ = false;
   bool secondSendPaid_ = false;  ///< The budget was asked before the back end was chosen.
   std::optional<HeldAnswer> held_;
+  EngineShare share_ = EngineShare::kAll;
+  int allSends_ = 0;
+  std::optional<Time> firstEventAt_;
+  Time lastEventAt_;
+  Duration longestPause_{};
 };
 
 }  // namespace fernmoor::gateway
