--- a/scripts/check_layers.py
+++ b/scripts/check_layers.py
@@ -9,6 +9,7 @@
 # Modules beside the order and what they may include of it.
 BACKENDS = ["common", "http", "backends"]
 BESIDE = {"backends": BACKENDS, "weights": BACKENDS, "gateway": BACKENDS,
+          "peers": BACKENDS + ["wire", "membership", "gateway"],
           "operator_client": ["common", "http"], "sim": ORDER, "standin": ORDER,
           "bench": ORDER + ["sim", "standin"]}
 INCLUDE = re.compile(r'^\s*#\s*include\s+"([a-z_]+)/')
--- a/src/gateway/engine_division.h
+++ b/src/gateway/engine_division.h
@@ -39,7 +39,6 @@
 };
 
 /// @return the members of the share; all where the share would be empty.
-std::vector<BackendView> membersOfShare(const std::vector<BackendView>& members,
-                                        EngineShare share);
+std::vector<BackendView> membersOfShare(const std::vector<BackendView>& members, EngineShare share);
 
 }  // namespace fernmoor::gateway
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -4,15 +4,8 @@
 
 namespace fernmoor::gateway {
 
-namespace {
-
-/// About 200 bytes each.
-constexpr size_t kPartsRemembered = 4096;
-
-}  // namespace
-
 Forwarder::Forwarder(ForwarderServices services, ForwarderOptions options)
-    : services_(services), options_(std::move(options)), parts_(kPartsRemembered), random_(options_.randomSeed) {}
+    : services_(services), options_(std::move(options)), random_(options_.randomSeed) {}
 
 void Forwarder::serve(const IncomingRequest& request, CallerChannel& caller) {
   RequestRun(*this, request, caller).run();
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -34,6 +34,7 @@
   SecondSendBudget& budget;
   const BackendProtocol& protocol;
   const WantedWeights& wanted;
+  PartHints& parts;
 };
 
 struct ForwarderOptions {
@@ -70,7 +71,6 @@
   ForwarderOptions options_;
   ForwarderCounters counters_;
   EngineDivision division_;
-  PartMemory parts_;
   std::mutex randomMutex_;
   Random random_;
 };
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "common/log.h"
+#include "common/rendezvous.h"
 #include "gateway/answer_headers.h"
 #include "gateway/backend_choice.h"
 
@@ -28,7 +29,9 @@
 constexpr Duration kUnreachablePause{1000000};
 
 /// How long a part counts as kept by the store after it was sent there.
-constexpr Duration kStoredMemory{15000000};
+constexpr Duration kStoredMemory{20000000};
+/// How long an engine counts as holding a part that it has read.
+constexpr Duration kReadMemory{10000000};
 
 bool isEventStream(const Poco::Net::HTTPResponse& head) {
   return head.get("Content-Type", "").rfind("text/event-stream", 0) == 0;
@@ -126,34 +129,63 @@
   return request_.parts.empty() ? 0 : request_.parts.size() - 1;
 }
 
-/// Saving sends all that is read, the request's own part included, so only requests with a part
-/// that was not saved lately ask for it.
+std::vector<PartKey> RequestRun::sharedKeys(const std::string& scope) const {
+  std::vector<PartKey> keys;
+  for (size_t index = 0; index < sharedParts(); ++index) {
+    keys.push_back(partKeyOf(scope, request_.parts[index].id));
+  }
+  return keys;
+}
+
+/// Parts come from the engine that read the longest of them last, or from the store. Saving sends
+/// all that is read, the request's own part included, so only requests with a part that the store
+/// does not hold ask for it.
 void RequestRun::planCache(SendPlan& plan, Time now) {
-  if (request_.table->cacheStores.empty() || sharedParts() == 0) {
+  if (sharedParts() == 0) {
     return;
   }
-  const SocketAddress store = request_.table->cacheStores.front().address;
-  plan.fetchFrom = store;
-  for (size_t index = 0; index < sharedParts(); ++index) {
-    const PartHint hint = forwarder_.parts_.find(plan.cacheScope, request_.parts[index].id);
-    if (!hint.isStored || now - hint.storedAt > kStoredMemory) {
+  const std::vector<PartHint> hints = services_.parts.find(sharedKeys(plan.cacheScope));
+  const bool hasStore = !request_.table->cacheStores.empty();
+  const uint64_t chosen = stableHash(plan.backend.id);
+  bool allStored = hasStore;
+  for (const PartHint& hint : hints) {
+    allStored = allStored && hint.isStored && now - hint.storedAt <= kStoredMemory;
+  }
+  if (hasStore) {
+    const SocketAddress store = request_.table->cacheStores.front().address;
+    plan.fetchFrom = store;
+    if (!allStored) {
       plan.saveTo = store;
     }
   }
+  const PartHint& longest = hints.back();
+  if (longest.engine != 0 && longest.engine != chosen && now - longest.readAt <= kReadMemory) {
+    if (const std::optional<SocketAddress> source =
+            sourceEngine(longest.engine, plan.weightsVersion)) {
+      plan.fetchFrom = source;
+    }
+  }
+}
+
+/// @return the address of the engine with that hash of its id, if it still holds those weights.
+std::optional<SocketAddress> RequestRun::sourceEngine(uint64_t engine, uint64_t version) const {
+  const std::vector<BackendView> members =
+      services_.backends.membersOf(request_.pool, request_.model, services_.clock.now());
+  for (const BackendView& member : members) {
+    if (stableHash(member.listing.id) == engine && member.weightsVersion == version &&
+        !member.isAvoided) {
+      return member.listing.address;
+    }
+  }
+  return std::nullopt;
 }
 
 void RequestRun::notePartsRead() {
-  if (plan_.cacheScope.empty()) {
+  if (plan_.cacheScope.empty() || sharedParts() == 0) {
     return;
   }
-  const Time now = services_.clock.now();
-  for (size_t index = 0; index < sharedParts(); ++index) {
-    const std::string& part = request_.parts[index].id;
-    forwarder_.parts_.noteRead(plan_.cacheScope, part, plan_.backend.id, now);
-    if (plan_.saveTo) {
-      forwarder_.parts_.noteStored(plan_.cacheScope, part, now);
-    }
-  }
+  services_.parts.note(sharedKeys(plan_.cacheScope), stableHash(plan_.backend.id),
+                       plan_.saveTo.has_value());
 }
 
 std::optional<SendPlan> RequestRun::plan() {
--- a/src/gateway/request_run.h
+++ b/src/gateway/request_run.h
@@ -39,6 +39,8 @@
   void planCache(SendPlan& plan, Time now);
   void notePartsRead();
   size_t sharedParts() const;
+  std::vector<PartKey> sharedKeys(const std::string& scope) const;
+  std::optional<SocketAddress> sourceEngine(uint64_t engine, uint64_t version) const;
   Next afterStep(AttemptStep step);
   void noteWeights(const AnswerFacts& facts);
   Next takeAnswer(EngineAttempt& attempt);
--- /dev/null
+++ b/src/peers/peer_plane.cpp
@@ -0,0 +1,161 @@
+#include "peers/peer_plane.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/IPAddress.h>
+
+#include "common/log.h"
+
+namespace fernmoor::peers {
+
+namespace {
+
+constexpr Duration kTickInterval{50000};
+/// Rebinding the address of a former incarnation is tried again after this.
+constexpr Duration kRebindPause{100000};
+
+}  // namespace
+
+NodeId nodeIdOf(const SocketAddress& address) {
+  Poco::Net::IPAddress ip;
+  if (!Poco::Net::IPAddress::tryParse(address.host, ip) ||
+      ip.family() != Poco::Net::IPAddress::IPv4) {
+    return NodeId(0);
+  }
+  uint32_t number = 0;
+  for (size_t byte = 0; byte < sizeof(number); ++byte) {
+    number = number << 8U | static_cast<const unsigned char*>(ip.addr())[byte];
+  }
+  return NodeId(number);
+}
+
+PeerPlane::PeerPlane(PeerOptions options, const Clock& clock, StateMirror& mirror)
+    : options_(std::move(options)),
+      clock_(clock),
+      mirrorRole_(nodeIdOf(options_.listen), mirror),
+      parts_(nodeIdOf(options_.listen), clock, *this),
+      life_(makeLife(static_cast<uint64_t>(clock.wallMicroseconds()))) {}
+
+PeerPlane::~PeerPlane() {
+  stop();
+}
+
+std::shared_ptr<PeerPlane::Life> PeerPlane::makeLife(uint64_t incarnation) {
+  auto made = std::make_shared<Life>();
+  MembershipSettings settings;
+  settings.self.life = NodeLife{nodeIdOf(options_.listen), Incarnation(incarnation)};
+  settings.self.zone = options_.zone;
+  settings.self.region = options_.region;
+  settings.self.peerAddress = options_.listen;
+  settings.self.httpAddress = options_.listen;
+  for (const SocketAddress& seed : options_.seeds) {
+    settings.seeds.push_back(Seed{nodeIdOf(seed), seed});
+  }
+  settings.knobs = options_.knobs;
+  settings.randomSeed = options_.randomSeed ^ incarnation;
+  made->membership = std::make_unique<MembershipRole>(settings);
+  MembershipRole* membership = made->membership.get();
+  made->transport = std::make_unique<PeerTransport>(
+      options_.listen, settings.self.life, options_.clusterKey, options_.knobs,
+      [membership](NodeId node) { return membership->snapshot()->addressOf(node); });
+  return made;
+}
+
+std::shared_ptr<PeerPlane::Life> PeerPlane::life() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return life_;
+}
+
+void PeerPlane::deliver(NodeLife from, const proto::Envelope& envelope) {
+  const Time now = clock_.now();
+  const std::shared_ptr<Life> current = life();
+  if (current == nullptr) {
+    return;
+  }
+  if (envelope.has_membership()) {
+    current->membership->onMessage(from, envelope, now, *current->transport);
+  } else if (envelope.has_mirror()) {
+    mirrorRole_.onMessage(from, envelope, now, *current->transport);
+  } else if (envelope.has_part()) {
+    parts_.onMessage(from, envelope, now, *current->transport);
+  }
+}
+
+void PeerPlane::start() {
+  life()->transport->start(
+      [this](NodeLife from, const proto::Envelope& envelope) { deliver(from, envelope); });
+  thread_ = std::thread([this] { run(); });
+}
+
+void PeerPlane::stop() {
+  if (stopping_.exchange(true)) {
+    return;
+  }
+  if (thread_.joinable()) {
+    thread_.join();
+  }
+  if (const std::shared_ptr<Life> current = life()) {
+    current->membership->leave(*current->transport);
+    current->transport->stop();
+  }
+}
+
+void PeerPlane::setDraining() {
+  draining_ = true;
+}
+
+size_t PeerPlane::memberCount() const {
+  const std::shared_ptr<Life> current = life();
+  return current == nullptr ? 1 : current->membership->snapshot()->members.size();
+}
+
+void PeerPlane::send(NodeId to, const proto::Envelope& envelope) {
+  if (const std::shared_ptr<Life> current = life()) {
+    current->transport->send(to, envelope);
+  }
+}
+
+void PeerPlane::tick() {
+  const std::shared_ptr<Life> current = life();
+  const Time now = clock_.now();
+  if (draining_) {
+    current->membership->setDraining(true);
+  }
+  current->membership->onTick(now, *current->transport);
+  const auto snapshot = current->membership->snapshot();
+  mirrorRole_.setMembers(snapshot);
+  parts_.setMembers(snapshot);
+  mirrorRole_.onTick(now, *current->transport);
+  const std::optional<Incarnation> greater = current->membership->supersededBy();
+  if (!greater) {
+    return;
+  }
+  // This node's clock went back between two of its lives: take a greater incarnation.
+  logWarning("peers: a later life of this node is remembered; starting anew above it");
+  current->transport->stop();
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    life_.reset();
+  }
+  const uint64_t incarnation = greater->value() + 1;
+  while (!stopping_) {
+    try {
+      const std::shared_ptr<Life> next = makeLife(incarnation);
+      next->transport->start(
+          [this](NodeLife from, const proto::Envelope& envelope) { deliver(from, envelope); });
+      const std::lock_guard<std::mutex> lock(mutex_);
+      life_ = next;
+      return;
+    } catch (const Poco::Exception&) {
+      std::this_thread::sleep_for(kRebindPause);
+    }
+  }
+}
+
+void PeerPlane::run() {
+  while (!stopping_) {
+    tick();
+    std::this_thread::sleep_for(kTickInterval);
+  }
+}
+
+}  // namespace fernmoor::peers
--- /dev/null
+++ b/src/peers/peer_plane.h
@@ -0,0 +1,78 @@
+/// @file
+/// The threads and sockets between this node and the others: membership, the relay of the mirrored
+/// state, and hints of cached parts.
+#pragma once
+
+#include <atomic>
+#include <condition_variable>
+#include <memory>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+#include "common/knobs.h"
+#include "common/message_sender.h"
+#include "membership/membership_role.h"
+#include "peers/mirror_role.h"
+#include "peers/part_directory.h"
+#include "wire/peer_transport.h"
+
+namespace fernmoor::peers {
+
+struct PeerOptions {
+  SocketAddress listen;  ///< Where other nodes reach this one, by UDP and TCP.
+  ZoneId zone;
+  RegionId region;
+  std::vector<SocketAddress> seeds;  ///< Nodes that may be up.
+  std::string clusterKey;            ///< Shared by all nodes of the deployment.
+  uint64_t randomSeed = 0;
+  Knobs knobs;
+};
+
+/// @return the id of the node at an address: its IPv4 number. 0 where it is none.
+NodeId nodeIdOf(const SocketAddress& address);
+
+/// Thread-safe.
+class PeerPlane : public MessageSender {
+ public:
+  /// Binds the address. Throws Poco::Net::NetException where it is in use.
+  PeerPlane(PeerOptions options, const Clock& clock, StateMirror& mirror);
+  ~PeerPlane() override;
+
+  void start();
+  /// Tells the others that this node stops, and ends the threads. Idempotent.
+  void stop();
+  void setDraining();
+
+  MirrorRole& mirror() { return mirrorRole_; }
+  PartDirectory& parts() { return parts_; }
+  /// @return members that are not held dead, this node included.
+  size_t memberCount() const;
+
+  void send(NodeId to, const proto::Envelope& envelope) override;
+
+ private:
+  /// What belongs to one incarnation of this node.
+  struct Life {
+    std::unique_ptr<MembershipRole> membership;
+    std::unique_ptr<PeerTransport> transport;
+  };
+
+  std::shared_ptr<Life> makeLife(uint64_t incarnation);
+  std::shared_ptr<Life> life() const;
+  void deliver(NodeLife from, const proto::Envelope& envelope);
+  void run();
+  void tick();
+
+  PeerOptions options_;
+  const Clock& clock_;
+  MirrorRole mirrorRole_;
+  PartDirectory parts_;
+  mutable std::mutex mutex_;
+  std::shared_ptr<Life> life_;
+  std::atomic<bool> stopping_{false};
+  std::atomic<bool> draining_{false};
+  std::thread thread_;
+};
+
+}  // namespace fernmoor::peers
--- /dev/null
+++ b/src/peers/state_mirror.h
@@ -0,0 +1,98 @@
+/// @file
+/// This node's copy of what lies in the operators' store, kind by kind, complete up to a revision.
+/// Some nodes read the store, the others take the changes from them: a copy that is complete up to
+/// a revision is the same on every node, so changes between two revisions can be passed on.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "common/time.h"
+
+namespace fernmoor::peers {
+
+/// Kinds of objects, in the order of their numbers in messages.
+enum class MirrorKind { kRows, kBackends, kWeights, kMoves };
+inline constexpr size_t kMirrorKinds = 4;
+
+/// One object at one revision; its text is what the store's adapter understands.
+struct MirrorEntry {
+  std::string name;
+  uint64_t revision = 0;
+  bool isGone = false;
+  std::string text;
+};
+
+/// Changes of a kind.
+struct MirrorDelta {
+  uint64_t fromRevision = 0;  ///< 0: the entries are the whole kind.
+  uint64_t toRevision = 0;
+  std::vector<MirrorEntry> entries;
+};
+
+/// What became of a delta.
+enum class MirrorOutcome {
+  kApplied,
+  kKnown,  ///< This copy is as new or newer.
+  kGap,    ///< Changes before it are missing here.
+};
+
+/// Thread-safe. The listener is called with one kind at a time, on the thread that applies.
+class StateMirror {
+ public:
+  /// Takes entries that are new here. @param isWhole others of the kind are gone.
+  /// @param heardAt the last instant at which the former state is known to have been complete here.
+  using Listener = std::function<void(MirrorKind kind, const std::vector<MirrorEntry>& entries,
+                                      bool isWhole, std::optional<Time> heardAt)>;
+
+  /// Hears that nothing newer than `revision`, which this copy holds, existed at `provenAt`.
+  using ProofListener = std::function<void(MirrorKind kind, uint64_t revision, Time provenAt)>;
+
+  StateMirror(Listener listener, ProofListener onProof)
+      : listener_(std::move(listener)), onProof_(std::move(onProof)) {}
+
+  /// @param heardAt see Listener.
+  MirrorOutcome apply(MirrorKind kind, const MirrorDelta& delta, std::optional<Time> heardAt);
+  /// Takes the whole kind as it was at a revision, and tells only what differs.
+  MirrorOutcome applyList(MirrorKind kind, uint64_t revision,
+                          const std::vector<MirrorEntry>& entries, std::optional<Time> heardAt);
+  /// Notes that nothing newer than `revision` existed at `provenAt`; counts only if this copy is
+  /// complete up to that revision.
+  void prove(MirrorKind kind, uint64_t revision, Time provenAt);
+
+  uint64_t revision(MirrorKind kind) const;
+  std::optional<Time> provenAt(MirrorKind kind) const;
+  /// @return what a copy at `since` lacks; nothing if it is up to date.
+  std::optional<MirrorDelta> since(MirrorKind kind, uint64_t since) const;
+
+ private:
+  struct KindState {
+    bool isKnown = false;
+    uint64_t revision = 0;
+    std::map<std::string, MirrorEntry> entries;
+    /// Entries that are gone, with the revision at which that was known; the oldest are forgotten.
+    std::map<std::string, uint64_t> gone;
+    uint64_t goneKnownSince = 0;  ///< Removals after this revision are all in `gone`.
+    std::optional<Time> provenAt;
+  };
+
+  MirrorDelta differenceTo(MirrorKind kind, uint64_t revision,
+                           const std::vector<MirrorEntry>& entries) const;
+  static void forgetOldRemovals(KindState& state);
+  KindState& stateOf(MirrorKind kind) { return kinds_[static_cast<size_t>(kind)]; }
+  const KindState& stateOf(MirrorKind kind) const { return kinds_[static_cast<size_t>(kind)]; }
+
+  Listener listener_;
+  ProofListener onProof_;
+  std::mutex applying_;  ///< Held while a delta is applied and told, before mutex_.
+  mutable std::mutex mutex_;
+  std::array<KindState, kMirrorKinds> kinds_;
+};
+
+}  // namespace fernmoor::peers
--- a/test/gateway/forwarder_test.cpp
+++ b/test/gateway/forwarder_test.cpp
@@ -303,7 +303,7 @@
   table->addTenant(Tenant{"sese", false, 0}, {"key"});
   old.take(table, world.clock.now() - std::chrono::seconds(6));
   Forwarder forwarder(ForwarderServices{world.clock, old, world.backends, world.connections,
-                                        world.budget, world.protocol, world.wanted},
+                                        world.budget, world.protocol, world.wanted, world.hints},
                       ForwarderOptions{"zone", std::chrono::seconds(5), 1});
   IncomingRequest request = world.request();
   request.tenant = Tenant{"sese", false, 0};
@@ -313,4 +313,70 @@
   CHECK(promisesNotRun(world.caller));
 }
 
+namespace {
+
+/// A world whose requests share parts of prompts, before one engine and a cache store.
+struct CacheWorld : ForwarderWorld {
+  CacheWorld() {
+    row.usesPrefixes = true;
+    row.isStream = true;
+    auto next = std::make_shared<TrafficTable>();
+    next->version = 2;
+    next->cacheStores.push_back(CacheStore{SocketAddress{"10.9.9.9", 99}});
+    table.take(next, clock.now());
+  }
+  ScriptedBackend& addEngine(const std::string& id, uint64_t version) {
+    ScriptedBackend& backend = add(id, always(streamHead() + chunk(event(1)) + "0\r\n\r\n"));
+    backends.noteWeights(id, "m", version);
+    return backend;
+  }
+  IncomingRequest prompt() {
+    IncomingRequest made = request();
+    made.model = "m";
+    made.promptTokens = 9000;
+    made.parts = {PromptPart{"common", 2500}, PromptPart{"subject", 3800}, PromptPart{"own", 2700}};
+    return made;
+  }
+};
+
+bool holds(const std::string& text, const std::string& part) {
+  return text.find(part) != std::string::npos;
+}
+
+}  // namespace
+
+TEST_CASE("a part is saved by the first request that reads it, and found by the next") {
+  CacheWorld world;
+  ScriptedBackend& engine = world.addEngine("a", 3);
+  world.forwarder.serve(world.prompt(), world.caller);
+  CHECK(holds(engine.lastRequest(), "Scope: shared.v3\r\n"));
+  CHECK(holds(engine.lastRequest(), "Fetch-From: 10.9.9.9:99\r\n"));
+  CHECK(holds(engine.lastRequest(), "Save-To: 10.9.9.9:99\r\n"));
+  world.forwarder.serve(world.prompt(), world.caller);
+  CHECK(holds(engine.lastRequest(), "Fetch-From: "));
+  CHECK_FALSE(holds(engine.lastRequest(), "Save-To: "));
+}
+
+TEST_CASE("a part is taken from the engine that read it last, if that holds the same weights") {
+  CacheWorld world;
+  ScriptedBackend& first = world.addEngine("a", 3);
+  world.forwarder.serve(world.prompt(), world.caller);
+  BackendListing left = world.backends.all().front();
+  left.pool = "left the pool";
+  world.backends.update(left, world.clock.now());
+  ScriptedBackend& second = world.addEngine("b", 3);
+  world.forwarder.serve(world.prompt(), world.caller);
+  CHECK(holds(second.lastRequest(), "Fetch-From: 10.9.9.9:99\r\n"));
+
+  CacheWorld both;
+  both.addEngine("a", 3);
+  both.forwarder.serve(both.prompt(), both.caller);
+  both.backends.avoidUntil("a", both.clock.now() + std::chrono::hours(1));
+  ScriptedBackend& other = both.addEngine("b", 4);
+  both.forwarder.serve(both.prompt(), both.caller);
+  CHECK(holds(other.lastRequest(), "Scope: shared.v4\r\n"));
+  CHECK(holds(other.lastRequest(), "Fetch-From: 10.9.9.9:99\r\n"));
+  CHECK(first.requests() == 1);
+}
+
 }  // namespace fernmoor::gateway
--- a/test/gateway/forwarder_world.h
+++ b/test/gateway/forwarder_world.h
@@ -137,6 +137,15 @@
                   Poco::Net::HTTPRequest& head) const override {
     head.set("Expect-Life", plan.backend.id);
     head.set("Time-Left", std::to_string(plan.timeLeft.count() / 1000));
+    if (!plan.cacheScope.empty()) {
+      head.set("Scope", plan.cacheScope);
+    }
+    if (plan.fetchFrom) {
+      head.set("Fetch-From", formatSocketAddress(*plan.fetchFrom));
+    }
+    if (plan.saveTo) {
+      head.set("Save-To", formatSocketAddress(*plan.saveTo));
+    }
     if (!plan.resumeAfter.empty()) {
       head.set("Resume-After", plan.resumeAfter);
     }
@@ -150,6 +159,26 @@
   }
 };
 
+/// Hints of one node, kept here.
+class TestHints : public PartHints {
+ public:
+  std::vector<PartHint> find(const std::vector<PartKey>& parts) override {
+    std::vector<PartHint> hints;
+    for (const PartKey part : parts) {
+      hints.push_back(memory.find(part));
+    }
+    return hints;
+  }
+  void note(const std::vector<PartKey>& parts, uint64_t engine, bool isStored) override {
+    for (const PartKey part : parts) {
+      memory.note(part, engine, isStored, clock.now());
+    }
+  }
+
+  SystemClock clock;
+  PartMemory memory{100};
+};
+
 /// Records what a caller gets.
 class RecordingCaller : public CallerChannel {
  public:
@@ -188,8 +217,9 @@
       : wanted(std::chrono::seconds(8)),
         connections(ConnectOptions{}),
         budget(SecondSendBounds{0, std::chrono::seconds(10), secondSends}),
-        forwarder(ForwarderServices{clock, table, backends, connections, budget, protocol, wanted},
-                  ForwarderOptions{"zone", std::chrono::seconds(5), 1}) {
+        forwarder(
+            ForwarderServices{clock, table, backends, connections, budget, protocol, wanted, hints},
+            ForwarderOptions{"zone", std::chrono::seconds(5), 1}) {
     row.name = "row";
     row.maxAttempts = 2;
     row.repetition = Repetition::kOnce;
@@ -230,6 +260,7 @@
   ConnectionPool connections;
   SecondSendBudget budget;
   TestProtocol protocol;
+  TestHints hints;
   Forwarder forwarder;
   Row row;
   RecordingCaller caller;
--- /dev/null
+++ b/test/peers/mirror_role_test.cpp
@@ -0,0 +1,214 @@
+/// @file
+/// Tests of src/peers/mirror_role.h on the simulated network: readers pass on what the store holds,
+/// proofs of freshness never look younger than they are, and nodes without a reader read
+/// themselves.
+#include "peers/mirror_role.h"
+
+#include <doctest/doctest.h>
+
+#include <deque>
+#include <map>
+
+namespace fernmoor::peers {
+
+namespace {
+
+/// One message on its way.
+struct Letter {
+  NodeId from;
+  NodeId to;
+  proto::Envelope envelope;
+};
+
+/// Nodes that know each other, a clock, and messages that the test delivers when it likes.
+class RelayWorld {
+ public:
+  struct Node {
+    Node(NodeId id, const RelayWorld& world)
+        : mirror([this](MirrorKind, const std::vector<MirrorEntry>& entries, bool,
+                        std::optional<Time>) { heard += entries.size(); },
+                 [](MirrorKind, uint64_t, Time) {}),
+          role(id, mirror),
+          sender(id, world) {}
+
+    class Outbox : public MessageSender {
+     public:
+      Outbox(NodeId from, const RelayWorld& world) : from_(from), world_(world) {}
+      void send(NodeId to, const proto::Envelope& envelope) override {
+        world_.letters_.push_back(Letter{from_, to, envelope});
+      }
+
+     private:
+      NodeId from_;
+      const RelayWorld& world_;
+    };
+
+    size_t heard = 0;
+    StateMirror mirror;
+    MirrorRole role;
+    Outbox sender;
+  };
+
+  explicit RelayWorld(uint64_t count) {
+    auto members = std::make_shared<MembershipSnapshot>();
+    for (uint64_t id = 1; id <= count; ++id) {
+      Member member;
+      member.life.node = NodeId(id);
+      members->members.push_back(member);
+      nodes_.emplace(std::piecewise_construct, std::forward_as_tuple(id),
+                     std::forward_as_tuple(NodeId(id), *this));
+    }
+    snapshot_ = members;
+    for (auto& node : nodes_) {
+      node.second.role.setMembers(members);
+    }
+  }
+
+  Node& node(uint64_t id) { return nodes_.at(id); }
+  std::vector<NodeId> readers() const { return storeReaders(*snapshot_); }
+  /// A node that is no reader.
+  Node& plainNode() {
+    for (auto& entry : nodes_) {
+      if (entry.second.role.duty(now) == ReadDuty::kFallback) {
+        return entry.second;
+      }
+    }
+    throw std::logic_error("all nodes are readers");
+  }
+  void readersRead(uint64_t revision, const std::string& text) {
+    for (const NodeId reader : readers()) {
+      Node& each = node(reader.value());
+      MirrorDelta delta{0, revision, {MirrorEntry{"main", revision, false, text}}};
+      each.mirror.apply(MirrorKind::kRows, delta, now);
+      each.mirror.prove(MirrorKind::kRows, revision, now);
+    }
+  }
+  void tickAll() {
+    for (auto& entry : nodes_) {
+      entry.second.role.onTick(now, entry.second.sender);
+    }
+  }
+  /// Delivers all letters, also those that they cause, after a delay each.
+  void deliver(Duration delay = Duration(1000)) {
+    while (!letters_.empty()) {
+      const Letter letter = letters_.front();
+      letters_.pop_front();
+      now += delay;
+      if (lost.count(letter.to) > 0) {
+        continue;
+      }
+      Node& to = node(letter.to.value());
+      to.role.onMessage(NodeLife{letter.from, Incarnation(1)}, letter.envelope, now, to.sender);
+    }
+  }
+
+  Time now{std::chrono::seconds(100)};
+  std::set<NodeId> lost;  ///< Nodes that get no messages.
+
+ private:
+  mutable std::deque<Letter> letters_;
+  std::map<uint64_t, Node> nodes_;
+  std::shared_ptr<const MembershipSnapshot> snapshot_;
+};
+
+}  // namespace
+
+TEST_CASE("a few nodes read the store, and their number grows with the deployment") {
+  CHECK(RelayWorld(1).readers().size() == 1);
+  CHECK(RelayWorld(7).readers().size() == 2);
+  CHECK(RelayWorld(96).readers().size() == 6);
+}
+
+TEST_CASE("a node that is told by a reader neither reads itself nor lacks anything") {
+  RelayWorld world(7);
+  RelayWorld::Node& plain = world.plainNode();
+  world.readersRead(5, "five");
+  world.tickAll();
+  world.deliver();
+  CHECK(plain.mirror.revision(MirrorKind::kRows) == 5);
+  CHECK(plain.role.duty(world.now) == ReadDuty::kNone);
+}
+
+TEST_CASE("changes reach those that asked lately at once") {
+  RelayWorld world(7);
+  RelayWorld::Node& plain = world.plainNode();
+  world.readersRead(5, "five");
+  world.tickAll();
+  world.deliver();
+  world.readersRead(6, "six");
+  for (const NodeId reader : world.readers()) {
+    RelayWorld::Node& node = world.node(reader.value());
+    node.role.announce(MirrorKind::kRows, 5, world.now, node.sender);
+  }
+  world.deliver();
+  CHECK(plain.mirror.revision(MirrorKind::kRows) == 6);
+}
+
+TEST_CASE("a proof counts from the question, however long the answer was under way") {
+  RelayWorld world(7);
+  RelayWorld::Node& plain = world.plainNode();
+  world.readersRead(5, "five");
+  const Time provenAt = world.now;
+  world.now += std::chrono::milliseconds(500);
+  const Time askedAt = world.now;
+  world.tickAll();
+  world.deliver(std::chrono::milliseconds(20));
+  const auto proof = plain.mirror.provenAt(MirrorKind::kRows);
+  REQUIRE(proof.has_value());
+  CHECK(*proof <= askedAt - std::chrono::milliseconds(500));
+  CHECK(*proof <= provenAt);
+}
+
+TEST_CASE("what comes without a question proves nothing") {
+  RelayWorld world(7);
+  RelayWorld::Node& plain = world.plainNode();
+  world.readersRead(5, "five");
+  world.tickAll();
+  world.deliver();
+  const auto before = plain.mirror.provenAt(MirrorKind::kRows);
+  world.now += std::chrono::seconds(1);
+  world.readersRead(6, "six");
+  for (const NodeId reader : world.readers()) {
+    RelayWorld::Node& node = world.node(reader.value());
+    node.role.announce(MirrorKind::kRows, 5, world.now, node.sender);
+  }
+  world.deliver();
+  CHECK(plain.mirror.provenAt(MirrorKind::kRows) == before);
+}
+
+TEST_CASE("a node whose readers are silent, or know nothing new, reads the store itself") {
+  RelayWorld world(7);
+  RelayWorld::Node& plain = world.plainNode();
+  world.readersRead(5, "five");
+  world.tickAll();
+  world.deliver();
+  CHECK(plain.role.duty(world.now) == ReadDuty::kNone);
+  for (const NodeId reader : world.readers()) {
+    world.lost.insert(reader);
+  }
+  for (int tick = 0; tick < 40; ++tick) {
+    world.now += std::chrono::milliseconds(50);
+    world.tickAll();
+    world.deliver(Duration(0));
+  }
+  CHECK(plain.role.duty(world.now) == ReadDuty::kFallback);
+}
+
+TEST_CASE("a reader that is silent is replaced by the other one") {
+  RelayWorld world(7);
+  world.readersRead(5, "five");
+  world.lost.insert(world.readers().front());
+  for (int tick = 0; tick < 24; ++tick) {
+    world.now += std::chrono::milliseconds(50);
+    world.readersRead(5, "five");
+    world.tickAll();
+    world.deliver(Duration(0));
+  }
+  size_t told = 0;
+  for (uint64_t id = 1; id <= 7; ++id) {
+    told += world.node(id).role.duty(world.now) == ReadDuty::kNone ? 1 : 0;
+  }
+  CHECK(told == 5);
+}
+
+}  // namespace fernmoor::peers
--- /dev/null
+++ b/test/peers/state_mirror_test.cpp
@@ -0,0 +1,104 @@
+/// @file
+/// Tests of src/peers/state_mirror.h.
+#include "peers/state_mirror.h"
+
+#include <doctest/doctest.h>
+
+namespace fernmoor::peers {
+
+namespace {
+
+/// What a mirror told its listeners.
+struct Heard {
+  std::vector<MirrorEntry> entries;
+  int wholes = 0;
+  std::vector<Time> proofs;
+};
+
+MirrorEntry entry(const std::string& name, uint64_t revision, const std::string& text = "t") {
+  return MirrorEntry{name, revision, false, text};
+}
+
+struct Mirrored {
+  Mirrored()
+      : mirror(
+            [this](MirrorKind, const std::vector<MirrorEntry>& entries, bool isWhole,
+                   std::optional<Time>) {
+              heard.wholes += isWhole ? 1 : 0;
+              heard.entries = entries;
+            },
+            [this](MirrorKind, uint64_t, Time provenAt) { heard.proofs.push_back(provenAt); }) {}
+
+  MirrorOutcome apply(uint64_t from, uint64_t to, const std::vector<MirrorEntry>& entries) {
+    return mirror.apply(kKind, MirrorDelta{from, to, entries}, Time());
+  }
+  std::optional<MirrorDelta> since(uint64_t revision) { return mirror.since(kKind, revision); }
+
+  static constexpr MirrorKind kKind = MirrorKind::kBackends;
+  Heard heard;
+  StateMirror mirror;
+};
+
+Time at(int64_t milliseconds) {
+  return Time(std::chrono::milliseconds(milliseconds));
+}
+
+}  // namespace
+
+TEST_CASE("changes are taken in order, known ones ignored, and a gap is told") {
+  Mirrored copy;
+  CHECK(copy.apply(5, 6, {entry("a", 6)}) == MirrorOutcome::kGap);
+  CHECK(copy.apply(0, 10, {entry("a", 3), entry("b", 9)}) == MirrorOutcome::kApplied);
+  CHECK(copy.heard.wholes == 1);
+  CHECK(copy.apply(0, 9, {}) == MirrorOutcome::kKnown);
+  CHECK(copy.apply(12, 13, {entry("c", 13)}) == MirrorOutcome::kGap);
+  CHECK(copy.apply(8, 13, {entry("c", 13)}) == MirrorOutcome::kApplied);
+  CHECK(copy.heard.entries.size() == 1);
+  CHECK(copy.mirror.revision(Mirrored::kKind) == 13);
+}
+
+TEST_CASE("what one copy tells brings another to the same state, removals included") {
+  Mirrored first;
+  Mirrored second;
+  first.apply(0, 10, {entry("a", 3), entry("b", 9)});
+  second.mirror.apply(Mirrored::kKind, *first.since(0), Time());
+  first.apply(10, 14, {entry("c", 12), MirrorEntry{"a", 3, true, ""}});
+  REQUIRE(first.since(10).has_value());
+  CHECK(second.mirror.apply(Mirrored::kKind, *first.since(10), Time()) == MirrorOutcome::kApplied);
+  CHECK(second.heard.entries.size() == 2);
+  CHECK_FALSE(first.since(14).has_value());
+  CHECK(second.since(0)->entries.size() == 2);
+  CHECK(second.since(0)->toRevision == 14);
+}
+
+TEST_CASE("a copy older than the removals that are remembered takes the whole kind") {
+  Mirrored copy;
+  copy.apply(0, 10, {entry("a", 3)});
+  copy.apply(10, 20, {entry("b", 15)});
+  CHECK(copy.since(12)->fromRevision == 12);
+  CHECK(copy.since(5)->fromRevision == 0);
+  CHECK(copy.since(5)->entries.size() == 2);
+}
+
+TEST_CASE("a list read again tells only what differs") {
+  Mirrored copy;
+  copy.mirror.applyList(Mirrored::kKind, 10, {entry("a", 3), entry("b", 9)}, Time());
+  copy.mirror.applyList(Mirrored::kKind, 20, {entry("b", 9), entry("c", 18)}, Time());
+  CHECK(copy.heard.wholes == 1);
+  REQUIRE(copy.heard.entries.size() == 2);
+  CHECK(copy.heard.entries[0].name == "c");
+  CHECK(copy.heard.entries[1].name == "a");
+  CHECK(copy.heard.entries[1].isGone);
+}
+
+TEST_CASE("a proof counts only for a copy that is complete up to it, and never gets older") {
+  Mirrored copy;
+  copy.apply(0, 10, {entry("a", 3)});
+  copy.mirror.prove(Mirrored::kKind, 11, at(100));
+  CHECK_FALSE(copy.mirror.provenAt(Mirrored::kKind).has_value());
+  copy.mirror.prove(Mirrored::kKind, 10, at(200));
+  copy.mirror.prove(Mirrored::kKind, 9, at(150));
+  CHECK(copy.mirror.provenAt(Mirrored::kKind) == at(200));
+}
+
+}  // namespace fernmoor::peers
