--- a/src/backends/wanted_weights.cpp
+++ b/src/backends/wanted_weights.cpp
@@ -19,7 +19,8 @@
     return;
   }
   // Time::min() lies so far back that a sum with the bound stays in range.
-  versions.push_back(NamedVersion{version, namedBy.value_or(Time::min() + std::chrono::hours(1))});
+  versions.push_back(NamedVersion{version, namedBy.value_or(Time::min() + std::chrono::hours(1)),
+                                  namedBy.has_value()});
   if (versions.size() > kVersionsKept) {
     versions.erase(versions.begin());
   }
@@ -51,7 +52,7 @@
   uint64_t lowest = 0;
   if (found != named_.end()) {
     for (const NamedVersion& named : found->second) {
-      if (named.namedBy + inForce_ - kBeginMargin <= now) {
+      if (named.isTimeKnown && named.namedBy + inForce_ - kBeginMargin <= now) {
         lowest = named.version;
       }
     }
@@ -59,6 +60,18 @@
   return lowest;
 }
 
+uint64_t WantedWeights::uncertainVersion(const std::string& model) const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const auto found = named_.find(model);
+  uint64_t newest = 0;
+  if (found != named_.end()) {
+    for (const NamedVersion& named : found->second) {
+      newest = named.isTimeKnown ? newest : named.version;
+    }
+  }
+  return newest;
+}
+
 std::vector<std::string> WantedWeights::models() const {
   const std::lock_guard<std::mutex> lock(mutex_);
   std::vector<std::string> names;
--- a/src/backends/wanted_weights.h
+++ b/src/backends/wanted_weights.h
@@ -17,7 +17,8 @@
 /// One named version.
 struct NamedVersion {
   uint64_t version = 0;
-  Time namedBy;  ///< An instant not later than its acknowledgement was seen here.
+  Time namedBy;             ///< An instant not later than its acknowledgement was seen here.
+  bool isTimeKnown = true;  ///< False: it lay there when this node started to look.
 };
 
 /// Thread-safe.
@@ -27,7 +28,7 @@
   explicit WantedWeights(Duration inForce) : inForce_(inForce) {}
 
   /// Notes a version. @param namedBy the last instant at which it was known not to be named, or
-  /// nothing if that is unknown: it then counts as overdue.
+  /// nothing if that is unknown: moving engines to it is then overdue.
   void note(const std::string& model, uint64_t version, std::optional<Time> namedBy);
 
   /// @return the newest version, 0 if none was named.
@@ -37,6 +38,9 @@
   /// @return the lowest version that requests may still be sent to at `now`, with a margin for the
   ///         time until they begin.
   uint64_t lowestServing(const std::string& model, Time now) const;
+  /// @return the newest version of which nobody here knows since when it is named; 0: none. Whether
+  ///         older engines may still be sent requests is uncertain.
+  uint64_t uncertainVersion(const std::string& model) const;
   std::vector<std::string> models() const;
 
  private:
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -104,7 +104,8 @@
 std::optional<BackendChoice> RequestRun::choose(Time now) {
   std::vector<BackendView> members =
       services_.backends.membersOf(request_.pool, request_.model, now);
-  leaveOutOldWeights(members, services_.wanted.lowestServing(request_.model, now));
+  leaveOutOldWeights(members, ServingVersions{services_.wanted.lowestServing(request_.model, now),
+                                              services_.wanted.uncertainVersion(request_.model)});
   const ChoiceContext context{forwarder_.options_.zone, tried_};
   const std::lock_guard<std::mutex> lock(forwarder_.randomMutex_);
   std::vector<BackendView> share = membersOfShare(members, share_);
--- a/src/gateway/serving_versions.cpp
+++ b/src/gateway/serving_versions.cpp
@@ -23,14 +23,15 @@
 
 }  // namespace
 
-void leaveOutOldWeights(std::vector<BackendView>& candidates, uint64_t lowestVersion) {
+void leaveOutOldWeights(std::vector<BackendView>& candidates, const ServingVersions& versions) {
   if (candidates.empty()) {
     return;
   }
-  uint64_t lowest = lowestVersion;
+  const uint64_t ofHalf = versionOfNewestHalf(candidates);
+  uint64_t lowest = std::max(versions.lowest, std::min(versions.uncertain, ofHalf));
   if (std::all_of(candidates.begin(), candidates.end(),
                   [&](const BackendView& each) { return isOlder(each, lowest); })) {
-    lowest = versionOfNewestHalf(candidates);
+    lowest = ofHalf;
   }
   candidates.erase(std::remove_if(candidates.begin(), candidates.end(),
                                   [&](const BackendView& each) { return isOlder(each, lowest); }),
