--- a/src/gateway/second_send_budget.cpp
+++ b/src/gateway/second_send_budget.cpp
@@ -8,6 +8,11 @@
   }
 }
 
+void SecondSendBudget::setAllowance(double allowance) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  bounds_.allowance = allowance;
+}
+
 void SecondSendBudget::countRequest(const std::string& pool, Time now) {
   const std::lock_guard<std::mutex> lock(mutex_);
   Window& window = windows_[pool];
--- a/src/gateway/second_send_budget.h
+++ b/src/gateway/second_send_budget.h
@@ -25,6 +25,8 @@
  public:
   explicit SecondSendBudget(SecondSendBounds bounds) : bounds_(bounds) {}
 
+  /// Sets this node's part of the allowance anew, e.g. as the number of nodes changes.
+  void setAllowance(double allowance);
   /// Counts a request's first send to the pool.
   void countRequest(const std::string& pool, Time now);
   /// @return whether a second send fits; it is then counted.
--- a/src/gateway/traffic_table.cpp
+++ b/src/gateway/traffic_table.cpp
@@ -20,7 +20,7 @@
   pools_[pool.name] = std::move(pool);
 }
 
-void TrafficTable::addTenant(Tenant tenant, const std::vector<std::string>& keys) {
+void TrafficTable::addTenant(const Tenant& tenant, const std::vector<std::string>& keys) {
   for (const std::string& key : keys) {
     tenantsByKey_[key] = tenant;
   }
--- a/src/gateway/traffic_table.h
+++ b/src/gateway/traffic_table.h
@@ -85,7 +85,7 @@
   void addRow(Row row);
   void addPool(Pool pool);
   /// @param keys keys that speak for the tenant.
-  void addTenant(Tenant tenant, const std::vector<std::string>& keys);
+  void addTenant(const Tenant& tenant, const std::vector<std::string>& keys);
   /// Call once after the last row.
   void sortRows();
 
--- a/src/peers/mirror_role.cpp
+++ b/src/peers/mirror_role.cpp
@@ -29,14 +29,24 @@
 }  // namespace
 
 std::vector<NodeId> storeReaders(const MembershipSnapshot& members) {
-  std::vector<NodeId> nodes;
+  std::map<ZoneId, std::vector<NodeId>> byZone;
+  std::vector<NodeId> all;
   for (const Member& member : members.members) {
     if (member.state == MemberState::kAlive) {
-      nodes.push_back(member.life.node);
+      byZone[member.zone].push_back(member.life.node);
+      all.push_back(member.life.node);
     }
   }
-  const size_t count = std::max(kFewestReaders, nodes.size() / kNodesPerReader);
-  return rendezvousTop(kReaderKey, std::move(nodes), count, hashOf);
+  if (all.size() <= kNodesPerReader) {
+    return rendezvousTop(kReaderKey, std::move(all), kFewestReaders, hashOf);
+  }
+  std::vector<NodeId> readers;
+  for (auto& [zone, nodes] : byZone) {
+    const size_t count = nodes.size() / kNodesPerReader + 1;
+    const std::vector<NodeId> chosen = rendezvousTop(kReaderKey, std::move(nodes), count, hashOf);
+    readers.insert(readers.end(), chosen.begin(), chosen.end());
+  }
+  return readers;
 }
 
 void MirrorRole::setMembers(std::shared_ptr<const MembershipSnapshot> members) {
@@ -70,6 +80,11 @@
   }
   const size_t count = nodes.size();
   nodes = rendezvousTop(hashOf(self_), std::move(nodes), count, hashOf);
+  const ZoneId zone = members_->selfMember().zone;
+  std::stable_partition(nodes.begin(), nodes.end(), [&](NodeId node) {
+    const Member* member = members_->find(node);
+    return member != nullptr && member->zone == zone;
+  });
   return nodes[rotation_ % nodes.size()];
 }
 
--- a/src/peers/mirror_role.h
+++ b/src/peers/mirror_role.h
@@ -72,7 +72,9 @@
   size_t rotation_ = 0;  ///< Grows when a reader does not answer, or knows too little.
 };
 
-/// @return the nodes that read the store: a few, and one of every sixteen of a large deployment.
+/// @return the nodes that read the store: one of each zone, and of every sixteen in a large zone,
+/// so
+///         that what they pass on stays within zones; two at least.
 std::vector<NodeId> storeReaders(const MembershipSnapshot& members);
 
 }  // namespace fernmoor::peers
--- a/src/peers/peer_plane.cpp
+++ b/src/peers/peer_plane.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr Duration kTickInterval{50000};
+constexpr Duration kTickInterval{100000};
 /// Rebinding the address of a former incarnation is tried again after this.
 constexpr Duration kRebindPause{100000};
 
--- a/src/weights/weight_plan.h
+++ b/src/weights/weight_plan.h
@@ -27,7 +27,7 @@
 struct PlanBounds {
   size_t atOnce = 2;          ///< Moves that may run at the same time.
   Duration moveTime{800000};  ///< How long one takes, from order to order.
-  Duration reserve{2800000};  ///< Kept free for a takeover by another node.
+  Duration reserve{2200000};  ///< Kept free for a takeover by another node.
 };
 
 /// The moves that are owed, the most urgent first, and when the first must start.
--- a/src/wire/peer_transport.cpp
+++ b/src/wire/peer_transport.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-constexpr long kPollMicroseconds = 100000;        ///< How soon stop() is noticed.
+constexpr long kPollMicroseconds = 250000;        ///< How soon stop() is noticed.
 constexpr long kTcpTimeoutMicroseconds = 500000;  ///< A peer slower than this is skipped.
 constexpr size_t kMaxDatagramBytes = 65536;
 constexpr size_t kMaxLargeQueue = 256;  ///< Larger backlogs mean dead peers; the oldest go.
--- a/test/backends/backend_set_test.cpp
+++ b/test/backends/backend_set_test.cpp
@@ -4,6 +4,7 @@
 
 #include <doctest/doctest.h>
 
+#include "backends/growing_pause.h"
 #include "backends/wanted_weights.h"
 #include "backends/watch_gap.h"
 
@@ -121,4 +122,15 @@
   CHECK(wanted.lowestServing("m", at(8000)) == 3);
 }
 
+TEST_CASE("pauses grow to their bound, are spread, and begin anew after a success") {
+  GrowingPause pause(std::chrono::milliseconds(100), std::chrono::milliseconds(400), 1);
+  for (const int64_t longest : {100, 200, 400, 400}) {
+    const Duration drawn = pause.afterFailure();
+    CHECK(drawn >= std::chrono::milliseconds(longest / 2));
+    CHECK(drawn <= std::chrono::milliseconds(longest));
+  }
+  pause.afterSuccess();
+  CHECK(pause.afterFailure() <= std::chrono::milliseconds(100));
+}
+
 }  // namespace fernmoor
--- a/test/gateway/work_state_test.cpp
+++ b/test/gateway/work_state_test.cpp
@@ -44,6 +44,9 @@
   CHECK(granted == 3);
   CHECK(budget.trySecondSend("b", at(1000)));
   CHECK_FALSE(budget.trySecondSend("b", at(1000)));
+  budget.setAllowance(0);
+  CHECK_FALSE(budget.trySecondSend("c", at(1000)));
+  budget.setAllowance(1);
   // Once the requests have left the window only the allowance is left.
   CHECK(budget.trySecondSend("a", at(20000)));
   CHECK_FALSE(budget.trySecondSend("a", at(20000)));
