Daemon: requests whose end is unclear are refused with 400 and end their connection

Cause: Poco's server takes the first of two lengths, answers a length beside chunks with 400 and reads on, and takes a broken chunk for the end: what follows is served as a request.

--- a/src/node/http_front.cpp
+++ b/src/node/http_front.cpp
@@ -9,6 +9,7 @@
 #include <Poco/URI.h>
 
 #include "common/log.h"
+#include "http/message_body.h"
 #include "node/application_handler.h"
 #include "node/completion_handler.h"
 #include "node/http_reply.h"
@@ -94,14 +95,18 @@
 /// without an answer.
 class CountingHandler : public Poco::Net::HTTPRequestHandler {
  public:
-  CountingHandler(OpenRequests& open, const std::atomic<bool>& draining,
+  /// @param endsConnection nothing that follows on the connection may be taken for a request.
+  CountingHandler(OpenRequests& open, const std::atomic<bool>& draining, bool endsConnection,
                   std::unique_ptr<Poco::Net::HTTPRequestHandler> handler)
-      : open_(open), draining_(draining), handler_(std::move(handler)) {}
+      : open_(open),
+        draining_(draining),
+        endsConnection_(endsConnection),
+        handler_(std::move(handler)) {}
 
   void handleRequest(Poco::Net::HTTPServerRequest& request,
                      Poco::Net::HTTPServerResponse& response) override {
     const OpenRequests::Guard guard(open_);
-    if (draining_) {
+    if (draining_ || endsConnection_) {
       response.setKeepAlive(false);
     }
     try {
@@ -116,9 +121,16 @@
  private:
   OpenRequests& open_;
   const std::atomic<bool>& draining_;
+  const bool endsConnection_;
   std::unique_ptr<Poco::Net::HTTPRequestHandler> handler_;
 };
 
+Error unclearEnd() {
+  return Error{ErrorKind::kInvalidRequest,
+               "the request's length is malformed or stated twice; state it once.",
+               RunState::kNotRun, std::nullopt};
+}
+
 Error unknownPath(const std::string& path) {
   return Error{ErrorKind::kNotFound, "there is nothing at " + path + "; README.md lists the paths.",
                RunState::kNotRun, std::nullopt};
@@ -186,8 +198,15 @@
 
   Poco::Net::HTTPRequestHandler* createRequestHandler(
       const Poco::Net::HTTPServerRequest& request) override {
-    return new CountingHandler(open_, services_.draining,
-                               find(request));  // Poco deletes it after use.
+    // Poco deletes the handler after use. It takes a broken chunk for the end of a body, so that
+    // nothing after a body in chunks can be trusted to be a request.
+    const BodyFraming framing = requestBodyShape(request).framing;
+    const bool endsConnection =
+        framing == BodyFraming::kInvalid || framing == BodyFraming::kChunked;
+    HandlerPointer handler = framing == BodyFraming::kInvalid
+                                 ? std::make_unique<ErrorHandler>(unclearEnd())
+                                 : find(request);
+    return new CountingHandler(open_, services_.draining, endsConnection, std::move(handler));
   }
 
  private:
