--- a/src/node/http_front.cpp
+++ b/src/node/http_front.cpp
@@ -198,19 +198,22 @@
 
   Poco::Net::HTTPRequestHandler* createRequestHandler(
       const Poco::Net::HTTPServerRequest& request) override {
-    // Poco deletes the handler after use. It takes a broken chunk for the end of a body, so that
-    // nothing after a body in chunks can be trusted to be a request.
-    const BodyFraming framing = requestBodyShape(request).framing;
-    const bool endsConnection =
-        framing == BodyFraming::kInvalid || framing == BodyFraming::kChunked;
-    HandlerPointer handler = framing == BodyFraming::kInvalid
-                                 ? std::make_unique<ErrorHandler>(unclearEnd())
-                                 : find(request);
-    return new CountingHandler(open_, services_.draining, endsConnection, std::move(handler));
+    return new CountingHandler(open_, services_.draining, endsConnection(request),
+                               find(request));  // Poco deletes it after use.
   }
 
  private:
+  /// Poco takes a broken chunk for the end of a body, so that nothing after a body in chunks can be
+  /// trusted to be a request, and even less after one whose end is unclear.
+  static bool endsConnection(const Poco::Net::HTTPServerRequest& request) {
+    const BodyFraming framing = requestBodyShape(request).framing;
+    return framing == BodyFraming::kInvalid || framing == BodyFraming::kChunked;
+  }
+
   HandlerPointer find(const Poco::Net::HTTPServerRequest& request) {
+    if (requestBodyShape(request).framing == BodyFraming::kInvalid) {
+      return std::make_unique<ErrorHandler>(unclearEnd());
+    }
     try {
       return makeHandler(services_, operators_, request.getMethod(), request.getURI());
     } catch (const Poco::SyntaxException&) {
