A held failure never follows the head of another answer

Cause, found on the last read: a repeatable or resumable request whose first engine answered 5xx keeps that answer in case nobody does better; where the second engine then broke off in mid-stream, the held answer was written into the stream that had begun (a second head and a body: MIXED, and it looked complete). The test failed before (2 heads, finished) and passes now.

--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -401,17 +401,17 @@
 }
 
 void RequestRun::giveUp() {
-  if (held_) {  // The back end's own failure is the answer if nobody did better.
-    deliverHeld();
-    logEnd("delivered the failure of its engine");
-    return;
-  }
   if (headSent_) {
     ++forwarder_.counters_.brokenOff;
     caller_.breakOff();
     logEnd("broken off: its engine failed and it may not go on elsewhere");
     return;
   }
+  if (held_) {  // The back end's own failure is the answer if nobody did better.
+    deliverHeld();
+    logEnd("delivered the failure of its engine");
+    return;
+  }
   ++forwarder_.counters_.refused;
   const bool late = services_.clock.now() + kLeastUsefulTime >= request_.deadline;
   Error error;
--- a/test/gateway/forwarder_test.cpp
+++ b/test/gateway/forwarder_test.cpp
@@ -256,6 +256,28 @@
   CHECK_FALSE(world.caller.broken);
 }
 
+TEST_CASE("a failure that was held back never follows the head of another answer") {
+  ForwarderWorld world;
+  world.row.isStream = true;
+  world.row.isResumable = true;
+  std::atomic<int> turn{0};
+  const Script script = [&](Poco::Net::StreamSocket& socket, const std::string& request) {
+    if (turn++ == 0) {
+      say(socket, answer("500 Oops", "failed"));
+      return true;
+    }
+    return thenReset(streamHead() + chunk(event(1)))(socket, request);
+  };
+  world.add("a", script);
+  world.add("b", script);
+  world.serve();
+  CHECK(requestsOf(world) == 2);
+  CHECK(world.caller.heads.size() == 1);
+  CHECK(world.caller.body == event(1));
+  CHECK(world.caller.broken);
+  CHECK_FALSE(world.caller.finished);
+}
+
 TEST_CASE("a stream that ends in the middle of an event is not complete") {
   ForwarderWorld world;
   world.row.isStream = true;
