--- a/src/backends/wanted_weights.cpp
+++ b/src/backends/wanted_weights.cpp
@@ -72,13 +72,4 @@
   return newest;
 }
 
-std::vector<std::string> WantedWeights::models() const {
-  const std::lock_guard<std::mutex> lock(mutex_);
-  std::vector<std::string> names;
-  for (const auto& entry : named_) {
-    names.push_back(entry.first);
-  }
-  return names;
-}
-
 }  // namespace fernmoor
--- a/src/backends/wanted_weights.h
+++ b/src/backends/wanted_weights.h
@@ -41,7 +41,6 @@
   /// @return the newest version of which nobody here knows since when it is named; 0: none. Whether
   ///         older engines may still be sent requests is uncertain.
   uint64_t uncertainVersion(const std::string& model) const;
-  std::vector<std::string> models() const;
 
  private:
   Duration inForce_;
--- a/src/gateway/backend_choice.cpp
+++ b/src/gateway/backend_choice.cpp
@@ -86,7 +86,7 @@
   }
   const std::optional<std::string> part = affinityPart(request);
   if (!part) {
-    return BackendChoice{*leastLoaded(usable, context.zone, random), ""};
+    return BackendChoice{*leastLoaded(usable, context.zone, random)};
   }
   const std::string owner =
       request.tenant && request.tenant->isIsolated ? request.tenant->name : "";
@@ -94,7 +94,7 @@
   const size_t count = usable.size();
   usable = rendezvousTop(key, std::move(usable), count,
                          [](const BackendView* each) { return stableHash(each->listing.id); });
-  return BackendChoice{*firstWithinBound(usable), usable.front()->listing.id};
+  return BackendChoice{*firstWithinBound(usable)};
 }
 
 std::string cacheScopeOf(const IncomingRequest& request, uint64_t weightsVersion) {
--- a/src/gateway/backend_choice.h
+++ b/src/gateway/backend_choice.h
@@ -26,7 +26,6 @@
 /// A choice.
 struct BackendChoice {
   BackendView backend;
-  std::string homeId;  ///< First home of the request's shared part; empty: it has none.
 };
 
 /// @return nothing where no candidate is left.
--- a/src/gateway/backend_protocol.h
+++ b/src/gateway/backend_protocol.h
@@ -30,7 +30,6 @@
   bool isOurs = false;          ///< It answers the request that was sent.
   bool didNotRun = false;       ///< The back end vouches that the request did not run.
   bool isWrongLife = false;     ///< Another life of the back end, or other weights.
-  bool isSigned = false;        ///< It bears the back end's signature.
   uint64_t weightsVersion = 0;  ///< 0: not told.
 };
 
--- a/src/gateway/connection_pool.cpp
+++ b/src/gateway/connection_pool.cpp
@@ -11,8 +11,8 @@
 
 }  // namespace
 
-PooledConnection ConnectionPool::borrow(const std::string& owner, const SocketAddress& address,
-                                        Time now) {
+std::unique_ptr<ByteConnection> ConnectionPool::borrow(const std::string& owner,
+                                                       const SocketAddress& address, Time now) {
   while (true) {
     Idle idle;
     {
@@ -31,10 +31,10 @@
     const bool usable = now < idle.usableUntil && !idle.connection->hasBufferedBytes() &&
                         !idle.connection->socketReadable();
     if (usable) {
-      return PooledConnection{std::move(idle.connection), true};
+      return std::move(idle.connection);
     }
   }
-  return PooledConnection{connectTo(address, options_), false};
+  return connectTo(address, options_);
 }
 
 void ConnectionPool::giveBack(const std::string& owner, std::unique_ptr<ByteConnection> connection,
--- a/src/gateway/connection_pool.h
+++ b/src/gateway/connection_pool.h
@@ -14,12 +14,6 @@
 
 namespace fernmoor::gateway {
 
-/// One borrowed connection.
-struct PooledConnection {
-  std::unique_ptr<ByteConnection> connection;
-  bool isReused = false;
-};
-
 /// Thread-safe.
 class ConnectionPool {
  public:
@@ -27,7 +21,8 @@
 
   /// @param owner life of the back end; connections are never shared between two lives.
   /// @return no connection where none could be opened; nothing was sent then.
-  PooledConnection borrow(const std::string& owner, const SocketAddress& address, Time now);
+  std::unique_ptr<ByteConnection> borrow(const std::string& owner, const SocketAddress& address,
+                                         Time now);
   /// @param keepFor how long the back end keeps an idle connection.
   void giveBack(const std::string& owner, std::unique_ptr<ByteConnection> connection,
                 Duration keepFor, Time now);
--- a/src/gateway/engine_attempt.cpp
+++ b/src/gateway/engine_attempt.cpp
@@ -93,11 +93,10 @@
 }
 
 AttemptStep EngineAttempt::send(CallerChannel& caller, Time deadline) {
-  PooledConnection pooled = pool_.borrow(plan_.backend.id, plan_.backend.address, clock_.now());
-  if (pooled.connection == nullptr) {
+  connection_ = pool_.borrow(plan_.backend.id, plan_.backend.address, clock_.now());
+  if (connection_ == nullptr) {
     return AttemptStep::kNotSent;
   }
-  connection_ = std::move(pooled.connection);
   connection_->setIoTimeout(kRestOfMessage);
   const AttemptStep step = writeAll(headText() + request_.body, caller, deadline);
   // A failed send may have left an answer to be read, e.g. a refusal before the body was taken.
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -5,7 +5,6 @@
 #include "common/log.h"
 #include "common/rendezvous.h"
 #include "gateway/answer_headers.h"
-#include "gateway/backend_choice.h"
 #include "gateway/serving_versions.h"
 
 namespace fernmoor::gateway {
@@ -13,14 +12,13 @@
 namespace {
 
 constexpr int kStatusOk = 200;
-constexpr int kFirstErrorStatus = 400;
 constexpr int kFirstServerError = 500;
 /// Answers up to this size are held back until they are whole, so that a broken one can be asked
 /// for again and never reaches the caller.
 constexpr size_t kHeldAnswerBytes = 256U << 10U;
 /// Silence after which a request that may run again is sent elsewhere.
 constexpr Duration kSilenceBeforeSecondSend{1500000};
-/// The back end is told to end a little before we do.
+/// With less time left than this a request is not sent any more.
 constexpr Duration kLeastUsefulTime{5000};
 constexpr Duration kRetryAfterBusy{250000};
 constexpr Duration kRetryAfterStale{500000};
@@ -93,7 +91,7 @@
   fields.service = ServiceId(request_.pool);
   fields.engine = EngineId(plan_.backend.id);
   fields.elapsed = services_.clock.now() - request_.arrivedAt;
-  fields.sends = allSends_;
+  fields.sends = sends_;
   if (firstEventAt_) {
     fields.firstEvent = *firstEventAt_ - request_.arrivedAt;
     fields.longestPause = longestPause_;
@@ -242,7 +240,6 @@
                         services_.clock);
   AttemptStep step = attempt.send(caller_, stepDeadline());
   if (step != AttemptStep::kNotSent) {
-    ++allSends_;
     ++sends_;
   }
   if (step == AttemptStep::kDone) {
--- a/src/gateway/request_run.h
+++ b/src/gateway/request_run.h
@@ -76,7 +76,6 @@
   bool secondSendPaid_ = false;  ///< The budget was asked before the back end was chosen.
   std::optional<HeldAnswer> held_;
   EngineShare share_ = EngineShare::kAll;
-  int allSends_ = 0;
   std::optional<Time> firstEventAt_;
   Time lastEventAt_;
   Duration longestPause_{};
--- a/src/peers/mirror_role.cpp
+++ b/src/peers/mirror_role.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "common/rendezvous.h"
+#include "peers/node_hash.h"
 
 namespace fernmoor::peers {
 
@@ -22,10 +23,6 @@
 constexpr Duration kAskerMemory{2000000};
 constexpr size_t kMostQuestions = 64;
 
-uint64_t hashOf(NodeId node) {
-  return node.value() * 0x9E3779B97F4A7C15ULL;
-}
-
 }  // namespace
 
 std::vector<NodeId> storeReaders(const MembershipSnapshot& members) {
@@ -38,12 +35,12 @@
     }
   }
   if (all.size() <= kNodesPerReader) {
-    return rendezvousTop(kReaderKey, std::move(all), kFewestReaders, hashOf);
+    return rendezvousTop(kReaderKey, std::move(all), kFewestReaders, nodeHash);
   }
   std::vector<NodeId> readers;
   for (auto& [zone, nodes] : byZone) {
     const size_t count = nodes.size() / kNodesPerReader + 1;
-    const std::vector<NodeId> chosen = rendezvousTop(kReaderKey, std::move(nodes), count, hashOf);
+    const std::vector<NodeId> chosen = rendezvousTop(kReaderKey, std::move(nodes), count, nodeHash);
     readers.insert(readers.end(), chosen.begin(), chosen.end());
   }
   return readers;
@@ -79,7 +76,7 @@
     return std::nullopt;
   }
   const size_t count = nodes.size();
-  nodes = rendezvousTop(hashOf(self_), std::move(nodes), count, hashOf);
+  nodes = rendezvousTop(nodeHash(self_), std::move(nodes), count, nodeHash);
   const ZoneId zone = members_->selfMember().zone;
   std::stable_partition(nodes.begin(), nodes.end(), [&](NodeId node) {
     const Member* member = members_->find(node);
--- a/src/peers/part_directory.cpp
+++ b/src/peers/part_directory.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "common/rendezvous.h"
+#include "peers/node_hash.h"
 
 namespace fernmoor::peers {
 
@@ -17,10 +18,6 @@
 constexpr Duration kFindTimeout{6000};
 constexpr size_t kMostPartsAsked = 64;
 
-uint64_t hashOf(NodeId node) {
-  return node.value() * 0x9E3779B97F4A7C15ULL;
-}
-
 uint32_t ageInMilliseconds(Time since, Time now) {
   return static_cast<uint32_t>(std::max<int64_t>(0, (now - since).count() / 1000));
 }
@@ -37,12 +34,12 @@
 
 NodeId PartDirectory::keeperOf(PartKey part) const {
   NodeId best = self_;
-  uint64_t bestWeight = rendezvousWeight(part, hashOf(self_));
+  uint64_t bestWeight = rendezvousWeight(part, nodeHash(self_));
   if (members_ == nullptr) {
     return best;
   }
   for (const Member& member : members_->members) {
-    const uint64_t weight = rendezvousWeight(part, hashOf(member.life.node));
+    const uint64_t weight = rendezvousWeight(part, nodeHash(member.life.node));
     if (member.state != MemberState::kSuspect && weight > bestWeight) {
       best = member.life.node;
       bestWeight = weight;
