Relay: nodes that the store turns away learn from those that it serves, and a stand-in reader goes on reading

Now a node reads until a reader tells it a fresh proof again, and a node that no reader helps asks all others in turn.

Ruled out: asking beyond the readers alone (without going on reading) would let two nodes rely on each other. Tests: mirror_role_test 'readers that the store turns away' and 'goes on until they tell it again', both seen to fail on the code before.

--- a/src/peers/mirror_role.cpp
+++ b/src/peers/mirror_role.cpp
@@ -55,32 +55,37 @@
   return members_ == nullptr ? std::vector<NodeId>() : storeReaders(*members_);
 }
 
-bool MirrorRole::isStale(Time now) const {
-  const std::optional<Time> proven = mirror_.provenAt(MirrorKind::kRows);
-  return !proven || now - *proven > kFallbackProof;
-}
-
 ReadDuty MirrorRole::duty(Time now) const {
   const std::lock_guard<std::mutex> lock(mutex_);
   const std::vector<NodeId> nodes = readers();
   if (nodes.empty() || std::find(nodes.begin(), nodes.end(), self_) != nodes.end()) {
     return ReadDuty::kReader;
   }
-  return isStale(now) || now - toldAt_ > kFallbackProof ? ReadDuty::kFallback : ReadDuty::kNone;
+  return now - toldProof_ > kFallbackProof ? ReadDuty::kFallback : ReadDuty::kNone;
 }
 
-std::optional<NodeId> MirrorRole::readerToAsk(Time now) const {
-  std::vector<NodeId> nodes = readers();
-  nodes.erase(std::remove(nodes.begin(), nodes.end(), self_), nodes.end());
+/// Readers come first, those of this node's zone before others; then all other nodes, which read
+/// themselves where the store turns the readers away.
+std::optional<NodeId> MirrorRole::nodeToAsk() const {
+  const std::vector<NodeId> readingNodes = readers();
+  const ZoneId zone = members_ == nullptr ? ZoneId() : members_->selfMember().zone;
+  std::vector<NodeId> nodes;
+  for (size_t index = 0; members_ != nullptr && index < members_->members.size(); ++index) {
+    const Member& member = members_->members[index];
+    if (member.state == MemberState::kAlive && member.life.node != self_) {
+      nodes.push_back(member.life.node);
+    }
+  }
   if (nodes.empty()) {
     return std::nullopt;
   }
   const size_t count = nodes.size();
   nodes = rendezvousTop(nodeHash(self_), std::move(nodes), count, nodeHash);
-  const ZoneId zone = members_->selfMember().zone;
   std::stable_partition(nodes.begin(), nodes.end(), [&](NodeId node) {
-    const Member* member = members_->find(node);
-    return member != nullptr && member->zone == zone;
+    return members_->find(node)->zone == zone;
+  });
+  std::stable_partition(nodes.begin(), nodes.end(), [&](NodeId node) {
+    return std::find(readingNodes.begin(), readingNodes.end(), node) != readingNodes.end();
   });
   return nodes[rotation_ % nodes.size()];
 }
@@ -99,15 +104,19 @@
   sender.send(reader, envelope);
 }
 
+void MirrorRole::forgetLostQuestions(Time now) {
+  for (auto question = questions_.begin(); question != questions_.end();) {
+    const bool timedOut = now - question->second.askedAt > kAnswerTimeout;
+    rotation_ += timedOut ? 1 : 0;
+    question = timedOut ? questions_.erase(question) : std::next(question);
+  }
+}
+
 void MirrorRole::onTick(Time now, MessageSender& sender) {
-  std::optional<NodeId> reader;
+  std::optional<NodeId> node;
   {
     const std::lock_guard<std::mutex> lock(mutex_);
-    for (auto question = questions_.begin(); question != questions_.end();) {
-      const bool timedOut = now - question->second.askedAt > kAnswerTimeout;
-      rotation_ += timedOut ? 1 : 0;
-      question = timedOut ? questions_.erase(question) : std::next(question);
-    }
+    forgetLostQuestions(now);
     if (now < nextQuestionAt_ || questions_.size() >= kMostQuestions) {
       return;
     }
@@ -117,10 +126,10 @@
     }
     rotation_ += proven && now - *proven > kOldProof ? 1 : 0;
     nextQuestionAt_ = now + kAskInterval;
-    reader = readerToAsk(now);
+    node = nodeToAsk();
   }
-  if (reader) {
-    ask(*reader, now, sender);
+  if (node) {
+    ask(*node, now, sender);
   }
 }
 
@@ -165,15 +174,22 @@
   sender.send(from.node, envelope);
 }
 
+void MirrorRole::noteToldProof(NodeId teller, Time provenAt) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const std::vector<NodeId> nodes = readers();
+  if (std::find(nodes.begin(), nodes.end(), teller) != nodes.end()) {
+    toldProof_ = std::max(toldProof_, provenAt);
+  }
+}
+
 void MirrorRole::onAnswer(const proto::MirrorAnswer& answer, Time now) {
-  std::optional<Time> askedAt;
+  std::optional<Question> asked;
   {
     const std::lock_guard<std::mutex> lock(mutex_);
     const auto question = questions_.find(answer.question_id());
     if (question != questions_.end()) {
-      askedAt = question->second.askedAt;
+      asked = question->second;
       questions_.erase(question);
-      toldAt_ = std::max(toldAt_, *askedAt);
     }
   }
   for (const proto::MirrorChanges& changes : answer.changes()) {
@@ -189,9 +205,12 @@
           MirrorEntry{entry.name(), entry.revision(), entry.gone(), entry.text()});
     }
     mirror_.apply(kind, delta, now);
-    if (askedAt && changes.has_proof()) {
+    if (asked && changes.has_proof()) {
       const Duration age(static_cast<int64_t>(changes.proof_age_microseconds()));
-      mirror_.prove(kind, changes.to_revision(), *askedAt - age);
+      mirror_.prove(kind, changes.to_revision(), asked->askedAt - age);
+      if (kind == MirrorKind::kRows) {
+        noteToldProof(asked->to, asked->askedAt - age);
+      }
     }
   }
 }
--- a/src/peers/mirror_role.h
+++ b/src/peers/mirror_role.h
@@ -6,6 +6,10 @@
 /// A proof that a copy is the newest ages from the start of the reader's own call; the asker counts
 /// the age that it is told from the instant of its own question. So a delay anywhere on the way,
 /// or a stop of either process, only makes a proof older.
+///
+/// The store may turn the readers away and serve others. A node that no reader tells anything new
+/// reads the store itself, and goes on until a reader tells it again; nodes that neither a reader
+/// nor the store tells ask the other nodes in turn.
 #pragma once
 
 #include <map>
@@ -52,8 +56,9 @@
   };
 
   std::vector<NodeId> readers() const;
-  std::optional<NodeId> readerToAsk(Time now) const;
-  bool isStale(Time now) const;
+  std::optional<NodeId> nodeToAsk() const;
+  void forgetLostQuestions(Time now);
+  void noteToldProof(NodeId teller, Time provenAt);
   void ask(NodeId reader, Time now, MessageSender& sender);
   void onQuestion(NodeLife from, const proto::MirrorQuestion& question, Time now,
                   MessageSender& sender);
@@ -68,8 +73,8 @@
   std::map<NodeId, Time> askers_;  ///< Who asked, and when last.
   uint32_t lastQuestion_ = 0;
   Time nextQuestionAt_;
-  Time toldAt_;          ///< When a reader last answered.
-  size_t rotation_ = 0;  ///< Grows when a reader does not answer, or knows too little.
+  Time toldProof_;       ///< Start of the newest proof that a reader told.
+  size_t rotation_ = 0;  ///< Grows when an asked node does not answer, or knows too little.
 };
 
 /// @return the nodes that read the store: one of each zone, and of every sixteen in a large zone,
--- a/test/days/make_days.py
+++ b/test/days/make_days.py
@@ -77,6 +77,23 @@
                 '{ at = 18.0, kind = "garble", share = 0.6, x = 0.05, how = "extra late", for_s = 6.0 }',
                 '{ at = 20.0, kind = "srv_grey", share = 0.25, x = 0.6, how = "slow", for_s = 6.0 }',
                 '{ at = 26.0, kind = "srv_grey", share = 0.3, x = 0.7, how = "reset", for_s = 5.0 }']),
+    "store-refuses-some": dict(
+        plan=['{ at = 3.0, kind = "version_bump", count = 0 }',
+              '{ at = 5.0, kind = "config_change", how = "route" }',
+              '{ at = 13.0, kind = "version_bump", count = 0 }',
+              '{ at = 15.0, kind = "revoke", count = 2, gap_s = 1.0 }',
+              '{ at = 24.0, kind = "version_bump", count = 0 }',
+              '{ at = 25.0, kind = "config_change", how = "topup" }'],
+        faults=['{ at = 2.0, kind = "platform_down", how = "nodes busy leader", share = 0.5, for_s = 8.0 }',
+                '{ at = 12.0, kind = "platform_down", how = "nodes many leader revoke", share = 0.5, for_s = 9.0 }',
+                '{ at = 23.0, kind = "platform_down", how = "nodes leader", share = 0.5, for_s = 9.0 }']),
+    "store-drops-most": dict(
+        plan=['{ at = 3.0, kind = "version_bump", count = 0 }',
+              '{ at = 12.0, kind = "version_bump", count = 0 }',
+              '{ at = 14.0, kind = "config_storm", for_s = 4.0, gap_s = 0.3 }'],
+        faults=['{ at = 1.0, kind = "platform_down", how = "nodes reset leader", share = 0.8, for_s = 9.0 }',
+                '{ at = 11.0, kind = "platform_down", how = "nodes leader", share = 0.8, for_s = 12.0 }',
+                '{ at = 16.0, kind = "node_kill", on = "core", count = 1, how = "leader", for_s = 2.0 }']),
     "clocks-and-losses": dict(
         plan=['{ at = 2.0, kind = "version_bump", count = 0 }',
               '{ at = 10.0, kind = "roll_term", share = 1.0, gap_s = 1.5, how = "busy" }',
--- a/test/peers/mirror_role_test.cpp
+++ b/test/peers/mirror_role_test.cpp
@@ -86,6 +86,16 @@
       each.mirror.prove(MirrorKind::kRows, revision, now);
     }
   }
+  /// The store answers the nodes that read instead of the readers.
+  void fallbackNodesRead(uint64_t revision, const std::string& text) {
+    for (auto& [id, each] : nodes_) {
+      if (each.role.duty(now) == ReadDuty::kFallback) {
+        MirrorDelta delta{0, revision, {MirrorEntry{"main", revision, false, text}}};
+        each.mirror.apply(MirrorKind::kRows, delta, now);
+        each.mirror.prove(MirrorKind::kRows, revision, now);
+      }
+    }
+  }
   void tickAll() {
     for (auto& entry : nodes_) {
       entry.second.role.onTick(now, entry.second.sender);
@@ -219,4 +229,49 @@
   CHECK(told == 5);
 }
 
+TEST_CASE("readers that the store turns away learn from the nodes that read instead of them") {
+  RelayWorld world(7);
+  world.readersRead(5, "five");
+  world.tickAll();
+  world.deliver();
+  // From now on the store serves all but the readers.
+  for (int tick = 0; tick < 80; ++tick) {
+    world.now += std::chrono::milliseconds(50);
+    world.fallbackNodesRead(6, "six");
+    world.tickAll();
+    world.deliver(Duration(0));
+  }
+  for (const NodeId reader : world.readers()) {
+    const StateMirror& mirror = world.node(reader.value()).mirror;
+    CHECK(mirror.revision(MirrorKind::kRows) == 6);
+    CHECK(world.now - *mirror.provenAt(MirrorKind::kRows) < std::chrono::milliseconds(1500));
+  }
+}
+
+TEST_CASE("a node that reads instead of the readers goes on until they tell it again") {
+  RelayWorld world(7);
+  RelayWorld::Node& plain = world.plainNode();
+  world.readersRead(5, "five");
+  world.tickAll();
+  world.deliver();
+  int pauses = 0;
+  bool hasBegun = false;
+  for (int tick = 0; tick < 80; ++tick) {
+    world.now += std::chrono::milliseconds(50);
+    world.fallbackNodesRead(6, "six");
+    world.tickAll();
+    world.deliver(Duration(0));
+    const bool reads = plain.role.duty(world.now) == ReadDuty::kFallback;
+    pauses += hasBegun && !reads ? 1 : 0;
+    hasBegun = hasBegun || reads;
+  }
+  CHECK(hasBegun);
+  CHECK(pauses == 0);
+  world.readersRead(7, "seven");
+  world.now += std::chrono::milliseconds(500);
+  world.tickAll();
+  world.deliver();
+  CHECK(plain.role.duty(world.now) == ReadDuty::kNone);
+}
+
 }  // namespace fernmoor::peers
