--- a/src/backends/backend_set.cpp
+++ b/src/backends/backend_set.cpp
@@ -19,7 +19,7 @@
 
 }  // namespace
 
-uint64_t BackendSet::versionOf(const BackendListing& listing, const std::string& model) {
+uint64_t heldVersion(const BackendListing& listing, const std::string& model) {
   for (const HeldWeights& held : listing.weights) {
     if (held.model == model) {
       return held.version;
@@ -32,7 +32,7 @@
   BackendListing merged = listing;
   // The list lags behind what answers and moves have told: versions of one life only rise.
   for (HeldWeights& held : merged.weights) {
-    held.version = std::max(held.version, versionOf(entry.listing, held.model));
+    held.version = std::max(held.version, heldVersion(entry.listing, held.model));
   }
   entry.listing = std::move(merged);
 }
@@ -72,7 +72,7 @@
     view.inFlight = entry.inFlight;
     view.pendingTokens = entry.pendingTokens;
     view.isAvoided = now < entry.avoidedUntil;
-    view.weightsVersion = versionOf(entry.listing, model);
+    view.weightsVersion = heldVersion(entry.listing, model);
     members.push_back(std::move(view));
   }
   return members;
@@ -88,6 +88,13 @@
   return listings;
 }
 
+std::optional<BackendListing> BackendSet::find(const std::string& id) const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const auto found = entries_.find(id);
+  return found == entries_.end() ? std::nullopt
+                                 : std::optional<BackendListing>(found->second.listing);
+}
+
 size_t BackendSet::size() const {
   const std::lock_guard<std::mutex> lock(mutex_);
   return entries_.size();
--- a/src/backends/backend_set.h
+++ b/src/backends/backend_set.h
@@ -34,6 +34,9 @@
   std::vector<HeldWeights> weights;
 };
 
+/// @return the version of the model's weights that it lists; 0: none.
+uint64_t heldVersion(const BackendListing& listing, const std::string& model);
+
 /// One back end as a choice sees it.
 struct BackendView {
   BackendListing listing;
@@ -59,6 +62,8 @@
                                      Time now) const;
   /// @return every back end that is listed, draining or not.
   std::vector<BackendListing> all() const;
+  /// @return nothing where it is not listed.
+  std::optional<BackendListing> find(const std::string& id) const;
   size_t size() const;
   /// @return whether the back end is listed and not draining.
   bool isUsable(const std::string& id) const;
@@ -88,7 +93,6 @@
   };
 
   void merge(Entry& entry, const BackendListing& listing);
-  static uint64_t versionOf(const BackendListing& listing, const std::string& model);
   void judge(Entry& entry, BackendVerdict verdict, Time now);
 
   mutable std::mutex mutex_;
--- a/src/weights/move_ledger.h
+++ b/src/weights/move_ledger.h
@@ -32,6 +32,9 @@
   std::vector<LedgerMove> moves;
 };
 
+/// @return the moves that were about to be ordered at `earliest` or later.
+std::vector<LedgerMove> movesSince(const Ledger& ledger, Time earliest);
+
 /// How a conditional write ended: the new revision, or the ledger as it is.
 struct LedgerWritten {
   uint64_t revision = 0;
--- a/src/weights/weight_mover.cpp
+++ b/src/weights/weight_mover.cpp
@@ -30,8 +30,8 @@
 /// New requests leave an engine alone for this part more than a move usually takes.
 constexpr double kAvoidFactor = 1.1;
 constexpr double kLearningRate = 0.3;
-constexpr size_t kLedgerMovesKept = 256;
-constexpr Duration kLedgerMemory{15000000};
+/// Beyond the time for which a move of another holder must be left alone.
+constexpr Duration kLedgerMargin{600000};
 
 /// @return whether the ledger holds the last move of `intended` for every engine that it names.
 bool holdsMoves(const Ledger& ledger, const Ledger& intended, const std::string& holder) {
@@ -46,15 +46,6 @@
 
 }  // namespace
 
-void noteMovesOfOthers(const Ledger& ledger, const std::string& node, Duration moveTime,
-                       BackendSet& engines, Time now) {
-  for (const LedgerMove& move : ledger.moves) {
-    if (move.holder != node && now - move.at < moveTime) {
-      engines.avoidUntil(move.engine, move.at + moveTime);
-    }
-  }
-}
-
 WeightMover::WeightMover(MoverServices services, MoverOptions options)
     : services_(services), options_(std::move(options)), random_(options_.randomSeed) {
   stepInDelay_ = kStandstill + random_.between(Duration(0), kStandstillSpread);
@@ -75,17 +66,8 @@
 }
 
 uint64_t WeightMover::listedVersion(const std::string& engine, const std::string& model) const {
-  for (const BackendListing& listing : services_.engines.all()) {
-    if (listing.id != engine) {
-      continue;
-    }
-    for (const HeldWeights& held : listing.weights) {
-      if (held.model == model) {
-        return held.version;
-      }
-    }
-  }
-  return 0;
+  const std::optional<BackendListing> listing = services_.engines.find(engine);
+  return listing ? heldVersion(*listing, model) : 0;
 }
 
 void WeightMover::askWhetherDone(const std::string& engine, UnderWay& move) {
@@ -181,13 +163,7 @@
   const Time now = services_.clock.now();
   Ledger ledger = services_.view.ledger();
   ledger.holder = options_.node;
-  std::vector<LedgerMove> kept;
-  for (const LedgerMove& move : ledger.moves) {
-    if (now - move.at < kLedgerMemory && kept.size() < kLedgerMovesKept) {
-      kept.push_back(move);
-    }
-  }
-  ledger.moves = std::move(kept);
+  ledger.moves = movesSince(ledger, now - options_.orderTurn - kTurnMargin - kLedgerMargin);
   for (const Candidate& candidate : candidates) {
     ledger.moves.push_back(LedgerMove{candidate.move.engine, candidate.move.model,
                                       candidate.move.version, options_.node, now});
--- a/src/weights/weight_mover.h
+++ b/src/weights/weight_mover.h
@@ -33,12 +33,6 @@
   EngineOrders& orders;
 };
 
-/// Leaves engines alone that another node is moving. Which weights they hold afterwards they say
-/// themselves: an order may be lost or carried out much later.
-/// @param moveTime how long a move usually takes.
-void noteMovesOfOthers(const Ledger& ledger, const std::string& node, Duration moveTime,
-                       BackendSet& engines, Time now);
-
 /// Not thread-safe: one thread calls step().
 class WeightMover {
  public:
