Load of engines counted for all nodes: a request asks who counts for its home before it goes there

Now each engine has a node that counts the prompt tokens that wait there, of all nodes (LoadDirectory, PendingWork): a request reserves its place at its home unless 12,000 tokens wait, else at the next of three homes, and is taken off with its first event; three short messages a request at any size, 6 ms at most where nobody answers, a count whose end is never told is forgotten after 3 s.

Ruled out: passing load to all nodes (cost grows with them); reports of engines (late by 200 ms, priced).

--- a/src/gateway/backend_choice.cpp
+++ b/src/gateway/backend_choice.cpp
@@ -14,6 +14,8 @@
 constexpr double kBoundedLoadSlack = 4;
 /// Prompt tokens that wait at a home, of this node's requests, before it passes one on.
 constexpr uint64_t kMostPendingTokens = 6000;
+/// A request seldom gets beyond the first few.
+constexpr size_t kHomesKept = 8;
 /// What a back end of another zone costs, in requests.
 constexpr double kOtherZonePenalty = 1.5;
 
@@ -47,16 +49,6 @@
   return sum / static_cast<double>(candidates.size());
 }
 
-const BackendView* firstWithinBound(const Candidates& ordered) {
-  const double bound = meanInFlight(ordered) * kBoundedLoadFactor + kBoundedLoadSlack;
-  for (const BackendView* candidate : ordered) {
-    if (candidate->inFlight < bound && candidate->pendingTokens < kMostPendingTokens) {
-      return candidate;
-    }
-  }
-  return ordered.front();
-}
-
 const BackendView* leastLoaded(const Candidates& candidates, const std::string& zone,
                                Random& random) {
   const BackendView* best = nullptr;
@@ -72,29 +64,56 @@
   return best;
 }
 
+Candidates usableOf(const std::vector<BackendView>& candidates,
+                    const std::set<std::string>& tried) {
+  const Candidates sound = usableOf(candidates, tried, false);
+  return sound.empty() ? usableOf(candidates, tried, true) : sound;
+}
+
 }  // namespace
 
-std::optional<BackendChoice> chooseBackend(const IncomingRequest& request,
-                                           const std::vector<BackendView>& candidates,
-                                           const ChoiceContext& context, Random& random) {
-  Candidates usable = usableOf(candidates, context.tried, false);
-  if (usable.empty()) {
-    usable = usableOf(candidates, context.tried, true);
-  }
-  if (usable.empty()) {
-    return std::nullopt;
-  }
+std::vector<BackendView> homesInOrder(const IncomingRequest& request,
+                                      const std::vector<BackendView>& candidates,
+                                      const ChoiceContext& context) {
   const std::optional<std::string> part = affinityPart(request);
-  if (!part) {
-    return BackendChoice{*leastLoaded(usable, context.zone, random)};
+  Candidates usable = usableOf(candidates, context.tried);
+  if (!part || usable.empty()) {
+    return {};
   }
   const std::string owner =
       request.tenant && request.tenant->isIsolated ? request.tenant->name : "";
   const uint64_t key = stableHash(*part + "/" + owner);
+  const double bound = meanInFlight(usable) * kBoundedLoadFactor + kBoundedLoadSlack;
   const size_t count = usable.size();
   usable = rendezvousTop(key, std::move(usable), count,
                          [](const BackendView* each) { return stableHash(each->listing.id); });
-  return BackendChoice{*firstWithinBound(usable)};
+  std::stable_partition(usable.begin(), usable.end(),
+                        [&](const BackendView* each) { return each->inFlight < bound; });
+  std::vector<BackendView> homes;
+  homes.reserve(std::min(count, kHomesKept));
+  for (size_t index = 0; index < std::min(count, kHomesKept); ++index) {
+    homes.push_back(*usable[index]);
+  }
+  return homes;
+}
+
+std::optional<BackendChoice> chooseBackend(const IncomingRequest& request,
+                                           const std::vector<BackendView>& candidates,
+                                           const ChoiceContext& context, Random& random) {
+  const std::vector<BackendView> homes = homesInOrder(request, candidates, context);
+  for (const BackendView& home : homes) {
+    if (home.pendingTokens < kMostPendingTokens) {
+      return BackendChoice{home};
+    }
+  }
+  if (!homes.empty()) {
+    return BackendChoice{homes.front()};
+  }
+  const Candidates usable = usableOf(candidates, context.tried);
+  if (usable.empty()) {
+    return std::nullopt;
+  }
+  return BackendChoice{*leastLoaded(usable, context.zone, random)};
 }
 
 std::string cacheScopeOf(const IncomingRequest& request, uint64_t weightsVersion) {
--- a/src/gateway/backend_choice.h
+++ b/src/gateway/backend_choice.h
@@ -28,6 +28,14 @@
   BackendView backend;
 };
 
+/// @return the candidates in the order in which a request with shared parts is to try them: its
+///         home first, those beyond their share of this node's requests last. Empty for other
+///         requests. Candidates that were tried are left out, and avoided ones unless all are.
+std::vector<BackendView> homesInOrder(const IncomingRequest& request,
+                                      const std::vector<BackendView>& candidates,
+                                      const ChoiceContext& context);
+
+/// Chooses by what this node knows alone.
 /// @return nothing where no candidate is left.
 std::optional<BackendChoice> chooseBackend(const IncomingRequest& request,
                                            const std::vector<BackendView>& candidates,
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -7,9 +7,9 @@
 Forwarder::Forwarder(ForwarderServices services, ForwarderOptions options)
     : services_(services),
       options_(std::move(options)),
-      planner_(
-          PlannerServices{services_.clock, services_.backends, services_.wanted, services_.parts},
-          options_.zone, options_.randomSeed) {}
+      planner_(PlannerServices{services_.clock, services_.backends, services_.wanted,
+                               services_.parts, services_.loads},
+               options_.zone, options_.randomSeed) {}
 
 void Forwarder::serve(const IncomingRequest& request, CallerChannel& caller) {
   RequestRun(*this, request, caller).run();
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -36,6 +36,7 @@
   const BackendProtocol& protocol;
   const WantedWeights& wanted;
   PartHints& parts;
+  EngineLoads& loads;
   Metrics& metrics;
 };
 
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -77,6 +77,10 @@
     services_.backends.promptRead(plan_.backend.id, request_.promptTokens);
     promptCounted_ = false;
   }
+  if (ticket_) {
+    forwarder_.planner_.release(*ticket_);
+    ticket_.reset();
+  }
 }
 
 bool RequestRun::isLate(Time now) const {
@@ -139,7 +143,11 @@
 RequestRun::Next RequestRun::tryOnce() {
   const std::optional<PlannedSend> planned =
       forwarder_.planner_.plan(PlanInput{request_, tried_, share_, lastEventId_});
+  if (planned) {
+    ticket_ = planned->ticket;
+  }
   if (!planned || planned->send.timeLeft < kLeastUsefulTime || !maySendAgain()) {
+    notePromptRead();
     return Next::kGiveUp;
   }
   plan_ = planned->send;
--- a/src/gateway/request_run.h
+++ b/src/gateway/request_run.h
@@ -79,6 +79,7 @@
   Time lastEventAt_;
   Duration longestPause_{};
   RequestTrail trail_;
+  std::optional<LoadTicket> ticket_;  ///< While the prompt waits at its engine.
 };
 
 }  // namespace fernmoor::gateway
--- a/src/gateway/send_planner.h
+++ b/src/gateway/send_planner.h
@@ -14,6 +14,7 @@
 #include "common/random.h"
 #include "gateway/backend_protocol.h"
 #include "gateway/engine_division.h"
+#include "gateway/engine_loads.h"
 #include "gateway/incoming_request.h"
 #include "gateway/part_memory.h"
 
@@ -25,6 +26,7 @@
   const BackendSet& backends;
   const WantedWeights& wanted;
   PartHints& parts;
+  EngineLoads& loads;
 };
 
 /// A request that is to be sent.
@@ -38,8 +40,9 @@
 /// A plan, and the load by which its back end was chosen.
 struct PlannedSend {
   SendPlan send;
-  int inFlight = 0;
-  uint64_t pendingTokens = 0;
+  int inFlight = 0;                  ///< Of this node.
+  uint64_t pendingTokens = 0;        ///< Of all nodes where `ticket` is set, else of this one.
+  std::optional<LoadTicket> ticket;  ///< To be released when the prompt was read.
 };
 
 /// Thread-safe.
@@ -50,12 +53,21 @@
 
   /// @return nothing where no back end is left; may wait some milliseconds for hints.
   std::optional<PlannedSend> plan(const PlanInput& input);
+  /// Tells that a request waits no longer at its engine.
+  void release(const LoadTicket& ticket) { services_.loads.release(ticket); }
   /// Tells where the request's shared parts were read.
   void notePartsRead(const IncomingRequest& request, const SendPlan& plan);
 
  private:
-  std::optional<BackendView> choose(const PlanInput& input, std::vector<BackendView> members,
-                                    Time now);
+  /// A back end and what is known of its load.
+  struct Chosen {
+    BackendView backend;
+    uint64_t pendingTokens = 0;
+    std::optional<LoadTicket> ticket;
+  };
+
+  std::optional<Chosen> choose(const PlanInput& input, std::vector<BackendView> members, Time now);
+  Chosen chooseHome(const IncomingRequest& request, const std::vector<BackendView>& homes);
   void planCache(const PlanInput& input, const std::vector<BackendView>& members, Time now,
                  SendPlan& plan);
 
--- a/src/peers/part_directory.cpp
+++ b/src/peers/part_directory.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 
-#include "common/rendezvous.h"
 #include "peers/node_hash.h"
 
 namespace fernmoor::peers {
@@ -33,19 +32,7 @@
 }
 
 NodeId PartDirectory::keeperOf(PartKey part) const {
-  NodeId best = self_;
-  uint64_t bestWeight = rendezvousWeight(part, nodeHash(self_));
-  if (members_ == nullptr) {
-    return best;
-  }
-  for (const Member& member : members_->members) {
-    const uint64_t weight = rendezvousWeight(part, nodeHash(member.life.node));
-    if (member.state != MemberState::kSuspect && weight > bestWeight) {
-      best = member.life.node;
-      bestWeight = weight;
-    }
-  }
-  return best;
+  return rendezvousKeeper(part, self_, members_.get());
 }
 
 std::vector<PartHint> PartDirectory::find(const std::vector<PartKey>& parts) {
--- a/src/peers/peer_plane.cpp
+++ b/src/peers/peer_plane.cpp
@@ -34,6 +34,7 @@
       clock_(clock),
       mirrorRole_(nodeIdOf(options_.listen), mirror),
       parts_(nodeIdOf(options_.listen), clock, *this),
+      loads_(nodeIdOf(options_.listen), clock, *this),
       life_(makeLife(static_cast<uint64_t>(clock.wallMicroseconds()))) {}
 
 PeerPlane::~PeerPlane() {
@@ -78,6 +79,8 @@
     mirrorRole_.onMessage(from, envelope, now, *current->transport);
   } else if (envelope.has_part()) {
     parts_.onMessage(from, envelope, now, *current->transport);
+  } else if (envelope.has_load()) {
+    loads_.onMessage(from, envelope, now, *current->transport);
   }
 }
 
@@ -140,6 +143,7 @@
   const auto snapshot = current->membership->snapshot();
   mirrorRole_.setMembers(snapshot);
   parts_.setMembers(snapshot);
+  loads_.setMembers(snapshot);
   mirrorRole_.onTick(now, *current->transport);
   const std::optional<Incarnation> greater = current->membership->supersededBy();
   if (!greater) {
--- a/src/peers/peer_plane.h
+++ b/src/peers/peer_plane.h
@@ -1,6 +1,6 @@
 /// @file
 /// The threads and sockets between this node and the others: membership, the relay of the mirrored
-/// state, and hints of cached parts.
+/// state, hints of cached parts, and the load of engines.
 #pragma once
 
 #include <atomic>
@@ -14,6 +14,7 @@
 #include "common/message_sender.h"
 #include "common/metrics.h"
 #include "membership/membership_role.h"
+#include "peers/load_directory.h"
 #include "peers/mirror_role.h"
 #include "peers/part_directory.h"
 #include "wire/peer_transport.h"
@@ -47,6 +48,7 @@
 
   MirrorRole& mirror() { return mirrorRole_; }
   PartDirectory& parts() { return parts_; }
+  LoadDirectory& loads() { return loads_; }
   /// @return members that are not held dead, this node included.
   size_t memberCount() const;
   MemberCounts memberCounts() const;
@@ -73,6 +75,7 @@
   const Clock& clock_;
   MirrorRole mirrorRole_;
   PartDirectory parts_;
+  LoadDirectory loads_;
   mutable std::mutex mutex_;
   std::shared_ptr<Life> life_;
   std::atomic<bool> stopping_{false};
--- a/test/gateway/forwarder_test.cpp
+++ b/test/gateway/forwarder_test.cpp
@@ -5,6 +5,7 @@
 
 #include <doctest/doctest.h>
 
+#include "common/rendezvous.h"
 #include "test/gateway/forwarder_world.h"
 
 namespace fernmoor::gateway {
@@ -326,7 +327,7 @@
   old.take(table, world.clock.now() - std::chrono::seconds(6));
   Forwarder forwarder(
       ForwarderServices{world.clock, old, world.backends, world.connections, world.budget,
-                        world.protocol, world.wanted, world.hints, world.metrics},
+                        world.protocol, world.wanted, world.hints, world.loads, world.metrics},
       ForwarderOptions{"zone", std::chrono::seconds(5), 1});
   IncomingRequest request = world.request();
   request.tenant = Tenant{"sese", false, 0};
@@ -422,4 +423,28 @@
   CHECK(firstTokens == 1);
 }
 
+TEST_CASE("a request goes to another engine while its home has much to read for other nodes") {
+  CacheWorld world;
+  world.addEngine("a", 3);
+  world.addEngine("b", 3);
+  world.forwarder.serve(world.prompt(), world.caller);
+  const bool isFirstHome = world.scripted[0]->requests() == 1;
+  CHECK(world.loads.work.size() == 0);  // Its prompt was read.
+  const PendingRequest ofOther{2, 1, 50000};
+  world.loads.work.reserve(stableHash(isFirstHome ? "a" : "b"), ofOther, 100000, world.clock.now());
+  world.forwarder.serve(world.prompt(), world.caller);
+  CHECK(world.scripted[isFirstHome ? 1 : 0]->requests() == 1);
+  CHECK(world.scripted[isFirstHome ? 0 : 1]->requests() == 1);
+}
+
+TEST_CASE("where nobody counts for all nodes, a request goes to its home") {
+  CacheWorld world;
+  world.loads.isSilent = true;
+  world.addEngine("a", 3);
+  world.addEngine("b", 3);
+  world.forwarder.serve(world.prompt(), world.caller);
+  world.forwarder.serve(world.prompt(), world.caller);
+  CHECK(world.scripted[0]->requests() * world.scripted[1]->requests() == 0);
+}
+
 }  // namespace fernmoor::gateway
--- a/test/gateway/forwarder_world.h
+++ b/test/gateway/forwarder_world.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "gateway/forwarder.h"
+#include "gateway/pending_work.h"
 #include "test/http/socket_pair.h"
 
 namespace fernmoor::gateway::test {
@@ -210,6 +211,23 @@
   std::function<void()> onBody;
 };
 
+/// Counts the load of engines in this process, as one node alone would.
+class LocalLoads : public EngineLoads {
+ public:
+  std::optional<LoadAnswer> reserve(uint64_t engine, uint64_t tokens, uint64_t bound) override {
+    if (isSilent) {
+      return std::nullopt;
+    }
+    return work.reserve(engine, PendingRequest{1, ++last, tokens}, bound, clock.now());
+  }
+  void release(const LoadTicket& ticket) override { work.release(ticket.engine, 1, ticket.id); }
+
+  SystemClock clock;
+  PendingWork work;
+  std::atomic<uint32_t> last{0};
+  bool isSilent = false;
+};
+
 /// A forwarder before scripted back ends of one pool.
 class ForwarderWorld {
  public:
@@ -218,7 +236,7 @@
         connections(ConnectOptions{}),
         budget(SecondSendBounds{0, std::chrono::seconds(10), secondSends}),
         forwarder(ForwarderServices{clock, table, backends, connections, budget, protocol, wanted,
-                                    hints, metrics},
+                                    hints, loads, metrics},
                   ForwarderOptions{"zone", std::chrono::seconds(5), 1}) {
     row.name = "row";
     row.maxAttempts = 2;
@@ -261,6 +279,7 @@
   SecondSendBudget budget;
   TestProtocol protocol;
   TestHints hints;
+  LocalLoads loads;
   Metrics metrics;
   Forwarder forwarder;
   Row row;
--- /dev/null
+++ b/test/peers/load_directory_test.cpp
@@ -0,0 +1,124 @@
+/// @file
+/// Tests of src/peers/load_directory.h: several nodes whose messages are delivered at once.
+#include "peers/load_directory.h"
+
+#include <doctest/doctest.h>
+
+#include <set>
+
+namespace fernmoor::peers {
+
+namespace {
+
+using gateway::LoadAnswer;
+
+constexpr uint64_t kBound = 12000;
+
+class LoadWorld {
+ public:
+  /// Delivers each message as it is sent.
+  class Direct : public MessageSender {
+   public:
+    Direct(LoadWorld& world, NodeId from) : world_(world), from_(from) {}
+    void send(NodeId to, const proto::Envelope& envelope) override {
+      ++world_.messages;
+      if (world_.silent.count(to) == 0 && world_.silent.count(from_) == 0) {
+        world_.node(to.value())
+            .onMessage(NodeLife{from_, Incarnation(1)}, envelope, world_.clock.now(),
+                       *world_.senders_.at(to));
+      }
+    }
+
+   private:
+    LoadWorld& world_;
+    NodeId from_;
+  };
+
+  explicit LoadWorld(uint64_t count) {
+    auto members = std::make_shared<MembershipSnapshot>();
+    for (uint64_t id = 1; id <= count; ++id) {
+      Member member;
+      member.life.node = NodeId(id);
+      members->members.push_back(member);
+      senders_[NodeId(id)] = std::make_unique<Direct>(*this, NodeId(id));
+      nodes_[NodeId(id)] =
+          std::make_unique<LoadDirectory>(NodeId(id), clock, *senders_[NodeId(id)]);
+    }
+    for (auto& node : nodes_) {
+      node.second->setMembers(members);
+    }
+  }
+  LoadDirectory& node(uint64_t id) { return *nodes_.at(NodeId(id)); }
+  size_t enginesCounted() const {
+    size_t sum = 0;
+    for (const auto& node : nodes_) {
+      sum += node.second->engineCount();
+    }
+    return sum;
+  }
+
+  SystemClock clock;
+  int messages = 0;
+  std::set<NodeId> silent;
+
+ private:
+  std::map<NodeId, std::unique_ptr<Direct>> senders_;
+  std::map<NodeId, std::unique_ptr<LoadDirectory>> nodes_;
+};
+
+}  // namespace
+
+TEST_CASE("an engine's load is that of all nodes together") {
+  LoadWorld world(7);
+  for (uint64_t engine = 1000; engine < 1050; ++engine) {
+    CHECK(world.node(1).reserve(engine, 9000, kBound)->isGranted);
+    CHECK(world.node(2).reserve(engine, 9000, kBound)->pendingTokens == 9000);
+    CHECK_FALSE(world.node(3).reserve(engine, 9000, kBound)->isGranted);
+  }
+}
+
+TEST_CASE("a released request waits no longer, whoever asked") {
+  LoadWorld world(7);
+  for (uint64_t engine = 1000; engine < 1050; ++engine) {
+    const LoadAnswer answer = *world.node(1).reserve(engine, 20000, kBound);
+    CHECK_FALSE(world.node(2).reserve(engine, 1, kBound)->isGranted);
+    world.node(1).release(answer.ticket);
+  }
+  CHECK(world.enginesCounted() == 0);
+}
+
+TEST_CASE("a request costs three messages at most, whatever the number of nodes") {
+  for (const uint64_t count : {uint64_t{7}, uint64_t{300}}) {
+    LoadWorld world(count);
+    for (uint64_t engine = 0; engine < 100; ++engine) {
+      world.node(1).release(world.node(1).reserve(engine, 9000, kBound)->ticket);
+    }
+    CHECK(world.messages <= 300);
+  }
+}
+
+TEST_CASE("a node that does not answer costs the knowledge, not the request") {
+  LoadWorld world(2);
+  world.silent.insert(NodeId(2));
+  int answered = 0;
+  for (uint64_t engine = 0; engine < 20; ++engine) {
+    answered += world.node(1).reserve(engine, 9000, kBound) ? 1 : 0;
+  }
+  CHECK(answered > 0);
+  CHECK(answered < 20);
+}
+
+TEST_CASE("an answer that comes after its request went on is given back") {
+  LoadWorld world(2);
+  proto::Envelope late;
+  proto::LoadAnswer& answer = *late.mutable_load()->mutable_answer();
+  answer.set_question_id(77);
+  answer.set_engine(5);
+  answer.set_granted(true);
+  const int before = world.messages;
+  LoadWorld::Direct sender(world, NodeId(1));
+  world.node(1).onMessage(NodeLife{NodeId(2), Incarnation(1)}, late, world.clock.now(), sender);
+  CHECK(world.messages == before + 1);
+}
+
+}  // namespace fernmoor::peers
--- a/test/platform/ingress_test.cpp
+++ b/test/platform/ingress_test.cpp
@@ -34,7 +34,7 @@
         connections(ConnectOptions{}),
         budget(gateway::SecondSendBounds{}),
         forwarder(gateway::ForwarderServices{clock, table, backends, connections, budget, protocol,
-                                             wanted, hints, metrics},
+                                             wanted, hints, loads, metrics},
                   gateway::ForwarderOptions{"z", std::chrono::seconds(4), 1}),
         work(gateway::StopTimes{}),
         ingress(IngressServices{clock, table, forwarder, work, pools, metrics, refusals,
@@ -100,6 +100,7 @@
   gateway::SecondSendBudget budget;
   EngineProtocol protocol;
   gateway::test::TestHints hints;
+  gateway::test::LocalLoads loads;
   Metrics metrics;
   LogBudget refusals{LogBudgetBounds{}};
   gateway::Forwarder forwarder;
