A silent engine is left only for a send that is paid for and allowed

Now the budget is asked first, and the last run is never left before the deadline. A refusal by an engine is logged with its status.

Ruled out: a larger share of the budget for each node (the bound is that of all nodes together).

--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -45,6 +45,8 @@
   /// Requests with a key are sent on only while the table is proven to be at most this old.
   Duration keyFreshness{4500000};
   uint64_t randomSeed = 0;
+  /// Silence after which a request that may run again is sent elsewhere.
+  Duration silenceBeforeSecondSend{1500000};
 };
 
 /// Counts since the start.
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -14,8 +14,6 @@
 /// Answers up to this size are held back until they are whole, so that a broken one can be asked
 /// for again and never reaches the caller.
 constexpr size_t kHeldAnswerBytes = 256U << 10U;
-/// Silence after which a request that may run again is sent elsewhere.
-constexpr Duration kSilenceBeforeSecondSend{1500000};
 /// With less time left than this a request is not sent any more.
 constexpr Duration kLeastUsefulTime{5000};
 constexpr Duration kRetryAfterBusy{250000};
@@ -55,10 +53,41 @@
   return sends_ == 0 || services_.budget.trySecondSend(request_.pool, services_.clock.now());
 }
 
+bool RequestRun::mayLeaveEngine() const {
+  const bool mayRunOnceMore = runs_ + 1 < request_.row->maxAttempts;  // After this run.
+  return request_.isRepeatable() && mayRunOnceMore && !isPatient_;
+}
+
 Time RequestRun::stepDeadline() const {
   const Time end = request_.deadline + kLastWordGrace;
-  const bool canMove = request_.isRepeatable() && runs_ < request_.row->maxAttempts;
-  return canMove ? std::min(end, services_.clock.now() + kSilenceBeforeSecondSend) : end;
+  const Time leaveAt = services_.clock.now() + forwarder_.options_.silenceBeforeSecondSend;
+  return mayLeaveEngine() ? std::min(end, leaveAt) : end;
+}
+
+/// A silent engine is left only where another send is paid for; else it may still answer, and its
+/// answer is the only one that can come.
+bool RequestRun::staysWithSilentEngine() {
+  const Time now = services_.clock.now();
+  if (!mayLeaveEngine() || now >= request_.deadline) {
+    return false;
+  }
+  secondSendPaid_ = services_.budget.trySecondSend(request_.pool, now);
+  isPatient_ = !secondSendPaid_;
+  return isPatient_;
+}
+
+AttemptStep RequestRun::awaitHead(EngineAttempt& attempt) {
+  const AttemptStep step = attempt.awaitHead(caller_, stepDeadline());
+  return step == AttemptStep::kSilent && staysWithSilentEngine()
+             ? attempt.awaitHead(caller_, stepDeadline())
+             : step;
+}
+
+AttemptStep RequestRun::readStream(EngineAttempt& attempt, std::string& bytes) {
+  const AttemptStep step = attempt.readBody(caller_, stepDeadline(), bytes);
+  return step == AttemptStep::kSilent && staysWithSilentEngine()
+             ? attempt.readBody(caller_, stepDeadline(), bytes)
+             : step;
 }
 
 void RequestRun::noteEnd(BackendVerdict verdict, AttemptEnd end) {
@@ -159,7 +188,7 @@
     ++sends_;
   }
   if (step == AttemptStep::kDone) {
-    step = attempt.awaitHead(caller_, stepDeadline());
+    step = awaitHead(attempt);
   }
   return step == AttemptStep::kDone ? takeAnswer(attempt) : afterStep(step);
 }
@@ -176,6 +205,7 @@
   services_.backends.started(plan_.backend.id, request_.promptTokens);
   atBackend_ = true;
   promptCounted_ = true;
+  isPatient_ = false;
   TrailEntry entry;
   entry.backend = plan_.backend.id;
   entry.inFlight = planned.inFlight;
@@ -199,6 +229,7 @@
   const AnswerFacts& facts = attempt.facts();
   noteWeights(facts);
   if (facts.didNotRun) {
+    trail_.noteStatus(static_cast<int>(attempt.head().getStatus()));
     noteEnd(BackendVerdict::kNeutral, AttemptEnd::kTurnedAway);
     std::string rest;
     attempt.readBody(caller_, services_.clock.now(), rest);
@@ -315,7 +346,7 @@
   EventSplitter events;
   std::string bytes;
   while (!attempt.bodyComplete()) {
-    const AttemptStep step = attempt.readBody(caller_, stepDeadline(), bytes);
+    const AttemptStep step = readStream(attempt, bytes);
     if (step != AttemptStep::kDone) {
       return afterStep(step);
     }
--- a/src/gateway/request_run.h
+++ b/src/gateway/request_run.h
@@ -46,7 +46,11 @@
   bool sendStreamHead(EngineAttempt& attempt);
   bool mayRunElsewhere() const;
   bool maySendAgain();
+  bool mayLeaveEngine() const;
   Time stepDeadline() const;
+  bool staysWithSilentEngine();
+  AttemptStep awaitHead(EngineAttempt& attempt);
+  AttemptStep readStream(EngineAttempt& attempt, std::string& bytes);
   void noteEnd(BackendVerdict verdict, AttemptEnd end);
   void notePromptRead();
   void deliverHeld();
@@ -73,6 +77,7 @@
   std::string lastEventId_;  ///< Of the last event that the caller has.
   bool callerGone_ = false;
   bool secondSendPaid_ = false;  ///< The budget was asked before the back end was chosen.
+  bool isPatient_ = false;       ///< It stays with its engine, whatever the silence.
   std::optional<HeldAnswer> held_;
   EngineShare share_ = EngineShare::kAll;
   std::optional<Time> firstEventAt_;
--- a/src/gateway/request_trail.cpp
+++ b/src/gateway/request_trail.cpp
@@ -39,6 +39,12 @@
   }
 }
 
+void RequestTrail::noteStatus(int status) {
+  if (!entries_.empty()) {
+    entries_.back().status = status;
+  }
+}
+
 std::string RequestTrail::text() const {
   std::string text;
   for (const TrailEntry& entry : entries_) {
@@ -46,6 +52,9 @@
     text += entry.backend + " (" + std::to_string(entry.inFlight) + " running, " +
             std::to_string(entry.pendingTokens) + " tokens waiting) at " +
             milliseconds(entry.sentAfter) + " " + phraseOf(entry.end);
+    if (entry.status != 0) {
+      text += " with " + std::to_string(entry.status);
+    }
     if (entry.end != AttemptEnd::kUnderWay) {
       text += " after " + milliseconds(entry.endedAfter);
     }
--- a/src/gateway/request_trail.h
+++ b/src/gateway/request_trail.h
@@ -32,6 +32,7 @@
   Duration sentAfter{};        ///< From the request's arrival.
   Duration endedAfter{};       ///< From the request's arrival.
   AttemptEnd end = AttemptEnd::kUnderWay;
+  int status = 0;  ///< Of a back end that turned it away; 0: not noted.
 };
 
 /// Not thread-safe; belongs to one request.
@@ -40,6 +41,8 @@
   void begin(TrailEntry entry) { entries_.push_back(std::move(entry)); }
   /// Notes the end of the last attempt; only the first end counts.
   void end(AttemptEnd end, Duration after);
+  /// Notes the status that the last attempt was answered with.
+  void noteStatus(int status);
   bool isEmpty() const { return entries_.empty(); }
 
   /// @return one phrase an attempt, e.g. "i-7f3 (3 running, 5200 tokens waiting) at 12 ms broke
--- a/test/gateway/forwarder_test.cpp
+++ b/test/gateway/forwarder_test.cpp
@@ -34,6 +34,19 @@
   };
 }
 
+/// Says nothing for a while, three times as long as a request that may run again waits.
+Script answersAfterSilence(int times) {
+  return [=](Poco::Net::StreamSocket& socket, const std::string&) {
+    std::this_thread::sleep_for(kSilence * 3 * times);
+    say(socket, answer("200 OK", "the answer", "Id: r1\r\n"));
+    return true;
+  };
+}
+
+bool holdsText(const std::string& text, const std::string& part) {
+  return text.find(part) != std::string::npos;
+}
+
 int requestsOf(const ForwarderWorld& world) {
   int sum = 0;
   for (const auto& backend : world.scripted) {
@@ -149,6 +162,44 @@
   CHECK(promisesNotRun(world.caller));
 }
 
+TEST_CASE("a silent back end is left for another where a second send is paid for") {
+  ForwarderWorld world;
+  world.row.repetition = Repetition::kRepeatable;
+  for (const char* id : {"a", "b"}) {
+    world.add(id, answersAfterSilence(id == std::string("a") ? 1 : 2));
+  }
+  world.serve();
+  CHECK(world.caller.finished);
+  CHECK(requestsOf(world) == 2);
+}
+
+TEST_CASE("without a second send to spend, a request stays with its silent back end to the end") {
+  ForwarderWorld world(0);
+  world.row.repetition = Repetition::kRepeatable;
+  for (const char* id : {"a", "b"}) {
+    world.add(id, answersAfterSilence(id == std::string("a") ? 1 : 2));
+  }
+  world.serve();
+  CHECK(world.caller.finished);
+  CHECK(world.caller.refusals.empty());
+  CHECK(requestsOf(world) == 1);
+}
+
+TEST_CASE("without a second send to spend, a stream outlasts a pause of its engine") {
+  ForwarderWorld world(0);
+  world.row.isStream = true;
+  world.row.isResumable = true;
+  world.add("a", [](Poco::Net::StreamSocket& socket, const std::string&) {
+    say(socket, streamHead() + chunk(event(1)));
+    std::this_thread::sleep_for(kSilence * 3);
+    say(socket, chunk(event(2)) + "0\r\n\r\n");
+    return true;
+  });
+  world.serve();
+  CHECK(world.caller.finished);
+  CHECK(world.caller.body == event(1) + event(2));
+}
+
 TEST_CASE("without back ends a request is refused at once") {
   ForwarderWorld world;
   world.serve();
@@ -363,22 +414,18 @@
   }
 };
 
-bool holds(const std::string& text, const std::string& part) {
-  return text.find(part) != std::string::npos;
-}
-
 }  // namespace
 
 TEST_CASE("a part is saved by the first request that reads it, and found by the next") {
   CacheWorld world;
   ScriptedBackend& engine = world.addEngine("a", 3);
   world.forwarder.serve(world.prompt(), world.caller);
-  CHECK(holds(engine.lastRequest(), "Scope: shared.v3\r\n"));
-  CHECK(holds(engine.lastRequest(), "Fetch-From: 10.9.9.9:99\r\n"));
-  CHECK(holds(engine.lastRequest(), "Save-To: 10.9.9.9:99\r\n"));
+  CHECK(holdsText(engine.lastRequest(), "Scope: shared.v3\r\n"));
+  CHECK(holdsText(engine.lastRequest(), "Fetch-From: 10.9.9.9:99\r\n"));
+  CHECK(holdsText(engine.lastRequest(), "Save-To: 10.9.9.9:99\r\n"));
   world.forwarder.serve(world.prompt(), world.caller);
-  CHECK(holds(engine.lastRequest(), "Fetch-From: "));
-  CHECK_FALSE(holds(engine.lastRequest(), "Save-To: "));
+  CHECK(holdsText(engine.lastRequest(), "Fetch-From: "));
+  CHECK_FALSE(holdsText(engine.lastRequest(), "Save-To: "));
 }
 
 TEST_CASE("a part is taken from the engine that read it last, if that holds the same weights") {
@@ -390,7 +437,7 @@
   world.backends.update(left, world.clock.now());
   ScriptedBackend& second = world.addEngine("b", 3);
   world.forwarder.serve(world.prompt(), world.caller);
-  CHECK(holds(second.lastRequest(), "Fetch-From: 10.9.9.9:99\r\n"));
+  CHECK(holdsText(second.lastRequest(), "Fetch-From: 10.9.9.9:99\r\n"));
 
   CacheWorld both;
   both.addEngine("a", 3);
@@ -398,8 +445,8 @@
   both.backends.avoidUntil("a", both.clock.now() + std::chrono::hours(1));
   ScriptedBackend& other = both.addEngine("b", 4);
   both.forwarder.serve(both.prompt(), both.caller);
-  CHECK(holds(other.lastRequest(), "Scope: shared.v4\r\n"));
-  CHECK(holds(other.lastRequest(), "Fetch-From: 10.9.9.9:99\r\n"));
+  CHECK(holdsText(other.lastRequest(), "Scope: shared.v4\r\n"));
+  CHECK(holdsText(other.lastRequest(), "Fetch-From: 10.9.9.9:99\r\n"));
   CHECK(first.requests() == 1);
 }
 
--- a/test/gateway/forwarder_world.h
+++ b/test/gateway/forwarder_world.h
@@ -228,6 +228,9 @@
   bool isSilent = false;
 };
 
+/// Silence after which a request that may run again is sent elsewhere.
+constexpr Duration kSilence{100000};
+
 /// A forwarder before scripted back ends of one pool.
 class ForwarderWorld {
  public:
@@ -237,7 +240,7 @@
         budget(SecondSendBounds{0, std::chrono::seconds(10), secondSends}),
         forwarder(ForwarderServices{clock, table, backends, connections, budget, protocol, wanted,
                                     hints, loads, metrics},
-                  ForwarderOptions{"zone", std::chrono::seconds(5), 1}) {
+                  ForwarderOptions{"zone", std::chrono::seconds(5), 1, kSilence}) {
     row.name = "row";
     row.maxAttempts = 2;
     row.repetition = Repetition::kOnce;
