--- a/src/peers/mirror_role.cpp
+++ b/src/peers/mirror_role.cpp
@@ -81,9 +81,8 @@
   }
   const size_t count = nodes.size();
   nodes = rendezvousTop(nodeHash(self_), std::move(nodes), count, nodeHash);
-  std::stable_partition(nodes.begin(), nodes.end(), [&](NodeId node) {
-    return members_->find(node)->zone == zone;
-  });
+  std::stable_partition(nodes.begin(), nodes.end(),
+                        [&](NodeId node) { return members_->find(node)->zone == zone; });
   std::stable_partition(nodes.begin(), nodes.end(), [&](NodeId node) {
     return std::find(readingNodes.begin(), readingNodes.end(), node) != readingNodes.end();
   });
--- a/src/weights/move_hints.cpp
+++ b/src/weights/move_hints.cpp
@@ -26,11 +26,12 @@
     at = std::max(at, move.at);
   }
   std::vector<MoveHint> hints;
-  for (const auto& [engine, at] : newest) {
+  for (const auto& entry : newest) {
     const auto known = std::find_if(hints_.begin(), hints_.end(), [&](const MoveHint& hint) {
-      return hint.engine == engine && at - hint.at < kSameMove;
+      return hint.engine == entry.first && entry.second - hint.at < kSameMove;
     });
-    hints.push_back(known != hints_.end() ? *known : MoveHint{engine, ledger.revision, at});
+    hints.push_back(known != hints_.end() ? *known
+                                          : MoveHint{entry.first, ledger.revision, entry.second});
   }
   hints_ = std::move(hints);
   return hints_;
