Transport test: ports that no outgoing connection can hold

Cause: a whole test run failed three cases of peer_transport_test with 'Net Exception', once (463 passed, 3 failed). Ports 47311 and 47312 lie in the range from which the system gives ports to outgoing connections (32768 to 60999); a connection that holds 127.0.0.1:47311 makes the three cases fail each time, which a run showed. They now use ports below the range on 127.0.0.77; with the new first port held on 127.0.0.1 all three pass. What they check is the same.

--- a/test/wire/peer_transport_test.cpp
+++ b/test/wire/peer_transport_test.cpp
@@ -10,15 +10,18 @@
 
 namespace {
 
-constexpr uint16_t kFirstPort = 47311;
-constexpr uint16_t kSecondPort = 47312;
+// Outside the ports that the system gives to outgoing connections, on an address that none of them
+// uses: a connection of any other test could hold the port otherwise.
+const char* const kHost = "127.0.0.77";
+constexpr uint16_t kFirstPort = 21311;
+constexpr uint16_t kSecondPort = 21312;
 
 std::optional<SocketAddress> lookup(NodeId node) {
   if (node == NodeId(1)) {
-    return SocketAddress{"127.0.0.1", kFirstPort};
+    return SocketAddress{kHost, kFirstPort};
   }
   if (node == NodeId(2)) {
-    return SocketAddress{"127.0.0.1", kSecondPort};
+    return SocketAddress{kHost, kSecondPort};
   }
   return std::nullopt;
 }
