Read once more: one choice by load where two stood, counters that nobody read are gone

chooseBackend kept a way for prompts with shared parts that only its tests used since the planner asks for loads, with a second bound of 6,000 tokens: chooseHome and chooseLeastLoaded are now the one choice, used by planner and tests (the tests keep their assertions). ForwarderCounters was counted and never read (Metrics tells these). The mover reads the list of engines once a step, two look-ups of held weights are one, the two tests of directories share their world.

--- a/src/backends/backend_set.cpp
+++ b/src/backends/backend_set.cpp
@@ -156,31 +156,33 @@
   judge(found->second, verdict, now);
 }
 
-void BackendSet::noteWeights(const std::string& id, const std::string& model, uint64_t version) {
-  const std::lock_guard<std::mutex> lock(mutex_);
+HeldWeights* BackendSet::findWeights(const std::string& id, const std::string& model) {
   const auto found = entries_.find(id);
   if (found == entries_.end()) {
+    return nullptr;
+  }
+  std::vector<HeldWeights>& weights = found->second.listing.weights;
+  const auto held = std::find_if(weights.begin(), weights.end(),
+                                 [&](const HeldWeights& each) { return each.model == model; });
+  return held == weights.end() ? nullptr : &*held;
+}
+
+void BackendSet::noteWeights(const std::string& id, const std::string& model, uint64_t version) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  if (HeldWeights* held = findWeights(id, model)) {
+    held->version = std::max(held->version, version);
     return;
   }
-  for (HeldWeights& held : found->second.listing.weights) {
-    if (held.model == model) {
-      held.version = std::max(held.version, version);
-      return;
-    }
+  const auto found = entries_.find(id);
+  if (found != entries_.end()) {
+    found->second.listing.weights.push_back(HeldWeights{model, version});
   }
-  found->second.listing.weights.push_back(HeldWeights{model, version});
 }
 
 void BackendSet::correctWeights(const std::string& id, const std::string& model, uint64_t version) {
   const std::lock_guard<std::mutex> lock(mutex_);
-  const auto found = entries_.find(id);
-  if (found == entries_.end()) {
-    return;
-  }
-  for (HeldWeights& held : found->second.listing.weights) {
-    if (held.model == model) {
-      held.version = version;
-    }
+  if (HeldWeights* held = findWeights(id, model)) {
+    held->version = version;
   }
 }
 
--- a/src/backends/backend_set.h
+++ b/src/backends/backend_set.h
@@ -92,6 +92,8 @@
     int ejections = 0;
   };
 
+  /// @return the weights of the model that the back end lists, or null. Call with the lock held.
+  HeldWeights* findWeights(const std::string& id, const std::string& model);
   void merge(Entry& entry, const BackendListing& listing);
   void judge(Entry& entry, BackendVerdict verdict, Time now);
 
--- a/src/gateway/backend_choice.cpp
+++ b/src/gateway/backend_choice.cpp
@@ -12,10 +12,12 @@
 constexpr double kBoundedLoadFactor = 1.5;
 /// Requests that every back end may have whatever the mean is.
 constexpr double kBoundedLoadSlack = 4;
-/// Prompt tokens that wait at a home, of this node's requests, before it passes one on.
-constexpr uint64_t kMostPendingTokens = 6000;
-/// A request seldom gets beyond the first few.
-constexpr size_t kHomesKept = 8;
+/// Prompt tokens of all nodes that wait at a home before it passes a request on: about two prompts.
+constexpr uint64_t kMostPendingTokens = 12000;
+/// The same of this node's own requests, where nobody answers for all.
+constexpr uint64_t kMostPendingTokensUnasked = 6000;
+/// Each costs a trip to another node.
+constexpr size_t kMostHomesAsked = 3;
 /// What a back end of another zone costs, in requests.
 constexpr double kOtherZonePenalty = 1.5;
 
@@ -70,13 +72,11 @@
   return sound.empty() ? usableOf(candidates, tried, true) : sound;
 }
 
-}  // namespace
-
-std::vector<BackendView> homesInOrder(const IncomingRequest& request,
-                                      const std::vector<BackendView>& candidates,
-                                      const ChoiceContext& context) {
+/// @return the candidates in the order in which a request with shared parts is to try them: its
+///         home first, those beyond their share of this node's requests last. Empty for other
+///         requests.
+Candidates homesInOrder(const IncomingRequest& request, Candidates usable) {
   const std::optional<std::string> part = affinityPart(request);
-  Candidates usable = usableOf(candidates, context.tried);
   if (!part || usable.empty()) {
     return {};
   }
@@ -89,31 +89,42 @@
                          [](const BackendView* each) { return stableHash(each->listing.id); });
   std::stable_partition(usable.begin(), usable.end(),
                         [&](const BackendView* each) { return each->inFlight < bound; });
-  std::vector<BackendView> homes;
-  homes.reserve(std::min(count, kHomesKept));
-  for (size_t index = 0; index < std::min(count, kHomesKept); ++index) {
-    homes.push_back(*usable[index]);
-  }
-  return homes;
+  return usable;
 }
 
-std::optional<BackendChoice> chooseBackend(const IncomingRequest& request,
-                                           const std::vector<BackendView>& candidates,
-                                           const ChoiceContext& context, Random& random) {
-  const std::vector<BackendView> homes = homesInOrder(request, candidates, context);
-  for (const BackendView& home : homes) {
-    if (home.pendingTokens < kMostPendingTokens) {
-      return BackendChoice{home};
+}  // namespace
+
+std::optional<BackendChoice> chooseHome(const IncomingRequest& request,
+                                        const std::vector<BackendView>& candidates,
+                                        const ChoiceContext& context, EngineLoads& loads) {
+  const Candidates homes = homesInOrder(request, usableOf(candidates, context.tried));
+  std::optional<BackendChoice> least;
+  for (size_t index = 0; index < std::min(homes.size(), kMostHomesAsked); ++index) {
+    const BackendView& home = *homes[index];
+    const std::optional<LoadAnswer> answer =
+        loads.reserve(stableHash(home.listing.id), request.promptTokens, kMostPendingTokens);
+    BackendChoice choice{home, answer ? answer->pendingTokens : home.pendingTokens, std::nullopt};
+    if (answer && answer->isGranted) {
+      choice.ticket = answer->ticket;
+    }
+    if (choice.ticket || (!answer && home.pendingTokens < kMostPendingTokensUnasked)) {
+      return choice;
+    }
+    if (!least || choice.pendingTokens < least->pendingTokens) {
+      least = choice;
     }
   }
-  if (!homes.empty()) {
-    return BackendChoice{homes.front()};
-  }
+  return least;
+}
+
+std::optional<BackendChoice> chooseLeastLoaded(const std::vector<BackendView>& candidates,
+                                               const ChoiceContext& context, Random& random) {
   const Candidates usable = usableOf(candidates, context.tried);
   if (usable.empty()) {
     return std::nullopt;
   }
-  return BackendChoice{*leastLoaded(usable, context.zone, random)};
+  const BackendView& chosen = *leastLoaded(usable, context.zone, random);
+  return BackendChoice{chosen, chosen.pendingTokens, std::nullopt};
 }
 
 std::string cacheScopeOf(const IncomingRequest& request, uint64_t weightsVersion) {
--- a/src/gateway/backend_choice.h
+++ b/src/gateway/backend_choice.h
@@ -1,9 +1,8 @@
 /// @file
 /// Which back end serves a request. For prompts with shared parts each node computes the same home
-/// of a part by rendezvous hashing, so that a part is read at one engine without the nodes asking
-/// each other; a home that has more than its share of this node's requests passes one on
-/// (consistent hashing with bounded loads, Mirrokni et al., 2018). Other requests go to the back
-/// end with the fewest of this node's requests, its own zone first.
+/// of a part by rendezvous hashing, so that a part is read at one engine; a home that has more than
+/// its share passes a request on (consistent hashing with bounded loads, Mirrokni et al., 2018).
+/// Other requests go to the back end with the fewest of this node's requests, its own zone first.
 #pragma once
 
 #include <optional>
@@ -13,6 +12,7 @@
 
 #include "backends/backend_set.h"
 #include "common/random.h"
+#include "gateway/engine_loads.h"
 #include "gateway/incoming_request.h"
 
 namespace fernmoor::gateway {
@@ -23,23 +23,25 @@
   std::set<std::string> tried;  ///< Ids of back ends that this request was sent to.
 };
 
-/// A choice.
+/// A choice, and what is known of the back end's load.
 struct BackendChoice {
   BackendView backend;
+  uint64_t pendingTokens = 0;        ///< Of all nodes where somebody answered, else of this one.
+  std::optional<LoadTicket> ticket;  ///< To be released when the prompt was read.
 };
 
-/// @return the candidates in the order in which a request with shared parts is to try them: its
-///         home first, those beyond their share of this node's requests last. Empty for other
-///         requests. Candidates that were tried are left out, and avoided ones unless all are.
-std::vector<BackendView> homesInOrder(const IncomingRequest& request,
-                                      const std::vector<BackendView>& candidates,
-                                      const ChoiceContext& context);
+/// Chooses for a request with shared parts. Asks those who count for all nodes, home after home,
+/// where less than the bound waits; where more waits at each, the one with the least is taken.
+/// Candidates that were tried are left out, and avoided ones unless all are. Waits for other nodes.
+/// @return nothing for a request without shared parts, or where no candidate is left.
+std::optional<BackendChoice> chooseHome(const IncomingRequest& request,
+                                        const std::vector<BackendView>& candidates,
+                                        const ChoiceContext& context, EngineLoads& loads);
 
-/// Chooses by what this node knows alone.
+/// Chooses by what this node has running, its own zone first.
 /// @return nothing where no candidate is left.
-std::optional<BackendChoice> chooseBackend(const IncomingRequest& request,
-                                           const std::vector<BackendView>& candidates,
-                                           const ChoiceContext& context, Random& random);
+std::optional<BackendChoice> chooseLeastLoaded(const std::vector<BackendView>& candidates,
+                                               const ChoiceContext& context, Random& random);
 
 /// @return the name under which engines keep a request's cached parts: requests of an isolated
 ///         tenant share with nobody else's, and none share across versions of the weights.
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -5,7 +5,6 @@
 /// never sent again unless the back end vouches that it did not run.
 #pragma once
 
-#include <atomic>
 #include <memory>
 #include <string>
 
@@ -49,17 +48,6 @@
   Duration silenceBeforeSecondSend{1500000};
 };
 
-/// Counts since the start.
-struct ForwarderCounters {
-  std::atomic<uint64_t> requests{0};
-  std::atomic<uint64_t> delivered{0};
-  std::atomic<uint64_t> refused{0};
-  std::atomic<uint64_t> brokenOff{0};
-  std::atomic<uint64_t> callersGone{0};
-  std::atomic<uint64_t> secondSends{0};
-  std::atomic<uint64_t> resumed{0};
-};
-
 /// Thread-safe: serves many requests at once.
 class Forwarder {
  public:
@@ -67,14 +55,12 @@
 
   /// Serves the request to its end; the caller has its answer, or its broken connection, then.
   void serve(const IncomingRequest& request, CallerChannel& caller);
-  const ForwarderCounters& counters() const { return counters_; }
 
  private:
   friend class RequestRun;
 
   ForwarderServices services_;
   ForwarderOptions options_;
-  ForwarderCounters counters_;
   EngineDivision division_;
   SendPlanner planner_;
   OutcomeLog outcomeLog_;
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -199,7 +199,6 @@
   if (sends_ == 0) {
     services_.budget.countRequest(request_.pool, now);
   } else {
-    ++forwarder_.counters_.secondSends;
     metrics_.countRetry();
   }
   services_.backends.started(plan_.backend.id, request_.promptTokens);
@@ -308,7 +307,6 @@
 
 bool RequestRun::sendStreamHead(EngineAttempt& attempt) {
   if (headSent_) {
-    ++forwarder_.counters_.resumed;
     return true;
   }
   headSent_ = true;
@@ -370,7 +368,6 @@
 
 void RequestRun::giveUp() {
   if (headSent_) {
-    ++forwarder_.counters_.brokenOff;
     caller_.breakOff();
     logEnd(RequestOutcome::kBrokenOff);
     return;
@@ -396,7 +393,6 @@
 }
 
 void RequestRun::refuse(const Error& error) {
-  ++forwarder_.counters_.refused;
   metrics_.countRefusal(error.kind);
   caller_.refuse(error);
 }
@@ -418,7 +414,6 @@
 }
 
 void RequestRun::run() {
-  ++forwarder_.counters_.requests;
   metrics_.countRequest();
   share_ = forwarder_.division_.note(request_, services_.clock.now());
   Next next = Next::kElsewhere;
@@ -437,11 +432,9 @@
   if (next == Next::kGiveUp) {
     giveUp();
   } else if (callerGone_) {
-    ++forwarder_.counters_.callersGone;
     caller_.breakOff();
     logEnd(RequestOutcome::kCallerLeft);
   } else {
-    ++forwarder_.counters_.delivered;
     logEnd(RequestOutcome::kDelivered);
   }
 }
--- a/src/gateway/send_planner.cpp
+++ b/src/gateway/send_planner.cpp
@@ -14,12 +14,6 @@
 constexpr Duration kStoredMemory{20000000};
 /// How long an engine counts as holding a part that it has read.
 constexpr Duration kReadMemory{10000000};
-/// Prompt tokens of all nodes that wait at a home before it passes a request on: about two prompts.
-constexpr uint64_t kMostPendingTokens = 12000;
-/// The same of this node's own requests, where nobody answers for all.
-constexpr uint64_t kMostPendingTokensUnasked = 6000;
-/// Each costs a trip to another node.
-constexpr size_t kMostHomesAsked = 3;
 constexpr int kUrgenciesPerTenantPriority = 3;
 constexpr int kLeastUrgent = 9;
 
@@ -55,32 +49,8 @@
 SendPlanner::SendPlanner(PlannerServices services, std::string zone, uint64_t randomSeed)
     : services_(services), zone_(std::move(zone)), random_(randomSeed) {}
 
-/// Asks those who count for all nodes, home after home, where less than the bound waits. Where more
-/// waits at each, the one with the least is taken.
-SendPlanner::Chosen SendPlanner::chooseHome(const IncomingRequest& request,
-                                            const std::vector<BackendView>& homes) {
-  std::optional<Chosen> least;
-  const size_t asked = std::min(homes.size(), kMostHomesAsked);
-  for (size_t index = 0; index < asked; ++index) {
-    const BackendView& home = homes[index];
-    const std::optional<LoadAnswer> answer = services_.loads.reserve(
-        stableHash(home.listing.id), request.promptTokens, kMostPendingTokens);
-    Chosen chosen{home, answer ? answer->pendingTokens : home.pendingTokens, std::nullopt};
-    if (answer && answer->isGranted) {
-      chosen.ticket = answer->ticket;
-    }
-    if (chosen.ticket || (!answer && home.pendingTokens < kMostPendingTokensUnasked)) {
-      return chosen;
-    }
-    if (!least || chosen.pendingTokens < least->pendingTokens) {
-      least = chosen;
-    }
-  }
-  return *least;
-}
-
-std::optional<SendPlanner::Chosen> SendPlanner::choose(const PlanInput& input,
-                                                       std::vector<BackendView> members, Time now) {
+std::optional<BackendChoice> SendPlanner::choose(const PlanInput& input,
+                                                 std::vector<BackendView> members, Time now) {
   const std::string& model = input.request.model;
   leaveOutOldWeights(members, ServingVersions{services_.wanted.lowestServing(model, now),
                                               services_.wanted.uncertainVersion(model)});
@@ -92,16 +62,13 @@
                              }),
               share.end());
   const std::vector<BackendView>& candidates = share.empty() ? members : share;
-  const std::vector<BackendView> homes = homesInOrder(input.request, candidates, context);
-  if (!homes.empty()) {
-    return chooseHome(input.request, homes);
+  std::optional<BackendChoice> home =
+      chooseHome(input.request, candidates, context, services_.loads);
+  if (home) {
+    return home;
   }
   const std::lock_guard<std::mutex> lock(randomMutex_);
-  const std::optional<BackendChoice> choice =
-      chooseBackend(input.request, candidates, context, random_);
-  return choice ? std::optional<Chosen>(
-                      Chosen{choice->backend, choice->backend.pendingTokens, std::nullopt})
-                : std::nullopt;
+  return chooseLeastLoaded(candidates, context, random_);
 }
 
 /// Parts come from the engine that read the longest of them last, or from the store. Saving sends
@@ -139,7 +106,7 @@
   const Time now = services_.clock.now();
   const std::vector<BackendView> members =
       services_.backends.membersOf(request.pool, request.model, now);
-  const std::optional<Chosen> chosen = choose(input, members, now);
+  const std::optional<BackendChoice> chosen = choose(input, members, now);
   if (!chosen) {
     return std::nullopt;
   }
--- a/src/gateway/send_planner.h
+++ b/src/gateway/send_planner.h
@@ -12,6 +12,7 @@
 #include "backends/backend_set.h"
 #include "backends/wanted_weights.h"
 #include "common/random.h"
+#include "gateway/backend_choice.h"
 #include "gateway/backend_protocol.h"
 #include "gateway/engine_division.h"
 #include "gateway/engine_loads.h"
@@ -59,15 +60,8 @@
   void notePartsRead(const IncomingRequest& request, const SendPlan& plan);
 
  private:
-  /// A back end and what is known of its load.
-  struct Chosen {
-    BackendView backend;
-    uint64_t pendingTokens = 0;
-    std::optional<LoadTicket> ticket;
-  };
-
-  std::optional<Chosen> choose(const PlanInput& input, std::vector<BackendView> members, Time now);
-  Chosen chooseHome(const IncomingRequest& request, const std::vector<BackendView>& homes);
+  std::optional<BackendChoice> choose(const PlanInput& input, std::vector<BackendView> members,
+                                      Time now);
   void planCache(const PlanInput& input, const std::vector<BackendView>& members, Time now,
                  SendPlan& plan);
 
--- a/src/weights/weight_mover.cpp
+++ b/src/weights/weight_mover.cpp
@@ -51,9 +51,9 @@
   stepInDelay_ = kStandstill + random_.between(Duration(0), kStandstillSpread);
 }
 
-size_t WeightMover::atOnce() const {
+size_t WeightMover::atOnce(const std::vector<BackendListing>& listings) {
   size_t engines = 0;
-  for (const BackendListing& listing : services_.engines.all()) {
+  for (const BackendListing& listing : listings) {
     engines += listing.weights.empty() ? 0 : 1;
   }
   return std::max(kFewestAtOnce, engines / kEnginesPerMove);
@@ -222,8 +222,9 @@
 
 Duration WeightMover::step() {
   followMoves(services_.clock.now());
-  bounds_.atOnce = atOnce();
-  const WeightPlan plan = planMoves(services_.engines.all(), services_.wanted, bounds_);
+  const std::vector<BackendListing> listings = services_.engines.all();
+  bounds_.atOnce = atOnce(listings);
+  const WeightPlan plan = planMoves(listings, services_.wanted, bounds_);
   const Time now = services_.clock.now();
   if (!plan.startBy) {
     return underWay_.empty() ? kIdleStep : kBusyStep;
--- a/src/weights/weight_mover.h
+++ b/src/weights/weight_mover.h
@@ -65,7 +65,7 @@
   std::optional<uint64_t> resolveUnknownWrite(const Ledger& intended);
   void giveOrders(const std::vector<Candidate>& candidates, uint64_t fence, Time intendedAt);
   void learnMoveTime(Duration took);
-  size_t atOnce() const;
+  static size_t atOnce(const std::vector<BackendListing>& listings);
 
   MoverServices services_;
   MoverOptions options_;
--- a/test/gateway/backend_choice_test.cpp
+++ b/test/gateway/backend_choice_test.cpp
@@ -32,10 +32,22 @@
   IncomingRequest request;
 };
 
+/// Nobody counts for all nodes, so that the choice goes by what this node knows.
+class SilentLoads : public EngineLoads {
+ public:
+  std::optional<LoadAnswer> reserve(uint64_t, uint64_t, uint64_t) override { return std::nullopt; }
+  void release(const LoadTicket&) override {}
+};
+
 std::string chosen(const IncomingRequest& request, const std::vector<BackendView>& candidates,
                    const std::set<std::string>& tried = {}) {
   Random random(1);
-  const auto choice = chooseBackend(request, candidates, ChoiceContext{"near", tried}, random);
+  SilentLoads loads;
+  const ChoiceContext context{"near", tried};
+  auto choice = chooseHome(request, candidates, context, loads);
+  if (!choice) {
+    choice = chooseLeastLoaded(candidates, context, random);
+  }
   return choice ? choice->backend.listing.id : "none";
 }
 
--- /dev/null
+++ b/test/peers/directory_world.h
@@ -0,0 +1,60 @@
+/// @file
+/// Several nodes' directories whose messages are delivered as they are sent.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <set>
+
+#include "common/role.h"
+#include "membership/membership_snapshot.h"
+
+namespace fernmoor::peers::test {
+
+/// @tparam Directory a role that is made from its node, a clock and a sender, and takes members.
+template <class Directory>
+class DirectoryWorld {
+ public:
+  class Direct : public MessageSender {
+   public:
+    Direct(DirectoryWorld& world, NodeId from) : world_(world), from_(from) {}
+    void send(NodeId to, const proto::Envelope& envelope) override {
+      ++world_.messages;
+      if (world_.silent.count(to) == 0) {
+        world_.node(to).onMessage(NodeLife{from_, Incarnation(1)}, envelope, world_.clock.now(),
+                                  *world_.senders_.at(to));
+      }
+    }
+
+   private:
+    DirectoryWorld& world_;
+    NodeId from_;
+  };
+
+  explicit DirectoryWorld(uint64_t count) {
+    auto members = std::make_shared<MembershipSnapshot>();
+    for (uint64_t id = 1; id <= count; ++id) {
+      Member member;
+      member.life.node = NodeId(id);
+      members->members.push_back(member);
+      senders_[NodeId(id)] = std::make_unique<Direct>(*this, NodeId(id));
+      nodes_[NodeId(id)] = std::make_unique<Directory>(NodeId(id), clock, *senders_[NodeId(id)]);
+    }
+    for (auto& node : nodes_) {
+      node.second->setMembers(members);
+    }
+  }
+  Directory& node(NodeId id) { return *nodes_.at(id); }
+  Directory& node(uint64_t id) { return node(NodeId(id)); }
+  size_t size() const { return nodes_.size(); }
+
+  SystemClock clock;
+  int messages = 0;
+  std::set<NodeId> silent;  ///< Nodes that get no messages.
+
+ private:
+  std::map<NodeId, std::unique_ptr<Direct>> senders_;
+  std::map<NodeId, std::unique_ptr<Directory>> nodes_;
+};
+
+}  // namespace fernmoor::peers::test
--- a/test/peers/load_directory_test.cpp
+++ b/test/peers/load_directory_test.cpp
@@ -4,7 +4,7 @@
 
 #include <doctest/doctest.h>
 
-#include <set>
+#include "test/peers/directory_world.h"
 
 namespace fernmoor::peers {
 
@@ -14,56 +14,16 @@
 
 constexpr uint64_t kBound = 12000;
 
-class LoadWorld {
+class LoadWorld : public test::DirectoryWorld<LoadDirectory> {
  public:
-  /// Delivers each message as it is sent.
-  class Direct : public MessageSender {
-   public:
-    Direct(LoadWorld& world, NodeId from) : world_(world), from_(from) {}
-    void send(NodeId to, const proto::Envelope& envelope) override {
-      ++world_.messages;
-      if (world_.silent.count(to) == 0 && world_.silent.count(from_) == 0) {
-        world_.node(to.value())
-            .onMessage(NodeLife{from_, Incarnation(1)}, envelope, world_.clock.now(),
-                       *world_.senders_.at(to));
-      }
-    }
-
-   private:
-    LoadWorld& world_;
-    NodeId from_;
-  };
-
-  explicit LoadWorld(uint64_t count) {
-    auto members = std::make_shared<MembershipSnapshot>();
-    for (uint64_t id = 1; id <= count; ++id) {
-      Member member;
-      member.life.node = NodeId(id);
-      members->members.push_back(member);
-      senders_[NodeId(id)] = std::make_unique<Direct>(*this, NodeId(id));
-      nodes_[NodeId(id)] =
-          std::make_unique<LoadDirectory>(NodeId(id), clock, *senders_[NodeId(id)]);
-    }
-    for (auto& node : nodes_) {
-      node.second->setMembers(members);
-    }
-  }
-  LoadDirectory& node(uint64_t id) { return *nodes_.at(NodeId(id)); }
-  size_t enginesCounted() const {
+  using DirectoryWorld::DirectoryWorld;
+  size_t enginesCounted() {
     size_t sum = 0;
-    for (const auto& node : nodes_) {
-      sum += node.second->engineCount();
+    for (uint64_t id = 1; id <= size(); ++id) {
+      sum += node(id).engineCount();
     }
     return sum;
   }
-
-  SystemClock clock;
-  int messages = 0;
-  std::set<NodeId> silent;
-
- private:
-  std::map<NodeId, std::unique_ptr<Direct>> senders_;
-  std::map<NodeId, std::unique_ptr<LoadDirectory>> nodes_;
 };
 
 }  // namespace
--- a/test/peers/part_directory_test.cpp
+++ b/test/peers/part_directory_test.cpp
@@ -4,7 +4,7 @@
 
 #include <doctest/doctest.h>
 
-#include <map>
+#include "test/peers/directory_world.h"
 
 namespace fernmoor::peers {
 
@@ -13,50 +13,7 @@
 using gateway::PartHint;
 using gateway::PartKey;
 
-class DirectoryWorld {
- public:
-  /// Delivers each message as it is sent.
-  class Direct : public MessageSender {
-   public:
-    Direct(DirectoryWorld& world, NodeId from) : world_(world), from_(from) {}
-    void send(NodeId to, const proto::Envelope& envelope) override {
-      ++world_.messages;
-      if (world_.silent.count(to) == 0) {
-        world_.node(to).onMessage(NodeLife{from_, Incarnation(1)}, envelope, world_.clock.now(),
-                                  *world_.senders_.at(to));
-      }
-    }
-
-   private:
-    DirectoryWorld& world_;
-    NodeId from_;
-  };
-
-  explicit DirectoryWorld(uint64_t count) {
-    auto members = std::make_shared<MembershipSnapshot>();
-    for (uint64_t id = 1; id <= count; ++id) {
-      Member member;
-      member.life.node = NodeId(id);
-      members->members.push_back(member);
-      senders_[NodeId(id)] = std::make_unique<Direct>(*this, NodeId(id));
-      nodes_[NodeId(id)] =
-          std::make_unique<PartDirectory>(NodeId(id), clock, *senders_[NodeId(id)]);
-    }
-    for (auto& node : nodes_) {
-      node.second->setMembers(members);
-    }
-  }
-  PartDirectory& node(NodeId id) { return *nodes_.at(id); }
-  PartDirectory& node(uint64_t id) { return node(NodeId(id)); }
-
-  SystemClock clock;
-  int messages = 0;
-  std::set<NodeId> silent;
-
- private:
-  std::map<NodeId, std::unique_ptr<Direct>> senders_;
-  std::map<NodeId, std::unique_ptr<PartDirectory>> nodes_;
-};
+using DirectoryWorld = test::DirectoryWorld<PartDirectory>;
 
 }  // namespace
 
