Moves: turn, candidates and write rest on one revision; a successor waits for the last order of its predecessor

The conditional write succeeded and both ordered. Beside that, the margin on the turn (0.4 s) covered the intent's lifetime only, not the order's own way: a call that was given up was closed gracefully, so the kernel went on delivering it.

Tests, each seen to fail: overtaken while reports are asked (with the view's ledger written), successor's wait (with the old margin), given-up call (before the reset).

--- a/spec/moves.pml
+++ b/spec/moves.pml
@@ -5,8 +5,9 @@
  * the writer saw; two nodes that each read it, write that they are about to order an engine, and
  * order it; one engine that does not check fences itself (engines share nothing but the
  * ledger's revision). A node may stand still between any two
- * steps while time goes on; a write's answer may be lost, and a write may be done late, if its
- * condition still holds.
+ * steps while time goes on, also between its decision by a ledger and its write (it asks engines
+ * for reports there) while its watch shows it newer ones; a write's answer may be lost, and a write
+ * may be done late, if its condition still holds; an order takes time to arrive.
  *
  * Leaves out: several engines, how long moves take, which engine is due, the late execution of an order that an engine
  * took (its count of orders stops that), a ledger's memory (moves are kept longer than a turn), and
@@ -24,8 +25,9 @@
 #ifdef WITHOUT_MARGIN
 #define MARGIN 0
 #else
-#define MARGIN 1     /* on the turn; not less than the lifetime */
+#define MARGIN 2     /* on the turn; not less than the lifetime and an order's way together */
 #endif
+#define ON_ITS_WAY 1 /* longest that an order takes to arrive; later it was reset */
 
 byte now;
 
@@ -116,6 +118,7 @@
   byte intendedAt;
   byte fence;
   byte rounds;
+  bool leftAlone;
 
   do
   :: now == END || rounds == MOST_ROUNDS -> break
@@ -123,29 +126,36 @@
        now < END && rounds < MOST_ROUNDS ->
        rounds++;
        read();
-       intendedAt = now
+#ifdef WITHOUT_LEAVING_ALONE
+       leftAlone = false
+#else
+       leftAlone = LEFT_ALONE
+#endif
+     };
+     /* Here the engine is asked for its report. */
+     if
+     :: leftAlone -> atomic { leftAlone = false; seen = 0; intendedAt = 0 }
+     :: !leftAlone -> atomic {
+       intendedAt = now;
+#ifdef WITHOUT_ONE_REVISION
+       /* The write takes the ledger that the watch has shown meanwhile, not the one decided by. */
+       read();
+#endif
+       skip
      };
      /* The write, some time after the look at the ledger. */
      atomic {
        if
-#ifndef WITHOUT_LEAVING_ALONE
-       :: LEFT_ALONE -> skip
-       :: !LEFT_ALONE ->
-#else
-       :: true ->
-#endif
-          if
 #ifdef WITHOUT_CONDITION
-          :: true -> writeLedger(me, engine); fence = revision
+       :: true -> writeLedger(me, engine); fence = revision
 #else
-          :: seen == revision -> writeLedger(me, engine); fence = revision
-          :: seen != revision -> skip
+       :: seen == revision -> writeLedger(me, engine); fence = revision
+       :: seen != revision -> skip
 #endif
-          /* The answer is lost: it was done, is done later, or never. */
-          :: lost < 1 && seen == revision -> lost++; writeLedger(me, engine)
-          :: lost < 1 && lateWriter == NOBODY -> lost++;
-             lateWriter = me; lateEngine = engine; lateRevision = seen
-          fi
+       /* The answer is lost: it was done, is done later, or never. */
+       :: lost < 1 && seen == revision -> lost++; writeLedger(me, engine)
+       :: lost < 1 && lateWriter == NOBODY -> lost++;
+          lateWriter = me; lateEngine = engine; lateRevision = seen
        fi
      };
      if
@@ -166,17 +176,27 @@
        if
        :: fence == 0 -> skip
 #ifndef WITHOUT_LIFETIME
-       :: fence != 0 && now > intendedAt + LIFETIME -> skip
-       :: fence != 0 && now <= intendedAt + LIFETIME -> order(engine, fence)
+       :: fence != 0 && now > intendedAt + LIFETIME -> fence = 0
+       :: fence != 0 && now <= intendedAt + LIFETIME -> skip
 #else
-       :: fence != 0 -> order(engine, fence)
+       :: fence != 0 -> skip
 #endif
+       fi;
+       intendedAt = now
+     };
+     /* The order arrives some time after it was sent, or never. */
+     atomic {
+       if
+       :: fence == 0 -> skip
+       :: fence != 0 && now > intendedAt + ON_ITS_WAY -> skip
+       :: fence != 0 && now <= intendedAt + ON_ITS_WAY -> order(engine, fence)
        fi;
        fence = 0;
        engine = 0;
        intendedAt = 0;
        seen = 0
      }
+     fi
   od
 }
 
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -61,6 +61,14 @@
       socket().setReceiveTimeout(toTimespan(timeout));
     }
   }
+  /// While a call runs a close resets the connection, so that what the peer has not got by then
+  /// never reaches it: a call that was given up must not be carried out seconds later. Poco closes
+  /// by itself where a call fails, so this is set before.
+  void resetOnClose(bool resets) {
+    if (connected()) {
+      socket().setLinger(resets, 0);
+    }
+  }
   /// True where an idle connection has something to read: the other side closed it.
   bool closedByPeer() {
     return !connected() || socket().poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ);
@@ -137,6 +145,7 @@
   if (!connection->connected()) {
     return;
   }
+  connection->resetOnClose(false);
   const std::lock_guard<std::mutex> lock(mutex_);
   if (idle_.size() >= kMaxIdleConnections) {
     idle_.erase(idle_.begin());
@@ -158,6 +167,7 @@
       request.setContentType("application/json");
     }
     connection->ensureConnected();
+    connection->resetOnClose(true);
     progress = CallProgress::kSent;
     std::ostream& out = connection->sendRequest(request);
     out << call.body << std::flush;
--- a/src/weights/ledger_view.cpp
+++ b/src/weights/ledger_view.cpp
@@ -14,22 +14,16 @@
 
 bool LedgerView::take(const Ledger& ledger, Time now) {
   const std::lock_guard<std::mutex> lock(mutex_);
-  if (ledger.revision <= ledger_.revision) {
+  if (ledger.revision <= seen_.ledger.revision) {
     return false;
   }
-  ledger_ = ledger;
-  changedAt_ = now;
+  seen_ = SeenLedger{ledger, now};
   return true;
 }
 
-Ledger LedgerView::ledger() const {
+SeenLedger LedgerView::seen() const {
   const std::lock_guard<std::mutex> lock(mutex_);
-  return ledger_;
-}
-
-Time LedgerView::changedAt() const {
-  const std::lock_guard<std::mutex> lock(mutex_);
-  return changedAt_;
+  return seen_;
 }
 
 }  // namespace fernmoor::weights
--- a/src/weights/move_ledger.h
+++ b/src/weights/move_ledger.h
@@ -55,19 +55,24 @@
   virtual Result<LedgerOutcome> write(const Ledger& ledger) = 0;
 };
 
+/// A ledger as this node sees it.
+struct SeenLedger {
+  Ledger ledger;
+  Time changedAt;  ///< When this revision came to be known here.
+};
+
 /// The newest ledger that this node has seen. Thread-safe.
 class LedgerView {
  public:
   /// @return whether it was newer than the one held.
   bool take(const Ledger& ledger, Time now);
-  Ledger ledger() const;
-  /// @return when the ledger last changed here.
-  Time changedAt() const;
+  /// A decision and the write that rests on it go by one call of this: what comes to be known in
+  /// between was not weighed, and the write's condition must fail for it.
+  SeenLedger seen() const;
 
  private:
   mutable std::mutex mutex_;
-  Ledger ledger_;
-  Time changedAt_;
+  SeenLedger seen_;
 };
 
 /// What an engine tells of itself.
--- a/src/weights/weight_mover.cpp
+++ b/src/weights/weight_mover.cpp
@@ -16,8 +16,15 @@
 constexpr Duration kStandstillSpread{500000};
 /// An order is given this soon after its intent began to be written, or not at all.
 constexpr Duration kIntentLifetime{350000};
-/// Margin on the time between the orders of two nodes.
-constexpr Duration kTurnMargin{400000};
+/// An order that is given up is reset, so nothing of it arrives later than this after it was begun:
+/// the bound of a call to an engine, once to connect and once for the answer.
+constexpr Duration kLongestOrder{500000};
+/// A process without processor time stands still so long between a look at the clock and its send:
+/// one and a half periods of a quota of 100 ms.
+constexpr Duration kLongestStandstill{150000};
+/// Beyond the time between the orders of two nodes, until nothing of the predecessor's can arrive:
+/// engines that check no fences would carry it out.
+constexpr Duration kTurnMargin = kIntentLifetime + kLongestOrder + kLongestStandstill;
 /// An engine lists its new weights itself; only if that does not come is it asked.
 constexpr Duration kFirstQuestion{1200000};
 constexpr Duration kNextQuestion{250000};
@@ -98,15 +105,15 @@
   }
 }
 
-bool WeightMover::isMyTurn(const WeightPlan& plan, Time now) {
-  const Ledger ledger = services_.view.ledger();
+bool WeightMover::isMyTurn(const SeenLedger& seen, const WeightPlan& plan, Time now) const {
+  const Ledger& ledger = seen.ledger;
   if (ledger.holder == options_.node) {
     return true;
   }
   if (ledger.revision == 0 || ledger.holder.empty()) {
     return now >= *plan.startBy + stepInDelay_ - kStandstill;
   }
-  return now >= *plan.startBy + stepInDelay_ && now >= services_.view.changedAt() + stepInDelay_;
+  return now >= *plan.startBy + stepInDelay_ && now >= seen.changedAt + stepInDelay_;
 }
 
 bool WeightMover::isLeftAlone(const std::string& engine, const Ledger& ledger, Time now) const {
@@ -116,10 +123,10 @@
   });
 }
 
-std::vector<WeightMover::Candidate> WeightMover::pickCandidates(const WeightPlan& plan,
+std::vector<WeightMover::Candidate> WeightMover::pickCandidates(const Ledger& ledger,
+                                                                const WeightPlan& plan,
                                                                 size_t room) {
   std::vector<Candidate> picked;
-  const Ledger ledger = services_.view.ledger();
   for (const PlannedMove& move : plan.moves) {
     const Time now = services_.clock.now();
     const auto skipped = skipUntil_.find(move.engine);
@@ -159,9 +166,9 @@
   return ours ? std::optional<uint64_t>(current.revision) : std::nullopt;
 }
 
-std::optional<uint64_t> WeightMover::writeIntent(const std::vector<Candidate>& candidates) {
+std::optional<uint64_t> WeightMover::writeIntent(Ledger ledger,
+                                                 const std::vector<Candidate>& candidates) {
   const Time now = services_.clock.now();
-  Ledger ledger = services_.view.ledger();
   ledger.holder = options_.node;
   ledger.moves = movesSince(ledger, now - options_.orderTurn - kTurnMargin - kLedgerMargin);
   for (const Candidate& candidate : candidates) {
@@ -211,7 +218,7 @@
 }
 
 void WeightMover::handOver() {
-  Ledger ledger = services_.view.ledger();
+  Ledger ledger = services_.view.seen().ledger;
   if (ledger.revision == 0 || ledger.holder != options_.node) {
     return;
   }
@@ -236,15 +243,17 @@
   if (underWay_.size() >= bounds_.atOnce) {
     return kBusyStep;
   }
-  if (!isMyTurn(plan, now)) {
+  const SeenLedger seen = services_.view.seen();
+  if (!isMyTurn(seen, plan, now)) {
     return kBusyStep * 2;
   }
-  const std::vector<Candidate> candidates = pickCandidates(plan, bounds_.atOnce - underWay_.size());
+  const std::vector<Candidate> candidates =
+      pickCandidates(seen.ledger, plan, bounds_.atOnce - underWay_.size());
   if (candidates.empty()) {
     return kBusyStep;
   }
   const Time intendedAt = services_.clock.now();
-  const std::optional<uint64_t> fence = writeIntent(candidates);
+  const std::optional<uint64_t> fence = writeIntent(seen.ledger, candidates);
   if (!fence) {
     return kAfterFailure;
   }
--- a/src/weights/weight_mover.h
+++ b/src/weights/weight_mover.h
@@ -58,10 +58,10 @@
   void followMoves(Time now);
   uint64_t listedVersion(const std::string& engine, const std::string& model) const;
   void askWhetherDone(const std::string& engine, UnderWay& move);
-  bool isMyTurn(const WeightPlan& plan, Time now);
+  bool isMyTurn(const SeenLedger& seen, const WeightPlan& plan, Time now) const;
   bool isLeftAlone(const std::string& engine, const Ledger& ledger, Time now) const;
-  std::vector<Candidate> pickCandidates(const WeightPlan& plan, size_t room);
-  std::optional<uint64_t> writeIntent(const std::vector<Candidate>& candidates);
+  std::vector<Candidate> pickCandidates(const Ledger& ledger, const WeightPlan& plan, size_t room);
+  std::optional<uint64_t> writeIntent(Ledger ledger, const std::vector<Candidate>& candidates);
   std::optional<uint64_t> resolveUnknownWrite(const Ledger& intended);
   void giveOrders(const std::vector<Candidate>& candidates, uint64_t fence, Time intendedAt);
   void learnMoveTime(Duration took);
--- a/test/http/http_client_test.cpp
+++ b/test/http/http_client_test.cpp
@@ -2,6 +2,7 @@
 /// Tests of src/http/http_client.h.
 #include "http/http_client.h"
 
+#include <Poco/Event.h>
 #include <Poco/Net/ServerSocket.h>
 #include <doctest/doctest.h>
 
@@ -39,8 +40,53 @@
   std::thread thread_;
 };
 
+/// Takes one connection, reads nothing until told, and tells how the connection ended.
+class SilentServer {
+ public:
+  SilentServer()
+      : socket_(Poco::Net::SocketAddress("127.0.0.1", 0)), thread_([this] { serve(); }) {}
+  SocketAddress address() const { return SocketAddress{"127.0.0.1", socket_.address().port()}; }
+  /// @return whether the caller had reset the connection.
+  bool wasReset() {
+    read_.set();
+    thread_.join();
+    return wasReset_;
+  }
+
+ private:
+  void serve() {
+    Poco::Net::StreamSocket connection = socket_.acceptConnection();
+    read_.wait();
+    char buffer[4096];
+    try {
+      while (connection.receiveBytes(buffer, sizeof(buffer)) > 0) {
+      }
+    } catch (const Poco::Exception&) {
+      wasReset_ = true;
+    }
+  }
+
+  Poco::Net::ServerSocket socket_;
+  Poco::Event read_;
+  bool wasReset_ = false;
+  std::thread thread_;
+};
+
 }  // namespace
 
+TEST_CASE("a call that is given up is reset: its bytes do not reach the server later") {
+  SilentServer server;
+  HttpClient client;
+  HttpCall call;
+  call.method = "POST";
+  call.address = server.address();
+  call.path = "/order";
+  call.body = "{}";
+  call.timeout = std::chrono::milliseconds(50);
+  CHECK(std::holds_alternative<HttpFailure>(client.call(call)));
+  CHECK(server.wasReset());
+}
+
 TEST_CASE("a kept connection waits as long as the call on it may, not as the first one might") {
   PausingServer server({Duration(0), std::chrono::milliseconds(600)});
   HttpClient client;
--- a/test/weights/weight_mover_test.cpp
+++ b/test/weights/weight_mover_test.cpp
@@ -108,6 +108,56 @@
   checkOrders(world.engines.seen, kTurn);
 }
 
+TEST_CASE("a node that was overtaken while it asked engines for reports gives no order") {
+  WeightWorld world(2, 4);
+  world.name(2);
+  test::TestNode& first = *world.nodes[0];
+  test::TestNode& second = *world.nodes[1];
+  bool isOvertaken = false;
+  world.engines.onReport = [&] {
+    if (isOvertaken || world.clock.now() - Time(std::chrono::seconds(1000)) < kTurn) {
+      return;
+    }
+    isOvertaken = true;  // The reports of the other node are quick.
+    second.mover.step();
+    first.view.take(world.store.ledger, world.clock.now());
+  };
+  SUBCASE("where nobody holds the ledger yet") {
+    world.clock.advance(std::chrono::seconds(6));
+    first.mover.step();
+    REQUIRE(isOvertaken);
+    REQUIRE_FALSE(world.engines.seen.empty());
+    for (const SeenOrder& order : world.engines.seen) {
+      CHECK(order.holder == "n1");
+    }
+  }
+  SUBCASE("and the rule holds when both go on") {
+    second.isAlive = false;
+    world.run(std::chrono::seconds(6));
+    second.isAlive = true;
+    world.run(std::chrono::seconds(9));
+    CHECK(world.enginesAt(2) == 4);
+    checkOrders(world.engines.seen, kTurn);
+  }
+}
+
+TEST_CASE("a successor waits until no order of its predecessor can arrive any more") {
+  WeightWorld world(2, 2);
+  world.engines.heldUpHolder = "n0";
+  world.engines.holdUp = std::chrono::milliseconds(850);  // All that an order may take.
+  world.name(2);
+  world.nodes[1]->isAlive = false;
+  while (world.engines.seen.empty()) {
+    world.run(std::chrono::milliseconds(20));
+  }
+  world.nodes[0]->isAlive = false;
+  world.nodes[1]->isAlive = true;
+  world.run(std::chrono::seconds(9));
+  CHECK(world.enginesAt(2) == 2);
+  CHECK(world.engines.seen.size() == 4);
+  checkOrders(world.engines.seen, kTurn);
+}
+
 TEST_CASE("no order is given without the ledger, and moves go on when the store is back") {
   WeightWorld world(3, 6);
   world.name(2);
--- a/test/weights/weight_world.h
+++ b/test/weights/weight_world.h
@@ -2,6 +2,7 @@
 /// A store, engines and a clock under the test's control, for tests of the moves to new weights.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -83,6 +84,9 @@
   explicit TestEngines(const TestClock& clock) : clock_(clock) {}
 
   Result<EngineReport> report(const std::string& name, const std::string&) override {
+    if (onReport) {
+      onReport();
+    }
     if (silent.count(name) > 0) {
       return Error{ErrorKind::kUnavailable, "silent", RunState::kUnknown, std::nullopt};
     }
@@ -90,7 +94,12 @@
     return EngineReport{engine.next != 0, engine.orders, engine.version};
   }
   OrderAnswer order(const WeightOrder& order) override {
-    seen.push_back(SeenOrder{order.engine, order.holder, order.version, order.fence, clock_.now()});
+    const bool isHeldUp = order.holder == heldUpHolder;
+    const Time at = clock_.now() + (isHeldUp ? holdUp : Duration(0));
+    seen.push_back(SeenOrder{order.engine, order.holder, order.version, order.fence, at});
+    if (isHeldUp) {
+      return OrderAnswer::kUnknown;
+    }
     Engine& engine = settle(order.engine);
     if (order.fence < engine.fence) {
       return OrderAnswer::kRefused;
@@ -111,6 +120,9 @@
   std::vector<SeenOrder> seen;
   Duration loadTime{630000};
   bool answersLost = false;
+  std::function<void()> onReport;  ///< What happens while a report is on its way.
+  std::string heldUpHolder;        ///< Its orders reach engines late and are not carried out.
+  Duration holdUp{};
 
  private:
   Engine& settle(const std::string& name) {
