--- a/src/gateway/send_planner.cpp
+++ b/src/gateway/send_planner.cpp
@@ -4,16 +4,13 @@
 
 #include "common/rendezvous.h"
 #include "gateway/backend_choice.h"
+#include "gateway/part_source.h"
 #include "gateway/serving_versions.h"
 
 namespace fernmoor::gateway {
 
 namespace {
 
-/// How long a part counts as kept by the store after it was sent there.
-constexpr Duration kStoredMemory{20000000};
-/// How long an engine counts as holding a part that it has read.
-constexpr Duration kReadMemory{10000000};
 constexpr int kUrgenciesPerTenantPriority = 3;
 constexpr int kLeastUrgent = 9;
 
@@ -71,9 +68,6 @@
   return chooseLeastLoaded(candidates, context, random_);
 }
 
-/// Parts come from the engine that read the longest of them last, or from the store. Saving sends
-/// all that is read, the request's own part included, so only requests with a part that the store
-/// does not hold ask for it.
 void SendPlanner::planCache(const PlanInput& input, const std::vector<BackendView>& members,
                             Time now, SendPlan& plan) {
   const std::vector<PartKey> keys = sharedKeys(input.request, plan.cacheScope);
@@ -81,24 +75,18 @@
     return;
   }
   const std::vector<PartHint> hints = services_.parts.find(keys);
+  PartHolders holders;
   const std::vector<CacheStore>& stores = input.request.table->cacheStores;
   if (!stores.empty()) {
-    plan.fetchFrom = stores.front().address;
-    const bool allStored = std::all_of(hints.begin(), hints.end(), [&](const PartHint& hint) {
-      return hint.isStored && now - hint.storedAt <= kStoredMemory;
-    });
-    if (!allStored) {
-      plan.saveTo = stores.front().address;
-    }
+    holders.store = stores.front().address;
   }
-  const PartHint& longest = hints.back();
-  if (longest.engine != 0 && longest.engine != stableHash(plan.backend.id) &&
-      now - longest.readAt <= kReadMemory) {
-    if (const std::optional<SocketAddress> source =
-            sourceEngine(members, longest.engine, plan.weightsVersion)) {
-      plan.fetchFrom = source;
-    }
+  const uint64_t engine = hints.back().engine;
+  if (engine != 0 && engine != stableHash(plan.backend.id)) {
+    holders.engine = sourceEngine(members, engine, plan.weightsVersion);
   }
+  const PartTransfer transfer = planTransfer(hints, holders, now);
+  plan.fetchFrom = transfer.fetchFrom;
+  plan.saveTo = transfer.saveTo;
 }
 
 std::optional<PlannedSend> SendPlanner::plan(const PlanInput& input) {
--- /dev/null
+++ b/test/gateway/part_source_test.cpp
@@ -0,0 +1,70 @@
+/// @file
+/// Tests of src/gateway/part_source.h.
+#include "gateway/part_source.h"
+
+#include <doctest/doctest.h>
+
+namespace fernmoor::gateway {
+
+namespace {
+
+const SocketAddress kStore{"10.0.0.1", 1};
+const SocketAddress kEngine{"10.0.0.2", 2};
+const Time kNow{std::chrono::seconds(1000)};
+
+PartHint hint(Duration readAge, std::optional<Duration> storedAge) {
+  PartHint made;
+  made.engine = 7;
+  made.readAt = kNow - readAge;
+  made.isStored = storedAge.has_value();
+  made.storedAt = kNow - storedAge.value_or(Duration(0));
+  return made;
+}
+
+}  // namespace
+
+TEST_CASE("where a request's shared parts come from and go to") {
+  constexpr std::chrono::milliseconds kRecent(300);
+  constexpr std::chrono::seconds kAWhile(3);
+  constexpr std::chrono::minutes kLongAgo(1);
+
+  SUBCASE("with an engine that read them a moment ago") {
+    SUBCASE("that engine is the source, and what the store holds is not saved again") {
+      const PartTransfer transfer =
+          planTransfer({hint(kRecent, kAWhile), hint(kRecent, kAWhile)}, {kStore, kEngine}, kNow);
+      CHECK(transfer.fetchFrom == kEngine);
+      CHECK_FALSE(transfer.saveTo);
+    }
+    SUBCASE("what the store lacks is saved, also if that is only one of the parts") {
+      const PartTransfer transfer = planTransfer(
+          {hint(kRecent, std::nullopt), hint(kRecent, kAWhile)}, {kStore, kEngine}, kNow);
+      CHECK(transfer.fetchFrom == kEngine);
+      CHECK(transfer.saveTo == kStore);
+    }
+  }
+  SUBCASE("with an engine that read them some seconds ago and may have dropped them") {
+    SUBCASE("the store is the source where it holds them") {
+      const PartTransfer transfer = planTransfer({hint(kAWhile, kAWhile)}, {kStore, kEngine}, kNow);
+      CHECK(transfer.fetchFrom == kStore);
+    }
+    SUBCASE("the engine is asked where the store does not hold them any more") {
+      const PartTransfer transfer =
+          planTransfer({hint(kAWhile, kLongAgo)}, {kStore, kEngine}, kNow);
+      CHECK(transfer.fetchFrom == kEngine);
+      CHECK(transfer.saveTo == kStore);
+    }
+    SUBCASE("the engine is asked where there is no store") {
+      const PartTransfer transfer =
+          planTransfer({hint(kAWhile, kAWhile)}, {std::nullopt, kEngine}, kNow);
+      CHECK(transfer.fetchFrom == kEngine);
+      CHECK_FALSE(transfer.saveTo);
+    }
+  }
+  SUBCASE("an engine that read them long ago is not asked") {
+    const PartTransfer transfer =
+        planTransfer({hint(kLongAgo, std::nullopt)}, {kStore, kEngine}, kNow);
+    CHECK(transfer.fetchFrom == kStore);
+  }
+}
+
+}  // namespace fernmoor::gateway
