--- a/src/peers/part_directory.cpp
+++ b/src/peers/part_directory.cpp
@@ -1,8 +1,7 @@
 #include "peers/part_directory.h"
 
 #include <algorithm>
-
-#include "peers/node_hash.h"
+#include <set>
 
 namespace fernmoor::peers {
 
@@ -16,6 +15,12 @@
 /// A request goes on without the answers that have not come by then: two trips between zones.
 constexpr Duration kFindTimeout{6000};
 constexpr size_t kMostPartsAsked = 64;
+/// A node that has run for so long was told of every part that is still worth a hint.
+constexpr Duration kLearningTime{20000000};
+
+bool isKnown(const PartHint& hint) {
+  return hint.engine != 0 || hint.isStored;
+}
 
 uint32_t ageInMilliseconds(Time since, Time now) {
   return static_cast<uint32_t>(std::max<int64_t>(0, (now - since).count() / 1000));
@@ -24,44 +29,60 @@
 }  // namespace
 
 PartDirectory::PartDirectory(NodeId self, const Clock& clock, MessageSender& sender)
-    : self_(self), clock_(clock), sender_(sender), memory_(kPartsKept) {}
+    : self_(self), clock_(clock), startedAt_(clock.now()), sender_(sender), memory_(kPartsKept) {}
 
 void PartDirectory::setMembers(std::shared_ptr<const MembershipSnapshot> members) {
   const std::lock_guard<std::mutex> lock(mutex_);
   members_ = std::move(members);
 }
 
-NodeId PartDirectory::keeperOf(PartKey part) const {
-  return rendezvousKeeper(part, self_, members_.get());
+Keepers PartDirectory::keepersOf(PartKey part) const {
+  return rendezvousKeepers(part, self_, members_.get());
+}
+
+bool PartDirectory::isNew(Time now) const {
+  return now - startedAt_ < kLearningTime;
 }
 
 std::vector<PartHint> PartDirectory::find(const std::vector<PartKey>& parts) {
-  std::vector<PartHint> hints(parts.size());
-  std::map<NodeId, std::vector<size_t>> byKeeper;
-  size_t open = 0;
+  Lookup lookup;
+  lookup.hints.resize(parts.size());
+  lookup.isSettled.resize(parts.size());
+  ask(Rank::kFirst, parts, lookup);
+  ask(Rank::kSecond, parts, lookup);
+  return lookup.hints;
+}
+
+void PartDirectory::ask(Rank rank, const std::vector<PartKey>& parts, Lookup& lookup) {
   std::vector<uint32_t> questions;
   std::vector<std::pair<NodeId, proto::Envelope>> messages;
   {
     const std::lock_guard<std::mutex> lock(mutex_);
+    const Time now = clock_.now();
+    std::map<NodeId, std::vector<size_t>> byKeeper;
     for (size_t index = 0; index < std::min(parts.size(), kMostPartsAsked); ++index) {
-      byKeeper[keeperOf(parts[index])].push_back(index);
-    }
-    for (const auto& [keeper, indexes] : byKeeper) {
-      if (keeper == self_) {
-        for (const size_t index : indexes) {
-          hints[index] = memory_.find(parts[index]);
-        }
+      if (lookup.isSettled[index]) {
         continue;
       }
+      const Keepers keepers = keepersOf(parts[index]);
+      const NodeId keeper = rank == Rank::kFirst ? keepers.first : keepers.second;
+      if (keeper == self_) {
+        lookup.hints[index] = memory_.find(parts[index]);
+        lookup.isSettled[index] = isKnown(lookup.hints[index]) || !isNew(now);
+      } else {
+        byKeeper[keeper].push_back(index);
+      }
+    }
+    for (auto& [keeper, indexes] : byKeeper) {
       proto::Envelope envelope;
       proto::PartQuestion& question = *envelope.mutable_part()->mutable_question();
       question.set_question_id(++lastQuestion_);
       for (const size_t index : indexes) {
         question.add_parts(parts[index]);
       }
-      pending_[lastQuestion_] = Pending{&hints, indexes, &open};
+      pending_[lastQuestion_] = Pending{&lookup, std::move(indexes)};
       questions.push_back(lastQuestion_);
-      ++open;
+      ++lookup.openQuestions;
       messages.emplace_back(keeper, std::move(envelope));
     }
   }
@@ -69,11 +90,11 @@
     sender_.send(keeper, envelope);
   }
   std::unique_lock<std::mutex> lock(mutex_);
-  answered_.wait_for(lock, kFindTimeout, [&] { return open == 0; });
+  answered_.wait_for(lock, kFindTimeout, [&] { return lookup.openQuestions == 0; });
   for (const uint32_t question : questions) {
     pending_.erase(question);
   }
-  return hints;
+  lookup.openQuestions = 0;
 }
 
 void PartDirectory::note(const std::vector<PartKey>& parts, uint64_t engine, bool isStored) {
@@ -82,15 +103,17 @@
   {
     const std::lock_guard<std::mutex> lock(mutex_);
     for (const PartKey part : parts) {
-      const NodeId keeper = keeperOf(part);
-      if (keeper == self_) {
-        memory_.note(part, engine, isStored, now);
-        continue;
+      const Keepers keepers = keepersOf(part);
+      for (const NodeId keeper : std::set<NodeId>{keepers.first, keepers.second}) {
+        if (keeper == self_) {
+          memory_.note(part, engine, isStored, now);
+          continue;
+        }
+        proto::PartNote& note = *messages[keeper].mutable_part()->mutable_note();
+        note.add_parts(part);
+        note.set_engine(engine);
+        note.set_stored(isStored);
       }
-      proto::PartNote& note = *messages[keeper].mutable_part()->mutable_note();
-      note.add_parts(part);
-      note.set_engine(engine);
-      note.set_stored(isStored);
     }
   }
   for (const auto& [keeper, envelope] : messages) {
@@ -103,9 +126,10 @@
   proto::Envelope envelope;
   proto::PartAnswer& answer = *envelope.mutable_part()->mutable_answer();
   answer.set_question_id(question.question_id());
+  answer.set_is_new(isNew(now));
   for (int index = 0; index < question.parts_size(); ++index) {
     const PartHint hint = memory_.find(question.parts(index));
-    if (hint.engine == 0 && !hint.isStored) {
+    if (!isKnown(hint)) {
       continue;
     }
     proto::PartHintEntry& entry = *answer.add_hints();
@@ -124,18 +148,24 @@
   if (found == pending_.end()) {
     return;
   }
-  Pending& pending = found->second;
+  const Pending& pending = found->second;
+  Lookup& lookup = *pending.lookup;
+  for (const size_t index : pending.indexes) {
+    lookup.isSettled[index] = !answer.is_new();
+  }
   for (const proto::PartHintEntry& entry : answer.hints()) {
     if (entry.index() >= pending.indexes.size()) {
       continue;
     }
-    PartHint& hint = (*pending.hints)[pending.indexes[entry.index()]];
+    const size_t index = pending.indexes[entry.index()];
+    PartHint& hint = lookup.hints[index];
     hint.engine = entry.engine();
     hint.readAt = now - std::chrono::milliseconds(entry.read_age_milliseconds());
     hint.isStored = entry.stored();
     hint.storedAt = now - std::chrono::milliseconds(entry.stored_age_milliseconds());
+    lookup.isSettled[index] = true;
   }
-  --*pending.openQuestions;
+  --lookup.openQuestions;
   pending_.erase(found);
   answered_.notify_all();
 }
--- a/src/peers/part_directory.h
+++ b/src/peers/part_directory.h
@@ -1,8 +1,10 @@
 /// @file
-/// Where cached parts of prompts are, known to all nodes: each part has one node that keeps its
-/// hints, found by rendezvous hashing over the living nodes. A request asks that node before it
-/// chooses an engine and tells it when the engine has read the part: two short messages a part and
-/// request, however many nodes there are. Hints only: a lost or wrong one costs time.
+/// Where cached parts of prompts are, known to all nodes: each part has two nodes that keep its
+/// hints, found by rendezvous hashing over the living nodes. A request asks the first before it
+/// sends its prompt, and the second where the first does not answer or has not run for long; it
+/// tells both when the engine has read the part: a few short messages a request, however many nodes
+/// there are. So a node that dies or is restarted takes no hints along. Hints only: a lost or wrong
+/// one costs time.
 #pragma once
 
 #include <condition_variable>
@@ -15,6 +17,7 @@
 #include "envelope.pb.h"
 #include "gateway/part_memory.h"
 #include "membership/membership_snapshot.h"
+#include "peers/node_hash.h"
 
 namespace fernmoor::peers {
 
@@ -34,20 +37,31 @@
   void onTick(Time now, MessageSender& sender) override;
 
  private:
-  /// One call of find() that waits for answers.
+  /// What one call of find() has learnt so far.
+  struct Lookup {
+    std::vector<gateway::PartHint> hints;
+    std::vector<bool> isSettled;  ///< By part: whether the answer stands.
+    size_t openQuestions = 0;
+  };
+  /// One question of a lookup that waits for its answer.
   struct Pending {
-    std::vector<gateway::PartHint>* hints;
-    std::vector<size_t> indexes;  ///< Positions of the asked parts in `hints`.
-    size_t* openQuestions;
+    Lookup* lookup;
+    std::vector<size_t> indexes;  ///< Positions of the asked parts.
   };
+  /// Which of a part's keepers.
+  enum class Rank { kFirst, kSecond };
 
-  NodeId keeperOf(gateway::PartKey part) const;
+  Keepers keepersOf(gateway::PartKey part) const;
+  /// Asks the keepers of that rank for the parts that are not settled, and waits for them.
+  void ask(Rank rank, const std::vector<gateway::PartKey>& parts, Lookup& lookup);
+  bool isNew(Time now) const;
   void onQuestion(NodeLife from, const proto::PartQuestion& question, Time now,
                   MessageSender& sender);
   void onAnswer(const proto::PartAnswer& answer, Time now);
 
   const NodeId self_;
   const Clock& clock_;
+  const Time startedAt_;
   MessageSender& sender_;
   gateway::PartMemory memory_;
   mutable std::mutex mutex_;
