--- a/src/gateway/backend_choice.cpp
+++ b/src/gateway/backend_choice.cpp
@@ -1,6 +1,7 @@
 #include "gateway/backend_choice.h"
 
 #include <algorithm>
+#include <limits>
 
 #include "common/rendezvous.h"
 
@@ -12,12 +13,9 @@
 constexpr double kBoundedLoadFactor = 1.5;
 /// Requests that every back end may have whatever the mean is.
 constexpr double kBoundedLoadSlack = 4;
-/// Prompt tokens of all nodes that wait at a home before it passes a request on: about two prompts.
-constexpr uint64_t kMostPendingTokens = 12000;
-/// The same of this node's own requests, where nobody answers for all.
-constexpr uint64_t kMostPendingTokensUnasked = 6000;
 /// Each costs a trip to another node.
 constexpr size_t kMostHomesAsked = 3;
+constexpr uint64_t kNoBound = std::numeric_limits<uint64_t>::max();
 /// What a back end of another zone costs, in requests.
 constexpr double kOtherZonePenalty = 1.5;
 
@@ -92,29 +90,66 @@
   return usable;
 }
 
+/// @return tokens of the parts that other requests share: all but the last.
+uint64_t sharedTokensOf(const IncomingRequest& request) {
+  uint64_t tokens = 0;
+  for (size_t index = 0; index + 1 < request.parts.size(); ++index) {
+    tokens += request.parts[index].tokens;
+  }
+  return tokens;
+}
+
+/// A home that was asked and had too much to read.
+struct BusyHome {
+  BackendChoice choice;
+  uint64_t cost = 0;    ///< Tokens to be read or brought there before the request's own are done.
+  bool isAsked = true;  ///< Somebody answered for all nodes.
+};
+
 }  // namespace
 
 std::optional<BackendChoice> chooseHome(const IncomingRequest& request,
                                         const std::vector<BackendView>& candidates,
                                         const ChoiceContext& context, EngineLoads& loads) {
   const Candidates homes = homesInOrder(request, usableOf(candidates, context.tried));
-  std::optional<BackendChoice> least;
+  const uint64_t shared = sharedTokensOf(request);
+  // A wait as long as the request's own reading is not worth a question to another node.
+  const uint64_t shortWait = std::max(shared, request.promptTokens);
+  std::optional<BusyHome> best;
   for (size_t index = 0; index < std::min(homes.size(), kMostHomesAsked); ++index) {
     const BackendView& home = *homes[index];
+    // All but the first have to get the shared parts from elsewhere.
+    const uint64_t toBring = index == 0 ? 0 : shared;
+    if (best && best->cost <= toBring) {
+      break;
+    }
+    const uint64_t bound = best ? std::min(shortWait, best->cost - toBring) : shortWait;
     const std::optional<LoadAnswer> answer =
-        loads.reserve(stableHash(home.listing.id), request.promptTokens, kMostPendingTokens);
+        loads.reserve(stableHash(home.listing.id), request.promptTokens, bound);
     BackendChoice choice{home, answer ? answer->pendingTokens : home.pendingTokens, std::nullopt};
     if (answer && answer->isGranted) {
       choice.ticket = answer->ticket;
     }
-    if (choice.ticket || (!answer && home.pendingTokens < kMostPendingTokensUnasked)) {
+    if (choice.ticket || (!answer && home.pendingTokens < bound)) {
       return choice;
     }
-    if (!least || choice.pendingTokens < least->pendingTokens) {
-      least = choice;
+    const uint64_t cost = choice.pendingTokens + toBring;
+    if (!best || cost < best->cost) {
+      best = BusyHome{choice, cost, answer.has_value()};
     }
   }
-  return least;
+  if (!best) {
+    return std::nullopt;
+  }
+  // It is counted there all the same: else nobody would know how much waits beyond the bound.
+  const std::optional<LoadAnswer> counted =
+      best->isAsked ? loads.reserve(stableHash(best->choice.backend.listing.id),
+                                    request.promptTokens, kNoBound)
+                    : std::nullopt;
+  if (counted && counted->isGranted) {
+    best->choice.ticket = counted->ticket;
+  }
+  return best->choice;
 }
 
 std::optional<BackendChoice> chooseLeastLoaded(const std::vector<BackendView>& candidates,
--- a/src/gateway/backend_choice.h
+++ b/src/gateway/backend_choice.h
@@ -30,9 +30,11 @@
   std::optional<LoadTicket> ticket;  ///< To be released when the prompt was read.
 };
 
-/// Chooses for a request with shared parts. Asks those who count for all nodes, home after home,
-/// where less than the bound waits; where more waits at each, the one with the least is taken.
-/// Candidates that were tried are left out, and avoided ones unless all are. Waits for other nodes.
+/// Chooses for a request with shared parts the engine that is done first with what stands before
+/// the request's own prompt: the prompt tokens that wait there, of all nodes, and, anywhere but at
+/// the home, the shared parts, which have to be brought. Asks those who count for all nodes, home
+/// after home, until the wait is no longer than the request's own reading. Candidates that were
+/// tried are left out, and avoided ones unless all are. Waits for other nodes.
 /// @return nothing for a request without shared parts, or where no candidate is left.
 std::optional<BackendChoice> chooseHome(const IncomingRequest& request,
                                         const std::vector<BackendView>& candidates,
