--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -15,7 +15,6 @@
 #include "gateway/backend_protocol.h"
 #include "gateway/caller_channel.h"
 #include "gateway/connection_pool.h"
-#include "gateway/engine_division.h"
 #include "gateway/incoming_request.h"
 #include "gateway/outcome_log.h"
 #include "gateway/part_memory.h"
@@ -61,7 +60,6 @@
 
   ForwarderServices services_;
   ForwarderOptions options_;
-  EngineDivision division_;
   SendPlanner planner_;
   OutcomeLog outcomeLog_;
 };
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -171,7 +171,7 @@
 
 RequestRun::Next RequestRun::tryOnce() {
   const std::optional<PlannedSend> planned =
-      forwarder_.planner_.plan(PlanInput{request_, tried_, share_, lastEventId_});
+      forwarder_.planner_.plan(PlanInput{request_, tried_, lastEventId_});
   if (planned) {
     ticket_ = planned->ticket;
   }
@@ -415,7 +415,6 @@
 
 void RequestRun::run() {
   metrics_.countRequest();
-  share_ = forwarder_.division_.note(request_, services_.clock.now());
   Next next = Next::kElsewhere;
   while (next == Next::kElsewhere) {
     if (request_.tenant && !headSent_ && !isKeyProven()) {
--- a/src/gateway/request_run.h
+++ b/src/gateway/request_run.h
@@ -79,7 +79,6 @@
   bool secondSendPaid_ = false;  ///< The budget was asked before the back end was chosen.
   bool isPatient_ = false;       ///< It stays with its engine, whatever the silence.
   std::optional<HeldAnswer> held_;
-  EngineShare share_ = EngineShare::kAll;
   std::optional<Time> firstEventAt_;
   Time lastEventAt_;
   Duration longestPause_{};
--- a/src/gateway/send_planner.cpp
+++ b/src/gateway/send_planner.cpp
@@ -52,20 +52,13 @@
   leaveOutOldWeights(members, ServingVersions{services_.wanted.lowestServing(model, now),
                                               services_.wanted.uncertainVersion(model)});
   const ChoiceContext context{zone_, input.tried};
-  std::vector<BackendView> share = membersOfShare(members, input.share);
-  share.erase(std::remove_if(share.begin(), share.end(),
-                             [&](const BackendView& each) {
-                               return each.isAvoided || input.tried.count(each.listing.id) > 0;
-                             }),
-              share.end());
-  const std::vector<BackendView>& candidates = share.empty() ? members : share;
-  std::optional<BackendChoice> home =
-      chooseHome(input.request, candidates, context, services_.loads);
+  const std::optional<BackendChoice> home =
+      chooseHome(input.request, members, context, services_.loads);
   if (home) {
     return home;
   }
   const std::lock_guard<std::mutex> lock(randomMutex_);
-  return chooseLeastLoaded(candidates, context, random_);
+  return chooseLeastLoaded(members, context, random_);
 }
 
 void SendPlanner::planCache(const PlanInput& input, const std::vector<BackendView>& members,
--- a/src/gateway/send_planner.h
+++ b/src/gateway/send_planner.h
@@ -14,7 +14,6 @@
 #include "common/random.h"
 #include "gateway/backend_choice.h"
 #include "gateway/backend_protocol.h"
-#include "gateway/engine_division.h"
 #include "gateway/engine_loads.h"
 #include "gateway/incoming_request.h"
 #include "gateway/part_memory.h"
@@ -34,7 +33,6 @@
 struct PlanInput {
   const IncomingRequest& request;
   const std::set<std::string>& tried;  ///< Ids of back ends that it was sent to before.
-  EngineShare share = EngineShare::kAll;
   const std::string& resumeAfter;  ///< Id of the last event that the caller has.
 };
 
