--- a/src/peers/mirror_role.cpp
+++ b/src/peers/mirror_role.cpp
@@ -10,11 +10,7 @@
 namespace {
 
 constexpr size_t kFewestReaders = 2;
-/// Up to so many nodes have the fewest readers, whatever their zones.
-constexpr size_t kSmallFleet = 16;
-/// Each reader costs some nine calls a second; a reader that fails is replaced within two seconds by
-/// nodes that read themselves, so a second one in a zone serves its load only.
-constexpr size_t kNodesPerReader = 32;
+constexpr size_t kNodesPerReader = 16;
 constexpr uint64_t kReaderKey = 0x72656164657273;
 constexpr Duration kAskInterval{400000};
 /// A question without an answer by then is given up, and another reader is asked.
@@ -38,7 +34,7 @@
       all.push_back(member.life.node);
     }
   }
-  if (all.size() <= kSmallFleet) {
+  if (all.size() <= kNodesPerReader) {
     return rendezvousTop(kReaderKey, std::move(all), kFewestReaders, nodeHash);
   }
   std::vector<NodeId> readers;
