--- a/src/gateway/backend_protocol.h
+++ b/src/gateway/backend_protocol.h
@@ -10,6 +10,7 @@
 
 #include "backends/backend_set.h"
 #include "gateway/incoming_request.h"
+#include "gateway/part_source.h"
 
 namespace fernmoor::gateway {
 
@@ -20,7 +21,8 @@
   std::string cacheScope;                  ///< Requests share cached prompts only within one scope.
   std::optional<SocketAddress> fetchFrom;  ///< Where cached parts may be taken from.
   std::optional<SocketAddress> saveTo;     ///< Where parts that are read anew are kept.
-  int urgency = 0;                         ///< 0 is the most urgent.
+  PartSource partSource = PartSource::kUncertain;
+  int urgency = 0;  ///< 0 is the most urgent.
   Duration timeLeft{};
   std::string resumeAfter;  ///< Id of the last event delivered; empty: from the start.
 };
--- a/src/gateway/part_source.cpp
+++ b/src/gateway/part_source.cpp
@@ -23,7 +23,7 @@
 }  // namespace
 
 PartTransfer planTransfer(const std::vector<PartHint>& hints, const PartHolders& holders,
-                          Time now) {
+                          bool isStoreSlow, Time now) {
   PartTransfer transfer;
   transfer.fetchFrom = holders.store;
   // Saving sends all that is read, the request's own part included, so only requests with a part
@@ -34,10 +34,15 @@
     transfer.saveTo = holders.store;
   }
   const PartHint& longest = hints.back();
-  const Duration trusted =
-      holders.store && isStored(longest, now) ? kReadMemoryBesideStore : kReadMemory;
-  if (holders.engine && now - longest.readAt <= trusted) {
+  const bool storeHolds = holders.store && isStored(longest, now);
+  const Duration readAge = now - longest.readAt;
+  const Duration trusted = storeHolds && !isStoreSlow ? kReadMemoryBesideStore : kReadMemory;
+  if (holders.engine && readAge <= trusted) {
     transfer.fetchFrom = holders.engine;
+    transfer.source =
+        readAge <= kReadMemoryBesideStore ? PartSource::kEngine : PartSource::kUncertain;
+  } else if (storeHolds) {
+    transfer.source = PartSource::kStore;
   }
   return transfer;
 }
--- a/src/gateway/part_source.h
+++ b/src/gateway/part_source.h
@@ -20,13 +20,23 @@
                                         ///< weights.
 };
 
+/// Where the longest part most likely comes from, as far as that is known before it does.
+enum class PartSource {
+  kUncertain,  ///< It may have to be read.
+  kStore,
+  kEngine,  ///< One that read it a moment ago.
+};
+
 /// What the engine that serves is told.
 struct PartTransfer {
   std::optional<SocketAddress> fetchFrom;
   std::optional<SocketAddress> saveTo;
+  PartSource source = PartSource::kUncertain;
 };
 
 /// @param hints of the request's shared parts, the longest prefix last; not empty.
-PartTransfer planTransfer(const std::vector<PartHint>& hints, const PartHolders& holders, Time now);
+/// @param isStoreSlow whether engines are asked first for what both may hold.
+PartTransfer planTransfer(const std::vector<PartHint>& hints, const PartHolders& holders,
+                          bool isStoreSlow, Time now);
 
 }  // namespace fernmoor::gateway
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -205,6 +205,7 @@
   atBackend_ = true;
   promptCounted_ = true;
   isPatient_ = false;
+  sentAt_ = now;
   TrailEntry entry;
   entry.backend = plan_.backend.id;
   entry.inFlight = planned.inFlight;
@@ -320,7 +321,7 @@
   } else {
     firstEventAt_ = now;
     metrics_.observeFirstToken(now - request_.arrivedAt);
-    forwarder_.planner_.notePartsRead(request_, plan_);
+    forwarder_.planner_.notePartsRead(request_, plan_, now - sentAt_);
   }
   lastEventAt_ = now;
 }
--- a/src/gateway/request_run.h
+++ b/src/gateway/request_run.h
@@ -79,6 +79,7 @@
   bool secondSendPaid_ = false;  ///< The budget was asked before the back end was chosen.
   bool isPatient_ = false;       ///< It stays with its engine, whatever the silence.
   std::optional<HeldAnswer> held_;
+  Time sentAt_;  ///< When the latest send began.
   std::optional<Time> firstEventAt_;
   Time lastEventAt_;
   Duration longestPause_{};
--- a/src/gateway/send_planner.cpp
+++ b/src/gateway/send_planner.cpp
@@ -52,8 +52,7 @@
   leaveOutOldWeights(members, ServingVersions{services_.wanted.lowestServing(model, now),
                                               services_.wanted.uncertainVersion(model)});
   const ChoiceContext context{zone_, input.tried};
-  const std::optional<BackendChoice> home =
-      chooseHome(input.request, members, context, services_.loads);
+  std::optional<BackendChoice> home = chooseHome(input.request, members, context, services_.loads);
   if (home) {
     return home;
   }
@@ -77,9 +76,10 @@
   if (engine != 0 && engine != stableHash(plan.backend.id)) {
     holders.engine = sourceEngine(members, engine, plan.weightsVersion);
   }
-  const PartTransfer transfer = planTransfer(hints, holders, now);
+  const PartTransfer transfer = planTransfer(hints, holders, experience_.isStoreSlow(now), now);
   plan.fetchFrom = transfer.fetchFrom;
   plan.saveTo = transfer.saveTo;
+  plan.partSource = transfer.source;
 }
 
 std::optional<PlannedSend> SendPlanner::plan(const PlanInput& input) {
@@ -108,7 +108,9 @@
   return planned;
 }
 
-void SendPlanner::notePartsRead(const IncomingRequest& request, const SendPlan& plan) {
+void SendPlanner::notePartsRead(const IncomingRequest& request, const SendPlan& plan,
+                                Duration took) {
+  experience_.note(plan.partSource, request.promptTokens, took, services_.clock.now());
   const std::vector<PartKey> keys = sharedKeys(request, plan.cacheScope);
   if (!plan.cacheScope.empty() && !keys.empty()) {
     services_.parts.note(keys, stableHash(plan.backend.id), plan.saveTo.has_value());
--- a/src/gateway/send_planner.h
+++ b/src/gateway/send_planner.h
@@ -17,6 +17,7 @@
 #include "gateway/engine_loads.h"
 #include "gateway/incoming_request.h"
 #include "gateway/part_memory.h"
+#include "gateway/source_experience.h"
 
 namespace fernmoor::gateway {
 
@@ -33,7 +34,7 @@
 struct PlanInput {
   const IncomingRequest& request;
   const std::set<std::string>& tried;  ///< Ids of back ends that it was sent to before.
-  const std::string& resumeAfter;  ///< Id of the last event that the caller has.
+  const std::string& resumeAfter;      ///< Id of the last event that the caller has.
 };
 
 /// A plan, and the load by which its back end was chosen.
@@ -55,7 +56,8 @@
   /// Tells that a request waits no longer at its engine.
   void release(const LoadTicket& ticket) { services_.loads.release(ticket); }
   /// Tells where the request's shared parts were read.
-  void notePartsRead(const IncomingRequest& request, const SendPlan& plan);
+  /// @param took from the send to the first event.
+  void notePartsRead(const IncomingRequest& request, const SendPlan& plan, Duration took);
 
  private:
   std::optional<BackendChoice> choose(const PlanInput& input, std::vector<BackendView> members,
@@ -65,6 +67,7 @@
 
   PlannerServices services_;
   std::string zone_;
+  SourceExperience experience_;
   std::mutex randomMutex_;
   Random random_;
 };
--- a/test/gateway/part_source_test.cpp
+++ b/test/gateway/part_source_test.cpp
@@ -30,39 +30,54 @@
 
   SUBCASE("with an engine that read them a moment ago") {
     SUBCASE("that engine is the source, and what the store holds is not saved again") {
-      const PartTransfer transfer =
-          planTransfer({hint(kRecent, kAWhile), hint(kRecent, kAWhile)}, {kStore, kEngine}, kNow);
+      const PartTransfer transfer = planTransfer({hint(kRecent, kAWhile), hint(kRecent, kAWhile)},
+                                                 {kStore, kEngine}, false, kNow);
       CHECK(transfer.fetchFrom == kEngine);
       CHECK_FALSE(transfer.saveTo);
     }
     SUBCASE("what the store lacks is saved, also if that is only one of the parts") {
       const PartTransfer transfer = planTransfer(
-          {hint(kRecent, std::nullopt), hint(kRecent, kAWhile)}, {kStore, kEngine}, kNow);
+          {hint(kRecent, std::nullopt), hint(kRecent, kAWhile)}, {kStore, kEngine}, false, kNow);
       CHECK(transfer.fetchFrom == kEngine);
       CHECK(transfer.saveTo == kStore);
     }
   }
   SUBCASE("with an engine that read them some seconds ago and may have dropped them") {
     SUBCASE("the store is the source where it holds them") {
-      const PartTransfer transfer = planTransfer({hint(kAWhile, kAWhile)}, {kStore, kEngine}, kNow);
+      const PartTransfer transfer =
+          planTransfer({hint(kAWhile, kAWhile)}, {kStore, kEngine}, false, kNow);
       CHECK(transfer.fetchFrom == kStore);
     }
     SUBCASE("the engine is asked where the store does not hold them any more") {
       const PartTransfer transfer =
-          planTransfer({hint(kAWhile, kLongAgo)}, {kStore, kEngine}, kNow);
+          planTransfer({hint(kAWhile, kLongAgo)}, {kStore, kEngine}, false, kNow);
       CHECK(transfer.fetchFrom == kEngine);
       CHECK(transfer.saveTo == kStore);
     }
     SUBCASE("the engine is asked where there is no store") {
       const PartTransfer transfer =
-          planTransfer({hint(kAWhile, kAWhile)}, {std::nullopt, kEngine}, kNow);
+          planTransfer({hint(kAWhile, kAWhile)}, {std::nullopt, kEngine}, false, kNow);
       CHECK(transfer.fetchFrom == kEngine);
       CHECK_FALSE(transfer.saveTo);
     }
   }
+  SUBCASE("while the store is slow") {
+    SUBCASE("an engine that may have dropped them is asked all the same") {
+      const PartTransfer transfer =
+          planTransfer({hint(kAWhile, kAWhile)}, {kStore, kEngine}, true, kNow);
+      CHECK(transfer.fetchFrom == kEngine);
+      CHECK(transfer.source == PartSource::kUncertain);
+    }
+    SUBCASE("the store is asked where no engine is known") {
+      const PartTransfer transfer =
+          planTransfer({hint(kAWhile, kAWhile)}, {kStore, std::nullopt}, true, kNow);
+      CHECK(transfer.fetchFrom == kStore);
+      CHECK(transfer.source == PartSource::kStore);
+    }
+  }
   SUBCASE("an engine that read them long ago is not asked") {
     const PartTransfer transfer =
-        planTransfer({hint(kLongAgo, std::nullopt)}, {kStore, kEngine}, kNow);
+        planTransfer({hint(kLongAgo, std::nullopt)}, {kStore, kEngine}, false, kNow);
     CHECK(transfer.fetchFrom == kStore);
   }
 }
--- /dev/null
+++ b/test/gateway/source_experience_test.cpp
@@ -0,0 +1,51 @@
+/// @file
+/// Tests of src/gateway/source_experience.h.
+#include "gateway/source_experience.h"
+
+#include <doctest/doctest.h>
+
+namespace fernmoor::gateway {
+
+namespace {
+
+constexpr uint64_t kPrompt = 9000;
+constexpr std::chrono::milliseconds kFromEngine(200);
+
+void note(SourceExperience& experience, PartSource source, Duration took, Time now) {
+  for (int request = 0; request < 4; ++request) {
+    experience.note(source, kPrompt, took, now);
+  }
+}
+
+}  // namespace
+
+TEST_CASE("the store counts as slow") {
+  SourceExperience experience;
+  Time now{std::chrono::seconds(1000)};
+  note(experience, PartSource::kEngine, kFromEngine, now);
+
+  SUBCASE("not before it was seen to be") {
+    CHECK_FALSE(experience.isStoreSlow(now));
+    experience.note(PartSource::kStore, kPrompt, std::chrono::seconds(2), now);
+    CHECK_FALSE(experience.isStoreSlow(now));
+  }
+  SUBCASE("not for the time that its link takes when nobody waits") {
+    note(experience, PartSource::kStore, std::chrono::milliseconds(235), now);
+    CHECK_FALSE(experience.isStoreSlow(now));
+  }
+  SUBCASE("while parts wait there") {
+    note(experience, PartSource::kStore, std::chrono::milliseconds(700), now);
+    CHECK(experience.isStoreSlow(now));
+    SUBCASE("until that was a while ago, so that it is tried again") {
+      CHECK_FALSE(experience.isStoreSlow(now + std::chrono::seconds(20)));
+    }
+    SUBCASE("but not on account of parts that may have been read") {
+      SourceExperience other;
+      note(other, PartSource::kEngine, kFromEngine, now);
+      note(other, PartSource::kUncertain, std::chrono::milliseconds(700), now);
+      CHECK_FALSE(other.isStoreSlow(now));
+    }
+  }
+}
+
+}  // namespace fernmoor::gateway
--- a/test/peers/directory_world.h
+++ b/test/peers/directory_world.h
@@ -46,7 +46,7 @@
   }
   /// Replaces the node by one that knows nothing.
   void restart(uint64_t id) {
-    const NodeId node{id};
+    const NodeId node(id);
     nodes_[node] = std::make_unique<Directory>(node, clock, *senders_[node]);
     nodes_[node]->setMembers(members_);
   }
