--- a/test/gateway/backend_choice_test.cpp
+++ b/test/gateway/backend_choice_test.cpp
@@ -6,6 +6,7 @@
 
 #include <map>
 
+#include "common/rendezvous.h"
 #include "gateway/serving_versions.h"
 
 namespace fernmoor::gateway {
@@ -39,6 +40,24 @@
   void release(const LoadTicket&) override {}
 };
 
+/// Counts for all nodes; the test sets what waits at each engine.
+class CountingLoads : public EngineLoads {
+ public:
+  std::optional<LoadAnswer> reserve(uint64_t engine, uint64_t tokens, uint64_t bound) override {
+    ++questions;
+    LoadAnswer answer;
+    answer.pendingTokens = pending[engine];
+    answer.isGranted = answer.pendingTokens < bound;
+    answer.ticket = LoadTicket{engine, questions};
+    pending[engine] += answer.isGranted ? tokens : 0;
+    return answer;
+  }
+  void release(const LoadTicket&) override {}
+
+  std::map<uint64_t, uint64_t> pending;
+  uint32_t questions = 0;
+};
+
 std::string chosen(const IncomingRequest& request, const std::vector<BackendView>& candidates,
                    const std::set<std::string>& tried = {}) {
   Random random(1);
@@ -97,6 +116,48 @@
   CHECK(chosen(prompt.request, candidates) == home);
 }
 
+TEST_CASE("a request goes where the fewest tokens stand before its own prompt") {
+  Prompt prompt("subject");  // Shares 6300 tokens, of 9200.
+  prompt.request.promptTokens = 9200;
+  const auto candidates = engines(6);
+  const std::string homeId = chosen(prompt.request, candidates);
+  const uint64_t home = stableHash(homeId);
+  CountingLoads loads;
+  const auto choose = [&] {
+    return *chooseHome(prompt.request, candidates, ChoiceContext{"near", {}}, loads);
+  };
+
+  SUBCASE("to its home while that reads no longer than the request itself takes") {
+    loads.pending[home] = 9000;
+    CHECK(choose().backend.listing.id == homeId);
+    CHECK(loads.questions == 1);
+  }
+  SUBCASE("elsewhere when bringing the shared parts there is less than the wait at home") {
+    loads.pending[home] = 20000;
+    const BackendChoice choice = choose();
+    CHECK(choice.backend.listing.id != homeId);
+    CHECK(choice.ticket.has_value());
+  }
+  SUBCASE("where all have more to read than that") {
+    for (const BackendView& each : candidates) {
+      loads.pending[stableHash(each.listing.id)] = 30000;
+    }
+    SUBCASE("to its home, where it is counted all the same") {
+      const BackendChoice choice = choose();
+      CHECK(choice.backend.listing.id == homeId);
+      CHECK(choice.ticket.has_value());
+      CHECK(loads.pending[home] == 30000 + 9200);
+    }
+    SUBCASE("to another home once that has enough less, counted there") {
+      loads.pending[home] = 40000;
+      const BackendChoice choice = choose();
+      CHECK(choice.backend.listing.id != homeId);
+      CHECK(loads.pending[choice.ticket->engine] == 30000 + 9200);
+      CHECK(loads.pending[home] == 40000);
+    }
+  }
+}
+
 TEST_CASE("tenants that share nothing have homes of their own and scopes of their own") {
   Prompt shared("subject");
   Prompt isolated("subject");
