--- a/src/gateway/backend_choice.cpp
+++ b/src/gateway/backend_choice.cpp
@@ -15,6 +15,7 @@
 constexpr double kBoundedLoadSlack = 4;
 /// Each costs a trip to another node.
 constexpr size_t kMostHomesAsked = 3;
+/// In tokens: counts a request however much waits.
 constexpr uint64_t kNoBound = std::numeric_limits<uint64_t>::max();
 /// What a back end of another zone costs, in requests.
 constexpr double kOtherZonePenalty = 1.5;
