Forwarder tests: a scripted back end notes its refusal before it sends it

Cause, in the test: the script set its flag after it had answered, so the second back end, another thread, could still read it unset and refuse too. Seen again each time with 50 ms between answer and flag; with the flag exchanged before the answer it cannot be. Its twin on failures of an engine had the same order. The checks are as they were.

--- a/test/gateway/forwarder_test.cpp
+++ b/test/gateway/forwarder_test.cpp
@@ -5,6 +5,8 @@
 
 #include <doctest/doctest.h>
 
+#include <atomic>
+
 #include "common/rendezvous.h"
 #include "test/gateway/forwarder_world.h"
 
@@ -129,11 +131,11 @@
 TEST_CASE("a back end that vouches not to have run a request frees it for another") {
   ForwarderWorld world;
   world.row.maxAttempts = 1;
-  bool refused = false;
+  std::atomic<bool> hasRefused{false};  // Set before the answer: the next back end may be quick.
   const Script once = [&](Poco::Net::StreamSocket& socket, const std::string&) {
+    const bool isSecond = hasRefused.exchange(true);
     say(socket,
-        refused ? answer("200 OK", "done") : answer("503 Full", "", "Id: r1\r\nNot-Run: 1\r\n"));
-    refused = true;
+        isSecond ? answer("200 OK", "done") : answer("503 Full", "", "Id: r1\r\nNot-Run: 1\r\n"));
     return true;
   };
   world.add("a", once);
@@ -232,10 +234,10 @@
 
   ForwarderWorld again;
   again.row.repetition = Repetition::kRepeatable;
-  bool failed = false;
+  std::atomic<bool> hasFailed{false};
   const Script script = [&](Poco::Net::StreamSocket& socket, const std::string&) {
-    say(socket, failed ? answer("200 OK", "done") : answer("500 Oops", "failed"));
-    failed = true;
+    const bool isSecond = hasFailed.exchange(true);
+    say(socket, isSecond ? answer("200 OK", "done") : answer("500 Oops", "failed"));
     return true;
   };
   again.add("a", script);
