--- a/src/operator_client/command_line.cpp
+++ b/src/operator_client/command_line.cpp
@@ -81,7 +81,7 @@
 Examples:
   export FERNMOOR_NODE=http://127.0.0.1:8080 FERNMOOR_KEY=...
   fernmoorctl table get
-  fernmoorctl table set village-alert neerkaval-coast priority=0 rate_per_second=50
+  fernmoorctl table set short-answers coast-office priority=0 rate_per_second=50
   fernmoorctl table get --output=json > rows.json   # edit rows.json, then:
   fernmoorctl table diff rows.json
   fernmoorctl table apply rows.json
