One place says which parts of a prompt are shared, and a send carries its transfer whole

Last read of the change: "all but the last part" stood in three loops; a plan copied the three fields of its transfer one by one.

--- a/src/gateway/backend_choice.cpp
+++ b/src/gateway/backend_choice.cpp
@@ -36,10 +36,10 @@
 
 /// @return the part by which the request's home is found: the last one that others share.
 std::optional<std::string> affinityPart(const IncomingRequest& request) {
-  if (!request.row->usesPrefixes || request.parts.size() < 2) {
+  if (!request.row->usesPrefixes || request.sharedPartCount() == 0) {
     return std::nullopt;
   }
-  return request.parts[request.parts.size() - 2].id;
+  return request.parts[request.sharedPartCount() - 1].id;
 }
 
 double meanInFlight(const Candidates& candidates) {
@@ -91,10 +91,10 @@
   return usable;
 }
 
-/// @return tokens of the parts that other requests share: all but the last.
+/// @return tokens of the parts that other requests share.
 uint64_t sharedTokensOf(const IncomingRequest& request) {
   uint64_t tokens = 0;
-  for (size_t index = 0; index + 1 < request.parts.size(); ++index) {
+  for (size_t index = 0; index < request.sharedPartCount(); ++index) {
     tokens += request.parts[index].tokens;
   }
   return tokens;
--- a/src/gateway/backend_protocol.h
+++ b/src/gateway/backend_protocol.h
@@ -17,12 +17,10 @@
 /// What is said to a back end beside the caller's own request.
 struct SendPlan {
   BackendListing backend;
-  uint64_t weightsVersion = 0;             ///< The back end must hold these; 0: unknown.
-  std::string cacheScope;                  ///< Requests share cached prompts only within one scope.
-  std::optional<SocketAddress> fetchFrom;  ///< Where cached parts may be taken from.
-  std::optional<SocketAddress> saveTo;     ///< Where parts that are read anew are kept.
-  PartSource partSource = PartSource::kUncertain;
-  int urgency = 0;  ///< 0 is the most urgent.
+  uint64_t weightsVersion = 0;  ///< The back end must hold these; 0: unknown.
+  std::string cacheScope;       ///< Requests share cached prompts only within one scope.
+  PartTransfer transfer;        ///< Where its shared parts are taken from and left.
+  int urgency = 0;              ///< 0 is the most urgent.
   Duration timeLeft{};
   std::string resumeAfter;  ///< Id of the last event delivered; empty: from the start.
 };
--- a/src/gateway/incoming_request.h
+++ b/src/gateway/incoming_request.h
@@ -38,6 +38,8 @@
   std::vector<PromptPart> parts;
   std::string resumeAfter;  ///< Id of the last event that the caller has; empty: none.
 
+  /// @return how many of its parts other requests share: all but the last.
+  size_t sharedPartCount() const { return parts.empty() ? 0 : parts.size() - 1; }
   /// @return whether it may run again after it may have run.
   bool isRepeatable() const {
     return row->repetition == Repetition::kRepeatable || (row->isStream && row->isResumable);
--- a/src/gateway/part_source.h
+++ b/src/gateway/part_source.h
@@ -29,8 +29,8 @@
 
 /// What the engine that serves is told.
 struct PartTransfer {
-  std::optional<SocketAddress> fetchFrom;
-  std::optional<SocketAddress> saveTo;
+  std::optional<SocketAddress> fetchFrom;  ///< Where cached parts may be taken from.
+  std::optional<SocketAddress> saveTo;     ///< Where parts that are read anew are kept.
   PartSource source = PartSource::kUncertain;
 };
 
--- a/src/gateway/send_planner.cpp
+++ b/src/gateway/send_planner.cpp
@@ -14,10 +14,10 @@
 constexpr int kUrgenciesPerTenantPriority = 3;
 constexpr int kLeastUrgent = 9;
 
-/// @return the keys of the parts that other requests share: all but the last.
+/// @return the keys of the parts that other requests share.
 std::vector<PartKey> sharedKeys(const IncomingRequest& request, const std::string& scope) {
   std::vector<PartKey> keys;
-  for (size_t index = 0; index + 1 < request.parts.size(); ++index) {
+  for (size_t index = 0; index < request.sharedPartCount(); ++index) {
     keys.push_back(partKeyOf(scope, request.parts[index].id));
   }
   return keys;
@@ -76,10 +76,7 @@
   if (engine != 0 && engine != stableHash(plan.backend.id)) {
     holders.engine = sourceEngine(members, engine, plan.weightsVersion);
   }
-  const PartTransfer transfer = planTransfer(hints, holders, experience_.isStoreSlow(now), now);
-  plan.fetchFrom = transfer.fetchFrom;
-  plan.saveTo = transfer.saveTo;
-  plan.partSource = transfer.source;
+  plan.transfer = planTransfer(hints, holders, experience_.isStoreSlow(now), now);
 }
 
 std::optional<PlannedSend> SendPlanner::plan(const PlanInput& input) {
@@ -110,10 +107,10 @@
 
 void SendPlanner::notePartsRead(const IncomingRequest& request, const SendPlan& plan,
                                 Duration took) {
-  experience_.note(plan.partSource, request.promptTokens, took, services_.clock.now());
+  experience_.note(plan.transfer.source, request.promptTokens, took, services_.clock.now());
   const std::vector<PartKey> keys = sharedKeys(request, plan.cacheScope);
   if (!plan.cacheScope.empty() && !keys.empty()) {
-    services_.parts.note(keys, stableHash(plan.backend.id), plan.saveTo.has_value());
+    services_.parts.note(keys, stableHash(plan.backend.id), plan.transfer.saveTo.has_value());
   }
 }
 
--- a/test/gateway/forwarder_world.h
+++ b/test/gateway/forwarder_world.h
@@ -141,11 +141,11 @@
     if (!plan.cacheScope.empty()) {
       head.set("Scope", plan.cacheScope);
     }
-    if (plan.fetchFrom) {
-      head.set("Fetch-From", formatSocketAddress(*plan.fetchFrom));
+    if (plan.transfer.fetchFrom) {
+      head.set("Fetch-From", formatSocketAddress(*plan.transfer.fetchFrom));
     }
-    if (plan.saveTo) {
-      head.set("Save-To", formatSocketAddress(*plan.saveTo));
+    if (plan.transfer.saveTo) {
+      head.set("Save-To", formatSocketAddress(*plan.transfer.saveTo));
     }
     if (!plan.resumeAfter.empty()) {
       head.set("Resume-After", plan.resumeAfter);
--- a/test/platform/engine_protocol_test.cpp
+++ b/test/platform/engine_protocol_test.cpp
@@ -50,7 +50,7 @@
   Sent sent;
   sent.plan.cacheScope = "shared.v3";
   sent.plan.weightsVersion = 3;
-  sent.plan.fetchFrom = SocketAddress{"10.0.0.1", 80};
+  sent.plan.transfer.fetchFrom = SocketAddress{"10.0.0.1", 80};
   sent.plan.resumeAfter = "12";
   const Poco::Net::HTTPRequest head = sent.head();
   CHECK(head.get("X-Cache-Salt") == "shared.v3");
