Large sites: three readers of the store, relays below them; nodes that start read once; the choice hashes each engine once

Change: readers are three, in different zones, however many nodes there are; the former readers are relays, which ask the readers and are asked by the rest; changes go down that tree at once, proofs age from the reader's call over both hops. A relay falls back after 1.5 s without a newer proof, a node below it after 3 s. The choice of an engine copies no listing and hashes each candidate once.

--- a/src/backends/backend_set.cpp
+++ b/src/backends/backend_set.cpp
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <set>
 
+#include "common/rendezvous.h"
+
 namespace fernmoor {
 
 namespace {
@@ -29,12 +31,14 @@
 }
 
 void BackendSet::merge(Entry& entry, const BackendListing& listing) {
-  BackendListing merged = listing;
+  auto merged = std::make_shared<BackendListing>(listing);
   // The list lags behind what answers and moves have told: versions of one life only rise.
-  for (HeldWeights& held : merged.weights) {
-    held.version = std::max(held.version, heldVersion(entry.listing, held.model));
+  for (HeldWeights& held : merged->weights) {
+    const uint64_t known = entry.listing ? heldVersion(*entry.listing, held.model) : 0;
+    held.version = std::max(held.version, known);
   }
   entry.listing = std::move(merged);
+  entry.idHash = stableHash(listing.id);
 }
 
 void BackendSet::replaceAll(const std::vector<BackendListing>& listings, Time now) {
@@ -63,8 +67,9 @@
                                                Time now) const {
   const std::lock_guard<std::mutex> lock(mutex_);
   std::vector<BackendView> members;
+  members.reserve(entries_.size());
   for (const auto& [id, entry] : entries_) {
-    if (entry.listing.pool != pool || entry.listing.isDraining) {
+    if (entry.listing->pool != pool || entry.listing->isDraining) {
       continue;
     }
     BackendView view;
@@ -72,7 +77,8 @@
     view.inFlight = entry.inFlight;
     view.pendingTokens = entry.pendingTokens;
     view.isAvoided = now < entry.avoidedUntil;
-    view.weightsVersion = heldVersion(entry.listing, model);
+    view.idHash = entry.idHash;
+    view.weightsVersion = heldVersion(*entry.listing, model);
     members.push_back(std::move(view));
   }
   return members;
@@ -83,7 +89,7 @@
   std::vector<BackendListing> listings;
   listings.reserve(entries_.size());
   for (const auto& entry : entries_) {
-    listings.push_back(entry.second.listing);
+    listings.push_back(*entry.second.listing);
   }
   return listings;
 }
@@ -92,7 +98,7 @@
   const std::lock_guard<std::mutex> lock(mutex_);
   const auto found = entries_.find(id);
   return found == entries_.end() ? std::nullopt
-                                 : std::optional<BackendListing>(found->second.listing);
+                                 : std::optional<BackendListing>(*found->second.listing);
 }
 
 size_t BackendSet::size() const {
@@ -103,7 +109,7 @@
 bool BackendSet::isUsable(const std::string& id) const {
   const std::lock_guard<std::mutex> lock(mutex_);
   const auto found = entries_.find(id);
-  return found != entries_.end() && !found->second.listing.isDraining;
+  return found != entries_.end() && !found->second.listing->isDraining;
 }
 
 void BackendSet::started(const std::string& id, uint64_t promptTokens) {
@@ -156,34 +162,36 @@
   judge(found->second, verdict, now);
 }
 
-HeldWeights* BackendSet::findWeights(const std::string& id, const std::string& model) {
+template <class Rule>
+void BackendSet::setWeights(const std::string& id, const std::string& model, Rule rule) {
   const auto found = entries_.find(id);
   if (found == entries_.end()) {
-    return nullptr;
+    return;
+  }
+  const uint64_t listed = heldVersion(*found->second.listing, model);
+  const uint64_t version = rule(listed);
+  if (version == listed) {
+    return;
   }
-  std::vector<HeldWeights>& weights = found->second.listing.weights;
-  const auto held = std::find_if(weights.begin(), weights.end(),
+  auto changed = std::make_shared<BackendListing>(*found->second.listing);
+  const auto held = std::find_if(changed->weights.begin(), changed->weights.end(),
                                  [&](const HeldWeights& each) { return each.model == model; });
-  return held == weights.end() ? nullptr : &*held;
+  if (held != changed->weights.end()) {
+    held->version = version;
+  } else {
+    changed->weights.push_back(HeldWeights{model, version});
+  }
+  found->second.listing = std::move(changed);
 }
 
 void BackendSet::noteWeights(const std::string& id, const std::string& model, uint64_t version) {
   const std::lock_guard<std::mutex> lock(mutex_);
-  if (HeldWeights* held = findWeights(id, model)) {
-    held->version = std::max(held->version, version);
-    return;
-  }
-  const auto found = entries_.find(id);
-  if (found != entries_.end()) {
-    found->second.listing.weights.push_back(HeldWeights{model, version});
-  }
+  setWeights(id, model, [&](uint64_t listed) { return std::max(listed, version); });
 }
 
 void BackendSet::correctWeights(const std::string& id, const std::string& model, uint64_t version) {
   const std::lock_guard<std::mutex> lock(mutex_);
-  if (HeldWeights* held = findWeights(id, model)) {
-    held->version = version;
-  }
+  setWeights(id, model, [&](uint64_t listed) { return listed == 0 ? 0 : version; });
 }
 
 void BackendSet::avoidUntil(const std::string& id, Time until) {
--- a/src/backends/backend_set.h
+++ b/src/backends/backend_set.h
@@ -39,8 +39,9 @@
 
 /// One back end as a choice sees it.
 struct BackendView {
-  BackendListing listing;
-  int inFlight = 0;             ///< Requests of this node that run there.
+  std::shared_ptr<const BackendListing> listing;  ///< Never null.
+  uint64_t idHash = 0;                            ///< stableHash() of its id.
+  int inFlight = 0;                               ///< Requests of this node that run there.
   uint64_t pendingTokens = 0;   ///< Prompt tokens of this node's requests without a first event.
   bool isAvoided = false;       ///< Failed lately, or is taking new weights.
   uint64_t weightsVersion = 0;  ///< Of the asked model; 0: unknown.
@@ -82,7 +83,8 @@
 
  private:
   struct Entry {
-    BackendListing listing;
+    std::shared_ptr<const BackendListing> listing;  ///< Replaced, never changed.
+    uint64_t idHash = 0;
     int inFlight = 0;
     uint64_t pendingTokens = 0;
     double failures = 0;  ///< Recent failures, decaying.
@@ -92,9 +94,11 @@
     int ejections = 0;
   };
 
-  /// @return the weights of the model that the back end lists, or null. Call with the lock held.
-  HeldWeights* findWeights(const std::string& id, const std::string& model);
-  void merge(Entry& entry, const BackendListing& listing);
+  /// Lists another version of the model for the back end. Call with the lock held.
+  /// @param rule gives the new version from the one listed, 0 where none is.
+  template <class Rule>
+  void setWeights(const std::string& id, const std::string& model, Rule rule);
+  static void merge(Entry& entry, const BackendListing& listing);
   void judge(Entry& entry, BackendVerdict verdict, Time now);
 
   mutable std::mutex mutex_;
--- a/src/common/rendezvous.h
+++ b/src/common/rendezvous.h
@@ -26,18 +26,29 @@
 
 /// Orders candidates by falling weight for the key and keeps the first few.
 /// @param candidateHash function from a candidate to its stable 64-bit hash.
-/// @return at most `count` candidates, the best first.
+/// @return at most `count` candidates, the best first. Hashes each candidate once.
 template <class Candidate, class HashFunction>
 std::vector<Candidate> rendezvousTop(uint64_t key, std::vector<Candidate> candidates, size_t count,
                                      HashFunction candidateHash) {
+  struct Weighted {
+    uint64_t weight;
+    size_t index;
+  };
+  std::vector<Weighted> weighted;
+  weighted.reserve(candidates.size());
+  for (size_t index = 0; index < candidates.size(); ++index) {
+    weighted.push_back(Weighted{rendezvousWeight(key, candidateHash(candidates[index])), index});
+  }
   const size_t kept = std::min(count, candidates.size());
-  std::partial_sort(candidates.begin(), candidates.begin() + static_cast<ptrdiff_t>(kept),
-                    candidates.end(), [&](const Candidate& a, const Candidate& b) {
-                      return rendezvousWeight(key, candidateHash(a)) >
-                             rendezvousWeight(key, candidateHash(b));
-                    });
-  candidates.resize(kept);
-  return candidates;
+  std::partial_sort(weighted.begin(), weighted.begin() + static_cast<ptrdiff_t>(kept),
+                    weighted.end(),
+                    [](const Weighted& a, const Weighted& b) { return a.weight > b.weight; });
+  std::vector<Candidate> top;
+  top.reserve(kept);
+  for (size_t rank = 0; rank < kept; ++rank) {
+    top.push_back(std::move(candidates[weighted[rank].index]));
+  }
+  return top;
 }
 
 }  // namespace fernmoor
--- a/src/gateway/backend_choice.cpp
+++ b/src/gateway/backend_choice.cpp
@@ -26,7 +26,7 @@
                     bool withAvoided) {
   Candidates usable;
   for (const BackendView& candidate : candidates) {
-    const bool wasTried = tried.count(candidate.listing.id) > 0;
+    const bool wasTried = tried.count(candidate.listing->id) > 0;
     if (!wasTried && (withAvoided || !candidate.isAvoided)) {
       usable.push_back(&candidate);
     }
@@ -55,7 +55,7 @@
   const BackendView* best = nullptr;
   double bestScore = 0;
   for (const BackendView* candidate : candidates) {
-    const double penalty = candidate->listing.zone == zone ? 0 : kOtherZonePenalty;
+    const double penalty = candidate->listing->zone == zone ? 0 : kOtherZonePenalty;
     const double score = candidate->inFlight + penalty + random.unit() / 2;
     if (best == nullptr || score < bestScore) {
       best = candidate;
@@ -71,10 +71,10 @@
   return sound.empty() ? usableOf(candidates, tried, true) : sound;
 }
 
-/// @return the candidates in the order in which a request with shared parts is to try them: its
-///         home first, those beyond their share of this node's requests last. Empty for other
-///         requests.
-Candidates homesInOrder(const IncomingRequest& request, Candidates usable) {
+/// @return the first of the candidates in the order in which a request with shared parts is to try
+///         them: its home first, those beyond their share of this node's requests last. Empty for
+///         other requests.
+Candidates firstHomes(const IncomingRequest& request, const Candidates& usable) {
   const std::optional<std::string> part = affinityPart(request);
   if (!part || usable.empty()) {
     return {};
@@ -83,12 +83,17 @@
       request.tenant && request.tenant->isIsolated ? request.tenant->name : "";
   const uint64_t key = stableHash(*part + "/" + owner);
   const double bound = meanInFlight(usable) * kBoundedLoadFactor + kBoundedLoadSlack;
-  const size_t count = usable.size();
-  usable = rendezvousTop(key, std::move(usable), count,
-                         [](const BackendView* each) { return stableHash(each->listing.id); });
-  std::stable_partition(usable.begin(), usable.end(),
-                        [&](const BackendView* each) { return each->inFlight < bound; });
-  return usable;
+  Candidates within;
+  Candidates beyond;
+  for (const BackendView* each : usable) {
+    (each->inFlight < bound ? within : beyond).push_back(each);
+  }
+  const auto hashOf = [](const BackendView* each) { return each->idHash; };
+  Candidates homes = rendezvousTop(key, std::move(within), kMostHomesAsked, hashOf);
+  const Candidates others =
+      rendezvousTop(key, std::move(beyond), kMostHomesAsked - homes.size(), hashOf);
+  homes.insert(homes.end(), others.begin(), others.end());
+  return homes;
 }
 
 /// @return tokens of the parts that other requests share.
@@ -112,12 +117,12 @@
 std::optional<BackendChoice> chooseHome(const IncomingRequest& request,
                                         const std::vector<BackendView>& candidates,
                                         const ChoiceContext& context, EngineLoads& loads) {
-  const Candidates homes = homesInOrder(request, usableOf(candidates, context.tried));
+  const Candidates homes = firstHomes(request, usableOf(candidates, context.tried));
   const uint64_t shared = sharedTokensOf(request);
   // A wait as long as the request's own reading is not worth a question to another node.
   const uint64_t shortWait = std::max(shared, request.promptTokens);
   std::optional<BusyHome> best;
-  for (size_t index = 0; index < std::min(homes.size(), kMostHomesAsked); ++index) {
+  for (size_t index = 0; index < homes.size(); ++index) {
     const BackendView& home = *homes[index];
     // All but the first have to get the shared parts from elsewhere.
     const uint64_t toBring = index == 0 ? 0 : shared;
@@ -126,7 +131,7 @@
     }
     const uint64_t bound = best ? std::min(shortWait, best->cost - toBring) : shortWait;
     const std::optional<LoadAnswer> answer =
-        loads.reserve(stableHash(home.listing.id), request.promptTokens, bound);
+        loads.reserve(home.idHash, request.promptTokens, bound);
     BackendChoice choice{home, answer ? answer->pendingTokens : home.pendingTokens, std::nullopt};
     if (answer && answer->isGranted) {
       choice.ticket = answer->ticket;
@@ -144,8 +149,7 @@
   }
   // It is counted there all the same: else nobody would know how much waits beyond the bound.
   const std::optional<LoadAnswer> counted =
-      best->isAsked ? loads.reserve(stableHash(best->choice.backend.listing.id),
-                                    request.promptTokens, kNoBound)
+      best->isAsked ? loads.reserve(best->choice.backend.idHash, request.promptTokens, kNoBound)
                     : std::nullopt;
   if (counted && counted->isGranted) {
     best->choice.ticket = counted->ticket;
--- a/src/peers/mirror_role.cpp
+++ b/src/peers/mirror_role.cpp
@@ -10,22 +10,53 @@
 namespace {
 
 constexpr size_t kFewestReaders = 2;
-constexpr size_t kNodesPerReader = 16;
+/// Enough that one is left where a zone is cut off and another reader stops.
+constexpr size_t kMostReaders = 3;
+constexpr size_t kNodesPerRelay = 16;
 constexpr uint64_t kReaderKey = 0x72656164657273;
 constexpr Duration kAskInterval{400000};
-/// A question without an answer by then is given up, and another reader is asked.
+/// A question without an answer by then is given up, and another node is asked.
 constexpr Duration kAnswerTimeout{300000};
-/// With a proof older than this another reader is asked.
+/// A node does not count as a reader before: until it knows the others all of them would.
+constexpr Duration kSettleTime{1000000};
+/// So long after its start a node that was told nothing has read what it needs to serve by itself.
+constexpr Duration kStartTime{3000000};
+/// What one more node between the store and this one adds to the age of a proof: the time between
+/// its questions and the way.
+constexpr Duration kHop{500000};
+/// With a proof older than this a relay asks another node; one that no other asks reads each 0.6 s.
 constexpr Duration kOldProof{1100000};
-/// With a proof older than this the node reads the store itself.
+/// With a proof older than this a relay reads the store itself.
 constexpr Duration kFallbackProof{1500000};
+/// The same for nodes that ask relays: these have fallen back and been asked by then.
+constexpr Duration kLateFallbackProof{3000000};
 /// Nodes that asked within this time are told of changes at once.
 constexpr Duration kAskerMemory{2000000};
 constexpr size_t kMostQuestions = 64;
 
+bool contains(const std::vector<NodeId>& nodes, NodeId node) {
+  return std::find(nodes.begin(), nodes.end(), node) != nodes.end();
+}
+
+/// @return the first few of the relays, each from another zone as far as there are zones.
+std::vector<NodeId> readersAmong(std::vector<NodeId> relays, const MembershipSnapshot& members) {
+  const size_t count = relays.size();
+  relays = rendezvousTop(kReaderKey, std::move(relays), count, nodeHash);
+  std::set<ZoneId> zones;
+  std::vector<NodeId> ofNewZones;
+  std::vector<NodeId> others;
+  for (const NodeId relay : relays) {
+    const bool isNewZone = zones.insert(members.find(relay)->zone).second;
+    (isNewZone ? ofNewZones : others).push_back(relay);
+  }
+  ofNewZones.insert(ofNewZones.end(), others.begin(), others.end());
+  ofNewZones.resize(std::min(kMostReaders, count));
+  return ofNewZones;
+}
+
 }  // namespace
 
-std::vector<NodeId> storeReaders(const MembershipSnapshot& members) {
+RelayTiers relayTiers(const MembershipSnapshot& members) {
   std::map<ZoneId, std::vector<NodeId>> byZone;
   std::vector<NodeId> all;
   for (const Member& member : members.members) {
@@ -34,59 +65,82 @@
       all.push_back(member.life.node);
     }
   }
-  if (all.size() <= kNodesPerReader) {
-    return rendezvousTop(kReaderKey, std::move(all), kFewestReaders, nodeHash);
+  RelayTiers tiers;
+  if (all.size() <= kNodesPerRelay) {
+    tiers.readers = rendezvousTop(kReaderKey, std::move(all), kFewestReaders, nodeHash);
+    tiers.relays = tiers.readers;
+    return tiers;
   }
-  std::vector<NodeId> readers;
   for (auto& [zone, nodes] : byZone) {
-    const size_t count = nodes.size() / kNodesPerReader + 1;
+    const size_t count = nodes.size() / kNodesPerRelay + 1;
     const std::vector<NodeId> chosen = rendezvousTop(kReaderKey, std::move(nodes), count, nodeHash);
-    readers.insert(readers.end(), chosen.begin(), chosen.end());
+    tiers.relays.insert(tiers.relays.end(), chosen.begin(), chosen.end());
+  }
+  tiers.readers = readersAmong(tiers.relays, members);
+  return tiers;
+}
+
+/// Relays ask the readers first and other relays then, so that one of them which falls back tells
+/// the rest; other nodes ask the relays, those of their zone first. Last come all nodes, which read
+/// themselves where the store turns all relays away.
+MirrorRole::Duties MirrorRole::dutiesOf(NodeId self, const MembershipSnapshot& members) {
+  const RelayTiers tiers = relayTiers(members);
+  Duties duties;
+  duties.isReader = contains(tiers.readers, self);
+  duties.isRelay = contains(tiers.relays, self);
+  duties.isBelowRelays = !duties.isRelay && tiers.relays.size() > tiers.readers.size();
+  duties.above.insert(tiers.readers.begin(), tiers.readers.end());
+  duties.above.insert(tiers.relays.begin(), tiers.relays.end());
+  const Member* const own = members.find(self);
+  const ZoneId zone = own == nullptr ? ZoneId() : own->zone;
+  for (const Member& member : members.members) {
+    if (member.state == MemberState::kAlive && member.life.node != self) {
+      duties.askOrder.push_back(member.life.node);
+    }
+  }
+  duties.isAlone = duties.askOrder.empty();
+  const size_t count = duties.askOrder.size();
+  duties.askOrder = rendezvousTop(nodeHash(self), std::move(duties.askOrder), count, nodeHash);
+  const auto moveToFront = [&](auto isFirst) {
+    std::stable_partition(duties.askOrder.begin(), duties.askOrder.end(), isFirst);
+  };
+  moveToFront([&](NodeId node) { return members.find(node)->zone == zone; });
+  moveToFront([&](NodeId node) { return contains(tiers.relays, node); });
+  if (duties.isRelay) {
+    moveToFront([&](NodeId node) { return contains(tiers.readers, node); });
   }
-  return readers;
+  return duties;
 }
 
 void MirrorRole::setMembers(std::shared_ptr<const MembershipSnapshot> members) {
   const std::lock_guard<std::mutex> lock(mutex_);
+  if (members == members_) {
+    return;
+  }
   members_ = std::move(members);
-}
-
-std::vector<NodeId> MirrorRole::readers() const {
-  return members_ == nullptr ? std::vector<NodeId>() : storeReaders(*members_);
+  duties_ = members_ == nullptr ? Duties() : dutiesOf(self_, *members_);
 }
 
 ReadDuty MirrorRole::duty(Time now) const {
   const std::lock_guard<std::mutex> lock(mutex_);
-  const std::vector<NodeId> nodes = readers();
-  if (nodes.empty() || std::find(nodes.begin(), nodes.end(), self_) != nodes.end()) {
+  const bool wasTold = toldProof_ != Time();
+  const Duration age = now - startedAt_;
+  if (age < kSettleTime) {
+    return wasTold ? ReadDuty::kNone : ReadDuty::kStart;
+  }
+  if (duties_.isAlone || duties_.isReader) {
     return ReadDuty::kReader;
   }
-  return now - toldProof_ > kFallbackProof ? ReadDuty::kFallback : ReadDuty::kNone;
+  const Duration trusted = duties_.isBelowRelays ? kLateFallbackProof : kFallbackProof;
+  if (now - toldProof_ <= trusted) {
+    return ReadDuty::kNone;
+  }
+  return !wasTold && age < kStartTime ? ReadDuty::kStart : ReadDuty::kFallback;
 }
 
-/// Readers come first, those of this node's zone before others; then all other nodes, which read
-/// themselves where the store turns the readers away.
 std::optional<NodeId> MirrorRole::nodeToAsk() const {
-  const std::vector<NodeId> readingNodes = readers();
-  const ZoneId zone = members_ == nullptr ? ZoneId() : members_->selfMember().zone;
-  std::vector<NodeId> nodes;
-  for (size_t index = 0; members_ != nullptr && index < members_->members.size(); ++index) {
-    const Member& member = members_->members[index];
-    if (member.state == MemberState::kAlive && member.life.node != self_) {
-      nodes.push_back(member.life.node);
-    }
-  }
-  if (nodes.empty()) {
-    return std::nullopt;
-  }
-  const size_t count = nodes.size();
-  nodes = rendezvousTop(nodeHash(self_), std::move(nodes), count, nodeHash);
-  std::stable_partition(nodes.begin(), nodes.end(),
-                        [&](NodeId node) { return members_->find(node)->zone == zone; });
-  std::stable_partition(nodes.begin(), nodes.end(), [&](NodeId node) {
-    return std::find(readingNodes.begin(), readingNodes.end(), node) != readingNodes.end();
-  });
-  return nodes[rotation_ % nodes.size()];
+  const std::vector<NodeId>& nodes = duties_.askOrder;
+  return nodes.empty() ? std::nullopt : std::optional<NodeId>(nodes[rotation_ % nodes.size()]);
 }
 
 void MirrorRole::ask(NodeId reader, Time now, MessageSender& sender) {
@@ -123,7 +177,8 @@
     if (proven && now - *proven < kAskInterval) {
       return;  // This node reads itself.
     }
-    rotation_ += proven && now - *proven > kOldProof ? 1 : 0;
+    const Duration old = duties_.isBelowRelays ? kOldProof + kHop : kOldProof;
+    rotation_ += proven && now - *proven > old ? 1 : 0;
     nextQuestionAt_ = now + kAskInterval;
     node = nodeToAsk();
   }
@@ -175,13 +230,12 @@
 
 void MirrorRole::noteToldProof(NodeId teller, Time provenAt) {
   const std::lock_guard<std::mutex> lock(mutex_);
-  const std::vector<NodeId> nodes = readers();
-  if (std::find(nodes.begin(), nodes.end(), teller) != nodes.end()) {
+  if (duties_.above.count(teller) > 0) {
     toldProof_ = std::max(toldProof_, provenAt);
   }
 }
 
-void MirrorRole::onAnswer(const proto::MirrorAnswer& answer, Time now) {
+void MirrorRole::onAnswer(const proto::MirrorAnswer& answer, Time now, MessageSender& sender) {
   std::optional<Question> asked;
   {
     const std::lock_guard<std::mutex> lock(mutex_);
@@ -203,7 +257,11 @@
       delta.entries.push_back(
           MirrorEntry{entry.name(), entry.revision(), entry.gone(), entry.text()});
     }
-    mirror_.apply(kind, delta, now);
+    const uint64_t before = mirror_.revision(kind);
+    const bool isNew = mirror_.apply(kind, delta, now) == MirrorOutcome::kApplied;
+    if (isNew && before != 0 && !delta.entries.empty()) {
+      announce(kind, delta.fromRevision, now, sender);
+    }
     if (asked && changes.has_proof()) {
       const Duration age(static_cast<int64_t>(changes.proof_age_microseconds()));
       mirror_.prove(kind, changes.to_revision(), asked->askedAt - age);
@@ -243,7 +301,7 @@
   if (message.has_question()) {
     onQuestion(from, message.question(), now, sender);
   } else if (message.has_answer()) {
-    onAnswer(message.answer(), now);
+    onAnswer(message.answer(), now, sender);
   }
 }
 
--- a/src/peers/mirror_role.h
+++ b/src/peers/mirror_role.h
@@ -1,21 +1,25 @@
 /// @file
-/// Relay of the mirrored state between nodes. A few nodes, the readers, read the operators' store;
-/// each other node asks one of them a few times a second, and readers tell at once those that asked
-/// lately. What this costs a node does not depend on the number of nodes: readers grow with them.
+/// Relay of the mirrored state between nodes. A fixed number of nodes, the readers, read the
+/// operators' store. One node of some sixteen of a zone, the relays, ask the readers a few times a
+/// second, and all others ask the relays of their zone; who learns something new tells at once
+/// those that asked lately. So neither the calls to the store nor the questions to one node grow
+/// with the number of nodes.
 ///
 /// A proof that a copy is the newest ages from the start of the reader's own call; the asker counts
 /// the age that it is told from the instant of its own question. So a delay anywhere on the way,
 /// or a stop of either process, only makes a proof older.
 ///
-/// The store may turn the readers away and serve others. A node that no reader tells anything new
-/// reads the store itself, and goes on until a reader tells it again; nodes that neither a reader
-/// nor the store tells ask the other nodes in turn.
+/// The store may turn the readers away and serve others. A relay that nobody above it tells
+/// anything new reads the store itself, and goes on until it is told again; other nodes do so only
+/// later, when their relays have had time to. Nodes that neither anybody above them nor the store
+/// tells ask the other nodes in turn.
 #pragma once
 
 #include <map>
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "common/role.h"
@@ -27,16 +31,34 @@
 
 /// Whether this node reads the store itself, and why.
 enum class ReadDuty {
-  kNone,      ///< Others read and tell this node.
-  kReader,    ///< It is one of the readers.
+  kNone,    ///< Others read and tell this node.
+  kStart,   ///< It was started a moment ago and nobody has told it anything: reads each kind once.
+  kReader,  ///< It is one of the readers.
   kFallback,  ///< It should be told by others, and is not.
 };
 
+/// @return whether a node with that duty follows the store.
+inline bool followsStore(ReadDuty duty) {
+  return duty == ReadDuty::kReader || duty == ReadDuty::kFallback;
+}
+
+/// Who reads the store, and who passes on what was read.
+struct RelayTiers {
+  std::vector<NodeId> readers;  ///< Read the store; in different zones where there are several.
+  std::vector<NodeId> relays;   ///< Ask the readers and are asked by the others; readers included.
+};
+
+/// @return two readers and no further relays in a small deployment; else one relay of each zone and
+///         one more for every sixteen nodes of it, a few of which read.
+RelayTiers relayTiers(const MembershipSnapshot& members);
+
 /// Thread-safe.
 class MirrorRole : public Role {
  public:
   /// @param mirror outlives the role.
-  MirrorRole(NodeId self, StateMirror& mirror) : self_(self), mirror_(mirror) {}
+  /// @param startedAt when this node was started.
+  MirrorRole(NodeId self, StateMirror& mirror, Time startedAt)
+      : self_(self), mirror_(mirror), startedAt_(startedAt) {}
 
   /// Sets the picture of the members that duties are shared out by.
   void setMembers(std::shared_ptr<const MembershipSnapshot> members);
@@ -55,31 +77,38 @@
     NodeId to;
   };
 
-  std::vector<NodeId> readers() const;
+  /// What follows from one picture of the members.
+  struct Duties {
+    bool isAlone = true;  ///< No other node is known.
+    bool isReader = false;
+    bool isRelay = false;
+    bool isBelowRelays = false;    ///< It is told by nodes that are told by the readers.
+    std::set<NodeId> above;        ///< Nodes whose proofs relieve this one of reading.
+    std::vector<NodeId> askOrder;  ///< All other living nodes, those to be asked first in front.
+  };
+
+  static Duties dutiesOf(NodeId self, const MembershipSnapshot& members);
   std::optional<NodeId> nodeToAsk() const;
   void forgetLostQuestions(Time now);
   void noteToldProof(NodeId teller, Time provenAt);
   void ask(NodeId reader, Time now, MessageSender& sender);
   void onQuestion(NodeLife from, const proto::MirrorQuestion& question, Time now,
                   MessageSender& sender);
-  void onAnswer(const proto::MirrorAnswer& answer, Time now);
+  void onAnswer(const proto::MirrorAnswer& answer, Time now, MessageSender& sender);
   void addChanges(MirrorKind kind, uint64_t since, Time now, proto::MirrorAnswer& answer) const;
 
   const NodeId self_;
   StateMirror& mirror_;
+  const Time startedAt_;
   mutable std::mutex mutex_;
   std::shared_ptr<const MembershipSnapshot> members_;
+  Duties duties_;  ///< By `members_`.
   std::map<uint32_t, Question> questions_;
   std::map<NodeId, Time> askers_;  ///< Who asked, and when last.
   uint32_t lastQuestion_ = 0;
   Time nextQuestionAt_;
-  Time toldProof_;       ///< Start of the newest proof that a reader told.
+  Time toldProof_;       ///< Start of the newest proof that a node above this one told.
   size_t rotation_ = 0;  ///< Grows when an asked node does not answer, or knows too little.
 };
 
-/// @return the nodes that read the store: one of each zone, and of every sixteen in a large zone,
-/// so
-///         that what they pass on stays within zones; two at least.
-std::vector<NodeId> storeReaders(const MembershipSnapshot& members);
-
 }  // namespace fernmoor::peers
--- a/src/peers/peer_plane.cpp
+++ b/src/peers/peer_plane.cpp
@@ -32,7 +32,7 @@
 PeerPlane::PeerPlane(PeerOptions options, const Clock& clock, StateMirror& mirror)
     : options_(std::move(options)),
       clock_(clock),
-      mirrorRole_(nodeIdOf(options_.listen), mirror),
+      mirrorRole_(nodeIdOf(options_.listen), mirror, clock.now()),
       parts_(nodeIdOf(options_.listen), clock, *this),
       loads_(nodeIdOf(options_.listen), clock, *this),
       life_(makeLife(static_cast<uint64_t>(clock.wallMicroseconds()))) {}
