Large sites: prompts are shared out among all stores of kept parts

Change: the store of a prompt is found by rendezvous hashing of its longest shared part. Hints name the store too, since a beginning that lies in one is not found in another.

--- a/src/gateway/part_source.cpp
+++ b/src/gateway/part_source.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "common/rendezvous.h"
+
 namespace fernmoor::gateway {
 
 namespace {
@@ -22,6 +24,13 @@
 
 }  // namespace
 
+std::optional<SocketAddress> storeOf(uint64_t prompt, const std::vector<CacheStore>& stores) {
+  const std::vector<CacheStore> keeper = rendezvousTop(
+      prompt, stores, 1,
+      [](const CacheStore& store) { return stableHash(formatSocketAddress(store.address)); });
+  return keeper.empty() ? std::nullopt : std::optional<SocketAddress>(keeper.front().address);
+}
+
 PartTransfer planTransfer(const std::vector<PartHint>& hints, const PartHolders& holders,
                           bool isStoreSlow, Time now) {
   PartTransfer transfer;
--- a/src/gateway/send_planner.cpp
+++ b/src/gateway/send_planner.cpp
@@ -14,22 +14,34 @@
 constexpr int kUrgenciesPerTenantPriority = 3;
 constexpr int kLeastUrgent = 9;
 
-/// @return the keys of the parts that other requests share.
-std::vector<PartKey> sharedKeys(const IncomingRequest& request, const std::string& scope) {
-  std::vector<PartKey> keys;
-  for (size_t index = 0; index < request.sharedPartCount(); ++index) {
-    keys.push_back(partKeyOf(scope, request.parts[index].id));
+/// The parts of a prompt that other requests share, as the nodes remember them.
+struct SharedParts {
+  std::optional<SocketAddress> store;  ///< The one that keeps the prompt.
+  std::vector<PartKey> keys;           ///< One for each part, the longest prefix last.
+};
+
+/// A beginning that lies in one store is not found in another, so keys name the store too.
+SharedParts sharedPartsOf(const IncomingRequest& request, const std::string& scope) {
+  SharedParts shared;
+  const size_t count = request.sharedPartCount();
+  if (count == 0) {
+    return shared;
+  }
+  const PartKey longest = partKeyOf(scope, request.parts[count - 1].id);
+  shared.store = storeOf(longest, request.table->cacheStores);
+  const std::string keptAt = shared.store ? formatSocketAddress(*shared.store) + "/" : "";
+  for (size_t index = 0; index < count; ++index) {
+    shared.keys.push_back(partKeyOf(keptAt + scope, request.parts[index].id));
   }
-  return keys;
+  return shared;
 }
 
 /// @return the address of the engine with that hash of its id, if it holds those weights.
 std::optional<SocketAddress> sourceEngine(const std::vector<BackendView>& members, uint64_t engine,
                                           uint64_t version) {
   for (const BackendView& member : members) {
-    if (member.weightsVersion == version && !member.isAvoided &&
-        stableHash(member.listing.id) == engine) {
-      return member.listing.address;
+    if (member.weightsVersion == version && !member.isAvoided && member.idHash == engine) {
+      return member.listing->address;
     }
   }
   return std::nullopt;
@@ -62,16 +74,13 @@
 
 void SendPlanner::planCache(const PlanInput& input, const std::vector<BackendView>& members,
                             Time now, SendPlan& plan) {
-  const std::vector<PartKey> keys = sharedKeys(input.request, plan.cacheScope);
-  if (keys.empty()) {
+  const SharedParts shared = sharedPartsOf(input.request, plan.cacheScope);
+  if (shared.keys.empty()) {
     return;
   }
-  const std::vector<PartHint> hints = services_.parts.find(keys);
+  const std::vector<PartHint> hints = services_.parts.find(shared.keys);
   PartHolders holders;
-  const std::vector<CacheStore>& stores = input.request.table->cacheStores;
-  if (!stores.empty()) {
-    holders.store = stores.front().address;
-  }
+  holders.store = shared.store;
   const uint64_t engine = hints.back().engine;
   if (engine != 0 && engine != stableHash(plan.backend.id)) {
     holders.engine = sourceEngine(members, engine, plan.weightsVersion);
@@ -93,7 +102,7 @@
   planned.pendingTokens = chosen->pendingTokens;
   planned.ticket = chosen->ticket;
   SendPlan& plan = planned.send;
-  plan.backend = chosen->backend.listing;
+  plan.backend = *chosen->backend.listing;
   plan.weightsVersion = chosen->backend.weightsVersion;
   plan.resumeAfter = input.resumeAfter;
   plan.urgency = urgencyOf(request);
@@ -108,7 +117,7 @@
 void SendPlanner::notePartsRead(const IncomingRequest& request, const SendPlan& plan,
                                 Duration took) {
   experience_.note(plan.transfer.source, request.promptTokens, took, services_.clock.now());
-  const std::vector<PartKey> keys = sharedKeys(request, plan.cacheScope);
+  const std::vector<PartKey> keys = sharedPartsOf(request, plan.cacheScope).keys;
   if (!plan.cacheScope.empty() && !keys.empty()) {
     services_.parts.note(keys, stableHash(plan.backend.id), plan.transfer.saveTo.has_value());
   }
--- a/test/gateway/forwarder_test.cpp
+++ b/test/gateway/forwarder_test.cpp
@@ -6,6 +6,7 @@
 #include <doctest/doctest.h>
 
 #include <atomic>
+#include <set>
 
 #include "common/rendezvous.h"
 #include "test/gateway/forwarder_world.h"
@@ -430,6 +431,35 @@
   CHECK_FALSE(holdsText(engine.lastRequest(), "Save-To: "));
 }
 
+TEST_CASE("prompts are shared out among all stores, and each is found where it was saved") {
+  constexpr int kPrompts = 24;
+  CacheWorld world;
+  auto next = std::make_shared<TrafficTable>();
+  next->version = 3;
+  for (const char* host : {"10.9.9.1", "10.9.9.2", "10.9.9.3"}) {
+    next->cacheStores.push_back(CacheStore{SocketAddress{host, 99}});
+  }
+  world.table.take(next, world.clock.now());
+  ScriptedBackend& engine = world.addEngine("a", 3);
+  std::set<std::string> used;
+  for (int prompt = 0; prompt < kPrompts; ++prompt) {
+    IncomingRequest request = world.prompt();
+    request.parts[1].id = "subject-" + std::to_string(prompt);
+    world.forwarder.serve(request, world.caller);
+    const std::string sent = engine.lastRequest();
+    for (const char* host : {"10.9.9.1", "10.9.9.2", "10.9.9.3"}) {
+      const std::string address = std::string(host) + ":99\r\n";
+      if (holdsText(sent, "Save-To: " + address)) {
+        used.insert(host);
+        CHECK(holdsText(sent, "Fetch-From: " + address));
+      }
+    }
+    world.forwarder.serve(request, world.caller);
+    CHECK_FALSE(holdsText(engine.lastRequest(), "Save-To: "));
+  }
+  CHECK(used.size() == 3);
+}
+
 TEST_CASE("a part is taken from the engine that read it last, if that holds the same weights") {
   CacheWorld world;
   ScriptedBackend& first = world.addEngine("a", 3);
