--- a/src/peers/mirror_role.cpp
+++ b/src/peers/mirror_role.cpp
@@ -38,10 +38,10 @@
   return std::find(nodes.begin(), nodes.end(), node) != nodes.end();
 }
 
+/// @param relays in their order.
 /// @return the first few of the relays, each from another zone as far as there are zones.
-std::vector<NodeId> readersAmong(std::vector<NodeId> relays, const MembershipSnapshot& members) {
-  const size_t count = relays.size();
-  relays = rendezvousTop(kReaderKey, std::move(relays), count, nodeHash);
+std::vector<NodeId> readersAmong(const std::vector<NodeId>& relays,
+                                 const MembershipSnapshot& members) {
   std::set<ZoneId> zones;
   std::vector<NodeId> ofNewZones;
   std::vector<NodeId> others;
@@ -50,7 +50,7 @@
     (isNewZone ? ofNewZones : others).push_back(relay);
   }
   ofNewZones.insert(ofNewZones.end(), others.begin(), others.end());
-  ofNewZones.resize(std::min(kMostReaders, count));
+  ofNewZones.resize(std::min(kMostReaders, relays.size()));
   return ofNewZones;
 }
 
@@ -76,13 +76,16 @@
     const std::vector<NodeId> chosen = rendezvousTop(kReaderKey, std::move(nodes), count, nodeHash);
     tiers.relays.insert(tiers.relays.end(), chosen.begin(), chosen.end());
   }
+  const size_t count = tiers.relays.size();
+  tiers.relays = rendezvousTop(kReaderKey, std::move(tiers.relays), count, nodeHash);
   tiers.readers = readersAmong(tiers.relays, members);
   return tiers;
 }
 
-/// Relays ask the readers first and other relays then, so that one of them which falls back tells
-/// the rest; other nodes ask the relays, those of their zone first. Last come all nodes, which read
-/// themselves where the store turns all relays away.
+/// Relays ask the readers first and the relays before them in the order then, so that the first one
+/// which the store serves reads for the rest, and no two relieve each other; other nodes ask the
+/// relays, those of their zone first. Last come all nodes, which read themselves where the store
+/// turns all relays away.
 MirrorRole::Duties MirrorRole::dutiesOf(NodeId self, const MembershipSnapshot& members) {
   const RelayTiers tiers = relayTiers(members);
   Duties duties;
@@ -90,7 +93,9 @@
   duties.isRelay = contains(tiers.relays, self);
   duties.isBelowRelays = !duties.isRelay && tiers.relays.size() > tiers.readers.size();
   duties.above.insert(tiers.readers.begin(), tiers.readers.end());
-  duties.above.insert(tiers.relays.begin(), tiers.relays.end());
+  // All relays are above a node that is none.
+  const auto ownPlace = std::find(tiers.relays.begin(), tiers.relays.end(), self);
+  duties.above.insert(tiers.relays.begin(), ownPlace);
   const Member* const own = members.find(self);
   const ZoneId zone = own == nullptr ? ZoneId() : own->zone;
   for (const Member& member : members.members) {
@@ -107,6 +112,7 @@
   moveToFront([&](NodeId node) { return members.find(node)->zone == zone; });
   moveToFront([&](NodeId node) { return contains(tiers.relays, node); });
   if (duties.isRelay) {
+    moveToFront([&](NodeId node) { return duties.above.count(node) > 0; });
     moveToFront([&](NodeId node) { return contains(tiers.readers, node); });
   }
   return duties;
@@ -177,8 +183,9 @@
     if (proven && now - *proven < kAskInterval) {
       return;  // This node reads itself.
     }
-    const Duration old = duties_.isBelowRelays ? kOldProof + kHop : kOldProof;
-    rotation_ += proven && now - *proven > old ? 1 : 0;
+    if (readsItself() && !isAbove(nodeToAsk())) {
+      rotation_ = 0;  // Those whose duty it is may relieve this node.
+    }
     nextQuestionAt_ = now + kAskInterval;
     node = nodeToAsk();
   }
@@ -228,13 +235,30 @@
   sender.send(from.node, envelope);
 }
 
-void MirrorRole::noteToldProof(NodeId teller, Time provenAt) {
+void MirrorRole::noteToldProof(NodeId teller, std::optional<Time> provenAt, Time now) {
   const std::lock_guard<std::mutex> lock(mutex_);
+  const Duration old = duties_.isBelowRelays ? kOldProof + kHop : kOldProof;
+  if (!provenAt || now - *provenAt > old) {
+    ++rotation_;
+  }
+  if (!provenAt) {
+    return;
+  }
+  newestTold_ = std::max(newestTold_, *provenAt);
   if (duties_.above.count(teller) > 0) {
-    toldProof_ = std::max(toldProof_, provenAt);
+    toldProof_ = std::max(toldProof_, *provenAt);
   }
 }
 
+bool MirrorRole::readsItself() const {
+  const std::optional<Time> proven = mirror_.provenAt(MirrorKind::kRows);
+  return proven && *proven > newestTold_;
+}
+
+bool MirrorRole::isAbove(std::optional<NodeId> node) const {
+  return node && duties_.above.count(*node) > 0;
+}
+
 void MirrorRole::onAnswer(const proto::MirrorAnswer& answer, Time now, MessageSender& sender) {
   std::optional<Question> asked;
   {
@@ -245,6 +269,7 @@
       questions_.erase(question);
     }
   }
+  std::optional<Time> rowsProof;
   for (const proto::MirrorChanges& changes : answer.changes()) {
     if (changes.kind() >= kMirrorKinds) {
       continue;
@@ -266,10 +291,13 @@
       const Duration age(static_cast<int64_t>(changes.proof_age_microseconds()));
       mirror_.prove(kind, changes.to_revision(), asked->askedAt - age);
       if (kind == MirrorKind::kRows) {
-        noteToldProof(asked->to, asked->askedAt - age);
+        rowsProof = asked->askedAt - age;
       }
     }
   }
+  if (asked) {
+    noteToldProof(asked->to, rowsProof, now);
+  }
 }
 
 void MirrorRole::announce(MirrorKind kind, uint64_t fromRevision, Time now, MessageSender& sender) {
--- a/src/peers/mirror_role.h
+++ b/src/peers/mirror_role.h
@@ -46,6 +46,7 @@
 struct RelayTiers {
   std::vector<NodeId> readers;  ///< Read the store; in different zones where there are several.
   std::vector<NodeId> relays;   ///< Ask the readers and are asked by the others; readers included.
+                                ///< In the order in which they read where no reader can.
 };
 
 /// @return two readers and no further relays in a small deployment; else one relay of each zone and
@@ -90,7 +91,12 @@
   static Duties dutiesOf(NodeId self, const MembershipSnapshot& members);
   std::optional<NodeId> nodeToAsk() const;
   void forgetLostQuestions(Time now);
-  void noteToldProof(NodeId teller, Time provenAt);
+  /// Takes the proof of the rows in an answer, and goes on to another node where it is old.
+  void noteToldProof(NodeId teller, std::optional<Time> provenAt, Time now);
+  /// Call with the lock held. @return whether the newest proof comes from a read of this node.
+  bool readsItself() const;
+  /// Call with the lock held.
+  bool isAbove(std::optional<NodeId> node) const;
   void ask(NodeId reader, Time now, MessageSender& sender);
   void onQuestion(NodeLife from, const proto::MirrorQuestion& question, Time now,
                   MessageSender& sender);
@@ -108,6 +114,7 @@
   uint32_t lastQuestion_ = 0;
   Time nextQuestionAt_;
   Time toldProof_;       ///< Start of the newest proof that a node above this one told.
+  Time newestTold_;      ///< Start of the newest proof that any node told.
   size_t rotation_ = 0;  ///< Grows when an asked node does not answer, or knows too little.
 };
 
--- a/test/peers/mirror_role_test.cpp
+++ b/test/peers/mirror_role_test.cpp
@@ -353,6 +353,15 @@
     CHECK(asking > 0);
     CHECK(asking + world.readers().size() <= world.relays().size());
   }
+  SUBCASE("when the store is back after an outage, the readers relieve all that read themselves") {
+    world.run(std::chrono::seconds(6), [] {});
+    CHECK(world.countWithDuty(ReadDuty::kFallback) == 297);
+    world.run(std::chrono::seconds(4), [&] {
+      world.readersRead(6, "six");
+      world.fallbackNodesRead(6, "six");
+    });
+    CHECK(world.countWithDuty(ReadDuty::kFallback) == 0);
+  }
   SUBCASE("while the store turns the readers away, relays read for all") {
     const auto relaysRead = [&] { world.fallbackNodesRead(6, "six"); };
     world.run(std::chrono::seconds(5), relaysRead);
