--- a/test/platform_soak/store.py
+++ b/test/platform_soak/store.py
@@ -24,6 +24,7 @@
         self.objects = {}  # (kind, name) -> object
         self.events = []   # (revision, kind, object, gone)
         self.faults = {}   # node -> name of the fault
+        self.calls = []    # (node, method, path), refused ones too
         self.seed = 0
 
     def put(self, kind, name, spec, revision=None, must_be_new=False):
@@ -117,6 +118,11 @@
         self.connection.close()
 
     def turned_away(self):
+        """Notes the call. Returns whether a fault answered it."""
+        self.store.calls.append((self.node, self.command, self.path))
+        return self.is_faulty()
+
+    def is_faulty(self):
         fault = self.fault()
         if fault == "refuse":
             self.answer(503, {})
@@ -148,7 +154,7 @@
         elif "watch" in query:
             wait = int(query.get("wait-ms", ["0"])[0]) / 1000
             found = self.store.watch(words[0], int(query["watch"][0]), wait)
-            if self.turned_away():
+            if self.is_faulty():
                 return
             self.answer(410 if found is None else 200, found or {})
         else:
