--- a/src/peers/mirror_role.cpp
+++ b/src/peers/mirror_role.cpp
@@ -90,8 +90,8 @@
   const RelayTiers tiers = relayTiers(members);
   Duties duties;
   duties.isReader = contains(tiers.readers, self);
-  duties.isRelay = contains(tiers.relays, self);
-  duties.isBelowRelays = !duties.isRelay && tiers.relays.size() > tiers.readers.size();
+  const bool isRelay = contains(tiers.relays, self);
+  duties.isBelowRelays = !isRelay && tiers.relays.size() > tiers.readers.size();
   duties.above.insert(tiers.readers.begin(), tiers.readers.end());
   // All relays are above a node that is none.
   const auto ownPlace = std::find(tiers.relays.begin(), tiers.relays.end(), self);
@@ -111,7 +111,7 @@
   };
   moveToFront([&](NodeId node) { return members.find(node)->zone == zone; });
   moveToFront([&](NodeId node) { return contains(tiers.relays, node); });
-  if (duties.isRelay) {
+  if (isRelay) {
     moveToFront([&](NodeId node) { return duties.above.count(node) > 0; });
     moveToFront([&](NodeId node) { return contains(tiers.readers, node); });
   }
--- a/src/peers/mirror_role.h
+++ b/src/peers/mirror_role.h
@@ -65,7 +65,7 @@
   void setMembers(std::shared_ptr<const MembershipSnapshot> members);
   /// @return whether this node must read the store now.
   ReadDuty duty(Time now) const;
-  /// Tells nodes that asked lately of changes that this node has read.
+  /// Tells nodes that asked lately of changes that are new to this one.
   void announce(MirrorKind kind, uint64_t fromRevision, Time now, MessageSender& sender);
 
   void onMessage(NodeLife from, const proto::Envelope& envelope, Time now,
@@ -82,7 +82,6 @@
   struct Duties {
     bool isAlone = true;  ///< No other node is known.
     bool isReader = false;
-    bool isRelay = false;
     bool isBelowRelays = false;    ///< It is told by nodes that are told by the readers.
     std::set<NodeId> above;        ///< Nodes whose proofs relieve this one of reading.
     std::vector<NodeId> askOrder;  ///< All other living nodes, those to be asked first in front.
