Stand-in of the platform: a watch that came before an outage is broken though it begins to wait after it

A watch that had passed the look at the fault read the count of outages only when it began to wait, so an outage in between was missed and the watch ran its 30 s.

Change: the count is taken before the look at the fault.

--- a/standin/object_service.cpp
+++ b/standin/object_service.cpp
@@ -115,7 +115,7 @@
   return collections_.try_emplace(exchange.segments()[1], keptChanges_).first->second;
 }
 
-void ObjectService::handle(HttpExchange& exchange, bool loseAnswer) {
+void ObjectService::handle(HttpExchange& exchange, const Arrival& arrival) {
   const auto& segments = exchange.segments();
   const size_t parts = segments.size();
   const bool reads = exchange.method() == "GET";
@@ -123,7 +123,7 @@
     return;
   }
   if (segments[0] == "watch" && reads) {
-    watch(exchange);
+    watch(exchange, arrival.outages);
   } else if (segments[0] == "changes" && reads && parts > kNameSegment) {
     findChange(exchange);
   } else if (segments[0] == "objects" && reads && parts > kNameSegment) {
@@ -131,7 +131,7 @@
   } else if (segments[0] == "objects" && reads) {
     list(exchange);
   } else if (segments[0] == "objects" && (exchange.method() == "POST") != (parts > kNameSegment)) {
-    write(exchange, loseAnswer);
+    write(exchange, arrival.loseAnswer);
   }
 }
 
@@ -203,7 +203,7 @@
   exchange.respond(body);
 }
 
-void ObjectService::watch(HttpExchange& exchange) {
+void ObjectService::watch(HttpExchange& exchange, uint64_t outagesBefore) {
   const SystemClock clock;
   const auto after = static_cast<uint64_t>(exchange.queryNumber("after", 0));
   const Time deadline = clock.now() + exchange.queryWait("wait_ms", kLongestWatch);
@@ -219,10 +219,9 @@
       return;
     }
     ++collection.watches;
-    const uint64_t outages = outages_;
     while (true) {
       history = collection.objects.changesAfter(after);
-      broken = outages != outages_ || stopping_;
+      broken = outagesBefore != outages_ || stopping_;
       if (broken || history.compacted || !history.changes.empty() || clock.now() >= deadline) {
         break;
       }
@@ -241,6 +240,11 @@
   exchange.respond(body);
 }
 
+uint64_t ObjectService::outages() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return outages_;
+}
+
 void ObjectService::breakWatches() {
   const std::lock_guard<std::mutex> lock(mutex_);
   ++outages_;
--- a/standin/object_service.h
+++ b/standin/object_service.h
@@ -19,9 +19,16 @@
   ObjectService(size_t keptChanges, int64_t watchesPerCollection)
       : keptChanges_(keptChanges), watchesPerCollection_(watchesPerCollection) {}
 
+  /// What is to be known of a request when it comes.
+  struct Arrival {
+    uint64_t outages = 0;     ///< outages() before it was let in; a later one breaks its watch.
+    bool loseAnswer = false;  ///< A write takes effect and its connection is cut without an answer.
+  };
+
   /// Serves /objects, /changes and /watch.
-  /// @param loseAnswer a write takes effect and its connection is cut without an answer.
-  void handle(HttpExchange& exchange, bool loseAnswer);
+  void handle(HttpExchange& exchange, const Arrival& arrival);
+  /// @return how often breakWatches() was called.
+  uint64_t outages() const;
   /// @return true where the request changes objects.
   static bool isWrite(const HttpExchange& exchange);
   /// Ends all watches with an error, as an outage does.
@@ -41,11 +48,11 @@
   void list(HttpExchange& exchange);
   void write(HttpExchange& exchange, bool loseAnswer);
   void findChange(HttpExchange& exchange);
-  void watch(HttpExchange& exchange);
+  void watch(HttpExchange& exchange, uint64_t outagesBefore);
 
   size_t keptChanges_;
   int64_t watchesPerCollection_;
-  std::mutex mutex_;  ///< Guards what follows.
+  mutable std::mutex mutex_;  ///< Guards what follows.
   std::condition_variable changed_;
   std::map<std::string, Collection> collections_;
   uint64_t outages_ = 0;
--- a/standin/platform_server.cpp
+++ b/standin/platform_server.cpp
@@ -41,6 +41,8 @@
     return;
   }
   const Time now = clock_.now();
+  // Before the look at the fault: an outage that begins in between breaks the request's watch.
+  const uint64_t outages = objects_.outages();
   if (faults_.applies("down", now)) {
     exchange.respond(unavailable("The platform is down. Try again later."));
     return;
@@ -55,7 +57,7 @@
   } else {
     const bool loseAnswer =
         ObjectService::isWrite(exchange) && faults_.applies("lose_answers", now);
-    objects_.handle(exchange, loseAnswer);
+    objects_.handle(exchange, ObjectService::Arrival{outages, loseAnswer});
   }
 }
 
--- a/test/standin/platform_server_test.cpp
+++ b/test/standin/platform_server_test.cpp
@@ -120,6 +120,19 @@
   CHECK(numberField(platform.get("/objects/rows/x").body, "version") == 1);
 }
 
+TEST_CASE("a watch that came before an outage is broken though it begins to wait after it") {
+  RunningPlatform platform;
+  platform.put("x", 0, "c1", 1);
+  platform.fault(R"({"kind":"slow","delay_ms":400})");
+  JsonAnswer broken;
+  std::thread watcher([&] { broken = platform.get("/watch/rows?after=1&wait_ms=1000"); });
+  // Either the watch is held up by now, or it comes while the platform is down.
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  platform.fault(R"({"kind":"down"})");
+  watcher.join();
+  CHECK(broken.status == 503);
+}
+
 TEST_CASE("the machine list lags") {
   MachineList list(Duration(500000));
   Machine machine;
