Limits of tenants over all nodes: one limiter for both front ends, in requests or tokens

What changed: costs instead of ones; a request that this node's stock does not cover asks the owner at once and waits some milliseconds; the owner gives what it needs wholly or not at all and may go into debt by one request; stocks only where a node sees eight requests of a row in the horizon. A node whose owner is silent goes on with its last share, and the owner leaves that share to nodes that fell silent; the smaller side of a cut has no owner; a young owner gives out no burst.

--- a/scripts/check_layers.py
+++ b/scripts/check_layers.py
@@ -8,8 +8,8 @@
          "engine", "routing", "admission", "claim", "relay", "node"]
 # Modules beside the order and what they may include of it.
 BACKENDS = ["common", "http", "backends"]
-BESIDE = {"backends": BACKENDS, "weights": BACKENDS, "gateway": BACKENDS,
-          "peers": BACKENDS + ["wire", "membership", "gateway"],
+BESIDE = {"backends": BACKENDS, "weights": BACKENDS, "gateway": BACKENDS + ["admission"],
+          "peers": BACKENDS + ["wire", "membership", "admission", "gateway"],
           "operator_client": ["common", "http"], "sim": ORDER, "standin": ORDER,
           "bench": ORDER + ["sim", "standin"]}
 INCLUDE = re.compile(r'^\s*#\s*include\s+"([a-z_]+)/')
--- a/src/admission/admission_controller.cpp
+++ b/src/admission/admission_controller.cpp
@@ -21,7 +21,7 @@
 
 Result<AdmissionOutcome> AdmissionController::admit(const AdmissionRequest& request, Time now) {
   const RankedLock lock(mutex_);
-  auto limit = limiter_->tryAcquire(request.limits, now);
+  auto limit = limiter_->tryAcquire(request.limits, 1.0, now);
   if (!isOk(limit)) {
     ++counters_.refusedByLimit;
     Error error = errorOf(limit);
--- a/src/admission/admission_request.cpp
+++ b/src/admission/admission_request.cpp
@@ -9,10 +9,14 @@
 
 }  // namespace
 
+const char* toString(LimitUnit unit) {
+  return unit == LimitUnit::kTokens ? "tokens" : "requests";
+}
+
 AdmissionRequest admissionRequestOf(const Row& row, Time now) {
   AdmissionRequest request;
-  request.limits =
-      RowLimits{row.key, row.ratePerSecond, row.burst, row.concurrency, row.rowVersion};
+  request.limits = RowLimits{row.key,   LimitUnit::kRequests, row.ratePerSecond,
+                             row.burst, row.concurrency,      row.rowVersion};
   request.pool = PoolId(row.backEnd == BackEndKind::kModel ? row.model.value() : kApplicationPool);
   request.priority = row.priority;
   request.weight = row.weight;
--- a/src/admission/admission_request.h
+++ b/src/admission/admission_request.h
@@ -17,13 +17,21 @@
 /// Back ends that can stand in for one another: a model's engines, or the application engines.
 using PoolId = NamedId<struct PoolIdTag>;
 
-/// Limits of a row that hold over all nodes.
+/// What a rate counts.
+enum class LimitUnit { kRequests, kTokens };
+
+/// @return the unit as it reads in a message: "requests", "tokens".
+const char* toString(LimitUnit unit);
+
+/// Limits of a row that hold over all nodes. A row without a service stands for all of a tenant's
+/// requests.
 struct RowLimits {
   RowKey row;
-  double ratePerSecond = 0;  ///< 0: no limit.
-  double burst = 1;
-  int64_t concurrency = 0;  ///< 0: no limit.
-  uint64_t rowVersion = 0;  ///< Of two nodes' limits, those of the newer row hold.
+  LimitUnit unit = LimitUnit::kRequests;
+  double ratePerSecond = 0;  ///< In units; 0: no limit.
+  double burst = 1;          ///< In units, beyond the rate.
+  int64_t concurrency = 0;   ///< 0: no limit.
+  uint64_t rowVersion = 0;   ///< Of two nodes' limits, those of the newer row hold.
 };
 
 struct AdmissionRequest {
--- a/src/admission/limit_codec.cpp
+++ b/src/admission/limit_codec.cpp
@@ -30,7 +30,8 @@
   message.set_concurrency(toUnsigned(demand.limits.concurrency));
   message.set_sequence(demand.sequence);
   message.set_demand_per_second(static_cast<float>(demand.demandPerSecond));
-  message.set_wanted_tokens(static_cast<float>(demand.wantedTokens));
+  message.set_wanted_tokens(demand.wantedTokens);
+  message.set_needed_tokens(demand.neededTokens);
   message.set_in_flight(toUnsigned(demand.inFlight));
   message.set_held_places(toUnsigned(demand.heldPlaces));
   message.set_wanted_places(toUnsigned(demand.wantedPlaces));
@@ -47,6 +48,7 @@
   demand.sequence = message.sequence();
   demand.demandPerSecond = bounded(message.demand_per_second());
   demand.wantedTokens = bounded(message.wanted_tokens());
+  demand.neededTokens = bounded(message.needed_tokens());
   demand.inFlight = message.in_flight();
   demand.heldPlaces = message.held_places();
   demand.wantedPlaces = message.wanted_places();
@@ -58,7 +60,7 @@
   message.set_service(grant.row.service.value());
   message.set_tenant(grant.row.tenant.value());
   message.set_sequence(grant.sequence);
-  message.set_tokens(static_cast<float>(grant.tokens));
+  message.set_tokens(grant.tokens);
   message.set_rate_per_second(static_cast<float>(grant.ratePerSecond));
   message.set_places(toUnsigned(grant.places));
   message.set_places_confirmed(grant.placesConfirmed);
--- a/src/admission/limit_owner.cpp
+++ b/src/admission/limit_owner.cpp
@@ -13,14 +13,19 @@
 constexpr int64_t kLearningReports = 2;
 /// A node's fair part of a short row may gather for so long.
 constexpr double kFairShareSeconds = 0.5;
+/// A node that uses a row reports about once a second; one that is silent for longer may be cut
+/// off, and goes on with what it was last granted.
+constexpr Duration kSilentAfter{2500000};
+/// Part of the burst from which on the row counts as scarce, and stocks are no longer filled.
+constexpr double kScarcePart = 0.5;
 
 }  // namespace
 
 LimitOwner::LimitOwner(const Knobs& knobs) : knobs_(knobs) {}
 
-LimitGrant LimitOwner::onDemand(NodeLife from, const LimitDemand& demand, double reachableShare,
-                                Time now) {
-  RowUse& row = rowOf(demand, now);
+LimitGrant LimitOwner::onDemand(NodeLife from, const LimitDemand& demand,
+                                const OwnerSituation& situation, Time now) {
+  RowUse& row = rowOf(demand, situation.isYoung, now);
   NodeUse& node = row.nodes[from.node];
   if (node.life == from && node.lastGrant.sequence == demand.sequence) {
     return node.lastGrant;
@@ -34,30 +39,32 @@
   node.reportedPlaces = demand.heldPlaces;
   node.wantedPlaces = demand.wantedPlaces;
   node.reportedAt = now;
-  const double rate = row.limits.ratePerSecond * reachableShare;
+  const double limit = row.limits.ratePerSecond;
+  const double rate = std::max(
+      0.0, std::min(limit * situation.reachableShare, limit - rateOfSilentNodes(row, node, now)));
   row.bucket.configure(rate, row.limits.burst, now);
   LimitGrant grant;
   grant.row = demand.limits.row;
   grant.sequence = demand.sequence;
   if (row.limits.ratePerSecond > 0) {
     grant.ratePerSecond = fairRate(row, node, rate);
-    grantTokens(row, node, demand.wantedTokens, now, grant);
+    grantTokens(row, node, demand, now, grant);
   }
   if (row.limits.concurrency > 0) {
-    const auto limit = static_cast<int64_t>(
-        std::ceil(static_cast<double>(row.limits.concurrency) * reachableShare));
-    grantPlaces(row, node, limit, now, grant);
+    const auto places = static_cast<int64_t>(
+        std::ceil(static_cast<double>(row.limits.concurrency) * situation.reachableShare));
+    grantPlaces(row, node, places, now, grant);
   }
   node.lastGrant = grant;
   return grant;
 }
 
-LimitOwner::RowUse& LimitOwner::rowOf(const LimitDemand& demand, Time now) {
+LimitOwner::RowUse& LimitOwner::rowOf(const LimitDemand& demand, bool isYoung, Time now) {
   const RowLimits& limits = demand.limits;
   const auto added = rows_.try_emplace(
       limits.row, RowUse{limits, TokenBucket(limits.ratePerSecond, limits.burst, now), now, {}});
   RowUse& row = added.first->second;
-  if (added.second && demand.hadGrants) {
+  if (added.second && (demand.hadGrants || isYoung)) {
     // Another owner gave out tokens before: the burst isn't given a second time.
     row.bucket = TokenBucket(limits.ratePerSecond, 0, now);
   }
@@ -67,21 +74,49 @@
   return row;
 }
 
+double LimitOwner::rateOfSilentNodes(const RowUse& row, const NodeUse& asking, Time now) {
+  double sum = 0;
+  for (const auto& entry : row.nodes) {
+    const NodeUse& node = entry.second;
+    const bool isSilent = &node != &asking && now - node.reportedAt > kSilentAfter;
+    sum += isSilent ? node.lastGrant.ratePerSecond : 0.0;
+  }
+  return sum;
+}
+
 double LimitOwner::fairRate(const RowUse& row, const NodeUse& node, double capacity) {
   std::vector<double> demands;
   size_t own = 0;
+  double sum = 0;
   for (const auto& entry : row.nodes) {
     if (&entry.second == &node) {
       own = demands.size();
     }
     demands.push_back(entry.second.demandPerSecond);
+    sum += entry.second.demandPerSecond;
   }
-  return maxMinShares(demands, capacity)[own];
+  // What nobody asks for is shared out in proportion, as headroom for nodes that are cut off.
+  return sum > 0 && sum < capacity ? demands[own] * capacity / sum
+                                   : maxMinShares(demands, capacity)[own];
 }
 
-void LimitOwner::grantTokens(RowUse& row, NodeUse& node, double wanted, Time now,
+void LimitOwner::grantTokens(RowUse& row, NodeUse& node, const LimitDemand& demand, Time now,
                              LimitGrant& grant) {
-  double allowed = std::max(0.0, wanted);
+  const double left = row.bucket.tokens(now);
+  const bool isScarce = left < row.limits.burst * kScarcePart;
+  if (demand.neededTokens > 0 && left > 0) {
+    // All or nothing, and the bucket may go into debt: else large requests would never pass beside
+    // small ones.
+    const double stock = isScarce ? 0.0 : std::min(demand.wantedTokens, left);
+    grant.tokens = std::max(demand.neededTokens, stock);
+    row.bucket.charge(grant.tokens, now);
+    return;
+  }
+  double allowed = std::max(0.0, demand.wantedTokens);
+  if (!isScarce) {
+    grant.tokens = row.bucket.takeUpTo(allowed, now);
+    return;
+  }
   const bool isShort = grant.ratePerSecond < node.demandPerSecond;
   if (!isShort) {
     node.fairShare.reset();
--- a/src/admission/limit_owner.h
+++ b/src/admission/limit_owner.h
@@ -21,6 +21,7 @@
   uint32_t sequence = 0;
   double demandPerSecond = 0;
   double wantedTokens = 0;
+  double neededTokens = 0;  ///< Of these, what a request waits for; less is of no use to it.
   int64_t inFlight = 0;
   int64_t heldPlaces = 0;
   int64_t wantedPlaces = 0;  ///< Places that it could use now, the used ones included.
@@ -37,15 +38,23 @@
   bool placesConfirmed = false;  ///< False: it goes on with what it has.
 };
 
+/// What an owner knows of itself and of its surroundings.
+struct OwnerSituation {
+  /// Part of the nodes that it can hear of, so that the two sides of a cut together keep the limit;
+  /// 1 where none is absent.
+  double reachableShare = 1.0;
+  /// It was started a moment ago, so another one may have given out the burst before it.
+  bool isYoung = false;
+};
+
 /// Not thread-safe.
 class LimitOwner {
  public:
   explicit LimitOwner(const Knobs& knobs);
 
   /// Answers a question. One that comes again gets the same answer.
-  /// @param reachableShare part of the nodes that this owner can hear of, so that the two sides of
-  /// a cut together keep the limit; 1 where none is absent.
-  LimitGrant onDemand(NodeLife from, const LimitDemand& demand, double reachableShare, Time now);
+  LimitGrant onDemand(NodeLife from, const LimitDemand& demand, const OwnerSituation& situation,
+                      Time now);
   /// Forgets nodes that are silent for a lease time, and rows without nodes.
   void expire(Time now);
   size_t rowCount() const { return rows_.size(); }
@@ -74,8 +83,10 @@
     std::map<NodeId, NodeUse> nodes;
   };
 
-  RowUse& rowOf(const LimitDemand& demand, Time now);
-  void grantTokens(RowUse& row, NodeUse& node, double wanted, Time now, LimitGrant& grant);
+  RowUse& rowOf(const LimitDemand& demand, bool isYoung, Time now);
+  static double rateOfSilentNodes(const RowUse& row, const NodeUse& asking, Time now);
+  void grantTokens(RowUse& row, NodeUse& node, const LimitDemand& demand, Time now,
+                   LimitGrant& grant);
   void grantPlaces(RowUse& row, NodeUse& node, int64_t limit, Time now, LimitGrant& grant);
   static double fairRate(const RowUse& row, const NodeUse& node, double capacity);
   static int64_t fairPlaces(const RowUse& row, const NodeUse& node, int64_t limit);
--- a/src/admission/limit_role.cpp
+++ b/src/admission/limit_role.cpp
@@ -1,6 +1,7 @@
 #include "admission/limit_role.h"
 
 #include "admission/limit_codec.h"
+#include "common/log.h"
 #include "common/rendezvous.h"
 
 namespace fernmoor {
@@ -10,6 +11,9 @@
 /// Rows that one message may name.
 constexpr int kRowsPerMessage = 256;
 
+/// Lines on rows that become short or whole again.
+constexpr LogBudgetBounds kShortLines{2, 10};
+
 uint64_t hashOf(const RowKey& row) {
   return rendezvousWeight(stableHash(row.service.value()), stableHash(row.tenant.value()));
 }
@@ -17,11 +21,47 @@
 }  // namespace
 
 LimitRole::LimitRole(const MembershipView& membership, const Knobs& knobs)
-    : membership_(membership), knobs_(knobs), limiter_(knobs), owner_(knobs) {}
+    : membership_(membership),
+      knobs_(knobs),
+      limiter_(knobs),
+      owner_(knobs),
+      shortLog_(kShortLines) {}
+
+Result<Done> LimitRole::tryAcquire(const RowLimits& limits, double cost, Time now) {
+  const RankedLock lock(mutex_);
+  return limiter_.tryAcquire(limits, cost, Spending::kInAdvance, now);
+}
+
+Result<Done> LimitRole::tryAcquireHeld(const RowLimits& limits, double cost, Time now) {
+  const RankedLock lock(mutex_);
+  return limiter_.tryAcquire(limits, cost, Spending::kStockOnly, now);
+}
 
-Result<Done> LimitRole::tryAcquire(const RowLimits& limits, Time now) {
+void LimitRole::giveBack(const RowKey& row, double cost, Time now) {
   const RankedLock lock(mutex_);
-  return limiter_.tryAcquire(limits, now);
+  limiter_.giveBack(row, cost, now);
+}
+
+bool LimitRole::awaitsAnswer(const RowKey& row) const {
+  const RankedLock lock(mutex_);
+  return limiter_.awaitsAnswer(row);
+}
+
+bool LimitRole::askNow(const RowKey& row, double needed, Time now, MessageSender& sender) {
+  std::map<NodeId, std::vector<LimitDemand>> questions;
+  {
+    const RankedLock lock(mutex_);
+    if (!ownerOf(row)) {
+      return false;
+    }
+    if (const std::optional<LimitDemand> question = limiter_.urgentQuestion(row, needed, now)) {
+      questions = questionsByOwner({*question});
+      answerOwn(questions[self_.node], now);
+      questions.erase(self_.node);
+    }
+  }
+  sendQuestions(questions, sender);
+  return true;
 }
 
 void LimitRole::release(const RowKey& row, Time now) {
@@ -57,22 +97,29 @@
   const uint64_t key = hashOf(row);
   std::optional<NodeId> owner;
   uint64_t best = 0;
+  size_t live = 0;
   for (const auto& entry : nodes_) {
     const uint64_t weight = rendezvousWeight(key, entry.second.hash);
+    live += entry.second.live ? 1 : 0;
     if (entry.second.live && (!owner || weight > best)) {
       owner = entry.first;
       best = weight;
     }
   }
-  return owner;
+  // The smaller side of a cut has no owner: its nodes go on with what they were last granted, and
+  // the greater side's owner leaves that to them.
+  return live * 2 >= nodes_.size() ? owner : std::nullopt;
 }
 
-double LimitRole::reachableShare() const {
+OwnerSituation LimitRole::situation(Time now) const {
   double live = 0;
   for (const auto& entry : nodes_) {
     live += entry.second.live ? 1 : 0;
   }
-  return nodes_.empty() ? 1.0 : live / static_cast<double>(nodes_.size());
+  OwnerSituation situation;
+  situation.reachableShare = nodes_.empty() ? 1.0 : live / static_cast<double>(nodes_.size());
+  situation.isYoung = startedAt_ && now - *startedAt_ < knobs_.limitLeaseTime;
+  return situation;
 }
 
 void LimitRole::onTick(Time now, MessageSender& sender) {
@@ -82,13 +129,19 @@
   {
     const RankedLock lock(mutex_);
     self_ = self;
+    startedAt_ = startedAt_.value_or(now);
     updateNodes(members, self.node, now);
     owner_.expire(now);
     limiter_.expire(now);
-    questions = questionsByOwner(now);
+    questions = questionsByOwner(limiter_.dueQuestions(now));
     answerOwn(questions[self.node], now);
     questions.erase(self.node);
   }
+  sendQuestions(questions, sender);
+}
+
+void LimitRole::sendQuestions(const std::map<NodeId, std::vector<LimitDemand>>& questions,
+                              MessageSender& sender) const {
   for (const auto& entry : questions) {
     proto::Envelope envelope;
     proto::LimitQuestion& question = *envelope.mutable_limit()->mutable_question();
@@ -99,9 +152,10 @@
   }
 }
 
-std::map<NodeId, std::vector<LimitDemand>> LimitRole::questionsByOwner(Time now) {
+std::map<NodeId, std::vector<LimitDemand>> LimitRole::questionsByOwner(
+    std::vector<LimitDemand> due) {
   std::map<NodeId, std::vector<LimitDemand>> questions;
-  for (LimitDemand& demand : limiter_.dueQuestions(now)) {
+  for (LimitDemand& demand : due) {
     const auto owner = ownerOf(demand.limits.row);
     if (owner && questions[*owner].size() < kRowsPerMessage) {
       questions[*owner].push_back(std::move(demand));
@@ -110,9 +164,35 @@
   return questions;
 }
 
+void LimitRole::takeGrant(const LimitGrant& grant, Time now) {
+  const bool wasShort = limiter_.isShort(grant.row);
+  limiter_.onGrant(grant, now);
+  const bool isShort = limiter_.isShort(grant.row);
+  if (isShort == wasShort) {
+    return;
+  }
+  const std::optional<uint64_t> leftOut = shortLog_.take(now);
+  if (!leftOut) {
+    return;
+  }
+  LogFields fields;
+  fields.tenant = grant.row.tenant;
+  fields.service = grant.row.service;
+  fields.peer = ownerOf(grant.row);
+  fields.leftOut = *leftOut;
+  logInfo(isShort ? "limit: more is asked than is left, what is beyond is refused"
+                  : "limit: all that is asked fits again",
+          fields);
+}
+
+size_t LimitRole::shortCount() const {
+  const RankedLock lock(mutex_);
+  return limiter_.shortCount();
+}
+
 void LimitRole::answerOwn(const std::vector<LimitDemand>& questions, Time now) {
   for (const LimitDemand& demand : questions) {
-    limiter_.onGrant(owner_.onDemand(self_, demand, reachableShare(), now), now);
+    takeGrant(owner_.onDemand(self_, demand, situation(now), now), now);
   }
 }
 
@@ -137,7 +217,7 @@
       if (ownerOf(demand.limits.row) != self_.node) {
         continue;  // Only one node at a time gives out a row's tokens.
       }
-      encodeGrant(owner_.onDemand(from, demand, reachableShare(), now), *answer.add_rows());
+      encodeGrant(owner_.onDemand(from, demand, situation(now), now), *answer.add_rows());
     }
   }
   if (answer.rows_size() > 0) {
@@ -150,7 +230,7 @@
   for (const proto::LimitGrant& row : answer.rows()) {
     const LimitGrant grant = decodeGrant(row);
     if (ownerOf(grant.row) == from.node) {
-      limiter_.onGrant(grant, now);
+      takeGrant(grant, now);
     }
   }
 }
--- a/src/admission/limit_role.h
+++ b/src/admission/limit_role.h
@@ -10,6 +10,7 @@
 #include "admission/limit_owner.h"
 #include "admission/row_limiter.h"
 #include "common/lock_order.h"
+#include "common/log_budget.h"
 #include "common/role.h"
 #include "membership/member.h"
 
@@ -21,8 +22,21 @@
   /// @param membership outlives the role; read on ticks only.
   LimitRole(const MembershipView& membership, const Knobs& knobs);
 
-  Result<Done> tryAcquire(const RowLimits& limits, Time now) override;
+  /// Lets a request pass also ahead of the owner's answer.
+  Result<Done> tryAcquire(const RowLimits& limits, double cost, Time now) override;
+  /// Lets a request pass on what this node holds.
+  Result<Done> tryAcquireHeld(const RowLimits& limits, double cost, Time now);
   void release(const RowKey& row, Time now) override;
+  /// The request did not run after all: what it cost may be spent again.
+  void giveBack(const RowKey& row, double cost, Time now);
+  /// Asks the row's owner at once, instead of on the next tick.
+  /// @param needed cost of the request that waits for the answer.
+  /// @return whether there is an owner to wait for.
+  bool askNow(const RowKey& row, double needed, Time now, MessageSender& sender);
+  /// @return whether a question about the row has no answer yet.
+  bool awaitsAnswer(const RowKey& row) const;
+  /// @return rows whose owner gives this node less than it wants.
+  size_t shortCount() const;
 
   void onMessage(NodeLife from, const proto::Envelope& envelope, Time now,
                  MessageSender& sender) override;
@@ -38,8 +52,12 @@
 
   void updateNodes(const std::vector<Member>& members, NodeId self, Time now);
   std::optional<NodeId> ownerOf(const RowKey& row) const;
-  double reachableShare() const;
-  std::map<NodeId, std::vector<LimitDemand>> questionsByOwner(Time now);
+  std::map<NodeId, std::vector<LimitDemand>> questionsByOwner(std::vector<LimitDemand> due);
+  OwnerSituation situation(Time now) const;
+  void sendQuestions(const std::map<NodeId, std::vector<LimitDemand>>& questions,
+                     MessageSender& sender) const;
+  /// Takes the owner's answer; one log line where a row becomes short, or whole again.
+  void takeGrant(const LimitGrant& grant, Time now);
   void answerOwn(const std::vector<LimitDemand>& questions, Time now);
   void onQuestion(NodeLife from, const proto::LimitQuestion& question, Time now,
                   MessageSender& sender);
@@ -49,9 +67,11 @@
   const Knobs knobs_;
   mutable RankedMutex mutex_{LockRank::kRouting};
   NodeLife self_;
+  std::optional<Time> startedAt_;  ///< Of the first tick.
   std::map<NodeId, KnownNode> nodes_;
   DistributedLimiter limiter_;
   LimitOwner owner_;
+  LogBudget shortLog_;
 };
 
 }  // namespace fernmoor
--- a/src/admission/row_limiter.cpp
+++ b/src/admission/row_limiter.cpp
@@ -17,9 +17,14 @@
 
 Error rateLimitError(const RowLimits& limits, Duration retryAfter) {
   std::ostringstream message;
-  message << "service " << limits.row.service << " is over its limit of " << limits.ratePerSecond
-          << " requests a second; send it again after the time in Retry-After, or ask your "
-             "operator to raise the row's rate.";
+  if (limits.row.service.value().empty()) {
+    message << "tenant " << limits.row.tenant;
+  } else {
+    message << "service " << limits.row.service;
+  }
+  message << " is over its limit of " << limits.ratePerSecond << " " << toString(limits.unit)
+          << " a second; send it again after the time in Retry-After, or ask your operator to "
+             "raise the rate.";
   return limitError(message.str(), retryAfter);
 }
 
@@ -31,7 +36,7 @@
   return limitError(message.str(), retryAfter);
 }
 
-Result<Done> LocalRowLimiter::tryAcquire(const RowLimits& limits, Time now) {
+Result<Done> LocalRowLimiter::tryAcquire(const RowLimits& limits, double cost, Time now) {
   const auto added = entries_.try_emplace(
       limits.row, Entry{TokenBucket(limits.ratePerSecond, limits.burst, now), ConcurrencyLimit(0)});
   Entry& entry = added.first->second;
@@ -40,7 +45,7 @@
   if (!entry.concurrency.tryAcquire()) {
     return concurrencyLimitError(limits, kConcurrencyRetryAfter);
   }
-  if (limits.ratePerSecond > 0 && !entry.bucket.tryTake(now)) {
+  if (limits.ratePerSecond > 0 && !entry.bucket.tryTake(now, cost)) {
     entry.concurrency.release();
     return rateLimitError(limits, entry.bucket.timeUntilToken(now));
   }
--- a/src/admission/row_limiter.h
+++ b/src/admission/row_limiter.h
@@ -15,8 +15,9 @@
  public:
   virtual ~RowLimiter() = default;
   /// Counts the request against the row's rate and concurrency.
+  /// @param cost in the unit of the rate: 1 where requests are counted, else e.g. tokens.
   /// @return kRateLimited with the time until there is room again.
-  virtual Result<Done> tryAcquire(const RowLimits& limits, Time now) = 0;
+  virtual Result<Done> tryAcquire(const RowLimits& limits, double cost, Time now) = 0;
   /// The request ended, was refused by the queue, or its caller went away.
   virtual void release(const RowKey& row, Time now) = 0;
 };
@@ -24,7 +25,7 @@
 /// Limits that hold on this node alone. Not thread-safe.
 class LocalRowLimiter : public RowLimiter {
  public:
-  Result<Done> tryAcquire(const RowLimits& limits, Time now) override;
+  Result<Done> tryAcquire(const RowLimits& limits, double cost, Time now) override;
   void release(const RowKey& row, Time now) override;
   int64_t inFlight(const RowKey& row) const;
 
--- a/src/admission/token_bucket.cpp
+++ b/src/admission/token_bucket.cpp
@@ -32,22 +32,27 @@
   refilledAt_ = std::max(refilledAt_, now);
 }
 
-bool TokenBucket::tryTake(Time now) {
+bool TokenBucket::tryTake(Time now, double count) {
   refill(now);
-  if (tokens_ + kTolerance < 1.0) {
+  if (tokens_ + kTolerance < count) {
     return false;
   }
-  tokens_ -= 1.0;
+  tokens_ -= count;
   return true;
 }
 
 double TokenBucket::takeUpTo(double wanted, Time now) {
   refill(now);
-  const double taken = std::clamp(wanted, 0.0, tokens_);
+  const double taken = std::clamp(wanted, 0.0, std::max(0.0, tokens_));
   tokens_ -= taken;
   return taken;
 }
 
+void TokenBucket::charge(double count, Time now) {
+  refill(now);
+  tokens_ -= count;
+}
+
 void TokenBucket::giveBack(Time now) {
   refill(now);
   tokens_ = std::min(burst_, tokens_ + 1.0);
--- a/src/admission/token_bucket.h
+++ b/src/admission/token_bucket.h
@@ -14,11 +14,13 @@
 
   /// Changes the rate and the burst from now on; tokens beyond the new burst are lost.
   void configure(double ratePerSecond, double burst, Time now);
-  /// Takes one token. @return false where there is none.
-  bool tryTake(Time now);
+  /// Takes so many tokens. @return false where there are fewer; then none is taken.
+  bool tryTake(Time now, double count = 1.0);
   /// Takes as many tokens as there are, fractions included, up to `wanted`.
   /// @return how many were taken.
   double takeUpTo(double wanted, Time now);
+  /// Takes so many tokens, also those that are not there yet.
+  void charge(double count, Time now);
   /// Gives one token back, for a request that did not run after all.
   void giveBack(Time now);
   /// @return time until the next token; 0 where there is one, the longest Duration at rate 0.
--- a/src/common/metrics.h
+++ b/src/common/metrics.h
@@ -112,6 +112,8 @@
   void setTableAge(Duration age) { tableAge_->Set(toSeconds(age)); }
   void setMembers(const MemberCounts& counts);
   void setOpenStreams(int64_t count) { openStreams_->Set(static_cast<double>(count)); }
+  /// Limits of rows or tenants that give this node less than it wants.
+  void setShortLimits(size_t count);
   /// Whether the last call to the platform succeeded.
   void setPlatformAvailable(bool available) { platformAvailable_->Set(available ? 1 : 0); }
   /// Bytes of node-to-node messages and of engines' events and load reports.
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -21,6 +21,7 @@
 #include "gateway/second_send_budget.h"
 #include "gateway/send_planner.h"
 #include "gateway/table_in_force.h"
+#include "gateway/tenant_limits.h"
 
 namespace fernmoor::gateway {
 
@@ -35,6 +36,7 @@
   const WantedWeights& wanted;
   PartHints& parts;
   EngineLoads& loads;
+  TenantLimits& limits;
   Metrics& metrics;
 };
 
--- a/src/gateway/outcome_log.cpp
+++ b/src/gateway/outcome_log.cpp
@@ -25,6 +25,8 @@
       return "request: refused, no engine took it";
     case RequestOutcome::kUnprovenKey:
       return "request: refused, the key could not be proven valid";
+    case RequestOutcome::kOverLimit:
+      return "request: refused, its tenant is over its limit";
   }
   return "";
 }
@@ -32,7 +34,7 @@
 OutcomeLog::OutcomeLog()
     : budgets_{LogBudget(kLinesOfAKind), LogBudget(kLinesOfAKind), LogBudget(kLinesOfAKind),
                LogBudget(kLinesOfAKind), LogBudget(kLinesOfAKind), LogBudget(kLinesOfAKind),
-               LogBudget(kLinesOfAKind)} {}
+               LogBudget(kLinesOfAKind), LogBudget(kLinesOfAKind)} {}
 
 std::optional<uint64_t> OutcomeLog::take(RequestOutcome outcome, bool wentWell, Time now) {
   if (wentWell) {
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -393,7 +393,24 @@
   logEnd(mayHaveRun_ ? RequestOutcome::kNoWholeAnswer : RequestOutcome::kNoBackend);
 }
 
+bool RequestRun::passesLimit() {
+  if (!request_.tenant) {
+    return true;
+  }
+  const Result<Done> passed = services_.limits.acquire(*request_.tenant, limitCostOf(request_));
+  if (!isOk(passed)) {
+    refuse(errorOf(passed));
+    logEnd(RequestOutcome::kOverLimit);
+    return false;
+  }
+  isCounted_ = true;
+  return true;
+}
+
 void RequestRun::refuse(const Error& error) {
+  if (isCounted_ && error.runState == RunState::kNotRun) {
+    services_.limits.giveBack(*request_.tenant, limitCostOf(request_));
+  }
   metrics_.countRefusal(error.kind);
   caller_.refuse(error);
 }
@@ -416,6 +433,9 @@
 
 void RequestRun::run() {
   metrics_.countRequest();
+  if (!passesLimit()) {
+    return;
+  }
   Next next = Next::kElsewhere;
   while (next == Next::kElsewhere) {
     if (request_.tenant && !headSent_ && !isKeyProven()) {
--- a/src/gateway/request_run.h
+++ b/src/gateway/request_run.h
@@ -55,6 +55,8 @@
   void notePromptRead();
   void deliverHeld();
   void giveUp();
+  /// @return false where it was refused.
+  bool passesLimit();
   void refuse(const Error& error);
   void refuseUnproven();
   bool isKeyProven() const;
@@ -74,6 +76,7 @@
   bool mayHaveRun_ = false;
   bool promptCounted_ = false;
   bool atBackend_ = false;
+  bool isCounted_ = false;   ///< Against its tenant's limit.
   std::string lastEventId_;  ///< Of the last event that the caller has.
   bool callerGone_ = false;
   bool secondSendPaid_ = false;  ///< The budget was asked before the back end was chosen.
--- a/src/gateway/traffic_table.h
+++ b/src/gateway/traffic_table.h
@@ -11,6 +11,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "admission/admission_request.h"
 #include "common/ids.h"
 #include "common/socket_address.h"
 #include "common/time.h"
@@ -51,6 +52,8 @@
   std::string name;
   bool isIsolated = false;  ///< Shares no cached prompt with others.
   int priority = 0;
+  RowLimits limits;              ///< Over all nodes and services.
+  double costWithoutTokens = 1;  ///< Of a request that tells no tokens, where these are limited.
 };
 
 /// What is known of a pool beside its members.
--- a/src/node/request_gate.cpp
+++ b/src/node/request_gate.cpp
@@ -12,8 +12,8 @@
 class BorrowedRowLimiter : public RowLimiter {
  public:
   explicit BorrowedRowLimiter(RowLimiter& limits) : limits_(limits) {}
-  Result<Done> tryAcquire(const RowLimits& limits, Time now) override {
-    return limits_.tryAcquire(limits, now);
+  Result<Done> tryAcquire(const RowLimits& limits, double cost, Time now) override {
+    return limits_.tryAcquire(limits, cost, now);
   }
   void release(const RowKey& row, Time now) override { limits_.release(row, now); }
 
--- /dev/null
+++ b/src/peers/limit_directory.cpp
@@ -0,0 +1,83 @@
+#include "peers/limit_directory.h"
+
+namespace fernmoor::peers {
+
+namespace {
+
+/// A request goes on without an answer that has not come by then: two trips between zones.
+constexpr Duration kAnswerTimeout{6000};
+
+/// The first answer may be to a question that did not know of this request; a second one is its
+/// own.
+constexpr int kMostQuestions = 2;
+
+}  // namespace
+
+void SnapshotMembers::set(std::shared_ptr<const MembershipSnapshot> snapshot) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  snapshot_ = std::move(snapshot);
+}
+
+Member SnapshotMembers::self() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const Member* const known = snapshot_ == nullptr ? nullptr : snapshot_->find(self_.life.node);
+  return known == nullptr ? self_ : *known;
+}
+
+std::vector<Member> SnapshotMembers::members() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return snapshot_ == nullptr ? std::vector<Member>{self_} : snapshot_->members;
+}
+
+LimitDirectory::LimitDirectory(NodeId self, const Clock& clock, MessageSender& sender,
+                               const Knobs& knobs)
+    : clock_(clock), sender_(sender), members_(self), role_(members_, knobs) {}
+
+void LimitDirectory::setMembers(std::shared_ptr<const MembershipSnapshot> members) {
+  members_.set(std::move(members));
+}
+
+Result<Done> LimitDirectory::acquire(const gateway::Tenant& tenant, double cost) {
+  if (tenant.limits.ratePerSecond <= 0) {
+    return Done{};
+  }
+  const RowKey& row = tenant.limits.row;
+  Result<Done> result = role_.tryAcquireHeld(tenant.limits, cost, clock_.now());
+  for (int question = 0; !isOk(result) && question < kMostQuestions; ++question) {
+    if (!role_.askNow(row, cost, clock_.now(), sender_) || !awaitAnswer(row)) {
+      result = role_.tryAcquire(tenant.limits, cost, clock_.now());
+      break;
+    }
+    result = role_.tryAcquireHeld(tenant.limits, cost, clock_.now());
+  }
+  if (isOk(result)) {
+    role_.release(row, clock_.now());  // Tenants have no bound on requests in flight.
+  }
+  return result;
+}
+
+bool LimitDirectory::awaitAnswer(const RowKey& row) {
+  std::unique_lock<std::mutex> lock(mutex_);
+  return answered_.wait_for(lock, kAnswerTimeout, [&] { return !role_.awaitsAnswer(row); });
+}
+
+void LimitDirectory::giveBack(const gateway::Tenant& tenant, double cost) {
+  if (tenant.limits.ratePerSecond > 0) {
+    role_.giveBack(tenant.limits.row, cost, clock_.now());
+  }
+}
+
+void LimitDirectory::onMessage(NodeLife from, const proto::Envelope& envelope, Time now,
+                               MessageSender& sender) {
+  role_.onMessage(from, envelope, now, sender);
+  if (envelope.limit().has_answer()) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    answered_.notify_all();
+  }
+}
+
+void LimitDirectory::onTick(Time now, MessageSender& sender) {
+  role_.onTick(now, sender);
+}
+
+}  // namespace fernmoor::peers
--- a/src/peers/peer_plane.cpp
+++ b/src/peers/peer_plane.cpp
@@ -35,6 +35,7 @@
       mirrorRole_(nodeIdOf(options_.listen), mirror, clock.now()),
       parts_(nodeIdOf(options_.listen), clock, *this),
       loads_(nodeIdOf(options_.listen), clock, *this),
+      limits_(nodeIdOf(options_.listen), clock, *this, options_.knobs),
       life_(makeLife(static_cast<uint64_t>(clock.wallMicroseconds()))) {}
 
 PeerPlane::~PeerPlane() {
@@ -81,6 +82,8 @@
     parts_.onMessage(from, envelope, now, *current->transport);
   } else if (envelope.has_load()) {
     loads_.onMessage(from, envelope, now, *current->transport);
+  } else if (envelope.has_limit()) {
+    limits_.onMessage(from, envelope, now, *current->transport);
   }
 }
 
@@ -144,6 +147,8 @@
   mirrorRole_.setMembers(snapshot);
   parts_.setMembers(snapshot);
   loads_.setMembers(snapshot);
+  limits_.setMembers(snapshot);
+  limits_.onTick(now, *current->transport);
   mirrorRole_.onTick(now, *current->transport);
   const std::optional<Incarnation> greater = current->membership->supersededBy();
   if (!greater) {
--- a/src/peers/peer_plane.h
+++ b/src/peers/peer_plane.h
@@ -1,6 +1,6 @@
 /// @file
 /// The threads and sockets between this node and the others: membership, the relay of the mirrored
-/// state, hints of cached parts, and the load of engines.
+/// state, hints of cached parts, the load of engines, and limits.
 #pragma once
 
 #include <atomic>
@@ -14,6 +14,7 @@
 #include "common/message_sender.h"
 #include "common/metrics.h"
 #include "membership/membership_role.h"
+#include "peers/limit_directory.h"
 #include "peers/load_directory.h"
 #include "peers/mirror_role.h"
 #include "peers/part_directory.h"
@@ -49,6 +50,7 @@
   MirrorRole& mirror() { return mirrorRole_; }
   PartDirectory& parts() { return parts_; }
   LoadDirectory& loads() { return loads_; }
+  LimitDirectory& limits() { return limits_; }
   /// @return members that are not held dead, this node included.
   size_t memberCount() const;
   MemberCounts memberCounts() const;
@@ -76,6 +78,7 @@
   MirrorRole mirrorRole_;
   PartDirectory parts_;
   LoadDirectory loads_;
+  LimitDirectory limits_;
   mutable std::mutex mutex_;
   std::shared_ptr<Life> life_;
   std::atomic<bool> stopping_{false};
--- a/test/admission/limit_role_test.cpp
+++ b/test/admission/limit_role_test.cpp
@@ -90,7 +90,7 @@
         continue;
       }
       ++offered;
-      admitted += isOk(role->tryAcquire(limits, cluster.now())) ? 1 : 0;
+      admitted += isOk(role->tryAcquire(limits, 1.0, cluster.now())) ? 1 : 0;
     }
     return admitted;
   }
@@ -200,7 +200,7 @@
       }
       if (random.chance(0.15)) {  // 30 wanted at once.
         const size_t node = step < 20000 ? random.below(4) : 3 - random.below(2);
-        if (isOk(nodes.cluster.nodes()[node]->role<LimitRole>()->tryAcquire(limits, now))) {
+        if (isOk(nodes.cluster.nodes()[node]->role<LimitRole>()->tryAcquire(limits, 1.0, now))) {
           running.emplace_back(now + fromSeconds(random.exponential(0.2)), node);
         }
       }
--- a/test/gateway/forwarder_world.h
+++ b/test/gateway/forwarder_world.h
@@ -12,6 +12,7 @@
 #include <thread>
 #include <vector>
 
+#include "admission/row_limiter.h"
 #include "gateway/forwarder.h"
 #include "gateway/pending_work.h"
 #include "test/http/socket_pair.h"
@@ -228,6 +229,22 @@
   bool isSilent = false;
 };
 
+/// Lets every request pass until told otherwise, and counts.
+class TestLimits : public TenantLimits {
+ public:
+  Result<Done> acquire(const Tenant& tenant, double cost) override {
+    if (isOver) {
+      return rateLimitError(tenant.limits, std::chrono::milliseconds(700));
+    }
+    counted += cost;
+    return Done{};
+  }
+  void giveBack(const Tenant&, double cost) override { counted -= cost; }
+
+  bool isOver = false;
+  double counted = 0;
+};
+
 /// Silence after which a request that may run again is sent elsewhere.
 constexpr Duration kSilence{100000};
 
@@ -239,7 +256,7 @@
         connections(ConnectOptions{}),
         budget(SecondSendBounds{0, std::chrono::seconds(10), secondSends}),
         forwarder(ForwarderServices{clock, table, backends, connections, budget, protocol, wanted,
-                                    hints, loads, metrics},
+                                    hints, loads, limits, metrics},
                   ForwarderOptions{"zone", std::chrono::seconds(5), 1, kSilence}) {
     row.name = "row";
     row.maxAttempts = 2;
@@ -283,6 +300,7 @@
   TestProtocol protocol;
   TestHints hints;
   LocalLoads loads;
+  TestLimits limits;
   Metrics metrics;
   Forwarder forwarder;
   Row row;
--- a/test/peers/directory_world.h
+++ b/test/peers/directory_world.h
@@ -21,7 +21,7 @@
     Direct(DirectoryWorld& world, NodeId from) : world_(world), from_(from) {}
     void send(NodeId to, const proto::Envelope& envelope) override {
       ++world_.messages;
-      if (world_.silent.count(to) == 0) {
+      if (world_.silent.count(to) == 0 && world_.isCut(from_) == world_.isCut(to)) {
         world_.node(to).onMessage(NodeLife{from_, Incarnation(1)}, envelope, world_.clock.now(),
                                   *world_.senders_.at(to));
       }
@@ -50,6 +50,9 @@
     nodes_[node] = std::make_unique<Directory>(node, clock, *senders_[node]);
     nodes_[node]->setMembers(members_);
   }
+  /// Cuts these nodes off from the others, not from one another.
+  void cut(const std::set<uint64_t>& nodes) { cutOff_ = nodes; }
+  MessageSender& sender(NodeId id) { return *senders_.at(id); }
   Directory& node(NodeId id) { return *nodes_.at(id); }
   Directory& node(uint64_t id) { return node(NodeId(id)); }
   size_t size() const { return nodes_.size(); }
@@ -59,6 +62,9 @@
   std::set<NodeId> silent;  ///< Nodes that get no messages.
 
  private:
+  bool isCut(NodeId node) const { return cutOff_.count(node.value()) > 0; }
+
+  std::set<uint64_t> cutOff_;
   std::shared_ptr<MembershipSnapshot> members_ = std::make_shared<MembershipSnapshot>();
   std::map<NodeId, std::unique_ptr<Direct>> senders_;
   std::map<NodeId, std::unique_ptr<Directory>> nodes_;
--- a/test/platform/ingress_test.cpp
+++ b/test/platform/ingress_test.cpp
@@ -34,7 +34,7 @@
         connections(ConnectOptions{}),
         budget(gateway::SecondSendBounds{}),
         forwarder(gateway::ForwarderServices{clock, table, backends, connections, budget, protocol,
-                                             wanted, hints, loads, metrics},
+                                             wanted, hints, loads, limits, metrics},
                   gateway::ForwarderOptions{"z", std::chrono::seconds(4), 1}),
         work(gateway::StopTimes{}),
         ingress(IngressServices{clock, table, forwarder, work, pools, metrics, refusals,
@@ -101,6 +101,7 @@
   EngineProtocol protocol;
   gateway::test::TestHints hints;
   gateway::test::LocalLoads loads;
+  gateway::test::TestLimits limits;
   Metrics metrics;
   LogBudget refusals{LogBudgetBounds{}};
   gateway::Forwarder forwarder;
--- a/test/platform/table_decoder_test.cpp
+++ b/test/platform/table_decoder_test.cpp
@@ -65,6 +65,38 @@
   CHECK_FALSE(isOk(decode(R"({"version":1,"tenants":[{"name":"t","api-keys":[{"x":1}]}]})")));
 }
 
+TEST_CASE("a tenant's limit is read with its unit") {
+  const auto result = decode(
+      R"({"version":3,"tenants":[{"name":"t","api-keys":["k"],"unit":"tokens","plain-tokens":200,)"
+      R"("rate-per-s":604589,"burst":5},{"name":"u","api-keys":["l"],"rate-per-s":10},)"
+      R"({"name":"v","api-keys":["m"]}]})");
+  REQUIRE(isOk(result));
+  const gateway::Tenant& tenant = *valueOf(result)->findTenant("k");
+  CHECK((tenant.limits.unit == LimitUnit::kTokens));
+  CHECK(tenant.limits.ratePerSecond == 604589);
+  CHECK(tenant.limits.burst == 5);
+  CHECK(tenant.limits.rowVersion == 3);
+  CHECK(tenant.limits.row.tenant == TenantId("t"));
+  CHECK(tenant.costWithoutTokens == 200);
+  CHECK((valueOf(result)->findTenant("l")->limits.unit == LimitUnit::kRequests));
+  CHECK(valueOf(result)->findTenant("m")->limits.ratePerSecond == 0);
+}
+
+TEST_CASE("a limit that cannot be read is an error that names the field and what to write") {
+  const auto faultOf = [](const std::string& limit) {
+    const auto result =
+        decode(R"({"version":3,"tenants":[{"name":"t","api-keys":["k"],)" + limit + "}]}");
+    REQUIRE_FALSE(isOk(result));
+    return errorOf(result).message;
+  };
+  CHECK(faultOf(R"("rate-per-s":-1)").find("tenant t: rate-per-s must be a number of at least 0") !=
+        std::string::npos);
+  CHECK(faultOf(R"("rate-per-s":"many")").find("rate-per-s") != std::string::npos);
+  CHECK(faultOf(R"("burst":[1])").find("burst") != std::string::npos);
+  CHECK(faultOf(R"("plain-tokens":-5)").find("plain-tokens") != std::string::npos);
+  CHECK(faultOf(R"("unit":"bytes")").find(R"("requests" or "tokens")") != std::string::npos);
+}
+
 TEST_CASE("entries of back ends are read, those without an address left out") {
   const auto json = parseJsonObject(
       R"({"service":"s1","addr":"10.1.1.1:80","zone":"z","slots":64,"state":"draining",)"
