Keepers of engines count places and memory until a request ends, and tell engines at which nothing moves

An engine has 16 places, and an alert holds one for 290 tokens (1.5 s at least, 5 to 12 s beside prompts that are read); with a quarter of the engines dark places and memory bind, not reading.

The keeper expects the wait from the prompts before a request, from places and from memory, at the rates that it observes; engines where a prompt waits three times longer than expected and none was begun since are passed over.

--- a/src/gateway/backend_choice.cpp
+++ b/src/gateway/backend_choice.cpp
@@ -15,6 +15,10 @@
 constexpr double kBoundedLoadSlack = 4;
 /// Each costs a trip to another node.
 constexpr size_t kMostHomesAsked = 3;
+/// Homes at hand in case that nothing moves at some: a quarter of the engines may have stopped.
+constexpr size_t kMostHomes = 6;
+/// A request's end is told within a few trips between nodes; lost messages are to be bridged only.
+constexpr Duration kForgetMargin{500000};
 /// In tokens: counts a request however much waits.
 constexpr uint64_t kNoBound = std::numeric_limits<uint64_t>::max();
 /// What a back end of another zone costs, in requests.
@@ -89,9 +93,9 @@
     (each->inFlight < bound ? within : beyond).push_back(each);
   }
   const auto hashOf = [](const BackendView* each) { return each->idHash; };
-  Candidates homes = rendezvousTop(key, std::move(within), kMostHomesAsked, hashOf);
+  Candidates homes = rendezvousTop(key, std::move(within), kMostHomes, hashOf);
   const Candidates others =
-      rendezvousTop(key, std::move(beyond), kMostHomesAsked - homes.size(), hashOf);
+      rendezvousTop(key, std::move(beyond), kMostHomes - homes.size(), hashOf);
   homes.insert(homes.end(), others.begin(), others.end());
   return homes;
 }
@@ -105,7 +109,7 @@
   return tokens;
 }
 
-/// A home that was asked and had too much to read.
+/// A home that was asked and had too much to do.
 struct BusyHome {
   BackendChoice choice;
   uint64_t cost = 0;    ///< Tokens to be read or brought there before the request's own are done.
@@ -114,15 +118,25 @@
 
 }  // namespace
 
+EngineDemand demandOf(const IncomingRequest& request, Time now) {
+  EngineDemand demand;
+  demand.promptTokens = request.promptTokens;
+  demand.memoryTokens = request.promptTokens + request.expectedAnswerTokens;
+  demand.forgetAfter = std::max(Duration(0), request.deadline - now) + kForgetMargin;
+  return demand;
+}
+
 std::optional<BackendChoice> chooseHome(const IncomingRequest& request,
                                         const std::vector<BackendView>& candidates,
                                         const ChoiceContext& context, EngineLoads& loads) {
   const Candidates homes = firstHomes(request, usableOf(candidates, context.tried));
   const uint64_t shared = sharedTokensOf(request);
+  const EngineDemand demand = demandOf(request, context.now);
   // A wait as long as the request's own reading is not worth a question to another node.
   const uint64_t shortWait = std::max(shared, request.promptTokens);
   std::optional<BusyHome> best;
-  for (size_t index = 0; index < homes.size(); ++index) {
+  size_t asked = 0;
+  for (size_t index = 0; index < homes.size() && asked < kMostHomesAsked; ++index) {
     const BackendView& home = *homes[index];
     // All but the first have to get the shared parts from elsewhere.
     const uint64_t toBring = index == 0 ? 0 : shared;
@@ -131,8 +145,17 @@
     }
     const uint64_t bound = best ? std::min(shortWait, best->cost - toBring) : shortWait;
     const std::optional<LoadAnswer> answer =
-        loads.reserve(home.idHash, request.promptTokens, bound);
-    BackendChoice choice{home, answer ? answer->pendingTokens : home.pendingTokens, std::nullopt};
+        loads.reserve(home.idHash, demand, context.room, bound);
+    if (answer && answer->isStalled) {
+      continue;
+    }
+    ++asked;
+    BackendChoice choice;
+    choice.backend = home;
+    choice.pendingTokens = answer ? answer->pendingTokens : home.pendingTokens;
+    if (answer) {
+      choice.expectedFirstEvent = answer->expectedFirstEvent(request.promptTokens);
+    }
     if (answer && answer->isGranted) {
       choice.ticket = answer->ticket;
     }
@@ -149,7 +172,7 @@
   }
   // It is counted there all the same: else nobody would know how much waits beyond the bound.
   const std::optional<LoadAnswer> counted =
-      best->isAsked ? loads.reserve(best->choice.backend.idHash, request.promptTokens, kNoBound)
+      best->isAsked ? loads.reserve(best->choice.backend.idHash, demand, context.room, kNoBound)
                     : std::nullopt;
   if (counted && counted->isGranted) {
     best->choice.ticket = counted->ticket;
@@ -164,7 +187,10 @@
     return std::nullopt;
   }
   const BackendView& chosen = *leastLoaded(usable, context.zone, random);
-  return BackendChoice{chosen, chosen.pendingTokens, std::nullopt};
+  BackendChoice choice;
+  choice.backend = chosen;
+  choice.pendingTokens = chosen.pendingTokens;
+  return choice;
 }
 
 std::string cacheScopeOf(const IncomingRequest& request, uint64_t weightsVersion) {
--- a/src/gateway/backend_choice.h
+++ b/src/gateway/backend_choice.h
@@ -21,20 +21,24 @@
 struct ChoiceContext {
   std::string zone;             ///< This node's.
   std::set<std::string> tried;  ///< Ids of back ends that this request was sent to.
+  EngineRoom room;              ///< Of each engine of the pool.
+  Time now;
 };
 
 /// A choice, and what is known of the back end's load.
 struct BackendChoice {
   BackendView backend;
   uint64_t pendingTokens = 0;        ///< Of all nodes where somebody answered, else of this one.
-  std::optional<LoadTicket> ticket;  ///< To be released when the prompt was read.
+  std::optional<LoadTicket> ticket;  ///< To be released when the request left the back end.
+  std::optional<Duration> expectedFirstEvent;  ///< From now, where somebody answered.
 };
 
 /// Chooses for a request with shared parts the engine that is done first with what stands before
-/// the request's own prompt: the prompt tokens that wait there, of all nodes, and, anywhere but at
-/// the home, the shared parts, which have to be brought. Asks those who count for all nodes, home
-/// after home, until the wait is no longer than the request's own reading. Candidates that were
-/// tried are left out, and avoided ones unless all are. Waits for other nodes.
+/// the request's own prompt: what waits there, of all nodes, and, anywhere but at the home, the
+/// shared parts, which have to be brought. Asks those who count for all nodes, home after home,
+/// until the wait is no longer than the request's own reading; engines where nothing moves are
+/// passed over. Candidates that were tried are left out, and avoided ones unless all are. Waits for
+/// other nodes.
 /// @return nothing for a request without shared parts, or where no candidate is left.
 std::optional<BackendChoice> chooseHome(const IncomingRequest& request,
                                         const std::vector<BackendView>& candidates,
@@ -45,6 +49,9 @@
 std::optional<BackendChoice> chooseLeastLoaded(const std::vector<BackendView>& candidates,
                                                const ChoiceContext& context, Random& random);
 
+/// @return what the request takes of an engine, and when it can be forgotten there.
+EngineDemand demandOf(const IncomingRequest& request, Time now);
+
 /// @return the name under which engines keep a request's cached parts: requests of an isolated
 ///         tenant share with nobody else's, and none share across versions of the weights.
 std::string cacheScopeOf(const IncomingRequest& request, uint64_t weightsVersion);
--- a/src/gateway/engine_loads.h
+++ b/src/gateway/engine_loads.h
@@ -1,13 +1,28 @@
 /// @file
-/// Prompt tokens that wait at engines. Each node sees its own requests only, a small part where
-/// there are many nodes, so the choice of an engine asks somebody who counts for all nodes.
+/// What waits and runs at engines. Each node sees its own requests only, a small part where there
+/// are many nodes, so the choice of an engine asks somebody who counts for all nodes.
 #pragma once
 
 #include <cstdint>
 #include <optional>
 
+#include "common/time.h"
+
 namespace fernmoor::gateway {
 
+/// What one engine can hold at once; 0 where it is not known.
+struct EngineRoom {
+  uint32_t places = 0;        ///< Requests in its batch.
+  uint64_t memoryTokens = 0;  ///< Prompts and answers of these, and cached parts.
+};
+
+/// What a request takes of an engine.
+struct EngineDemand {
+  uint64_t promptTokens = 0;
+  uint64_t memoryTokens = 0;      ///< Prompt and expected answer.
+  Duration forgetAfter{3000000};  ///< Its end was not told if it is still counted then.
+};
+
 /// A request that is counted at an engine until it is released or forgotten.
 struct LoadTicket {
   uint64_t engine = 0;  ///< Hash of its id.
@@ -15,20 +30,32 @@
 };
 
 struct LoadAnswer {
-  bool isGranted = false;      ///< The request is counted; release the ticket.
-  uint64_t pendingTokens = 0;  ///< What waited there before it, of all nodes.
+  bool isGranted = false;  ///< The request is counted; release the ticket.
+  /// What stands before it, of all nodes, in prompt tokens: those to be read, or the wait for a
+  /// place or for memory as the tokens that the engine reads in that time, whichever is more.
+  uint64_t pendingTokens = 0;
+  double tokensPerSecond = 0;  ///< Prompt tokens that the engine got through lately, cached or not.
+  bool isStalled = false;      ///< Prompts wait there and none was begun for far too long.
   LoadTicket ticket;
+
+  /// @return the time until a request with that prompt gets its first event.
+  Duration expectedFirstEvent(uint64_t promptTokens) const {
+    return fromSeconds(static_cast<double>(pendingTokens + promptTokens) / tokensPerSecond);
+  }
 };
 
 /// Implementations are thread-safe.
 class EngineLoads {
  public:
   virtual ~EngineLoads() = default;
-  /// Counts a request at an engine unless `bound` tokens or more wait there.
+  /// Counts a request at an engine unless `bound` tokens or more stand before it there.
   /// @param engine hash of its id.
   /// @return nothing where nobody answered; may wait some milliseconds.
-  virtual std::optional<LoadAnswer> reserve(uint64_t engine, uint64_t tokens, uint64_t bound) = 0;
-  /// The request's prompt was read, or it left the engine.
+  virtual std::optional<LoadAnswer> reserve(uint64_t engine, const EngineDemand& demand,
+                                            const EngineRoom& room, uint64_t bound) = 0;
+  /// The request's prompt was read; it still runs.
+  virtual void promptRead(const LoadTicket& ticket) = 0;
+  /// The request left the engine.
   virtual void release(const LoadTicket& ticket) = 0;
 };
 
--- a/src/gateway/incoming_request.h
+++ b/src/gateway/incoming_request.h
@@ -35,7 +35,8 @@
   Time deadline;    ///< When the caller stops waiting or the row's timeout ends, the earlier.
   std::string model;
   uint64_t promptTokens = 0;
-  uint64_t mostAnswerTokens = 0;  ///< Bound on the answer's; 0: unknown.
+  uint64_t mostAnswerTokens = 0;      ///< Bound on the answer's; 0: unknown.
+  uint64_t expectedAnswerTokens = 0;  ///< The caller's estimate; 0: unknown.
   std::vector<PromptPart> parts;
   std::string resumeAfter;  ///< Id of the last event that the caller has; empty: none.
 
--- a/src/gateway/pending_work.h
+++ b/src/gateway/pending_work.h
@@ -1,6 +1,7 @@
 /// @file
-/// The count behind EngineLoads: which requests wait at an engine. A request whose end is never
-/// told is forgotten after a while, so that a lost message or a dead node does not fill an engine.
+/// The count behind EngineLoads: which requests wait and run at an engine, how quickly it gets
+/// through them, and what a newcomer has to wait for. A request whose end is never told is
+/// forgotten after a while, so that a lost message or a dead node does not fill an engine.
 #pragma once
 
 #include <cstdint>
@@ -17,26 +18,59 @@
 struct PendingRequest {
   uint64_t owner = 0;  ///< Its node.
   uint32_t id = 0;     ///< One number of that node's.
-  uint64_t tokens = 0;
+  EngineDemand demand;
 };
 
 /// Thread-safe.
 class PendingWork {
  public:
-  /// Counts the request unless `bound` tokens or more wait at the engine.
-  LoadAnswer reserve(uint64_t engine, const PendingRequest& request, uint64_t bound, Time now);
-  void release(uint64_t engine, uint64_t owner, uint32_t id);
+  /// Counts the request unless `bound` tokens or more stand before it at the engine.
+  LoadAnswer reserve(uint64_t engine, const PendingRequest& request, const EngineRoom& room,
+                     uint64_t bound, Time now);
+  /// The engine began to answer the request.
+  void promptRead(uint64_t engine, uint64_t owner, uint32_t id, Time now);
+  void release(uint64_t engine, uint64_t owner, uint32_t id, Time now);
+  /// Forgets all requests of a node, which was started anew or is gone.
+  void forgetOwner(uint64_t owner);
   /// Engines with requests that are counted.
   size_t size() const;
 
  private:
   struct Entry {
     PendingRequest request;
+    Time reservedAt;
     Time forgetAt;
+    uint64_t tokensAtStart = 0;  ///< Prompt tokens that waited with it, its own included.
+    bool isRead = false;
   };
 
+  /// Sums that halve with time; their quotient is a rate.
+  struct Observed {
+    double amount = 0;
+    double seconds = 0;
+    Time at;
+    void add(double newAmount, double newSeconds, Time now);
+  };
+
+  struct Engine {
+    std::vector<Entry> entries;
+    Observed reading;    ///< Prompt tokens, and the time until the first event.
+    Observed residence;  ///< Requests, and the time from their send to their end.
+    Time usedAt;
+
+    double tokensPerSecond() const;
+    double secondsOfARequest() const;
+    uint64_t waitingTokens() const;
+    double secondsForRoom(const EngineDemand& demand, const EngineRoom& room) const;
+    bool isStalled(Time now) const;
+  };
+
+  Engine& engineOf(uint64_t engine, Time now);
+  void forgetUnused(Time now);
+
   mutable std::mutex mutex_;
-  std::unordered_map<uint64_t, std::vector<Entry>> byEngine_;
+  std::unordered_map<uint64_t, Engine> engines_;
+  Time sweptAt_;
 };
 
 }  // namespace fernmoor::gateway
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -95,7 +95,11 @@
     return;
   }
   const Time now = services_.clock.now();
-  notePromptRead();
+  if (promptCounted_) {
+    services_.backends.promptRead(plan_.backend.id, request_.promptTokens);
+    promptCounted_ = false;
+  }
+  releaseTicket();
   services_.backends.ended(plan_.backend.id, verdict, now);
   trail_.end(end, now - request_.arrivedAt);
   atBackend_ = false;
@@ -105,7 +109,13 @@
   if (promptCounted_) {
     services_.backends.promptRead(plan_.backend.id, request_.promptTokens);
     promptCounted_ = false;
+    if (ticket_) {
+      forwarder_.planner_.promptRead(*ticket_);
+    }
   }
+}
+
+void RequestRun::releaseTicket() {
   if (ticket_) {
     forwarder_.planner_.release(*ticket_);
     ticket_.reset();
@@ -176,7 +186,7 @@
     ticket_ = planned->ticket;
   }
   if (!planned || planned->send.timeLeft < kLeastUsefulTime || !maySendAgain()) {
-    notePromptRead();
+    releaseTicket();
     return Next::kGiveUp;
   }
   plan_ = planned->send;
--- a/src/gateway/request_run.h
+++ b/src/gateway/request_run.h
@@ -53,6 +53,7 @@
   AttemptStep readStream(EngineAttempt& attempt, std::string& bytes);
   void noteEnd(BackendVerdict verdict, AttemptEnd end);
   void notePromptRead();
+  void releaseTicket();
   void deliverHeld();
   void giveUp();
   /// @return false where it was refused.
@@ -87,7 +88,7 @@
   Time lastEventAt_;
   Duration longestPause_{};
   RequestTrail trail_;
-  std::optional<LoadTicket> ticket_;  ///< While the prompt waits at its engine.
+  std::optional<LoadTicket> ticket_;  ///< While it waits or runs at its engine.
 };
 
 }  // namespace fernmoor::gateway
--- a/src/gateway/send_planner.cpp
+++ b/src/gateway/send_planner.cpp
@@ -63,7 +63,8 @@
   const std::string& model = input.request.model;
   leaveOutOldWeights(members, ServingVersions{services_.wanted.lowestServing(model, now),
                                               services_.wanted.uncertainVersion(model)});
-  const ChoiceContext context{zone_, input.tried};
+  const Pool* const pool = input.request.table->findPool(input.request.pool);
+  const ChoiceContext context{zone_, input.tried, pool == nullptr ? EngineRoom{} : pool->room, now};
   std::optional<BackendChoice> home = chooseHome(input.request, members, context, services_.loads);
   if (home) {
     return home;
@@ -101,6 +102,7 @@
   planned.inFlight = chosen->backend.inFlight;
   planned.pendingTokens = chosen->pendingTokens;
   planned.ticket = chosen->ticket;
+  planned.expectedFirstEvent = chosen->expectedFirstEvent;
   SendPlan& plan = planned.send;
   plan.backend = *chosen->backend.listing;
   plan.weightsVersion = chosen->backend.weightsVersion;
--- a/src/gateway/send_planner.h
+++ b/src/gateway/send_planner.h
@@ -42,7 +42,8 @@
   SendPlan send;
   int inFlight = 0;                  ///< Of this node.
   uint64_t pendingTokens = 0;        ///< Of all nodes where `ticket` is set, else of this one.
-  std::optional<LoadTicket> ticket;  ///< To be released when the prompt was read.
+  std::optional<LoadTicket> ticket;  ///< To be released when the request left its back end.
+  std::optional<Duration> expectedFirstEvent;  ///< From now, where it is known.
 };
 
 /// Thread-safe.
@@ -53,7 +54,9 @@
 
   /// @return nothing where no back end is left; may wait some milliseconds for hints.
   std::optional<PlannedSend> plan(const PlanInput& input);
-  /// Tells that a request waits no longer at its engine.
+  /// Tells that a request's prompt was read; it still runs.
+  void promptRead(const LoadTicket& ticket) { services_.loads.promptRead(ticket); }
+  /// Tells that a request left its engine.
   void release(const LoadTicket& ticket) { services_.loads.release(ticket); }
   /// Tells where the request's shared parts were read.
   /// @param took from the send to the first event.
--- a/src/gateway/traffic_table.h
+++ b/src/gateway/traffic_table.h
@@ -15,6 +15,7 @@
 #include "common/ids.h"
 #include "common/socket_address.h"
 #include "common/time.h"
+#include "gateway/engine_loads.h"
 
 namespace fernmoor::gateway {
 
@@ -62,6 +63,7 @@
   int maxConnections = 0;  ///< Of all callers together to one member; 0: unknown.
   bool servesModels = false;
   double tokenBytes = 0;  ///< Cached memory of one token; 0: unknown.
+  EngineRoom room;        ///< Of each engine; zeros: unknown.
 };
 
 /// A store of cached prompts beside the engines.
--- a/src/peers/load_directory.h
+++ b/src/peers/load_directory.h
@@ -1,9 +1,9 @@
 /// @file
-/// Prompt tokens that wait at engines, of all nodes: each engine has one node that counts for it,
-/// found by rendezvous hashing over the living nodes. A request asks that node before it is sent,
-/// which counts it, and tells it when its prompt was read: three short messages a request in the
-/// usual case, however many nodes there are. An answer that does not come costs a few milliseconds
-/// and the knowledge.
+/// What waits and runs at engines, of all nodes: each engine has one node that counts for it, found
+/// by rendezvous hashing over the living nodes. A request asks that node before it is sent, which
+/// counts it, and tells it when its prompt was read and when it ended: four short messages a
+/// request in the usual case, however many nodes there are. An answer that does not come costs a
+/// few milliseconds and the knowledge.
 #pragma once
 
 #include <condition_variable>
@@ -26,8 +26,10 @@
 
   void setMembers(std::shared_ptr<const MembershipSnapshot> members);
 
-  std::optional<gateway::LoadAnswer> reserve(uint64_t engine, uint64_t tokens,
+  std::optional<gateway::LoadAnswer> reserve(uint64_t engine, const gateway::EngineDemand& demand,
+                                             const gateway::EngineRoom& room,
                                              uint64_t bound) override;
+  void promptRead(const gateway::LoadTicket& ticket) override;
   void release(const gateway::LoadTicket& ticket) override;
 
   void onMessage(NodeLife from, const proto::Envelope& envelope, Time now,
@@ -44,6 +46,10 @@
   };
 
   NodeId keeperOf(uint64_t engine) const;
+  /// Tells the engine's keeper that a request's prompt was read, or that it ended.
+  void tell(const gateway::LoadTicket& ticket, bool stillRuns);
+  void noteEnd(uint64_t owner, const proto::LoadRelease& release, Time now);
+  void forgetFormerLife(NodeLife from);
   void onQuestion(NodeLife from, const proto::LoadQuestion& question, Time now,
                   MessageSender& sender);
   void onAnswer(NodeLife from, const proto::LoadAnswer& answer, MessageSender& sender);
@@ -57,6 +63,7 @@
   std::shared_ptr<const MembershipSnapshot> members_;
   std::map<uint32_t, Question> questions_;
   uint32_t lastQuestion_ = 0;
+  std::map<NodeId, Incarnation> askers_;  ///< In which life each node asked last.
 };
 
 }  // namespace fernmoor::peers
--- a/test/gateway/backend_choice_test.cpp
+++ b/test/gateway/backend_choice_test.cpp
@@ -40,25 +40,34 @@
 /// Nobody counts for all nodes, so that the choice goes by what this node knows.
 class SilentLoads : public EngineLoads {
  public:
-  std::optional<LoadAnswer> reserve(uint64_t, uint64_t, uint64_t) override { return std::nullopt; }
+  std::optional<LoadAnswer> reserve(uint64_t, const EngineDemand&, const EngineRoom&,
+                                    uint64_t) override {
+    return std::nullopt;
+  }
+  void promptRead(const LoadTicket&) override {}
   void release(const LoadTicket&) override {}
 };
 
 /// Counts for all nodes; the test sets what waits at each engine.
 class CountingLoads : public EngineLoads {
  public:
-  std::optional<LoadAnswer> reserve(uint64_t engine, uint64_t tokens, uint64_t bound) override {
+  std::optional<LoadAnswer> reserve(uint64_t engine, const EngineDemand& demand, const EngineRoom&,
+                                    uint64_t bound) override {
     ++questions;
     LoadAnswer answer;
+    answer.tokensPerSecond = 40000;
     answer.pendingTokens = pending[engine];
-    answer.isGranted = answer.pendingTokens < bound;
+    answer.isStalled = stalled.count(engine) > 0;
+    answer.isGranted = answer.pendingTokens < bound && !answer.isStalled;
     answer.ticket = LoadTicket{engine, questions};
-    pending[engine] += answer.isGranted ? tokens : 0;
+    pending[engine] += answer.isGranted ? demand.promptTokens : 0;
     return answer;
   }
+  void promptRead(const LoadTicket&) override {}
   void release(const LoadTicket&) override {}
 
   std::map<uint64_t, uint64_t> pending;
+  std::set<uint64_t> stalled;  ///< Engines where nothing moves.
   uint32_t questions = 0;
 };
 
@@ -66,7 +75,7 @@
                    const std::set<std::string>& tried = {}) {
   Random random(1);
   SilentLoads loads;
-  const ChoiceContext context{"near", tried};
+  const ChoiceContext context{"near", tried, {}, {}};
   auto choice = chooseHome(request, candidates, context, loads);
   if (!choice) {
     choice = chooseLeastLoaded(candidates, context, random);
@@ -128,7 +137,7 @@
   const uint64_t home = stableHash(homeId);
   CountingLoads loads;
   const auto choose = [&] {
-    return *chooseHome(prompt.request, candidates, ChoiceContext{"near", {}}, loads);
+    return *chooseHome(prompt.request, candidates, ChoiceContext{"near", {}, {}, {}}, loads);
   };
 
   SUBCASE("to its home while that reads no longer than the request itself takes") {
@@ -142,6 +151,17 @@
     CHECK(choice.backend.listing->id != homeId);
     CHECK(choice.ticket.has_value());
   }
+  SUBCASE("past engines where nothing moves, however many there are in a row") {
+    loads.stalled.insert(home);
+    const std::string second = choose().backend.listing->id;
+    CHECK(second != homeId);
+    loads.stalled.insert(stableHash(second));
+    CHECK(loads.stalled.count(choose().ticket->engine) == 0);
+  }
+  SUBCASE("and tells when its first event is expected there") {
+    loads.pending[home] = 0;
+    CHECK((choose().expectedFirstEvent == std::chrono::milliseconds(230)));
+  }
   SUBCASE("where all have more to read than that") {
     for (const BackendView& each : candidates) {
       loads.pending[stableHash(each.listing->id)] = 30000;
--- a/test/gateway/forwarder_test.cpp
+++ b/test/gateway/forwarder_test.cpp
@@ -508,9 +508,10 @@
   world.addEngine("b", 3);
   world.forwarder.serve(world.prompt(), world.caller);
   const bool isFirstHome = world.scripted[0]->requests() == 1;
-  CHECK(world.loads.work.size() == 0);  // Its prompt was read.
-  const PendingRequest ofOther{2, 1, 50000};
-  world.loads.work.reserve(stableHash(isFirstHome ? "a" : "b"), ofOther, 100000, world.clock.now());
+  CHECK(world.loads.work.size() == 0);  // It left its engine.
+  const PendingRequest ofOther{2, 1, EngineDemand{50000, 50000, std::chrono::seconds(3)}};
+  world.loads.work.reserve(stableHash(isFirstHome ? "a" : "b"), ofOther, EngineRoom{}, 100000,
+                           world.clock.now());
   world.forwarder.serve(world.prompt(), world.caller);
   CHECK(world.scripted[isFirstHome ? 1 : 0]->requests() == 1);
   CHECK(world.scripted[isFirstHome ? 0 : 1]->requests() == 1);
--- a/test/gateway/forwarder_world.h
+++ b/test/gateway/forwarder_world.h
@@ -215,13 +215,19 @@
 /// Counts the load of engines in this process, as one node alone would.
 class LocalLoads : public EngineLoads {
  public:
-  std::optional<LoadAnswer> reserve(uint64_t engine, uint64_t tokens, uint64_t bound) override {
+  std::optional<LoadAnswer> reserve(uint64_t engine, const EngineDemand& demand,
+                                    const EngineRoom& room, uint64_t bound) override {
     if (isSilent) {
       return std::nullopt;
     }
-    return work.reserve(engine, PendingRequest{1, ++last, tokens}, bound, clock.now());
+    return work.reserve(engine, PendingRequest{1, ++last, demand}, room, bound, clock.now());
+  }
+  void promptRead(const LoadTicket& ticket) override {
+    work.promptRead(ticket.engine, 1, ticket.id, clock.now());
+  }
+  void release(const LoadTicket& ticket) override {
+    work.release(ticket.engine, 1, ticket.id, clock.now());
   }
-  void release(const LoadTicket& ticket) override { work.release(ticket.engine, 1, ticket.id); }
 
   SystemClock clock;
   PendingWork work;
--- a/test/gateway/pending_work_test.cpp
+++ b/test/gateway/pending_work_test.cpp
@@ -1,5 +1,6 @@
 /// @file
-/// Tests of src/gateway/pending_work.h: what waits at an engine, and what is forgotten.
+/// Tests of src/gateway/pending_work.h: what stands before a request at an engine, and what is
+/// forgotten.
 #include "gateway/pending_work.h"
 
 #include <doctest/doctest.h>
@@ -10,40 +11,118 @@
 
 constexpr Time kStart{std::chrono::seconds(100)};
 constexpr uint64_t kBound = 12000;
+constexpr EngineRoom kNoRoomKnown;
+
+PendingRequest requestOf(uint64_t owner, uint32_t id, uint64_t tokens) {
+  return PendingRequest{owner, id, EngineDemand{tokens, tokens, std::chrono::seconds(3)}};
+}
 
 }  // namespace
 
 TEST_CASE("requests are counted at an engine until its bound waits there") {
   PendingWork work;
-  const LoadAnswer first = work.reserve(7, PendingRequest{1, 1, 9000}, kBound, kStart);
+  const LoadAnswer first = work.reserve(7, requestOf(1, 1, 9000), kNoRoomKnown, kBound, kStart);
   CHECK(first.isGranted);
   CHECK(first.pendingTokens == 0);
-  CHECK(work.reserve(7, PendingRequest{2, 1, 9000}, kBound, kStart).isGranted);
-  const LoadAnswer third = work.reserve(7, PendingRequest{3, 1, 9000}, kBound, kStart);
+  CHECK(work.reserve(7, requestOf(2, 1, 9000), kNoRoomKnown, kBound, kStart).isGranted);
+  const LoadAnswer third = work.reserve(7, requestOf(3, 1, 9000), kNoRoomKnown, kBound, kStart);
   CHECK_FALSE(third.isGranted);
   CHECK(third.pendingTokens == 18000);
-  CHECK(work.reserve(8, PendingRequest{3, 2, 9000}, kBound, kStart).isGranted);
+  CHECK(work.reserve(8, requestOf(3, 2, 9000), kNoRoomKnown, kBound, kStart).isGranted);
 }
 
 TEST_CASE("a release takes off the very request of that owner") {
   PendingWork work;
-  work.reserve(7, PendingRequest{1, 5, 9000}, kBound, kStart);
-  work.reserve(7, PendingRequest{2, 5, 4000}, kBound, kStart);
-  work.release(7, 1, 5);
-  work.release(7, 1, 5);
-  work.release(9, 2, 5);
-  CHECK(work.reserve(7, PendingRequest{3, 1, 1}, kBound, kStart).pendingTokens == 4000);
+  work.reserve(7, requestOf(1, 5, 9000), kNoRoomKnown, kBound, kStart);
+  work.reserve(7, requestOf(2, 5, 4000), kNoRoomKnown, kBound, kStart);
+  work.release(7, 1, 5, kStart);
+  work.release(7, 1, 5, kStart);
+  work.release(9, 2, 5, kStart);
+  CHECK(work.reserve(7, requestOf(3, 1, 1), kNoRoomKnown, kBound, kStart).pendingTokens == 4000);
 }
 
 TEST_CASE(
     "a request whose end is never told is forgotten, and an engine without any takes no room") {
   PendingWork work;
-  work.reserve(7, PendingRequest{1, 1, 20000}, kBound, kStart);
-  CHECK_FALSE(work.reserve(7, PendingRequest{1, 2, 1}, kBound, kStart).isGranted);
+  work.reserve(7, requestOf(1, 1, 20000), kNoRoomKnown, kBound, kStart);
+  CHECK_FALSE(work.reserve(7, requestOf(1, 2, 1), kNoRoomKnown, kBound, kStart).isGranted);
   const Time later = kStart + std::chrono::seconds(4);
-  CHECK(work.reserve(7, PendingRequest{1, 3, 1}, kBound, later).pendingTokens == 0);
-  work.release(7, 1, 3);
+  CHECK(work.reserve(7, requestOf(1, 3, 1), kNoRoomKnown, kBound, later).pendingTokens == 0);
+  work.release(7, 1, 3, later);
   CHECK(work.size() == 0);
 }
 
+TEST_CASE("what a node had counted is forgotten when it starts anew") {
+  PendingWork work;
+  work.reserve(7, requestOf(1, 1, 9000), kNoRoomKnown, kBound, kStart);
+  work.reserve(7, requestOf(2, 1, 4000), kNoRoomKnown, kBound, kStart);
+  work.forgetOwner(1);
+  CHECK(work.reserve(7, requestOf(3, 1, 1), kNoRoomKnown, kBound, kStart).pendingTokens == 4000);
+}
+
+TEST_CASE("requests that run keep their places and their memory until they end") {
+  PendingWork work;
+  const EngineRoom room{4, 50000};
+  SUBCASE("a newcomer waits for a place") {
+    for (uint32_t id = 1; id <= 4; ++id) {
+      CHECK(work.reserve(7, requestOf(1, id, 1000), room, kBound, kStart).isGranted);
+      work.promptRead(7, 1, id, kStart + Duration(30000));
+    }
+    const Time later = kStart + Duration(100000);
+    const LoadAnswer fifth = work.reserve(7, requestOf(1, 5, 1000), room, 1000, later);
+    CHECK_FALSE(fifth.isGranted);
+    CHECK(fifth.pendingTokens > 1000);
+    work.release(7, 1, 2, later);
+    CHECK(work.reserve(7, requestOf(1, 6, 1000), room, 1000, later).isGranted);
+  }
+  SUBCASE("or for memory") {
+    work.reserve(7, requestOf(1, 1, 45000), room, kBound, kStart);
+    work.promptRead(7, 1, 1, kStart + Duration(30000));
+    const Time later = kStart + Duration(100000);
+    CHECK(work.reserve(7, requestOf(1, 2, 4000), room, kBound, later).pendingTokens == 0);
+    work.release(7, 1, 2, later);
+    CHECK(work.reserve(7, requestOf(1, 3, 20000), room, kBound, later).pendingTokens > 0);
+  }
+}
+
+TEST_CASE("how quickly an engine gets through its prompts is observed") {
+  PendingWork slow;
+  PendingWork quick;
+  Time now = kStart;
+  for (uint32_t id = 1; id <= 40; ++id) {
+    slow.reserve(7, requestOf(1, id, 9000), kNoRoomKnown, kBound, now);
+    quick.reserve(7, requestOf(1, id, 9000), kNoRoomKnown, kBound, now);
+    quick.promptRead(7, 1, id, now + Duration(90000));
+    quick.release(7, 1, id, now + Duration(90000));
+    now += Duration(450000);
+    slow.promptRead(7, 1, id, now);
+    slow.release(7, 1, id, now);
+  }
+  const double slowRate =
+      slow.reserve(7, requestOf(1, 99, 1), kNoRoomKnown, kBound, now).tokensPerSecond;
+  const LoadAnswer quickAnswer = quick.reserve(7, requestOf(1, 99, 1), kNoRoomKnown, kBound, now);
+  CHECK(slowRate > 15000);
+  CHECK(slowRate < 30000);
+  CHECK(quickAnswer.tokensPerSecond > 70000);
+  CHECK(quickAnswer.expectedFirstEvent(9000) < Duration(130000));
+}
+
+TEST_CASE("an engine at which nothing moves is told, once what waits there should have begun") {
+  PendingWork work;
+  work.reserve(7, requestOf(1, 1, 9000), kNoRoomKnown, kBound, kStart);
+  const auto isStalled = [&](Duration after, uint32_t id) {
+    const LoadAnswer answer =
+        work.reserve(7, requestOf(1, id, 100), kNoRoomKnown, kBound, kStart + after);
+    work.release(7, 1, id, kStart + after);
+    return answer.isStalled;
+  };
+  CHECK_FALSE(isStalled(Duration(300000), 2));
+  CHECK(isStalled(Duration(1500000), 3));
+  SUBCASE("and taken back with the first request that it begins") {
+    work.reserve(7, requestOf(2, 1, 900), kNoRoomKnown, kBound, kStart + Duration(200000));
+    work.promptRead(7, 2, 1, kStart + Duration(1600000));
+    CHECK_FALSE(isStalled(Duration(1700000), 4));
+  }
+}
+
 }  // namespace fernmoor::gateway
--- a/test/peers/load_directory_test.cpp
+++ b/test/peers/load_directory_test.cpp
@@ -13,6 +13,11 @@
 using gateway::LoadAnswer;
 
 constexpr uint64_t kBound = 12000;
+constexpr gateway::EngineRoom kRoom;
+
+gateway::EngineDemand demandOf(uint64_t tokens) {
+  return gateway::EngineDemand{tokens, tokens, std::chrono::seconds(3)};
+}
 
 class LoadWorld : public test::DirectoryWorld<LoadDirectory> {
  public:
@@ -31,18 +36,34 @@
 TEST_CASE("an engine's load is that of all nodes together") {
   LoadWorld world(7);
   for (uint64_t engine = 1000; engine < 1050; ++engine) {
-    CHECK(world.node(1).reserve(engine, 9000, kBound)->isGranted);
-    CHECK(world.node(2).reserve(engine, 9000, kBound)->pendingTokens == 9000);
-    CHECK_FALSE(world.node(3).reserve(engine, 9000, kBound)->isGranted);
+    CHECK(world.node(1).reserve(engine, demandOf(9000), kRoom, kBound)->isGranted);
+    CHECK(world.node(2).reserve(engine, demandOf(9000), kRoom, kBound)->pendingTokens == 9000);
+    CHECK_FALSE(world.node(3).reserve(engine, demandOf(9000), kRoom, kBound)->isGranted);
   }
 }
 
 TEST_CASE("a released request waits no longer, whoever asked") {
   LoadWorld world(7);
   for (uint64_t engine = 1000; engine < 1050; ++engine) {
-    const LoadAnswer answer = *world.node(1).reserve(engine, 20000, kBound);
-    CHECK_FALSE(world.node(2).reserve(engine, 1, kBound)->isGranted);
+    const LoadAnswer answer = *world.node(1).reserve(engine, demandOf(20000), kRoom, kBound);
+    CHECK_FALSE(world.node(2).reserve(engine, demandOf(1), kRoom, kBound)->isGranted);
+    world.node(1).release(answer.ticket);
+  }
+  CHECK(world.enginesCounted() == 0);
+}
+
+TEST_CASE("a request whose prompt was read waits no longer, and keeps its place until it ends") {
+  LoadWorld world(7);
+  const gateway::EngineRoom room{1, 0};
+  for (uint64_t engine = 1000; engine < 1050; ++engine) {
+    const LoadAnswer answer = *world.node(1).reserve(engine, demandOf(20000), room, kBound);
+    world.node(1).promptRead(answer.ticket);
+    CHECK_FALSE(world.node(2).reserve(engine, demandOf(1), room, 1)->isGranted);
     world.node(1).release(answer.ticket);
+    const LoadAnswer next = *world.node(2).reserve(engine, demandOf(1), room, 1);
+    CHECK(next.isGranted);
+    CHECK(next.tokensPerSecond > 0);
+    world.node(2).release(next.ticket);
   }
   CHECK(world.enginesCounted() == 0);
 }
@@ -51,7 +72,7 @@
   for (const uint64_t count : {uint64_t{7}, uint64_t{300}}) {
     LoadWorld world(count);
     for (uint64_t engine = 0; engine < 100; ++engine) {
-      world.node(1).release(world.node(1).reserve(engine, 9000, kBound)->ticket);
+      world.node(1).release(world.node(1).reserve(engine, demandOf(9000), kRoom, kBound)->ticket);
     }
     CHECK(world.messages <= 300);
   }
@@ -62,7 +83,7 @@
   world.silent.insert(NodeId(2));
   int answered = 0;
   for (uint64_t engine = 0; engine < 20; ++engine) {
-    answered += world.node(1).reserve(engine, 9000, kBound) ? 1 : 0;
+    answered += world.node(1).reserve(engine, demandOf(9000), kRoom, kBound) ? 1 : 0;
   }
   CHECK(answered > 0);
   CHECK(answered < 20);
