Requests that can't be in time are refused at once; patience with a silent engine follows what is expected of it

A request whose first event is expected after its target is refused with half of the expected wait as the time to come back; a silent engine is left after three times what was expected, 0.6 s at least, and a request without an estimate after half of its time. Tests fail without either.

--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -17,6 +17,12 @@
 /// With less time left than this a request is not sent any more.
 constexpr Duration kLeastUsefulTime{5000};
 constexpr Duration kRetryAfterBusy{250000};
+/// A silent engine is left after so many times what was expected of it: estimates are off by a
+/// factor of two on busy engines, and a second reading makes these busier.
+constexpr int kPatienceFactor = 3;
+constexpr Duration kLeastPatience{600000};
+/// Part of its time after which a request without an estimate is sent elsewhere.
+constexpr int kPatienceDivisor = 2;
 constexpr Duration kRetryAfterStale{500000};
 /// Grace after the deadline in which the back end's own last word may still come.
 constexpr Duration kLastWordGrace{60000};
@@ -58,9 +64,28 @@
   return request_.isRepeatable() && mayRunOnceMore && !isPatient_;
 }
 
+Duration RequestRun::patience() const {
+  const Duration usual = std::min(forwarder_.options_.silenceBeforeSecondSend,
+                                  (request_.deadline - request_.arrivedAt) / kPatienceDivisor);
+  if (!expectedFirstEvent_ || firstEventAt_) {
+    return usual;
+  }
+  return std::max(kLeastPatience, *expectedFirstEvent_ * kPatienceFactor);
+}
+
+/// A request that can't be in time would only make others late that can; its caller is told so at
+/// once. One that an engine may have run already is brought to its end.
+bool RequestRun::isHopeless(const PlannedSend& planned) const {
+  if (!planned.expectedFirstEvent || sends_ > 0) {
+    return false;
+  }
+  const Duration waited = services_.clock.now() - request_.arrivedAt;
+  return waited + *planned.expectedFirstEvent > request_.row->target;
+}
+
 Time RequestRun::stepDeadline() const {
   const Time end = request_.deadline + kLastWordGrace;
-  const Time leaveAt = services_.clock.now() + forwarder_.options_.silenceBeforeSecondSend;
+  const Time leaveAt = services_.clock.now() + patience();
   return mayLeaveEngine() ? std::min(end, leaveAt) : end;
 }
 
@@ -185,11 +210,17 @@
   if (planned) {
     ticket_ = planned->ticket;
   }
+  if (planned && isHopeless(*planned)) {
+    hopelessWait_ = planned->expectedFirstEvent;
+    releaseTicket();
+    return Next::kGiveUp;
+  }
   if (!planned || planned->send.timeLeft < kLeastUsefulTime || !maySendAgain()) {
     releaseTicket();
     return Next::kGiveUp;
   }
   plan_ = planned->send;
+  expectedFirstEvent_ = planned->expectedFirstEvent;
   noteStart(*planned);
   EngineAttempt attempt(request_, plan_, services_.protocol, services_.connections,
                         services_.clock);
@@ -397,7 +428,7 @@
   } else {
     error.kind = ErrorKind::kOverloaded;
     error.message = "no back end could take the request; come back after the time given.";
-    error.retryAfter = kRetryAfterBusy;
+    error.retryAfter = std::max(kRetryAfterBusy, hopelessWait_.value_or(Duration(0)) / 2);
   }
   refuse(error);
   logEnd(mayHaveRun_ ? RequestOutcome::kNoWholeAnswer : RequestOutcome::kNoBackend);
--- a/src/gateway/request_run.h
+++ b/src/gateway/request_run.h
@@ -47,6 +47,8 @@
   bool mayRunElsewhere() const;
   bool maySendAgain();
   bool mayLeaveEngine() const;
+  Duration patience() const;
+  bool isHopeless(const PlannedSend& planned) const;
   Time stepDeadline() const;
   bool staysWithSilentEngine();
   AttemptStep awaitHead(EngineAttempt& attempt);
@@ -81,7 +83,9 @@
   std::string lastEventId_;  ///< Of the last event that the caller has.
   bool callerGone_ = false;
   bool secondSendPaid_ = false;  ///< The budget was asked before the back end was chosen.
-  bool isPatient_ = false;       ///< It stays with its engine, whatever the silence.
+  std::optional<Duration> expectedFirstEvent_;  ///< From the latest send, where it is known.
+  std::optional<Duration> hopelessWait_;        ///< Why it was not sent: what it would wait.
+  bool isPatient_ = false;                      ///< It stays with its engine, whatever the silence.
   std::optional<HeldAnswer> held_;
   Time sentAt_;  ///< When the latest send began.
   std::optional<Time> firstEventAt_;
--- a/test/gateway/forwarder_test.cpp
+++ b/test/gateway/forwarder_test.cpp
@@ -517,6 +517,52 @@
   CHECK(world.scripted[isFirstHome ? 0 : 1]->requests() == 1);
 }
 
+TEST_CASE("a request that can't be in time is refused at once, before any engine reads it") {
+  CacheWorld world;
+  ScriptedBackend& engine = world.addEngine("a", 3);
+  const PendingRequest ofOther{2, 1, EngineDemand{80000, 80000, std::chrono::seconds(3)}};
+  world.loads.work.reserve(stableHash("a"), ofOther, EngineRoom{}, 100000, world.clock.now());
+  // At the 40,000 tokens a second that an unknown engine is taken for: 2.2 s.
+  SUBCASE("and told when to come back") {
+    world.row.target = std::chrono::milliseconds(1500);
+    world.forwarder.serve(world.prompt(), world.caller);
+    CHECK(engine.requests() == 0);
+    REQUIRE(world.caller.refusals.size() == 1);
+    CHECK(promisesNotRun(world.caller));
+    CHECK(*world.caller.refusals[0].retryAfter > std::chrono::seconds(1));
+    CHECK(*world.caller.refusals[0].retryAfter < std::chrono::milliseconds(1500));
+    world.loads.work.release(stableHash("a"), 2, 1, world.clock.now());
+    CHECK(world.loads.work.size() == 0);  // It is not counted at the engine.
+  }
+  SUBCASE("but served where it can") {
+    world.row.target = std::chrono::seconds(3);
+    world.forwarder.serve(world.prompt(), world.caller);
+    CHECK(engine.requests() == 1);
+    CHECK(world.caller.finished);
+  }
+}
+
+TEST_CASE("an engine is given the time that is expected of it, thrice, before it is left") {
+  CacheWorld world;
+  world.row.repetition = Repetition::kRepeatable;
+  world.row.target = std::chrono::seconds(10);
+  std::atomic<int> slowAnswers{0};
+  const auto slowly = [&](Poco::Net::StreamSocket& socket, const std::string&) {
+    std::this_thread::sleep_for(kSilence * 4);  // Longer than silence is borne without an estimate.
+    ++slowAnswers;
+    say(socket, streamHead() + chunk(event(1)) + "0\r\n\r\n");
+    return true;
+  };
+  world.add("a", slowly);
+  world.add("b", slowly);
+  world.backends.noteWeights("a", "m", 3);
+  world.backends.noteWeights("b", "m", 3);
+  world.forwarder.serve(world.prompt(), world.caller);
+  CHECK(world.caller.finished);
+  CHECK(world.scripted[0]->requests() + world.scripted[1]->requests() == 1);
+  CHECK(slowAnswers == 1);
+}
+
 TEST_CASE("where nobody counts for all nodes, a request goes to its home") {
   CacheWorld world;
   world.loads.isSilent = true;
