The wait, not the reading, decides whether a request is refused; a node cut off while idle has an equal share

With the whole expected time until the first event as the measure, large prompts were refused on idle engines, and those with a short prompt still waited up to their whole target. Now a request is refused where its prompt would wait for more than 0.4 of its target before it is read.

--- a/src/admission/distributed_limiter.cpp
+++ b/src/admission/distributed_limiter.cpp
@@ -105,7 +105,7 @@
   return true;
 }
 
-void DistributedLimiter::giveBack(const RowKey& row, double cost, Time) {
+void DistributedLimiter::giveBack(const RowKey& row, double cost) {
   const auto found = rows_.find(row);
   if (found != rows_.end() && found->second.limits.ratePerSecond > 0) {
     found->second.tokens += cost;
@@ -121,9 +121,10 @@
     use.fallbackAt = now;
     return;
   }
-  // The owner counts on it that a silent node goes on with its last grant.
-  const double share = use.hadGrants ? use.grantedRate / use.limits.ratePerSecond
-                                     : 1.0 / static_cast<double>(share_.nodes);
+  // The owner counts on it that a silent node goes on with its last grant; one that was idle then
+  // has none, and its callers none but it.
+  const double share =
+      std::max(use.grantedRate / use.limits.ratePerSecond, 1.0 / static_cast<double>(share_.nodes));
   const double gathered = use.limits.ratePerSecond * kFallbackGatherSeconds;
   const double burst = std::max(1.0, std::max(use.limits.burst, gathered) * share);
   const double added = toSeconds(now - use.fallbackAt) * use.limits.ratePerSecond * share;
--- a/src/admission/distributed_limiter.h
+++ b/src/admission/distributed_limiter.h
@@ -34,7 +34,7 @@
   /// @param cost in the unit of the rate.
   Result<Done> tryAcquire(const RowLimits& limits, double cost, Spending spending, Time now);
   /// Takes back what a request cost that did not run.
-  void giveBack(const RowKey& row, double cost, Time now);
+  void giveBack(const RowKey& row, double cost);
   void release(const RowKey& row, Time now);
   /// Takes an owner's answer. Answers to former questions are ignored.
   void onGrant(const LimitGrant& grant, Time now);
--- a/src/admission/limit_role.cpp
+++ b/src/admission/limit_role.cpp
@@ -37,9 +37,9 @@
   return limiter_.tryAcquire(limits, cost, Spending::kStockOnly, now);
 }
 
-void LimitRole::giveBack(const RowKey& row, double cost, Time now) {
+void LimitRole::giveBack(const RowKey& row, double cost) {
   const RankedLock lock(mutex_);
-  limiter_.giveBack(row, cost, now);
+  limiter_.giveBack(row, cost);
 }
 
 bool LimitRole::awaitsAnswer(const RowKey& row) const {
--- a/src/admission/limit_role.h
+++ b/src/admission/limit_role.h
@@ -28,7 +28,7 @@
   Result<Done> tryAcquireHeld(const RowLimits& limits, double cost, Time now);
   void release(const RowKey& row, Time now) override;
   /// The request did not run after all: what it cost may be spent again.
-  void giveBack(const RowKey& row, double cost, Time now);
+  void giveBack(const RowKey& row, double cost);
   /// Asks the row's owner at once, instead of on the next tick.
   /// @param needed cost of the request that waits for the answer.
   /// @return whether there is an owner to wait for.
--- a/src/common/metrics.cpp
+++ b/src/common/metrics.cpp
@@ -79,6 +79,9 @@
                      .Add({})),
       openStreams_(
           &gauge(registry_, "fernmoor_open_streams", "Answers being passed on now.").Add({})),
+      shortLimits_(&gauge(registry_, "fernmoor_short_limits",
+                          "Limits that give this node less than it wants.")
+                        .Add({})),
       platformAvailable_(&gauge(registry_, "fernmoor_platform_available",
                                 "1 if the last call to the platform succeeded, else 0.")
                               .Add({})) {
@@ -96,12 +99,6 @@
   members.Add({{"state", "dead"}}).Set(static_cast<double>(counts.dead));
 }
 
-void Metrics::setShortLimits(size_t count) {
-  gauge(registry_, "fernmoor_short_limits", "Limits that give this node less than it wants.")
-      .Add({})
-      .Set(static_cast<double>(count));
-}
-
 void Metrics::setControlBytes(uint64_t sent, uint64_t received) {
   controlSent_->Increment(static_cast<double>(sent) - controlSent_->Value());
   controlReceived_->Increment(static_cast<double>(received) - controlReceived_->Value());
--- a/src/common/metrics.h
+++ b/src/common/metrics.h
@@ -113,7 +113,7 @@
   void setMembers(const MemberCounts& counts);
   void setOpenStreams(int64_t count) { openStreams_->Set(static_cast<double>(count)); }
   /// Limits of rows or tenants that give this node less than it wants.
-  void setShortLimits(size_t count);
+  void setShortLimits(size_t count) { shortLimits_->Set(static_cast<double>(count)); }
   /// Whether the last call to the platform succeeded.
   void setPlatformAvailable(bool available) { platformAvailable_->Set(available ? 1 : 0); }
   /// Bytes of node-to-node messages and of engines' events and load reports.
@@ -138,6 +138,7 @@
   prometheus::Gauge* tableVersion_;
   prometheus::Gauge* tableAge_;
   prometheus::Gauge* openStreams_;
+  prometheus::Gauge* shortLimits_;
   prometheus::Gauge* platformAvailable_;
   prometheus::Counter* controlSent_;
   prometheus::Counter* controlReceived_;
--- a/src/gateway/backend_choice.cpp
+++ b/src/gateway/backend_choice.cpp
@@ -154,7 +154,8 @@
     choice.backend = home;
     choice.pendingTokens = answer ? answer->pendingTokens : home.pendingTokens;
     if (answer) {
-      choice.expectedFirstEvent = answer->expectedFirstEvent(request.promptTokens);
+      const Duration wait = answer->expectedWait();
+      choice.expected = ExpectedTimes{wait, wait + answer->expectedReading(request.promptTokens)};
     }
     if (answer && answer->isGranted) {
       choice.ticket = answer->ticket;
--- a/src/gateway/backend_choice.h
+++ b/src/gateway/backend_choice.h
@@ -25,12 +25,18 @@
   Time now;
 };
 
+/// What a request has to expect of an engine.
+struct ExpectedTimes {
+  Duration wait{0};        ///< From now until its prompt is read.
+  Duration firstEvent{0};  ///< From now.
+};
+
 /// A choice, and what is known of the back end's load.
 struct BackendChoice {
   BackendView backend;
   uint64_t pendingTokens = 0;        ///< Of all nodes where somebody answered, else of this one.
   std::optional<LoadTicket> ticket;  ///< To be released when the request left the back end.
-  std::optional<Duration> expectedFirstEvent;  ///< From now, where somebody answered.
+  std::optional<ExpectedTimes> expected;  ///< Where somebody answered.
 };
 
 /// Chooses for a request with shared parts the engine that is done first with what stands before
--- a/src/gateway/engine_loads.h
+++ b/src/gateway/engine_loads.h
@@ -38,9 +38,13 @@
   bool isStalled = false;      ///< Prompts wait there and none was begun for far too long.
   LoadTicket ticket;
 
-  /// @return the time until a request with that prompt gets its first event.
-  Duration expectedFirstEvent(uint64_t promptTokens) const {
-    return fromSeconds(static_cast<double>(pendingTokens + promptTokens) / tokensPerSecond);
+  /// @return the time until the engine begins to read a newcomer's prompt.
+  Duration expectedWait() const {
+    return fromSeconds(static_cast<double>(pendingTokens) / tokensPerSecond);
+  }
+  /// @return the time for which it reads such a prompt.
+  Duration expectedReading(uint64_t promptTokens) const {
+    return fromSeconds(static_cast<double>(promptTokens) / tokensPerSecond);
   }
 };
 
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -20,6 +20,10 @@
 /// A silent engine is left after so many times what was expected of it: estimates are off by a
 /// factor of two on busy engines, and a second reading makes these busier.
 constexpr int kPatienceFactor = 3;
+/// Part of its target for which a request may wait before its prompt is read; the rest is for the
+/// reading and for what the estimate misses. The reading itself does not count: large prompts would
+/// never be served.
+constexpr int kMostWaitPercent = 40;
 constexpr Duration kLeastPatience{600000};
 /// Part of its time after which a request without an estimate is sent elsewhere.
 constexpr int kPatienceDivisor = 2;
@@ -76,11 +80,11 @@
 /// A request that can't be in time would only make others late that can; its caller is told so at
 /// once. One that an engine may have run already is brought to its end.
 bool RequestRun::isHopeless(const PlannedSend& planned) const {
-  if (!planned.expectedFirstEvent || sends_ > 0) {
+  if (!planned.expected || sends_ > 0) {
     return false;
   }
   const Duration waited = services_.clock.now() - request_.arrivedAt;
-  return waited + *planned.expectedFirstEvent > request_.row->target;
+  return waited + planned.expected->wait > request_.row->target * kMostWaitPercent / 100;
 }
 
 Time RequestRun::stepDeadline() const {
@@ -211,7 +215,7 @@
     ticket_ = planned->ticket;
   }
   if (planned && isHopeless(*planned)) {
-    hopelessWait_ = planned->expectedFirstEvent;
+    hopelessWait_ = planned->expected->firstEvent;
     releaseTicket();
     return Next::kGiveUp;
   }
@@ -220,7 +224,8 @@
     return Next::kGiveUp;
   }
   plan_ = planned->send;
-  expectedFirstEvent_ = planned->expectedFirstEvent;
+  expectedFirstEvent_ =
+      planned->expected ? std::optional<Duration>(planned->expected->firstEvent) : std::nullopt;
   noteStart(*planned);
   EngineAttempt attempt(request_, plan_, services_.protocol, services_.connections,
                         services_.clock);
--- a/src/gateway/send_planner.cpp
+++ b/src/gateway/send_planner.cpp
@@ -102,7 +102,7 @@
   planned.inFlight = chosen->backend.inFlight;
   planned.pendingTokens = chosen->pendingTokens;
   planned.ticket = chosen->ticket;
-  planned.expectedFirstEvent = chosen->expectedFirstEvent;
+  planned.expected = chosen->expected;
   SendPlan& plan = planned.send;
   plan.backend = *chosen->backend.listing;
   plan.weightsVersion = chosen->backend.weightsVersion;
--- a/src/gateway/send_planner.h
+++ b/src/gateway/send_planner.h
@@ -40,10 +40,10 @@
 /// A plan, and the load by which its back end was chosen.
 struct PlannedSend {
   SendPlan send;
-  int inFlight = 0;                  ///< Of this node.
-  uint64_t pendingTokens = 0;        ///< Of all nodes where `ticket` is set, else of this one.
-  std::optional<LoadTicket> ticket;  ///< To be released when the request left its back end.
-  std::optional<Duration> expectedFirstEvent;  ///< From now, where it is known.
+  int inFlight = 0;                       ///< Of this node.
+  uint64_t pendingTokens = 0;             ///< Of all nodes where `ticket` is set, else of this one.
+  std::optional<LoadTicket> ticket;       ///< To be released when the request left its back end.
+  std::optional<ExpectedTimes> expected;  ///< Where they are known.
 };
 
 /// Thread-safe.
--- a/src/gateway/traffic_table.h
+++ b/src/gateway/traffic_table.h
@@ -53,7 +53,7 @@
   std::string name;
   bool isIsolated = false;  ///< Shares no cached prompt with others.
   int priority = 0;
-  RowLimits limits;              ///< Over all nodes and services.
+  RowLimits limits{};            ///< Over all nodes and services.
   double costWithoutTokens = 1;  ///< Of a request that tells no tokens, where these are limited.
 };
 
--- a/src/node/housekeeping.cpp
+++ b/src/node/housekeeping.cpp
@@ -77,6 +77,7 @@
   metrics_.setTableVersion(table_.version());
   metrics_.setPlatformAvailable(control_.platformAvailable());
   metrics_.setOpenStreams(openRequests);
+  metrics_.setShortLimits(control_.roles().limits().shortCount());
   metrics_.setMembers(countMembers(*control_.roles().membership().snapshot()));
 }
 
--- a/src/peers/limit_directory.cpp
+++ b/src/peers/limit_directory.cpp
@@ -63,7 +63,7 @@
 
 void LimitDirectory::giveBack(const gateway::Tenant& tenant, double cost) {
   if (tenant.limits.ratePerSecond > 0) {
-    role_.giveBack(tenant.limits.row, cost, clock_.now());
+    role_.giveBack(tenant.limits.row, cost);
   }
 }
 
