One type for rates that fade, in place of three copies

Sums of amounts and times that halve stood in PendingWork and in SourceExperience, and the formula of the decay beside them in BackendSet and DecayingRate. common/decay.h has both once. PendingWork looks an engine up once where its prompt was read. Behaviour as before.

--- a/src/backends/backend_set.cpp
+++ b/src/backends/backend_set.cpp
@@ -1,9 +1,9 @@
 #include "backends/backend_set.h"
 
 #include <algorithm>
-#include <cmath>
 #include <set>
 
+#include "common/decay.h"
 #include "common/rendezvous.h"
 
 namespace fernmoor {
@@ -133,7 +133,7 @@
   if (verdict == BackendVerdict::kNeutral) {
     return;
   }
-  const double decay = std::exp2(-toSeconds(now - entry.countedAt) / toSeconds(kOutcomeHalfLife));
+  const double decay = decayOver(now - entry.countedAt, kOutcomeHalfLife);
   entry.failures *= decay;
   entry.served *= decay;
   entry.countedAt = now;
--- a/src/gateway/pending_work.cpp
+++ b/src/gateway/pending_work.cpp
@@ -1,7 +1,6 @@
 #include "gateway/pending_work.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace fernmoor::gateway {
 
@@ -25,13 +24,6 @@
 
 }  // namespace
 
-void PendingWork::Observed::add(double newAmount, double newSeconds, Time now) {
-  const double left = std::exp2(-toSeconds(now - at) / toSeconds(kObservedHalfLife));
-  amount = amount * left + newAmount;
-  seconds = seconds * left + newSeconds;
-  at = now;
-}
-
 double PendingWork::Engine::tokensPerSecond() const {
   return (reading.amount + kAssumedTokens) / (reading.seconds + kAssumedReadingSeconds);
 }
@@ -130,11 +122,12 @@
 
 void PendingWork::promptRead(uint64_t id, uint64_t owner, uint32_t request, Time now) {
   const std::lock_guard<std::mutex> lock(mutex_);
-  for (Entry& entry : engineOf(id, now).entries) {
+  Engine& engine = engineOf(id, now);
+  for (Entry& entry : engine.entries) {
     if (entry.request.owner == owner && entry.request.id == request && !entry.isRead) {
       entry.isRead = true;
-      engines_[id].reading.add(static_cast<double>(entry.tokensAtStart),
-                               toSeconds(now - entry.reservedAt), now);
+      engine.reading.add(static_cast<double>(entry.tokensAtStart),
+                         toSeconds(now - entry.reservedAt), now, kObservedHalfLife);
       return;
     }
   }
@@ -150,7 +143,7 @@
     return;
   }
   if (entry->isRead) {
-    engine.residence.add(1.0, toSeconds(now - entry->reservedAt), now);
+    engine.residence.add(1.0, toSeconds(now - entry->reservedAt), now, kObservedHalfLife);
   }
   engine.entries.erase(entry);
 }
--- a/src/gateway/pending_work.h
+++ b/src/gateway/pending_work.h
@@ -9,7 +9,7 @@
 #include <unordered_map>
 #include <vector>
 
-#include "common/time.h"
+#include "common/decay.h"
 #include "gateway/engine_loads.h"
 
 namespace fernmoor::gateway {
@@ -44,18 +44,10 @@
     bool isRead = false;
   };
 
-  /// Sums that halve with time; their quotient is a rate.
-  struct Observed {
-    double amount = 0;
-    double seconds = 0;
-    Time at;
-    void add(double newAmount, double newSeconds, Time now);
-  };
-
   struct Engine {
     std::vector<Entry> entries;
-    Observed reading;    ///< Prompt tokens, and the time until the first event.
-    Observed residence;  ///< Requests, and the time from their send to their end.
+    DecayingQuotient reading;    ///< Prompt tokens, and the time until the first event.
+    DecayingQuotient residence;  ///< Requests, and the time from their send to their end.
     Time usedAt;
 
     double tokensPerSecond() const;
--- a/src/gateway/source_experience.cpp
+++ b/src/gateway/source_experience.cpp
@@ -1,7 +1,5 @@
 #include "gateway/source_experience.h"
 
-#include <cmath>
-
 namespace fernmoor::gateway {
 
 namespace {
@@ -17,30 +15,23 @@
 
 }  // namespace
 
-SourceExperience::Observed SourceExperience::faded(const Observed& observed, Time now) {
-  const double left = std::exp2(-toSeconds(now - observed.at) / toSeconds(kHalfLife));
-  return Observed{observed.tokens * left, observed.seconds * left, now};
-}
-
 void SourceExperience::note(PartSource source, uint64_t promptTokens, Duration took, Time now) {
   if (source == PartSource::kUncertain) {
     return;
   }
   const std::lock_guard<std::mutex> lock(mutex_);
-  Observed& observed = source == PartSource::kStore ? store_ : engine_;
-  observed = faded(observed, now);
-  observed.tokens += static_cast<double>(promptTokens);
-  observed.seconds += toSeconds(took);
+  DecayingQuotient& observed = source == PartSource::kStore ? store_ : engine_;
+  observed.add(static_cast<double>(promptTokens), toSeconds(took), now, kHalfLife);
 }
 
 bool SourceExperience::isStoreSlow(Time now) const {
   const std::lock_guard<std::mutex> lock(mutex_);
-  const Observed store = faded(store_, now);
-  const Observed engine = faded(engine_, now);
-  if (store.tokens < kFewestTokens || engine.tokens < kFewestTokens) {
+  const DecayingQuotient store = store_.fadedTo(now, kHalfLife);
+  const DecayingQuotient engine = engine_.fadedTo(now, kHalfLife);
+  if (store.amount < kFewestTokens || engine.amount < kFewestTokens) {
     return false;
   }
-  return store.seconds / store.tokens > kSlowFactor * engine.seconds / engine.tokens;
+  return store.seconds / store.amount > kSlowFactor * engine.seconds / engine.amount;
 }
 
 }  // namespace fernmoor::gateway
--- a/src/gateway/source_experience.h
+++ b/src/gateway/source_experience.h
@@ -6,7 +6,7 @@
 
 #include <mutex>
 
-#include "common/time.h"
+#include "common/decay.h"
 #include "gateway/part_source.h"
 
 namespace fernmoor::gateway {
@@ -21,18 +21,9 @@
   bool isStoreSlow(Time now) const;
 
  private:
-  /// Sums that halve with time.
-  struct Observed {
-    double tokens = 0;
-    double seconds = 0;
-    Time at;
-  };
-
-  static Observed faded(const Observed& observed, Time now);
-
   mutable std::mutex mutex_;
-  Observed store_;
-  Observed engine_;
+  DecayingQuotient store_;  ///< Prompt tokens, and the times until their first events.
+  DecayingQuotient engine_;
 };
 
 }  // namespace fernmoor::gateway
--- a/src/routing/decaying_rate.h
+++ b/src/routing/decaying_rate.h
@@ -4,9 +4,8 @@
 #pragma once
 
 #include <algorithm>
-#include <cmath>
 
-#include "common/time.h"
+#include "common/decay.h"
 
 namespace fernmoor {
 
@@ -26,8 +25,7 @@
 
   /// @return the decayed number of events.
   double weightAt(Time now, Duration halfLife) const {
-    const double age = std::max(0.0, toSeconds(now - updatedAt_));
-    return weight_ * std::exp2(-age / toSeconds(halfLife));
+    return weight_ * decayOver(std::max(Duration(0), now - updatedAt_), halfLife);
   }
 
  private:
