Limits: the reachable part is counted once a tick, own questions are answered in one place

LimitRole counted the live nodes again for each row and each question, and the tick and the question in haste had the same three steps each. Whether a row was reported is what its last question says, so the flag beside it goes, and so does TokenBucket::giveBack(), which nothing called. The three directories of peers/ share one constant for their wait.

--- a/src/admission/distributed_limiter.cpp
+++ b/src/admission/distributed_limiter.cpp
@@ -223,7 +223,7 @@
     return sinceAsked >= knobs_.limitAskInterval * kRepeatIntervals;
   }
   if (isIdle(use, now)) {
-    return use.isReported;  // Once more, to tell that nothing is wanted any longer.
+    return use.question.demandPerSecond > 0;  // Once more: nothing is wanted any longer.
   }
   const bool placesDue = use.limits.concurrency > 0 &&
                          (use.refusedPlaces > 0 || sinceAsked >= knobs_.limitReportInterval);
@@ -249,7 +249,6 @@
   question.sequence = ++use.sequence;
   const double demand = use.usualDemand.perSecond(now, kUsualDemandHalfLife);
   question.demandPerSecond = isIdle(use, now) ? 0.0 : demand;
-  use.isReported = question.demandPerSecond > 0;
   use.stockAsked = std::max({wantedStock(use, now), needed, use.tokens});
   question.wantedTokens = use.stockAsked - use.tokens;
   question.neededTokens = std::max(0.0, needed - use.tokens);
--- a/src/admission/distributed_limiter.h
+++ b/src/admission/distributed_limiter.h
@@ -65,7 +65,6 @@
     DecayingRate requests;
     DecayingRate usualDemand;  ///< Smoother: by which the owner shares the rate out.
     double grantedRate = 0;    ///< That the owner lets this node count on.
-    bool isReported = false;   ///< The owner was last told of a demand.
     bool isShort = false;      ///< The owner gave less than was wanted.
     int64_t inFlight = 0;
     int64_t refusedPlaces = 0;  ///< Since the last question.
--- a/src/admission/limit_role.cpp
+++ b/src/admission/limit_role.cpp
@@ -1,5 +1,7 @@
 #include "admission/limit_role.h"
 
+#include <algorithm>
+
 #include "admission/limit_codec.h"
 #include "common/log.h"
 #include "common/rendezvous.h"
@@ -10,10 +12,12 @@
 
 /// Rows that one message may name.
 constexpr int kRowsPerMessage = 256;
-
 /// Lines on rows that become short or whole again.
 constexpr LogBudgetBounds kShortLines{2, 10};
 
+/// Nodes that can hear of fewer of the known ones are the smaller side of a cut.
+constexpr double kLeastReachableShare = 0.5;
+
 uint64_t hashOf(const RowKey& row) {
   return rendezvousWeight(stableHash(row.service.value()), stableHash(row.tenant.value()));
 }
@@ -55,9 +59,7 @@
       return false;
     }
     if (const std::optional<LimitDemand> question = limiter_.urgentQuestion(row, needed, now)) {
-      questions = questionsByOwner({*question});
-      answerOwn(questions[self_.node], now);
-      questions.erase(self_.node);
+      questions = questionsToOthers({*question}, now);
     }
   }
   sendQuestions(questions, sender);
@@ -89,37 +91,34 @@
     rank += node->first < self && !forgotten ? 1 : 0;
     node = forgotten ? nodes_.erase(node) : std::next(node);
   }
+  const auto live = static_cast<double>(std::count_if(
+      nodes_.begin(), nodes_.end(), [](const auto& entry) { return entry.second.live; }));
+  reachableShare_ = nodes_.empty() ? 1.0 : live / static_cast<double>(nodes_.size());
   limiter_.setEqualShare(
       EqualShare{std::max<int64_t>(1, static_cast<int64_t>(nodes_.size())), rank});
 }
 
 std::optional<NodeId> LimitRole::ownerOf(const RowKey& row) const {
+  // The smaller side of a cut has no owner: its nodes go on with what they were last granted, and
+  // the greater side's owner leaves that to them.
+  if (reachableShare_ < kLeastReachableShare) {
+    return std::nullopt;
+  }
   const uint64_t key = hashOf(row);
   std::optional<NodeId> owner;
   uint64_t best = 0;
-  size_t live = 0;
   for (const auto& entry : nodes_) {
     const uint64_t weight = rendezvousWeight(key, entry.second.hash);
-    live += entry.second.live ? 1 : 0;
     if (entry.second.live && (!owner || weight > best)) {
       owner = entry.first;
       best = weight;
     }
   }
-  // The smaller side of a cut has no owner: its nodes go on with what they were last granted, and
-  // the greater side's owner leaves that to them.
-  return live * 2 >= nodes_.size() ? owner : std::nullopt;
+  return owner;
 }
 
 OwnerSituation LimitRole::situation(Time now) const {
-  double live = 0;
-  for (const auto& entry : nodes_) {
-    live += entry.second.live ? 1 : 0;
-  }
-  OwnerSituation situation;
-  situation.reachableShare = nodes_.empty() ? 1.0 : live / static_cast<double>(nodes_.size());
-  situation.isYoung = startedAt_ && now - *startedAt_ < knobs_.limitLeaseTime;
-  return situation;
+  return OwnerSituation{reachableShare_, startedAt_ && now - *startedAt_ < knobs_.limitLeaseTime};
 }
 
 void LimitRole::onTick(Time now, MessageSender& sender) {
@@ -133,9 +132,7 @@
     updateNodes(members, self.node, now);
     owner_.expire(now);
     limiter_.expire(now);
-    questions = questionsByOwner(limiter_.dueQuestions(now));
-    answerOwn(questions[self.node], now);
-    questions.erase(self.node);
+    questions = questionsToOthers(limiter_.dueQuestions(now), now);
   }
   sendQuestions(questions, sender);
 }
@@ -152,8 +149,8 @@
   }
 }
 
-std::map<NodeId, std::vector<LimitDemand>> LimitRole::questionsByOwner(
-    std::vector<LimitDemand> due) {
+std::map<NodeId, std::vector<LimitDemand>> LimitRole::questionsToOthers(
+    std::vector<LimitDemand> due, Time now) {
   std::map<NodeId, std::vector<LimitDemand>> questions;
   for (LimitDemand& demand : due) {
     const auto owner = ownerOf(demand.limits.row);
@@ -161,6 +158,8 @@
       questions[*owner].push_back(std::move(demand));
     }
   }
+  answerOwn(questions[self_.node], now);
+  questions.erase(self_.node);
   return questions;
 }
 
--- a/src/admission/limit_role.h
+++ b/src/admission/limit_role.h
@@ -52,7 +52,9 @@
 
   void updateNodes(const std::vector<Member>& members, NodeId self, Time now);
   std::optional<NodeId> ownerOf(const RowKey& row) const;
-  std::map<NodeId, std::vector<LimitDemand>> questionsByOwner(std::vector<LimitDemand> due);
+  /// Answers those about rows of its own. @return the others by the rows' owners.
+  std::map<NodeId, std::vector<LimitDemand>> questionsToOthers(std::vector<LimitDemand> due,
+                                                               Time now);
   OwnerSituation situation(Time now) const;
   void sendQuestions(const std::map<NodeId, std::vector<LimitDemand>>& questions,
                      MessageSender& sender) const;
@@ -69,6 +71,7 @@
   NodeLife self_;
   std::optional<Time> startedAt_;  ///< Of the first tick.
   std::map<NodeId, KnownNode> nodes_;
+  double reachableShare_ = 1.0;  ///< Part of the known nodes that are live.
   DistributedLimiter limiter_;
   LimitOwner owner_;
   LogBudget shortLog_;
--- a/src/admission/token_bucket.cpp
+++ b/src/admission/token_bucket.cpp
@@ -53,11 +53,6 @@
   tokens_ -= count;
 }
 
-void TokenBucket::giveBack(Time now) {
-  refill(now);
-  tokens_ = std::min(burst_, tokens_ + 1.0);
-}
-
 Duration TokenBucket::timeUntilToken(Time now) const {
   const double missing = 1.0 - tokens(now);
   if (missing <= kTolerance) {
--- a/src/admission/token_bucket.h
+++ b/src/admission/token_bucket.h
@@ -21,8 +21,6 @@
   double takeUpTo(double wanted, Time now);
   /// Takes so many tokens, also those that are not there yet.
   void charge(double count, Time now);
-  /// Gives one token back, for a request that did not run after all.
-  void giveBack(Time now);
   /// @return time until the next token; 0 where there is one, the longest Duration at rate 0.
   Duration timeUntilToken(Time now) const;
   double tokens(Time now) const;
--- a/src/peers/limit_directory.cpp
+++ b/src/peers/limit_directory.cpp
@@ -1,12 +1,11 @@
 #include "peers/limit_directory.h"
 
+#include "peers/answer_timeout.h"
+
 namespace fernmoor::peers {
 
 namespace {
 
-/// A request goes on without an answer that has not come by then: two trips between zones.
-constexpr Duration kAnswerTimeout{6000};
-
 /// The first answer may be to a question that did not know of this request; a second one is its
 /// own.
 constexpr int kMostQuestions = 2;
--- a/src/peers/load_directory.cpp
+++ b/src/peers/load_directory.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <limits>
 
+#include "peers/answer_timeout.h"
 #include "peers/node_hash.h"
 
 namespace fernmoor::peers {
@@ -15,9 +16,6 @@
 using gateway::LoadTicket;
 using gateway::PendingRequest;
 
-/// A request goes on without an answer that has not come by then: two trips between zones.
-constexpr Duration kAnswerTimeout{6000};
-
 uint32_t inMessage(uint64_t tokens) {
   return static_cast<uint32_t>(std::min<uint64_t>(tokens, std::numeric_limits<uint32_t>::max()));
 }
--- a/src/peers/part_directory.cpp
+++ b/src/peers/part_directory.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <set>
 
+#include "peers/answer_timeout.h"
+
 namespace fernmoor::peers {
 
 namespace {
@@ -12,8 +14,6 @@
 
 /// About 150 bytes each.
 constexpr size_t kPartsKept = 8192;
-/// A request goes on without the answers that have not come by then: two trips between zones.
-constexpr Duration kFindTimeout{6000};
 constexpr size_t kMostPartsAsked = 64;
 /// A node that has run for so long was told of every part that is still worth a hint.
 constexpr Duration kLearningTime{20000000};
@@ -90,7 +90,7 @@
     sender_.send(keeper, envelope);
   }
   std::unique_lock<std::mutex> lock(mutex_);
-  answered_.wait_for(lock, kFindTimeout, [&] { return lookup.openQuestions == 0; });
+  answered_.wait_for(lock, kAnswerTimeout, [&] { return lookup.openQuestions == 0; });
   for (const uint32_t question : questions) {
     pending_.erase(question);
   }
