Decisions on a request stand apart from its run, as functions

The count of a prompt at its back end is ended in one place. That nobody answered for a home is what its choice says already. Behaviour as before.

--- a/src/gateway/backend_choice.cpp
+++ b/src/gateway/backend_choice.cpp
@@ -112,8 +112,7 @@
 /// A home that was asked and had too much to do.
 struct BusyHome {
   BackendChoice choice;
-  uint64_t cost = 0;    ///< Tokens to be read or brought there before the request's own are done.
-  bool isAsked = true;  ///< Somebody answered for all nodes.
+  uint64_t cost = 0;  ///< Tokens to be read or brought there before the request's own are done.
 };
 
 }  // namespace
@@ -165,7 +164,7 @@
     }
     const uint64_t cost = choice.pendingTokens + toBring;
     if (!best || cost < best->cost) {
-      best = BusyHome{choice, cost, answer.has_value()};
+      best = BusyHome{choice, cost};
     }
   }
   if (!best) {
@@ -173,8 +172,9 @@
   }
   // It is counted there all the same: else nobody would know how much waits beyond the bound.
   const std::optional<LoadAnswer> counted =
-      best->isAsked ? loads.reserve(best->choice.backend.idHash, demand, context.room, kNoBound)
-                    : std::nullopt;
+      best->choice.expected
+          ? loads.reserve(best->choice.backend.idHash, demand, context.room, kNoBound)
+          : std::nullopt;
   if (counted && counted->isGranted) {
     best->choice.ticket = counted->ticket;
   }
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -4,6 +4,7 @@
 
 #include "common/log.h"
 #include "gateway/answer_headers.h"
+#include "gateway/send_decisions.h"
 
 namespace fernmoor::gateway {
 
@@ -16,18 +17,6 @@
 constexpr size_t kHeldAnswerBytes = 256U << 10U;
 /// With less time left than this a request is not sent any more.
 constexpr Duration kLeastUsefulTime{5000};
-constexpr Duration kRetryAfterBusy{250000};
-/// A silent engine is left after so many times what was expected of it: estimates are off by a
-/// factor of two on busy engines, and a second reading makes these busier.
-constexpr int kPatienceFactor = 3;
-/// Part of its target for which a request may wait before its prompt is read; the rest is for the
-/// reading and for what the estimate misses. The reading itself does not count: large prompts would
-/// never be served.
-constexpr int kMostWaitPercent = 40;
-constexpr Duration kLeastPatience{600000};
-/// Part of its time after which a request without an estimate is sent elsewhere.
-constexpr int kPatienceDivisor = 2;
-constexpr Duration kRetryAfterStale{500000};
 /// Grace after the deadline in which the back end's own last word may still come.
 constexpr Duration kLastWordGrace{60000};
 /// A back end that could not be reached is left alone for so long.
@@ -68,28 +57,12 @@
   return request_.isRepeatable() && mayRunOnceMore && !isPatient_;
 }
 
-Duration RequestRun::patience() const {
-  const Duration usual = std::min(forwarder_.options_.silenceBeforeSecondSend,
-                                  (request_.deadline - request_.arrivedAt) / kPatienceDivisor);
-  if (!expectedFirstEvent_ || firstEventAt_) {
-    return usual;
-  }
-  return std::max(kLeastPatience, *expectedFirstEvent_ * kPatienceFactor);
-}
-
-/// A request that can't be in time would only make others late that can; its caller is told so at
-/// once. One that an engine may have run already is brought to its end.
-bool RequestRun::isHopeless(const PlannedSend& planned) const {
-  if (!planned.expected || sends_ > 0) {
-    return false;
-  }
-  const Duration waited = services_.clock.now() - request_.arrivedAt;
-  return waited + planned.expected->wait > request_.row->target * kMostWaitPercent / 100;
-}
-
 Time RequestRun::stepDeadline() const {
   const Time end = request_.deadline + kLastWordGrace;
-  const Time leaveAt = services_.clock.now() + patience();
+  const Duration patience =
+      patienceWith(request_, firstEventAt_ ? std::nullopt : expectedFirstEvent_,
+                   forwarder_.options_.silenceBeforeSecondSend);
+  const Time leaveAt = services_.clock.now() + patience;
   return mayLeaveEngine() ? std::min(end, leaveAt) : end;
 }
 
@@ -124,23 +97,25 @@
     return;
   }
   const Time now = services_.clock.now();
-  if (promptCounted_) {
-    services_.backends.promptRead(plan_.backend.id, request_.promptTokens);
-    promptCounted_ = false;
-  }
+  uncountPrompt();
   releaseTicket();
   services_.backends.ended(plan_.backend.id, verdict, now);
   trail_.end(end, now - request_.arrivedAt);
   atBackend_ = false;
 }
 
+bool RequestRun::uncountPrompt() {
+  if (!promptCounted_) {
+    return false;
+  }
+  services_.backends.promptRead(plan_.backend.id, request_.promptTokens);
+  promptCounted_ = false;
+  return true;
+}
+
 void RequestRun::notePromptRead() {
-  if (promptCounted_) {
-    services_.backends.promptRead(plan_.backend.id, request_.promptTokens);
-    promptCounted_ = false;
-    if (ticket_) {
-      forwarder_.planner_.promptRead(*ticket_);
-    }
+  if (uncountPrompt() && ticket_) {
+    forwarder_.planner_.promptRead(*ticket_);
   }
 }
 
@@ -214,7 +189,9 @@
   if (planned) {
     ticket_ = planned->ticket;
   }
-  if (planned && isHopeless(*planned)) {
+  // One that an engine may have run already is brought to its end.
+  if (planned && planned->expected && sends_ == 0 &&
+      !canBeInTime(request_, *planned->expected, services_.clock.now())) {
     hopelessWait_ = planned->expected->firstEvent;
     releaseTicket();
     return Next::kGiveUp;
@@ -424,18 +401,8 @@
     logEnd(RequestOutcome::kEngineFailed);
     return;
   }
-  const bool late = services_.clock.now() + kLeastUsefulTime >= request_.deadline;
-  Error error;
-  if (mayHaveRun_) {
-    error.kind = late ? ErrorKind::kTimeout : ErrorKind::kOutcomeUnknown;
-    error.message = "no whole answer came from the back end; ask for the outcome before retrying.";
-    error.runState = RunState::kUnknown;
-  } else {
-    error.kind = ErrorKind::kOverloaded;
-    error.message = "no back end could take the request; come back after the time given.";
-    error.retryAfter = std::max(kRetryAfterBusy, hopelessWait_.value_or(Duration(0)) / 2);
-  }
-  refuse(error);
+  const bool isLate = services_.clock.now() + kLeastUsefulTime >= request_.deadline;
+  refuse(givenUpError(GivenUp{mayHaveRun_, isLate, hopelessWait_}));
   logEnd(mayHaveRun_ ? RequestOutcome::kNoWholeAnswer : RequestOutcome::kNoBackend);
 }
 
@@ -462,14 +429,7 @@
 }
 
 void RequestRun::refuseUnproven() {
-  Error error{ErrorKind::kUnavailable,
-              "this node cannot prove that the key is still valid; come back after the time given.",
-              RunState::kNotRun, kRetryAfterStale};
-  if (mayHaveRun_) {
-    error.kind = ErrorKind::kOutcomeUnknown;
-    error.runState = RunState::kUnknown;
-  }
-  refuse(error);
+  refuse(unprovenKeyError(mayHaveRun_));
   logEnd(RequestOutcome::kUnprovenKey);
 }
 
--- a/src/gateway/request_run.h
+++ b/src/gateway/request_run.h
@@ -47,13 +47,13 @@
   bool mayRunElsewhere() const;
   bool maySendAgain();
   bool mayLeaveEngine() const;
-  Duration patience() const;
-  bool isHopeless(const PlannedSend& planned) const;
   Time stepDeadline() const;
   bool staysWithSilentEngine();
   AttemptStep awaitHead(EngineAttempt& attempt);
   AttemptStep readStream(EngineAttempt& attempt, std::string& bytes);
   void noteEnd(BackendVerdict verdict, AttemptEnd end);
+  /// @return whether its prompt was counted at its back end until now.
+  bool uncountPrompt();
   void notePromptRead();
   void releaseTicket();
   void deliverHeld();
@@ -84,7 +84,7 @@
   bool callerGone_ = false;
   bool secondSendPaid_ = false;  ///< The budget was asked before the back end was chosen.
   std::optional<Duration> expectedFirstEvent_;  ///< From the latest send, where it is known.
-  std::optional<Duration> hopelessWait_;        ///< Why it was not sent: what it would wait.
+  std::optional<Duration> hopelessWait_;        ///< Until its first event, why it was not sent.
   bool isPatient_ = false;                      ///< It stays with its engine, whatever the silence.
   std::optional<HeldAnswer> held_;
   Time sentAt_;  ///< When the latest send began.
--- /dev/null
+++ b/src/gateway/send_decisions.cpp
@@ -0,0 +1,56 @@
+#include "gateway/send_decisions.h"
+
+#include <algorithm>
+
+namespace fernmoor::gateway {
+
+namespace {
+
+/// Part of its target for which a request may wait before its prompt is read; the rest is for the
+/// reading and for what the estimate misses. The reading itself does not count: large prompts would
+/// never be served.
+constexpr int kMostWaitPercent = 40;
+/// A silent engine is left after so many times what was expected of it: estimates are off by a
+/// factor of two on busy engines, and a second reading makes these busier.
+constexpr int kPatienceFactor = 3;
+constexpr Duration kLeastPatience{600000};
+/// Part of its time after which a request without an estimate is sent elsewhere.
+constexpr int kPatienceDivisor = 2;
+constexpr Duration kRetryAfterBusy{250000};
+constexpr Duration kRetryAfterStale{500000};
+
+}  // namespace
+
+bool canBeInTime(const IncomingRequest& request, const ExpectedTimes& expected, Time now) {
+  const Duration waited = now - request.arrivedAt;
+  return waited + expected.wait <= request.row->target * kMostWaitPercent / 100;
+}
+
+Duration patienceWith(const IncomingRequest& request, std::optional<Duration> expectedFirstEvent,
+                      Duration most) {
+  if (expectedFirstEvent) {
+    return std::max(kLeastPatience, *expectedFirstEvent * kPatienceFactor);
+  }
+  return std::min(most, (request.deadline - request.arrivedAt) / kPatienceDivisor);
+}
+
+Error givenUpError(const GivenUp& request) {
+  if (request.mayHaveRun) {
+    return Error{request.isLate ? ErrorKind::kTimeout : ErrorKind::kOutcomeUnknown,
+                 "no whole answer came from the back end; ask for the outcome before retrying.",
+                 RunState::kUnknown, std::nullopt};
+  }
+  return Error{ErrorKind::kOverloaded,
+               "no back end could take the request; come back after the time given.",
+               RunState::kNotRun,
+               std::max(kRetryAfterBusy, request.expectedFirstEvent.value_or(Duration(0)) / 2)};
+}
+
+Error unprovenKeyError(bool mayHaveRun) {
+  return Error{
+      mayHaveRun ? ErrorKind::kOutcomeUnknown : ErrorKind::kUnavailable,
+      "this node cannot prove that the key is still valid; come back after the time given.",
+      mayHaveRun ? RunState::kUnknown : RunState::kNotRun, kRetryAfterStale};
+}
+
+}  // namespace fernmoor::gateway
--- /dev/null
+++ b/test/gateway/send_decisions_test.cpp
@@ -0,0 +1,69 @@
+/// @file
+/// Tests of src/gateway/send_decisions.h.
+#include "gateway/send_decisions.h"
+
+#include <doctest/doctest.h>
+
+namespace fernmoor::gateway {
+
+namespace {
+
+constexpr Time kStart{std::chrono::seconds(100)};
+
+Duration milliseconds(int count) {
+  return std::chrono::milliseconds(count);
+}
+
+struct Case {
+  Case() {
+    row.target = milliseconds(1000);
+    request.row = &row;
+    request.arrivedAt = kStart;
+    request.deadline = kStart + milliseconds(5000);
+  }
+  Row row;
+  IncomingRequest request;
+};
+
+}  // namespace
+
+TEST_CASE("a request is sent while its wait leaves most of its target") {
+  const Case sent;
+  CHECK(canBeInTime(sent.request, ExpectedTimes{milliseconds(400), milliseconds(3000)}, kStart));
+  CHECK_FALSE(
+      canBeInTime(sent.request, ExpectedTimes{milliseconds(401), milliseconds(500)}, kStart));
+  const Time later = kStart + milliseconds(200);  // The time that is over counts too.
+  CHECK_FALSE(
+      canBeInTime(sent.request, ExpectedTimes{milliseconds(300), milliseconds(500)}, later));
+}
+
+TEST_CASE("how long a back end may be silent") {
+  const Case sent;
+  const Duration most = milliseconds(1500);
+  CHECK((patienceWith(sent.request, milliseconds(500), most) == milliseconds(1500)));
+  CHECK((patienceWith(sent.request, milliseconds(2000), most) == milliseconds(6000)));
+  CHECK((patienceWith(sent.request, milliseconds(50), most) == milliseconds(600)));
+  SUBCASE("where nothing is expected: half of the request's time at most") {
+    CHECK((patienceWith(sent.request, std::nullopt, most) == most));
+    Case shorter;
+    shorter.request.deadline = kStart + milliseconds(800);
+    CHECK((patienceWith(shorter.request, std::nullopt, most) == milliseconds(400)));
+  }
+}
+
+TEST_CASE("what the caller of a request is told that was given up") {
+  const Error notRun = givenUpError(GivenUp{false, false, std::nullopt});
+  CHECK((notRun.kind == ErrorKind::kOverloaded));
+  CHECK((notRun.runState == RunState::kNotRun));
+  CHECK((notRun.retryAfter == milliseconds(250)));
+  CHECK((givenUpError(GivenUp{false, false, milliseconds(2000)}).retryAfter == milliseconds(1000)));
+  const Error mayHaveRun = givenUpError(GivenUp{true, false, std::nullopt});
+  CHECK((mayHaveRun.kind == ErrorKind::kOutcomeUnknown));
+  CHECK((mayHaveRun.runState == RunState::kUnknown));
+  CHECK_FALSE(mayHaveRun.retryAfter.has_value());
+  CHECK((givenUpError(GivenUp{true, true, std::nullopt}).kind == ErrorKind::kTimeout));
+  CHECK((unprovenKeyError(false).runState == RunState::kNotRun));
+  CHECK((unprovenKeyError(true).runState == RunState::kUnknown));
+}
+
+}  // namespace fernmoor::gateway
