A request that is refused asks nobody for its parts

The planner asked the keepers of a prompt's parts, up to 6 ms and a message or two, before the run found that the request can't be in time. It now says so right after the choice of the engine. The test counts the questions: 1 before, 0 now. Otherwise as before; the decision falls by that question's time earlier.

--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -185,13 +185,11 @@
 
 RequestRun::Next RequestRun::tryOnce() {
   const std::optional<PlannedSend> planned =
-      forwarder_.planner_.plan(PlanInput{request_, tried_, lastEventId_});
+      forwarder_.planner_.plan(PlanInput{request_, tried_, lastEventId_, sends_ == 0});
   if (planned) {
     ticket_ = planned->ticket;
   }
-  // One that an engine may have run already is brought to its end.
-  if (planned && planned->expected && sends_ == 0 &&
-      !canBeInTime(request_, *planned->expected, services_.clock.now())) {
+  if (planned && planned->isTooLate) {
     hopelessWait_ = planned->expected->firstEvent;
     releaseTicket();
     return Next::kGiveUp;
--- a/src/gateway/send_planner.cpp
+++ b/src/gateway/send_planner.cpp
@@ -5,6 +5,7 @@
 #include "common/rendezvous.h"
 #include "gateway/backend_choice.h"
 #include "gateway/part_source.h"
+#include "gateway/send_decisions.h"
 #include "gateway/serving_versions.h"
 
 namespace fernmoor::gateway {
@@ -103,6 +104,11 @@
   planned.pendingTokens = chosen->pendingTokens;
   planned.ticket = chosen->ticket;
   planned.expected = chosen->expected;
+  planned.isTooLate = input.mayBeRefused && planned.expected &&
+                      !canBeInTime(request, *planned.expected, services_.clock.now());
+  if (planned.isTooLate) {
+    return planned;  // Nobody need be asked for its parts.
+  }
   SendPlan& plan = planned.send;
   plan.backend = *chosen->backend.listing;
   plan.weightsVersion = chosen->backend.weightsVersion;
--- a/src/gateway/send_planner.h
+++ b/src/gateway/send_planner.h
@@ -35,6 +35,7 @@
   const IncomingRequest& request;
   const std::set<std::string>& tried;  ///< Ids of back ends that it was sent to before.
   const std::string& resumeAfter;      ///< Id of the last event that the caller has.
+  bool mayBeRefused = false;           ///< No back end has it yet, so it need not be sent.
 };
 
 /// A plan, and the load by which its back end was chosen.
@@ -44,6 +45,7 @@
   uint64_t pendingTokens = 0;             ///< Of all nodes where `ticket` is set, else of this one.
   std::optional<LoadTicket> ticket;       ///< To be released when the request left its back end.
   std::optional<ExpectedTimes> expected;  ///< Where they are known.
+  bool isTooLate = false;  ///< It can't be in time and may be refused; don't send it.
 };
 
 /// Thread-safe.
--- a/test/gateway/forwarder_test.cpp
+++ b/test/gateway/forwarder_test.cpp
@@ -529,6 +529,7 @@
     CHECK(engine.requests() == 0);
     REQUIRE(world.caller.refusals.size() == 1);
     CHECK(promisesNotRun(world.caller));
+    CHECK(world.hints.questions == 0);  // Nobody was asked for its parts.
     CHECK(*world.caller.refusals[0].retryAfter > std::chrono::seconds(1));
     CHECK(*world.caller.refusals[0].retryAfter < std::chrono::milliseconds(1500));
     world.loads.work.release(stableHash("a"), 2, 1, world.clock.now());
--- a/test/gateway/forwarder_world.h
+++ b/test/gateway/forwarder_world.h
@@ -165,6 +165,7 @@
 class TestHints : public PartHints {
  public:
   std::vector<PartHint> find(const std::vector<PartKey>& parts) override {
+    ++questions;
     std::vector<PartHint> hints;
     for (const PartKey part : parts) {
       hints.push_back(memory.find(part));
@@ -179,6 +180,7 @@
 
   SystemClock clock;
   PartMemory memory{100};
+  std::atomic<int> questions{0};
 };
 
 /// Records what a caller gets.
