--- a/test/gateway/forwarder_test.cpp
+++ b/test/gateway/forwarder_test.cpp
@@ -6,9 +6,7 @@
 #include <doctest/doctest.h>
 
 #include <atomic>
-#include <set>
 
-#include "common/rendezvous.h"
 #include "test/gateway/forwarder_world.h"
 
 namespace fernmoor::gateway {
@@ -17,13 +15,6 @@
 
 using namespace test;  // NOLINT(google-build-using-namespace)
 
-Script always(const std::string& bytes, bool keeps = true) {
-  return [=](Poco::Net::StreamSocket& socket, const std::string&) {
-    say(socket, bytes);
-    return keeps;
-  };
-}
-
 /// Sends bytes and resets the connection.
 Script thenReset(const std::string& bytes) {
   return [=](Poco::Net::StreamSocket& socket, const std::string&) {
@@ -46,10 +37,6 @@
   };
 }
 
-bool holdsText(const std::string& text, const std::string& part) {
-  return text.find(part) != std::string::npos;
-}
-
 int requestsOf(const ForwarderWorld& world) {
   int sum = 0;
   for (const auto& backend : world.scripted) {
@@ -64,11 +51,6 @@
          caller.refusals[0].kind == ErrorKind::kOutcomeUnknown;
 }
 
-bool promisesNotRun(const RecordingCaller& caller) {
-  return caller.refusals.size() == 1 && caller.refusals[0].runState == RunState::kNotRun &&
-         caller.refusals[0].retryAfter.has_value();
-}
-
 }  // namespace
 
 TEST_CASE("a request and its answer pass unchanged, on a kept connection") {
@@ -391,97 +373,6 @@
   CHECK(promisesNotRun(world.caller));
 }
 
-namespace {
-
-/// A world whose requests share parts of prompts, before one engine and a cache store.
-struct CacheWorld : ForwarderWorld {
-  CacheWorld() {
-    row.usesPrefixes = true;
-    row.isStream = true;
-    auto next = std::make_shared<TrafficTable>();
-    next->version = 2;
-    next->cacheStores.push_back(CacheStore{SocketAddress{"10.9.9.9", 99}});
-    table.take(next, clock.now());
-  }
-  ScriptedBackend& addEngine(const std::string& id, uint64_t version) {
-    ScriptedBackend& backend = add(id, always(streamHead() + chunk(event(1)) + "0\r\n\r\n"));
-    backends.noteWeights(id, "m", version);
-    return backend;
-  }
-  IncomingRequest prompt() {
-    IncomingRequest made = request();
-    made.model = "m";
-    made.promptTokens = 9000;
-    made.parts = {PromptPart{"common", 2500}, PromptPart{"subject", 3800}, PromptPart{"own", 2700}};
-    return made;
-  }
-};
-
-}  // namespace
-
-TEST_CASE("a part is saved by the first request that reads it, and found by the next") {
-  CacheWorld world;
-  ScriptedBackend& engine = world.addEngine("a", 3);
-  world.forwarder.serve(world.prompt(), world.caller);
-  CHECK(holdsText(engine.lastRequest(), "Scope: shared.v3\r\n"));
-  CHECK(holdsText(engine.lastRequest(), "Fetch-From: 10.9.9.9:99\r\n"));
-  CHECK(holdsText(engine.lastRequest(), "Save-To: 10.9.9.9:99\r\n"));
-  world.forwarder.serve(world.prompt(), world.caller);
-  CHECK(holdsText(engine.lastRequest(), "Fetch-From: "));
-  CHECK_FALSE(holdsText(engine.lastRequest(), "Save-To: "));
-}
-
-TEST_CASE("prompts are shared out among all stores, and each is found where it was saved") {
-  constexpr int kPrompts = 24;
-  CacheWorld world;
-  auto next = std::make_shared<TrafficTable>();
-  next->version = 3;
-  for (const char* host : {"10.9.9.1", "10.9.9.2", "10.9.9.3"}) {
-    next->cacheStores.push_back(CacheStore{SocketAddress{host, 99}});
-  }
-  world.table.take(next, world.clock.now());
-  ScriptedBackend& engine = world.addEngine("a", 3);
-  std::set<std::string> used;
-  for (int prompt = 0; prompt < kPrompts; ++prompt) {
-    IncomingRequest request = world.prompt();
-    request.parts[1].id = "subject-" + std::to_string(prompt);
-    world.forwarder.serve(request, world.caller);
-    const std::string sent = engine.lastRequest();
-    for (const char* host : {"10.9.9.1", "10.9.9.2", "10.9.9.3"}) {
-      const std::string address = std::string(host) + ":99\r\n";
-      if (holdsText(sent, "Save-To: " + address)) {
-        used.insert(host);
-        CHECK(holdsText(sent, "Fetch-From: " + address));
-      }
-    }
-    world.forwarder.serve(request, world.caller);
-    CHECK_FALSE(holdsText(engine.lastRequest(), "Save-To: "));
-  }
-  CHECK(used.size() == 3);
-}
-
-TEST_CASE("a part is taken from the engine that read it last, if that holds the same weights") {
-  CacheWorld world;
-  ScriptedBackend& first = world.addEngine("a", 3);
-  world.forwarder.serve(world.prompt(), world.caller);
-  BackendListing left = world.backends.all().front();
-  left.pool = "left the pool";
-  world.backends.update(left, world.clock.now());
-  ScriptedBackend& second = world.addEngine("b", 3);
-  world.forwarder.serve(world.prompt(), world.caller);
-  CHECK(holdsText(second.lastRequest(), "Fetch-From: 10.9.9.9:99\r\n"));
-
-  CacheWorld both;
-  both.addEngine("a", 3);
-  both.forwarder.serve(both.prompt(), both.caller);
-  both.backends.avoidUntil("a", both.clock.now() + std::chrono::hours(1));
-  ScriptedBackend& other = both.addEngine("b", 4);
-  both.forwarder.serve(both.prompt(), both.caller);
-  CHECK(holdsText(other.lastRequest(), "Scope: shared.v4\r\n"));
-  CHECK(holdsText(other.lastRequest(), "Fetch-From: 10.9.9.9:99\r\n"));
-  CHECK(first.requests() == 1);
-}
-
 TEST_CASE("requests, refusals and first tokens are measured by service and tenant") {
   ForwarderWorld world;
   IncomingRequest request = world.request();
@@ -502,88 +393,6 @@
   CHECK(firstTokens == 1);
 }
 
-TEST_CASE("a request goes to another engine while its home has much to read for other nodes") {
-  CacheWorld world;
-  world.addEngine("a", 3);
-  world.addEngine("b", 3);
-  world.forwarder.serve(world.prompt(), world.caller);
-  const bool isFirstHome = world.scripted[0]->requests() == 1;
-  CHECK(world.loads.work.size() == 0);  // It left its engine.
-  const PendingRequest ofOther{2, 1, EngineDemand{50000, 50000, std::chrono::seconds(3)}};
-  world.loads.work.reserve(stableHash(isFirstHome ? "a" : "b"), ofOther, EngineRoom{}, 100000,
-                           world.clock.now());
-  world.forwarder.serve(world.prompt(), world.caller);
-  CHECK(world.scripted[isFirstHome ? 1 : 0]->requests() == 1);
-  CHECK(world.scripted[isFirstHome ? 0 : 1]->requests() == 1);
-}
-
-TEST_CASE("a request that can't be in time is refused at once, before any engine reads it") {
-  CacheWorld world;
-  ScriptedBackend& engine = world.addEngine("a", 3);
-  const PendingRequest ofOther{2, 1, EngineDemand{80000, 80000, std::chrono::seconds(3)}};
-  world.loads.work.reserve(stableHash("a"), ofOther, EngineRoom{}, 100000, world.clock.now());
-  // At the 40,000 tokens a second that an unknown engine is taken for: 2.2 s.
-  SUBCASE("and told when to come back") {
-    world.row.target = std::chrono::milliseconds(1500);
-    world.forwarder.serve(world.prompt(), world.caller);
-    CHECK(engine.requests() == 0);
-    REQUIRE(world.caller.refusals.size() == 1);
-    CHECK(promisesNotRun(world.caller));
-    CHECK(world.hints.questions == 0);  // Nobody was asked for its parts.
-    CHECK(*world.caller.refusals[0].retryAfter > std::chrono::seconds(1));
-    CHECK(*world.caller.refusals[0].retryAfter < std::chrono::milliseconds(1500));
-    world.loads.work.release(stableHash("a"), 2, 1, world.clock.now());
-    CHECK(world.loads.work.size() == 0);  // It is not counted at the engine.
-  }
-  SUBCASE("but served where the wait leaves enough of its target") {
-    world.row.target = std::chrono::seconds(6);
-    world.forwarder.serve(world.prompt(), world.caller);
-    CHECK(engine.requests() == 1);
-    CHECK(world.caller.finished);
-  }
-}
-
-TEST_CASE("a large prompt is not refused for the time that it takes to be read") {
-  CacheWorld world;
-  ScriptedBackend& engine = world.addEngine("a", 3);
-  IncomingRequest large = world.prompt();
-  large.promptTokens = 90000;
-  world.row.target = std::chrono::seconds(1);
-  world.forwarder.serve(large, world.caller);
-  CHECK(engine.requests() == 1);
-}
-
-TEST_CASE("an engine is given the time that is expected of it, thrice, before it is left") {
-  CacheWorld world;
-  world.row.repetition = Repetition::kRepeatable;
-  world.row.target = std::chrono::seconds(10);
-  std::atomic<int> slowAnswers{0};
-  const auto slowly = [&](Poco::Net::StreamSocket& socket, const std::string&) {
-    std::this_thread::sleep_for(kSilence * 4);  // Longer than silence is borne without an estimate.
-    ++slowAnswers;
-    say(socket, streamHead() + chunk(event(1)) + "0\r\n\r\n");
-    return true;
-  };
-  world.add("a", slowly);
-  world.add("b", slowly);
-  world.backends.noteWeights("a", "m", 3);
-  world.backends.noteWeights("b", "m", 3);
-  world.forwarder.serve(world.prompt(), world.caller);
-  CHECK(world.caller.finished);
-  CHECK(world.scripted[0]->requests() + world.scripted[1]->requests() == 1);
-  CHECK(slowAnswers == 1);
-}
-
-TEST_CASE("where nobody counts for all nodes, a request goes to its home") {
-  CacheWorld world;
-  world.loads.isSilent = true;
-  world.addEngine("a", 3);
-  world.addEngine("b", 3);
-  world.forwarder.serve(world.prompt(), world.caller);
-  world.forwarder.serve(world.prompt(), world.caller);
-  CHECK(world.scripted[0]->requests() * world.scripted[1]->requests() == 0);
-}
-
 TEST_CASE("a request beyond its tenant's limit is refused before any back end is asked") {
   ForwarderWorld world;
   ScriptedBackend& backend = world.add("e1", [](Poco::Net::StreamSocket& socket, const auto&) {
--- a/test/gateway/forwarder_world.h
+++ b/test/gateway/forwarder_world.h
@@ -132,6 +132,18 @@
   return "id: " + std::to_string(id) + "\ndata: piece" + std::to_string(id) + "\n\n";
 }
 
+/// Answers each request with these bytes.
+inline Script always(const std::string& bytes, bool keeps = true) {
+  return [=](Poco::Net::StreamSocket& socket, const std::string&) {
+    say(socket, bytes);
+    return keeps;
+  };
+}
+
+inline bool holdsText(const std::string& text, const std::string& part) {
+  return text.find(part) != std::string::npos;
+}
+
 /// Headers of no real system: "Id" is echoed, "Not-Run" says that a request did not run.
 class TestProtocol : public BackendProtocol {
  public:
@@ -214,6 +226,12 @@
   std::function<void()> onBody;
 };
 
+/// An answer of ours that promises that the request has not run, with the time to come back.
+inline bool promisesNotRun(const RecordingCaller& caller) {
+  return caller.refusals.size() == 1 && caller.refusals[0].runState == RunState::kNotRun &&
+         caller.refusals[0].retryAfter.has_value();
+}
+
 /// Counts the load of engines in this process, as one node alone would.
 class LocalLoads : public EngineLoads {
  public:
