Sight on old weights: what a send expects, how old a version is, why engines wait

The logs of the incident named neither the version that a send expected nor the lowest that it might have had, nor why an engine was not moved.

--- a/src/backends/wanted_weights.cpp
+++ b/src/backends/wanted_weights.cpp
@@ -12,11 +12,11 @@
 
 }  // namespace
 
-void WantedWeights::note(const std::string& model, uint64_t version, std::optional<Time> namedBy) {
+bool WantedWeights::note(const std::string& model, uint64_t version, std::optional<Time> namedBy) {
   const std::lock_guard<std::mutex> lock(mutex_);
   std::vector<NamedVersion>& versions = named_[model];
   if (!versions.empty() && versions.back().version >= version) {
-    return;
+    return false;
   }
   // Time::min() lies so far back that a sum with the bound stays in range.
   versions.push_back(NamedVersion{version, namedBy.value_or(Time::min() + std::chrono::hours(1)),
@@ -24,6 +24,7 @@
   if (versions.size() > kVersionsKept) {
     versions.erase(versions.begin());
   }
+  return true;
 }
 
 uint64_t WantedWeights::newest(const std::string& model) const {
@@ -47,17 +48,21 @@
 }
 
 uint64_t WantedWeights::lowestServing(const std::string& model, Time now) const {
+  return dueVersion(model, now + kBeginMargin);
+}
+
+uint64_t WantedWeights::dueVersion(const std::string& model, Time now) const {
   const std::lock_guard<std::mutex> lock(mutex_);
   const auto found = named_.find(model);
-  uint64_t lowest = 0;
+  uint64_t due = 0;
   if (found != named_.end()) {
     for (const NamedVersion& named : found->second) {
-      if (named.isTimeKnown && named.namedBy + inForce_ - kBeginMargin <= now) {
-        lowest = named.version;
+      if (named.isTimeKnown && named.namedBy + inForce_ <= now) {
+        due = named.version;
       }
     }
   }
-  return lowest;
+  return due;
 }
 
 uint64_t WantedWeights::uncertainVersion(const std::string& model) const {
--- a/src/backends/wanted_weights.h
+++ b/src/backends/wanted_weights.h
@@ -29,12 +29,15 @@
 
   /// Notes a version. @param namedBy the last instant at which it was known not to be named, or
   /// nothing if that is unknown: moving engines to it is then overdue.
-  void note(const std::string& model, uint64_t version, std::optional<Time> namedBy);
+  /// @return whether the version is news.
+  bool note(const std::string& model, uint64_t version, std::optional<Time> namedBy);
 
   /// @return the newest version, 0 if none was named.
   uint64_t newest(const std::string& model) const;
   /// @return by when an engine that holds `held` must hold a newer one; nothing if it may stay.
   std::optional<Time> deadlineFor(const std::string& model, uint64_t held) const;
+  /// @return the newest version whose bound has passed: what begins on an older one breaks it.
+  uint64_t dueVersion(const std::string& model, Time now) const;
   /// @return the lowest version that requests may still be sent to at `now`, with a margin for the
   ///         time until they begin.
   uint64_t lowestServing(const std::string& model, Time now) const;
--- a/src/common/metrics.cpp
+++ b/src/common/metrics.cpp
@@ -82,6 +82,12 @@
       shortLimits_(&gauge(registry_, "fernmoor_short_limits",
                           "Limits that give this node less than it wants.")
                         .Add({})),
+      enginesBehind_(&gauge(registry_, "fernmoor_engines_behind",
+                            "Engines that hold older weights than are wanted.")
+                          .Add({})),
+      oldWeights_(&counter(registry_, "fernmoor_old_weights_total",
+                           "Requests that began on weights whose bound had passed.")
+                       .Add({})),
       platformAvailable_(&gauge(registry_, "fernmoor_platform_available",
                                 "1 if the last call to the platform succeeded, else 0.")
                               .Add({})) {
--- a/src/common/metrics.h
+++ b/src/common/metrics.h
@@ -114,6 +114,10 @@
   void setOpenStreams(int64_t count) { openStreams_->Set(static_cast<double>(count)); }
   /// Limits of rows or tenants that give this node less than it wants.
   void setShortLimits(size_t count) { shortLimits_->Set(static_cast<double>(count)); }
+  /// A back end began a request on weights whose bound had passed when its answer came.
+  void countOldWeights() { oldWeights_->Increment(); }
+  /// Engines that hold older weights than are wanted.
+  void setEnginesBehind(size_t count) { enginesBehind_->Set(static_cast<double>(count)); }
   /// Whether the last call to the platform succeeded.
   void setPlatformAvailable(bool available) { platformAvailable_->Set(available ? 1 : 0); }
   /// Bytes of node-to-node messages and of engines' events and load reports.
@@ -139,6 +143,8 @@
   prometheus::Gauge* tableAge_;
   prometheus::Gauge* openStreams_;
   prometheus::Gauge* shortLimits_;
+  prometheus::Gauge* enginesBehind_;
+  prometheus::Counter* oldWeights_;
   prometheus::Gauge* platformAvailable_;
   prometheus::Counter* controlSent_;
   prometheus::Counter* controlReceived_;
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -132,9 +132,15 @@
 
 /// Requests that went well are told at debug only; of the others one line each, within a budget.
 void RequestRun::logEnd(RequestOutcome outcome) {
+  const bool wentWell = outcome == RequestOutcome::kDelivered && !isLate(services_.clock.now());
+  logLine(outcome, wentWell ? LogLevel::kDebug : LogLevel::kInfo);
+}
+
+/// @param level debug for requests that went well.
+void RequestRun::logLine(RequestOutcome outcome, LogLevel level) {
   const Time now = services_.clock.now();
-  const bool wentWell = outcome == RequestOutcome::kDelivered && !isLate(now);
-  if (!logEnabled(wentWell ? LogLevel::kDebug : LogLevel::kInfo)) {
+  const bool wentWell = level == LogLevel::kDebug;
+  if (!logEnabled(level)) {
     return;
   }
   const std::optional<uint64_t> leftOut = forwarder_.outcomeLog_.take(outcome, wentWell, now);
@@ -156,8 +162,7 @@
     fields.longestPause = longestPause_;
   }
   const bool isLateAnswer = outcome == RequestOutcome::kDelivered && !wentWell;
-  logEvent(wentWell ? LogLevel::kDebug : LogLevel::kInfo,
-           isLateAnswer ? "request: delivered late" : phraseOf(outcome), fields);
+  logEvent(level, isLateAnswer ? "request: delivered late" : phraseOf(outcome), fields);
 }
 
 RequestRun::Next RequestRun::afterStep(AttemptStep step) {
@@ -231,6 +236,8 @@
   entry.backend = plan_.backend.id;
   entry.inFlight = planned.inFlight;
   entry.pendingTokens = planned.pendingTokens;
+  entry.weights = plan_.weightsVersion;
+  entry.lowestWeights = planned.lowestWeights;
   entry.sentAfter = now - request_.arrivedAt;
   trail_.begin(std::move(entry));
 }
@@ -246,9 +253,19 @@
   }
 }
 
+void RequestRun::reportOldWeights(const AnswerFacts& facts) {
+  const uint64_t due = services_.wanted.dueVersion(request_.model, services_.clock.now());
+  if (facts.weightsVersion == 0 || facts.didNotRun || facts.weightsVersion >= due) {
+    return;
+  }
+  services_.metrics.countOldWeights();
+  logLine(RequestOutcome::kOldWeights, LogLevel::kWarning);
+}
+
 RequestRun::Next RequestRun::takeAnswer(EngineAttempt& attempt) {
   const AnswerFacts& facts = attempt.facts();
   noteWeights(facts);
+  reportOldWeights(facts);
   if (facts.didNotRun) {
     trail_.noteStatus(static_cast<int>(attempt.head().getStatus()));
     noteEnd(BackendVerdict::kNeutral, AttemptEnd::kTurnedAway);
--- a/src/gateway/request_run.h
+++ b/src/gateway/request_run.h
@@ -6,6 +6,7 @@
 #include <set>
 #include <string>
 
+#include "common/log_options.h"
 #include "gateway/engine_attempt.h"
 #include "gateway/event_splitter.h"
 #include "gateway/forwarder.h"
@@ -64,7 +65,10 @@
   void refuseUnproven();
   bool isKeyProven() const;
   bool isLate(Time now) const;
+  /// Tells that the back end began the request on weights that are due to be replaced.
+  void reportOldWeights(const AnswerFacts& facts);
   void logEnd(RequestOutcome outcome);
+  void logLine(RequestOutcome outcome, LogLevel level);
 
   Forwarder& forwarder_;
   ForwarderServices& services_;
--- a/src/gateway/request_trail.cpp
+++ b/src/gateway/request_trail.cpp
@@ -30,6 +30,12 @@
   return std::to_string(time.count() / 1000) + " ms";
 }
 
+std::string weightsText(const TrailEntry& entry) {
+  return entry.weights == 0 ? ""
+                            : "weights " + std::to_string(entry.weights) + ", lowest " +
+                                  std::to_string(entry.lowestWeights) + ", ";
+}
+
 }  // namespace
 
 void RequestTrail::end(AttemptEnd end, Duration after) {
@@ -49,8 +55,8 @@
   std::string text;
   for (const TrailEntry& entry : entries_) {
     text += text.empty() ? "" : "; ";
-    text += entry.backend + " (" + std::to_string(entry.inFlight) + " running, " +
-            std::to_string(entry.pendingTokens) + " tokens waiting) at " +
+    text += entry.backend + " (" + weightsText(entry) + std::to_string(entry.inFlight) +
+            " running, " + std::to_string(entry.pendingTokens) + " tokens waiting) at " +
             milliseconds(entry.sentAfter) + " " + phraseOf(entry.end);
     if (entry.status != 0) {
       text += " with " + std::to_string(entry.status);
--- a/src/gateway/request_trail.h
+++ b/src/gateway/request_trail.h
@@ -29,6 +29,8 @@
   std::string backend;
   int inFlight = 0;            ///< This node's requests there when it was chosen.
   uint64_t pendingTokens = 0;  ///< Their prompt tokens that were not read yet.
+  uint64_t weights = 0;        ///< Version that the back end was expected to hold; 0: none.
+  uint64_t lowestWeights = 0;  ///< Lowest version that it might have held; 0: any.
   Duration sentAfter{};        ///< From the request's arrival.
   Duration endedAfter{};       ///< From the request's arrival.
   AttemptEnd end = AttemptEnd::kUnderWay;
@@ -45,8 +47,8 @@
   void noteStatus(int status);
   bool isEmpty() const { return entries_.empty(); }
 
-  /// @return one phrase an attempt, e.g. "i-7f3 (3 running, 5200 tokens waiting) at 12 ms broke
-  ///         off after 143 ms", joined by "; ".
+  /// @return one phrase an attempt, e.g. "i-7f3 (weights 4, lowest 3, 3 running, 5200 tokens
+  ///         waiting) at 12 ms broke off after 143 ms", joined by "; ".
   std::string text() const;
 
  private:
--- a/src/gateway/send_planner.cpp
+++ b/src/gateway/send_planner.cpp
@@ -102,6 +102,7 @@
   PlannedSend planned;
   planned.inFlight = chosen->backend.inFlight;
   planned.pendingTokens = chosen->pendingTokens;
+  planned.lowestWeights = services_.wanted.lowestServing(request.model, now);
   planned.ticket = chosen->ticket;
   planned.expected = chosen->expected;
   planned.isTooLate = input.mayBeRefused && planned.expected &&
--- a/src/gateway/send_planner.h
+++ b/src/gateway/send_planner.h
@@ -43,6 +43,7 @@
   SendPlan send;
   int inFlight = 0;                       ///< Of this node.
   uint64_t pendingTokens = 0;             ///< Of all nodes where `ticket` is set, else of this one.
+  uint64_t lowestWeights = 0;             ///< Lowest version that its back end might hold; 0: any.
   std::optional<LoadTicket> ticket;       ///< To be released when the request left its back end.
   std::optional<ExpectedTimes> expected;  ///< Where they are known.
   bool isTooLate = false;  ///< It can't be in time and may be refused; don't send it.
--- a/src/weights/weight_mover.cpp
+++ b/src/weights/weight_mover.cpp
@@ -227,6 +227,32 @@
   logInfo(isOk(outcome) ? "weights: handed over" : "weights: handing over failed");
 }
 
+const char* WeightMover::phraseOf(Waiting why) {
+  switch (why) {
+    case Waiting::kUntilDue:
+      return "not due yet";
+    case Waiting::kForMoves:
+      return "as many as may be at once are under way";
+    case Waiting::kForTurn:
+      return "another node has the turn";
+    case Waiting::kForEngines:
+      return "none of them can be ordered now";
+    case Waiting::kForLedger:
+      return "the ledger could not be written";
+    case Waiting::kNot:
+      return "orders are given";
+  }
+  return "";
+}
+
+void WeightMover::tell(Waiting why, const WeightPlan& plan) {
+  const bool isNews = why != told_;
+  told_ = why;
+  if (isNews) {
+    logInfo("weights: " + std::to_string(plan.moves.size()) + " engines behind, " + phraseOf(why));
+  }
+}
+
 Duration WeightMover::step() {
   followMoves(services_.clock.now());
   const std::vector<BackendListing> listings = services_.engines.all();
@@ -237,26 +263,32 @@
     return underWay_.empty() ? kIdleStep : kBusyStep;
   }
   if (now < *plan.startBy) {
+    tell(Waiting::kUntilDue, plan);
     const Duration wait = std::min(kIdleStep, *plan.startBy - now);
     return underWay_.empty() ? wait : std::min(wait, kBusyStep);
   }
   if (underWay_.size() >= bounds_.atOnce) {
+    tell(Waiting::kForMoves, plan);
     return kBusyStep;
   }
   const SeenLedger seen = services_.view.seen();
   if (!isMyTurn(seen, plan, now)) {
+    tell(Waiting::kForTurn, plan);
     return kBusyStep * 2;
   }
   const std::vector<Candidate> candidates =
       pickCandidates(seen.ledger, plan, bounds_.atOnce - underWay_.size());
   if (candidates.empty()) {
+    tell(Waiting::kForEngines, plan);
     return kBusyStep;
   }
   const Time intendedAt = services_.clock.now();
   const std::optional<uint64_t> fence = writeIntent(seen.ledger, candidates);
   if (!fence) {
+    tell(Waiting::kForLedger, plan);
     return kAfterFailure;
   }
+  tell(Waiting::kNot, plan);
   giveOrders(candidates, *fence, intendedAt);
   return kBusyStep;
 }
--- a/src/weights/weight_mover.h
+++ b/src/weights/weight_mover.h
@@ -40,6 +40,8 @@
 
   /// Does what is due. @return when to call again at the latest.
   Duration step();
+  /// @return whether this node is the one that moves engines, as far as it knows.
+  bool holdsTurn() const { return services_.view.seen().ledger.holder == options_.node; }
   /// Lets another node go on at once, before this one stops.
   void handOver();
 
@@ -55,6 +57,12 @@
     EngineReport report;
   };
 
+  /// Why no order is given though engines are behind.
+  enum class Waiting { kUntilDue, kForMoves, kForTurn, kForEngines, kForLedger, kNot };
+
+  static const char* phraseOf(Waiting why);
+  /// Tells why engines that are behind are not moved, whenever that changes.
+  void tell(Waiting why, const WeightPlan& plan);
   void followMoves(Time now);
   uint64_t listedVersion(const std::string& engine, const std::string& model) const;
   void askWhetherDone(const std::string& engine, UnderWay& move);
@@ -74,6 +82,7 @@
   PlanBounds bounds_;
   std::map<std::string, UnderWay> underWay_;
   std::map<std::string, Time> skipUntil_;  ///< Engines that did not answer lately.
+  Waiting told_ = Waiting::kNot;           ///< What tell() was told last.
 };
 
 }  // namespace fernmoor::weights
--- a/test/gateway/request_trail_test.cpp
+++ b/test/gateway/request_trail_test.cpp
@@ -36,6 +36,16 @@
         "e-2 (3 running, 5200 tokens waiting) at 144 ms was under way");
 }
 
+TEST_CASE("a trail tells the weights that a back end was to hold and might have held") {
+  RequestTrail trail;
+  TrailEntry entry = sendTo("e-1", 12);
+  entry.weights = 3;
+  entry.lowestWeights = 4;
+  trail.begin(entry);
+  CHECK(trail.text() ==
+        "e-1 (weights 3, lowest 4, 3 running, 5200 tokens waiting) at 12 ms was under way");
+}
+
 TEST_CASE("the first end of an attempt counts") {
   RequestTrail trail;
   trail.end(AttemptEnd::kServed, Duration(0));
