Failing test: requests begin on old weights while gateways stop, and past every bound

The soak's judge has the rule VERSION (in-touch nodes, stable store), its engines have slots and a queue, so that a request begins later than it arrives; the judge's own faults and allowed cases are tested.

--- a/test/platform_soak/engines.py
+++ b/test/platform_soak/engines.py
@@ -1,7 +1,8 @@
 """Stand-ins of the engines behind the users' platform: they run requests, stream events, take orders
-for new weights, and remember all that they saw for the judge. Faults of an engine: crash (its port is
+for new weights, and remember all that they saw for the judge. An engine runs as many requests as it has
+slots; the others wait in its queue, and an order for new weights turns them away. Faults of an engine: crash (its port is
 closed and its connections are reset), lost (it runs a request and resets), broken (it breaks off in
-the middle), error (500), busy (it turns requests away).
+the middle), error (500), busy (it turns requests away), stubborn (it takes no orders).
 """
 import http.server
 import json
@@ -13,6 +14,7 @@
 EVENTS = 6
 EVENT_SECONDS = 0.01
 LOAD_SECONDS = 0.25
+SLOTS = 16
 
 
 class Ledger:
@@ -41,7 +43,10 @@
         self.store, self.ledger = store, ledger
         self.version, self.orders, self.fence, self.busy = version, 0, 0, False
         self.fault = None
+        self.event_seconds = EVENT_SECONDS
         self.lock = threading.Lock()
+        self.free = SLOTS
+        self.changed = threading.Condition(self.lock)
         self.sockets = set()
         handler = type("EngineHandler", (Handler,), {"engine": self})
         self.server = http.server.ThreadingHTTPServer((host, 0), handler)
@@ -75,6 +80,22 @@
         self.version, self.busy = version, False
         self.register()
 
+    def take_slot(self):
+        """Waits for a slot. Returns the version that the request begins on, or None if it is turned
+        away since new weights come."""
+        with self.changed:
+            while self.free == 0 and not self.busy:
+                self.changed.wait()
+            if self.busy:
+                return None
+            self.free -= 1
+            return self.version
+
+    def give_slot(self):
+        with self.changed:
+            self.free += 1
+            self.changed.notify_all()
+
 
 class Handler(http.server.BaseHTTPRequestHandler):
     protocol_version = "HTTP/1.1"
@@ -142,7 +163,8 @@
                 status = 421
             elif order["fence"] < engine.fence:
                 status = 412
-            elif engine.busy or order["expected-count"] != engine.orders:
+            elif engine.fault == "stubborn" or engine.busy or \
+                    order["expected-count"] != engine.orders:
                 status = 409
             elif order["version"] <= engine.version:
                 status = 200
@@ -154,11 +176,13 @@
             if status == 202:
                 engine.orders += 1
                 engine.busy = True
+                engine.changed.notify_all()
                 threading.Thread(target=engine.load, args=(order["version"],), daemon=True).start()
         self.send(status)
 
     def work(self, body):
         engine = self.engine
+        arrived = time.monotonic()
         request = self.headers.get("X-Request-Id", "")
         version = engine.version  # It may change while the request is looked at.
         names = [("X-Request-Id", request), ("X-Weight-Versions", str(version))]
@@ -167,14 +191,24 @@
                 expected is not None and int(expected) != version):
             self.send(421, b"", names)
             return
-        if engine.fault == "busy" or engine.busy:
+        version = None if engine.fault == "busy" else engine.take_slot()
+        if version is None:
             self.send(503, b"", names + [("X-Not-Executed", "1")])
             return
+        names[1] = ("X-Weight-Versions", str(version))
+        try:
+            self.run(body, arrived, version, names)
+        finally:
+            engine.give_slot()
+
+    def run(self, body, arrived, version, names):
+        engine = self.engine
+        request = names[0][1]
         stamp = f"{engine.id}.{request}"
         engine.ledger.run({
             "id": request, "engine": engine.id, "service": engine.service, "path": self.path,
             "method": self.command, "body": body, "tenant": self.headers.get("X-Tenant"),
-            "key": self.headers.get("Api-Key"), "at": time.monotonic(),
+            "key": self.headers.get("Api-Key"), "at": time.monotonic(), "arrived": arrived,
             "salt": self.headers.get("X-Cache-Salt"), "version": version,
             "resumed": self.headers.get("Last-Event-Id"), "fault": engine.fault})
         names.append(("X-Server-Stamp", stamp))
@@ -212,5 +246,5 @@
                 return
             self.wfile.write(b"%x\r\n" % len(event) + event + b"\r\n")
             self.wfile.flush()
-            time.sleep(EVENT_SECONDS)
+            time.sleep(self.engine.event_seconds)
         self.wfile.write(b"0\r\n\r\n")
--- a/test/platform_soak/judge.py
+++ b/test/platform_soak/judge.py
@@ -5,6 +5,8 @@
 
 REVOKE_SECONDS = 5.0
 LEASE_SECONDS = 3.0
+VERSION_SECONDS = 8.0
+CONTACT_SECONDS = 3.0
 
 
 def judge(calls, runs, orders, world):
@@ -24,6 +26,7 @@
         "WALL": wall(runs, world),
         "STALE": stale(runs),
         "ONE": one(orders),
+        "VERSION": version(runs, asked, world),
     }
 
 
@@ -130,6 +133,38 @@
             for salt, found in versions.items() if len(found) > 1]
 
 
+def calm_since(world, since, until):
+    """Since when, not before `since`, the store was stable up to `until`; None: it was not."""
+    for start, end in world["unstable"]:
+        if start <= until and end + CONTACT_SECONDS > since:
+            if end + CONTACT_SECONDS >= until:
+                return None
+            since = end + CONTACT_SECONDS
+    return since
+
+
+def in_touch(world, node, moment):
+    """Whether nothing struck the node in the time that it needs to be held to bounds again."""
+    return not any(start <= moment and end + CONTACT_SECONDS > moment
+                   for start, end in world["struck"].get(node, ()))
+
+
+def version(runs, asked, world):
+    """No request that a node in touch sent begins on old weights past the bound of newer ones."""
+    faults = []
+    for run in runs:
+        newer = [acked for number, acked in world["named"] if number > run["version"]]
+        if run["id"] not in asked or not run["version"] or not newer:
+            continue
+        since = calm_since(world, min(newer), run["at"])
+        node = asked[run["id"]]["node"]
+        if since is not None and run["at"] > since + VERSION_SECONDS \
+                and in_touch(world, node, run["arrived"]):
+            faults.append(f"{run['id']} of node {node} began at {run['engine']} on version "
+                          f"{run['version']}, {run['at'] - min(newer):.2f} s after a newer one")
+    return faults
+
+
 def one(orders):
     """Orders to one engine: no fence of two holders, and holders that take turns a lease apart."""
     faults = []
--- a/test/platform_soak/soak.py
+++ b/test/platform_soak/soak.py
@@ -72,15 +72,23 @@
             "bounds.budget-ratio=0.2", "bounds.budget-window-s=10", "bounds.retry-slack=54",
             "limits.max-fds=4000"]) + "\n")
         self.process = None
+        self.struck = []  # (start, end) of all that kept it out of touch
         self.start()
 
+    def strike(self, start=None):
+        """Notes that something struck the process, from `start` until now."""
+        now = time.monotonic()
+        self.struck.append((now if start is None else start, now))
+
     def start(self):
+        self.strike()
         log = open(self.folder / f"node-{self.number}.log", "ab")
         self.process = subprocess.Popen(
             [self.binary, f"--metrics_port={self.ports['metrics']}"], stderr=log, stdout=log,
             env=dict(os.environ, FERNMOOR_SETTINGS=str(self.settings)))
 
     def end(self, how=signal.SIGKILL):
+        self.strike()
         self.process.send_signal(how)
         self.process.wait(timeout=20)
 
@@ -97,6 +105,7 @@
         self.version, self.weights, self.lives = 1, 1, 0
         self.keys = {"k-open": "open", "k-wall": "wall", "k-lost-1": "open", "k-lost-2": "wall"}
         self.rules = {"tenant_of": dict(self.keys), "isolated": {"wall"}, "revoked": {},
+                      "named": [], "unstable": [],
                       "service_of": {kind: entry[2] for kind, entry in KINDS.items()}}
         self.extra_routes = 0
         self.write_config()
@@ -139,7 +148,8 @@
         path = KINDS[kind][0] + number
         call = {"id": number, "kind": kind, "key": key, "path": path, "method": "POST",
                 "sent_body": body, "sent_at": time.monotonic(), "status": None, "body": b"",
-                "complete": False, "stamp": None, "answered_id": None, "events": standin.EVENTS}
+                "complete": False, "stamp": None, "answered_id": None, "events": standin.EVENTS,
+                "node": node.number}
         with self.calls_lock:
             self.calls.append(call)
         headers = {"Host": "h.example", "X-Request-Id": number, "X-Deadline-Ms": "4000",
@@ -194,6 +204,7 @@
 
     def nodes_killed(self):
         for node in self.nodes:
+            node.strike()
             node.process.kill()
         for node in self.nodes:
             node.process.wait()
@@ -203,9 +214,11 @@
 
     def node_frozen(self):
         node = self.random.choice(self.nodes)
+        start = time.monotonic()
         node.process.send_signal(signal.SIGSTOP)
         time.sleep(self.random.uniform(0.3, 3.5))
         node.process.send_signal(signal.SIGCONT)
+        node.strike(start)
 
     def node_stopped(self):
         node = self.random.choice(self.nodes)
@@ -215,13 +228,20 @@
     def store_fails(self):
         fault = self.random.choice(["refuse", "throttle", "reset", "silent", "slow", "lost", "late"])
         some = self.random.sample(self.nodes, self.random.randint(1, len(self.nodes)))
+        start = time.monotonic()
         for node in some:
             self.store.faults[node.number] = fault
         time.sleep(self.random.uniform(0.5, 3.0))
+        self.end_store_faults(start)
+
+    def end_store_faults(self, start):
         self.store.faults.clear()
+        self.rules["unstable"].append((start, time.monotonic()))
 
     def history_forgotten(self):
+        now = time.monotonic()
         self.store.forget_history()
+        self.rules["unstable"].append((now, now))
 
     def engine_crashes(self):
         place = self.random.randrange(len(self.engines))
@@ -248,6 +268,7 @@
     def weights_named(self):
         self.weights += 1
         self.store.put("versions", MODEL, {"model": MODEL, "version": self.weights})
+        self.rules["named"].append((self.weights, time.monotonic()))
 
     def key_revoked(self):
         lost = [key for key in self.keys if key.startswith("k-lost")]
@@ -260,11 +281,12 @@
 
     def key_revoked_unheard(self):
         """A key is taken away while no node hears the store, for longer than it may work."""
+        start = time.monotonic()
         for node in self.nodes:
             self.store.faults[node.number] = self.random.choice(["refuse", "silent", "reset"])
         self.key_revoked()
         time.sleep(judge.REVOKE_SECONDS + 2)
-        self.store.faults.clear()
+        self.end_store_faults(start)
 
     def change_config(self):
         self.version += self.random.randint(1, 4)
@@ -352,6 +374,7 @@
         world.run(options.seconds)
     finally:
         world.close()
+    world.rules["struck"] = {node.number: node.struck for node in world.nodes}
     found = judge.judge(world.calls, world.seen.runs, world.seen.orders, world.rules)
     served = sum(call["status"] == 200 for call in world.calls)
     print(f"{len(world.calls)} requests, {served} served, {len(world.seen.runs)} runs, "
--- a/test/process/platform_soak_test.py
+++ b/test/process/platform_soak_test.py
@@ -15,13 +15,15 @@
 SEEDS = (1, 7)
 SECONDS = 15
 WORLD = {"tenant_of": {"k": "open", "w": "wall"}, "isolated": {"wall"}, "revoked": {"k": 100.0},
-         "service_of": {"once": "plain", "stream-once": "models"}}
+         "service_of": {"once": "plain", "stream-once": "models"},
+         "named": [(2, 100.0)], "unstable": [], "struck": {1: [(105.0, 106.0)]}}
 
 
 def call(**changes):
     made = {"id": "r1", "kind": "once", "key": "k", "path": "/p", "method": "POST",
             "sent_body": b"x", "sent_at": 1.0, "status": 200, "body": b"answer e.r1" * 20,
-            "complete": True, "stamp": "e.r1", "answered_id": "r1", "events": 2}
+            "complete": True, "stamp": "e.r1", "answered_id": "r1", "events": 2,
+            "node": 0}
     made.update(changes)
     return made
 
@@ -29,7 +31,7 @@
 def run(**changes):
     made = {"id": "r1", "engine": "e", "service": "plain", "path": "/p", "method": "POST",
             "body": b"x", "tenant": "open", "key": None, "at": 1.0, "salt": None, "version": 1,
-            "resumed": None}
+            "arrived": 1.0, "resumed": None}
     made.update(changes)
     return made
 
@@ -67,6 +69,15 @@
     ("STALE", [call()], [run(salt="s"), run(salt="s", version=2)], []),
     ("ONE", [], [], [order(), order(holder="b", at=9.0)]),
     ("ONE", [], [], [order(), order(holder="b", at=2.0, fence=6)]),
+    ("VERSION", [call()], [run(at=108.1, arrived=107.0)], []),
+    ("VERSION", [call(node=1)], [run(at=109.2, arrived=109.1)], []),
+]
+ALLOWED = [  # (calls, runs, intervals in which the store was not stable)
+    ([call()], [run(at=107.9, arrived=107.0)], []),             # in time
+    ([call(node=1)], [run(at=108.1, arrived=107.0)], []),       # sent by a node out of touch
+    ([call()], [run(at=108.1, arrived=107.0, version=2)], []),  # on the newest
+    ([call()], [run(at=112.0, arrived=107.0)], [(101.0, 101.5)]),
+    ([call()], [run(at=112.0, arrived=107.0)], [(110.0, 110.0)]),
 ]
 
 
@@ -75,6 +86,9 @@
     assert not any(sound.values()), f"the judge finds faults where there are none: {sound}"
     whole = judge.judge([stream(EVENT_1 + EVENT_2)], [run(service="models")], [], WORLD)
     assert not whole["ORDER"], whole
+    for calls, runs, unstable in ALLOWED:
+        found = judge.judge(calls, runs, [], dict(WORLD, unstable=unstable))
+        assert not found["VERSION"], found
     for rule, calls, runs, orders in FAULTS:
         found = judge.judge(calls, runs, orders, WORLD)
         assert found[rule], f"{rule} does not find {calls} {runs} {orders}"
