Old weights: moves go on while any process lives, and a version's bound holds on every node

Cause: knowledge and duties were tied to something shorter than the promise that they carry. - The turn to move engines was laid down at the order to stop, eight seconds before the process ends, and when its holder was no reader of the store any more; nobody need take it up. Now the holder goes on until its process ends and then hands over, and where no node that follows the ledger moves engines, up to four others step in, in order, after a look at the ledger. - A bound gave way where it could not be kept: with every engine too old the newest half was sent to. Now none is sent to, an engine of unknown weights neither; a request that would wait past the bound doesn't go to older ones. The bound counts from when the store was away last, as engines can't be moved without it. - Since when a version is named died with each process, and was taken from the arrival of the news. Now nodes tell each other the ages of versions; what nobody knows is due when the node is held to bounds after its start (contact-ms); news read after a standstill date from its beginning; a whole list told to a node that was there is news.

--- a/src/backends/wanted_weights.h
+++ b/src/backends/wanted_weights.h
@@ -1,7 +1,9 @@
 /// @file
 /// Which versions of each model's weights the operators have named, and since when. A version is to
-/// serve all requests within a bound from its acknowledgement; an older engine must not be sent
-/// requests after that.
+/// serve all requests within a bound from its acknowledgement; what an engine with an older one
+/// begins after that breaks the bound, whether or not the engine could be moved. So a node sends
+/// nothing there, and knows for every version when its bound ends: where nobody can tell, from the
+/// time on at which a node that was just started is held to bounds.
 #pragma once
 
 #include <map>
@@ -17,37 +19,63 @@
 /// One named version.
 struct NamedVersion {
   uint64_t version = 0;
-  Time namedBy;             ///< An instant not later than its acknowledgement was seen here.
-  bool isTimeKnown = true;  ///< False: it lay there when this node started to look.
+  /// Last instant at which it is known not to have been named; nothing: it lay there when this node
+  /// started to look, and no other node has told since when.
+  std::optional<Time> namedBy;
+  Time dueAt;  ///< From then on no request may begin on an older one.
+};
+
+/// A version whose bound may not have passed everywhere, as other nodes are told of it.
+struct YoungVersion {
+  std::string model;
+  uint64_t version = 0;
+  Duration age{};  ///< Since the last instant at which it is known not to have been named.
+};
+
+struct WeightBounds {
+  Duration inForce{8000000};  ///< From a version's acknowledgement until it serves all requests.
+  Time heldFrom;              ///< When this node is held to the bound first, after its start.
 };
 
 /// Thread-safe.
 class WantedWeights {
  public:
-  /// @param inForce time from a version's naming until it must serve all requests.
-  explicit WantedWeights(Duration inForce) : inForce_(inForce) {}
+  explicit WantedWeights(WeightBounds bounds) : bounds_(bounds) {}
 
-  /// Notes a version. @param namedBy the last instant at which it was known not to be named, or
-  /// nothing if that is unknown: moving engines to it is then overdue.
-  /// @return whether the version is news.
-  bool note(const std::string& model, uint64_t version, std::optional<Time> namedBy);
+  /// Notes a version that was found. Of one that is known here it tells nothing: what is found
+  /// again was not named just now.
+  /// @param namedBy the last instant at which it was known not to be named, or nothing if that is
+  ///        unknown.
+  void note(const std::string& model, uint64_t version, std::optional<Time> namedBy, Time now);
+  /// Notes since when a version is named, as another node knows it. What this node knows of the
+  /// time by itself stays.
+  void learnSince(const std::string& model, uint64_t version, Time namedBy, Time now);
+  /// Notes that the operators' store served nobody at `at`. Engines can't be moved without it, so
+  /// the bounds that had not passed by then count from there.
+  void noteStoreAway(Time at);
 
   /// @return the newest version, 0 if none was named.
   uint64_t newest(const std::string& model) const;
-  /// @return by when an engine that holds `held` must hold a newer one; nothing if it may stay.
+  /// @return by when an engine that holds `held` should hold a newer one; nothing if it may stay.
   std::optional<Time> deadlineFor(const std::string& model, uint64_t held) const;
   /// @return the newest version whose bound has passed: what begins on an older one breaks it.
   uint64_t dueVersion(const std::string& model, Time now) const;
   /// @return the lowest version that requests may still be sent to at `now`, with a margin for the
   ///         time until they begin.
   uint64_t lowestServing(const std::string& model, Time now) const;
-  /// @return the newest version of which nobody here knows since when it is named; 0: none. Whether
-  ///         older engines may still be sent requests is uncertain.
-  uint64_t uncertainVersion(const std::string& model) const;
+  /// @return versions that were named lately, for nodes that were not there then.
+  std::vector<YoungVersion> youngVersions(Time now) const;
 
  private:
-  Duration inForce_;
+  /// Call with the lock held. @return the version of the model, or where it is to be inserted.
+  std::vector<NamedVersion>::iterator placeOf(const std::string& model, uint64_t version);
+  /// Call with the lock held.
+  void insert(const std::string& model, uint64_t version, std::optional<Time> namedBy, Time now);
+  Time dueAtOf(std::optional<Time> namedBy) const;
+
+  WeightBounds bounds_;
   mutable std::mutex mutex_;
+  std::optional<Time> storeAwayAt_;                         ///< The newest instant.
   std::map<std::string, std::vector<NamedVersion>> named_;  ///< By rising version.
 };
 
--- a/src/gateway/send_planner.cpp
+++ b/src/gateway/send_planner.cpp
@@ -60,10 +60,9 @@
     : services_(services), zone_(std::move(zone)), random_(randomSeed) {}
 
 std::optional<BackendChoice> SendPlanner::choose(const PlanInput& input,
-                                                 std::vector<BackendView> members, Time now) {
-  const std::string& model = input.request.model;
-  leaveOutOldWeights(members, ServingVersions{services_.wanted.lowestServing(model, now),
-                                              services_.wanted.uncertainVersion(model)});
+                                                 std::vector<BackendView> members, uint64_t lowest,
+                                                 Time now) {
+  leaveOutOldWeights(members, lowest);
   const Pool* const pool = input.request.table->findPool(input.request.pool);
   const ChoiceContext context{zone_, input.tried, pool == nullptr ? EngineRoom{} : pool->room, now};
   std::optional<BackendChoice> home = chooseHome(input.request, members, context, services_.loads);
@@ -74,6 +73,26 @@
   return chooseLeastLoaded(members, context, random_);
 }
 
+std::optional<BackendChoice> SendPlanner::chooseInForce(const PlanInput& input,
+                                                        const std::vector<BackendView>& members,
+                                                        Time now, uint64_t& lowest) {
+  const std::string& model = input.request.model;
+  lowest = services_.wanted.lowestServing(model, now);
+  const std::optional<BackendChoice> chosen = choose(input, members, lowest, now);
+  if (!chosen || !chosen->expected) {
+    return chosen;
+  }
+  const uint64_t atBegin = services_.wanted.lowestServing(model, now + chosen->expected->wait);
+  if (chosen->backend.weightsVersion >= atBegin) {
+    return chosen;
+  }
+  if (chosen->ticket) {
+    release(*chosen->ticket);
+  }
+  lowest = atBegin;
+  return choose(input, members, lowest, now);
+}
+
 void SendPlanner::planCache(const PlanInput& input, const std::vector<BackendView>& members,
                             Time now, SendPlan& plan) {
   const SharedParts shared = sharedPartsOf(input.request, plan.cacheScope);
@@ -95,14 +114,14 @@
   const Time now = services_.clock.now();
   const std::vector<BackendView> members =
       services_.backends.membersOf(request.pool, request.model, now);
-  const std::optional<BackendChoice> chosen = choose(input, members, now);
+  PlannedSend planned;
+  const std::optional<BackendChoice> chosen =
+      chooseInForce(input, members, now, planned.lowestWeights);
   if (!chosen) {
     return std::nullopt;
   }
-  PlannedSend planned;
   planned.inFlight = chosen->backend.inFlight;
   planned.pendingTokens = chosen->pendingTokens;
-  planned.lowestWeights = services_.wanted.lowestServing(request.model, now);
   planned.ticket = chosen->ticket;
   planned.expected = chosen->expected;
   planned.isTooLate = input.mayBeRefused && planned.expected &&
--- a/src/gateway/send_planner.h
+++ b/src/gateway/send_planner.h
@@ -66,8 +66,14 @@
   void notePartsRead(const IncomingRequest& request, const SendPlan& plan, Duration took);
 
  private:
+  /// @param lowest version that the back end must hold.
   std::optional<BackendChoice> choose(const PlanInput& input, std::vector<BackendView> members,
-                                      Time now);
+                                      uint64_t lowest, Time now);
+  /// Chooses so that the request begins before the bound of newer weights, however long it waits.
+  /// @param lowest set to the lowest version that the back end might hold.
+  std::optional<BackendChoice> chooseInForce(const PlanInput& input,
+                                             const std::vector<BackendView>& members, Time now,
+                                             uint64_t& lowest);
   void planCache(const PlanInput& input, const std::vector<BackendView>& members, Time now,
                  SendPlan& plan);
 
--- a/src/gateway/serving_versions.h
+++ b/src/gateway/serving_versions.h
@@ -9,15 +9,10 @@
 
 namespace fernmoor::gateway {
 
-/// What is known of the versions that requests may begin on.
-struct ServingVersions {
-  uint64_t lowest = 0;     ///< Older ones are too old; 0: none is.
-  uint64_t uncertain = 0;  ///< Older ones may be too old: nobody here knows since when it is named.
-};
-
-/// Leaves out engines whose weights are too old. Where that is uncertain, as on a node that was
-/// just started, or would leave none, the newest half stays: what is behind most others is the
-/// first to be too old, and all requests at the one engine that is ahead would serve nobody.
-void leaveOutOldWeights(std::vector<BackendView>& candidates, const ServingVersions& versions);
+/// Leaves out engines whose weights are too old, also where none stays: a bound that gives way when
+/// it can't be kept is none, and a request that is refused may come back to an engine that was
+/// moved meanwhile.
+/// @param lowest older versions are too old, and so are unknown ones; 0: none is.
+void leaveOutOldWeights(std::vector<BackendView>& candidates, uint64_t lowest);
 
 }  // namespace fernmoor::gateway
--- a/src/gateway/work_state.cpp
+++ b/src/gateway/work_state.cpp
@@ -24,4 +24,9 @@
   return idle || now >= stoppedAt_ + times_.endBy;
 }
 
+bool WorkState::isTimeOver(Time now) const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return stopping_ && now >= stoppedAt_ + times_.endBy;
+}
+
 }  // namespace fernmoor::gateway
--- a/src/gateway/work_state.h
+++ b/src/gateway/work_state.h
@@ -32,6 +32,8 @@
   /// @return whether the process may end: all is answered and callers were led elsewhere, or the
   ///         time is over.
   bool mayEnd(Time now) const;
+  /// @return whether the time of a stop is over, whatever still runs.
+  bool isTimeOver(Time now) const;
   int active() const { return active_; }
 
   /// Counts one request while it lives.
--- a/src/peers/mirror_role.cpp
+++ b/src/peers/mirror_role.cpp
@@ -13,6 +13,9 @@
 /// Enough that one is left where a zone is cut off and another reader stops.
 constexpr size_t kMostReaders = 3;
 constexpr size_t kNodesPerRelay = 16;
+/// Nodes that may step in for the readers: enough that one lives where some stop or die together,
+/// and few at any size, since each looks at the store by itself.
+constexpr size_t kStandbys = 4;
 constexpr uint64_t kReaderKey = 0x72656164657273;
 constexpr Duration kAskInterval{400000};
 /// A question without an answer by then is given up, and another node is asked.
@@ -144,6 +147,22 @@
   return !wasTold && age < kStartTime ? ReadDuty::kStart : ReadDuty::kFallback;
 }
 
+std::optional<size_t> MirrorRole::standbyRank() const {
+  std::vector<NodeId> living;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    for (const Member& member : members_ == nullptr ? std::vector<Member>() : members_->members) {
+      if (member.state != MemberState::kSuspect) {
+        living.push_back(member.life.node);
+      }
+    }
+  }
+  const std::vector<NodeId> first =
+      rendezvousTop(kReaderKey, std::move(living), kStandbys, nodeHash);
+  const auto own = std::find(first.begin(), first.end(), self_);
+  return own == first.end() ? std::nullopt : std::optional<size_t>(own - first.begin());
+}
+
 std::optional<NodeId> MirrorRole::nodeToAsk() const {
   const std::vector<NodeId>& nodes = duties_.askOrder;
   return nodes.empty() ? std::nullopt : std::optional<NodeId>(nodes[rotation_ % nodes.size()]);
@@ -172,6 +191,7 @@
 }
 
 void MirrorRole::onTick(Time now, MessageSender& sender) {
+  standstills_.tick(now);
   std::optional<NodeId> node;
   {
     const std::lock_guard<std::mutex> lock(mutex_);
@@ -218,6 +238,22 @@
   }
 }
 
+void MirrorRole::addNamedVersions(Time now, proto::MirrorAnswer& answer) const {
+  for (const YoungVersion& young : wanted_.youngVersions(now)) {
+    proto::MirrorNamedVersion& out = *answer.add_named();
+    out.set_model(young.model);
+    out.set_version(young.version);
+    out.set_age_microseconds(static_cast<uint64_t>(young.age.count()));
+  }
+}
+
+void MirrorRole::takeNamedVersions(const proto::MirrorAnswer& answer, Time toldAt, Time now) {
+  for (const proto::MirrorNamedVersion& named : answer.named()) {
+    const Duration age(static_cast<int64_t>(named.age_microseconds()));
+    wanted_.learnSince(named.model(), named.version(), toldAt - age, now);
+  }
+}
+
 void MirrorRole::onQuestion(NodeLife from, const proto::MirrorQuestion& question, Time now,
                             MessageSender& sender) {
   {
@@ -232,6 +268,7 @@
     const uint64_t held = index < question.revisions_size() ? question.revisions(index) : 0;
     addChanges(static_cast<MirrorKind>(kind), held, now, answer);
   }
+  addNamedVersions(now, answer);
   sender.send(from.node, envelope);
 }
 
@@ -269,6 +306,9 @@
       questions_.erase(question);
     }
   }
+  // An answer is as old as its question; what was told unasked came while this node ran.
+  const Time toldAt = asked ? asked->askedAt : ranUntil(now);
+  takeNamedVersions(answer, toldAt, now);
   std::optional<Time> rowsProof;
   for (const proto::MirrorChanges& changes : answer.changes()) {
     if (changes.kind() >= kMirrorKinds) {
@@ -283,7 +323,7 @@
           MirrorEntry{entry.name(), entry.revision(), entry.gone(), entry.text()});
     }
     const uint64_t before = mirror_.revision(kind);
-    const bool isNew = mirror_.apply(kind, delta, now) == MirrorOutcome::kApplied;
+    const bool isNew = mirror_.apply(kind, delta, ranUntil(now)) == MirrorOutcome::kApplied;
     if (isNew && before != 0 && !delta.entries.empty()) {
       announce(kind, delta.fromRevision, now, sender);
     }
@@ -317,7 +357,11 @@
     return;
   }
   proto::Envelope envelope;
-  addChanges(kind, fromRevision, now, *envelope.mutable_mirror()->mutable_answer());
+  proto::MirrorAnswer& answer = *envelope.mutable_mirror()->mutable_answer();
+  addChanges(kind, fromRevision, now, answer);
+  if (kind == MirrorKind::kWeights) {
+    addNamedVersions(now, answer);
+  }
   for (const NodeId node : audience) {
     sender.send(node, envelope);
   }
--- a/src/peers/mirror_role.h
+++ b/src/peers/mirror_role.h
@@ -13,6 +13,9 @@
 /// anything new reads the store itself, and goes on until it is told again; other nodes do so only
 /// later, when their relays have had time to. Nodes that neither anybody above them nor the store
 /// tells ask the other nodes in turn.
+///
+/// Beside the copy, nodes tell each other since when versions of weights are named: the bound of a
+/// version must not begin anew in each process.
 #pragma once
 
 #include <map>
@@ -22,6 +25,8 @@
 #include <set>
 #include <vector>
 
+#include "backends/standstills.h"
+#include "backends/wanted_weights.h"
 #include "common/role.h"
 #include "envelope.pb.h"
 #include "membership/membership_snapshot.h"
@@ -56,15 +61,21 @@
 /// Thread-safe.
 class MirrorRole : public Role {
  public:
-  /// @param mirror outlives the role.
+  /// @param mirror, wanted outlive the role.
   /// @param startedAt when this node was started.
-  MirrorRole(NodeId self, StateMirror& mirror, Time startedAt)
-      : self_(self), mirror_(mirror), startedAt_(startedAt) {}
+  MirrorRole(NodeId self, StateMirror& mirror, WantedWeights& wanted, Time startedAt)
+      : self_(self), mirror_(mirror), wanted_(wanted), startedAt_(startedAt) {}
 
   /// Sets the picture of the members that duties are shared out by.
   void setMembers(std::shared_ptr<const MembershipSnapshot> members);
   /// @return whether this node must read the store now.
   ReadDuty duty(Time now) const;
+  /// @return the instant by which news that are read now may be dated.
+  Time ranUntil(Time now) const { return standstills_.ranUntil(now); }
+  /// @return how many nodes come before this one to step in where the readers do not do what one
+  ///         node has to; nothing where it is none of the first few. Nodes that stop are among
+  ///         them for as long as they live.
+  std::optional<size_t> standbyRank() const;
   /// Tells nodes that asked lately of changes that are new to this one.
   void announce(MirrorKind kind, uint64_t fromRevision, Time now, MessageSender& sender);
 
@@ -101,10 +112,14 @@
                   MessageSender& sender);
   void onAnswer(const proto::MirrorAnswer& answer, Time now, MessageSender& sender);
   void addChanges(MirrorKind kind, uint64_t since, Time now, proto::MirrorAnswer& answer) const;
+  void addNamedVersions(Time now, proto::MirrorAnswer& answer) const;
+  void takeNamedVersions(const proto::MirrorAnswer& answer, Time toldAt, Time now);
 
   const NodeId self_;
   StateMirror& mirror_;
+  WantedWeights& wanted_;
   const Time startedAt_;
+  Standstills standstills_;
   mutable std::mutex mutex_;
   std::shared_ptr<const MembershipSnapshot> members_;
   Duties duties_;  ///< By `members_`.
--- a/src/peers/peer_plane.cpp
+++ b/src/peers/peer_plane.cpp
@@ -29,10 +29,11 @@
   return NodeId(number);
 }
 
-PeerPlane::PeerPlane(PeerOptions options, const Clock& clock, StateMirror& mirror)
+PeerPlane::PeerPlane(PeerOptions options, const Clock& clock, StateMirror& mirror,
+                     WantedWeights& wanted)
     : options_(std::move(options)),
       clock_(clock),
-      mirrorRole_(nodeIdOf(options_.listen), mirror, clock.now()),
+      mirrorRole_(nodeIdOf(options_.listen), mirror, wanted, clock.now()),
       parts_(nodeIdOf(options_.listen), clock, *this),
       loads_(nodeIdOf(options_.listen), clock, *this),
       limits_(nodeIdOf(options_.listen), clock, *this, options_.knobs),
--- a/src/peers/peer_plane.h
+++ b/src/peers/peer_plane.h
@@ -39,7 +39,7 @@
 class PeerPlane : public MessageSender {
  public:
   /// Binds the address. Throws Poco::Net::NetException where it is in use.
-  PeerPlane(PeerOptions options, const Clock& clock, StateMirror& mirror);
+  PeerPlane(PeerOptions options, const Clock& clock, StateMirror& mirror, WantedWeights& wanted);
   ~PeerPlane() override;
 
   void start();
--- a/src/peers/state_mirror.cpp
+++ b/src/peers/state_mirror.cpp
@@ -26,9 +26,11 @@
   const std::lock_guard<std::mutex> order(applying_);
   const bool isWhole = delta.fromRevision == 0;
   std::vector<MirrorEntry> news;
+  bool wasKnown = false;
   {
     const std::lock_guard<std::mutex> lock(mutex_);
     KindState& state = stateOf(kind);
+    wasKnown = state.isKnown;
     if (state.isKnown && delta.toRevision <= state.revision) {
       return MirrorOutcome::kKnown;
     }
@@ -54,7 +56,8 @@
     state.isKnown = true;
     state.revision = delta.toRevision;
   }
-  listener_(kind, news, isWhole, heardAt);
+  // The first state that comes here tells nothing of since when it is so.
+  listener_(kind, news, isWhole, wasKnown ? heardAt : std::nullopt);
   return MirrorOutcome::kApplied;
 }
 
--- a/src/weights/weight_mover.cpp
+++ b/src/weights/weight_mover.cpp
@@ -105,15 +105,28 @@
   }
 }
 
-bool WeightMover::isMyTurn(const SeenLedger& seen, const WeightPlan& plan, Time now) const {
+bool WeightMover::isMyTurn(const SeenLedger& seen, const WeightPlan& plan, const MoverPlace& place,
+                           Time now) const {
   const Ledger& ledger = seen.ledger;
   if (ledger.holder == options_.node) {
     return true;
   }
+  const Duration delay = stepInDelay_ + kStandstill * static_cast<Duration::rep>(place.rank);
   if (ledger.revision == 0 || ledger.holder.empty()) {
-    return now >= *plan.startBy + stepInDelay_ - kStandstill;
+    return now >= *plan.startBy + delay - kStandstill;
   }
-  return now >= *plan.startBy + stepInDelay_ && now >= seen.changedAt + stepInDelay_;
+  return now >= *plan.startBy + delay && now >= seen.changedAt + delay;
+}
+
+bool WeightMover::standsStill(const SeenLedger& seen, const MoverPlace& place) {
+  if (place.followsLedger || seen.ledger.holder == options_.node) {
+    return true;  // A holder that was overtaken is told so by its next write.
+  }
+  const Result<Ledger> found = services_.store.read();
+  if (!isOk(found)) {
+    return false;
+  }
+  return !services_.view.take(valueOf(found), services_.clock.now());
 }
 
 bool WeightMover::isLeftAlone(const std::string& engine, const Ledger& ledger, Time now) const {
@@ -253,7 +266,7 @@
   }
 }
 
-Duration WeightMover::step() {
+Duration WeightMover::step(const MoverPlace& place) {
   followMoves(services_.clock.now());
   const std::vector<BackendListing> listings = services_.engines.all();
   bounds_.atOnce = atOnce(listings);
@@ -272,10 +285,14 @@
     return kBusyStep;
   }
   const SeenLedger seen = services_.view.seen();
-  if (!isMyTurn(seen, plan, now)) {
+  if (!isMyTurn(seen, plan, place, now)) {
     tell(Waiting::kForTurn, plan);
     return kBusyStep * 2;
   }
+  if (!standsStill(seen, place)) {
+    tell(Waiting::kForTurn, plan);
+    return kAfterFailure;
+  }
   const std::vector<Candidate> candidates =
       pickCandidates(seen.ledger, plan, bounds_.atOnce - underWay_.size());
   if (candidates.empty()) {
--- a/src/weights/weight_mover.h
+++ b/src/weights/weight_mover.h
@@ -1,6 +1,8 @@
 /// @file
 /// Moves engines to new weights. Every node runs one; the node that wrote to the ledger last goes
-/// on, the others step in only where moves are due and the ledger stands still.
+/// on as long as its process lives, whatever other duties come and go, and the others step in where
+/// moves are due and the ledger stands still, one after the other. So a turn is laid down only
+/// where somebody else takes it up, and moves go on while any process lives.
 #pragma once
 
 #include <map>
@@ -33,13 +35,19 @@
   EngineOrders& orders;
 };
 
+/// How near this node is to the turn while another node has it.
+struct MoverPlace {
+  bool followsLedger = true;  ///< It is shown each change of the ledger; else it reads it first.
+  size_t rank = 0;            ///< So many nodes step in earlier.
+};
+
 /// Not thread-safe: one thread calls step().
 class WeightMover {
  public:
   WeightMover(MoverServices services, MoverOptions options);
 
   /// Does what is due. @return when to call again at the latest.
-  Duration step();
+  Duration step(const MoverPlace& place = {});
   /// @return whether this node is the one that moves engines, as far as it knows.
   bool holdsTurn() const { return services_.view.seen().ledger.holder == options_.node; }
   /// Lets another node go on at once, before this one stops.
@@ -66,7 +74,11 @@
   void followMoves(Time now);
   uint64_t listedVersion(const std::string& engine, const std::string& model) const;
   void askWhetherDone(const std::string& engine, UnderWay& move);
-  bool isMyTurn(const SeenLedger& seen, const WeightPlan& plan, Time now) const;
+  bool isMyTurn(const SeenLedger& seen, const WeightPlan& plan, const MoverPlace& place,
+                Time now) const;
+  /// Reads the ledger where this node isn't shown it.
+  /// @return whether it stands as it was seen last.
+  bool standsStill(const SeenLedger& seen, const MoverPlace& place);
   bool isLeftAlone(const std::string& engine, const Ledger& ledger, Time now) const;
   std::vector<Candidate> pickCandidates(const Ledger& ledger, const WeightPlan& plan, size_t room);
   std::optional<uint64_t> writeIntent(Ledger ledger, const std::vector<Candidate>& candidates);
--- a/test/gateway/forwarder_cache_test.cpp
+++ b/test/gateway/forwarder_cache_test.cpp
@@ -145,6 +145,37 @@
   }
 }
 
+TEST_CASE("a request that would wait past the bound of newer weights is not sent to older ones") {
+  CacheWorld world;
+  world.row.target = std::chrono::seconds(15);
+  ScriptedBackend& older = world.addEngine("a", 3);
+  const PendingRequest ofOther{2, 1, EngineDemand{80000, 80000, std::chrono::seconds(3)}};
+  world.loads.work.reserve(stableHash("a"), ofOther, EngineRoom{}, 100000, world.clock.now());
+  // At the 40,000 tokens a second that an unknown engine is taken for it waits 2 s.
+  const Time now = world.clock.now();
+  const Duration inForce = WeightBounds{}.inForce;
+  SUBCASE("where no engine holds these it is refused, and counts nowhere") {
+    world.wanted.note("m", 4, now - inForce + std::chrono::milliseconds(2500), now);
+    world.forwarder.serve(world.prompt(), world.caller);
+    CHECK(older.requests() == 0);
+    CHECK(promisesNotRun(world.caller));
+    world.loads.work.release(stableHash("a"), 2, 1, world.clock.now());
+    CHECK(world.loads.work.size() == 0);
+  }
+  SUBCASE("it goes to an engine that holds these") {
+    ScriptedBackend& newer = world.addEngine("b", 4);
+    world.wanted.note("m", 4, now - inForce + std::chrono::milliseconds(2500), now);
+    world.forwarder.serve(world.prompt(), world.caller);
+    CHECK(older.requests() == 0);
+    CHECK(newer.requests() == 1);
+  }
+  SUBCASE("it is sent where it begins in time") {
+    world.wanted.note("m", 4, now - inForce + std::chrono::milliseconds(5000), now);
+    world.forwarder.serve(world.prompt(), world.caller);
+    CHECK(older.requests() == 1);
+  }
+}
+
 TEST_CASE("a large prompt is not refused for the time that it takes to be read") {
   CacheWorld world;
   ScriptedBackend& engine = world.addEngine("a", 3);
--- /dev/null
+++ b/test/peers/named_versions_test.cpp
@@ -0,0 +1,126 @@
+/// @file
+/// Tests of what nodes tell each other of named versions (src/peers/mirror_role.h): a version's
+/// bound goes on though the processes that saw it named end one after the other.
+#include <doctest/doctest.h>
+
+#include <deque>
+
+#include "peers/mirror_role.h"
+
+namespace fernmoor::peers {
+
+namespace {
+
+constexpr Time at(int64_t milliseconds) {
+  return Time(std::chrono::seconds(1000)) + std::chrono::milliseconds(milliseconds);
+}
+
+/// One of two nodes; what it sends waits in its box.
+struct Node : MessageSender {
+  Node(uint64_t id, Time startedAt)
+      : id(id),
+        wanted(WeightBounds{std::chrono::seconds(8), startedAt + std::chrono::seconds(3)}),
+        mirror([this](MirrorKind kind, const std::vector<MirrorEntry>& entries, bool,
+                      std::optional<Time> heardAt) { take(kind, entries, heardAt); },
+               [](MirrorKind, uint64_t, Time) {}),
+        role(NodeId(id), mirror, wanted, startedAt) {
+    auto members = std::make_shared<MembershipSnapshot>();
+    for (const uint64_t member : {1, 2}) {
+      members->members.emplace_back();
+      members->members.back().life.node = NodeId(member);
+    }
+    members->self.node = NodeId(id);
+    role.setMembers(members);
+  }
+
+  void send(NodeId, const proto::Envelope& envelope) override { sent.push_back(envelope); }
+  void take(MirrorKind kind, const std::vector<MirrorEntry>& entries, std::optional<Time> heardAt) {
+    for (const MirrorEntry& entry : entries) {
+      if (kind == MirrorKind::kWeights) {
+        wanted.note("m", std::stoull(entry.text), heardAt, now);
+      }
+    }
+  }
+  /// The store shows a version to this node.
+  void find(uint64_t version, Time when) {
+    now = when;
+    const MirrorEntry entry{"m", version, false, std::to_string(version)};
+    mirror.applyList(MirrorKind::kWeights, version, {entry}, now);
+  }
+  void hear(Node& from, Time when) {
+    now = when;
+    while (!from.sent.empty()) {
+      const proto::Envelope envelope = from.sent.front();
+      from.sent.pop_front();
+      role.onMessage(NodeLife{NodeId(from.id), Incarnation(1)}, envelope, now, *this);
+    }
+  }
+
+  uint64_t id;
+  Time now;
+  std::deque<proto::Envelope> sent;
+  WantedWeights wanted;
+  StateMirror mirror;
+  MirrorRole role;
+};
+
+}  // namespace
+
+TEST_CASE("a node that was just started is told since when the versions that it found are named") {
+  Node old(1, at(-60000));
+  old.find(1, at(-60000));
+  old.find(2, at(0));
+  old.find(3, at(3000));
+  Node started(2, at(5000));
+  started.find(3, at(5050));
+  CHECK(started.wanted.dueVersion("m", at(8000)) == 3);
+
+  started.role.onTick(at(5100), started);
+  old.hear(started, at(5110));
+  started.hear(old, at(5300));  // The way back took long.
+
+  CHECK(started.wanted.newest("m") == 3);
+  CHECK(started.wanted.dueVersion("m", at(7900)) == 0);
+  CHECK(started.wanted.dueVersion("m", at(8000)) == 2);
+  CHECK(started.wanted.dueVersion("m", at(10900)) == 2);
+  CHECK(started.wanted.dueVersion("m", at(11000)) == 3);
+
+  SUBCASE("and stays with that whatever it is told later") {
+    started.role.onTick(at(6100), started);
+    old.hear(started, at(6110));
+    started.hear(old, at(7000));
+    CHECK(started.wanted.dueVersion("m", at(11000)) == 3);
+  }
+}
+
+TEST_CASE("a version that comes as part of a whole list is news to a node that was there before") {
+  Node teller(1, at(5000));  // It was started a moment ago and knows the list only.
+  teller.find(3, at(5050));
+  Node old(2, at(-60000));
+  old.find(2, at(0));
+  old.role.onTick(at(5100), old);
+  teller.hear(old, at(5110));
+  old.hear(teller, at(5120));
+  CHECK(old.wanted.newest("m") == 3);
+  CHECK(old.wanted.dueVersion("m", at(8000)) == 2);
+  CHECK(old.wanted.dueVersion("m", at(13100)) == 2);
+  CHECK(old.wanted.dueVersion("m", at(13120)) == 3);
+}
+
+TEST_CASE("news that a process reads after a standstill count from its beginning") {
+  Node reader(1, at(-60000));
+  Node frozen(2, at(-60000));
+  for (Node* node : {&reader, &frozen}) {
+    node->find(1, at(-60000));
+    node->role.onTick(at(-100), *node);
+    node->role.onTick(at(0), *node);
+  }
+  reader.hear(frozen, at(10));  // So that it is told of changes.
+  reader.sent.clear();
+  reader.find(2, at(1000));
+  reader.role.announce(MirrorKind::kWeights, 1, at(1000), reader);
+  frozen.hear(reader, at(5000));
+  CHECK(frozen.wanted.dueVersion("m", at(8000)) == 2);
+}
+
+}  // namespace fernmoor::peers
--- a/test/weights/weight_mover_test.cpp
+++ b/test/weights/weight_mover_test.cpp
@@ -93,6 +93,57 @@
   checkOrders(world.engines.seen, kTurn);
 }
 
+TEST_CASE("a holder that follows the ledger no longer goes on all the same") {
+  WeightWorld world(3, 12);
+  world.name(2);
+  world.run(std::chrono::milliseconds(3000));
+  test::TestNode* first = world.holder();
+  REQUIRE(first != nullptr);
+  first->place = MoverPlace{false, 0};
+  const size_t ordersBefore = world.engines.seen.size();
+  world.run(std::chrono::milliseconds(4900));
+  CHECK(world.engines.seen.size() > ordersBefore);
+  CHECK(world.holder() == first);
+  CHECK(world.enginesAt(2) == 12);
+}
+
+TEST_CASE("where no node follows the ledger the first one in order that lives moves the engines") {
+  WeightWorld world(4, 12);
+  for (size_t rank = 1; rank <= 4; ++rank) {
+    world.nodes[rank - 1]->place = MoverPlace{false, rank};
+  }
+  SUBCASE("where nobody had the turn") {
+    world.name(2);
+    world.run(std::chrono::milliseconds(7900));
+    CHECK(world.enginesAt(2) == 12);
+    CHECK(world.holder() == world.nodes[0].get());
+  }
+  SUBCASE("also where the first of them dies in the middle") {
+    world.name(2);
+    world.run(std::chrono::milliseconds(4500));
+    REQUIRE(world.holder() == world.nodes[0].get());
+    world.nodes[0]->isAlive = false;
+    world.run(std::chrono::milliseconds(9000));
+    CHECK(world.enginesAt(2) == 12);
+    CHECK(world.holder() == world.nodes[1].get());
+  }
+  checkOrders(world.engines.seen, kTurn);
+}
+
+TEST_CASE("a node that isn't shown the ledger reads it before it steps in") {
+  WeightWorld world(2, 60);
+  world.nodes[1]->place = MoverPlace{false, 1};
+  world.engines.loadTime = std::chrono::milliseconds(1500);  // Late from the start, but not silent.
+  world.name(2);
+  world.run(std::chrono::seconds(12));
+  CHECK(world.enginesAt(2) == 60);
+  CHECK(world.store.reads > 0);
+  CHECK(world.store.reads < 6);
+  for (const SeenOrder& order : world.engines.seen) {
+    CHECK(order.holder == "n0");
+  }
+}
+
 TEST_CASE("a holder that stood still does not order on an old intent, and a successor may hold") {
   WeightWorld world(3, 12);
   world.name(2);
