Soak: kept connections, overlapping series, rolled stops, late orders; judged for LOST too

The soak of before could not see the incident: its store failed every few seconds, so that the bound of a version never held for eight seconds on end, and a stopping process was gone after three. Now the store stays sound with even seeds, every other engine streams slowly, engines leave orders unanswered and carry them out late, all nodes are told to stop one after the other, and several series of faults overlap.

--- a/test/platform_soak/engines.py
+++ b/test/platform_soak/engines.py
@@ -2,7 +2,8 @@
 for new weights, and remember all that they saw for the judge. An engine runs as many requests as it has
 slots; the others wait in its queue, and an order for new weights turns them away. Faults of an engine: crash (its port is
 closed and its connections are reset), lost (it runs a request and resets), broken (it breaks off in
-the middle), error (500), busy (it turns requests away), stubborn (it takes no orders).
+the middle), error (500), busy (it turns requests away), stubborn (it takes no orders),
+late (it leaves orders unanswered and carries them out some time later).
 """
 import http.server
 import json
@@ -13,7 +14,8 @@
 
 EVENTS = 6
 EVENT_SECONDS = 0.01
-LOAD_SECONDS = 0.25
+LOAD_SECONDS = 0.6
+LATE_SECONDS = 1.5
 SLOTS = 16
 
 
@@ -156,6 +158,15 @@
         return self.rfile.read(int(self.headers.get("Content-Length", "0")))
 
     def order(self, order):
+        engine = self.engine
+        if engine.fault == "late":
+            threading.Timer(LATE_SECONDS, self.take_order, (order, time.monotonic())).start()
+            self.drop()
+            return
+        self.send(self.take_order(order, time.monotonic()))
+
+    def take_order(self, order, arrived):
+        """Returns the status of its answer. Holders are judged by when their orders arrived."""
         engine = self.engine
         with engine.lock:
             status = 202
@@ -168,7 +179,7 @@
                 status = 409
             elif order["version"] <= engine.version:
                 status = 200
-            engine.ledger.order({"engine": engine.id, "at": time.monotonic(), "status": status,
+            engine.ledger.order({"engine": engine.id, "at": arrived, "status": status,
                                  "holder": order["holder"], "fence": order["fence"],
                                  "version": order["version"]})
             if status in (200, 202):
@@ -178,7 +189,7 @@
                 engine.busy = True
                 engine.changed.notify_all()
                 threading.Thread(target=engine.load, args=(order["version"],), daemon=True).start()
-        self.send(status)
+        return status
 
     def work(self, body):
         engine = self.engine
--- a/test/platform_soak/judge.py
+++ b/test/platform_soak/judge.py
@@ -27,6 +27,7 @@
         "STALE": stale(runs),
         "ONE": one(orders),
         "VERSION": version(runs, asked, world),
+        "LOST": lost(calls, by_id, world),
     }
 
 
@@ -165,6 +166,22 @@
     return faults
 
 
+def lost(calls, by_id, world):
+    """A request that a sound engine ran is answered, also by a process that was told to stop: only a
+    kill or a standstill of the process, or a caller that gave up, ends it without an answer."""
+    faults = []
+    for call in calls:
+        if call["status"] is not None or call["gave_up"] or not by_id[call["id"]]:
+            continue
+        is_sound = not any(run["fault"] for run in by_id[call["id"]])
+        was_killed = any(call["sent_at"] - CONTACT_SECONDS < moment <= call["ended_at"] + 0.1
+                         for moment in world["killed"].get(call["node"], ()))
+        if is_sound and not was_killed:
+            faults.append(f"{call['id']} ran and got no answer from node {call['node']} after "
+                          f"{call['ended_at'] - call['sent_at']:.2f} s: {call['broken']}")
+    return faults
+
+
 def one(orders):
     """Orders to one engine: no fence of two holders, and holders that take turns a lease apart."""
     faults = []
@@ -173,6 +190,7 @@
         by_engine[entry["engine"]].append(entry)
     holders = collections.defaultdict(set)
     for engine, entries in by_engine.items():
+        entries.sort(key=lambda entry: entry["at"])
         for entry in entries:
             holders[(engine, entry["fence"])].add(entry["holder"])
         for before, after in zip(entries, entries[1:]):
--- a/test/platform_soak/soak.py
+++ b/test/platform_soak/soak.py
@@ -1,9 +1,12 @@
 #!/usr/bin/env python3
 """A randomized fault soak: real gateway processes before a stand-in of the users' platform, callers
-that ask all the while, and faults drawn by a seed. What callers and engines saw is judged by the
-users' rules; at the end, with all faults over, each kind of request must be served again.
+that ask all the while, and faults drawn by a seed. Callers keep their connections until these are
+closed, also those of a process that stops. Faults come in several series that overlap; in some
+series all nodes are struck one after the other. With every other seed the store stays sound, as the
+bound of new weights holds only while it does. What callers and engines saw is judged by the users'
+rules; at the end, with all faults over, each kind of request must be served again.
 
-usage: soak.py BUILD_FOLDER [--seed N] [--seconds S] [--nodes N]
+usage: soak.py BUILD_FOLDER [--seed N] [--seconds S] [--nodes N] [--series N]
 """
 import argparse
 import collections
@@ -33,7 +36,9 @@
     "stream-once": ("/stream/once/", "stream", MODELS, 1),
     "stream-again": ("/stream/again/", "stream", MODELS, 2),
 }
-CALLERS = 8
+SLOW_EVENT_SECONDS = 0.5
+CALLERS = 24
+MODEL_ENGINES, PLAIN_ENGINES = 10, 3
 RECOVERY_SECONDS = 40
 
 
@@ -73,6 +78,8 @@
             "limits.max-fds=4000"]) + "\n")
         self.process = None
         self.struck = []  # (start, end) of all that kept it out of touch
+        self.killed = []  # when it was killed or frozen
+        self.turn = threading.Lock()  # Held by the fault that strikes it.
         self.start()
 
     def strike(self, start=None):
@@ -89,6 +96,8 @@
 
     def end(self, how=signal.SIGKILL):
         self.strike()
+        if how == signal.SIGKILL:
+            self.killed.append(time.monotonic())
         self.process.send_signal(how)
         self.process.wait(timeout=20)
 
@@ -98,6 +107,7 @@
 
     def __init__(self, options):
         self.random = random.Random(options.seed)
+        self.changes = threading.Lock()  # Held by a fault that changes what the operators wrote.
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="fernmoor-soak-"))
         self.store = platform_store.Store()
         self.seen = standin.Ledger()
@@ -110,20 +120,25 @@
         self.extra_routes = 0
         self.write_config()
         self.store.put("versions", MODEL, {"model": MODEL, "version": 1})
-        self.engines = [self.new_engine(number, MODELS) for number in range(4)]
-        self.engines += [self.new_engine(number, PLAIN) for number in range(4, 7)]
+        self.engines = [self.new_engine(number, MODELS) for number in range(MODEL_ENGINES)]
+        self.engines += [self.new_engine(MODEL_ENGINES + number, PLAIN)
+                         for number in range(PLAIN_ENGINES)]
         hosts = [f"127.0.0.{20 + number}" for number in range(options.nodes)]
         ports = {name: free_port(hosts) for name in ("front", "ready", "peers", "metrics")}
         self.nodes = [Node(number, options.binary, self.folder, self.store, ports, hosts)
                       for number in range(options.nodes)]
         self.stopping, self.faults_over = threading.Event(), threading.Event()
-        self.seed = options.seed
+        self.seed, self.series = options.seed, options.series
+        self.engines_turn = threading.Lock()  # Held by the fault that replaces an engine.
 
     def new_engine(self, number, service):
         self.lives += 1
         model = MODEL if service == MODELS else None
-        return standin.Engine(number, self.lives, service, self.store, self.seen, "127.0.0.1",
-                              self.weights if model else 0, model)
+        engine = standin.Engine(number, self.lives, service, self.store, self.seen, "127.0.0.1",
+                                self.weights if model else 0, model)
+        if number % 2 == 1:  # Its streams keep a process that stops alive for longer.
+            engine.event_seconds = SLOW_EVENT_SECONDS
+        return engine
 
     def write_config(self):
         routes = [{"name": kind, "host": "h.example", "path-prefix": path, "type": kind_type,
@@ -142,14 +157,15 @@
 
     # What callers do.
 
-    def call(self, kind, key, node):
+    def call(self, kind, key, node, kept=None):
+        """Asks a node. `kept`: the caller's connection to it, which stays open if the answer lets it."""
         number = self.random_id()
         body = f"body of {number}".encode()
         path = KINDS[kind][0] + number
         call = {"id": number, "kind": kind, "key": key, "path": path, "method": "POST",
                 "sent_body": body, "sent_at": time.monotonic(), "status": None, "body": b"",
                 "complete": False, "stamp": None, "answered_id": None, "events": standin.EVENTS,
-                "node": node.number}
+                "node": node.number, "gave_up": False, "ended_at": None, "broken": ""}
         with self.calls_lock:
             self.calls.append(call)
         headers = {"Host": "h.example", "X-Request-Id": number, "X-Deadline-Ms": "4000",
@@ -158,7 +174,7 @@
             subject = sum(number.encode()) % 5
             headers.update({"X-Model": MODEL, "X-Token-Count": "300,6",
                             "X-Prefix-Hash": f"aa:100,b{subject}:150,{number}:50"})
-        connection = http.client.HTTPConnection(node.host, node.ports["front"], timeout=6)
+        connection = kept or http.client.HTTPConnection(node.host, node.ports["front"], timeout=6)
         try:
             connection.request("POST", path, body, headers)
             answer = connection.getresponse()
@@ -166,10 +182,14 @@
             call["stamp"] = answer.headers.get("X-Server-Stamp")
             call["answered_id"] = answer.headers.get("X-Request-Id")
             self.read(answer, call)
-        except (OSError, http.client.HTTPException):
-            pass
+        except TimeoutError:
+            call["gave_up"] = True
+        except (OSError, http.client.HTTPException) as broken:
+            call["broken"] = repr(broken)
         finally:
-            connection.close()
+            call["ended_at"] = time.monotonic()
+            if kept is None or not call["complete"]:
+                connection.close()
         return call
 
     @staticmethod
@@ -181,6 +201,8 @@
                     break
                 call["body"] += piece
             call["complete"] = answer.isclosed() or answer.length in (0, None)
+            if call["complete"]:
+                answer.close()  # Else its connection takes no further request.
         except http.client.IncompleteRead as broken:
             call["body"] += broken.partial
 
@@ -188,73 +210,110 @@
         return f"{random.getrandbits(64):016x}"
 
     def keep_calling(self, number):
+        """One caller; every other one keeps its connections for as long as they work."""
         draw = random.Random(number)
+        kept = {}
         while not self.stopping.is_set():
             node = draw.choice(self.nodes)
-            self.call(draw.choice(list(KINDS)), draw.choice(list(self.rules["tenant_of"])), node)
+            connection = None
+            if number % 2 == 0:
+                connection = kept.setdefault(node.number, http.client.HTTPConnection(
+                    node.host, node.ports["front"], timeout=6))
+            self.call(draw.choice(list(KINDS)), draw.choice(list(self.rules["tenant_of"])), node,
+                      connection)
             time.sleep(0.01)
 
     # Faults: each takes its time and mends what it broke.
 
-    def node_killed(self):
-        node = self.random.choice(self.nodes)
-        node.end()
-        time.sleep(self.random.uniform(0.1, 1.0))
-        node.start()
+    def node_killed(self, draw):
+        node = draw.choice(self.nodes)
+        with node.turn:
+            node.end()
+            time.sleep(draw.uniform(0.1, 1.0))
+            node.start()
 
-    def nodes_killed(self):
+    def nodes_killed(self, draw=None):
+        for node in self.nodes:
+            node.turn.acquire()
         for node in self.nodes:
             node.strike()
+            node.killed.append(time.monotonic())
             node.process.kill()
         for node in self.nodes:
             node.process.wait()
         time.sleep(0.5)
         for node in self.nodes:
             node.start()
+            node.turn.release()
+
+    def node_frozen(self, draw):
+        node = draw.choice(self.nodes)
+        with node.turn:
+            start = time.monotonic()
+            node.killed.append(start)
+            node.process.send_signal(signal.SIGSTOP)
+            time.sleep(draw.uniform(0.3, 3.5))
+            node.process.send_signal(signal.SIGCONT)
+            node.killed.append(time.monotonic())
+            node.strike(start)
+
+    def node_stopped(self, draw):
+        node = draw.choice(self.nodes)
+        with node.turn:
+            node.end(signal.SIGTERM)
+            node.start()
 
-    def node_frozen(self):
-        node = self.random.choice(self.nodes)
-        start = time.monotonic()
-        node.process.send_signal(signal.SIGSTOP)
-        time.sleep(self.random.uniform(0.3, 3.5))
-        node.process.send_signal(signal.SIGCONT)
-        node.strike(start)
-
-    def node_stopped(self):
-        node = self.random.choice(self.nodes)
-        node.end(signal.SIGTERM)
-        node.start()
-
-    def store_fails(self):
-        fault = self.random.choice(["refuse", "throttle", "reset", "silent", "slow", "lost", "late"])
-        some = self.random.sample(self.nodes, self.random.randint(1, len(self.nodes)))
-        start = time.monotonic()
-        for node in some:
-            self.store.faults[node.number] = fault
-        time.sleep(self.random.uniform(0.5, 3.0))
-        self.end_store_faults(start)
+    def nodes_rolled(self, draw):
+        """All nodes are told to stop one after the other, sooner than the first of them ends, and
+        each is started again when it has ended."""
+        gap = draw.uniform(0.2, 1.0) * 5 / len(self.nodes)
+        rolls = []
+        for node in draw.sample(self.nodes, len(self.nodes)):
+            rolls.append(threading.Thread(target=self.roll, args=(node,)))
+            rolls[-1].start()
+            time.sleep(gap)
+        for each in rolls:
+            each.join()
+
+    @staticmethod
+    def roll(node):
+        with node.turn:
+            node.end(signal.SIGTERM)
+            node.start()
+
+    def store_fails(self, draw):
+        with self.changes:
+            fault = draw.choice(["refuse", "throttle", "reset", "silent", "slow", "lost", "late"])
+            some = draw.sample(self.nodes, draw.randint(1, len(self.nodes)))
+            start = time.monotonic()
+            for node in some:
+                self.store.faults[node.number] = fault
+            time.sleep(draw.uniform(0.5, 3.0))
+            self.end_store_faults(start)
 
     def end_store_faults(self, start):
         self.store.faults.clear()
         self.rules["unstable"].append((start, time.monotonic()))
 
-    def history_forgotten(self):
+    def history_forgotten(self, draw):
         now = time.monotonic()
         self.store.forget_history()
         self.rules["unstable"].append((now, now))
 
-    def engine_crashes(self):
-        place = self.random.randrange(len(self.engines))
-        old = self.engines[place]
-        old.crash()
-        time.sleep(self.random.uniform(0.0, 0.6))
-        self.engines[place] = self.new_engine(old.number, old.service)
+    def engine_crashes(self, draw):
+        with self.engines_turn:
+            place = draw.randrange(len(self.engines))
+            old = self.engines[place]
+            old.crash()
+            time.sleep(draw.uniform(0.0, 0.6))
+            self.engines[place] = self.new_engine(old.number, old.service)
 
     def keep_failing_engines(self, seed):
         """One engine or another fails part of the time, each way in turn, beside all other
         faults."""
         draw = random.Random(seed)
         ways = list(itertools.product((MODELS, PLAIN), ("lost", "broken", "error", "busy")))
+        ways += [(MODELS, "late"), (MODELS, "stubborn")]
         draw.shuffle(ways)
         for service, way in itertools.cycle(ways):
             if self.faults_over.is_set():
@@ -265,31 +324,46 @@
             engine.fault = None
             time.sleep(draw.uniform(0.1, 0.4))
 
-    def weights_named(self):
-        self.weights += 1
-        self.store.put("versions", MODEL, {"model": MODEL, "version": self.weights})
-        self.rules["named"].append((self.weights, time.monotonic()))
+    def weights_named(self, draw=None):
+        with self.changes:
+            self.weights += 1
+            self.store.put("versions", MODEL, {"model": MODEL, "version": self.weights})
+            self.rules["named"].append((self.weights, time.monotonic()))
+
+    def weights_named_in_series(self, draw):
+        for _ in range(3):
+            self.weights_named()
+            time.sleep(draw.uniform(1.0, 4.0))
+
+    def key_revoked(self, draw):
+        with self.changes:
+            self.revoke(draw)
 
-    def key_revoked(self):
+    def revoke(self, draw):
         lost = [key for key in self.keys if key.startswith("k-lost")]
         if not lost:
             return
-        key = self.random.choice(lost)
+        key = draw.choice(lost)
         del self.keys[key]
-        self.change_config()
+        self.write_next_config(draw)
         self.rules["revoked"][key] = time.monotonic()
 
-    def key_revoked_unheard(self):
+    def key_revoked_unheard(self, draw):
         """A key is taken away while no node hears the store, for longer than it may work."""
-        start = time.monotonic()
-        for node in self.nodes:
-            self.store.faults[node.number] = self.random.choice(["refuse", "silent", "reset"])
-        self.key_revoked()
-        time.sleep(judge.REVOKE_SECONDS + 2)
-        self.end_store_faults(start)
-
-    def change_config(self):
-        self.version += self.random.randint(1, 4)
+        with self.changes:
+            start = time.monotonic()
+            for node in self.nodes:
+                self.store.faults[node.number] = draw.choice(["refuse", "silent", "reset"])
+            self.revoke(draw)
+            time.sleep(judge.REVOKE_SECONDS + 2)
+            self.end_store_faults(start)
+
+    def change_config(self, draw):
+        with self.changes:
+            self.write_next_config(draw)
+
+    def write_next_config(self, draw):
+        self.version += draw.randint(1, 4)
         self.extra_routes += 1
         self.write_config()
 
@@ -301,8 +375,13 @@
             caller.start()
         failing = threading.Thread(target=self.keep_failing_engines, args=(self.seed,))
         failing.start()
+        series = [threading.Thread(target=self.break_things, args=(number, seconds))
+                  for number in range(self.series)]
         try:
-            self.break_things(seconds)
+            for each in series:
+                each.start()
+            for each in series:
+                each.join()
         finally:
             self.faults_over.set()
             failing.join()
@@ -312,18 +391,24 @@
         for caller in callers:
             caller.join()
 
-    def break_things(self, seconds):
-        faults = [self.node_killed, self.node_killed, self.nodes_killed, self.node_frozen,
-                  self.node_stopped, self.store_fails, self.store_fails, self.history_forgotten,
-                  self.engine_crashes, self.weights_named,
-                  self.weights_named, self.key_revoked, self.key_revoked_unheard, self.change_config]
-        self.key_revoked_unheard()
+    def break_things(self, series, seconds):
+        """One series of faults; several run beside each other."""
+        faults = [self.node_killed, self.nodes_killed, self.node_frozen, self.node_stopped,
+                  self.nodes_rolled, self.nodes_rolled, self.engine_crashes, self.weights_named,
+                  self.weights_named_in_series, self.key_revoked, self.change_config]
+        of_store = [self.node_killed, self.store_fails, self.store_fails, self.history_forgotten,
+                    self.key_revoked_unheard]
+        draw = random.Random(f"{self.seed} {series}")
+        if self.seed % 2 == 1:
+            faults += of_store
+            if series == 0:
+                self.key_revoked_unheard(draw)
         end = time.monotonic() + seconds
         while time.monotonic() < end:
-            fault = self.random.choice(faults)
-            print(f"{time.monotonic() - end + seconds:6.2f} {fault.__name__}", flush=True)
-            fault()
-            time.sleep(self.random.uniform(0.0, 0.5))
+            fault = draw.choice(faults)
+            print(f"{time.monotonic() - end + seconds:6.2f} {series} {fault.__name__}", flush=True)
+            fault(draw)
+            time.sleep(draw.uniform(0.0, 0.5))
 
     def wait_until_served(self):
         """Until each node serves each kind of request. Raises where that never comes."""
@@ -361,6 +446,7 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=20)
     parser.add_argument("--nodes", type=int, default=5)
+    parser.add_argument("--series", type=int, default=2, help="series of faults that overlap")
     options = parser.parse_args()
     options.binary = str(pathlib.Path(options.build).resolve() / "fernmoor-gateway")
     return options
@@ -375,6 +461,7 @@
     finally:
         world.close()
     world.rules["struck"] = {node.number: node.struck for node in world.nodes}
+    world.rules["killed"] = {node.number: node.killed for node in world.nodes}
     found = judge.judge(world.calls, world.seen.runs, world.seen.orders, world.rules)
     served = sum(call["status"] == 200 for call in world.calls)
     print(f"{len(world.calls)} requests, {served} served, {len(world.seen.runs)} runs, "
--- a/test/process/platform_soak_test.py
+++ b/test/process/platform_soak_test.py
@@ -12,18 +12,23 @@
 
 import judge  # noqa: E402  (the path above comes first)
 
-SEEDS = (1, 7)
-SECONDS = 15
+SOAKS = [  # (seed, seconds, series of faults that overlap)
+    (1, 15, 2),
+    (7, 15, 2),
+    # Requests began on old weights up to 10.5 s after newer ones while gateways were restarted.
+    (104, 50, 3),
+]
 WORLD = {"tenant_of": {"k": "open", "w": "wall"}, "isolated": {"wall"}, "revoked": {"k": 100.0},
          "service_of": {"once": "plain", "stream-once": "models"},
-         "named": [(2, 100.0)], "unstable": [], "struck": {1: [(105.0, 106.0)]}}
+         "named": [(2, 100.0)], "unstable": [], "struck": {1: [(105.0, 106.0)]},
+         "killed": {1: [1.5]}}
 
 
 def call(**changes):
     made = {"id": "r1", "kind": "once", "key": "k", "path": "/p", "method": "POST",
             "sent_body": b"x", "sent_at": 1.0, "status": 200, "body": b"answer e.r1" * 20,
             "complete": True, "stamp": "e.r1", "answered_id": "r1", "events": 2,
-            "node": 0}
+            "node": 0, "gave_up": False, "ended_at": 2.0, "broken": ""}
     made.update(changes)
     return made
 
@@ -31,7 +36,7 @@
 def run(**changes):
     made = {"id": "r1", "engine": "e", "service": "plain", "path": "/p", "method": "POST",
             "body": b"x", "tenant": "open", "key": None, "at": 1.0, "salt": None, "version": 1,
-            "arrived": 1.0, "resumed": None}
+            "arrived": 1.0, "resumed": None, "fault": None}
     made.update(changes)
     return made
 
@@ -71,6 +76,7 @@
     ("ONE", [], [], [order(), order(holder="b", at=2.0, fence=6)]),
     ("VERSION", [call()], [run(at=108.1, arrived=107.0)], []),
     ("VERSION", [call(node=1)], [run(at=109.2, arrived=109.1)], []),
+    ("LOST", [call(status=None)], [run(fault=None)], []),
 ]
 ALLOWED = [  # (calls, runs, intervals in which the store was not stable)
     ([call()], [run(at=107.9, arrived=107.0)], []),             # in time
@@ -89,6 +95,9 @@
     for calls, runs, unstable in ALLOWED:
         found = judge.judge(calls, runs, [], dict(WORLD, unstable=unstable))
         assert not found["VERSION"], found
+    for allowed in (call(status=None, node=1), call(status=None, gave_up=True)):
+        assert not judge.judge([allowed], [run()], [], WORLD)["LOST"]
+    assert not judge.judge([call(status=None)], [run(fault="lost")], [], WORLD)["LOST"]
     for rule, calls, runs, orders in FAULTS:
         found = judge.judge(calls, runs, orders, WORLD)
         assert found[rule], f"{rule} does not find {calls} {runs} {orders}"
@@ -96,9 +105,9 @@
 
 def main():
     check_judge()
-    for seed in SEEDS:
+    for seed, seconds, series in SOAKS:
         subprocess.run([sys.executable, str(SOAK / "soak.py"), sys.argv[1], "--seed", str(seed),
-                        "--seconds", str(SECONDS)], check=True)
+                        "--seconds", str(seconds), "--series", str(series)], check=True)
 
 
 if __name__ == "__main__":
