--- a/src/gateway/send_planner.cpp
+++ b/src/gateway/send_planner.cpp
@@ -78,7 +78,7 @@
                                                         Time now, uint64_t& lowest) {
   const std::string& model = input.request.model;
   lowest = services_.wanted.lowestServing(model, now);
-  const std::optional<BackendChoice> chosen = choose(input, members, lowest, now);
+  std::optional<BackendChoice> chosen = choose(input, members, lowest, now);
   if (!chosen || !chosen->expected) {
     return chosen;
   }
