--- a/src/backends/wanted_weights.cpp
+++ b/src/backends/wanted_weights.cpp
@@ -27,48 +27,47 @@
 
 }  // namespace
 
+Time WantedWeights::plainDueAt(std::optional<Time> namedBy) const {
+  return namedBy ? *namedBy + bounds_.inForce : bounds_.heldFrom;
+}
+
 Time WantedWeights::dueAtOf(std::optional<Time> namedBy) const {
-  const Time due = namedBy ? *namedBy + bounds_.inForce : bounds_.heldFrom;
+  const Time due = plainDueAt(namedBy);
   const bool isExtended =
       storeAwayAt_ && (!namedBy || (*namedBy < *storeAwayAt_ && *storeAwayAt_ < due));
   return isExtended ? std::max(due, *storeAwayAt_ + bounds_.inForce) : due;
 }
 
-std::vector<NamedVersion>::iterator WantedWeights::placeOf(const std::string& model,
-                                                           uint64_t version) {
-  std::vector<NamedVersion>& versions = named_[model];
-  return std::find_if(versions.begin(), versions.end(),
-                      [&](const NamedVersion& each) { return each.version >= version; });
-}
-
-void WantedWeights::insert(const std::string& model, uint64_t version, std::optional<Time> namedBy,
-                           Time now) {
+void WantedWeights::noteLocked(const std::string& model, const NamedVersion& named, bool isTold,
+                               Time now) {
   std::vector<NamedVersion>& versions = named_[model];
-  versions.insert(placeOf(model, version), NamedVersion{version, namedBy, dueAtOf(namedBy)});
+  const auto place = std::find_if(versions.begin(), versions.end(), [&](const NamedVersion& each) {
+    return each.version >= named.version;
+  });
+  const bool isKnown = place != versions.end() && place->version == named.version;
+  if (isKnown && (!isTold || place->namedBy)) {
+    return;
+  }
+  if (isKnown) {
+    *place = named;
+  } else {
+    versions.insert(place, named);
+  }
   if (versions.size() > kVersionsKept) {
     versions.erase(versions.begin());
   }
-  tellNamed(model, version, namedBy, now);
+  tellNamed(model, named.version, named.namedBy, now);
 }
 
 void WantedWeights::note(const std::string& model, uint64_t version, std::optional<Time> namedBy,
                          Time now) {
   const std::lock_guard<std::mutex> lock(mutex_);
-  const auto place = placeOf(model, version);
-  if (place == named_[model].end() || place->version != version) {
-    insert(model, version, namedBy, now);
-  }
+  noteLocked(model, NamedVersion{version, namedBy, dueAtOf(namedBy)}, false, now);
 }
 
 void WantedWeights::learnSince(const std::string& model, uint64_t version, Time namedBy, Time now) {
   const std::lock_guard<std::mutex> lock(mutex_);
-  const auto place = placeOf(model, version);
-  if (place == named_[model].end() || place->version != version) {
-    insert(model, version, namedBy, now);
-  } else if (!place->namedBy) {
-    *place = NamedVersion{version, namedBy, dueAtOf(namedBy)};
-    tellNamed(model, version, namedBy, now);
-  }
+  noteLocked(model, NamedVersion{version, namedBy, dueAtOf(namedBy)}, true, now);
 }
 
 void WantedWeights::noteStoreAway(Time at) {
@@ -98,7 +97,7 @@
   for (const NamedVersion& named : found->second) {
     if (named.version > held) {
       // Not the end of a bound that an outage has made longer: moves that are late stay urgent.
-      return named.namedBy ? *named.namedBy + bounds_.inForce : bounds_.heldFrom;
+      return plainDueAt(named.namedBy);
     }
   }
   return std::nullopt;
--- a/src/backends/wanted_weights.h
+++ b/src/backends/wanted_weights.h
@@ -67,10 +67,12 @@
   std::vector<YoungVersion> youngVersions(Time now) const;
 
  private:
-  /// Call with the lock held. @return the version of the model, or where it is to be inserted.
-  std::vector<NamedVersion>::iterator placeOf(const std::string& model, uint64_t version);
+  /// Call with the lock held. Notes the version where it is not known yet, or where its time is not
+  /// and `isTold`.
+  void noteLocked(const std::string& model, const NamedVersion& named, bool isTold, Time now);
+  /// @return when the bound of a version ends if the store is not away meanwhile.
+  Time plainDueAt(std::optional<Time> namedBy) const;
   /// Call with the lock held.
-  void insert(const std::string& model, uint64_t version, std::optional<Time> namedBy, Time now);
   Time dueAtOf(std::optional<Time> namedBy) const;
 
   WeightBounds bounds_;
--- a/src/weights/ledger_view.cpp
+++ b/src/weights/ledger_view.cpp
@@ -21,6 +21,11 @@
   return true;
 }
 
+std::string LedgerView::holder() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return seen_.ledger.holder;
+}
+
 SeenLedger LedgerView::seen() const {
   const std::lock_guard<std::mutex> lock(mutex_);
   return seen_;
--- a/src/weights/move_ledger.h
+++ b/src/weights/move_ledger.h
@@ -69,6 +69,8 @@
   /// A decision and the write that rests on it go by one call of this: what comes to be known in
   /// between was not weighed, and the write's condition must fail for it.
   SeenLedger seen() const;
+  /// @return who wrote the ledger last; empty: nobody, or the turn was handed over.
+  std::string holder() const;
 
  private:
   mutable std::mutex mutex_;
--- a/src/weights/weight_mover.h
+++ b/src/weights/weight_mover.h
@@ -49,7 +49,7 @@
   /// Does what is due. @return when to call again at the latest.
   Duration step(const MoverPlace& place = {});
   /// @return whether this node is the one that moves engines, as far as it knows.
-  bool holdsTurn() const { return services_.view.seen().ledger.holder == options_.node; }
+  bool holdsTurn() const { return services_.view.holder() == options_.node; }
   /// Lets another node go on at once, before this one stops.
   void handOver();
 
