--- a/test/platform_soak/engines.py
+++ b/test/platform_soak/engines.py
@@ -4,6 +4,8 @@
 closed and its connections are reset), lost (it runs a request and resets), broken (it breaks off in
 the middle), error (500), busy (it turns requests away), stubborn (it takes no orders),
 late (it leaves orders unanswered and carries them out some time later).
+A request whose body the ledger holds as poison crashes each engine that begins to run it; the engine's entry
+stays in the store for a while, and the engine comes back, every other time under the id that it had.
 """
 import http.server
 import json
@@ -17,6 +19,12 @@
 LOAD_SECONDS = 0.6
 LATE_SECONDS = 1.5
 SLOTS = 16
+# From the beginning of a poison request's run to the end of its engine, and until that is back.
+POISON_SECONDS = 0.08
+BACK_SECONDS = 2.0
+POLL_SECONDS = 0.05  # A crash closes the port within this.
+# An entry of an engine that says nothing any more stays in the store for so long.
+ENTRY_SECONDS = 1.5
 
 
 class Ledger:
@@ -26,6 +34,9 @@
         self.lock = threading.Lock()
         self.runs = []    # dicts
         self.orders = []  # dicts
+        self.poison = set()  # bodies of requests that crash engines
+        self.crashes = []  # dicts: body, engine, at
+        self.on_crash = None  # called with an engine that a request crashed
 
     def run(self, entry):
         with self.lock:
@@ -35,12 +46,23 @@
         with self.lock:
             self.orders.append(entry)
 
+    def crash(self, body, engine):
+        """Returns whether it is the first crash of this life."""
+        with self.lock:
+            if engine.crashed:
+                return False
+            engine.crashed = True
+            self.crashes.append({"body": body, "engine": engine.id, "at": time.monotonic()})
+            return True
+
 
 class Engine:
     """One life of an engine."""
 
-    def __init__(self, number, life, service, store, ledger, host, version, model):
-        self.id = f"i-{number}-{life}"
+    def __init__(self, number, life, service, store, ledger, host, version, model, former_id=None):
+        self.id = former_id or f"i-{number}-{life}"
+        self.born = int(time.time() * 1000)
+        self.crashed = False
         self.number, self.life, self.service, self.model = number, life, service, model
         self.store, self.ledger = store, ledger
         self.version, self.orders, self.fence, self.busy = version, 0, 0, False
@@ -54,17 +76,20 @@
         self.server = http.server.ThreadingHTTPServer((host, 0), handler)
         self.server.daemon_threads = True
         self.address = f"{host}:{self.server.server_address[1]}"
-        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+        threading.Thread(target=self.server.serve_forever, args=(POLL_SECONDS,),
+                         daemon=True).start()
         self.register()
 
     def register(self):
         models = [{"name": self.model, "version": self.version}] if self.model else []
         self.store.put("servers", self.id, {
             "service": self.service, "addr": self.address, "zone": "z", "slots": 16,
-            "state": "ready", "seq": self.orders, "models": models})
+            "state": "ready", "seq": self.orders, "models": models, "born": self.born})
 
-    def crash(self):
-        self.store.remove("servers", self.id)
+    def crash(self, keeps_entry=False):
+        self.crashed = True
+        if not keeps_entry:
+            self.store.remove("servers", self.id)
         self.server.shutdown()
         self.server.server_close()
         with self.lock:
@@ -80,7 +105,8 @@
     def load(self, version):
         time.sleep(LOAD_SECONDS)
         self.version, self.busy = version, False
-        self.register()
+        if not self.crashed:
+            self.register()
 
     def take_slot(self):
         """Waits for a slot. Returns the version that the request begins on, or None if it is turned
@@ -143,7 +169,7 @@
         if self.path == "/fernmoor/report":
             models = [{"name": engine.model, "version": engine.version}] if engine.model else []
             self.send(200, json.dumps({"busy": engine.busy, "seq": engine.orders,
-                                       "models": models}).encode())
+                                       "models": models, "born": engine.born}).encode())
         else:
             self.work(b"")
 
@@ -223,7 +249,9 @@
             "salt": self.headers.get("X-Cache-Salt"), "version": version,
             "resumed": self.headers.get("Last-Event-Id"), "fault": engine.fault})
         names.append(("X-Server-Stamp", stamp))
-        if engine.fault == "lost":
+        if body in engine.ledger.poison:
+            self.crash(body)
+        elif engine.fault == "lost":
             self.drop()
         elif engine.fault == "error":
             self.send(500, b"failed " + stamp.encode(), names)
@@ -232,6 +260,15 @@
         else:
             self.whole(names, stamp)
 
+    def crash(self, body):
+        """The engine ends while this request runs, and with it all others."""
+        time.sleep(POISON_SECONDS)
+        engine = self.engine
+        self.close_connection = True
+        if engine.ledger.crash(body, engine):
+            engine.crash(keeps_entry=True)
+            engine.ledger.on_crash(engine)
+
     def whole(self, names, stamp):
         body = ("answer " + stamp).encode() * 20
         if self.engine.fault == "broken":
--- a/test/platform_soak/judge.py
+++ b/test/platform_soak/judge.py
@@ -7,6 +7,7 @@
 LEASE_SECONDS = 3.0
 VERSION_SECONDS = 8.0
 CONTACT_SECONDS = 3.0
+CRASHES, LATE_SENDS = 3, 3
 
 
 def judge(calls, runs, orders, world):
@@ -28,6 +29,8 @@
         "ONE": one(orders),
         "VERSION": version(runs, asked, world),
         "LOST": lost(calls, by_id, world),
+        "BUDGET": budget(runs, asked, world),
+        "BLAMED": blamed(calls, world),
     }
 
 
@@ -182,6 +185,32 @@
     return faults
 
 
+def budget(runs, asked, world):
+    """After a request has crashed three engines, and nodes in touch have had the time to hear of it, it
+    reaches engines at most three times more."""
+    faults = []
+    ends = collections.defaultdict(list)
+    for crash in world["crashes"]:
+        ends[crash["body"]].append(crash["at"])
+    for body, crashed in ends.items():
+        if len(crashed) < CRASHES:
+            continue
+        limit = sorted(crashed)[CRASHES - 1] + CONTACT_SECONDS
+        late = [run for run in runs if run["body"] == body and run["arrived"] > limit
+                and run["id"] in asked and calm_since(world, limit - CONTACT_SECONDS, run["arrived"])
+                is not None and in_touch(world, asked[run["id"]]["node"], run["arrived"])]
+        if len(late) > LATE_SENDS:
+            faults.append(f"{body!r} reached engines {len(late)} times later than "
+                          f"{CONTACT_SECONDS} s after its third crash; {len(crashed)} in all")
+    return faults
+
+
+def blamed(calls, world):
+    """No request that crashes nothing is refused for the crashes of another one."""
+    return [f"{call['id']} was refused for crashes of another request" for call in calls
+            if b'"kind":"quarantined"' in call["body"] and call["sent_body"] not in world["poison"]]
+
+
 def one(orders):
     """Orders to one engine: no fence of two holders, and holders that take turns a lease apart."""
     faults = []
--- a/test/platform_soak/soak.py
+++ b/test/platform_soak/soak.py
@@ -6,7 +6,7 @@
 bound of new weights holds only while it does. What callers and engines saw is judged by the users'
 rules; at the end, with all faults over, each kind of request must be served again.
 
-usage: soak.py BUILD_FOLDER [--seed N] [--seconds S] [--nodes N] [--series N]
+usage: soak.py BUILD_FOLDER [--seed N] [--seconds S] [--nodes N] [--series N] [--poison N]
 """
 import argparse
 import collections
@@ -38,9 +38,15 @@
     "stream-again": ("/stream/again/", "stream", MODELS, 2),
 }
 SLOW_EVENT_SECONDS = 0.5
+# A caller of a poison request asks again so long after each failure; each series goes on so long.
+POISON_PAUSE_SECONDS = 0.7
+POISON_SECONDS = (4.0, 9.0)
+# Some requests are asked all the time: one body and path for each of a few subjects.
+REPEATED_SHARE, REPEATED_SUBJECTS = 0.2, 3
 CALLERS = 24
 MODEL_ENGINES, PLAIN_ENGINES = 10, 3
 RECOVERY_SECONDS = 40
+LAST_POISON_NODES = 5
 
 
 def free_port(hosts):
@@ -130,17 +136,37 @@
                       for number in range(options.nodes)]
         self.stopping, self.faults_over = threading.Event(), threading.Event()
         self.seed, self.series = options.seed, options.series
+        self.poison_series = options.poison  # Without them all draws are as before there were any.
         self.engines_turn = threading.Lock()  # Held by the fault that replaces an engine.
+        self.poisons = []  # (kind, body)
+        self.returning = []  # threads that bring crashed engines back
+        self.seen.on_crash = self.bring_back
 
-    def new_engine(self, number, service):
+    def new_engine(self, number, service, former_id=None):
         self.lives += 1
         model = MODEL if service == MODELS else None
         engine = standin.Engine(number, self.lives, service, self.store, self.seen, "127.0.0.1",
-                                self.weights if model else 0, model)
+                                self.weights if model else 0, model, former_id)
         if number % 2 == 1:  # Its streams keep a process that stops alive for longer.
             engine.event_seconds = SLOW_EVENT_SECONDS
         return engine
 
+    def bring_back(self, old):
+        """Brings an engine back that a request crashed; every other one has its former id."""
+        thread = threading.Thread(target=self.start_again, args=(old,), daemon=True)
+        self.returning.append(thread)
+        thread.start()
+
+    def start_again(self, old):
+        time.sleep(standin.ENTRY_SECONDS)
+        self.store.remove("servers", old.id)
+        time.sleep(standin.BACK_SECONDS - standin.ENTRY_SECONDS)
+        with self.engines_turn:
+            place = next((number for number, each in enumerate(self.engines) if each is old), None)
+            if place is not None:  # Else another fault has replaced it.
+                former = old.id if old.number % 2 == 0 else None
+                self.engines[place] = self.new_engine(old.number, old.service, former)
+
     def write_config(self):
         routes = [{"name": kind, "host": "h.example", "path-prefix": path, "type": kind_type,
                    "service": service, "attempts": attempts, "timeout-ms": 4000, "target-ms": 500,
@@ -158,11 +184,13 @@
 
     # What callers do.
 
-    def call(self, kind, key, node, kept=None):
-        """Asks a node. `kept`: the caller's connection to it, which stays open if the answer lets it."""
+    def call(self, kind, key, node, kept=None, repeated=None):
+        """Asks a node. `kept`: the caller's connection to it, which stays open if the answer lets it.
+        `repeated`: what the request is about, which gives its path and body; else both are its own."""
         number = self.random_id()
-        body = f"body of {number}".encode()
-        path = KINDS[kind][0] + number
+        subject = repeated or number
+        body = f"body of {subject}".encode()
+        path = KINDS[kind][0] + subject
         call = {"id": number, "kind": kind, "key": key, "path": path, "method": "POST",
                 "sent_body": body, "sent_at": time.monotonic(), "status": None, "body": b"",
                 "complete": False, "stamp": None, "answered_id": None, "events": standin.EVENTS,
@@ -172,9 +200,9 @@
         headers = {"Host": "h.example", "X-Request-Id": number, "X-Deadline-Ms": "4000",
                    "Api-Key": key}
         if KINDS[kind][2] == MODELS:
-            subject = sum(number.encode()) % 5
+            group = sum(number.encode()) % 5
             headers.update({"X-Model": MODEL, "X-Token-Count": "300,6",
-                            "X-Prefix-Hash": f"aa:100,b{subject}:150,{number}:50"})
+                            "X-Prefix-Hash": f"aa:100,b{group}:150,{subject}:50"})
         connection = kept or http.client.HTTPConnection(node.host, node.ports["front"], timeout=6)
         try:
             connection.request("POST", path, body, headers)
@@ -220,10 +248,28 @@
             if number % 2 == 0:
                 connection = kept.setdefault(node.number, http.client.HTTPConnection(
                     node.host, node.ports["front"], timeout=6))
+            repeated = None
+            if self.poison_series and draw.random() < REPEATED_SHARE:
+                repeated = f"subject-{draw.randrange(REPEATED_SUBJECTS)}"
             self.call(draw.choice(list(KINDS)), draw.choice(list(self.rules["tenant_of"])), node,
-                      connection)
+                      connection, repeated)
             time.sleep(0.01)
 
+    def new_poison(self, kind):
+        """Returns a request that crashes each engine that begins to run it."""
+        subject = f"poison-{len(self.poisons)}-{self.random_id()}"
+        with self.seen.lock:
+            self.seen.poison = self.seen.poison | {f"body of {subject}".encode()}
+        self.poisons.append((kind, subject))
+        return self.poisons[-1]
+
+    def keep_asking_poison(self, poison, seconds, draw):
+        """One caller asks again after each failure, at any node."""
+        end = time.monotonic() + seconds
+        while time.monotonic() < end and not self.stopping.is_set():
+            self.call(poison[0], "k-open", draw.choice(self.nodes), repeated=poison[1])
+            time.sleep(POISON_PAUSE_SECONDS)
+
     # Faults: each takes its time and mends what it broke.
 
     def node_killed(self, draw):
@@ -309,6 +355,20 @@
             time.sleep(draw.uniform(0.0, 0.6))
             self.engines[place] = self.new_engine(old.number, old.service)
 
+    def poison_comes(self, draw):
+        """One or two requests that crash engines come at any node; some have come before."""
+        seconds = draw.uniform(*POISON_SECONDS)
+        callers = []
+        for _ in range(draw.randint(1, 2)):
+            known = self.poisons and draw.random() < 0.5
+            poison = draw.choice(self.poisons) if known else self.new_poison(draw.choice(list(KINDS)))
+            own = random.Random(draw.random())
+            callers.append(threading.Thread(target=self.keep_asking_poison,
+                                            args=(poison, seconds, own), daemon=True))
+            callers[-1].start()
+        for caller in callers:
+            caller.join()
+
     def keep_failing_engines(self, seed):
         """One engine or another fails part of the time, each way in turn, beside all other
         faults."""
@@ -378,6 +438,8 @@
         failing.start()
         series = [threading.Thread(target=self.break_things, args=(number, seconds))
                   for number in range(self.series)]
+        series += [threading.Thread(target=self.keep_sending_poison, args=(number, seconds))
+                   for number in range(self.poison_series)]
         try:
             for each in series:
                 each.start()
@@ -386,12 +448,31 @@
         finally:
             self.faults_over.set()
             failing.join()
+        self.poison_comes_last()
+        for each in self.returning:
+            each.join()
         self.wait_until_served()
         self.wait_until_moved()
         self.stopping.set()
         for caller in callers:
             caller.join()
 
+    def keep_sending_poison(self, series, seconds):
+        """A series of its own, beside all others."""
+        draw = random.Random(f"{self.seed} poison {series}")
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            print(f"{time.monotonic() - end + seconds:6.2f} p{series} poison_comes", flush=True)
+            self.poison_comes(draw)
+            time.sleep(draw.uniform(0.0, 3.0))
+
+    def poison_comes_last(self):
+        """With all faults over, what crashed engines before comes once more at every node."""
+        time.sleep(judge.CONTACT_SECONDS)
+        for poison in self.poisons:
+            for node in self.nodes[:LAST_POISON_NODES]:
+                self.call(poison[0], "k-open", node, repeated=poison[1])
+
     def break_things(self, series, seconds):
         """One series of faults; several run beside each other."""
         faults = [self.node_killed, self.nodes_killed, self.node_frozen, self.node_stopped,
@@ -451,6 +532,8 @@
     parser.add_argument("--seconds", type=float, default=20)
     parser.add_argument("--nodes", type=int, default=5)
     parser.add_argument("--series", type=int, default=2, help="series of faults that overlap")
+    parser.add_argument("--poison", type=int, default=1,
+                        help="series of requests that crash engines, beside the others")
     options = parser.parse_args()
     options.binary = str(pathlib.Path(options.build).resolve() / "fernmoor-gateway")
     return options
@@ -466,6 +549,7 @@
         world.close()
     world.rules["struck"] = {node.number: node.struck for node in world.nodes}
     world.rules["killed"] = {node.number: node.killed for node in world.nodes}
+    world.rules["crashes"], world.rules["poison"] = world.seen.crashes, world.seen.poison
     found = judge.judge(world.calls, world.seen.runs, world.seen.orders, world.rules)
     served = sum(call["status"] == 200 for call in world.calls)
     print(f"{len(world.calls)} requests, {served} served, {len(world.seen.runs)} runs, "
--- a/test/process/old_weights_test.py
+++ b/test/process/old_weights_test.py
@@ -39,7 +39,7 @@
     """A world in which callers stream through every gateway all the time."""
 
     def __init__(self, build):
-        options = argparse.Namespace(seed=1, nodes=NODES, series=0,
+        options = argparse.Namespace(seed=1, nodes=NODES, series=0, poison=0,
                                      binary=str(pathlib.Path(build).resolve() / "fernmoor-gateway"))
         self.world = soak.World(options)
         print(f"logs in {self.world.folder}", flush=True)
@@ -76,6 +76,7 @@
         world.close()
         world.rules["struck"] = {node.number: node.struck for node in world.nodes}
         world.rules["killed"] = {node.number: node.killed for node in world.nodes}
+        world.rules["crashes"], world.rules["poison"] = [], set()
         found = judge.judge(world.calls, world.seen.runs, world.seen.orders, world.rules)
         assert not any(found.values()), found
 
--- a/test/process/platform_soak_test.py
+++ b/test/process/platform_soak_test.py
@@ -17,7 +17,8 @@
 WORLD = {"tenant_of": {"k": "open", "w": "wall"}, "isolated": {"wall"}, "revoked": {"k": 100.0},
          "service_of": {"once": "plain", "stream-once": "models"},
          "named": [(2, 100.0)], "unstable": [], "struck": {1: [(105.0, 106.0)]},
-         "killed": {1: [1.5]}}
+         "killed": {1: [1.5]}, "poison": {b"p"},
+         "crashes": [{"body": b"p", "engine": f"e{n}", "at": 100.0 + n} for n in range(5)]}
 
 
 def call(**changes):
@@ -47,6 +48,11 @@
     return call(kind="stream-once", body=body, complete=complete)
 
 
+def late_poison(count, at=106.0, node=0):
+    return [call(id=f"r{n}", sent_body=b"p", node=node) for n in range(count)], \
+           [run(id=f"r{n}", body=b"p", arrived=at) for n in range(count)], []
+
+
 EVENT_1, EVENT_2 = b"id: 1\ndata: a\n\n", b"id: 2\ndata: b\n\n"
 FAULTS = [  # (rule, calls, runs, orders)
     ("TWICE", [call()], [run(), run()], []),
@@ -73,6 +79,8 @@
     ("VERSION", [call()], [run(at=108.1, arrived=107.0)], []),
     ("VERSION", [call(node=1)], [run(at=109.2, arrived=109.1)], []),
     ("LOST", [call(status=None)], [run(fault=None)], []),
+    ("BUDGET", *late_poison(4)),
+    ("BLAMED", [call(status=503, body=b'{"error":{"kind":"quarantined"}}')], [], []),
 ]
 ALLOWED = [  # (calls, runs, intervals in which the store was not stable)
     ([call()], [run(at=107.9, arrived=107.0)], []),             # in time
@@ -94,6 +102,9 @@
     for allowed in (call(status=None, node=1), call(status=None, gave_up=True)):
         assert not judge.judge([allowed], [run()], [], WORLD)["LOST"]
     assert not judge.judge([call(status=None)], [run(fault="lost")], [], WORLD)["LOST"]
+    # Three more sends, sends within the bound, and sends of a node that was struck lately.
+    for allowed in (late_poison(3), late_poison(9, at=104.9), late_poison(9, at=107.0, node=1)):
+        assert not judge.judge(*allowed, WORLD)["BUDGET"]
     for rule, calls, runs, orders in FAULTS:
         found = judge.judge(calls, runs, orders, WORLD)
         assert found[rule], f"{rule} does not find {calls} {runs} {orders}"
@@ -103,7 +114,7 @@
     check_judge()
     for seed in SEEDS:
         subprocess.run([sys.executable, str(SOAK / "soak.py"), sys.argv[1], "--seed", str(seed),
-                        "--seconds", str(SECONDS)], check=True)
+                        "--seconds", str(SECONDS), "--poison", "0"], check=True)
 
 
 if __name__ == "__main__":
