--- a/scripts/check_layers.py
+++ b/scripts/check_layers.py
@@ -8,8 +8,9 @@
          "engine", "routing", "admission", "claim", "relay", "node"]
 # Modules beside the order and what they may include of it.
 BACKENDS = ["common", "http", "backends"]
-BESIDE = {"backends": BACKENDS, "weights": BACKENDS, "gateway": BACKENDS + ["admission"],
-          "peers": BACKENDS + ["wire", "membership", "admission", "gateway"],
+BESIDE = {"backends": BACKENDS, "weights": BACKENDS, "quarantine": ["common"],
+          "gateway": BACKENDS + ["admission", "quarantine"],
+          "peers": BACKENDS + ["wire", "membership", "admission", "gateway", "quarantine"],
           "operator_client": ["common", "http"], "sim": ORDER, "standin": ORDER,
           "bench": ORDER + ["sim", "standin"]}
 INCLUDE = re.compile(r'^\s*#\s*include\s+"([a-z_]+)/')
--- a/src/backends/backend_set.cpp
+++ b/src/backends/backend_set.cpp
@@ -21,6 +21,12 @@
 
 }  // namespace
 
+uint64_t incarnationHash(const BackendListing& listing) {
+  const uint64_t ofId = stableHash(listing.id);
+  return listing.startedAt == 0 ? ofId
+                                : rendezvousWeight(ofId, static_cast<uint64_t>(listing.startedAt));
+}
+
 uint64_t heldVersion(const BackendListing& listing, const std::string& model) {
   for (const HeldWeights& held : listing.weights) {
     if (held.model == model) {
@@ -31,14 +37,20 @@
 }
 
 void BackendSet::merge(Entry& entry, const BackendListing& listing) {
+  if (entry.listing && listing.startedAt != entry.listing->startedAt) {
+    if (listing.startedAt < entry.listing->startedAt) {
+      return;
+    }
+    entry = Entry();
+  }
   auto merged = std::make_shared<BackendListing>(listing);
-  // The list lags behind what answers and moves have told: versions of one life only rise.
+  // The list lags behind what answers and moves have told: versions of one incarnation only rise.
   for (HeldWeights& held : merged->weights) {
     const uint64_t known = entry.listing ? heldVersion(*entry.listing, held.model) : 0;
     held.version = std::max(held.version, known);
   }
   entry.listing = std::move(merged);
-  entry.idHash = stableHash(listing.id);
+  entry.incarnation = incarnationHash(listing);
 }
 
 void BackendSet::replaceAll(const std::vector<BackendListing>& listings, Time now) {
@@ -77,7 +89,7 @@
     view.inFlight = entry.inFlight;
     view.pendingTokens = entry.pendingTokens;
     view.isAvoided = now < entry.avoidedUntil;
-    view.idHash = entry.idHash;
+    view.incarnation = entry.incarnation;
     view.weightsVersion = heldVersion(*entry.listing, model);
     members.push_back(std::move(view));
   }
@@ -194,6 +206,20 @@
   setWeights(id, model, [&](uint64_t listed) { return listed == 0 ? 0 : version; });
 }
 
+void BackendSet::noteStart(const std::string& id, int64_t startedAt) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const auto found = entries_.find(id);
+  if (found == entries_.end() || startedAt <= found->second.listing->startedAt) {
+    return;
+  }
+  BackendListing listing = *found->second.listing;
+  listing.startedAt = startedAt;
+  for (HeldWeights& held : listing.weights) {
+    held.version = 0;  // Of the former incarnation.
+  }
+  merge(found->second, listing);
+}
+
 void BackendSet::avoidUntil(const std::string& id, Time until) {
   const std::lock_guard<std::mutex> lock(mutex_);
   const auto found = entries_.find(id);
--- a/src/backends/backend_set.h
+++ b/src/backends/backend_set.h
@@ -23,9 +23,10 @@
   uint64_t version = 0;
 };
 
-/// What the list of back ends says of one of them. Its id names one life of it.
+/// What the list of back ends says of one of them. Id and start together name one incarnation.
 struct BackendListing {
   std::string id;
+  int64_t startedAt = 0;  ///< Unix time in ms, as the back end tells it; 0: not told.
   std::string pool;
   SocketAddress address;
   std::string zone;
@@ -34,13 +35,16 @@
   std::vector<HeldWeights> weights;
 };
 
+/// @return a hash of the incarnation, equal on all nodes: what is known of a back end ends with it.
+uint64_t incarnationHash(const BackendListing& listing);
+
 /// @return the version of the model's weights that it lists; 0: none.
 uint64_t heldVersion(const BackendListing& listing, const std::string& model);
 
 /// One back end as a choice sees it.
 struct BackendView {
   std::shared_ptr<const BackendListing> listing;  ///< Never null.
-  uint64_t idHash = 0;                            ///< stableHash() of its id.
+  uint64_t incarnation = 0;                       ///< incarnationHash().
   int inFlight = 0;                               ///< Requests of this node that run there.
   uint64_t pendingTokens = 0;   ///< Prompt tokens of this node's requests without a first event.
   bool isAvoided = false;       ///< Failed lately, or is taking new weights.
@@ -53,7 +57,8 @@
 /// Thread-safe.
 class BackendSet {
  public:
-  /// Replaces the whole list.
+  /// Replaces the whole list. Of a back end that started again under its id, here and in update(),
+  /// nothing is kept that was known before; an entry older than the known start is not taken.
   void replaceAll(const std::vector<BackendListing>& listings, Time now);
   void update(const BackendListing& listing, Time now);
   void remove(const std::string& id);
@@ -78,13 +83,15 @@
   void noteWeights(const std::string& id, const std::string& model, uint64_t version);
   /// Sets what the back end itself stated while it turned a request away; may be lower.
   void correctWeights(const std::string& id, const std::string& model, uint64_t version);
+  /// Notes when the back end started, as it told itself: its entry in the list may lag.
+  void noteStart(const std::string& id, int64_t startedAt);
   /// Leaves the back end alone until then, e.g. while it takes new weights.
   void avoidUntil(const std::string& id, Time until);
 
  private:
   struct Entry {
     std::shared_ptr<const BackendListing> listing;  ///< Replaced, never changed.
-    uint64_t idHash = 0;
+    uint64_t incarnation = 0;
     int inFlight = 0;
     uint64_t pendingTokens = 0;
     double failures = 0;  ///< Recent failures, decaying.
--- a/src/common/error.cpp
+++ b/src/common/error.cpp
@@ -34,6 +34,8 @@
       return "wrong_weights";
     case ErrorKind::kOutcomeUnknown:
       return "outcome_unknown";
+    case ErrorKind::kQuarantined:
+      return "quarantined";
     case ErrorKind::kInternal:
       return "internal";
   }
--- a/src/common/error.h
+++ b/src/common/error.h
@@ -30,6 +30,7 @@
   kWrongIncarnation,  ///< The engine restarted since the request was placed.
   kWrongWeights,      ///< The engine serves other weights than the request was placed for.
   kOutcomeUnknown,    ///< A not-repeatable request may or may not have run.
+  kQuarantined,       ///< The request crashed several engines and is not sent on.
   kInternal,          ///< A fault of this program.
 };
 
--- a/src/common/metrics.cpp
+++ b/src/common/metrics.cpp
@@ -82,6 +82,9 @@
       shortLimits_(&gauge(registry_, "fernmoor_short_limits",
                           "Limits that give this node less than it wants.")
                         .Add({})),
+      quarantined_(&gauge(registry_, "fernmoor_quarantined_requests",
+                          "Requests that are not sent on, as they crashed several engines.")
+                        .Add({})),
       enginesBehind_(&gauge(registry_, "fernmoor_engines_behind",
                             "Engines that hold older weights than are wanted.")
                           .Add({})),
--- a/src/common/metrics.h
+++ b/src/common/metrics.h
@@ -114,6 +114,8 @@
   void setOpenStreams(int64_t count) { openStreams_->Set(static_cast<double>(count)); }
   /// Limits of rows or tenants that give this node less than it wants.
   void setShortLimits(size_t count) { shortLimits_->Set(static_cast<double>(count)); }
+  /// Requests that are not sent on, as they crashed several engines.
+  void setQuarantined(size_t count) { quarantined_->Set(static_cast<double>(count)); }
   /// A back end began a request on weights whose bound had passed when its answer came.
   void countOldWeights() { oldWeights_->Increment(); }
   /// Engines that hold older weights than are wanted.
@@ -143,6 +145,7 @@
   prometheus::Gauge* tableAge_;
   prometheus::Gauge* openStreams_;
   prometheus::Gauge* shortLimits_;
+  prometheus::Gauge* quarantined_;
   prometheus::Gauge* enginesBehind_;
   prometheus::Counter* oldWeights_;
   prometheus::Gauge* platformAvailable_;
--- a/src/common/time.h
+++ b/src/common/time.h
@@ -3,6 +3,8 @@
 /// code runs under the real clock, the simulator's clock and a test's clock.
 #pragma once
 
+#include <time.h>
+
 #include <chrono>
 #include <cstdint>
 
@@ -11,7 +13,7 @@
 /// Length of time, in microseconds.
 using Duration = std::chrono::microseconds;
 
-/// Tag of the process-local monotonic clock; it has no relation to the wall clock.
+/// Tag of the machine's monotonic clock; it has no relation to the wall clock.
 struct MonotonicTag {
   using duration = Duration;
   using rep = Duration::rep;
@@ -50,8 +52,13 @@
 /// The machine's clocks.
 class SystemClock : public Clock {
  public:
+  /// Counts the time for which the machine was suspended, which the steady clock leaves out: a
+  /// proof, a lease or a bound ages meanwhile as it does everywhere else.
   Time now() const override {
-    return Time(duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch()));
+    timespec instant{};
+    clock_gettime(CLOCK_BOOTTIME, &instant);
+    return Time(duration_cast<Duration>(std::chrono::seconds(instant.tv_sec) +
+                                        std::chrono::nanoseconds(instant.tv_nsec)));
   }
   int64_t wallMicroseconds() const override {
     return duration_cast<Duration>(std::chrono::system_clock::now().time_since_epoch()).count();
--- a/src/gateway/backend_choice.cpp
+++ b/src/gateway/backend_choice.cpp
@@ -92,7 +92,7 @@
   for (const BackendView* each : usable) {
     (each->inFlight < bound ? within : beyond).push_back(each);
   }
-  const auto hashOf = [](const BackendView* each) { return each->idHash; };
+  const auto hashOf = [](const BackendView* each) { return each->incarnation; };
   Candidates homes = rendezvousTop(key, std::move(within), kMostHomes, hashOf);
   const Candidates others =
       rendezvousTop(key, std::move(beyond), kMostHomes - homes.size(), hashOf);
@@ -144,7 +144,7 @@
     }
     const uint64_t bound = best ? std::min(shortWait, best->cost - toBring) : shortWait;
     const std::optional<LoadAnswer> answer =
-        loads.reserve(home.idHash, demand, context.room, bound);
+        loads.reserve(home.incarnation, demand, context.room, bound);
     if (answer && answer->isStalled) {
       continue;
     }
@@ -173,7 +173,7 @@
   // It is counted there all the same: else nobody would know how much waits beyond the bound.
   const std::optional<LoadAnswer> counted =
       best->choice.expected
-          ? loads.reserve(best->choice.backend.idHash, demand, context.room, kNoBound)
+          ? loads.reserve(best->choice.backend.incarnation, demand, context.room, kNoBound)
           : std::nullopt;
   if (counted && counted->isGranted) {
     best->choice.ticket = counted->ticket;
--- a/src/gateway/connection_pool.cpp
+++ b/src/gateway/connection_pool.cpp
@@ -16,8 +16,8 @@
 
 }  // namespace
 
-std::unique_ptr<ByteConnection> ConnectionPool::borrow(const std::string& owner,
-                                                       const SocketAddress& address, Time now) {
+std::unique_ptr<ByteConnection> ConnectionPool::borrow(uint64_t owner, const SocketAddress& address,
+                                                       Time now) {
   while (true) {
     Idle idle;
     {
@@ -42,7 +42,7 @@
   return connectTo(address, options_);
 }
 
-void ConnectionPool::giveBack(const std::string& owner, std::unique_ptr<ByteConnection> connection,
+void ConnectionPool::giveBack(uint64_t owner, std::unique_ptr<ByteConnection> connection,
                               Duration keepFor, Time now) {
   if (keepFor <= kClosingMargin || connection->hasBufferedBytes() || connection->socketReadable()) {
     return;
@@ -57,8 +57,7 @@
   }
 }
 
-bool ConnectionPool::stillAnswers(const std::string& owner, const SocketAddress& address,
-                                  Time now) {
+bool ConnectionPool::stillAnswers(uint64_t owner, const SocketAddress& address, Time now) {
   ConnectOptions options = options_;
   options.connectTimeout = kEndedCheck;
   std::unique_ptr<ByteConnection> connection = connectTo(address, options);
--- a/src/gateway/connection_pool.h
+++ b/src/gateway/connection_pool.h
@@ -7,7 +7,6 @@
 #include <map>
 #include <memory>
 #include <mutex>
-#include <string>
 
 #include "common/time.h"
 #include "http/byte_connection.h"
@@ -19,17 +18,16 @@
  public:
   explicit ConnectionPool(ConnectOptions options) : options_(options) {}
 
-  /// @param owner life of the back end; connections are never shared between two lives.
+  /// @param owner incarnation of the back end; connections are never shared between two.
   /// @return no connection where none could be opened; nothing was sent then.
-  std::unique_ptr<ByteConnection> borrow(const std::string& owner, const SocketAddress& address,
-                                         Time now);
+  std::unique_ptr<ByteConnection> borrow(uint64_t owner, const SocketAddress& address, Time now);
   /// @param keepFor how long the back end keeps an idle connection.
-  void giveBack(const std::string& owner, std::unique_ptr<ByteConnection> connection,
-                Duration keepFor, Time now);
+  void giveBack(uint64_t owner, std::unique_ptr<ByteConnection> connection, Duration keepFor,
+                Time now);
   /// Opens a connection to a back end that broke one off, and keeps it for the next request.
   /// @return false where none could be opened within two trips between regions: the process behind
   ///         the address has ended, or its machine.
-  bool stillAnswers(const std::string& owner, const SocketAddress& address, Time now);
+  bool stillAnswers(uint64_t owner, const SocketAddress& address, Time now);
 
  private:
   struct Idle {
@@ -39,7 +37,7 @@
 
   ConnectOptions options_;
   std::mutex mutex_;
-  std::map<std::string, std::deque<Idle>> idle_;
+  std::map<uint64_t, std::deque<Idle>> idle_;  ///< By owner.
 };
 
 }  // namespace fernmoor::gateway
--- a/src/gateway/engine_attempt.cpp
+++ b/src/gateway/engine_attempt.cpp
@@ -93,7 +93,7 @@
 }
 
 AttemptStep EngineAttempt::send(CallerChannel& caller, Time deadline) {
-  connection_ = pool_.borrow(plan_.backend.id, plan_.backend.address, clock_.now());
+  connection_ = pool_.borrow(incarnationHash(plan_.backend), plan_.backend.address, clock_.now());
   if (connection_ == nullptr) {
     return AttemptStep::kNotSent;
   }
@@ -154,7 +154,8 @@
     return AttemptStep::kDone;
   }
   const Duration left = std::max(Duration(0), deadline - clock_.now());
-  const WaitOutcome waited = connection_->waitReadable(left, &caller.connection());
+  const WaitOutcome waited =
+      connection_->waitReadable(std::min(left, kLongestWaitPiece), &caller.connection());
   if (waited == WaitOutcome::kOtherClosed) {
     return AttemptStep::kCallerGone;
   }
@@ -172,7 +173,8 @@
   const bool fit = connection_ != nullptr && sentWhole_ && bodyComplete() &&
                    shape_.framing != BodyFraming::kUntilClose;
   if (fit) {
-    pool_.giveBack(plan_.backend.id, std::move(connection_), statedKeepAlive(head_), clock_.now());
+    pool_.giveBack(incarnationHash(plan_.backend), std::move(connection_), statedKeepAlive(head_),
+                   clock_.now());
   }
 }
 
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -18,6 +18,7 @@
 #include "gateway/incoming_request.h"
 #include "gateway/outcome_log.h"
 #include "gateway/part_memory.h"
+#include "gateway/request_quarantine.h"
 #include "gateway/second_send_budget.h"
 #include "gateway/send_planner.h"
 #include "gateway/table_in_force.h"
@@ -37,6 +38,7 @@
   PartHints& parts;
   EngineLoads& loads;
   TenantLimits& limits;
+  RequestQuarantine& quarantine;
   Metrics& metrics;
 };
 
--- a/src/gateway/outcome_log.cpp
+++ b/src/gateway/outcome_log.cpp
@@ -27,6 +27,8 @@
       return "request: refused, the key could not be proven valid";
     case RequestOutcome::kOverLimit:
       return "request: refused, its tenant is over its limit";
+    case RequestOutcome::kQuarantined:
+      return "request: refused, it crashed several engines before";
     case RequestOutcome::kOldWeights:
       return "request: began on weights past their bound";
   }
@@ -36,7 +38,8 @@
 OutcomeLog::OutcomeLog()
     : budgets_{LogBudget(kLinesOfAKind), LogBudget(kLinesOfAKind), LogBudget(kLinesOfAKind),
                LogBudget(kLinesOfAKind), LogBudget(kLinesOfAKind), LogBudget(kLinesOfAKind),
-               LogBudget(kLinesOfAKind), LogBudget(kLinesOfAKind), LogBudget(kLinesOfAKind)} {}
+               LogBudget(kLinesOfAKind), LogBudget(kLinesOfAKind), LogBudget(kLinesOfAKind),
+               LogBudget(kLinesOfAKind)} {}
 
 std::optional<uint64_t> OutcomeLog::take(RequestOutcome outcome, bool wentWell, Time now) {
   if (wentWell) {
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -36,6 +36,7 @@
       caller_(caller),
       metrics_(services_.metrics.of(ServiceId(request.pool),
                                     TenantId(request.tenant ? request.tenant->name : ""))),
+      fingerprint_(fingerprintOf(request)),
       lastEventId_(request.resumeAfter) {}
 
 bool RequestRun::mayRunElsewhere() const {
@@ -101,6 +102,9 @@
   uncountPrompt();
   releaseTicket();
   services_.backends.ended(plan_.backend.id, verdict, now);
+  if (end == AttemptEnd::kServed || end == AttemptEnd::kFailed) {
+    services_.quarantine.noteServed(fingerprint_);  // Its back end outlived it.
+  }
   trail_.end(end, now - request_.arrivedAt);
   atBackend_ = false;
 }
@@ -156,7 +160,7 @@
   fields.elapsed = now - request_.arrivedAt;
   fields.sends = sends_;
   fields.attempts = trail_.text();
-  fields.fingerprint = fingerprintOf(request_);
+  fields.fingerprint = fingerprint_;
   fields.leftOut = *leftOut;
   fields.tableAge = now - services_.table.view().provenAt;
   if (firstEventAt_) {
@@ -171,9 +175,26 @@
 /// told from a broken connection: seconds later another process may listen there.
 AttemptEnd RequestRun::howItBroke() {
   const BackendListing& backend = plan_.backend;
-  const bool answers =
-      services_.connections.stillAnswers(backend.id, backend.address, services_.clock.now());
-  return answers ? AttemptEnd::kBroken : AttemptEnd::kCrashed;
+  const uint64_t incarnation = incarnationHash(backend);
+  const Time brokeAt = services_.clock.now();
+  if (services_.connections.stillAnswers(incarnation, backend.address, brokeAt)) {
+    return AttemptEnd::kBroken;
+  }
+  // A back end that was about to leave ends with what still runs there.
+  if (services_.backends.isUsable(backend.id)) {
+    services_.quarantine.noteCrash(fingerprint_,
+                                   quarantine::CrashedRun{incarnation, sentAt_, brokeAt});
+  }
+  return AttemptEnd::kCrashed;
+}
+
+bool RequestRun::isQuarantined() {
+  const std::optional<Duration> left = services_.quarantine.timeLeft(fingerprint_);
+  if (left && !mayHaveRun_) {
+    refuse(quarantinedError(*left));
+    logEnd(RequestOutcome::kQuarantined);
+  }
+  return left.has_value();
 }
 
 RequestRun::Next RequestRun::afterStep(AttemptStep step) {
@@ -465,7 +486,7 @@
 
 void RequestRun::run() {
   metrics_.countRequest();
-  if (!passesLimit()) {
+  if (isQuarantined() || !passesLimit()) {
     return;
   }
   Next next = Next::kElsewhere;
@@ -478,6 +499,13 @@
       next = Next::kGiveUp;
       break;
     }
+    if (sends_ > 0 && isQuarantined()) {
+      if (!mayHaveRun_) {
+        return;
+      }
+      next = Next::kGiveUp;
+      break;
+    }
     next = tryOnce();
   }
   noteEnd(BackendVerdict::kNeutral, AttemptEnd::kBroken);
--- a/src/gateway/request_run.h
+++ b/src/gateway/request_run.h
@@ -53,7 +53,11 @@
   AttemptStep awaitHead(EngineAttempt& attempt);
   AttemptStep readStream(EngineAttempt& attempt, std::string& bytes);
   void noteEnd(BackendVerdict verdict, AttemptEnd end);
+  /// @return whether the answer broke off with its connection or with its back end, which is held
+  ///         against the request.
   AttemptEnd howItBroke();
+  /// @return whether the request must not be sent; its caller was told then, if it has not run.
+  bool isQuarantined();
   /// @return whether its prompt was counted at its back end until now.
   bool uncountPrompt();
   void notePromptRead();
@@ -77,6 +81,7 @@
   CallerChannel& caller_;
   ClassMetrics& metrics_;
   std::set<std::string> tried_;
+  const uint64_t fingerprint_;
   SendPlan plan_;
   int runs_ = 0;           ///< Back ends that may have run the request.
   int sends_ = 0;          ///< Back ends that it was sent to.
--- a/src/gateway/send_decisions.cpp
+++ b/src/gateway/send_decisions.cpp
@@ -46,6 +46,13 @@
                std::max(kRetryAfterBusy, request.expectedFirstEvent.value_or(Duration(0)) / 2)};
 }
 
+Error quarantinedError(Duration left) {
+  return Error{ErrorKind::kQuarantined,
+               "this request crashed several engines and is not sent on; change it, or come back "
+               "when an operator has lifted its quarantine.",
+               RunState::kNotRun, left};
+}
+
 Error unprovenKeyError(bool mayHaveRun) {
   return Error{
       mayHaveRun ? ErrorKind::kOutcomeUnknown : ErrorKind::kUnavailable,
--- a/src/gateway/send_decisions.h
+++ b/src/gateway/send_decisions.h
@@ -34,6 +34,10 @@
 ///         to come back.
 Error givenUpError(const GivenUp& request);
 
+/// @param left for which the request is not sent on.
+/// @return what the caller of a request that crashes engines is told.
+Error quarantinedError(Duration left);
+
 /// @return what a caller is told whose key this node can't prove to be valid still.
 Error unprovenKeyError(bool mayHaveRun);
 
--- a/src/gateway/send_planner.cpp
+++ b/src/gateway/send_planner.cpp
@@ -37,11 +37,11 @@
   return shared;
 }
 
-/// @return the address of the engine with that hash of its id, if it holds those weights.
+/// @return the address of the engine of that incarnation, if it holds those weights.
 std::optional<SocketAddress> sourceEngine(const std::vector<BackendView>& members, uint64_t engine,
                                           uint64_t version) {
   for (const BackendView& member : members) {
-    if (member.weightsVersion == version && !member.isAvoided && member.idHash == engine) {
+    if (member.weightsVersion == version && !member.isAvoided && member.incarnation == engine) {
       return member.listing->address;
     }
   }
@@ -103,7 +103,7 @@
   PartHolders holders;
   holders.store = shared.store;
   const uint64_t engine = hints.back().engine;
-  if (engine != 0 && engine != stableHash(plan.backend.id)) {
+  if (engine != 0 && engine != incarnationHash(plan.backend)) {
     holders.engine = sourceEngine(members, engine, plan.weightsVersion);
   }
   plan.transfer = planTransfer(hints, holders, experience_.isStoreSlow(now), now);
@@ -147,7 +147,7 @@
   experience_.note(plan.transfer.source, request.promptTokens, took, services_.clock.now());
   const std::vector<PartKey> keys = sharedPartsOf(request, plan.cacheScope).keys;
   if (!plan.cacheScope.empty() && !keys.empty()) {
-    services_.parts.note(keys, stableHash(plan.backend.id), plan.transfer.saveTo.has_value());
+    services_.parts.note(keys, incarnationHash(plan.backend), plan.transfer.saveTo.has_value());
   }
 }
 
--- a/src/http/byte_connection.h
+++ b/src/http/byte_connection.h
@@ -59,6 +59,11 @@
   bool closedByPeer();
 };
 
+/// Waits of the system stand while a machine is suspended, its deadlines don't. A wait for a back
+/// end is cut into pieces of this length, so that the clock is looked at again: a request ends at
+/// most so much after its deadline, and most waits are shorter and cost nothing more.
+inline constexpr Duration kLongestWaitPiece{1000000};
+
 /// Options of a connection to a peer that may fall silent without a word.
 struct ConnectOptions {
   Duration connectTimeout{1000000};
--- a/src/http/header_block.cpp
+++ b/src/http/header_block.cpp
@@ -50,7 +50,10 @@
     if (now >= deadline) {
       return started ? HeaderOutcome::kTimeout : HeaderOutcome::kNothing;
     }
-    const WaitOutcome waited = connection.waitReadable(deadline - now, other);
+    // Without another connection it waits for a caller, who need not be told anything in time.
+    const Duration left = deadline - now;
+    const Duration piece = other == nullptr ? left : std::min(left, kLongestWaitPiece);
+    const WaitOutcome waited = connection.waitReadable(piece, other);
     if (waited == WaitOutcome::kOtherClosed) {
       return HeaderOutcome::kOtherClosed;
     }
--- a/src/peers/peer_plane.cpp
+++ b/src/peers/peer_plane.cpp
@@ -30,13 +30,14 @@
 }
 
 PeerPlane::PeerPlane(PeerOptions options, const Clock& clock, StateMirror& mirror,
-                     WantedWeights& wanted)
+                     WantedWeights& wanted, quarantine::QuarantineTable& quarantined)
     : options_(std::move(options)),
       clock_(clock),
       mirrorRole_(nodeIdOf(options_.listen), mirror, wanted, clock.now()),
       parts_(nodeIdOf(options_.listen), clock, *this),
       loads_(nodeIdOf(options_.listen), clock, *this),
       limits_(nodeIdOf(options_.listen), clock, *this, options_.knobs),
+      quarantine_(nodeIdOf(options_.listen), clock, *this, quarantined),
       life_(makeLife(static_cast<uint64_t>(clock.wallMicroseconds()))) {}
 
 PeerPlane::~PeerPlane() {
@@ -85,6 +86,8 @@
     loads_.onMessage(from, envelope, now, *current->transport);
   } else if (envelope.has_limit()) {
     limits_.onMessage(from, envelope, now, *current->transport);
+  } else if (envelope.has_quarantine()) {
+    quarantine_.onMessage(from, envelope, now, *current->transport);
   }
 }
 
@@ -150,6 +153,8 @@
   loads_.setMembers(snapshot);
   limits_.setMembers(snapshot);
   limits_.onTick(now, *current->transport);
+  quarantine_.setMembers(snapshot);
+  quarantine_.onTick(now, *current->transport);
   mirrorRole_.onTick(now, *current->transport);
   const std::optional<Incarnation> greater = current->membership->supersededBy();
   if (!greater) {
--- a/src/peers/peer_plane.h
+++ b/src/peers/peer_plane.h
@@ -1,6 +1,6 @@
 /// @file
 /// The threads and sockets between this node and the others: membership, the relay of the mirrored
-/// state, hints of cached parts, the load of engines, and limits.
+/// state, hints of cached parts, the load of engines, limits, and requests that crash engines.
 #pragma once
 
 #include <atomic>
@@ -18,6 +18,7 @@
 #include "peers/load_directory.h"
 #include "peers/mirror_role.h"
 #include "peers/part_directory.h"
+#include "peers/quarantine_directory.h"
 #include "wire/peer_transport.h"
 
 namespace fernmoor::peers {
@@ -39,7 +40,8 @@
 class PeerPlane : public MessageSender {
  public:
   /// Binds the address. Throws Poco::Net::NetException where it is in use.
-  PeerPlane(PeerOptions options, const Clock& clock, StateMirror& mirror, WantedWeights& wanted);
+  PeerPlane(PeerOptions options, const Clock& clock, StateMirror& mirror, WantedWeights& wanted,
+            quarantine::QuarantineTable& quarantined);
   ~PeerPlane() override;
 
   void start();
@@ -51,6 +53,7 @@
   PartDirectory& parts() { return parts_; }
   LoadDirectory& loads() { return loads_; }
   LimitDirectory& limits() { return limits_; }
+  QuarantineDirectory& quarantine() { return quarantine_; }
   /// @return members that are not held dead, this node included.
   size_t memberCount() const;
   MemberCounts memberCounts() const;
@@ -79,6 +82,7 @@
   PartDirectory parts_;
   LoadDirectory loads_;
   LimitDirectory limits_;
+  QuarantineDirectory quarantine_;
   mutable std::mutex mutex_;
   std::shared_ptr<Life> life_;
   std::atomic<bool> stopping_{false};
--- /dev/null
+++ b/src/peers/quarantine_directory.h
@@ -0,0 +1,99 @@
+/// @file
+/// Requests that crash engines, found by all nodes together. A run that ended with its engine is
+/// told to the two nodes that count for that request (rendezvous hashing over the living nodes),
+/// and counted by the node that saw it too. Whoever finds a request suspected proposes to
+/// quarantine it; nodes that know it served since its first crash object, and two requests that
+/// were at the same ends wait for a further one that tells them apart. A proposal without objection
+/// becomes a verdict, which all nodes are told; the ends of engines that it explains count against
+/// nobody else.
+///
+/// Verdicts reach nodes that are cut off now, or not yet started, through the operators' store and
+/// the mirror of it (quarantine/quarantine_table.h).
+#pragma once
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <vector>
+
+#include "common/role.h"
+#include "envelope.pb.h"
+#include "gateway/request_quarantine.h"
+#include "membership/membership_snapshot.h"
+#include "peers/node_hash.h"
+#include "quarantine/crash_evidence.h"
+#include "quarantine/quarantine_table.h"
+#include "quarantine/served_memory.h"
+
+namespace fernmoor::peers {
+
+/// Thread-safe.
+class QuarantineDirectory : public Role, public gateway::RequestQuarantine {
+ public:
+  /// @param table, sender outlive the directory; the sender is used on the threads that call
+  ///        noteCrash().
+  QuarantineDirectory(NodeId self, const Clock& clock, MessageSender& sender,
+                      quarantine::QuarantineTable& table);
+
+  void setMembers(std::shared_ptr<const MembershipSnapshot> members);
+
+  std::optional<Duration> timeLeft(uint64_t fingerprint) override;
+  void noteCrash(uint64_t fingerprint, const quarantine::CrashedRun& run) override;
+  void noteServed(uint64_t fingerprint) override;
+
+  /// @return whether this node is the first of the two that count for the request.
+  bool isFirstToCount(uint64_t fingerprint) const;
+  /// @return verdicts that this node has to put into the store now.
+  std::vector<quarantine::Quarantined> toStore(Time now) const;
+
+  void onMessage(NodeLife from, const proto::Envelope& envelope, Time now,
+                 MessageSender& sender) override;
+  void onTick(Time now, MessageSender& sender) override;
+
+ private:
+  /// Messages to be sent when the lock is given up.
+  using Outbox = std::vector<std::pair<NodeId, proto::Envelope>>;
+  struct Proposal {
+    quarantine::Suspicion suspicion;
+    Time decideAt;
+  };
+  /// A proposal of any node, which may be a rival to one of this node's.
+  struct HeardProposal {
+    quarantine::Suspicion suspicion;
+    Time at;
+  };
+  /// A verdict that is told again, as messages may be lost.
+  struct Telling {
+    quarantine::Suspicion suspicion;
+    Time since;
+    int left = 0;
+    Time nextAt;
+  };
+
+  // All of these: call with the lock held.
+  void count(uint64_t fingerprint, const quarantine::CrashedRun& run, Time now, Outbox& outbox);
+  void propose(quarantine::Suspicion suspicion, Time now, Outbox& outbox);
+  /// Withdraws proposals of this node that the ends told here do not tell apart from the other.
+  void withdrawRivals(const quarantine::Suspicion& other);
+  void accept(const quarantine::Suspicion& suspicion, Time since, Time now);
+  void tellVerdict(const quarantine::Suspicion& suspicion, Time since, Time now, Outbox& outbox);
+  void tellAll(const proto::Envelope& envelope, Outbox& outbox) const;
+  void forgetHeard(Time now);
+
+  void onProposal(NodeId from, const proto::QuarantineProposal& proposal, Time now, Outbox& outbox);
+  void onVerdict(const proto::QuarantineVerdict& verdict, Time now);
+
+  const NodeId self_;
+  const Clock& clock_;
+  MessageSender& sender_;
+  quarantine::QuarantineTable& table_;
+  mutable std::mutex mutex_;
+  std::shared_ptr<const MembershipSnapshot> members_;
+  quarantine::CrashEvidence evidence_;
+  quarantine::ServedMemory served_;
+  std::map<uint64_t, Proposal> proposals_;  ///< Of this node.
+  std::vector<HeardProposal> heard_;
+  std::vector<Telling> tellings_;
+};
+
+}  // namespace fernmoor::peers
--- a/src/peers/state_mirror.h
+++ b/src/peers/state_mirror.h
@@ -18,8 +18,8 @@
 namespace fernmoor::peers {
 
 /// Kinds of objects, in the order of their numbers in messages.
-enum class MirrorKind { kRows, kBackends, kWeights, kMoves };
-inline constexpr size_t kMirrorKinds = 4;
+enum class MirrorKind { kRows, kBackends, kWeights, kMoves, kQuarantine };
+inline constexpr size_t kMirrorKinds = 5;
 
 /// One object at one revision; its text is what the store's adapter understands.
 struct MirrorEntry {
--- /dev/null
+++ b/src/quarantine/crash_evidence.cpp
@@ -0,0 +1,140 @@
+#include "quarantine/crash_evidence.h"
+
+#include <algorithm>
+
+namespace fernmoor::quarantine {
+
+namespace {
+
+/// Ends of engines under one request that make it suspected. Users allow three before a request
+/// may not be sent on; two would suspect the victims of others too often (test/quarantine).
+constexpr size_t kEndsNeeded = 3;
+/// Where two requests were at the same ends, further ones must tell them apart; two that always
+/// come together are both suspected after so many.
+constexpr size_t kMostEndsNeeded = 5;
+/// A request that comes back later than this after a crash begins anew.
+constexpr Duration kEvidenceTime{std::chrono::minutes(10)};
+/// Each holds about 150 bytes: 0.3 MB. One end of an engine brings as many as ran there, 48 or
+/// fewer on the deployments known.
+constexpr size_t kMostSuspects = 2048;
+constexpr size_t kMostExplained = 512;
+/// Engines take longer than this to start, and reports of one end come within less.
+constexpr Duration kOneEnd{1200000};
+
+/// @return whether some run began after another one had ended: engines that end at the same moment,
+///         as with a rack, are one event.
+bool cameAgain(const std::vector<CrashedRun>& runs) {
+  const auto firstEnd = std::min_element(
+      runs.begin(), runs.end(),
+      [](const CrashedRun& a, const CrashedRun& b) { return a.endedAt < b.endedAt; });
+  return std::any_of(runs.begin(), runs.end(),
+                     [&](const CrashedRun& run) { return run.beganAt > firstEnd->endedAt; });
+}
+
+}  // namespace
+
+bool isSameEnd(const CrashedRun& a, const CrashedRun& b) {
+  const Duration apart = a.endedAt < b.endedAt ? b.endedAt - a.endedAt : a.endedAt - b.endedAt;
+  return a.engineLife == b.engineLife && apart < kOneEnd;
+}
+
+Time Suspicion::since() const {
+  return std::min_element(
+             runs.begin(), runs.end(),
+             [](const CrashedRun& a, const CrashedRun& b) { return a.beganAt < b.beganAt; })
+      ->beganAt;
+}
+
+bool Suspicion::sharesEndWith(const Suspicion& other) const {
+  return std::any_of(runs.begin(), runs.end(), [&](const CrashedRun& run) {
+    return std::any_of(other.runs.begin(), other.runs.end(),
+                       [&](const CrashedRun& each) { return isSameEnd(run, each); });
+  });
+}
+
+bool CrashEvidence::isExplained(uint64_t fingerprint, const CrashedRun& run) const {
+  return std::any_of(explained_.begin(), explained_.end(), [&](const Explained& each) {
+    return each.by != fingerprint && isSameEnd(each.run, run);
+  });
+}
+
+void CrashEvidence::makeRoom(Time now) {
+  for (auto suspect = suspects_.begin(); suspect != suspects_.end();) {
+    suspect = now - suspect->second.lastAt > kEvidenceTime ? suspects_.erase(suspect)
+                                                           : std::next(suspect);
+  }
+  if (suspects_.size() < kMostSuspects) {
+    return;
+  }
+  suspects_.erase(
+      std::min_element(suspects_.begin(), suspects_.end(), [](const auto& a, const auto& b) {
+        return a.second.runs.size() != b.second.runs.size()
+                   ? a.second.runs.size() < b.second.runs.size()
+                   : a.second.lastAt < b.second.lastAt;
+      }));
+}
+
+std::optional<Suspicion> CrashEvidence::note(uint64_t fingerprint, const CrashedRun& run,
+                                             Time now) {
+  if (isExplained(fingerprint, run)) {
+    return std::nullopt;
+  }
+  if (suspects_.count(fingerprint) == 0 && suspects_.size() >= kMostSuspects) {
+    makeRoom(now);
+  }
+  const Suspect fresh{{}, kEndsNeeded, now};
+  Suspect& suspect = suspects_.try_emplace(fingerprint, fresh).first->second;
+  if (now - suspect.lastAt > kEvidenceTime) {
+    suspect = fresh;
+  }
+  suspect.lastAt = now;
+  const bool isKnown = std::any_of(suspect.runs.begin(), suspect.runs.end(),
+                                   [&](const CrashedRun& each) { return isSameEnd(each, run); });
+  if (!isKnown) {
+    suspect.runs.push_back(run);
+  }
+  if (suspect.runs.size() < suspect.needed || !cameAgain(suspect.runs)) {
+    return std::nullopt;
+  }
+  return Suspicion{fingerprint, suspect.runs};
+}
+
+std::vector<CrashedRun> CrashEvidence::runsOf(uint64_t fingerprint) const {
+  const auto found = suspects_.find(fingerprint);
+  return found == suspects_.end() ? std::vector<CrashedRun>() : found->second.runs;
+}
+
+void CrashEvidence::clear(uint64_t fingerprint) {
+  suspects_.erase(fingerprint);
+}
+
+void CrashEvidence::explain(uint64_t by, const std::vector<CrashedRun>& runs) {
+  for (const CrashedRun& run : runs) {
+    explained_.push_back(Explained{by, run});
+  }
+  while (explained_.size() > kMostExplained) {
+    explained_.pop_front();
+  }
+  const auto isOneOfThem = [&](const CrashedRun& run) {
+    return std::any_of(runs.begin(), runs.end(),
+                       [&](const CrashedRun& each) { return isSameEnd(each, run); });
+  };
+  for (auto suspect = suspects_.begin(); suspect != suspects_.end();) {
+    std::vector<CrashedRun>& held = suspect->second.runs;
+    if (suspect->first != by) {
+      held.erase(std::remove_if(held.begin(), held.end(), isOneOfThem), held.end());
+    }
+    suspect = held.empty() ? suspects_.erase(suspect) : std::next(suspect);
+  }
+}
+
+bool CrashEvidence::demandOneMore(uint64_t fingerprint) {
+  const auto found = suspects_.find(fingerprint);
+  if (found == suspects_.end() || found->second.runs.size() >= kMostEndsNeeded) {
+    return false;
+  }
+  found->second.needed = found->second.runs.size() + 1;
+  return true;
+}
+
+}  // namespace fernmoor::quarantine
--- /dev/null
+++ b/src/quarantine/quarantine_table.cpp
@@ -0,0 +1,92 @@
+#include "quarantine/quarantine_table.h"
+
+#include <algorithm>
+
+namespace fernmoor::quarantine {
+
+namespace {
+
+/// How long a request is not sent. Shorter: it crashes three engines more each time. Longer: one
+/// that was blamed falsely, or whose fault was mended, is refused for longer; an operator can lift
+/// it.
+constexpr Duration kQuarantineTime{std::chrono::minutes(30)};
+/// Some 80 bytes each. Each takes three ends of engines, so an engine would have to end each 1.7 s
+/// for the whole time.
+constexpr size_t kMostQuarantined = 1024;
+
+}  // namespace
+
+bool QuarantineTable::add(const Quarantined& request, Time now) {
+  if (now - request.since >= kQuarantineTime) {
+    return false;
+  }
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const auto [entry, isNew] = entries_.try_emplace(request.fingerprint, Entry{request.since});
+  if (!isNew && now - entry->second.since >= kQuarantineTime) {
+    entry->second = Entry{request.since};  // It came again after its time.
+    return true;
+  }
+  entry->second.since = std::min(entry->second.since, request.since);
+  if (entries_.size() > kMostQuarantined) {
+    entries_.erase(std::min_element(
+        entries_.begin(), entries_.end(),
+        [](const auto& a, const auto& b) { return a.second.since < b.second.since; }));
+  }
+  return isNew;
+}
+
+void QuarantineTable::noteStored(uint64_t fingerprint) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const auto found = entries_.find(fingerprint);
+  if (found != entries_.end()) {
+    found->second.isStored = true;
+  }
+}
+
+void QuarantineTable::lift(uint64_t fingerprint) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  entries_.erase(fingerprint);
+}
+
+std::optional<Duration> QuarantineTable::timeLeft(uint64_t fingerprint, Time now) const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const auto found = entries_.find(fingerprint);
+  if (found == entries_.end() || now - found->second.since >= kQuarantineTime) {
+    return std::nullopt;
+  }
+  return found->second.since + kQuarantineTime - now;
+}
+
+std::vector<Quarantined> QuarantineTable::unstored(Time now) const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  std::vector<Quarantined> found;
+  for (const auto& [fingerprint, entry] : entries_) {
+    if (!entry.isStored && now - entry.since < kQuarantineTime) {
+      found.push_back(Quarantined{fingerprint, entry.since});
+    }
+  }
+  return found;
+}
+
+std::vector<uint64_t> QuarantineTable::takeExpired(Time now) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  std::vector<uint64_t> expired;
+  for (auto entry = entries_.begin(); entry != entries_.end();) {
+    if (now - entry->second.since < kQuarantineTime) {
+      ++entry;
+      continue;
+    }
+    if (entry->second.isStored) {
+      expired.push_back(entry->first);
+    }
+    entry = entries_.erase(entry);
+  }
+  return expired;
+}
+
+size_t QuarantineTable::size() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return entries_.size();
+}
+
+}  // namespace fernmoor::quarantine
--- a/src/weights/move_ledger.h
+++ b/src/weights/move_ledger.h
@@ -79,9 +79,10 @@
 
 /// What an engine tells of itself.
 struct EngineReport {
-  bool isBusy = false;   ///< An order is being carried out.
-  uint64_t orders = 0;   ///< Orders taken in this life.
-  uint64_t version = 0;  ///< Of the asked model; 0: it does not serve it.
+  bool isBusy = false;    ///< An order is being carried out.
+  uint64_t orders = 0;    ///< Orders taken in this life.
+  uint64_t version = 0;   ///< Of the asked model; 0: it does not serve it.
+  int64_t startedAt = 0;  ///< Unix time in ms; 0: not told.
 };
 
 enum class OrderAnswer {
--- a/src/weights/weight_mover.cpp
+++ b/src/weights/weight_mover.cpp
@@ -77,8 +77,21 @@
   return listing ? heldVersion(*listing, model) : 0;
 }
 
+Result<EngineReport> WeightMover::reportOf(const std::string& engine, const std::string& model) {
+  Result<EngineReport> report = services_.orders.report(engine, model);
+  if (isOk(report)) {
+    services_.engines.noteStart(engine, valueOf(report).startedAt);
+  }
+  return report;
+}
+
+bool WeightMover::stillLives(const std::string& engine, const UnderWay& move) const {
+  const std::optional<BackendListing> listing = services_.engines.find(engine);
+  return listing && !listing->isDraining && incarnationHash(*listing) == move.incarnation;
+}
+
 void WeightMover::askWhetherDone(const std::string& engine, UnderWay& move) {
-  const Result<EngineReport> report = services_.orders.report(engine, move.model);
+  const Result<EngineReport> report = reportOf(engine, move.model);
   if (isOk(report) && !valueOf(report).isBusy) {
     services_.engines.noteWeights(engine, move.model, valueOf(report).version);
   }
@@ -97,7 +110,7 @@
       learnMoveTime(after - state.since);
     }
     const bool givenUp = after - state.since > kLongestMove;
-    if (done || givenUp || !services_.engines.isUsable(move->first)) {
+    if (done || givenUp || !stillLives(move->first, state)) {
       move = underWay_.erase(move);
     } else {
       ++move;
@@ -150,7 +163,7 @@
         (skipped != skipUntil_.end() && now < skipped->second)) {
       continue;
     }
-    const Result<EngineReport> report = services_.orders.report(move.engine, move.model);
+    const Result<EngineReport> report = reportOf(move.engine, move.model);
     if (!isOk(report)) {
       skipUntil_[move.engine] = services_.clock.now() + kSkipSilentEngine;
       continue;
@@ -223,7 +236,9 @@
     logInfo(answer == OrderAnswer::kTaken ? "weights: order taken" : "weights: order not taken",
             fields);
     if (answer == OrderAnswer::kTaken || answer == OrderAnswer::kHolds) {
-      underWay_[order.engine] = UnderWay{order.model, order.version, now, now + kFirstQuestion};
+      const std::optional<BackendListing> listing = services_.engines.find(order.engine);
+      underWay_[order.engine] = UnderWay{order.model, order.version, now, now + kFirstQuestion,
+                                         listing ? incarnationHash(*listing) : 0};
     } else if (answer == OrderAnswer::kUnknown) {
       skipUntil_[order.engine] = services_.clock.now() + kAfterFailure;
     }
--- a/src/weights/weight_mover.h
+++ b/src/weights/weight_mover.h
@@ -59,6 +59,7 @@
     uint64_t version = 0;
     Time since;
     Time askAt;
+    uint64_t incarnation = 0;  ///< Of the engine that was ordered.
   };
   struct Candidate {
     PlannedMove move;
@@ -72,6 +73,10 @@
   /// Tells why engines that are behind are not moved, whenever that changes.
   void tell(Waiting why, const WeightPlan& plan);
   void followMoves(Time now);
+  /// @return the engine's report; what it tells of its start is noted.
+  Result<EngineReport> reportOf(const std::string& engine, const std::string& model);
+  /// @return whether the engine that was ordered has not ended since.
+  bool stillLives(const std::string& engine, const UnderWay& move) const;
   uint64_t listedVersion(const std::string& engine, const std::string& model) const;
   void askWhetherDone(const std::string& engine, UnderWay& move);
   bool isMyTurn(const SeenLedger& seen, const WeightPlan& plan, const MoverPlace& place,
--- a/standin/http_service.h
+++ b/standin/http_service.h
@@ -85,7 +85,7 @@
 
 /// @return the instant for waits on condition variables.
 inline std::chrono::steady_clock::time_point toSteady(Time time) {
-  return std::chrono::steady_clock::time_point(time.time_since_epoch());
+  return std::chrono::steady_clock::now() + (time - SystemClock().now());
 }
 
 }  // namespace fernmoor::standin
--- a/test/backends/backend_set_test.cpp
+++ b/test/backends/backend_set_test.cpp
@@ -57,6 +57,39 @@
   CHECK(only(set, at(10)).weightsVersion == 2);
 }
 
+TEST_CASE("of a back end that started again under its id nothing is known any more") {
+  BackendSet set;
+  BackendListing first = listing("a", 5);
+  first.startedAt = 1000;
+  set.replaceAll({first}, at(0));
+  set.started("a", 700);
+  set.avoidUntil("a", at(9000));
+  const BackendView before = only(set, at(10));
+  BackendListing second = listing("a", 3);
+  second.startedAt = 2000;
+  SUBCASE("by its entry") {
+    set.update(second, at(20));
+    CHECK(only(set, at(20)).weightsVersion == 3);
+  }
+  SUBCASE("by a new list") {
+    set.replaceAll({second}, at(20));
+    CHECK(only(set, at(20)).weightsVersion == 3);
+  }
+  SUBCASE("by its own words, while its entry lags") {
+    set.noteStart("a", 2000);
+    CHECK(only(set, at(20)).weightsVersion == 0);
+    set.update(first, at(30));
+    CHECK(only(set, at(30)).weightsVersion == 0);
+    set.noteStart("a", 1000);
+  }
+  const BackendView after = only(set, at(40));
+  CHECK(after.incarnation != before.incarnation);
+  CHECK(after.listing->startedAt == 2000);
+  CHECK(after.inFlight == 0);
+  CHECK(after.pendingTokens == 0);
+  CHECK_FALSE(after.isAvoided);
+}
+
 TEST_CASE("a back end that fails a good part of its requests is left alone for a while") {
   BackendSet set;
   set.replaceAll({listing("a")}, at(0));
--- a/test/gateway/backend_choice_test.cpp
+++ b/test/gateway/backend_choice_test.cpp
@@ -20,7 +20,7 @@
     BackendListing listing;
     listing.id = "e" + std::to_string(index);
     listing.zone = index % 2 == 0 ? "near" : "far";
-    made[index].idHash = stableHash(listing.id);
+    made[index].incarnation = incarnationHash(listing);
     made[index].listing = std::make_shared<BackendListing>(listing);
   }
   return made;
--- /dev/null
+++ b/test/gateway/forwarder_quarantine_test.cpp
@@ -0,0 +1,177 @@
+/// @file
+/// Tests of src/gateway/forwarder.h with requests that crash back ends, and on a machine that was
+/// suspended.
+#include <doctest/doctest.h>
+
+#include "gateway/request_fingerprint.h"
+#include "test/gateway/forwarder_world.h"
+
+namespace fernmoor::gateway {
+
+using namespace test;
+
+namespace {
+
+void breakOff(Poco::Net::StreamSocket& socket) {
+  socket.setLinger(true, 0);
+  socket.close();
+}
+
+/// Adds a back end that ends when it begins to run a request.
+void addCrashing(ForwarderWorld& world, const std::string& id) {
+  const size_t place = world.scripted.size();
+  world.add(id, [&world, place](Poco::Net::StreamSocket& socket, const std::string&) {
+    world.scripted[place]->stopListening();
+    breakOff(socket);
+    return false;
+  });
+}
+
+int requestsOf(const ForwarderWorld& world) {
+  int sum = 0;
+  for (const auto& each : world.scripted) {
+    sum += each->requests();
+  }
+  return sum;
+}
+
+}  // namespace
+
+TEST_CASE("a fingerprint tells requests apart by tenant, method, host, path and body only") {
+  ForwarderWorld world;
+  IncomingRequest request = world.request();
+  request.tenant = Tenant{"t", false, 0};
+  request.headers.set("Host", "h");
+  const uint64_t first = fingerprintOf(request);
+  SUBCASE("the same again") {
+    request.id = "r2";
+    request.deadline += std::chrono::seconds(3);
+    request.headers.set("Other", "x");
+    CHECK(fingerprintOf(request) == first);
+    return;
+  }
+  SUBCASE("another tenant") {
+    request.tenant->name = "u";
+  }
+  SUBCASE("another method") {
+    request.method = "PUT";
+  }
+  SUBCASE("another host") {
+    request.headers.set("Host", "g");
+  }
+  SUBCASE("another path") {
+    request.target = "/a/c?c=d";
+  }
+  SUBCASE("another body") {
+    request.body = "the Body";
+  }
+  SUBCASE("a boundary between path and body elsewhere") {
+    request.target += "t";
+    request.body = "he body";
+  }
+  CHECK(fingerprintOf(request) != first);
+}
+
+TEST_CASE("a run that ends with its back end is held against the request, other ends are not") {
+  ForwarderWorld world;
+  SUBCASE("the process has ended") {
+    addCrashing(world, "a");
+    world.serve();
+    CHECK(world.quarantine.crashes == std::vector<uint64_t>{fingerprintOf(world.request())});
+  }
+  SUBCASE("the process had said that it leaves") {
+    addCrashing(world, "a");
+    const BackendListing listing = *world.backends.find("a");
+    world.add("b", [&](Poco::Net::StreamSocket& socket, const std::string&) {
+      BackendListing leaving = *world.backends.find("b");
+      leaving.isDraining = true;
+      world.backends.update(leaving, world.clock.now());
+      world.scripted[1]->stopListening();
+      breakOff(socket);
+      return false;
+    });
+    world.backends.remove("a");
+    world.serve();
+    CHECK(requestsOf(world) == 1);
+    CHECK(world.quarantine.crashes.empty());
+  }
+  SUBCASE("only the connection broke; the one opened to look is used again") {
+    std::atomic<int> answered{0};
+    ScriptedBackend& backend =
+        world.add("a", [&](Poco::Net::StreamSocket& socket, const std::string&) {
+          if (answered++ > 0) {
+            say(socket, answer("200 OK", "x"));
+            return true;
+          }
+          breakOff(socket);
+          return false;
+        });
+    world.serve();
+    CHECK(world.quarantine.crashes.empty());
+    world.serve();
+    CHECK(backend.connectionCount() == 2);
+  }
+  CHECK(world.caller.refusals.size() == 1);
+  CHECK(world.caller.refusals[0].kind == ErrorKind::kOutcomeUnknown);
+}
+
+TEST_CASE("a whole answer, also one that states a failure, shows that its back end outlived it") {
+  ForwarderWorld world;
+  std::string status;
+  SUBCASE("success") {
+    status = "200 OK";
+  }
+  SUBCASE("failure") {
+    status = "500 Failed";
+  }
+  world.add("a", always(answer(status, "x")));
+  world.serve();
+  CHECK(world.quarantine.served == std::vector<uint64_t>{fingerprintOf(world.request())});
+}
+
+TEST_CASE("a quarantined request is refused at once, with a promise and a time") {
+  ForwarderWorld world;
+  world.add("a", always(answer("200 OK", "x")));
+  world.quarantine.left = std::chrono::minutes(20);
+  world.serve();
+  CHECK(requestsOf(world) == 0);
+  REQUIRE(promisesNotRun(world.caller));
+  CHECK(world.caller.refusals[0].kind == ErrorKind::kQuarantined);
+  CHECK(world.caller.refusals[0].retryAfter == std::chrono::minutes(20));
+  CHECK(world.limits.counted == 0);
+}
+
+TEST_CASE("a request that is quarantined by its own first attempt has no second one") {
+  ForwarderWorld world;
+  world.row.repetition = Repetition::kRepeatable;
+  addCrashing(world, "a");
+  addCrashing(world, "b");
+  world.quarantine.leftAfterCrash = std::chrono::minutes(30);
+  world.serve();
+  CHECK(requestsOf(world) == 1);
+  REQUIRE(world.caller.refusals.size() == 1);
+  CHECK(world.caller.refusals[0].runState == RunState::kUnknown);
+}
+
+TEST_CASE("a request ends at its deadline though the machine was suspended while it waited") {
+  ForwarderWorld world;
+  std::atomic<bool> isOver{false};
+  std::thread suspension;
+  world.add("a", [&](Poco::Net::StreamSocket&, const std::string&) {
+    suspension = std::thread([&world] { world.clock.leap = Duration(std::chrono::seconds(60)); });
+    while (!isOver) {
+      std::this_thread::yield();
+    }
+    return false;
+  });
+  const IncomingRequest request = world.request();  // Its deadline lies 20 s ahead.
+  const auto began = std::chrono::steady_clock::now();
+  world.forwarder.serve(request, world.caller);
+  CHECK(std::chrono::steady_clock::now() - began < std::chrono::seconds(10));
+  isOver = true;
+  suspension.join();
+  REQUIRE(world.caller.refusals.size() == 1);
+  CHECK(world.caller.refusals[0].kind == ErrorKind::kTimeout);
+}
+
+}  // namespace fernmoor::gateway
--- a/test/gateway/forwarder_world.h
+++ b/test/gateway/forwarder_world.h
@@ -37,6 +37,13 @@
     }
   }
   SocketAddress address() const { return SocketAddress{"127.0.0.1", socket_.address().port()}; }
+  /// Ends the listening, as a crash does; to be called by a script.
+  void stopListening() {
+    mustClose_ = true;
+    while (!hasClosed_) {
+      std::this_thread::yield();
+    }
+  }
   int requests() const { return requests_; }
   int connectionCount() const { return connectionCount_; }
   std::string lastRequest() {
@@ -47,6 +54,11 @@
  private:
   void accept() {
     while (!stopping_) {
+      if (mustClose_) {
+        socket_.close();
+        hasClosed_ = true;
+        return;
+      }
       if (socket_.poll(Poco::Timespan(20000), Poco::Net::Socket::SELECT_READ)) {
         Poco::Net::StreamSocket connection = socket_.acceptConnection();
         ++connectionCount_;
@@ -98,6 +110,8 @@
   Script script_;
   Poco::Net::ServerSocket socket_;
   std::atomic<bool> stopping_{false};
+  std::atomic<bool> mustClose_{false};
+  std::atomic<bool> hasClosed_{false};
   std::atomic<int> requests_{0};
   std::atomic<int> connectionCount_{0};
   std::mutex mutex_;
@@ -271,6 +285,30 @@
   double counted = 0;
 };
 
+/// The machine's clock, which the test can set forward, as after a suspension.
+class LeapingClock : public SystemClock {
+ public:
+  Time now() const override { return SystemClock::now() + leap.load(); }
+
+  std::atomic<Duration> leap{Duration(0)};
+};
+
+/// Keeps what it is told; quarantines what the test says.
+class TestQuarantine : public RequestQuarantine {
+ public:
+  std::optional<Duration> timeLeft(uint64_t) override { return left; }
+  void noteCrash(uint64_t fingerprint, const quarantine::CrashedRun&) override {
+    crashes.push_back(fingerprint);
+    left = leftAfterCrash;
+  }
+  void noteServed(uint64_t fingerprint) override { served.push_back(fingerprint); }
+
+  std::optional<Duration> left;
+  std::optional<Duration> leftAfterCrash;
+  std::vector<uint64_t> crashes;
+  std::vector<uint64_t> served;
+};
+
 /// Silence after which a request that may run again is sent elsewhere.
 constexpr Duration kSilence{100000};
 
@@ -282,7 +320,7 @@
         connections(ConnectOptions{}),
         budget(SecondSendBounds{0, std::chrono::seconds(10), secondSends}),
         forwarder(ForwarderServices{clock, table, backends, connections, budget, protocol, wanted,
-                                    hints, loads, limits, metrics},
+                                    hints, loads, limits, quarantine, metrics},
                   ForwarderOptions{"zone", std::chrono::seconds(5), 1, kSilence}) {
     row.name = "row";
     row.maxAttempts = 2;
@@ -317,7 +355,7 @@
   }
   void serve() { forwarder.serve(request(), caller); }
 
-  SystemClock clock;
+  LeapingClock clock;
   TableInForce table;
   BackendSet backends;
   WantedWeights wanted;
@@ -327,6 +365,7 @@
   TestHints hints;
   LocalLoads loads;
   TestLimits limits;
+  TestQuarantine quarantine;
   Metrics metrics;
   Forwarder forwarder;
   Row row;
--- a/test/peers/directory_world.h
+++ b/test/peers/directory_world.h
@@ -12,8 +12,18 @@
 
 namespace fernmoor::peers::test {
 
-/// @tparam Directory a role that is made from its node, a clock and a sender, and takes members.
+/// Makes a directory from its node, a clock and a sender.
 template <class Directory>
+struct PlainMaker {
+  std::unique_ptr<Directory> operator()(NodeId node, const Clock& clock,
+                                        MessageSender& sender) const {
+    return std::make_unique<Directory>(node, clock, sender);
+  }
+};
+
+/// @tparam Directory a role that takes members.
+/// @tparam Maker makes the directory of a node; each time anew after a restart.
+template <class Directory, class Maker = PlainMaker<Directory>>
 class DirectoryWorld {
  public:
   class Direct : public MessageSender {
@@ -38,7 +48,7 @@
       member.life.node = NodeId(id);
       members_->members.push_back(member);
       senders_[NodeId(id)] = std::make_unique<Direct>(*this, NodeId(id));
-      nodes_[NodeId(id)] = std::make_unique<Directory>(NodeId(id), clock, *senders_[NodeId(id)]);
+      nodes_[NodeId(id)] = maker(NodeId(id), clock, *senders_[NodeId(id)]);
     }
     for (auto& node : nodes_) {
       node.second->setMembers(members_);
@@ -47,7 +57,7 @@
   /// Replaces the node by one that knows nothing.
   void restart(uint64_t id) {
     const NodeId node(id);
-    nodes_[node] = std::make_unique<Directory>(node, clock, *senders_[node]);
+    nodes_[node] = maker(node, clock, *senders_[node]);
     nodes_[node]->setMembers(members_);
   }
   /// Cuts these nodes off from the others, not from one another.
@@ -58,6 +68,7 @@
   size_t size() const { return nodes_.size(); }
 
   sim::VirtualClock clock;
+  Maker maker;
   int messages = 0;
   std::set<NodeId> silent;  ///< Nodes that get no messages.
 
--- /dev/null
+++ b/test/peers/quarantine_directory_test.cpp
@@ -0,0 +1,198 @@
+/// @file
+/// Tests of src/peers/quarantine_directory.h: several nodes whose messages are delivered at once.
+#include "peers/quarantine_directory.h"
+
+#include <doctest/doctest.h>
+
+#include "test/peers/directory_world.h"
+
+namespace fernmoor::peers {
+
+namespace {
+
+using quarantine::CrashedRun;
+
+constexpr uint64_t kPoison = 77;
+constexpr uint64_t kVictim = 88;
+
+/// Each node has a table of its own, which a restart empties.
+struct WithTable {
+  std::unique_ptr<QuarantineDirectory> operator()(NodeId node, const Clock& clock,
+                                                  MessageSender& sender) {
+    auto& table = tables[node];
+    table = std::make_unique<quarantine::QuarantineTable>();
+    return std::make_unique<QuarantineDirectory>(node, clock, sender, *table);
+  }
+  std::map<NodeId, std::unique_ptr<quarantine::QuarantineTable>> tables;
+};
+
+class QuarantineWorld : public test::DirectoryWorld<QuarantineDirectory, WithTable> {
+ public:
+  using DirectoryWorld::DirectoryWorld;
+
+  /// An engine ends now, under these requests of these nodes, which began a moment ago.
+  void crash(uint64_t engine, const std::vector<std::pair<uint64_t, uint64_t>>& requests,
+             std::chrono::milliseconds ran = std::chrono::milliseconds(100)) {
+    for (const auto& [nodeId, fingerprint] : requests) {
+      node(nodeId).noteCrash(fingerprint, CrashedRun{engine, clock.now() - ran, clock.now()});
+    }
+  }
+  void pass(std::chrono::milliseconds time) {
+    for (auto left = time; left.count() > 0; left -= std::chrono::milliseconds(50)) {
+      clock.advanceTo(clock.now() + std::chrono::milliseconds(50));
+      for (uint64_t id = 1; id <= size(); ++id) {
+        node(id).onTick(clock.now(), sender(NodeId(id)));
+      }
+    }
+  }
+  /// @return how many nodes would not send it.
+  size_t quarantinedAt(uint64_t fingerprint) {
+    size_t count = 0;
+    for (uint64_t id = 1; id <= size(); ++id) {
+      count += node(id).timeLeft(fingerprint) ? 1 : 0;
+    }
+    return count;
+  }
+};
+
+constexpr std::chrono::milliseconds kBetween{800};
+
+}  // namespace
+
+TEST_CASE("three crashes that three nodes saw are known to all within half a second") {
+  QuarantineWorld world(7);
+  for (uint64_t engine = 1; engine <= 3; ++engine) {
+    world.pass(kBetween);
+    CHECK(world.quarantinedAt(kPoison) == 0);
+    world.crash(engine, {{engine, kPoison}});
+  }
+  world.pass(std::chrono::milliseconds(500));
+  CHECK(world.quarantinedAt(kPoison) == 7);
+}
+
+TEST_CASE("a node that no message reached is told again") {
+  QuarantineWorld world(7);
+  for (uint64_t engine = 1; engine <= 3; ++engine) {
+    world.pass(kBetween);
+    world.crash(engine, {{engine, kPoison}});
+  }
+  world.silent = {NodeId(6)};
+  world.pass(std::chrono::milliseconds(400));
+  CHECK_FALSE(world.node(6).timeLeft(kPoison));
+  world.silent.clear();
+  world.pass(std::chrono::milliseconds(900));
+  CHECK(world.node(6).timeLeft(kPoison));
+}
+
+TEST_CASE("what was served meanwhile, anywhere, is not quarantined") {
+  QuarantineWorld world(7);
+  world.pass(kBetween);
+  world.crash(1, {{1, kVictim}, {2, kVictim}});
+  world.node(5).noteServed(kVictim + 1);
+  world.pass(kBetween);
+  world.crash(2, {{2, kVictim}});
+  SUBCASE("by a node that saw none of the crashes") {
+    world.node(5).noteServed(kVictim);
+  }
+  SUBCASE("by a node that saw one") {
+    world.node(2).noteServed(kVictim);
+  }
+  world.pass(kBetween);
+  world.crash(3, {{3, kVictim}});
+  world.pass(std::chrono::milliseconds(2000));
+  CHECK(world.quarantinedAt(kVictim) == 0);
+  // Nothing is held against it any more: it takes three ends more.
+  world.crash(4, {{4, kVictim}});
+  world.pass(kBetween);
+  world.crash(5, {{4, kVictim}});
+  world.pass(kBetween);
+  CHECK(world.quarantinedAt(kVictim) == 0);
+}
+
+TEST_CASE("of two requests that were at the same ends the one that crashes the next is meant") {
+  QuarantineWorld world(7);
+  for (uint64_t engine = 1; engine <= 3; ++engine) {
+    world.pass(kBetween);
+    world.crash(engine, {{engine, kPoison}, {engine + 1, kVictim}});
+  }
+  world.pass(kBetween);
+  CHECK(world.quarantinedAt(kVictim) == 0);
+  CHECK(world.quarantinedAt(kPoison) == 0);
+  world.crash(4, {{5, kPoison}});
+  world.pass(kBetween);
+  CHECK(world.quarantinedAt(kPoison) == 7);
+  CHECK(world.quarantinedAt(kVictim) == 0);
+  SUBCASE("and the ends that it explains count against the other no more") {
+    world.crash(5, {{1, kVictim}});
+    world.pass(kBetween);
+    world.crash(6, {{2, kVictim}});
+    world.pass(kBetween);
+    CHECK(world.quarantinedAt(kVictim) == 0);
+  }
+}
+
+TEST_CASE("two requests that always come together are both found in the end") {
+  QuarantineWorld world(7);
+  for (uint64_t engine = 1; engine <= 5; ++engine) {
+    world.pass(kBetween);
+    world.crash(engine, {{engine, kPoison}, {engine + 1, kVictim}});
+  }
+  world.pass(kBetween);
+  CHECK(world.quarantinedAt(kPoison) == 7);
+  CHECK(world.quarantinedAt(kVictim) == 7);
+}
+
+TEST_CASE("an end that comes after the verdict is explained by it") {
+  QuarantineWorld world(7);
+  for (uint64_t engine = 1; engine <= 3; ++engine) {
+    world.pass(kBetween);
+    world.crash(engine, {{engine, kPoison}});
+  }
+  world.pass(kBetween);
+  world.crash(4, {{2, kPoison}});
+  world.crash(4, {{3, kVictim}});
+  world.pass(kBetween);
+  world.crash(5, {{3, kVictim}});
+  world.pass(kBetween);
+  world.crash(6, {{3, kVictim}});
+  world.pass(kBetween);
+  CHECK(world.quarantinedAt(kVictim) == 0);
+}
+
+TEST_CASE("evidence outlives the restart of a node that counts") {
+  for (uint64_t restarted = 1; restarted <= 7; ++restarted) {
+    QuarantineWorld world(7);
+    world.pass(kBetween);
+    world.crash(1, {{1, kPoison}});
+    world.pass(kBetween);
+    world.crash(2, {{2, kPoison}});
+    world.restart(restarted);
+    world.pass(kBetween);
+    world.crash(3, {{3, kPoison}});
+    world.pass(kBetween);
+    CHECK(world.quarantinedAt(kPoison) == 7);
+  }
+}
+
+TEST_CASE("one node puts a verdict into the store, others where it does not") {
+  QuarantineWorld world(7);
+  for (uint64_t engine = 1; engine <= 3; ++engine) {
+    world.pass(kBetween);
+    world.crash(engine, {{engine, kPoison}});
+  }
+  const auto writers = [&world] {
+    size_t count = 0;
+    for (uint64_t id = 1; id <= world.size(); ++id) {
+      count += world.node(id).toStore(world.clock.now()).size();
+    }
+    return count;
+  };
+  world.pass(std::chrono::milliseconds(400));
+  CHECK(writers() == 1);
+  world.pass(std::chrono::milliseconds(1500));
+  CHECK(writers() == 2);
+  world.pass(std::chrono::milliseconds(3000));
+  CHECK(writers() == 7);
+}
+
+}  // namespace fernmoor::peers
--- a/test/platform/ingress_test.cpp
+++ b/test/platform/ingress_test.cpp
@@ -34,7 +34,7 @@
         connections(ConnectOptions{}),
         budget(gateway::SecondSendBounds{}),
         forwarder(gateway::ForwarderServices{clock, table, backends, connections, budget, protocol,
-                                             wanted, hints, loads, limits, metrics},
+                                             wanted, hints, loads, limits, quarantine, metrics},
                   gateway::ForwarderOptions{"z", std::chrono::seconds(4), 1}),
         work(gateway::StopTimes{}),
         ingress(IngressServices{clock, table, forwarder, work, pools, metrics, refusals,
@@ -102,6 +102,7 @@
   gateway::test::TestHints hints;
   gateway::test::LocalLoads loads;
   gateway::test::TestLimits limits;
+  gateway::test::TestQuarantine quarantine;
   Metrics metrics;
   LogBudget refusals{LogBudgetBounds{}};
   gateway::Forwarder forwarder;
--- a/test/platform/mirror_decoder_test.cpp
+++ b/test/platform/mirror_decoder_test.cpp
@@ -30,7 +30,8 @@
   gateway::TableInForce table;
   BackendSet backends;
   WantedWeights wanted{WeightBounds{}};
-  MirrorDecoder decoder{FollowedState{clock, table, backends, wanted}};
+  quarantine::QuarantineTable quarantined;
+  MirrorDecoder decoder{FollowedState{clock, table, backends, wanted, quarantined}};
 };
 
 }  // namespace
@@ -50,6 +51,49 @@
   CHECK(world.engineAfter(50).isAvoided);
 }
 
+TEST_CASE("quarantined requests are known from the store, and lifted when their object is gone") {
+  DecoderWorld world;
+  const auto take = [&world](const MirrorEntry& entry) {
+    world.decoder.take(MirrorKind::kQuarantine, {entry}, false, std::nullopt);
+  };
+  take(MirrorEntry{"00000000000000ff", 3, false, R"({"since-ms":0})"});
+  CHECK(world.quarantined.timeLeft(0xff, world.clock.now()));
+  CHECK(world.quarantined.unstored(world.clock.now()).empty());
+  take(MirrorEntry{"of another writer", 4, false, "{}"});
+  take(MirrorEntry{"00000000000000aa", 5, false, "[not an object"});
+  CHECK(world.quarantined.size() == 1);
+  take(MirrorEntry{"00000000000000ff", 6, true, ""});
+  CHECK_FALSE(world.quarantined.timeLeft(0xff, world.clock.now()));
+}
+
+TEST_CASE("entries of another writer name no back end, and the others hold") {
+  DecoderWorld world;
+  const std::string sound =
+      R"({"service":"pool","addr":"10.1.1.1:80","zone":"z","slots":4,"state":"ready","born":1700000000000})";
+  std::vector<MirrorEntry> entries{MirrorEntry{"sound", 2, false, sound}};
+  for (
+      const char* odd :
+      {"", "{}", "[]", "\x01\xff", R"({"service":"pool"})",
+       R"({"service":7,"addr":"10.1.1.2:80","zone":"z","slots":4,"state":"ready"})",
+       R"({"service":"pool","addr":["10.1.1.2:80"],"zone":"z","slots":4,"state":"ready"})",
+       R"({"service":"pool","addr":"10.1.1.2","zone":"z","slots":4,"state":"ready"})",
+       R"({"service":"pool","addr":"10.1.1.2:80","zone":"z","slots":"four","state":"ready"})",
+       R"({"service":"pool","addr":"10.1.1.2:80","zone":"z","slots":0,"state":"ready"})",
+       R"({"service":"pool","addr":"10.1.1.2:80","slots":4,"state":"ready"})",
+       R"({"service":"pool","addr":"10.1.1.2:80","zone":"z","slots":4})",
+       R"({"service":"pool","addr":"10.1.1.2:80","zone":"z","slots":4,"state":"resting"})",
+       R"({"service":"pool","addr":"10.1.1.2:80","zone":"z","slots":4,"state":true})",
+       R"({"service":"pool","addr":"10.1.1.2:80","zone":"z","slots":4,"state":"ready","born":"x"})"}) {
+    entries.push_back(MirrorEntry{"odd" + std::to_string(entries.size()), 2, false, odd});
+  }
+  world.decoder.take(MirrorKind::kBackends, entries, true, std::nullopt);
+  REQUIRE(world.backends.size() == 1);
+  CHECK(world.backends.find("sound")->startedAt == 1700000000000);
+  entries[0].name = "of the same";
+  world.decoder.take(MirrorKind::kBackends, entries, false, std::nullopt);
+  CHECK(world.backends.size() == 2);
+}
+
 TEST_CASE("an old move, and one that is no longer told, keep nobody away") {
   DecoderWorld world;
   world.decoder.take(MirrorKind::kMoves, {MirrorEntry{"e", 7, false, "5000"}}, true, std::nullopt);
--- /dev/null
+++ b/test/quarantine/quarantine_table_test.cpp
@@ -0,0 +1,78 @@
+/// @file
+/// Tests of src/quarantine/quarantine_table.h and served_memory.h.
+#include "quarantine/quarantine_table.h"
+
+#include <doctest/doctest.h>
+
+#include "quarantine/served_memory.h"
+
+namespace fernmoor::quarantine {
+
+namespace {
+
+Time at(int64_t seconds) {
+  return Time(std::chrono::seconds(10000 + seconds));
+}
+
+}  // namespace
+
+TEST_CASE("a quarantined request is not sent for half an hour") {
+  QuarantineTable table;
+  CHECK_FALSE(table.timeLeft(5, at(0)));
+  CHECK(table.add(Quarantined{5, at(0)}, at(1)));
+  CHECK_FALSE(table.add(Quarantined{5, at(1)}, at(1)));
+  CHECK(table.timeLeft(5, at(60)) == std::chrono::seconds(29 * 60));
+  CHECK_FALSE(table.timeLeft(5, at(30 * 60)));
+  SUBCASE("and again when it comes again after that") {
+    CHECK(table.add(Quarantined{5, at(2000)}, at(2000)));
+    CHECK(table.timeLeft(5, at(2001)));
+  }
+  SUBCASE("an old verdict that comes late quarantines nobody") {
+    CHECK_FALSE(table.add(Quarantined{6, at(0)}, at(1800)));
+    CHECK_FALSE(table.timeLeft(6, at(1800)));
+  }
+  SUBCASE("or until an operator lifts it") {
+    table.lift(5);
+    CHECK_FALSE(table.timeLeft(5, at(2)));
+  }
+}
+
+TEST_CASE("the table knows what has to go into the store and out of it") {
+  QuarantineTable table;
+  table.add(Quarantined{5, at(0)}, at(0));
+  table.add(Quarantined{6, at(0)}, at(0));
+  table.noteStored(5);
+  REQUIRE(table.unstored(at(1)).size() == 1);
+  CHECK(table.unstored(at(1)).front().fingerprint == 6);
+  CHECK(table.takeExpired(at(1)).empty());
+  CHECK(table.takeExpired(at(1800)) == std::vector<uint64_t>{5});
+  CHECK(table.size() == 0);
+}
+
+TEST_CASE("the table is bounded: the oldest goes first") {
+  QuarantineTable table;
+  for (uint64_t fingerprint = 1; fingerprint <= 1500; ++fingerprint) {
+    table.add(Quarantined{fingerprint, at(static_cast<int64_t>(fingerprint) / 10)}, at(200));
+  }
+  CHECK(table.size() == 1024);
+  CHECK(table.timeLeft(1500, at(200)));
+  CHECK_FALSE(table.timeLeft(1, at(200)));
+}
+
+TEST_CASE("the memory of served requests keeps the newest, at least a generation") {
+  ServedMemory memory;
+  memory.note(1, at(0));
+  CHECK(memory.wasServedAfter(1, at(-1)));
+  CHECK_FALSE(memory.wasServedAfter(1, at(0)));
+  for (uint64_t fingerprint = 2; fingerprint < 1000; ++fingerprint) {
+    memory.note(fingerprint, at(1));
+  }
+  CHECK(memory.wasServedAfter(1, at(-1)));
+  for (uint64_t fingerprint = 2; fingerprint < 5000; ++fingerprint) {
+    memory.note(fingerprint, at(1));
+  }
+  CHECK_FALSE(memory.wasServedAfter(1, at(-1)));
+  CHECK(memory.wasServedAfter(4999, at(0)));
+}
+
+}  // namespace fernmoor::quarantine
--- a/test/weights/weight_world.h
+++ b/test/weights/weight_world.h
@@ -81,6 +81,7 @@
     uint64_t orders = 0;
     uint64_t fence = 0;
     Time doneAt;
+    int64_t startedAt = 0;
   };
 
   explicit TestEngines(const TestClock& clock) : clock_(clock) {}
@@ -93,7 +94,7 @@
       return Error{ErrorKind::kUnavailable, "silent", RunState::kUnknown, std::nullopt};
     }
     Engine& engine = settle(name);
-    return EngineReport{engine.next != 0, engine.orders, engine.version};
+    return EngineReport{engine.next != 0, engine.orders, engine.version, engine.startedAt};
   }
   OrderAnswer order(const WeightOrder& order) override {
     const bool isHeldUp = order.holder == heldUpHolder;
