--- a/src/node/http_reply.cpp
+++ b/src/node/http_reply.cpp
@@ -64,6 +64,7 @@
     case ErrorKind::kWrongIncarnation:
     case ErrorKind::kWrongWeights:
     case ErrorKind::kOutcomeUnknown:
+    case ErrorKind::kQuarantined:
       return HTTPResponse::HTTP_SERVICE_UNAVAILABLE;
     case ErrorKind::kInternal:
       return HTTPResponse::HTTP_INTERNAL_SERVER_ERROR;
