--- a/src/peers/quarantine_directory.cpp
+++ b/src/peers/quarantine_directory.cpp
@@ -21,10 +21,14 @@
 /// must know of it, 3 s.
 constexpr int kTellings = 3;
 constexpr Duration kTellAgain{400000};
-/// The second node that counts stores a verdict that the first has not stored by then.
-constexpr Duration kSecondStores{1500000};
-/// Any node does, where neither has.
-constexpr Duration kAnyStores{4000000};
+/// A node is told of unstored verdicts by this many others a second in the mean: one in 20 waits
+/// for more than a second, one in 400 for more than two.
+constexpr size_t kToldEachTime = 3;
+constexpr Duration kTellUnstored{1000000};
+/// Nodes that put a verdict into the store, each so much later than the one before it, where that
+/// has not: the store may turn some nodes away, and must not be asked by all while it is away.
+constexpr size_t kNodesThatStore = 4;
+constexpr Duration kNextStores{700000};
 
 uint32_t ageInMessage(Time then, Time now) {
   return static_cast<uint32_t>(std::max<int64_t>(0, (now - then).count() / 1000));
@@ -61,6 +65,14 @@
   }
 }
 
+proto::Envelope verdictOf(const Suspicion& suspicion, Time since, Time now) {
+  proto::Envelope envelope;
+  proto::QuarantineVerdict& verdict = *envelope.mutable_quarantine()->mutable_verdict();
+  putSuspicion(suspicion, now, verdict);
+  verdict.set_age_milliseconds(ageInMessage(since, now));
+  return envelope;
+}
+
 LogFields fingerprintField(uint64_t fingerprint) {
   LogFields fields;
   fields.fingerprint = fingerprint;
@@ -71,7 +83,7 @@
 
 QuarantineDirectory::QuarantineDirectory(NodeId self, const Clock& clock, MessageSender& sender,
                                          quarantine::QuarantineTable& table)
-    : self_(self), clock_(clock), sender_(sender), table_(table) {}
+    : self_(self), clock_(clock), sender_(sender), table_(table), random_(nodeHash(self)) {}
 
 void QuarantineDirectory::setMembers(std::shared_ptr<const MembershipSnapshot> members) {
   const std::lock_guard<std::mutex> lock(mutex_);
@@ -93,19 +105,9 @@
   }
 }
 
-void QuarantineDirectory::tellVerdict(const Suspicion& suspicion, Time since, Time now,
-                                      Outbox& outbox) {
-  proto::Envelope envelope;
-  proto::QuarantineVerdict& verdict = *envelope.mutable_quarantine()->mutable_verdict();
-  putSuspicion(suspicion, now, verdict);
-  verdict.set_age_milliseconds(ageInMessage(since, now));
-  tellAll(envelope, outbox);
-}
-
 void QuarantineDirectory::accept(const Suspicion& suspicion, Time since, Time now) {
   if (table_.add(Quarantined{suspicion.fingerprint, since}, now)) {
-    logWarning("quarantine: a request crashed " + std::to_string(suspicion.runs.size()) +
-                   " engines and is not sent any more",
+    logWarning("quarantine: a request crashed several engines and is not sent any more",
                fingerprintField(suspicion.fingerprint));
   }
   evidence_.explain(suspicion.fingerprint, suspicion.runs);
@@ -169,7 +171,7 @@
       // It was under way when the verdict came: this end is explained too.
       const Suspicion explained{fingerprint, {run}};
       evidence_.explain(fingerprint, explained.runs);
-      tellVerdict(explained, now, now, outbox);
+      tellAll(verdictOf(explained, now, now), outbox);
     } else {
       count(fingerprint, run, now, outbox);
       const Keepers keepers = rendezvousKeepers(fingerprint, self_, members_.get());
@@ -196,18 +198,29 @@
   proposals_.erase(fingerprint);
 }
 
-bool QuarantineDirectory::isFirstToCount(uint64_t fingerprint) const {
+size_t QuarantineDirectory::storeRank(uint64_t fingerprint) const {
+  std::vector<NodeId> living{self_};
+  for (const Member& member : members_ == nullptr ? std::vector<Member>() : members_->members) {
+    if (member.state != MemberState::kSuspect && member.life.node != self_) {
+      living.push_back(member.life.node);
+    }
+  }
+  const std::vector<NodeId> first =
+      rendezvousTop(fingerprint, std::move(living), kNodesThatStore, nodeHash);
+  return static_cast<size_t>(std::find(first.begin(), first.end(), self_) - first.begin());
+}
+
+bool QuarantineDirectory::isFirstToStore(uint64_t fingerprint) const {
   const std::lock_guard<std::mutex> lock(mutex_);
-  return rendezvousKeeper(fingerprint, self_, members_.get()) == self_;
+  return storeRank(fingerprint) == 0;
 }
 
 std::vector<Quarantined> QuarantineDirectory::toStore(Time now) const {
   std::vector<Quarantined> due = table_.unstored(now);
   const std::lock_guard<std::mutex> lock(mutex_);
   const auto isOthers = [&](const Quarantined& request) {
-    const Keepers keepers = rendezvousKeepers(request.fingerprint, self_, members_.get());
-    const Duration age = now - request.since;
-    return keepers.first != self_ && age < (keepers.second == self_ ? kSecondStores : kAnyStores);
+    const size_t rank = storeRank(request.fingerprint);
+    return rank >= kNodesThatStore || now - request.since < kNextStores * rank;
   };
   due.erase(std::remove_if(due.begin(), due.end(), isOthers), due.end());
   return due;
@@ -260,10 +273,28 @@
   }
 }
 
+void QuarantineDirectory::tellUnstored(Time now, Outbox& outbox) {
+  if (now < nextUnstoredAt_ || members_ == nullptr || members_->members.empty()) {
+    return;
+  }
+  nextUnstoredAt_ = now + kTellUnstored;
+  for (const Quarantined& request : table_.unstored(now)) {
+    const proto::Envelope envelope =
+        verdictOf(Suspicion{request.fingerprint, {}}, request.since, now);
+    for (size_t told = 0; told < kToldEachTime; ++told) {
+      const NodeId node = members_->members[random_.below(members_->members.size())].life.node;
+      if (node != self_) {
+        outbox.emplace_back(node, envelope);
+      }
+    }
+  }
+}
+
 void QuarantineDirectory::onTick(Time now, MessageSender& sender) {
   Outbox outbox;
   {
     const std::lock_guard<std::mutex> lock(mutex_);
+    tellUnstored(now, outbox);
     std::vector<Suspicion> decided;
     for (const auto& [fingerprint, proposal] : proposals_) {
       if (now >= proposal.decideAt) {
@@ -276,7 +307,7 @@
     }
     for (Telling& telling : tellings_) {
       if (now >= telling.nextAt) {
-        tellVerdict(telling.suspicion, telling.since, now, outbox);
+        tellAll(verdictOf(telling.suspicion, telling.since, now), outbox);
         telling.nextAt = now + kTellAgain;
         --telling.left;
       }
--- a/src/peers/quarantine_directory.h
+++ b/src/peers/quarantine_directory.h
@@ -8,7 +8,9 @@
 /// nobody else.
 ///
 /// Verdicts reach nodes that are cut off now, or not yet started, through the operators' store and
-/// the mirror of it (quarantine/quarantine_table.h).
+/// the mirror of it (quarantine/quarantine_table.h). Until a verdict lies in the store, each node
+/// that knows it tells some others each second: all may be stopped and started in turn while the
+/// store is away.
 #pragma once
 
 #include <map>
@@ -16,6 +18,7 @@
 #include <mutex>
 #include <vector>
 
+#include "common/random.h"
 #include "common/role.h"
 #include "envelope.pb.h"
 #include "gateway/request_quarantine.h"
@@ -41,8 +44,9 @@
   void noteCrash(uint64_t fingerprint, const quarantine::CrashedRun& run) override;
   void noteServed(uint64_t fingerprint) override;
 
-  /// @return whether this node is the first of the two that count for the request.
-  bool isFirstToCount(uint64_t fingerprint) const;
+  /// @return whether this node is the first of those that put a verdict on the request into the
+  /// store.
+  bool isFirstToStore(uint64_t fingerprint) const;
   /// @return verdicts that this node has to put into the store now.
   std::vector<quarantine::Quarantined> toStore(Time now) const;
 
@@ -71,12 +75,15 @@
   };
 
   // All of these: call with the lock held.
+  /// @return its place among the nodes that put the verdict into the store; their number: none.
+  size_t storeRank(uint64_t fingerprint) const;
   void count(uint64_t fingerprint, const quarantine::CrashedRun& run, Time now, Outbox& outbox);
   void propose(quarantine::Suspicion suspicion, Time now, Outbox& outbox);
   /// Withdraws proposals of this node that the ends told here do not tell apart from the other.
   void withdrawRivals(const quarantine::Suspicion& other);
   void accept(const quarantine::Suspicion& suspicion, Time since, Time now);
-  void tellVerdict(const quarantine::Suspicion& suspicion, Time since, Time now, Outbox& outbox);
+  /// Tells a few nodes of verdicts that don't lie in the store yet.
+  void tellUnstored(Time now, Outbox& outbox);
   void tellAll(const proto::Envelope& envelope, Outbox& outbox) const;
   void forgetHeard(Time now);
 
@@ -94,6 +101,8 @@
   std::map<uint64_t, Proposal> proposals_;  ///< Of this node.
   std::vector<HeardProposal> heard_;
   std::vector<Telling> tellings_;
+  Random random_;
+  Time nextUnstoredAt_;
 };
 
 }  // namespace fernmoor::peers
