A request on which a verdict may come is held, and evidence is handed on when nodes that count stop

Before a send a node waits for the decision, 0.35 s at most; at a change of the members all tell what they hold to the nodes that count now, of which stopping ones are none. Ruled out: a shorter time for objections (the callers come within 0.1 s).

--- a/src/gateway/request_quarantine.h
+++ b/src/gateway/request_quarantine.h
@@ -14,6 +14,9 @@
 class RequestQuarantine {
  public:
   virtual ~RequestQuarantine() = default;
+  /// Waits while it is being decided whether the request is quarantined, for a third of a second at
+  /// most: it must not crash a further engine meanwhile, and may be innocent.
+  virtual void awaitDecision(uint64_t fingerprint) = 0;
   /// @return how long the request must not be sent; nothing: it may be sent.
   virtual std::optional<Duration> timeLeft(uint64_t fingerprint) = 0;
   /// A run of the request ended with the process of its engine.
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -189,6 +189,7 @@
 }
 
 bool RequestRun::isQuarantined() {
+  services_.quarantine.awaitDecision(fingerprint_);
   const std::optional<Duration> left = services_.quarantine.timeLeft(fingerprint_);
   if (left && !mayHaveRun_) {
     refuse(quarantinedError(*left));
--- a/src/peers/quarantine_directory.cpp
+++ b/src/peers/quarantine_directory.cpp
@@ -1,7 +1,6 @@
 #include "peers/quarantine_directory.h"
 
 #include <algorithm>
-#include <set>
 
 #include "common/log.h"
 
@@ -15,6 +14,16 @@
 
 /// Objections come within a trip and back between regions, 40 ms, and the tick of a busy node.
 constexpr Duration kObjectionTime{250000};
+/// Beside it a proposer needs a tick, 100 ms, to decide. A verdict that is lost is told again
+/// later.
+constexpr Duration kHoldTime = kObjectionTime + Duration(100000);
+/// Nodes that count for one request.
+constexpr size_t kNodesThatCount = 2;
+/// Bound on what is handed over at a change of the members, the newest first, and how often: 16
+/// messages of 1 kB to each of two nodes.
+constexpr size_t kMostHandedOver = 512;
+constexpr size_t kReportsInMessage = 32;
+constexpr Duration kHandOverPause{500000};
 /// A rival may be proposed by another node as long as its own objections are awaited.
 constexpr Duration kRivalMemory{1000000};
 /// A verdict is told so often, with this pause: together well within the least bound by which nodes
@@ -88,6 +97,57 @@
 void QuarantineDirectory::setMembers(std::shared_ptr<const MembershipSnapshot> members) {
   const std::lock_guard<std::mutex> lock(mutex_);
   members_ = std::move(members);
+  std::vector<NodeId> counting = countingNodes();
+  if (counting != counting_) {
+    counting_ = std::move(counting);
+    mustHandOver_ = true;
+  }
+}
+
+std::vector<NodeId> QuarantineDirectory::countingNodes() const {
+  std::vector<NodeId> nodes;
+  for (const Member& member : members_ == nullptr ? std::vector<Member>() : members_->members) {
+    if (member.state == MemberState::kAlive) {
+      nodes.push_back(member.life.node);
+    }
+  }
+  return nodes.empty() ? std::vector<NodeId>{self_} : nodes;
+}
+
+void QuarantineDirectory::hold(uint64_t fingerprint, Time now) {
+  heldUntil_[fingerprint] = now + kHoldTime;
+  holdsAny_ = true;
+}
+
+void QuarantineDirectory::forgetHolds(Time now) {
+  for (auto held = heldUntil_.begin(); held != heldUntil_.end();) {
+    held = now >= held->second ? heldUntil_.erase(held) : std::next(held);
+  }
+  holdsAny_ = !heldUntil_.empty();
+}
+
+void QuarantineDirectory::endHold(uint64_t fingerprint) {
+  heldUntil_.erase(fingerprint);
+  holdsAny_ = !heldUntil_.empty();
+  holdEnded_.notify_all();
+}
+
+bool QuarantineDirectory::isHeldAt(uint64_t fingerprint, Time now) const {
+  const auto held = heldUntil_.find(fingerprint);
+  return held != heldUntil_.end() && now < held->second;
+}
+
+bool QuarantineDirectory::isHeld(uint64_t fingerprint) const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return isHeldAt(fingerprint, clock_.now());
+}
+
+void QuarantineDirectory::awaitDecision(uint64_t fingerprint) {
+  if (!holdsAny_) {
+    return;  // Nearly always: no lock is taken on the request path.
+  }
+  std::unique_lock<std::mutex> lock(mutex_);
+  holdEnded_.wait_for(lock, kHoldTime, [&] { return !isHeldAt(fingerprint, clock_.now()); });
 }
 
 std::optional<Duration> QuarantineDirectory::timeLeft(uint64_t fingerprint) {
@@ -114,6 +174,7 @@
   evidence_.explain(suspicion.fingerprint, evidence_.runsOf(suspicion.fingerprint));
   evidence_.clear(suspicion.fingerprint);
   proposals_.erase(suspicion.fingerprint);
+  endHold(suspicion.fingerprint);
 }
 
 void QuarantineDirectory::withdrawRivals(const Suspicion& other) {
@@ -122,6 +183,9 @@
     const bool isRival = own.fingerprint != other.fingerprint && own.sharesEndWith(other) &&
                          other.runs.size() >= own.runs.size();
     const bool isWithdrawn = isRival && evidence_.demandOneMore(own.fingerprint);
+    if (isWithdrawn) {
+      endHold(own.fingerprint);
+    }
     proposal = isWithdrawn ? proposals_.erase(proposal) : std::next(proposal);
   }
 }
@@ -146,6 +210,7 @@
   putSuspicion(suspicion, now, *envelope.mutable_quarantine()->mutable_proposal());
   tellAll(envelope, outbox);
   proposals_[suspicion.fingerprint] = Proposal{suspicion, now + kObjectionTime};
+  hold(suspicion.fingerprint, now);
   forgetHeard(now);
   for (const HeardProposal& heard : heard_) {
     withdrawRivals(heard.suspicion);
@@ -174,14 +239,12 @@
       tellAll(verdictOf(explained, now, now), outbox);
     } else {
       count(fingerprint, run, now, outbox);
-      const Keepers keepers = rendezvousKeepers(fingerprint, self_, members_.get());
       proto::Envelope envelope;
-      proto::CrashReport& report = *envelope.mutable_quarantine()->mutable_report();
-      report.set_fingerprint(fingerprint);
-      putRun(run, now, *report.mutable_run());
-      for (const NodeId keeper : std::set<NodeId>{keepers.first, keepers.second}) {
-        if (keeper != self_) {
-          outbox.emplace_back(keeper, envelope);
+      putSuspicion(Suspicion{fingerprint, {run}}, now,
+                   *envelope.mutable_quarantine()->mutable_reports()->add_requests());
+      for (const NodeId node : rendezvousTop(fingerprint, counting_, kNodesThatCount, nodeHash)) {
+        if (node != self_) {
+          outbox.emplace_back(node, envelope);
         }
       }
     }
@@ -195,19 +258,16 @@
   const std::lock_guard<std::mutex> lock(mutex_);
   served_.note(fingerprint, clock_.now());
   evidence_.clear(fingerprint);
-  proposals_.erase(fingerprint);
+  if (proposals_.erase(fingerprint) > 0) {
+    endHold(fingerprint);
+  }
 }
 
 size_t QuarantineDirectory::storeRank(uint64_t fingerprint) const {
-  std::vector<NodeId> living{self_};
-  for (const Member& member : members_ == nullptr ? std::vector<Member>() : members_->members) {
-    if (member.state != MemberState::kSuspect && member.life.node != self_) {
-      living.push_back(member.life.node);
-    }
-  }
   const std::vector<NodeId> first =
-      rendezvousTop(fingerprint, std::move(living), kNodesThatStore, nodeHash);
-  return static_cast<size_t>(std::find(first.begin(), first.end(), self_) - first.begin());
+      rendezvousTop(fingerprint, counting_, kNodesThatStore, nodeHash);
+  const auto own = std::find(first.begin(), first.end(), self_);
+  return own == first.end() ? kNodesThatStore : static_cast<size_t>(own - first.begin());
 }
 
 bool QuarantineDirectory::isFirstToStore(uint64_t fingerprint) const {
@@ -226,6 +286,43 @@
   return due;
 }
 
+void QuarantineDirectory::takeReport(const Suspicion& report, Time now, Outbox& outbox) {
+  if (table_.timeLeft(report.fingerprint, now)) {
+    return;
+  }
+  for (const CrashedRun& run : report.runs) {
+    count(report.fingerprint, run, now, outbox);
+  }
+}
+
+void QuarantineDirectory::handOver(Time now, Outbox& outbox) {
+  if (!mustHandOver_ || now < nextHandOverAt_) {
+    return;
+  }
+  mustHandOver_ = false;
+  nextHandOverAt_ = now + kHandOverPause;
+  std::map<NodeId, proto::Envelope> messages;
+  const auto send = [&](NodeId node, const proto::Envelope& envelope) {
+    if (node != self_) {
+      outbox.emplace_back(node, envelope);
+    }
+  };
+  for (const Suspicion& suspect : evidence_.newest(kMostHandedOver)) {
+    for (const NodeId node :
+         rendezvousTop(suspect.fingerprint, counting_, kNodesThatCount, nodeHash)) {
+      proto::CrashReports& reports = *messages[node].mutable_quarantine()->mutable_reports();
+      putSuspicion(suspect, now, *reports.add_requests());
+      if (static_cast<size_t>(reports.requests_size()) >= kReportsInMessage) {
+        send(node, messages[node]);
+        messages.erase(node);
+      }
+    }
+  }
+  for (const auto& [node, envelope] : messages) {
+    send(node, envelope);
+  }
+}
+
 void QuarantineDirectory::onProposal(NodeId from, const proto::QuarantineProposal& proposal,
                                      Time now, Outbox& outbox) {
   const Suspicion suspicion = takeSuspicion(proposal, now);
@@ -239,6 +336,7 @@
     outbox.emplace_back(from, std::move(envelope));
     return;
   }
+  hold(suspicion.fingerprint, now);
   withdrawRivals(suspicion);
   forgetHeard(now);
   heard_.push_back(HeardProposal{suspicion, now});
@@ -255,15 +353,16 @@
   Outbox outbox;
   {
     const std::lock_guard<std::mutex> lock(mutex_);
-    if (message.has_report()) {
-      if (!table_.timeLeft(message.report().fingerprint(), now)) {
-        count(message.report().fingerprint(), takeRun(message.report().run(), now), now, outbox);
+    if (message.has_reports()) {
+      for (const proto::CrashReport& report : message.reports().requests()) {
+        takeReport(takeSuspicion(report, now), now, outbox);
       }
     } else if (message.has_proposal()) {
       onProposal(from.node, message.proposal(), now, outbox);
     } else if (message.has_objection()) {
       evidence_.clear(message.objection().fingerprint());
       proposals_.erase(message.objection().fingerprint());
+      endHold(message.objection().fingerprint());
     } else if (message.has_verdict()) {
       onVerdict(message.verdict(), now);
     }
@@ -295,6 +394,8 @@
   {
     const std::lock_guard<std::mutex> lock(mutex_);
     tellUnstored(now, outbox);
+    handOver(now, outbox);
+    forgetHolds(now);
     std::vector<Suspicion> decided;
     for (const auto& [fingerprint, proposal] : proposals_) {
       if (now >= proposal.decideAt) {
--- a/src/peers/quarantine_directory.h
+++ b/src/peers/quarantine_directory.h
@@ -1,11 +1,12 @@
 /// @file
 /// Requests that crash engines, found by all nodes together. A run that ended with its engine is
-/// told to the two nodes that count for that request (rendezvous hashing over the living nodes),
-/// and counted by the node that saw it too. Whoever finds a request suspected proposes to
-/// quarantine it; nodes that know it served since its first crash object, and two requests that
-/// were at the same ends wait for a further one that tells them apart. A proposal without objection
-/// becomes a verdict, which all nodes are told; the ends of engines that it explains count against
-/// nobody else.
+/// told to the two nodes that count for that request (rendezvous hashing over the nodes that don't
+/// stop), and counted by the node that saw it too; where the members change, all tell the nodes
+/// that count from then on. Whoever finds a request suspected proposes to quarantine it; nodes that
+/// know it served since its first crash object, and two requests that were at the same ends wait
+/// for a further one that tells them apart. Nodes hold the request meanwhile. A proposal without
+/// objection becomes a verdict, which all nodes are told; the ends of engines that it explains
+/// count against nobody else.
 ///
 /// Verdicts reach nodes that are cut off now, or not yet started, through the operators' store and
 /// the mirror of it (quarantine/quarantine_table.h). Until a verdict lies in the store, each node
@@ -13,6 +14,8 @@
 /// store is away.
 #pragma once
 
+#include <atomic>
+#include <condition_variable>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -40,6 +43,7 @@
 
   void setMembers(std::shared_ptr<const MembershipSnapshot> members);
 
+  void awaitDecision(uint64_t fingerprint) override;
   std::optional<Duration> timeLeft(uint64_t fingerprint) override;
   void noteCrash(uint64_t fingerprint, const quarantine::CrashedRun& run) override;
   void noteServed(uint64_t fingerprint) override;
@@ -47,6 +51,8 @@
   /// @return whether this node is the first of those that put a verdict on the request into the
   /// store.
   bool isFirstToStore(uint64_t fingerprint) const;
+  /// @return whether requests like this wait for a decision now.
+  bool isHeld(uint64_t fingerprint) const;
   /// @return verdicts that this node has to put into the store now.
   std::vector<quarantine::Quarantined> toStore(Time now) const;
 
@@ -86,7 +92,17 @@
   void tellUnstored(Time now, Outbox& outbox);
   void tellAll(const proto::Envelope& envelope, Outbox& outbox) const;
   void forgetHeard(Time now);
+  /// Nodes that count for requests: those that neither stop nor are suspected; this one, if there
+  /// is none.
+  std::vector<NodeId> countingNodes() const;
+  /// Tells the nodes that count now what was held here: others may have counted before.
+  void handOver(Time now, Outbox& outbox);
+  bool isHeldAt(uint64_t fingerprint, Time now) const;
+  void hold(uint64_t fingerprint, Time now);
+  void endHold(uint64_t fingerprint);
+  void forgetHolds(Time now);
 
+  void takeReport(const quarantine::Suspicion& report, Time now, Outbox& outbox);
   void onProposal(NodeId from, const proto::QuarantineProposal& proposal, Time now, Outbox& outbox);
   void onVerdict(const proto::QuarantineVerdict& verdict, Time now);
 
@@ -99,6 +115,12 @@
   quarantine::CrashEvidence evidence_;
   quarantine::ServedMemory served_;
   std::map<uint64_t, Proposal> proposals_;  ///< Of this node.
+  std::map<uint64_t, Time> heldUntil_;      ///< Requests on which a verdict may come.
+  std::atomic<bool> holdsAny_{false};       ///< `heldUntil_` isn't empty.
+  std::condition_variable holdEnded_;
+  std::vector<NodeId> counting_;
+  bool mustHandOver_ = false;
+  Time nextHandOverAt_;
   std::vector<HeardProposal> heard_;
   std::vector<Telling> tellings_;
   Random random_;
--- a/src/quarantine/crash_evidence.cpp
+++ b/src/quarantine/crash_evidence.cpp
@@ -1,6 +1,8 @@
 #include "quarantine/crash_evidence.h"
 
 #include <algorithm>
+#include <functional>
+#include <utility>
 
 namespace fernmoor::quarantine {
 
@@ -104,6 +106,21 @@
   return found == suspects_.end() ? std::vector<CrashedRun>() : found->second.runs;
 }
 
+std::vector<Suspicion> CrashEvidence::newest(size_t most) const {
+  std::vector<std::pair<Time, uint64_t>> byTime;
+  for (const auto& [fingerprint, suspect] : suspects_) {
+    byTime.emplace_back(suspect.lastAt, fingerprint);
+  }
+  const size_t kept = std::min(most, byTime.size());
+  std::partial_sort(byTime.begin(), byTime.begin() + static_cast<ptrdiff_t>(kept), byTime.end(),
+                    std::greater<>());
+  std::vector<Suspicion> found;
+  for (size_t index = 0; index < kept; ++index) {
+    found.push_back(Suspicion{byTime[index].second, suspects_.at(byTime[index].second).runs});
+  }
+  return found;
+}
+
 void CrashEvidence::clear(uint64_t fingerprint) {
   suspects_.erase(fingerprint);
 }
--- a/src/quarantine/crash_evidence.h
+++ b/src/quarantine/crash_evidence.h
@@ -55,6 +55,8 @@
   /// @return false where it has as many as are ever asked for.
   bool demandOneMore(uint64_t fingerprint);
   size_t size() const { return suspects_.size(); }
+  /// @return what is held against requests, at most so many, those with the newest ends.
+  std::vector<Suspicion> newest(size_t most) const;
 
  private:
   struct Suspect {
--- a/test/gateway/forwarder_quarantine_test.cpp
+++ b/test/gateway/forwarder_quarantine_test.cpp
@@ -151,6 +151,7 @@
   CHECK(requestsOf(world) == 1);
   REQUIRE(world.caller.refusals.size() == 1);
   CHECK(world.caller.refusals[0].runState == RunState::kUnknown);
+  CHECK(world.quarantine.waits == 2);  // Before each of the two.
 }
 
 TEST_CASE("a request ends at its deadline though the machine was suspended while it waited") {
--- a/test/gateway/forwarder_world.h
+++ b/test/gateway/forwarder_world.h
@@ -296,6 +296,7 @@
 /// Keeps what it is told; quarantines what the test says.
 class TestQuarantine : public RequestQuarantine {
  public:
+  void awaitDecision(uint64_t) override { ++waits; }
   std::optional<Duration> timeLeft(uint64_t) override { return left; }
   void noteCrash(uint64_t fingerprint, const quarantine::CrashedRun&) override {
     crashes.push_back(fingerprint);
@@ -307,6 +308,7 @@
   std::optional<Duration> leftAfterCrash;
   std::vector<uint64_t> crashes;
   std::vector<uint64_t> served;
+  int waits = 0;
 };
 
 /// Silence after which a request that may run again is sent elsewhere.
--- a/test/peers/directory_world.h
+++ b/test/peers/directory_world.h
@@ -60,6 +60,18 @@
     nodes_[node] = maker(node, clock, *senders_[node]);
     nodes_[node]->setMembers(members_);
   }
+  /// Tells all nodes of a member's new state.
+  void setState(uint64_t id, MemberState state) {
+    members_ = std::make_shared<MembershipSnapshot>(*members_);
+    for (Member& member : members_->members) {
+      if (member.life.node == NodeId(id)) {
+        member.state = state;
+      }
+    }
+    for (auto& node : nodes_) {
+      node.second->setMembers(members_);
+    }
+  }
   /// Cuts these nodes off from the others, not from one another.
   void cut(const std::set<uint64_t>& nodes) { cutOff_ = nodes; }
   MessageSender& sender(NodeId id) { return *senders_.at(id); }
--- a/test/peers/quarantine_directory_test.cpp
+++ b/test/peers/quarantine_directory_test.cpp
@@ -30,6 +30,49 @@
   CHECK(world.quarantinedAt(kPoison) == 7);
 }
 
+TEST_CASE("nodes hold a request while it is decided on, and an innocent one goes on") {
+  QuarantineWorld world(7);
+  for (uint64_t engine = 1; engine <= 3; ++engine) {
+    world.pass(kBetween);
+    world.crash(engine, {{engine, kPoison}});
+  }
+  for (uint64_t id = 1; id <= 7; ++id) {
+    CHECK(world.node(id).isHeld(kPoison));
+    CHECK_FALSE(world.node(id).isHeld(kVictim));
+  }
+  SUBCASE("until the verdict") {
+    world.pass(std::chrono::milliseconds(400));
+    CHECK(world.quarantinedAt(kPoison) == 7);
+  }
+  SUBCASE("a third of a second at most where none comes") {
+    world.silent = {NodeId(1), NodeId(2), NodeId(3), NodeId(4), NodeId(5), NodeId(6), NodeId(7)};
+    world.clock.advanceTo(world.clock.now() + std::chrono::milliseconds(350));
+  }
+  for (uint64_t id = 1; id <= 7; ++id) {
+    CHECK_FALSE(world.node(id).isHeld(kPoison));
+    world.node(id).awaitDecision(kPoison);
+  }
+}
+
+TEST_CASE("evidence is handed on while all nodes are stopped and started in turn") {
+  QuarantineWorld world(7);
+  world.crash(1, {{1, kPoison}});
+  world.pass(kBetween);
+  for (uint64_t id = 1; id <= 7; ++id) {
+    world.setState(id, MemberState::kDraining);
+    world.pass(std::chrono::milliseconds(600));
+    world.restart(id);
+    world.setState(id, MemberState::kAlive);
+    world.pass(std::chrono::milliseconds(600));
+  }
+  world.crash(2, {{3, kPoison}});
+  world.pass(kBetween);
+  CHECK(world.quarantinedAt(kPoison) == 0);
+  world.crash(3, {{5, kPoison}});
+  world.pass(kBetween);
+  CHECK(world.quarantinedAt(kPoison) == 7);
+}
+
 TEST_CASE("a node that no message reached is told again") {
   QuarantineWorld world(7);
   for (uint64_t engine = 1; engine <= 3; ++engine) {
