--- a/src/peers/quarantine_directory.cpp
+++ b/src/peers/quarantine_directory.cpp
@@ -17,6 +17,9 @@
 /// Beside it a proposer needs a tick, 100 ms, to decide. A verdict that is lost is told again
 /// later.
 constexpr Duration kHoldTime = kObjectionTime + Duration(100000);
+/// After a crash its own node holds the request until those that count can have answered with a
+/// proposal: a trip and back between regions, 40 ms.
+constexpr Duration kReportTime{50000};
 /// Nodes that count for one request.
 constexpr size_t kNodesThatCount = 2;
 /// Bound on what is handed over at a change of the members, the newest first, and how often: 16
@@ -114,8 +117,9 @@
   return nodes.empty() ? std::vector<NodeId>{self_} : nodes;
 }
 
-void QuarantineDirectory::hold(uint64_t fingerprint, Time now) {
-  heldUntil_[fingerprint] = now + kHoldTime;
+void QuarantineDirectory::hold(uint64_t fingerprint, Time until) {
+  Time& held = heldUntil_[fingerprint];
+  held = std::max(held, until);
   holdsAny_ = true;
 }
 
@@ -210,7 +214,7 @@
   putSuspicion(suspicion, now, *envelope.mutable_quarantine()->mutable_proposal());
   tellAll(envelope, outbox);
   proposals_[suspicion.fingerprint] = Proposal{suspicion, now + kObjectionTime};
-  hold(suspicion.fingerprint, now);
+  hold(suspicion.fingerprint, now + kHoldTime);
   forgetHeard(now);
   for (const HeardProposal& heard : heard_) {
     withdrawRivals(heard.suspicion);
@@ -239,6 +243,7 @@
       tellAll(verdictOf(explained, now, now), outbox);
     } else {
       count(fingerprint, run, now, outbox);
+      hold(fingerprint, now + kReportTime);
       proto::Envelope envelope;
       putSuspicion(Suspicion{fingerprint, {run}}, now,
                    *envelope.mutable_quarantine()->mutable_reports()->add_requests());
@@ -336,7 +341,7 @@
     outbox.emplace_back(from, std::move(envelope));
     return;
   }
-  hold(suspicion.fingerprint, now);
+  hold(suspicion.fingerprint, now + kHoldTime);
   withdrawRivals(suspicion);
   forgetHeard(now);
   heard_.push_back(HeardProposal{suspicion, now});
--- a/src/peers/quarantine_directory.h
+++ b/src/peers/quarantine_directory.h
@@ -98,7 +98,7 @@
   /// Tells the nodes that count now what was held here: others may have counted before.
   void handOver(Time now, Outbox& outbox);
   bool isHeldAt(uint64_t fingerprint, Time now) const;
-  void hold(uint64_t fingerprint, Time now);
+  void hold(uint64_t fingerprint, Time until);
   void endHold(uint64_t fingerprint);
   void forgetHolds(Time now);
 
