Quarantine: a hold ends in time, and a verdict ends proposals whose ends it explains

Read in the diff: a hold of 50 ms lasted 0.35 s, as nothing woke the waiting request; a proposal stood though another request's verdict had explained its ends meanwhile.

--- a/src/peers/quarantine_directory.cpp
+++ b/src/peers/quarantine_directory.cpp
@@ -151,7 +151,9 @@
     return;  // Nearly always: no lock is taken on the request path.
   }
   std::unique_lock<std::mutex> lock(mutex_);
-  holdEnded_.wait_for(lock, kHoldTime, [&] { return !isHeldAt(fingerprint, clock_.now()); });
+  for (Time now = clock_.now(); isHeldAt(fingerprint, now); now = clock_.now()) {
+    holdEnded_.wait_for(lock, heldUntil_.at(fingerprint) - now);
+  }
 }
 
 std::optional<Duration> QuarantineDirectory::timeLeft(uint64_t fingerprint) {
@@ -394,6 +396,27 @@
   }
 }
 
+void QuarantineDirectory::decide(Time now) {
+  std::vector<Suspicion> due;
+  for (const auto& [fingerprint, proposal] : proposals_) {
+    if (now >= proposal.decideAt) {
+      due.push_back(proposal.suspicion);
+    }
+  }
+  for (const Suspicion& suspicion : due) {
+    // Another verdict may have explained some of the ends meanwhile; requests that always come
+    // together can't explain each other's.
+    const bool stands = suspicion.runs.size() >= quarantine::CrashEvidence::kMostEndsNeeded ||
+                        evidence_.suspicionOf(suspicion.fingerprint).has_value();
+    proposals_.erase(suspicion.fingerprint);
+    endHold(suspicion.fingerprint);
+    if (stands) {
+      accept(suspicion, now, now);
+      tellings_.push_back(Telling{suspicion, now, kTellings, now});
+    }
+  }
+}
+
 void QuarantineDirectory::onTick(Time now, MessageSender& sender) {
   Outbox outbox;
   {
@@ -401,16 +424,7 @@
     tellUnstored(now, outbox);
     handOver(now, outbox);
     forgetHolds(now);
-    std::vector<Suspicion> decided;
-    for (const auto& [fingerprint, proposal] : proposals_) {
-      if (now >= proposal.decideAt) {
-        decided.push_back(Suspicion{fingerprint, evidence_.runsOf(fingerprint)});
-      }
-    }
-    for (const Suspicion& suspicion : decided) {
-      accept(suspicion, now, now);
-      tellings_.push_back(Telling{suspicion, now, kTellings, now});
-    }
+    decide(now);
     for (Telling& telling : tellings_) {
       if (now >= telling.nextAt) {
         tellAll(verdictOf(telling.suspicion, telling.since, now), outbox);
--- a/src/peers/quarantine_directory.h
+++ b/src/peers/quarantine_directory.h
@@ -92,6 +92,8 @@
   void tellUnstored(Time now, Outbox& outbox);
   void tellAll(const proto::Envelope& envelope, Outbox& outbox) const;
   void forgetHeard(Time now);
+  /// Turns proposals of this node whose time for objections is over into verdicts.
+  void decide(Time now);
   /// Nodes that count for requests: those that neither stop nor are suspected; this one, if there
   /// is none.
   std::vector<NodeId> countingNodes() const;
--- a/src/quarantine/crash_evidence.cpp
+++ b/src/quarantine/crash_evidence.cpp
@@ -11,9 +11,6 @@
 /// Ends of engines under one request that make it suspected. Users allow three before a request
 /// may not be sent on; two would suspect the victims of others too often (test/quarantine).
 constexpr size_t kEndsNeeded = 3;
-/// Where two requests were at the same ends, further ones must tell them apart; two that always
-/// come together are both suspected after so many.
-constexpr size_t kMostEndsNeeded = 5;
 /// A request that comes back later than this after a crash begins anew.
 constexpr Duration kEvidenceTime{std::chrono::minutes(10)};
 /// Each holds about 150 bytes: 0.3 MB. One end of an engine brings as many as ran there, 48 or
@@ -95,10 +92,16 @@
   if (!isKnown) {
     suspect.runs.push_back(run);
   }
-  if (suspect.runs.size() < suspect.needed || !cameAgain(suspect.runs)) {
+  return suspicionOf(fingerprint);
+}
+
+std::optional<Suspicion> CrashEvidence::suspicionOf(uint64_t fingerprint) const {
+  const auto found = suspects_.find(fingerprint);
+  if (found == suspects_.end() || found->second.runs.size() < found->second.needed ||
+      !cameAgain(found->second.runs)) {
     return std::nullopt;
   }
-  return Suspicion{fingerprint, suspect.runs};
+  return Suspicion{fingerprint, found->second.runs};
 }
 
 std::vector<CrashedRun> CrashEvidence::runsOf(uint64_t fingerprint) const {
--- a/src/quarantine/crash_evidence.h
+++ b/src/quarantine/crash_evidence.h
@@ -42,8 +42,14 @@
 /// none that saw several.
 class CrashEvidence {
  public:
+  /// Where two requests were at the same ends, further ones must tell them apart; two that always
+  /// come together are both suspected after so many.
+  static constexpr size_t kMostEndsNeeded = 5;
+
   /// @return the suspicion, where there is one with this run.
   std::optional<Suspicion> note(uint64_t fingerprint, const CrashedRun& run, Time now);
+  /// @return the suspicion against the request, if there is one.
+  std::optional<Suspicion> suspicionOf(uint64_t fingerprint) const;
   /// @return the ends that are held against the request.
   std::vector<CrashedRun> runsOf(uint64_t fingerprint) const;
   /// The request was served, or is quarantined: nothing is held against it any more.
--- a/test/peers/quarantine_directory_test.cpp
+++ b/test/peers/quarantine_directory_test.cpp
@@ -54,6 +54,31 @@
   }
 }
 
+TEST_CASE("a node that saw a crash holds its request for a trip and back only") {
+  QuarantineWorld world(7);
+  world.crash(1, {{1, kVictim}});
+  CHECK(world.node(1).isHeld(kVictim));
+  CHECK_FALSE(world.node(2).isHeld(kVictim));
+  world.clock.advanceTo(world.clock.now() + std::chrono::milliseconds(50));
+  CHECK_FALSE(world.node(1).isHeld(kVictim));
+  world.node(1).awaitDecision(kVictim);
+}
+
+TEST_CASE("a verdict on another request that explains the ends of a proposal ends it") {
+  QuarantineWorld world(7);
+  for (uint64_t engine = 1; engine <= 2; ++engine) {
+    world.pass(kBetween);
+    world.crash(engine, {{engine, kPoison}, {engine, kVictim}});
+  }
+  world.pass(kBetween);
+  world.crash(3, {{3, kPoison}});
+  world.pass(std::chrono::milliseconds(100));
+  world.crash(4, {{4, kVictim}});
+  world.pass(kBetween);
+  CHECK(world.quarantinedAt(kPoison) + world.quarantinedAt(kVictim) <= 7);
+  CHECK(world.quarantinedAt(kVictim) == 0);
+}
+
 TEST_CASE("evidence is handed on while all nodes are stopped and started in turn") {
   QuarantineWorld world(7);
   world.crash(1, {{1, kPoison}});
