--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 
 #include "common/log.h"
-#include "gateway/answer_headers.h"
 #include "gateway/request_fingerprint.h"
 #include "gateway/send_decisions.h"
 
@@ -12,14 +11,8 @@
 namespace {
 
 constexpr int kStatusOk = 200;
-constexpr int kFirstServerError = 500;
-/// Answers up to this size are held back until they are whole, so that a broken one can be asked
-/// for again and never reaches the caller.
-constexpr size_t kHeldAnswerBytes = 256U << 10U;
 /// With less time left than this a request is not sent any more.
 constexpr Duration kLeastUsefulTime{5000};
-/// Grace after the deadline in which the back end's own last word may still come.
-constexpr Duration kLastWordGrace{60000};
 /// A back end that could not be reached is left alone for so long.
 constexpr Duration kUnreachablePause{1000000};
 
@@ -312,132 +305,6 @@
   return stream ? relayStream(attempt) : relayWhole(attempt);
 }
 
-RequestRun::Next RequestRun::relayWhole(EngineAttempt& attempt) {
-  if (headSent_) {  // A resumed stream was answered with something else.
-    return afterStep(AttemptStep::kBroken);
-  }
-  std::string body;
-  std::string bytes;
-  while (!attempt.bodyComplete()) {
-    const AttemptStep step = attempt.readBody(caller_, request_.deadline + kLastWordGrace, bytes);
-    if (step != AttemptStep::kDone) {
-      return afterStep(step);
-    }
-    body += bytes;
-    if (body.size() > kHeldAnswerBytes) {
-      return passOnLarge(attempt, std::move(body));
-    }
-  }
-  attempt.keepConnection();
-  const int status = static_cast<int>(attempt.head().getStatus());
-  const bool failed = status >= kFirstServerError;
-  noteEnd(failed ? BackendVerdict::kFailed : BackendVerdict::kServed,
-          failed ? AttemptEnd::kFailed : AttemptEnd::kServed);
-  ++runs_;
-  mayHaveRun_ = true;
-  held_.emplace(HeldAnswer{answerHeadOf(attempt.head(), request_.method), std::move(body)});
-  held_->head.contentLength = held_->body.size();
-  const Time now = services_.clock.now();
-  if (failed && mayRunElsewhere() && now < request_.deadline &&
-      services_.budget.trySecondSend(request_.pool, now)) {
-    secondSendPaid_ = true;
-    return Next::kElsewhere;
-  }
-  deliverHeld();
-  return Next::kFinished;
-}
-
-void RequestRun::deliverHeld() {
-  metrics_.observeFirstToken(services_.clock.now() - request_.arrivedAt);
-  headSent_ = true;
-  callerGone_ =
-      !caller_.sendHead(held_->head) || !caller_.sendBody(held_->body) || !caller_.finish();
-}
-
-RequestRun::Next RequestRun::passOnLarge(EngineAttempt& attempt, std::string body) {
-  AnswerHead head = answerHeadOf(attempt.head(), request_.method);
-  if (attempt.bodyShape().framing == BodyFraming::kLength) {
-    head.contentLength = attempt.bodyShape().length;
-  }
-  headSent_ = true;
-  mayHaveRun_ = true;
-  ++runs_;
-  bool sent = caller_.sendHead(head) && caller_.sendBody(body);
-  while (sent && !attempt.bodyComplete()) {
-    const AttemptStep step = attempt.readBody(caller_, request_.deadline + kLastWordGrace, body);
-    if (step != AttemptStep::kDone) {
-      noteEnd(BackendVerdict::kFailed, howItBroke());
-      return Next::kGiveUp;
-    }
-    sent = body.empty() || caller_.sendBody(body);
-  }
-  noteEnd(BackendVerdict::kServed, AttemptEnd::kServed);
-  callerGone_ = !sent || !caller_.finish();
-  attempt.keepConnection();
-  return Next::kFinished;
-}
-
-bool RequestRun::sendStreamHead(EngineAttempt& attempt) {
-  if (headSent_) {
-    return true;
-  }
-  headSent_ = true;
-  return caller_.sendHead(answerHeadOf(attempt.head(), request_.method));
-}
-
-void RequestRun::noteEvents(Time now) {
-  if (firstEventAt_) {
-    longestPause_ = std::max(longestPause_, now - lastEventAt_);
-    metrics_.observeTokenInterval(now - lastEventAt_);
-  } else {
-    firstEventAt_ = now;
-    metrics_.observeFirstToken(now - request_.arrivedAt);
-    forwarder_.planner_.notePartsRead(request_, plan_, now - sentAt_);
-  }
-  lastEventAt_ = now;
-}
-
-bool RequestRun::forwardEvents(EventSplitter& events) {
-  std::string whole;
-  while (std::optional<RawEvent> event = events.next()) {
-    if (!event->id.empty()) {
-      lastEventId_ = event->id;
-    }
-    whole += event->bytes;
-  }
-  if (whole.empty()) {
-    return true;
-  }
-  noteEvents(services_.clock.now());
-  return caller_.sendBody(whole);
-}
-
-RequestRun::Next RequestRun::relayStream(EngineAttempt& attempt) {
-  EventSplitter events;
-  std::string bytes;
-  while (!attempt.bodyComplete()) {
-    const AttemptStep step = readStream(attempt, bytes);
-    if (step != AttemptStep::kDone) {
-      return afterStep(step);
-    }
-    if (bytes.empty()) {
-      continue;
-    }
-    notePromptRead();
-    events.add(bytes);
-    if (!sendStreamHead(attempt) || !forwardEvents(events)) {
-      return afterStep(AttemptStep::kCallerGone);
-    }
-  }
-  if (events.hasPartialEvent()) {
-    return afterStep(AttemptStep::kBroken);
-  }
-  noteEnd(BackendVerdict::kServed, AttemptEnd::kServed);
-  attempt.keepConnection();
-  callerGone_ = !sendStreamHead(attempt) || !caller_.finish();
-  return Next::kFinished;
-}
-
 void RequestRun::giveUp() {
   if (headSent_) {
     caller_.breakOff();
--- a/src/gateway/request_run.h
+++ b/src/gateway/request_run.h
@@ -14,7 +14,10 @@
 
 namespace fernmoor::gateway {
 
-/// Not thread-safe; used for one request.
+/// Grace after the deadline in which the back end's own last word may still come.
+inline constexpr Duration kLastWordGrace{60000};
+
+/// Not thread-safe; used for one request. What passes answers on stands in request_run_relay.cpp.
 class RequestRun {
  public:
   RequestRun(Forwarder& forwarder, const IncomingRequest& request, CallerChannel& caller);
