--- a/src/peers/quarantine_directory.cpp
+++ b/src/peers/quarantine_directory.cpp
@@ -47,13 +47,13 @@
 }
 
 void putRun(const CrashedRun& run, Time now, proto::CrashedRun& out) {
-  out.set_engine_life(run.engineLife);
+  out.set_incarnation(run.incarnation);
   out.set_began_age_milliseconds(ageInMessage(run.beganAt, now));
   out.set_ended_age_milliseconds(ageInMessage(run.endedAt, now));
 }
 
 CrashedRun takeRun(const proto::CrashedRun& run, Time now) {
-  return CrashedRun{run.engine_life(),
+  return CrashedRun{run.incarnation(),
                     now - std::chrono::milliseconds(run.began_age_milliseconds()),
                     now - std::chrono::milliseconds(run.ended_age_milliseconds())};
 }
--- a/src/quarantine/crash_evidence.cpp
+++ b/src/quarantine/crash_evidence.cpp
@@ -34,7 +34,7 @@
 
 bool isSameEnd(const CrashedRun& a, const CrashedRun& b) {
   const Duration apart = a.endedAt < b.endedAt ? b.endedAt - a.endedAt : a.endedAt - b.endedAt;
-  return a.engineLife == b.engineLife && apart < kOneEnd;
+  return a.incarnation == b.incarnation && apart < kOneEnd;
 }
 
 Time Suspicion::since() const {
