--- a/src/engine/engine_life.h
+++ b/src/engine/engine_life.h
@@ -16,7 +16,7 @@
 };
 
 /// @return a hash that differs between engines and between the lives of one.
-inline uint64_t incarnationHash(const EngineLife& life) {
+inline uint64_t engineLifeHash(const EngineLife& life) {
   return rendezvousWeight(stableHash(life.engine.value()), life.incarnation.value());
 }
 
--- a/src/engine/probe_facts.cpp
+++ b/src/engine/probe_facts.cpp
@@ -20,7 +20,7 @@
 void ProbeFacts::record(const EngineLife& life, const ChainSample& sample, size_t matchedHashes,
                         Time now) {
   dropOld(now);
-  const uint64_t engineHash = incarnationHash(life);
+  const uint64_t engineHash = engineLifeHash(life);
   for (size_t index = 0; index < sample.hashes.size() && index <= matchedHashes; ++index) {
     add(keyOf(engineHash, sample.hashes[index]), index < matchedHashes, now);
   }
@@ -28,7 +28,7 @@
 
 std::optional<size_t> ProbeFacts::matchedHashes(const EngineLife& life, const ChainSample& sample,
                                                 Time now) const {
-  const uint64_t engineHash = incarnationHash(life);
+  const uint64_t engineHash = engineLifeHash(life);
   size_t held = 0;
   for (size_t index = 0; index < sample.hashes.size(); ++index) {
     const auto found = facts_.find(keyOf(engineHash, sample.hashes[index]));
--- a/src/engine/probe_facts.h
+++ b/src/engine/probe_facts.h
@@ -9,7 +9,7 @@
 
 #include "common/knobs.h"
 #include "common/time.h"
-#include "engine/incarnation.h"
+#include "engine/engine_life.h"
 #include "prefix/chain_sample.h"
 
 namespace fernmoor {
--- a/src/engine/probe_waiter.h
+++ b/src/engine/probe_waiter.h
@@ -6,7 +6,7 @@
 #include <vector>
 
 #include "common/lock_order.h"
-#include "engine/incarnation.h"
+#include "engine/engine_life.h"
 
 namespace fernmoor {
 
--- a/src/quarantine/crash_evidence.h
+++ b/src/quarantine/crash_evidence.h
@@ -19,7 +19,7 @@
 /// One run of a request that ended with the process of its engine.
 struct CrashedRun {
   uint64_t incarnation = 0;  ///< Equal on all nodes for one incarnation of an engine.
-  Time beganAt;             ///< When it was sent there.
+  Time beganAt;              ///< When it was sent there.
   Time endedAt;
 };
 
--- a/src/routing/placement_memory.cpp
+++ b/src/routing/placement_memory.cpp
@@ -27,7 +27,7 @@
 void PlacementMemory::recordSent(const EngineLife& life, const BlockChain& chain,
                                  int64_t missedTokens, Time now) {
   loads_[life.engine].push_back(LoadChange{now, PlacedLoad{missedTokens, 1}});
-  const uint64_t engine = incarnationHash(life);
+  const uint64_t engine = engineLifeHash(life);
   for (size_t depth = kFineStep; depth <= chain.hashes.size(); depth = nextMarkDepth(depth)) {
     addMark(rendezvousWeight(chain.hashes[depth - 1], engine), now);
   }
@@ -39,7 +39,7 @@
 
 int64_t PlacementMemory::expectedBlocks(const EngineLife& life, const BlockChain& chain,
                                         Time now) const {
-  const uint64_t engine = incarnationHash(life);
+  const uint64_t engine = engineLifeHash(life);
   size_t matched = 0;
   for (size_t depth = kFineStep; depth <= chain.hashes.size(); depth = nextMarkDepth(depth)) {
     const auto mark = marks_.find(rendezvousWeight(chain.hashes[depth - 1], engine));
--- a/src/routing/placement_memory.h
+++ b/src/routing/placement_memory.h
@@ -11,7 +11,7 @@
 #include "common/ids.h"
 #include "common/knobs.h"
 #include "common/time.h"
-#include "engine/incarnation.h"
+#include "engine/engine_life.h"
 #include "engine/engine_state.h"
 #include "prefix/block_chain.h"
 
