Ends of engines that crowd into a moment don't tell of a request

Now three steps are asked for, each run begun after the end before it, or three seconds between the first and the last end.

--- a/src/quarantine/crash_evidence.cpp
+++ b/src/quarantine/crash_evidence.cpp
@@ -20,14 +20,33 @@
 /// Engines take longer than this to start, and reports of one end come within less.
 constexpr Duration kOneEnd{1200000};
 
-/// @return whether some run began after another one had ended: engines that end at the same moment,
-///         as with a rack, are one event.
-bool cameAgain(const std::vector<CrashedRun>& runs) {
-  const auto firstEnd = std::min_element(
-      runs.begin(), runs.end(),
-      [](const CrashedRun& a, const CrashedRun& b) { return a.endedAt < b.endedAt; });
-  return std::any_of(runs.begin(), runs.end(),
-                     [&](const CrashedRun& run) { return run.beganAt > firstEnd->endedAt; });
+/// Ends that lie so far apart count as a story of their own even where few followed each other: who
+/// is innocent has been served somewhere by then.
+constexpr Duration kLongStory{3000000};
+
+/// @return how many of the runs followed each other, each begun after the one before it had ended.
+///         Engines that end at the same moment, as with a rack or under several such requests, are
+///         one step: whatever is asked all the time runs at each of them.
+size_t stepsOf(std::vector<CrashedRun> runs) {
+  std::sort(runs.begin(), runs.end(),
+            [](const CrashedRun& a, const CrashedRun& b) { return a.endedAt < b.endedAt; });
+  size_t steps = 0;
+  Time lastEnd;
+  for (const CrashedRun& run : runs) {
+    if (steps == 0 || run.beganAt > lastEnd) {
+      ++steps;
+      lastEnd = run.endedAt;
+    }
+  }
+  return steps;
+}
+
+/// @return whether the ends tell of the request rather than of a moment at which much ended.
+bool tellOfRequest(const std::vector<CrashedRun>& runs) {
+  const auto byEnd = [](const CrashedRun& a, const CrashedRun& b) { return a.endedAt < b.endedAt; };
+  const auto [first, last] = std::minmax_element(runs.begin(), runs.end(), byEnd);
+  const size_t steps = stepsOf(runs);
+  return steps >= kEndsNeeded || (steps > 1 && last->endedAt - first->endedAt >= kLongStory);
 }
 
 }  // namespace
@@ -98,7 +117,7 @@
 std::optional<Suspicion> CrashEvidence::suspicionOf(uint64_t fingerprint) const {
   const auto found = suspects_.find(fingerprint);
   if (found == suspects_.end() || found->second.runs.size() < found->second.needed ||
-      !cameAgain(found->second.runs)) {
+      !tellOfRequest(found->second.runs)) {
     return std::nullopt;
   }
   return Suspicion{fingerprint, found->second.runs};
--- a/src/quarantine/crash_evidence.h
+++ b/src/quarantine/crash_evidence.h
@@ -1,8 +1,8 @@
 /// @file
 /// Which request crashes the engines that run it. Whatever runs at an engine that ends is under
 /// suspicion, most of it innocently: a request is suspected only when several engines ended under
-/// it, one of them in a run that began after an earlier one had ended, and when no other request
-/// explains these ends. Whether it was served meanwhile is for the caller to ask: see
+/// it, each in a run that began after the end before it, or some seconds apart, and when no other
+/// request explains these ends. Whether it was served meanwhile is for the caller to ask: see
 /// peers/quarantine_directory.h.
 #pragma once
 
