--- a/src/quarantine/crash_evidence.h
+++ b/src/quarantine/crash_evidence.h
@@ -30,7 +30,7 @@
 /// A request under which enough engines ended.
 struct Suspicion {
   uint64_t fingerprint = 0;
-  std::vector<CrashedRun> runs;  ///< Never empty, the earliest end first.
+  std::vector<CrashedRun> runs;  ///< In no order; empty only in a verdict told without them.
 
   /// @return when the first of its runs began that ended so.
   Time since() const;
