Sight on memory: what a process holds at each further tenth of its limit, bytes that wait for other nodes

The hypotheses on the growth of the table differ in what fills the memory: messages that wait, copies of the table, or requests. The log tells these beside the resident memory, /metrics the same. What waits to be sent is a type of its own and the table's entries a function of their own, so that a test in virtual time can use both; what they do is as before.

--- a/src/common/metrics.cpp
+++ b/src/common/metrics.cpp
@@ -93,7 +93,16 @@
                        .Add({})),
       platformAvailable_(&gauge(registry_, "fernmoor_platform_available",
                                 "1 if the last call to the platform succeeded, else 0.")
-                              .Add({})) {
+                              .Add({})),
+      peerQueue_(&gauge(registry_, "fernmoor_peer_queue_bytes",
+                        "Messages that wait to be sent to other nodes.")
+                      .Add({})),
+      tableText_(
+          &gauge(registry_, "fernmoor_table_text_bytes", "The table in force as nodes pass it on.")
+               .Add({})),
+      resident_(&gauge(registry_, "fernmoor_resident_memory_bytes",
+                       "The process in memory; its machine kills it over the machine's limit.")
+                     .Add({})) {
   auto& control = counter(registry_, "fernmoor_control_bytes_total",
                           "Bytes between nodes and of engines' events and load reports.");
   controlSent_ = &control.Add({{"direction", "sent"}});
--- a/src/common/metrics.h
+++ b/src/common/metrics.h
@@ -128,6 +128,13 @@
     controlReceived_->Increment(static_cast<double>(bytes));
   }
 
+  /// Bytes of messages that wait to be sent to other nodes.
+  void setPeerQueueBytes(uint64_t bytes) { peerQueue_->Set(static_cast<double>(bytes)); }
+  /// Bytes of the table in force as nodes pass it on.
+  void setTableTextBytes(size_t bytes) { tableText_->Set(static_cast<double>(bytes)); }
+  /// Bytes of the process that lie in memory.
+  void setResidentBytes(size_t bytes) { resident_->Set(static_cast<double>(bytes)); }
+
   /// Sets the sums since the program started, where somebody else counts.
   void setControlBytes(uint64_t sent, uint64_t received);
 
@@ -149,6 +156,9 @@
   prometheus::Gauge* enginesBehind_;
   prometheus::Counter* oldWeights_;
   prometheus::Gauge* platformAvailable_;
+  prometheus::Gauge* peerQueue_;
+  prometheus::Gauge* tableText_;
+  prometheus::Gauge* resident_;
   prometheus::Counter* controlSent_;
   prometheus::Counter* controlReceived_;
   mutable RankedMutex mutex_{LockRank::kMetrics};
--- /dev/null
+++ b/src/gateway/memory_watch.cpp
@@ -0,0 +1,37 @@
+#include "gateway/memory_watch.h"
+
+#include <algorithm>
+#include <string>
+
+#include "common/log.h"
+
+namespace fernmoor::gateway {
+
+namespace {
+
+constexpr size_t kTenths = 10;
+constexpr size_t kKilobyte = 1024;
+
+std::string kilobytes(size_t bytes) {
+  return std::to_string(bytes / kKilobyte) + " KB";
+}
+
+}  // namespace
+
+void MemoryWatch::note(const MemoryUse& use) {
+  peakBytes_ = std::max(peakBytes_, use.residentBytes);
+  if (limitBytes_ == 0) {
+    return;
+  }
+  const size_t tenths = use.residentBytes * kTenths / limitBytes_;
+  if (tenths <= toldTenths_) {
+    return;
+  }
+  toldTenths_ = tenths;
+  logInfo("memory: " + kilobytes(use.residentBytes) + " of " + kilobytes(limitBytes_) +
+          " in use; " + kilobytes(use.peerQueueBytes) + " wait for other nodes, " +
+          std::to_string(use.requests) + " requests under way, the table has " +
+          kilobytes(use.tableTextBytes));
+}
+
+}  // namespace fernmoor::gateway
--- a/src/peers/peer_plane.cpp
+++ b/src/peers/peer_plane.cpp
@@ -129,6 +129,11 @@
   return current == nullptr ? 0 : current->transport->counters().bytesReceived.load();
 }
 
+uint64_t PeerPlane::bytesQueued() const {
+  const std::shared_ptr<Life> current = life();
+  return current == nullptr ? 0 : current->transport->counters().queuedBytes.load();
+}
+
 MemberCounts PeerPlane::memberCounts() const {
   const std::shared_ptr<Life> current = life();
   return current == nullptr ? MemberCounts{} : countMembers(*current->membership->snapshot());
--- a/src/peers/peer_plane.h
+++ b/src/peers/peer_plane.h
@@ -60,6 +60,8 @@
   /// Bytes between nodes in this incarnation, those of the wire format included.
   uint64_t bytesSent() const;
   uint64_t bytesReceived() const;
+  /// Bytes of messages that wait to be sent.
+  uint64_t bytesQueued() const;
 
   void send(NodeId to, const proto::Envelope& envelope) override;
 
--- a/src/peers/state_mirror.cpp
+++ b/src/peers/state_mirror.cpp
@@ -118,6 +118,15 @@
   return stateOf(kind).provenAt;
 }
 
+size_t StateMirror::textBytes(MirrorKind kind) const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  size_t bytes = 0;
+  for (const auto& entry : stateOf(kind).entries) {
+    bytes += entry.second.text.size();
+  }
+  return bytes;
+}
+
 std::optional<MirrorDelta> StateMirror::since(MirrorKind kind, uint64_t since) const {
   const std::lock_guard<std::mutex> lock(mutex_);
   const KindState& state = stateOf(kind);
--- a/src/peers/state_mirror.h
+++ b/src/peers/state_mirror.h
@@ -68,6 +68,8 @@
 
   uint64_t revision(MirrorKind kind) const;
   std::optional<Time> provenAt(MirrorKind kind) const;
+  /// @return bytes of the texts of a kind.
+  size_t textBytes(MirrorKind kind) const;
   /// @return what a copy at `since` lacks; nothing if it is up to date.
   std::optional<MirrorDelta> since(MirrorKind kind, uint64_t since) const;
 
--- a/src/wire/peer_transport.cpp
+++ b/src/wire/peer_transport.cpp
@@ -17,7 +17,6 @@
 constexpr long kPollMicroseconds = 250000;        ///< How soon stop() is noticed.
 constexpr long kTcpTimeoutMicroseconds = 500000;  ///< A peer slower than this is skipped.
 constexpr size_t kMaxDatagramBytes = 65536;
-constexpr size_t kMaxLargeQueue = 256;  ///< Larger backlogs mean dead peers; the oldest go.
 constexpr int kSocketBufferBytes = 1 << 21;
 
 Poco::Net::SocketAddress toPoco(const SocketAddress& address) {
@@ -93,7 +92,7 @@
   ++counters_.messagesSent;
   counters_.bytesSent += bytes.size();
   if (static_cast<int64_t>(bytes.size()) > knobs_.maxDatagramBytes) {
-    enqueueLarge(*address, std::move(bytes));
+    enqueueLarge(LargeMessage{to, *address, std::move(bytes)});
     return;
   }
   try {
@@ -103,32 +102,28 @@
   }
 }
 
-void PeerTransport::enqueueLarge(const SocketAddress& address, std::string bytes) {
+void PeerTransport::enqueueLarge(LargeMessage message) {
   {
     const std::lock_guard<std::mutex> lock(largeMutex_);
-    if (largeMessages_.size() >= kMaxLargeQueue) {
-      largeMessages_.pop_front();
-      ++counters_.dropped;
-    }
-    largeMessages_.push_back(LargeMessage{address, std::move(bytes)});
+    counters_.dropped += largeMessages_.push(std::move(message));
+    counters_.queuedBytes = largeMessages_.bytes();
   }
   largeReady_.notify_one();
 }
 
+std::optional<LargeMessage> PeerTransport::nextLarge() {
+  std::unique_lock<std::mutex> lock(largeMutex_);
+  largeReady_.wait_for(lock, std::chrono::microseconds(kPollMicroseconds),
+                       [this] { return stopping_ || !largeMessages_.empty(); });
+  std::optional<LargeMessage> message = largeMessages_.pop();
+  counters_.queuedBytes = largeMessages_.bytes();
+  return message;
+}
+
 void PeerTransport::sendLargeMessages() {
   while (!stopping_) {
-    LargeMessage message;
-    {
-      std::unique_lock<std::mutex> lock(largeMutex_);
-      largeReady_.wait_for(lock, std::chrono::microseconds(kPollMicroseconds),
-                           [this] { return stopping_ || !largeMessages_.empty(); });
-      if (largeMessages_.empty()) {
-        continue;
-      }
-      message = std::move(largeMessages_.front());
-      largeMessages_.pop_front();
-    }
-    if (!sendOverTcp(message)) {
+    const std::optional<LargeMessage> message = nextLarge();
+    if (message && !sendOverTcp(*message)) {
       ++counters_.dropped;
     }
   }
--- a/src/wire/peer_transport.h
+++ b/src/wire/peer_transport.h
@@ -8,7 +8,6 @@
 
 #include <atomic>
 #include <condition_variable>
-#include <deque>
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -21,6 +20,7 @@
 #include "common/role.h"
 #include "common/socket_address.h"
 #include "wire/envelope_sealer.h"
+#include "wire/large_message_queue.h"
 
 namespace fernmoor {
 
@@ -32,6 +32,7 @@
   std::atomic<uint64_t> bytesReceived{0};
   std::atomic<uint64_t> refused{0};  ///< Wrong tag, malformed or too large.
   std::atomic<uint64_t> dropped{0};  ///< Unknown receiver, full queue or failed connection.
+  std::atomic<uint64_t> queuedBytes{0};  ///< Of large messages that wait now.
 };
 
 /// Sends to and receives from other nodes. send() is thread-safe and never blocks.
@@ -57,18 +58,14 @@
   const TransportCounters& counters() const { return counters_; }
 
  private:
-  /// A sealed message that is too large for a datagram.
-  struct LargeMessage {
-    SocketAddress address;
-    std::string bytes;
-  };
-
   void receiveDatagrams();
   void acceptConnections();
   void sendLargeMessages();
   void receiveConnection(Poco::Net::StreamSocket socket);
   void deliver(const char* bytes, size_t size);
-  void enqueueLarge(const SocketAddress& address, std::string bytes);
+  void enqueueLarge(LargeMessage message);
+  /// @return the message to be sent next, or nothing after a short wait.
+  std::optional<LargeMessage> nextLarge();
   bool sendOverTcp(const LargeMessage& message);
 
   NodeLife self_;
@@ -82,7 +79,7 @@
   std::atomic<bool> stopping_{false};
   std::mutex largeMutex_;
   std::condition_variable largeReady_;
-  std::deque<LargeMessage> largeMessages_;
+  LargeMessageQueue largeMessages_;
   std::vector<std::thread> threads_;
 };
 
