--- /dev/null
+++ b/test/platform/table_spread_test.cpp
@@ -0,0 +1,256 @@
+/// @file
+/// Tests of how a change of the operators' table spreads over narrow links
+/// (platform/table_entries.h, src/peers/mirror_role.h, src/wire/large_message_queue.h together, in
+/// virtual time).
+///
+/// What users saw: seconds after a table of 1,400 rows more was written, processes on machines of
+/// 88 MB and 10 Mbit/s ended over their memory, one after the other, and cut what they answered.
+/// The order of events: the readers pass the table on; it is one object, so each node asks for all
+/// of it and asks again, here and elsewhere, before an answer can have come over such a link; each
+/// of these answers is queued whole. What was measured: one growth, 47.5 MB at the peak; two, and a
+/// series of changes after them, 89.8 MB and 20 processes ended.
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <array>
+#include <deque>
+#include <map>
+
+#include "common/knobs.h"
+#include "http/json_text.h"
+#include "peers/mirror_role.h"
+#include "platform/table_entries.h"
+#include "wire/envelope_sealer.h"
+#include "wire/large_message_queue.h"
+
+namespace fernmoor::platform {
+
+namespace {
+
+using peers::MirrorKind;
+
+constexpr double kLinkBytesPerSecond = 1.25e6;  ///< 10 Mbit/s, as on the machines that ended.
+constexpr Duration kStep{10000};
+constexpr Duration kTick{100000};
+constexpr Duration kReadInterval{600000};
+constexpr Duration kDatagramTime{1000};
+constexpr uint64_t kNodes = 79;
+constexpr size_t kFirstRows = 400;
+constexpr size_t kGrowth = 1400;
+/// A change is in force everywhere after this, as the users' settings ask.
+constexpr Duration kInForceBound{3000000};
+/// For control a node may take 32 MB in all; what waits for others is a quarter of that at most.
+constexpr size_t kMostWaiting = 8000000;
+
+Duration linkTime(size_t bytes) {
+  return fromSeconds(static_cast<double>(bytes) / kLinkBytesPerSecond);
+}
+
+StoreObject tableOf(uint64_t revision, size_t rows, size_t changed) {
+  std::string text = R"({"version":)" + std::to_string(revision) + R"(,"routes":[)";
+  for (size_t row = 0; row < rows; ++row) {
+    const std::string number = std::to_string(row);
+    text += row == 0 ? "" : ",";
+    text += R"({"name":"row-)" + number + R"(","host":"tenant)" + std::to_string(row % 97) +
+            R"(.example","path-prefix":"/path)" + number + R"(/","type":"unsafe","service":")" +
+            (row == changed ? "other" : "pool") +
+            R"(","attempts":1,"timeout-ms":1500,"target-ms":120,"priority":2,"sticky":false,)" +
+            R"("resumable":false,"public":false})";
+  }
+  text += R"(],"services":[{"name":"pool"},{"name":"other"}]})";
+  return StoreObject{"main", revision, valueOf(parseJsonObject(text))};
+}
+
+/// Nodes with a link of their own each, before a store that serves all of them.
+class LinkWorld {
+ public:
+  LinkWorld() {
+    auto members = std::make_shared<MembershipSnapshot>();
+    const std::array<const char*, 3> zones = {"a", "b", "c"};
+    for (uint64_t id = 1; id <= kNodes; ++id) {
+      Member member;
+      member.life.node = NodeId(id);
+      member.zone = ZoneId(zones[id % zones.size()]);
+      members->members.push_back(member);
+      nodes_.emplace(std::piecewise_construct, std::forward_as_tuple(id),
+                     std::forward_as_tuple(NodeId(id), *this));
+    }
+    for (auto& [id, node] : nodes_) {
+      auto own = std::make_shared<MembershipSnapshot>(*members);
+      own->self.node = NodeId(id);
+      node.role.setMembers(own);
+    }
+  }
+
+  /// An operator writes the table.
+  void write(size_t rows, size_t changed = 0) {
+    ++revision_;
+    table_ = tableOf(revision_, rows, changed);
+    tableBytes_ = toText(*table_.spec).size();
+    writtenAt_ = now_;
+  }
+  void run(Duration duration) {
+    const Time until = now_ + duration;
+    while (now_ < until) {
+      step();
+    }
+  }
+  /// @return how long after the newest write its table was in force on all nodes; nothing if it is
+  ///         not on some.
+  std::optional<Duration> inForceAfter() const {
+    return inForceAt_ ? std::optional(*inForceAt_ - writtenAt_) : std::nullopt;
+  }
+  size_t mostWaiting() const { return mostWaiting_; }
+  double bytesSentPerNode() const { return static_cast<double>(bytesSent_) / kNodes; }
+  size_t tableBytes() const { return tableBytes_; }
+
+ private:
+  struct Node : public MessageSender {
+    Node(NodeId id, LinkWorld& world)
+        : id(id),
+          world(world),
+          mirror([](auto, const auto&, bool, auto) {}, [](auto, auto, auto) {}),
+          wanted(WeightBounds{std::chrono::seconds(8), Time()}),
+          role(id, mirror, wanted, Time()) {}
+    void send(NodeId to, const proto::Envelope& envelope) override {
+      world.send(*this, to, envelope);
+    }
+
+    NodeId id;
+    LinkWorld& world;
+    peers::StateMirror mirror;
+    WantedWeights wanted;
+    peers::MirrorRole role;
+    LargeMessageQueue queue;
+    std::optional<LargeMessage> sending;
+    Time sentAt;      ///< When `sending` has left.
+    Time linkFreeAt;  ///< When the last byte that comes here now has come.
+    Time nextReadAt;  ///< When the node reads the store next, if it must.
+    std::optional<StoreObject> reading;
+    Time readStartedAt;
+  };
+  struct Arrival {
+    Time at;
+    NodeId from;
+    NodeId to;
+    std::string bytes;
+  };
+
+  void send(Node& from, NodeId to, const proto::Envelope& envelope) {
+    std::string bytes = sealer_.seal(envelope);
+    bytesSent_ += bytes.size();
+    if (static_cast<int64_t>(bytes.size()) <= Knobs().maxDatagramBytes) {
+      arrivals_.push_back(Arrival{now_ + kDatagramTime, from.id, to, std::move(bytes)});
+      return;
+    }
+    from.queue.push(LargeMessage{to, SocketAddress{}, std::move(bytes)});
+    mostWaiting_ = std::max(mostWaiting_, from.queue.bytes());
+  }
+  void sendLarge(Node& node) {
+    if (node.sending && now_ >= node.sentAt) {
+      Node& to = nodes_.at(node.sending->to.value());
+      to.linkFreeAt = std::max(now_, to.linkFreeAt + linkTime(node.sending->bytes.size()));
+      arrivals_.push_back(Arrival{to.linkFreeAt, node.id, to.id, std::move(node.sending->bytes)});
+      node.sending.reset();
+    }
+    if (!node.sending) {
+      node.sending = node.queue.pop();
+      node.sentAt = now_ + (node.sending ? linkTime(node.sending->bytes.size()) : Duration(0));
+    }
+  }
+  /// The store's answer comes over the same link.
+  void readStore(Node& node) {
+    if (node.reading && now_ >= node.nextReadAt) {
+      const StoreObject object = *std::exchange(node.reading, std::nullopt);
+      if (const auto since = takeTable(node.mirror, object, node.readStartedAt)) {
+        node.role.announce(MirrorKind::kRows, *since, now_, node);
+      }
+      node.mirror.prove(MirrorKind::kRows, object.revision, node.readStartedAt);
+      node.nextReadAt = std::max(now_, node.readStartedAt + kReadInterval);
+    } else if (!node.reading && now_ >= node.nextReadAt && followsStore(node.role.duty(now_))) {
+      node.reading = table_;
+      node.readStartedAt = now_;
+      node.linkFreeAt = std::max(now_, node.linkFreeAt) + linkTime(tableBytes_);
+      node.nextReadAt = node.linkFreeAt;
+    }
+  }
+  void deliver() {
+    std::stable_sort(arrivals_.begin(), arrivals_.end(),
+                     [](const Arrival& a, const Arrival& b) { return a.at < b.at; });
+    while (!arrivals_.empty() && arrivals_.front().at <= now_) {
+      const Arrival arrival = std::move(arrivals_.front());
+      arrivals_.pop_front();
+      Node& to = nodes_.at(arrival.to.value());
+      to.role.onMessage(NodeLife{arrival.from, Incarnation(1)},
+                        valueOf(sealer_.open(arrival.bytes)), now_, to);
+    }
+  }
+  void noteInForce() {
+    const bool isEverywhere = std::all_of(nodes_.begin(), nodes_.end(), [&](const auto& entry) {
+      return entry.second.mirror.revision(MirrorKind::kRows) >= revision_;
+    });
+    if (!isEverywhere) {
+      inForceAt_.reset();
+    } else if (!inForceAt_) {
+      inForceAt_ = now_;
+    }
+  }
+  void step() {
+    deliver();
+    const bool isTick = (now_ - Time()) % kTick == Duration(0);
+    for (auto& [id, node] : nodes_) {
+      if (isTick) {
+        node.role.onTick(now_, node);
+      }
+      readStore(node);
+      sendLarge(node);
+    }
+    noteInForce();
+    now_ += kStep;
+  }
+
+  Time now_{std::chrono::seconds(100)};
+  EnvelopeSealer sealer_{"key"};
+  std::map<uint64_t, Node> nodes_;
+  std::deque<Arrival> arrivals_;
+  StoreObject table_;
+  uint64_t revision_ = 0;
+  size_t tableBytes_ = 0;
+  Time writtenAt_;
+  std::optional<Time> inForceAt_;
+  size_t mostWaiting_ = 0;
+  size_t bytesSent_ = 0;
+};
+
+}  // namespace
+
+TEST_CASE("a table that grows spreads over narrow links") {
+  LinkWorld world;
+  world.write(kFirstRows);
+  world.run(std::chrono::seconds(6));
+  REQUIRE(world.inForceAfter());
+
+  SUBCASE("in time, and little waits for other nodes meanwhile") {
+    world.write(kFirstRows + kGrowth);
+    world.run(std::chrono::seconds(8));
+    REQUIRE(world.inForceAfter());
+    CHECK(toSeconds(*world.inForceAfter()) <= toSeconds(kInForceBound));
+    CHECK(world.mostWaiting() <= kMostWaiting);
+  }
+  SUBCASE("and grows again, and is changed row by row, each time in time") {
+    world.write(kFirstRows + kGrowth);
+    world.run(std::chrono::seconds(4));
+    world.write(kFirstRows + 2 * kGrowth);
+    world.run(std::chrono::seconds(4));
+    REQUIRE(world.inForceAfter());
+    CHECK(toSeconds(*world.inForceAfter()) <= toSeconds(kInForceBound));
+    for (size_t change = 1; change <= 4; ++change) {
+      world.write(kFirstRows + 2 * kGrowth, change);
+      world.run(kInForceBound);
+      CHECK(world.inForceAfter());
+    }
+    CHECK(world.mostWaiting() <= kMostWaiting);
+  }
+}
+
+}  // namespace fernmoor::platform
