What a node passes on of a table that grew is pulled once and bounded in bytes

Cause: each node asked for the whole table each 0.4 s, here and elsewhere, before a narrow link can have carried an answer; each answer was queued whole, and the queue was bounded by the number of its messages.

Long changes are offered now, and pulled by each node from one other at a time, with a time that fits their length and doubles when it was too short. They are packed once for all that lack the same. What waits to be sent has a budget in bytes, receivers take turns, short messages go first, and a receiver that takes nothing loses its place. Readers and relays are the nodes with the widest links, by what the settings tell each of its own.

--- a/src/common/message_sender.h
+++ b/src/common/message_sender.h
@@ -16,6 +16,12 @@
   /// @param to the receiver; a node unknown to the transport drops the message.
   /// @param envelope body filled in; the transport fills in the sender.
   virtual void send(NodeId to, const proto::Envelope& envelope) = 0;
+  /// @return bytes of messages to the node that were not sent yet. A role that sends much asks
+  ///         first: what waits takes memory, and holds up what is sent after it. Without a queue:
+  ///         0.
+  virtual size_t waitingBytes(NodeId to) const { return 0; }
+  /// @return the same for all nodes together.
+  virtual size_t waitingBytes() const { return 0; }
 };
 
 }  // namespace fernmoor
--- a/src/membership/member.h
+++ b/src/membership/member.h
@@ -23,6 +23,7 @@
   SocketAddress httpAddress;  ///< Callers' and operators' port.
   MemberState state = MemberState::kAlive;
   TableVersion tableVersion;  ///< Last version known to be in force there.
+  uint32_t linkMegabits = 0;  ///< Bandwidth of its own link in Mbit/s; 0: unknown.
 };
 
 /// Read access to the members for other modules. Thread-safe.
--- a/src/membership/member_codec.cpp
+++ b/src/membership/member_codec.cpp
@@ -22,6 +22,7 @@
     encoded.set_http_host(identity.httpAddress.host);
   }
   encoded.set_http_port(identity.httpAddress.port);
+  encoded.set_link_mbps(identity.linkMegabits);
 }
 
 /// Short and printable, so that names from other nodes can be logged as they are.
@@ -44,6 +45,7 @@
   identity.peerAddress = {encoded.peer_host(), static_cast<uint16_t>(encoded.peer_port())};
   identity.httpAddress = {encoded.http_host().empty() ? encoded.peer_host() : encoded.http_host(),
                           static_cast<uint16_t>(encoded.http_port())};
+  identity.linkMegabits = encoded.link_mbps();
   return identity;
 }
 
--- a/src/membership/member_status.h
+++ b/src/membership/member_status.h
@@ -33,6 +33,7 @@
   RegionId region;
   SocketAddress peerAddress;
   SocketAddress httpAddress;
+  uint32_t linkMegabits = 0;  ///< Bandwidth of its own link in Mbit/s; 0: unknown.
 };
 
 /// A statement about one life of one member, as it is passed on.
--- a/src/membership/membership_role.cpp
+++ b/src/membership/membership_role.cpp
@@ -23,7 +23,8 @@
 }
 
 MemberIdentity identityOf(const Member& self) {
-  return MemberIdentity{self.zone, self.region, self.peerAddress, self.httpAddress};
+  return MemberIdentity{self.zone, self.region, self.peerAddress, self.httpAddress,
+                        self.linkMegabits};
 }
 
 void sendAll(const std::vector<OutgoingMessage>& messages, MessageSender& sender) {
--- a/src/membership/snapshot_builder.cpp
+++ b/src/membership/snapshot_builder.cpp
@@ -13,6 +13,7 @@
   member.region = entry.identity.region;
   member.peerAddress = entry.identity.peerAddress;
   member.httpAddress = entry.identity.httpAddress;
+  member.linkMegabits = entry.identity.linkMegabits;
   member.state = stateOf(entry.status);
   member.tableVersion = entry.status.tableVersion;
   return member;
--- /dev/null
+++ b/src/peers/mirror_content.cpp
@@ -0,0 +1,56 @@
+#include "peers/mirror_content.h"
+
+#include <algorithm>
+
+#include "peers/packed_entries.h"
+
+namespace fernmoor::peers {
+
+namespace {
+
+/// Bytes; leaves room in a datagram for the proofs of all kinds and the envelope.
+constexpr size_t kMostShort = 700;
+/// Blocks kept: nodes lack the whole table, or what came since the change before or the last but
+/// one; two kinds are ever long.
+constexpr size_t kBlocksKept = 4;
+
+MirrorContentPtr blockOf(MirrorKind kind, uint64_t since, const MirrorDelta& delta) {
+  auto block = std::make_shared<MirrorContentBlock>();
+  block->kind = kind;
+  block->since = since;
+  block->changes.set_kind(static_cast<uint32_t>(kind));
+  block->changes.set_from_revision(delta.fromRevision);
+  block->changes.set_to_revision(delta.toRevision);
+  packEntries(delta.entries, kMostShort, block->changes);
+  block->bytes = block->changes.ByteSizeLong();
+  return block;
+}
+
+}  // namespace
+
+bool MirrorContentBlock::isShort() const {
+  return bytes <= kMostShort;
+}
+
+MirrorContentPtr MirrorContent::since(MirrorKind kind, uint64_t since) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const uint64_t newest = mirror_.revision(kind);
+  const auto known = std::find_if(kept_.begin(), kept_.end(), [&](const MirrorContentPtr& block) {
+    return block->kind == kind && block->since == since && block->changes.to_revision() == newest;
+  });
+  if (known != kept_.end()) {
+    return *known;
+  }
+  const std::optional<MirrorDelta> delta = mirror_.since(kind, since);
+  if (!delta) {
+    return nullptr;
+  }
+  MirrorContentPtr block = blockOf(kind, since, *delta);
+  if (!block->isShort()) {
+    kept_.push_front(block);
+    kept_.resize(std::min(kept_.size(), kBlocksKept));
+  }
+  return block;
+}
+
+}  // namespace fernmoor::peers
--- a/src/peers/mirror_role.cpp
+++ b/src/peers/mirror_role.cpp
@@ -2,24 +2,20 @@
 
 #include <algorithm>
 
+#include "common/log.h"
 #include "common/rendezvous.h"
 #include "peers/node_hash.h"
+#include "peers/packed_entries.h"
 
 namespace fernmoor::peers {
 
 namespace {
 
-constexpr size_t kFewestReaders = 2;
-/// Enough that one is left where a zone is cut off and another reader stops.
-constexpr size_t kMostReaders = 3;
-constexpr size_t kNodesPerRelay = 16;
 /// Nodes that may step in for the readers: enough that one lives where some stop or die together,
 /// and few at any size, since each looks at the store by itself.
 constexpr size_t kStandbys = 4;
-constexpr uint64_t kReaderKey = 0x72656164657273;
+constexpr uint64_t kStandbyKey = 0x72656164657273;
 constexpr Duration kAskInterval{400000};
-/// A question without an answer by then is given up, and another node is asked.
-constexpr Duration kAnswerTimeout{300000};
 /// A node does not count as a reader before: until it knows the others all of them would.
 constexpr Duration kSettleTime{1000000};
 /// So long after its start a node that was told nothing has read what it needs to serve by itself.
@@ -36,55 +32,16 @@
 /// Nodes that asked within this time are told of changes at once.
 constexpr Duration kAskerMemory{2000000};
 constexpr size_t kMostQuestions = 64;
+/// Bytes that wait for all nodes together; beyond them those that pull are put off. Half of what
+/// the transport holds, the rest is for other messages.
+constexpr size_t kMostWaiting = 2U << 20U;
 
 bool contains(const std::vector<NodeId>& nodes, NodeId node) {
   return std::find(nodes.begin(), nodes.end(), node) != nodes.end();
 }
 
-/// @param relays in their order.
-/// @return the first few of the relays, each from another zone as far as there are zones.
-std::vector<NodeId> readersAmong(const std::vector<NodeId>& relays,
-                                 const MembershipSnapshot& members) {
-  std::set<ZoneId> zones;
-  std::vector<NodeId> ofNewZones;
-  std::vector<NodeId> others;
-  for (const NodeId relay : relays) {
-    const bool isNewZone = zones.insert(members.find(relay)->zone).second;
-    (isNewZone ? ofNewZones : others).push_back(relay);
-  }
-  ofNewZones.insert(ofNewZones.end(), others.begin(), others.end());
-  ofNewZones.resize(std::min(kMostReaders, relays.size()));
-  return ofNewZones;
-}
-
 }  // namespace
 
-RelayTiers relayTiers(const MembershipSnapshot& members) {
-  std::map<ZoneId, std::vector<NodeId>> byZone;
-  std::vector<NodeId> all;
-  for (const Member& member : members.members) {
-    if (member.state == MemberState::kAlive) {
-      byZone[member.zone].push_back(member.life.node);
-      all.push_back(member.life.node);
-    }
-  }
-  RelayTiers tiers;
-  if (all.size() <= kNodesPerRelay) {
-    tiers.readers = rendezvousTop(kReaderKey, std::move(all), kFewestReaders, nodeHash);
-    tiers.relays = tiers.readers;
-    return tiers;
-  }
-  for (auto& [zone, nodes] : byZone) {
-    const size_t count = nodes.size() / kNodesPerRelay + 1;
-    const std::vector<NodeId> chosen = rendezvousTop(kReaderKey, std::move(nodes), count, nodeHash);
-    tiers.relays.insert(tiers.relays.end(), chosen.begin(), chosen.end());
-  }
-  const size_t count = tiers.relays.size();
-  tiers.relays = rendezvousTop(kReaderKey, std::move(tiers.relays), count, nodeHash);
-  tiers.readers = readersAmong(tiers.relays, members);
-  return tiers;
-}
-
 /// Relays ask the readers first and the relays before them in the order then, so that the first one
 /// which the store serves reads for the rest, and no two relieve each other; other nodes ask the
 /// relays, those of their zone first. Last come all nodes, which read themselves where the store
@@ -158,7 +115,7 @@
     }
   }
   const std::vector<NodeId> first =
-      rendezvousTop(kReaderKey, std::move(living), kStandbys, nodeHash);
+      rendezvousTop(kStandbyKey, std::move(living), kStandbys, nodeHash);
   const auto own = std::find(first.begin(), first.end(), self_);
   return own == first.end() ? std::nullopt : std::optional<size_t>(own - first.begin());
 }
@@ -168,26 +125,36 @@
   return nodes.empty() ? std::nullopt : std::optional<NodeId>(nodes[rotation_ % nodes.size()]);
 }
 
-void MirrorRole::ask(NodeId reader, Time now, MessageSender& sender) {
+void MirrorRole::sendQuestion(NodeId to, uint32_t id, bool pulls, MessageSender& sender) {
   proto::Envelope envelope;
   proto::MirrorQuestion& question = *envelope.mutable_mirror()->mutable_question();
-  {
-    const std::lock_guard<std::mutex> lock(mutex_);
-    question.set_question_id(++lastQuestion_);
-    questions_[lastQuestion_] = Question{now, reader};
-  }
+  question.set_question_id(id);
+  question.set_pulls(pulls);
   for (size_t kind = 0; kind < kMirrorKinds; ++kind) {
     question.add_revisions(mirror_.revision(static_cast<MirrorKind>(kind)));
   }
-  sender.send(reader, envelope);
+  sender.send(to, envelope);
+}
+
+void MirrorRole::ask(NodeId reader, Time now, MessageSender& sender) {
+  uint32_t id = 0;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    id = questions_.ask(reader, now);
+  }
+  sendQuestion(reader, id, false, sender);
 }
 
-void MirrorRole::forgetLostQuestions(Time now) {
-  for (auto question = questions_.begin(); question != questions_.end();) {
-    const bool timedOut = now - question->second.askedAt > kAnswerTimeout;
-    rotation_ += timedOut ? 1 : 0;
-    question = timedOut ? questions_.erase(question) : std::next(question);
+void MirrorRole::pull(NodeId from, size_t bytes, Time now, MessageSender& sender) {
+  uint32_t id = 0;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (questions_.isPulling()) {
+      return;
+    }
+    id = questions_.pull(from, bytes, now);
   }
+  sendQuestion(from, id, true, sender);
 }
 
 void MirrorRole::onTick(Time now, MessageSender& sender) {
@@ -195,7 +162,7 @@
   std::optional<NodeId> node;
   {
     const std::lock_guard<std::mutex> lock(mutex_);
-    forgetLostQuestions(now);
+    rotation_ += questions_.giveUp(now);
     if (now < nextQuestionAt_ || questions_.size() >= kMostQuestions) {
       return;
     }
@@ -214,27 +181,38 @@
   }
 }
 
-void MirrorRole::addChanges(MirrorKind kind, uint64_t since, Time now,
-                            proto::MirrorAnswer& answer) const {
-  const std::optional<MirrorDelta> delta = mirror_.since(kind, since);
-  const std::optional<Time> proven = mirror_.provenAt(kind);
-  if (!delta && !proven) {
-    return;
-  }
-  proto::MirrorChanges& changes = *answer.add_changes();
-  changes.set_kind(static_cast<uint32_t>(kind));
-  changes.set_from_revision(delta ? delta->fromRevision : mirror_.revision(kind));
-  changes.set_to_revision(delta ? delta->toRevision : mirror_.revision(kind));
-  if (proven) {
+void MirrorRole::addProof(MirrorKind kind, Time now, proto::MirrorChanges& changes) const {
+  if (const std::optional<Time> proven = mirror_.provenAt(kind)) {
     changes.set_has_proof(true);
     changes.set_proof_age_microseconds(static_cast<uint64_t>((now - *proven).count()));
   }
-  for (const MirrorEntry& entry : delta ? delta->entries : std::vector<MirrorEntry>()) {
-    proto::MirrorEntry& out = *changes.add_entries();
-    out.set_name(entry.name);
-    out.set_revision(entry.revision);
-    out.set_gone(entry.isGone);
-    out.set_text(entry.text);
+}
+
+void MirrorRole::addKind(MirrorKind kind, uint64_t held, bool isPulled, Time now,
+                         MessageSender& sender, proto::MirrorAnswer& answer) {
+  const MirrorContentPtr lacks = content_.since(kind, held);
+  // A long answer waits for others to be sent; what it would add to is told, so that the asker
+  // neither asks again too soon nor fills this node's memory.
+  const size_t waiting = sender.waitingBytes();
+  const bool hasRoom = waiting == 0 || (lacks && waiting + lacks->bytes <= kMostWaiting);
+  if (lacks && (lacks->isShort() || (isPulled && hasRoom))) {
+    proto::MirrorChanges& changes = *answer.add_changes();
+    changes = lacks->changes;
+    addProof(kind, now, changes);
+    return;
+  }
+  if (lacks) {
+    proto::MirrorOffer& offer = *answer.add_offers();
+    offer.set_kind(static_cast<uint32_t>(kind));
+    offer.set_to_revision(lacks->changes.to_revision());
+    offer.set_bytes(lacks->bytes + waiting);
+  }
+  if (mirror_.provenAt(kind)) {
+    proto::MirrorChanges& changes = *answer.add_changes();
+    changes.set_kind(static_cast<uint32_t>(kind));
+    changes.set_from_revision(mirror_.revision(kind));
+    changes.set_to_revision(changes.from_revision());
+    addProof(kind, now, changes);
   }
 }
 
@@ -263,10 +241,12 @@
   proto::Envelope envelope;
   proto::MirrorAnswer& answer = *envelope.mutable_mirror()->mutable_answer();
   answer.set_question_id(question.question_id());
+  // Who pulls anew while an answer to it waits has given that up; one at a time is enough.
+  const bool isPulled = question.pulls() && sender.waitingBytes(from.node) == 0;
   for (size_t kind = 0; kind < kMirrorKinds; ++kind) {
     const int index = static_cast<int>(kind);
     const uint64_t held = index < question.revisions_size() ? question.revisions(index) : 0;
-    addChanges(static_cast<MirrorKind>(kind), held, now, answer);
+    addKind(static_cast<MirrorKind>(kind), held, isPulled, now, sender, answer);
   }
   addNamedVersions(now, answer);
   sender.send(from.node, envelope);
@@ -287,6 +267,11 @@
   }
 }
 
+bool MirrorRole::isPullingWell() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return questions_.isPulling() && questions_.failedPulls() == 0;
+}
+
 bool MirrorRole::readsItself() const {
   const std::optional<Time> proven = mirror_.provenAt(MirrorKind::kRows);
   return proven && *proven > newestTold_;
@@ -296,47 +281,77 @@
   return node && duties_.above.count(*node) > 0;
 }
 
-void MirrorRole::onAnswer(const proto::MirrorAnswer& answer, Time now, MessageSender& sender) {
-  std::optional<Question> asked;
+void MirrorRole::takeChanges(const proto::MirrorChanges& changes, Time now, MessageSender& sender) {
+  const auto kind = static_cast<MirrorKind>(changes.kind());
+  Result<std::vector<MirrorEntry>> entries = unpackEntries(changes);
+  if (!isOk(entries)) {
+    logWarning(errorOf(entries).message);
+    return;
+  }
+  MirrorDelta delta;
+  delta.fromRevision = changes.from_revision();
+  delta.toRevision = changes.to_revision();
+  delta.entries = valueOf(std::move(entries));
+  const uint64_t before = mirror_.revision(kind);
+  const bool hasEntries = !delta.entries.empty();
+  const bool isNew = mirror_.apply(kind, delta, ranUntil(now)) == MirrorOutcome::kApplied;
+  if (isNew && before != 0 && hasEntries) {
+    announce(kind, delta.fromRevision == 0 ? before : delta.fromRevision, now, sender);
+  }
+}
+
+void MirrorRole::takeOffers(NodeId from, const proto::MirrorAnswer& answer, Time now,
+                            MessageSender& sender) {
+  size_t bytes = 0;
+  for (const proto::MirrorOffer& offer : answer.offers()) {
+    const bool isLacking =
+        offer.kind() < kMirrorKinds &&
+        mirror_.revision(static_cast<MirrorKind>(offer.kind())) < offer.to_revision();
+    bytes += isLacking ? offer.bytes() : 0;
+  }
+  if (bytes > 0) {
+    pull(from, bytes, now, sender);
+  }
+}
+
+void MirrorRole::onAnswer(NodeLife from, const proto::MirrorAnswer& answer, Time now,
+                          MessageSender& sender) {
+  std::optional<OpenQuestion> asked;
   {
     const std::lock_guard<std::mutex> lock(mutex_);
-    const auto question = questions_.find(answer.question_id());
-    if (question != questions_.end()) {
-      asked = question->second;
-      questions_.erase(question);
-    }
+    asked = questions_.takeAnswered(answer.question_id());
   }
   // An answer is as old as its question; what was told unasked came while this node ran.
   const Time toldAt = asked ? asked->askedAt : ranUntil(now);
   takeNamedVersions(answer, toldAt, now);
   std::optional<Time> rowsProof;
+  uint64_t provenRows = 0;
   for (const proto::MirrorChanges& changes : answer.changes()) {
     if (changes.kind() >= kMirrorKinds) {
       continue;
     }
     const auto kind = static_cast<MirrorKind>(changes.kind());
-    MirrorDelta delta;
-    delta.fromRevision = changes.from_revision();
-    delta.toRevision = changes.to_revision();
-    for (const proto::MirrorEntry& entry : changes.entries()) {
-      delta.entries.push_back(
-          MirrorEntry{entry.name(), entry.revision(), entry.gone(), entry.text()});
-    }
-    const uint64_t before = mirror_.revision(kind);
-    const bool isNew = mirror_.apply(kind, delta, ranUntil(now)) == MirrorOutcome::kApplied;
-    if (isNew && before != 0 && !delta.entries.empty()) {
-      announce(kind, delta.fromRevision, now, sender);
-    }
+    takeChanges(changes, now, sender);
     if (asked && changes.has_proof()) {
       const Duration age(static_cast<int64_t>(changes.proof_age_microseconds()));
       mirror_.prove(kind, changes.to_revision(), asked->askedAt - age);
       if (kind == MirrorKind::kRows) {
         rowsProof = asked->askedAt - age;
+        provenRows = changes.to_revision();
       }
     }
   }
+  if (asked && asked->pulls) {
+    // One that is answered by an offer was put off: the next question comes soon enough.
+    const std::lock_guard<std::mutex> lock(mutex_);
+    questions_.notePulled(answer.offers().empty());
+    return;
+  }
+  takeOffers(from.node, answer, now, sender);
   if (asked) {
-    noteToldProof(asked->to, rowsProof, now);
+    // What this node does not hold and does not get either proves nothing here.
+    const bool isWorth = mirror_.revision(MirrorKind::kRows) >= provenRows || isPullingWell();
+    noteToldProof(asked->to, isWorth ? rowsProof : std::nullopt, now);
   }
 }
 
@@ -358,7 +373,7 @@
   }
   proto::Envelope envelope;
   proto::MirrorAnswer& answer = *envelope.mutable_mirror()->mutable_answer();
-  addChanges(kind, fromRevision, now, answer);
+  addKind(kind, fromRevision, false, now, sender, answer);
   if (kind == MirrorKind::kWeights) {
     addNamedVersions(now, answer);
   }
@@ -373,7 +388,7 @@
   if (message.has_question()) {
     onQuestion(from, message.question(), now, sender);
   } else if (message.has_answer()) {
-    onAnswer(message.answer(), now, sender);
+    onAnswer(from, message.answer(), now, sender);
   }
 }
 
--- a/src/peers/mirror_role.h
+++ b/src/peers/mirror_role.h
@@ -5,6 +5,10 @@
 /// those that asked lately. So neither the calls to the store nor the questions to one node grow
 /// with the number of nodes.
 ///
+/// Short changes are told at once. Long ones are offered, and pulled by each node from one other at
+/// a time, with a time that fits their length: a link that is narrow carries them once, and nothing
+/// waits in memory that a node did not ask for.
+///
 /// A proof that a copy is the newest ages from the start of the reader's own call; the asker counts
 /// the age that it is told from the instant of its own question. So a delay anywhere on the way,
 /// or a stop of either process, only makes a proof older.
@@ -30,6 +34,9 @@
 #include "common/role.h"
 #include "envelope.pb.h"
 #include "membership/membership_snapshot.h"
+#include "peers/mirror_content.h"
+#include "peers/open_questions.h"
+#include "peers/relay_tiers.h"
 #include "peers/state_mirror.h"
 
 namespace fernmoor::peers {
@@ -47,24 +54,13 @@
   return duty == ReadDuty::kReader || duty == ReadDuty::kFallback;
 }
 
-/// Who reads the store, and who passes on what was read.
-struct RelayTiers {
-  std::vector<NodeId> readers;  ///< Read the store; in different zones where there are several.
-  std::vector<NodeId> relays;   ///< Ask the readers and are asked by the others; readers included.
-                                ///< In the order in which they read where no reader can.
-};
-
-/// @return two readers and no further relays in a small deployment; else one relay of each zone and
-///         one more for every sixteen nodes of it, a few of which read.
-RelayTiers relayTiers(const MembershipSnapshot& members);
-
 /// Thread-safe.
 class MirrorRole : public Role {
  public:
   /// @param mirror, wanted outlive the role.
   /// @param startedAt when this node was started.
   MirrorRole(NodeId self, StateMirror& mirror, WantedWeights& wanted, Time startedAt)
-      : self_(self), mirror_(mirror), wanted_(wanted), startedAt_(startedAt) {}
+      : self_(self), mirror_(mirror), content_(mirror), wanted_(wanted), startedAt_(startedAt) {}
 
   /// Sets the picture of the members that duties are shared out by.
   void setMembers(std::shared_ptr<const MembershipSnapshot> members);
@@ -84,11 +80,6 @@
   void onTick(Time now, MessageSender& sender) override;
 
  private:
-  struct Question {
-    Time askedAt;
-    NodeId to;
-  };
-
   /// What follows from one picture of the members.
   struct Duties {
     bool isAlone = true;  ///< No other node is known.
@@ -100,32 +91,45 @@
 
   static Duties dutiesOf(NodeId self, const MembershipSnapshot& members);
   std::optional<NodeId> nodeToAsk() const;
-  void forgetLostQuestions(Time now);
   /// Takes the proof of the rows in an answer, and goes on to another node where it is old.
   void noteToldProof(NodeId teller, std::optional<Time> provenAt, Time now);
+  /// @return whether long changes are on their way here, and none was late before.
+  bool isPullingWell() const;
   /// Call with the lock held. @return whether the newest proof comes from a read of this node.
   bool readsItself() const;
   /// Call with the lock held.
   bool isAbove(std::optional<NodeId> node) const;
   void ask(NodeId reader, Time now, MessageSender& sender);
+  /// Asks for all that this node lacks, unless it is being answered that already.
+  /// @param bytes that the other node has to send until it has answered.
+  void pull(NodeId from, size_t bytes, Time now, MessageSender& sender);
+  void sendQuestion(NodeId to, uint32_t id, bool pulls, MessageSender& sender);
   void onQuestion(NodeLife from, const proto::MirrorQuestion& question, Time now,
                   MessageSender& sender);
-  void onAnswer(const proto::MirrorAnswer& answer, Time now, MessageSender& sender);
-  void addChanges(MirrorKind kind, uint64_t since, Time now, proto::MirrorAnswer& answer) const;
+  void onAnswer(NodeLife from, const proto::MirrorAnswer& answer, Time now, MessageSender& sender);
+  /// Takes changes of a kind and passes on what is new.
+  void takeChanges(const proto::MirrorChanges& changes, Time now, MessageSender& sender);
+  /// Pulls from the node what it offers and this one lacks.
+  void takeOffers(NodeId from, const proto::MirrorAnswer& answer, Time now, MessageSender& sender);
+  /// Adds the proof of a kind, and what the asker lacks or an offer of it.
+  /// @param isPulled the asker waits for it, however large.
+  void addKind(MirrorKind kind, uint64_t held, bool isPulled, Time now, MessageSender& sender,
+               proto::MirrorAnswer& answer);
+  void addProof(MirrorKind kind, Time now, proto::MirrorChanges& changes) const;
   void addNamedVersions(Time now, proto::MirrorAnswer& answer) const;
   void takeNamedVersions(const proto::MirrorAnswer& answer, Time toldAt, Time now);
 
   const NodeId self_;
   StateMirror& mirror_;
+  MirrorContent content_;
   WantedWeights& wanted_;
   const Time startedAt_;
   Standstills standstills_;
   mutable std::mutex mutex_;
   std::shared_ptr<const MembershipSnapshot> members_;
   Duties duties_;  ///< By `members_`.
-  std::map<uint32_t, Question> questions_;
+  OpenQuestions questions_;
   std::map<NodeId, Time> askers_;  ///< Who asked, and when last.
-  uint32_t lastQuestion_ = 0;
   Time nextQuestionAt_;
   Time toldProof_;       ///< Start of the newest proof that a node above this one told.
   Time newestTold_;      ///< Start of the newest proof that any node told.
--- a/src/peers/peer_plane.cpp
+++ b/src/peers/peer_plane.cpp
@@ -52,6 +52,7 @@
   settings.self.region = options_.region;
   settings.self.peerAddress = options_.listen;
   settings.self.httpAddress = options_.listen;
+  settings.self.linkMegabits = options_.linkMegabits;
   for (const SocketAddress& seed : options_.seeds) {
     settings.seeds.push_back(Seed{nodeIdOf(seed), seed});
   }
@@ -129,11 +130,6 @@
   return current == nullptr ? 0 : current->transport->counters().bytesReceived.load();
 }
 
-uint64_t PeerPlane::bytesQueued() const {
-  const std::shared_ptr<Life> current = life();
-  return current == nullptr ? 0 : current->transport->counters().queuedBytes.load();
-}
-
 MemberCounts PeerPlane::memberCounts() const {
   const std::shared_ptr<Life> current = life();
   return current == nullptr ? MemberCounts{} : countMembers(*current->membership->snapshot());
@@ -145,6 +141,16 @@
   }
 }
 
+size_t PeerPlane::waitingBytes(NodeId to) const {
+  const std::shared_ptr<Life> current = life();
+  return current == nullptr ? 0 : current->transport->waitingBytes(to);
+}
+
+size_t PeerPlane::waitingBytes() const {
+  const std::shared_ptr<Life> current = life();
+  return current == nullptr ? 0 : current->transport->waitingBytes();
+}
+
 void PeerPlane::tick() {
   const std::shared_ptr<Life> current = life();
   const Time now = clock_.now();
--- a/src/peers/peer_plane.h
+++ b/src/peers/peer_plane.h
@@ -30,6 +30,7 @@
   std::vector<SocketAddress> seeds;  ///< Nodes that may be up.
   std::string clusterKey;            ///< Shared by all nodes of the deployment.
   uint64_t randomSeed = 0;
+  uint32_t linkMegabits = 0;  ///< Bandwidth of this node's own link in Mbit/s; 0: unknown.
   Knobs knobs;
 };
 
@@ -60,10 +61,10 @@
   /// Bytes between nodes in this incarnation, those of the wire format included.
   uint64_t bytesSent() const;
   uint64_t bytesReceived() const;
-  /// Bytes of messages that wait to be sent.
-  uint64_t bytesQueued() const;
 
   void send(NodeId to, const proto::Envelope& envelope) override;
+  size_t waitingBytes(NodeId to) const override;
+  size_t waitingBytes() const override;
 
  private:
   /// What belongs to one incarnation of this node.
--- a/src/wire/large_message_queue.h
+++ b/src/wire/large_message_queue.h
@@ -1,9 +1,13 @@
 /// @file
-/// Messages between nodes that are too large for a datagram and wait until they are sent.
+/// Messages between nodes that are too large for a datagram and wait until they are sent. What
+/// waits is bounded in bytes, since memory is what a slow link or a slow receiver runs out of;
+/// receivers take turns, and short messages don't wait behind long ones.
 #pragma once
 
+#include <array>
 #include <cstddef>
 #include <deque>
+#include <map>
 #include <optional>
 #include <string>
 
@@ -22,17 +26,43 @@
 /// Not thread-safe.
 class LargeMessageQueue {
  public:
-  /// Adds a message at the end.
-  /// @return how many messages were dropped for want of room.
+  /// @param mostBytes that may wait, in all.
+  explicit LargeMessageQueue(size_t mostBytes) : mostBytes_(mostBytes) {}
+
+  /// Adds a message. Where it finds no room the oldest messages to the receiver for which most
+  /// waits are dropped; a message that is longer than all the room is dropped itself.
+  /// @return how many messages were dropped.
   size_t push(LargeMessage message);
   /// @return the message that is to be sent next; nothing if none waits.
   std::optional<LargeMessage> pop();
-  bool empty() const { return messages_.empty(); }
+  /// Drops all that waits for a receiver, which takes nothing. @return how many messages.
+  size_t dropAllTo(NodeId receiver);
+  bool empty() const { return bytes_ == 0; }
   /// Bytes of all messages that wait.
   size_t bytes() const { return bytes_; }
+  /// Bytes of those to one receiver.
+  size_t bytesTo(NodeId receiver) const;
 
  private:
-  std::deque<LargeMessage> messages_;
+  /// What waits for one receiver.
+  struct Backlog {
+    std::deque<LargeMessage> messages;  ///< The oldest first.
+    size_t bytes = 0;
+  };
+  /// Messages of about one length, by receiver.
+  struct Lane {
+    std::map<NodeId, Backlog> backlogs;  ///< None is empty.
+    NodeId lastServed;                   ///< The next receiver after it has its turn.
+  };
+
+  Lane& laneOf(const LargeMessage& message);
+  std::optional<LargeMessage> popFrom(Lane& lane);
+  LargeMessage takeOldest(Lane& lane, std::map<NodeId, Backlog>::iterator backlog);
+  /// Drops the oldest message to the receiver for which most waits.
+  void dropFromLongest();
+
+  const size_t mostBytes_;
+  std::array<Lane, 2> lanes_;  ///< Short messages, which go first, and long ones.
   size_t bytes_ = 0;
 };
 
--- a/src/wire/peer_transport.cpp
+++ b/src/wire/peer_transport.cpp
@@ -48,7 +48,11 @@
 PeerTransport::PeerTransport(const SocketAddress& listen, NodeLife self,
                              const std::string& clusterKey, const Knobs& knobs,
                              AddressLookup lookup)
-    : self_(self), sealer_(clusterKey), knobs_(knobs), lookup_(std::move(lookup)) {
+    : self_(self),
+      sealer_(clusterKey),
+      knobs_(knobs),
+      lookup_(std::move(lookup)),
+      largeMessages_(static_cast<size_t>(knobs.peerQueueBytes)) {
   // Without port reuse: a second process on the address must fail, not share the messages.
   datagramSocket_.bind(toPoco(listen), true, false);
   datagramSocket_.setReceiveBufferSize(kSocketBufferBytes);
@@ -106,7 +110,6 @@
   {
     const std::lock_guard<std::mutex> lock(largeMutex_);
     counters_.dropped += largeMessages_.push(std::move(message));
-    counters_.queuedBytes = largeMessages_.bytes();
   }
   largeReady_.notify_one();
 }
@@ -116,15 +119,37 @@
   largeReady_.wait_for(lock, std::chrono::microseconds(kPollMicroseconds),
                        [this] { return stopping_ || !largeMessages_.empty(); });
   std::optional<LargeMessage> message = largeMessages_.pop();
-  counters_.queuedBytes = largeMessages_.bytes();
+  if (message) {
+    sendingTo_ = message->to;
+    sendingBytes_ = message->bytes.size();
+  }
   return message;
 }
 
+/// A receiver that takes nothing would hold up the others once for each message to it.
+void PeerTransport::noteSent(NodeId to, bool isSent) {
+  const std::lock_guard<std::mutex> lock(largeMutex_);
+  sendingBytes_ = 0;
+  if (!isSent) {
+    counters_.dropped += 1 + largeMessages_.dropAllTo(to);
+  }
+}
+
+size_t PeerTransport::waitingBytes(NodeId to) const {
+  const std::lock_guard<std::mutex> lock(largeMutex_);
+  return largeMessages_.bytesTo(to) + (sendingTo_ == to ? sendingBytes_ : 0);
+}
+
+size_t PeerTransport::waitingBytes() const {
+  const std::lock_guard<std::mutex> lock(largeMutex_);
+  return largeMessages_.bytes() + sendingBytes_;
+}
+
 void PeerTransport::sendLargeMessages() {
   while (!stopping_) {
     const std::optional<LargeMessage> message = nextLarge();
-    if (message && !sendOverTcp(*message)) {
-      ++counters_.dropped;
+    if (message) {
+      noteSent(message->to, sendOverTcp(*message));
     }
   }
 }
--- a/src/wire/peer_transport.h
+++ b/src/wire/peer_transport.h
@@ -32,7 +32,6 @@
   std::atomic<uint64_t> bytesReceived{0};
   std::atomic<uint64_t> refused{0};  ///< Wrong tag, malformed or too large.
   std::atomic<uint64_t> dropped{0};  ///< Unknown receiver, full queue or failed connection.
-  std::atomic<uint64_t> queuedBytes{0};  ///< Of large messages that wait now.
 };
 
 /// Sends to and receives from other nodes. send() is thread-safe and never blocks.
@@ -54,6 +53,8 @@
   void stop();
 
   void send(NodeId to, const proto::Envelope& envelope) override;
+  size_t waitingBytes(NodeId to) const override;
+  size_t waitingBytes() const override;
 
   const TransportCounters& counters() const { return counters_; }
 
@@ -66,6 +67,7 @@
   void enqueueLarge(LargeMessage message);
   /// @return the message to be sent next, or nothing after a short wait.
   std::optional<LargeMessage> nextLarge();
+  void noteSent(NodeId to, bool isSent);
   bool sendOverTcp(const LargeMessage& message);
 
   NodeLife self_;
@@ -77,9 +79,11 @@
   Poco::Net::ServerSocket serverSocket_;
   TransportCounters counters_;
   std::atomic<bool> stopping_{false};
-  std::mutex largeMutex_;
+  mutable std::mutex largeMutex_;
   std::condition_variable largeReady_;
-  LargeMessageQueue largeMessages_;
+  LargeMessageQueue largeMessages_;  ///< Guarded by largeMutex_.
+  NodeId sendingTo_;                 ///< Receiver of the message that is being sent; the same lock.
+  size_t sendingBytes_ = 0;          ///< Its bytes; 0: none is being sent; the same lock.
   std::vector<std::thread> threads_;
 };
 
--- a/test/platform/table_spread_test.cpp
+++ b/test/platform/table_spread_test.cpp
@@ -115,13 +115,19 @@
     void send(NodeId to, const proto::Envelope& envelope) override {
       world.send(*this, to, envelope);
     }
+    size_t waitingBytes(NodeId to) const override {
+      return queue.bytesTo(to) + (sending && sending->to == to ? sending->bytes.size() : 0);
+    }
+    size_t waitingBytes() const override {
+      return queue.bytes() + (sending ? sending->bytes.size() : 0);
+    }
 
     NodeId id;
     LinkWorld& world;
     peers::StateMirror mirror;
     WantedWeights wanted;
     peers::MirrorRole role;
-    LargeMessageQueue queue;
+    LargeMessageQueue queue{static_cast<size_t>(Knobs().peerQueueBytes)};
     std::optional<LargeMessage> sending;
     Time sentAt;      ///< When `sending` has left.
     Time linkFreeAt;  ///< When the last byte that comes here now has come.
