A change of one row is one entry: the table is held and passed on in parts

Cause: the store holds the table as one object, and so did the mirror: a change of one row was the whole table again, on each link and several times over in each process (text, tree, message, table).

The mirror holds the table as a head and one entry for the rows of each host and prefix and for each tenant; readers find what differs, and changes are told from revisions alone that the teller has held. A new version of the table in force shares the rows that did not change. A proof counts only once the table was told that it is for: the listener may lag behind the copy by the time of a large change.

--- a/src/gateway/traffic_table.cpp
+++ b/src/gateway/traffic_table.cpp
@@ -11,9 +11,13 @@
 }
 
 void TrafficTable::addRow(Row row) {
-  ++rowCount_;
   row.host = normalizedHost(row.host);
-  rowsByHost_[row.host].push_back(std::move(row));
+  addRow(std::make_shared<const Row>(std::move(row)));
+}
+
+void TrafficTable::addRow(RowPtr row) {
+  ++rowCount_;
+  rowsByHost_[row->host].push_back(std::move(row));
 }
 
 void TrafficTable::addPool(Pool pool) {
@@ -28,8 +32,9 @@
 
 void TrafficTable::sortRows() {
   for (auto& entry : rowsByHost_) {
-    std::sort(entry.second.begin(), entry.second.end(),
-              [](const Row& a, const Row& b) { return a.pathPrefix < b.pathPrefix; });
+    std::stable_sort(
+        entry.second.begin(), entry.second.end(),
+        [](const RowPtr& a, const RowPtr& b) { return a->pathPrefix < b->pathPrefix; });
   }
 }
 
@@ -38,16 +43,16 @@
   if (found == rowsByHost_.end()) {
     return nullptr;
   }
-  const std::vector<Row>& rows = found->second;
+  const std::vector<RowPtr>& rows = found->second;
   // Prefixes end with a slash, so only the path's own beginnings up to a slash can match.
   for (size_t end = path.rfind('/'); end != std::string::npos;
        end = end == 0 ? std::string::npos : path.rfind('/', end - 1)) {
     const std::string prefix = path.substr(0, end + 1);
     const auto row = std::lower_bound(
         rows.begin(), rows.end(), prefix,
-        [](const Row& each, const std::string& value) { return each.pathPrefix < value; });
-    if (row != rows.end() && row->pathPrefix == prefix) {
-      return &*row;
+        [](const RowPtr& each, const std::string& value) { return each->pathPrefix < value; });
+    if (row != rows.end() && (*row)->pathPrefix == prefix) {
+      return row->get();
     }
   }
   return nullptr;
--- a/src/gateway/traffic_table.h
+++ b/src/gateway/traffic_table.h
@@ -48,6 +48,9 @@
   int priority = 0;     ///< 0 is the highest.
 };
 
+/// Rows are shared by all versions of the table in which they are the same.
+using RowPtr = std::shared_ptr<const Row>;
+
 /// One tenant.
 struct Tenant {
   std::string name;
@@ -88,10 +91,12 @@
   bool hasTenants = false;
 
   void addRow(Row row);
+  /// @param row with its host as normalizedHost() gives it.
+  void addRow(RowPtr row);
   void addPool(Pool pool);
   /// @param keys keys that speak for the tenant.
   void addTenant(const Tenant& tenant, const std::vector<std::string>& keys);
-  /// Call once after the last row.
+  /// Call once after the last row. Of rows with one host and prefix, the first holds.
   void sortRows();
 
   /// @param host as the caller gave it; a port is ignored.
@@ -105,7 +110,7 @@
   size_t rowCount() const { return rowCount_; }
 
  private:
-  std::unordered_map<std::string, std::vector<Row>> rowsByHost_;
+  std::unordered_map<std::string, std::vector<RowPtr>> rowsByHost_;
   std::unordered_map<std::string, Tenant> tenantsByKey_;
   std::unordered_map<std::string, Pool> pools_;
   size_t rowCount_ = 0;
--- a/src/peers/state_mirror.cpp
+++ b/src/peers/state_mirror.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr size_t kRemovalsKept = 512;
+/// A node that lacks more changes of a table than this takes the whole table.
+constexpr size_t kRevisionsKept = 64;
 
 }  // namespace
 
@@ -21,9 +23,24 @@
   }
 }
 
-MirrorOutcome StateMirror::apply(MirrorKind kind, const MirrorDelta& delta,
+bool StateMirror::tellsSince(MirrorKind kind, const KindState& state, uint64_t since) {
+  if (kHoldsParts[static_cast<size_t>(kind)]) {
+    return std::find(state.held.begin(), state.held.end(), since) != state.held.end();
+  }
+  return since != 0;
+}
+
+bool StateMirror::completes(MirrorKind kind, const KindState& state, uint64_t from) {
+  // A part that changed and changed back is not in the difference of two revisions around that, so
+  // a copy that holds what lay between must not take it.
+  return kHoldsParts[static_cast<size_t>(kind)] ? state.revision == from : state.revision >= from;
+}
+
+MirrorOutcome StateMirror::apply(MirrorKind kind, const MirrorDelta& given,
                                  std::optional<Time> heardAt) {
   const std::lock_guard<std::mutex> order(applying_);
+  const bool isDiffed = given.fromRevision == 0 && kHoldsParts[static_cast<size_t>(kind)];
+  const MirrorDelta delta = isDiffed ? differenceTo(kind, given.toRevision, given.entries) : given;
   const bool isWhole = delta.fromRevision == 0;
   std::vector<MirrorEntry> news;
   bool wasKnown = false;
@@ -34,12 +51,13 @@
     if (state.isKnown && delta.toRevision <= state.revision) {
       return MirrorOutcome::kKnown;
     }
-    if (!isWhole && (!state.isKnown || state.revision < delta.fromRevision)) {
+    if (!isWhole && (!state.isKnown || !completes(kind, state, delta.fromRevision))) {
       return MirrorOutcome::kGap;
     }
     if (isWhole) {
       state.entries.clear();
       state.gone.clear();
+      state.held.clear();
       state.goneKnownSince = delta.toRevision;
     }
     for (const MirrorEntry& entry : delta.entries) {
@@ -48,6 +66,8 @@
         state.gone[entry.name] = delta.toRevision;
       } else {
         state.entries[entry.name] = entry;
+        state.entries[entry.name].revision =
+            kHoldsParts[static_cast<size_t>(kind)] ? delta.toRevision : entry.revision;
         state.gone.erase(entry.name);
       }
       news.push_back(entry);
@@ -55,9 +75,17 @@
     forgetOldRemovals(state);
     state.isKnown = true;
     state.revision = delta.toRevision;
+    state.held.push_back(delta.toRevision);
+    if (state.held.size() > kRevisionsKept) {
+      state.held.pop_front();
+    }
   }
   // The first state that comes here tells nothing of since when it is so.
   listener_(kind, news, isWhole, wasKnown ? heardAt : std::nullopt);
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    stateOf(kind).told = delta.toRevision;
+  }
   return MirrorOutcome::kApplied;
 }
 
@@ -76,7 +104,11 @@
   for (const MirrorEntry& entry : entries) {
     listed.insert(entry.name);
     const auto known = state.entries.find(entry.name);
-    if (known == state.entries.end() || known->second.revision != entry.revision) {
+    const bool isSame =
+        known != state.entries.end() &&
+        (kHoldsParts[static_cast<size_t>(kind)] ? known->second.text == entry.text
+                                                : known->second.revision == entry.revision);
+    if (!isSame) {
       delta.entries.push_back(entry);
     }
   }
@@ -99,10 +131,11 @@
   {
     const std::lock_guard<std::mutex> lock(mutex_);
     KindState& state = stateOf(kind);
-    if (!state.isKnown || state.revision < revision) {
+    // A listener that is still being told what is newer would take the proof for what it knew.
+    if (!state.isKnown || state.told < revision) {
       return;
     }
-    held = state.revision;
+    held = state.told;
     state.provenAt = state.provenAt ? std::max(*state.provenAt, provenAt) : provenAt;
   }
   onProof_(kind, held, provenAt);
@@ -135,7 +168,7 @@
   }
   MirrorDelta delta;
   delta.toRevision = state.revision;
-  const bool isWhole = since == 0 || since < state.goneKnownSince;
+  const bool isWhole = !tellsSince(kind, state, since) || since < state.goneKnownSince;
   delta.fromRevision = isWhole ? 0 : since;
   for (const auto& [name, entry] : state.entries) {
     if (isWhole || entry.revision > since) {
--- a/src/peers/state_mirror.h
+++ b/src/peers/state_mirror.h
@@ -6,6 +6,7 @@
 
 #include <array>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <mutex>
@@ -21,6 +22,12 @@
 enum class MirrorKind { kRows, kBackends, kWeights, kMoves, kQuarantine };
 inline constexpr size_t kMirrorKinds = 5;
 
+/// Whether the entries of a kind are objects of the store, each with the revision of its last
+/// change, or parts of one object that this node has found to differ. Of parts a copy knows only
+/// when it saw them change, so changes to them can be passed on from revisions alone that it has
+/// held.
+inline constexpr std::array<bool, kMirrorKinds> kHoldsParts = {true, false, false, false, false};
+
 /// One object at one revision; its text is what the store's adapter understands.
 struct MirrorEntry {
   std::string name;
@@ -59,7 +66,8 @@
 
   /// @param heardAt see Listener.
   MirrorOutcome apply(MirrorKind kind, const MirrorDelta& delta, std::optional<Time> heardAt);
-  /// Takes the whole kind as it was at a revision, and tells only what differs.
+  /// Takes the whole kind as it was at a revision, and tells only what differs. Parts that come as
+  /// the whole kind are taken so too.
   MirrorOutcome applyList(MirrorKind kind, uint64_t revision,
                           const std::vector<MirrorEntry>& entries, std::optional<Time> heardAt);
   /// Notes that nothing newer than `revision` existed at `provenAt`; counts only if this copy is
@@ -77,6 +85,10 @@
   struct KindState {
     bool isKnown = false;
     uint64_t revision = 0;
+    uint64_t told = 0;  ///< The listener knows all up to this revision.
+    /// Of parts: revisions that this copy has held since it can tell the changes, the last
+    /// `revision`.
+    std::deque<uint64_t> held;
     std::map<std::string, MirrorEntry> entries;
     /// Entries that are gone, with the revision at which that was known; the oldest are forgotten.
     std::map<std::string, uint64_t> gone;
@@ -84,6 +96,10 @@
     std::optional<Time> provenAt;
   };
 
+  /// Call with the lock held. @return whether changes since that revision can be told.
+  static bool tellsSince(MirrorKind kind, const KindState& state, uint64_t since);
+  /// Call with the lock held. @return whether changes from that revision on complete this copy.
+  static bool completes(MirrorKind kind, const KindState& state, uint64_t from);
   MirrorDelta differenceTo(MirrorKind kind, uint64_t revision,
                            const std::vector<MirrorEntry>& entries) const;
   static void forgetOldRemovals(KindState& state);
--- a/test/peers/mirror_role_test.cpp
+++ b/test/peers/mirror_role_test.cpp
@@ -37,10 +37,14 @@
     class Outbox : public MessageSender {
      public:
       Outbox(NodeId from, const RelayWorld& world) : from_(from), world_(world) {}
+      size_t waitingBytes() const override { return waiting; }
       void send(NodeId to, const proto::Envelope& envelope) override {
+        world_.pulls += envelope.mirror().question().pulls() ? 1 : 0;
         world_.letters_.push_back(Letter{from_, to, envelope});
       }
 
+      size_t waiting = 0;  ///< Bytes that wait to be sent.
+
      private:
       NodeId from_;
       const RelayWorld& world_;
@@ -159,6 +163,7 @@
   Time now{std::chrono::seconds(100)};
   std::set<NodeId> lost;     ///< Nodes that get no messages.
   size_t fallbackReads = 0;  ///< Reads of nodes that others should have told.
+  mutable size_t pulls = 0;  ///< Questions for all that the asker lacks.
 
  private:
   mutable std::deque<Letter> letters_;
@@ -189,6 +194,27 @@
   CHECK(zonesOfReaders.size() == 2);
 }
 
+TEST_CASE("nodes with wide links read the store and pass on what they read") {
+  constexpr uint32_t kNarrow = 10;
+  constexpr uint32_t kWide = 200;
+  constexpr uint64_t kNodes = 79;
+  MembershipSnapshot members;
+  std::set<NodeId> wide;
+  for (uint64_t id = 1; id <= kNodes; ++id) {
+    Member member;
+    member.life.node = NodeId(id);
+    member.zone = ZoneId(std::to_string(id % 3));
+    member.linkMegabits = id <= 6 ? kWide : kNarrow + id % 3;
+    members.members.push_back(member);
+    if (member.linkMegabits == kWide) {
+      wide.insert(NodeId(id));
+    }
+  }
+  const RelayTiers tiers = relayTiers(members);
+  CHECK(std::set<NodeId>(tiers.relays.begin(), tiers.relays.end()) == wide);
+  CHECK(tiers.readers.size() == 3);
+}
+
 TEST_CASE("a node that is told by a reader neither reads itself nor lacks anything") {
   RelayWorld world(7);
   RelayWorld::Node& plain = world.plainNode();
@@ -214,6 +240,56 @@
   CHECK(plain.mirror.revision(MirrorKind::kRows) == 6);
 }
 
+TEST_CASE("a change too long for a datagram is pulled once, and offered until it is") {
+  RelayWorld world(7);
+  RelayWorld::Node& plain = world.plainNode();
+  std::string text;  // Varied, so that it stays long when it is packed.
+  for (int number = 0; number < 2000; ++number) {
+    text += std::to_string(number * number % 9973);
+  }
+  world.readersRead(5, text);
+  world.tickAll();
+  world.deliver();
+  CHECK(plain.mirror.revision(MirrorKind::kRows) == 5);
+  const size_t pulls = world.pulls;
+  CHECK(pulls == 5);  // By each node that is no reader.
+  world.tickAll();
+  world.now += std::chrono::milliseconds(500);
+  world.tickAll();
+  world.deliver();
+  CHECK(world.pulls == pulls);
+}
+
+TEST_CASE("a node whose queue is long puts off those that pull, and tells them proofs meanwhile") {
+  RelayWorld world(7);
+  RelayWorld::Node& plain = world.plainNode();
+  world.readersRead(5, "five");
+  world.tickAll();
+  world.deliver();
+  for (const NodeId reader : world.readers()) {
+    world.node(reader.value()).sender.waiting = 4U << 20U;
+  }
+  std::string text;
+  for (int number = 0; number < 2000; ++number) {
+    text += std::to_string(number * number % 9973);
+  }
+  for (int tick = 0; tick < 10; ++tick) {
+    world.now += std::chrono::milliseconds(100);
+    world.readersRead(6, text);
+    world.tickAll();
+    world.deliver();
+  }
+  CHECK(plain.mirror.revision(MirrorKind::kRows) == 5);
+  CHECK(world.pulls <= 5 * 4);  // With each question at the most, not with each offer.
+  for (const NodeId reader : world.readers()) {
+    world.node(reader.value()).sender.waiting = 0;
+  }
+  world.now += std::chrono::milliseconds(500);
+  world.tickAll();
+  world.deliver();
+  CHECK(plain.mirror.revision(MirrorKind::kRows) == 6);
+}
+
 TEST_CASE("a proof counts from the question, however long the answer was under way") {
   RelayWorld world(7);
   RelayWorld::Node& plain = world.plainNode();
--- a/test/peers/state_mirror_test.cpp
+++ b/test/peers/state_mirror_test.cpp
@@ -34,6 +34,13 @@
   }
   std::optional<MirrorDelta> since(uint64_t revision) { return mirror.since(kKind, revision); }
 
+  MirrorOutcome applyParts(uint64_t from, uint64_t to, const std::vector<MirrorEntry>& entries) {
+    return mirror.apply(MirrorKind::kRows, MirrorDelta{from, to, entries}, Time());
+  }
+  std::optional<MirrorDelta> partsSince(uint64_t revision) {
+    return mirror.since(MirrorKind::kRows, revision);
+  }
+
   static constexpr MirrorKind kKind = MirrorKind::kBackends;
   Heard heard;
   StateMirror mirror;
@@ -101,4 +108,70 @@
   CHECK(copy.mirror.provenAt(Mirrored::kKind) == at(200));
 }
 
+TEST_CASE("of an object that is read whole, only the parts that differ are told and passed on") {
+  Mirrored reader;
+  reader.applyParts(0, 5, {entry("a", 5, "old"), entry("b", 5)});
+  Mirrored other;
+  other.mirror.apply(MirrorKind::kRows, *reader.partsSince(0), Time());
+  reader.applyParts(0, 7, {entry("a", 7, "new"), entry("b", 7)});
+  REQUIRE(reader.heard.entries.size() == 1);
+  CHECK(reader.heard.entries[0].text == "new");
+
+  SUBCASE("to a copy at a revision that this one has held") {
+    const std::optional<MirrorDelta> delta = reader.partsSince(5);
+    REQUIRE(delta);
+    CHECK(delta->fromRevision == 5);
+    CHECK(delta->entries.size() == 1);
+    CHECK(other.mirror.apply(MirrorKind::kRows, *delta, Time()) == MirrorOutcome::kApplied);
+    CHECK(other.partsSince(0)->entries.size() == 2);
+  }
+  SUBCASE("and as a whole to a copy at any other, which then hears only what differs") {
+    Mirrored between;
+    between.applyParts(0, 6, {entry("a", 6, "between"), entry("b", 6)});
+    CHECK(between.mirror.apply(MirrorKind::kRows, MirrorDelta{5, 7, {}}, Time()) ==
+          MirrorOutcome::kGap);
+    const std::optional<MirrorDelta> delta = reader.partsSince(6);
+    REQUIRE(delta);
+    CHECK(delta->fromRevision == 0);
+    CHECK(between.mirror.apply(MirrorKind::kRows, *delta, Time()) == MirrorOutcome::kApplied);
+    REQUIRE(between.heard.entries.size() == 1);
+    CHECK(between.heard.entries[0].text == "new");
+  }
+}
+
+TEST_CASE("a part that changes back is brought to copies that saw the change") {
+  Mirrored reader;
+  reader.applyParts(0, 5, {entry("a", 5, "one")});
+  Mirrored other;
+  other.applyParts(0, 6, {entry("a", 6, "two")});
+  reader.applyParts(0, 7, {entry("a", 7, "one")});
+  CHECK(other.mirror.apply(MirrorKind::kRows, *reader.partsSince(6), Time()) ==
+        MirrorOutcome::kApplied);
+  CHECK(other.partsSince(0)->entries[0].text == "one");
+}
+
+TEST_CASE("parts that are gone are told as gone") {
+  Mirrored reader;
+  reader.applyParts(0, 5, {entry("a", 5), entry("b", 5)});
+  reader.applyParts(0, 6, {entry("b", 6)});
+  REQUIRE(reader.heard.entries.size() == 1);
+  CHECK(reader.heard.entries[0].isGone);
+  CHECK(reader.partsSince(5)->entries.size() == 1);
+}
+
+TEST_CASE("a proof counts for the listener only once it was told what is proven") {
+  std::vector<uint64_t> proven;
+  StateMirror* told = nullptr;
+  StateMirror mirror(
+      [&](MirrorKind kind, const std::vector<MirrorEntry>&, bool, std::optional<Time>) {
+        told->prove(kind, 5, at(100));  // On another thread in the program, at this moment.
+      },
+      [&](MirrorKind, uint64_t revision, Time) { proven.push_back(revision); });
+  told = &mirror;
+  mirror.apply(MirrorKind::kRows, MirrorDelta{0, 5, {entry("a", 5)}}, Time());
+  CHECK(proven.empty());
+  mirror.prove(MirrorKind::kRows, 5, at(200));
+  CHECK(proven == std::vector<uint64_t>{5});
+}
+
 }  // namespace fernmoor::peers
--- a/test/platform/table_decoder_test.cpp
+++ b/test/platform/table_decoder_test.cpp
@@ -5,6 +5,8 @@
 #include <doctest/doctest.h>
 
 #include "http/json_text.h"
+#include "platform/table_entries.h"
+#include "platform/table_parts.h"
 
 namespace fernmoor::platform {
 
@@ -25,7 +27,9 @@
 Result<gateway::TrafficTablePtr> decode(const std::string& text) {
   const auto json = parseJsonObject(text);
   REQUIRE(isOk(json));
-  return decodeTable(*valueOf(json));
+  TableParts parts;
+  parts.take(tableEntries(*valueOf(json), 1), true);
+  return parts.build();
 }
 
 }  // namespace
