Pulls: told that they wait, tied to whom was asked, ended by whatever brings the content

Who pulls is told within a moment that its answer waits and behind how much; else it gives the pull up in 0.3 s and takes the next offer. - An open pull at a node that ended blocked offers of others for seconds, and counted as relief from reading. It waits 1.5 s at first, ends when the content is here by any way, and relieves for 1 s, never a node without a table. - Content was packed to state its length, once for each revision an asker held. Offers need no packing now, and what is packed is found again by what it starts from. - The proof is read before what it is to prove; an answer counts only from the node that was asked, and ids differ between lives. - One slow message to a node costs it its long messages only; a receiver that trickles is left after a time that fits the length; what receivers would refuse for its length is not sent. - A list is compared under the lock under which it is applied.

--- a/src/peers/mirror_content.h
+++ b/src/peers/mirror_content.h
@@ -16,12 +16,8 @@
 /// Changes of one kind from one revision to another.
 struct MirrorContentBlock {
   MirrorKind kind = MirrorKind::kRows;
-  uint64_t since = 0;            ///< What the asker holds.
   proto::MirrorChanges changes;  ///< Without a proof.
   size_t bytes = 0;              ///< Of `changes` as a message.
-
-  /// @return whether it is short enough to be told unasked, in a datagram.
-  bool isShort() const;
 };
 
 using MirrorContentPtr = std::shared_ptr<const MirrorContentBlock>;
@@ -32,7 +28,10 @@
   /// @param mirror outlives this.
   explicit MirrorContent(const StateMirror& mirror) : mirror_(mirror) {}
 
-  /// @return what a copy at `since` lacks; null if it is up to date.
+  /// @return whether what a copy at `since` lacks is short enough to be told unasked, in a
+  /// datagram.
+  bool isShort(MirrorKind kind, uint64_t since) const;
+  /// @return what a copy at `since` lacks; null if it is up to date. Takes long where it is long.
   MirrorContentPtr since(MirrorKind kind, uint64_t since);
 
  private:
--- a/src/peers/mirror_role.cpp
+++ b/src/peers/mirror_role.cpp
@@ -32,6 +32,9 @@
 /// Nodes that asked within this time are told of changes at once.
 constexpr Duration kAskerMemory{2000000};
 constexpr size_t kMostQuestions = 64;
+/// A node that has been offered changes counts as told so long before it has them: what is pulled
+/// is queued within a moment, and most tables cross the narrowest link within this.
+constexpr Duration kPullGrace{1000000};
 /// Bytes that wait for all nodes together; beyond them those that pull are put off. Half of what
 /// the transport holds, the rest is for other messages.
 constexpr size_t kMostWaiting = 2U << 20U;
@@ -145,14 +148,14 @@
   sendQuestion(reader, id, false, sender);
 }
 
-void MirrorRole::pull(NodeId from, size_t bytes, Time now, MessageSender& sender) {
+void MirrorRole::pull(NodeId from, Time now, MessageSender& sender) {
   uint32_t id = 0;
   {
     const std::lock_guard<std::mutex> lock(mutex_);
     if (questions_.isPulling()) {
       return;
     }
-    id = questions_.pull(from, bytes, now);
+    id = questions_.pull(from, now);
   }
   sendQuestion(from, id, true, sender);
 }
@@ -181,38 +184,31 @@
   }
 }
 
-void MirrorRole::addProof(MirrorKind kind, Time now, proto::MirrorChanges& changes) const {
-  if (const std::optional<Time> proven = mirror_.provenAt(kind)) {
-    changes.set_has_proof(true);
-    changes.set_proof_age_microseconds(static_cast<uint64_t>((now - *proven).count()));
-  }
-}
-
 void MirrorRole::addKind(MirrorKind kind, uint64_t held, bool isPulled, Time now,
                          MessageSender& sender, proto::MirrorAnswer& answer) {
-  const MirrorContentPtr lacks = content_.since(kind, held);
-  // A long answer waits for others to be sent; what it would add to is told, so that the asker
-  // neither asks again too soon nor fills this node's memory.
+  // Before what it is to prove: a change that is applied and proven in between is not in that.
+  const std::optional<Time> proven = mirror_.provenAt(kind);
+  const bool isShort = content_.isShort(kind, held);
+  const MirrorContentPtr lacks = isShort || isPulled ? content_.since(kind, held) : nullptr;
   const size_t waiting = sender.waitingBytes();
-  const bool hasRoom = waiting == 0 || (lacks && waiting + lacks->bytes <= kMostWaiting);
-  if (lacks && (lacks->isShort() || (isPulled && hasRoom))) {
-    proto::MirrorChanges& changes = *answer.add_changes();
+  const bool hasRoom = isShort || waiting == 0 || (lacks && waiting + lacks->bytes <= kMostWaiting);
+  proto::MirrorChanges changes;
+  changes.set_kind(static_cast<uint32_t>(kind));
+  changes.set_from_revision(mirror_.revision(kind));
+  changes.set_to_revision(changes.from_revision());
+  if (lacks && hasRoom) {
     changes = lacks->changes;
-    addProof(kind, now, changes);
-    return;
-  }
-  if (lacks) {
+  } else if (!isShort) {
     proto::MirrorOffer& offer = *answer.add_offers();
     offer.set_kind(static_cast<uint32_t>(kind));
-    offer.set_to_revision(lacks->changes.to_revision());
-    offer.set_bytes(lacks->bytes + waiting);
+    offer.set_to_revision(changes.to_revision());
+  }
+  if (proven) {
+    changes.set_has_proof(true);
+    changes.set_proof_age_microseconds(static_cast<uint64_t>((now - *proven).count()));
   }
-  if (mirror_.provenAt(kind)) {
-    proto::MirrorChanges& changes = *answer.add_changes();
-    changes.set_kind(static_cast<uint32_t>(kind));
-    changes.set_from_revision(mirror_.revision(kind));
-    changes.set_to_revision(changes.from_revision());
-    addProof(kind, now, changes);
+  if (proven || (lacks && hasRoom)) {
+    *answer.add_changes() = std::move(changes);
   }
 }
 
@@ -238,18 +234,27 @@
     const std::lock_guard<std::mutex> lock(mutex_);
     askers_[from.node] = now;
   }
-  proto::Envelope envelope;
-  proto::MirrorAnswer& answer = *envelope.mutable_mirror()->mutable_answer();
-  answer.set_question_id(question.question_id());
-  // Who pulls anew while an answer to it waits has given that up; one at a time is enough.
-  const bool isPulled = question.pulls() && sender.waitingBytes(from.node) == 0;
-  for (size_t kind = 0; kind < kMirrorKinds; ++kind) {
-    const int index = static_cast<int>(kind);
-    const uint64_t held = index < question.revisions_size() ? question.revisions(index) : 0;
-    addKind(static_cast<MirrorKind>(kind), held, isPulled, now, sender, answer);
+  // Who pulls anew while an answer to it waits has given that up; it waits for the same again.
+  const bool isQueued = question.pulls() && sender.waitingBytes(from.node) > 0;
+  if (!isQueued) {
+    proto::Envelope envelope;
+    proto::MirrorAnswer& answer = *envelope.mutable_mirror()->mutable_answer();
+    answer.set_question_id(question.question_id());
+    for (size_t kind = 0; kind < kMirrorKinds; ++kind) {
+      const int index = static_cast<int>(kind);
+      const uint64_t held = index < question.revisions_size() ? question.revisions(index) : 0;
+      addKind(static_cast<MirrorKind>(kind), held, question.pulls(), now, sender, answer);
+    }
+    addNamedVersions(now, answer);
+    sender.send(from.node, envelope);
+  }
+  if (question.pulls() && sender.waitingBytes(from.node) > 0) {
+    proto::Envelope notice;
+    proto::MirrorAnswer& queued = *notice.mutable_mirror()->mutable_answer();
+    queued.set_question_id(question.question_id());
+    queued.set_queued_bytes(sender.waitingBytes());
+    sender.send(from.node, notice);
   }
-  addNamedVersions(now, answer);
-  sender.send(from.node, envelope);
 }
 
 void MirrorRole::noteToldProof(NodeId teller, std::optional<Time> provenAt, Time now) {
@@ -267,9 +272,10 @@
   }
 }
 
-bool MirrorRole::isPullingWell() const {
+bool MirrorRole::isBeingBrought(uint64_t rows, Time now) const {
   const std::lock_guard<std::mutex> lock(mutex_);
-  return questions_.isPulling() && questions_.failedPulls() == 0;
+  const uint64_t held = mirror_.revision(MirrorKind::kRows);
+  return held >= rows || (held != 0 && lacksSince_ && now - *lacksSince_ <= kPullGrace);
 }
 
 bool MirrorRole::readsItself() const {
@@ -302,16 +308,34 @@
 
 void MirrorRole::takeOffers(NodeId from, const proto::MirrorAnswer& answer, Time now,
                             MessageSender& sender) {
-  size_t bytes = 0;
+  bool isLacking = false;
   for (const proto::MirrorOffer& offer : answer.offers()) {
-    const bool isLacking =
-        offer.kind() < kMirrorKinds &&
-        mirror_.revision(static_cast<MirrorKind>(offer.kind())) < offer.to_revision();
-    bytes += isLacking ? offer.bytes() : 0;
+    if (offer.kind() < kMirrorKinds) {
+      isLacking |= mirror_.revision(static_cast<MirrorKind>(offer.kind())) < offer.to_revision();
+      const std::lock_guard<std::mutex> lock(mutex_);
+      uint64_t& offered = offered_[offer.kind()];
+      offered = std::max(offered, offer.to_revision());
+    }
+  }
+  if (!isLacking) {
+    return;
   }
-  if (bytes > 0) {
-    pull(from, bytes, now, sender);
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    lacksSince_ = lacksSince_.value_or(now);
   }
+  pull(from, now, sender);
+}
+
+void MirrorRole::noteHeld() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  for (size_t kind = 0; kind < kMirrorKinds; ++kind) {
+    if (mirror_.revision(static_cast<MirrorKind>(kind)) < offered_[kind]) {
+      return;
+    }
+  }
+  lacksSince_.reset();
+  questions_.notePulled();
 }
 
 void MirrorRole::onAnswer(NodeLife from, const proto::MirrorAnswer& answer, Time now,
@@ -319,7 +343,11 @@
   std::optional<OpenQuestion> asked;
   {
     const std::lock_guard<std::mutex> lock(mutex_);
-    asked = questions_.takeAnswered(answer.question_id());
+    if (answer.queued_bytes() > 0) {
+      questions_.noteQueued(answer.question_id(), from.node, answer.queued_bytes(), now);
+      return;
+    }
+    asked = questions_.takeAnswered(answer.question_id(), from.node);
   }
   // An answer is as old as its question; what was told unasked came while this node ran.
   const Time toldAt = asked ? asked->askedAt : ranUntil(now);
@@ -341,17 +369,15 @@
       }
     }
   }
+  noteHeld();
+  // A pull that is answered by an offer was put off: the next question comes soon enough.
   if (asked && asked->pulls) {
-    // One that is answered by an offer was put off: the next question comes soon enough.
-    const std::lock_guard<std::mutex> lock(mutex_);
-    questions_.notePulled(answer.offers().empty());
     return;
   }
   takeOffers(from.node, answer, now, sender);
   if (asked) {
     // What this node does not hold and does not get either proves nothing here.
-    const bool isWorth = mirror_.revision(MirrorKind::kRows) >= provenRows || isPullingWell();
-    noteToldProof(asked->to, isWorth ? rowsProof : std::nullopt, now);
+    noteToldProof(asked->to, isBeingBrought(provenRows, now) ? rowsProof : std::nullopt, now);
   }
 }
 
--- a/src/peers/mirror_role.h
+++ b/src/peers/mirror_role.h
@@ -22,6 +22,7 @@
 /// version must not begin anew in each process.
 #pragma once
 
+#include <array>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -60,7 +61,12 @@
   /// @param mirror, wanted outlive the role.
   /// @param startedAt when this node was started.
   MirrorRole(NodeId self, StateMirror& mirror, WantedWeights& wanted, Time startedAt)
-      : self_(self), mirror_(mirror), content_(mirror), wanted_(wanted), startedAt_(startedAt) {}
+      : self_(self),
+        mirror_(mirror),
+        content_(mirror),
+        wanted_(wanted),
+        startedAt_(startedAt),
+        questions_(static_cast<uint32_t>(startedAt.time_since_epoch().count())) {}
 
   /// Sets the picture of the members that duties are shared out by.
   void setMembers(std::shared_ptr<const MembershipSnapshot> members);
@@ -93,16 +99,15 @@
   std::optional<NodeId> nodeToAsk() const;
   /// Takes the proof of the rows in an answer, and goes on to another node where it is old.
   void noteToldProof(NodeId teller, std::optional<Time> provenAt, Time now);
-  /// @return whether long changes are on their way here, and none was late before.
-  bool isPullingWell() const;
+  /// @return whether this node holds the rows of that revision, or is about to.
+  bool isBeingBrought(uint64_t rows, Time now) const;
   /// Call with the lock held. @return whether the newest proof comes from a read of this node.
   bool readsItself() const;
   /// Call with the lock held.
   bool isAbove(std::optional<NodeId> node) const;
   void ask(NodeId reader, Time now, MessageSender& sender);
   /// Asks for all that this node lacks, unless it is being answered that already.
-  /// @param bytes that the other node has to send until it has answered.
-  void pull(NodeId from, size_t bytes, Time now, MessageSender& sender);
+  void pull(NodeId from, Time now, MessageSender& sender);
   void sendQuestion(NodeId to, uint32_t id, bool pulls, MessageSender& sender);
   void onQuestion(NodeLife from, const proto::MirrorQuestion& question, Time now,
                   MessageSender& sender);
@@ -111,11 +116,12 @@
   void takeChanges(const proto::MirrorChanges& changes, Time now, MessageSender& sender);
   /// Pulls from the node what it offers and this one lacks.
   void takeOffers(NodeId from, const proto::MirrorAnswer& answer, Time now, MessageSender& sender);
+  /// Nothing is pulled any more once all that was offered is here, by whatever way it came.
+  void noteHeld();
   /// Adds the proof of a kind, and what the asker lacks or an offer of it.
   /// @param isPulled the asker waits for it, however large.
   void addKind(MirrorKind kind, uint64_t held, bool isPulled, Time now, MessageSender& sender,
                proto::MirrorAnswer& answer);
-  void addProof(MirrorKind kind, Time now, proto::MirrorChanges& changes) const;
   void addNamedVersions(Time now, proto::MirrorAnswer& answer) const;
   void takeNamedVersions(const proto::MirrorAnswer& answer, Time toldAt, Time now);
 
@@ -129,7 +135,9 @@
   std::shared_ptr<const MembershipSnapshot> members_;
   Duties duties_;  ///< By `members_`.
   OpenQuestions questions_;
-  std::map<NodeId, Time> askers_;  ///< Who asked, and when last.
+  std::array<uint64_t, kMirrorKinds> offered_{};  ///< Newest revisions that any node offered.
+  std::optional<Time> lacksSince_;  ///< Since when something is offered that is not here.
+  std::map<NodeId, Time> askers_;   ///< Who asked, and when last.
   Time nextQuestionAt_;
   Time toldProof_;       ///< Start of the newest proof that a node above this one told.
   Time newestTold_;      ///< Start of the newest proof that any node told.
--- a/src/peers/open_questions.cpp
+++ b/src/peers/open_questions.cpp
@@ -7,22 +7,28 @@
 
 namespace {
 
-/// A short question without an answer by then is given up, and another node is asked.
+/// A question without an answer, or word that it waits, is given up then, and another node is
+/// asked.
 constexpr Duration kAnswerTimeout{300000};
-/// Bytes a second; the narrowest links carry 1.25 MB/s, some of it requests and answers.
+/// Bytes a second that a queue is assumed to drain at: the narrowest links carry 1.25 MB/s, some of
+/// which are requests and answers.
 constexpr double kAssumedRate = 0.5e6;
-/// Doublings of a pull's time; by then it takes a hundred times what the link should need.
-constexpr int kMostDoublings = 6;
+/// The node may stop while its answer waits; the shortest bound of a table is 2 s, and another node
+/// can still answer a pull within the second after this.
+constexpr Duration kLongestFirstWait{1500000};
+/// Doublings of the wait; by then a link of 1.25 MB/s has carried 30 MB.
+constexpr int kMostDoublings = 4;
 
-Duration pullTimeout(size_t bytes, int failedPulls) {
-  const Duration once = kAnswerTimeout + fromSeconds(static_cast<double>(bytes) / kAssumedRate);
-  return once * (1 << std::min(failedPulls, kMostDoublings));
+Duration queuedTime(size_t bytes, int failedPulls) {
+  const Duration needed = kAnswerTimeout + fromSeconds(static_cast<double>(bytes) / kAssumedRate);
+  return std::min(needed, kLongestFirstWait) * (1 << std::min(failedPulls, kMostDoublings));
 }
 
 }  // namespace
 
 uint32_t OpenQuestions::add(const OpenQuestion& question) {
-  lastId_ += lastId_ + 1 == 0 ? 2 : 1;  // 0 stands for what was not asked.
+  ++lastId_;
+  lastId_ += lastId_ == 0 ? 1 : 0;  // 0 stands for what was not asked.
   questions_[lastId_] = question;
   return lastId_;
 }
@@ -31,15 +37,22 @@
   return add(OpenQuestion{to, now, now + kAnswerTimeout, false});
 }
 
-uint32_t OpenQuestions::pull(NodeId to, size_t bytes, Time now) {
+uint32_t OpenQuestions::pull(NodeId to, Time now) {
   assert(!isPulling() && "one pull at a time, or the link carries the same twice");
-  pullId_ = add(OpenQuestion{to, now, now + pullTimeout(bytes, failedPulls_), true});
+  pullId_ = add(OpenQuestion{to, now, now + kAnswerTimeout, true});
   return pullId_;
 }
 
-std::optional<OpenQuestion> OpenQuestions::takeAnswered(uint32_t id) {
+void OpenQuestions::noteQueued(uint32_t id, NodeId from, size_t bytes, Time now) {
   const auto found = questions_.find(id);
-  if (found == questions_.end()) {
+  if (found != questions_.end() && id == pullId_ && found->second.to == from) {
+    found->second.givenUpAt = now + queuedTime(bytes, failedPulls_);
+  }
+}
+
+std::optional<OpenQuestion> OpenQuestions::takeAnswered(uint32_t id, NodeId from) {
+  const auto found = questions_.find(id);
+  if (found == questions_.end() || found->second.to != from) {
     return std::nullopt;
   }
   const OpenQuestion question = found->second;
@@ -50,6 +63,12 @@
   return question;
 }
 
+void OpenQuestions::notePulled() {
+  questions_.erase(pullId_);
+  pullId_ = 0;
+  failedPulls_ = 0;
+}
+
 size_t OpenQuestions::giveUp(Time now) {
   size_t givenUp = 0;
   for (auto each = questions_.begin(); each != questions_.end();) {
@@ -59,7 +78,7 @@
     }
     if (each->second.pulls) {
       pullId_ = 0;
-      ++failedPulls_;
+      failedPulls_ += each->second.givenUpAt - each->second.askedAt > kAnswerTimeout ? 1 : 0;
     }
     each = questions_.erase(each);
     ++givenUp;
--- a/src/peers/state_mirror.cpp
+++ b/src/peers/state_mirror.cpp
@@ -24,10 +24,11 @@
 }
 
 bool StateMirror::tellsSince(MirrorKind kind, const KindState& state, uint64_t since) {
-  if (kHoldsParts[static_cast<size_t>(kind)]) {
-    return std::find(state.held.begin(), state.held.end(), since) != state.held.end();
+  if (since == 0 || since < state.goneKnownSince) {
+    return false;
   }
-  return since != 0;
+  return !kHoldsParts[static_cast<size_t>(kind)] ||
+         std::find(state.held.begin(), state.held.end(), since) != state.held.end();
 }
 
 bool StateMirror::completes(MirrorKind kind, const KindState& state, uint64_t from) {
@@ -36,11 +37,16 @@
   return kHoldsParts[static_cast<size_t>(kind)] ? state.revision == from : state.revision >= from;
 }
 
-MirrorOutcome StateMirror::apply(MirrorKind kind, const MirrorDelta& given,
+MirrorOutcome StateMirror::apply(MirrorKind kind, const MirrorDelta& delta,
                                  std::optional<Time> heardAt) {
   const std::lock_guard<std::mutex> order(applying_);
-  const bool isDiffed = given.fromRevision == 0 && kHoldsParts[static_cast<size_t>(kind)];
-  const MirrorDelta delta = isDiffed ? differenceTo(kind, given.toRevision, given.entries) : given;
+  const bool isDiffed = delta.fromRevision == 0 && kHoldsParts[static_cast<size_t>(kind)];
+  return applyNext(kind, isDiffed ? differenceTo(kind, delta.toRevision, delta.entries) : delta,
+                   heardAt);
+}
+
+MirrorOutcome StateMirror::applyNext(MirrorKind kind, const MirrorDelta& delta,
+                                     std::optional<Time> heardAt) {
   const bool isWhole = delta.fromRevision == 0;
   std::vector<MirrorEntry> news;
   bool wasKnown = false;
@@ -123,7 +129,8 @@
 MirrorOutcome StateMirror::applyList(MirrorKind kind, uint64_t revision,
                                      const std::vector<MirrorEntry>& entries,
                                      std::optional<Time> heardAt) {
-  return apply(kind, differenceTo(kind, revision, entries), heardAt);
+  const std::lock_guard<std::mutex> order(applying_);
+  return applyNext(kind, differenceTo(kind, revision, entries), heardAt);
 }
 
 void StateMirror::prove(MirrorKind kind, uint64_t revision, Time provenAt) {
@@ -160,6 +167,36 @@
   return bytes;
 }
 
+template <class Take>
+void StateMirror::forEachSince(const KindState& state, uint64_t from, Take take) {
+  for (const auto& [name, entry] : state.entries) {
+    if (from == 0 || entry.revision > from) {
+      take(entry);
+    }
+  }
+  for (const auto& [name, revision] : state.gone) {
+    if (from != 0 && revision > from) {
+      take(MirrorEntry{name, revision, true, ""});
+    }
+  }
+}
+
+size_t StateMirror::bytesSince(MirrorKind kind, uint64_t since) const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const KindState& state = stateOf(kind);
+  size_t bytes = 0;
+  if (state.isKnown && since < state.revision) {
+    forEachSince(state, tellsSince(kind, state, since) ? since : 0,
+                 [&](const MirrorEntry& entry) { bytes += entry.name.size() + entry.text.size(); });
+  }
+  return bytes;
+}
+
+uint64_t StateMirror::toldFrom(MirrorKind kind, uint64_t since) const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return tellsSince(kind, stateOf(kind), since) ? since : 0;
+}
+
 std::optional<MirrorDelta> StateMirror::since(MirrorKind kind, uint64_t since) const {
   const std::lock_guard<std::mutex> lock(mutex_);
   const KindState& state = stateOf(kind);
@@ -168,18 +205,9 @@
   }
   MirrorDelta delta;
   delta.toRevision = state.revision;
-  const bool isWhole = !tellsSince(kind, state, since) || since < state.goneKnownSince;
-  delta.fromRevision = isWhole ? 0 : since;
-  for (const auto& [name, entry] : state.entries) {
-    if (isWhole || entry.revision > since) {
-      delta.entries.push_back(entry);
-    }
-  }
-  for (const auto& [name, revision] : state.gone) {
-    if (!isWhole && revision > since) {
-      delta.entries.push_back(MirrorEntry{name, revision, true, ""});
-    }
-  }
+  delta.fromRevision = tellsSince(kind, state, since) ? since : 0;
+  forEachSince(state, delta.fromRevision,
+               [&](const MirrorEntry& entry) { delta.entries.push_back(entry); });
   return delta;
 }
 
--- a/src/peers/state_mirror.h
+++ b/src/peers/state_mirror.h
@@ -78,6 +78,10 @@
   std::optional<Time> provenAt(MirrorKind kind) const;
   /// @return bytes of the texts of a kind.
   size_t textBytes(MirrorKind kind) const;
+  /// @return bytes of the names and texts that a copy at `since` lacks; 0 if it is up to date.
+  size_t bytesSince(MirrorKind kind, uint64_t since) const;
+  /// @return from which revision a copy at `since` is told changes; 0: it is told the whole kind.
+  uint64_t toldFrom(MirrorKind kind, uint64_t since) const;
   /// @return what a copy at `since` lacks; nothing if it is up to date.
   std::optional<MirrorDelta> since(MirrorKind kind, uint64_t since) const;
 
@@ -98,6 +102,11 @@
 
   /// Call with the lock held. @return whether changes since that revision can be told.
   static bool tellsSince(MirrorKind kind, const KindState& state, uint64_t since);
+  /// Call with applying_ held.
+  MirrorOutcome applyNext(MirrorKind kind, const MirrorDelta& delta, std::optional<Time> heardAt);
+  /// Calls `take` with each entry, and with each that is gone, that a copy at `since` lacks.
+  template <class Take>
+  static void forEachSince(const KindState& state, uint64_t from, Take take);
   /// Call with the lock held. @return whether changes from that revision on complete this copy.
   static bool completes(MirrorKind kind, const KindState& state, uint64_t from);
   MirrorDelta differenceTo(MirrorKind kind, uint64_t revision,
@@ -108,7 +117,8 @@
 
   Listener listener_;
   ProofListener onProof_;
-  std::mutex applying_;  ///< Held while a delta is applied and told, before mutex_.
+  /// Held while a delta is found, applied and told, before mutex_.
+  std::mutex applying_;
   mutable std::mutex mutex_;
   std::array<KindState, kMirrorKinds> kinds_;
 };
--- a/src/wire/large_message_queue.cpp
+++ b/src/wire/large_message_queue.cpp
@@ -91,15 +91,25 @@
   return std::nullopt;
 }
 
+size_t LargeMessageQueue::dropFrom(Lane& lane, NodeId receiver) {
+  const auto backlog = lane.backlogs.find(receiver);
+  if (backlog == lane.backlogs.end()) {
+    return 0;
+  }
+  const size_t dropped = backlog->second.messages.size();
+  bytes_ -= backlog->second.bytes;
+  lane.backlogs.erase(backlog);
+  return dropped;
+}
+
+size_t LargeMessageQueue::dropLongTo(NodeId receiver) {
+  return dropFrom(lanes_.back(), receiver);
+}
+
 size_t LargeMessageQueue::dropAllTo(NodeId receiver) {
   size_t dropped = 0;
   for (Lane& lane : lanes_) {
-    const auto backlog = lane.backlogs.find(receiver);
-    if (backlog != lane.backlogs.end()) {
-      dropped += backlog->second.messages.size();
-      bytes_ -= backlog->second.bytes;
-      lane.backlogs.erase(backlog);
-    }
+    dropped += dropFrom(lane, receiver);
   }
   return dropped;
 }
--- a/src/wire/large_message_queue.h
+++ b/src/wire/large_message_queue.h
@@ -35,6 +35,9 @@
   size_t push(LargeMessage message);
   /// @return the message that is to be sent next; nothing if none waits.
   std::optional<LargeMessage> pop();
+  /// Drops long messages that wait for a receiver, which took one of them too slowly or not at all.
+  /// @return how many messages.
+  size_t dropLongTo(NodeId receiver);
   /// Drops all that waits for a receiver, which takes nothing. @return how many messages.
   size_t dropAllTo(NodeId receiver);
   bool empty() const { return bytes_ == 0; }
@@ -56,6 +59,7 @@
   };
 
   Lane& laneOf(const LargeMessage& message);
+  size_t dropFrom(Lane& lane, NodeId receiver);
   std::optional<LargeMessage> popFrom(Lane& lane);
   LargeMessage takeOldest(Lane& lane, std::map<NodeId, Backlog>::iterator backlog);
   /// Drops the oldest message to the receiver for which most waits.
--- a/src/wire/peer_transport.cpp
+++ b/src/wire/peer_transport.cpp
@@ -5,11 +5,14 @@
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/StreamSocket.h>
+#include <Poco/Timestamp.h>
 
 #include <algorithm>
 #include <array>
 #include <vector>
 
+#include "common/log.h"
+
 namespace fernmoor {
 
 namespace {
@@ -17,6 +20,9 @@
 constexpr long kPollMicroseconds = 250000;        ///< How soon stop() is noticed.
 constexpr long kTcpTimeoutMicroseconds = 500000;  ///< A peer slower than this is skipped.
 constexpr size_t kMaxDatagramBytes = 65536;
+/// Bytes a second; a fifth of what the narrowest links carry.
+constexpr double kSlowestTaking = 250000;
+constexpr size_t kPieceBytes = 65536;  ///< After each the time is looked at.
 constexpr int kSocketBufferBytes = 1 << 21;
 
 Poco::Net::SocketAddress toPoco(const SocketAddress& address) {
@@ -36,10 +42,19 @@
   return true;
 }
 
+/// Sends all bytes. Throws Poco::TimeoutException where the receiver takes them more slowly than
+/// any link: one that trickles must not hold up what waits for the others.
 void sendAll(Poco::Net::StreamSocket& socket, const char* buffer, size_t size) {
+  const Poco::Timestamp start;
+  const auto longest = static_cast<Poco::Timestamp::TimeDiff>(
+      kTcpTimeoutMicroseconds + static_cast<double>(size) * 1e6 / kSlowestTaking);
   size_t sent = 0;
   while (sent < size) {
-    sent += static_cast<size_t>(socket.sendBytes(buffer + sent, static_cast<int>(size - sent)));
+    const size_t piece = std::min(size - sent, kPieceBytes);
+    sent += static_cast<size_t>(socket.sendBytes(buffer + sent, static_cast<int>(piece)));
+    if (start.isElapsed(longest)) {
+      throw Poco::TimeoutException("a node takes a message too slowly");
+    }
   }
 }
 
@@ -95,6 +110,14 @@
   std::string bytes = sealer_.seal(signedEnvelope);
   ++counters_.messagesSent;
   counters_.bytesSent += bytes.size();
+  if (static_cast<int64_t>(bytes.size()) > knobs_.maxPeerMessageBytes) {
+    // The receiver would refuse it, after it has crossed both links.
+    ++counters_.dropped;
+    logWarning(
+        "peers: a message is longer than nodes take from each other; raise "
+        "maxPeerMessageBytes on all nodes");
+    return;
+  }
   if (static_cast<int64_t>(bytes.size()) > knobs_.maxDatagramBytes) {
     enqueueLarge(LargeMessage{to, *address, std::move(bytes)});
     return;
@@ -130,9 +153,12 @@
 void PeerTransport::noteSent(NodeId to, bool isSent) {
   const std::lock_guard<std::mutex> lock(largeMutex_);
   sendingBytes_ = 0;
-  if (!isSent) {
-    counters_.dropped += 1 + largeMessages_.dropAllTo(to);
+  if (isSent) {
+    failed_.erase(to);
+    return;
   }
+  const bool isFirst = failed_.insert(to).second;
+  counters_.dropped += 1 + (isFirst ? largeMessages_.dropLongTo(to) : largeMessages_.dropAllTo(to));
 }
 
 size_t PeerTransport::waitingBytes(NodeId to) const {
--- a/src/wire/peer_transport.h
+++ b/src/wire/peer_transport.h
@@ -12,6 +12,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <thread>
 
@@ -82,8 +83,10 @@
   mutable std::mutex largeMutex_;
   std::condition_variable largeReady_;
   LargeMessageQueue largeMessages_;  ///< Guarded by largeMutex_.
-  NodeId sendingTo_;                 ///< Receiver of the message that is being sent; the same lock.
-  size_t sendingBytes_ = 0;          ///< Its bytes; 0: none is being sent; the same lock.
+  std::set<NodeId>
+      failed_;        ///< Receivers to which the last large message was not sent; the same lock.
+  NodeId sendingTo_;  ///< Receiver of the message that is being sent; the same lock.
+  size_t sendingBytes_ = 0;  ///< Its bytes; 0: none is being sent; the same lock.
   std::vector<std::thread> threads_;
 };
 
--- a/test/wire/large_message_queue_test.cpp
+++ b/test/wire/large_message_queue_test.cpp
@@ -66,6 +66,14 @@
   CHECK(receiversInOrder(queue) == std::vector<uint32_t>{3, 1, 2, 1});
 }
 
+TEST_CASE("a receiver that took one message too slowly loses the long ones only") {
+  LargeMessageQueue queue(kBudget);
+  queue.push(message(1, kLong));
+  queue.push(message(1, kShort));
+  CHECK(queue.dropLongTo(NodeId(1)) == 1);
+  CHECK(queue.bytesTo(NodeId(1)) == kShort);
+}
+
 TEST_CASE("a receiver that takes nothing loses all that waits for it") {
   LargeMessageQueue queue(kBudget);
   queue.push(message(1, kLong));
