A process near its memory refuses new requests instead of being killed with all it answers

Cause: nothing looked at the memory but the log; over the limit the process is killed, and what it answers is cut.

Bodies up to 64 KB are read past without being kept, so that the connection can carry the next request; longer ones, and callers that wait for 100 Continue, are refused with the connection's end.

Tests: seeded state, and one through the ingress (red without the call that sheds).

--- a/src/common/metrics.cpp
+++ b/src/common/metrics.cpp
@@ -102,6 +102,9 @@
                .Add({})),
       resident_(&gauge(registry_, "fernmoor_resident_memory_bytes",
                        "The process in memory; its machine kills it over the machine's limit.")
+                     .Add({})),
+      shedding_(&gauge(registry_, "fernmoor_shedding_for_memory",
+                       "1 while new requests are refused for want of memory.")
                      .Add({})) {
   auto& control = counter(registry_, "fernmoor_control_bytes_total",
                           "Bytes between nodes and of engines' events and load reports.");
--- a/src/common/metrics.h
+++ b/src/common/metrics.h
@@ -132,6 +132,8 @@
   void setPeerQueueBytes(uint64_t bytes) { peerQueue_->Set(static_cast<double>(bytes)); }
   /// Bytes of the table in force as nodes pass it on.
   void setTableTextBytes(size_t bytes) { tableText_->Set(static_cast<double>(bytes)); }
+  /// Whether new requests are refused for want of memory.
+  void setSheddingForMemory(bool sheds) { shedding_->Set(sheds ? 1 : 0); }
   /// Bytes of the process that lie in memory.
   void setResidentBytes(size_t bytes) { resident_->Set(static_cast<double>(bytes)); }
 
@@ -159,6 +161,7 @@
   prometheus::Gauge* peerQueue_;
   prometheus::Gauge* tableText_;
   prometheus::Gauge* resident_;
+  prometheus::Gauge* shedding_;
   prometheus::Counter* controlSent_;
   prometheus::Counter* controlReceived_;
   mutable RankedMutex mutex_{LockRank::kMetrics};
--- a/test/platform/ingress_test.cpp
+++ b/test/platform/ingress_test.cpp
@@ -25,6 +25,11 @@
   return true;
 }
 
+constexpr size_t kMemoryLimit = 88000000;
+/// Above the high-water mark, and below the low one.
+constexpr size_t kNearLimit = 80000000;
+constexpr size_t kFarFromLimit = 40000000;
+
 /// The whole request path on loopback.
 class IngressWorld {
  public:
@@ -37,7 +42,7 @@
                                              wanted, hints, loads, limits, quarantine, metrics},
                   gateway::ForwarderOptions{"z", std::chrono::seconds(4), 1}),
         work(gateway::StopTimes{}),
-        ingress(IngressServices{clock, table, forwarder, work, pools, metrics, refusals,
+        ingress(IngressServices{clock, table, forwarder, work, shedding, pools, metrics, refusals,
                                 std::chrono::seconds(2), std::chrono::seconds(4)},
                 freeAddress(), 20) {
     auto made = std::make_shared<gateway::TrafficTable>();
@@ -107,6 +112,7 @@
   LogBudget refusals{LogBudgetBounds{}};
   gateway::Forwarder forwarder;
   gateway::WorkState work;
+  gateway::LoadShedding shedding{kMemoryLimit};
   gateway::PoolSelector pools;
   SocketAddress address;
   Ingress ingress;
@@ -229,4 +235,43 @@
   CHECK(late.engine.requests() == 0);
 }
 
+TEST_CASE("a node near its memory refuses what it has not begun, and keeps safe connections") {
+  IngressWorld world;
+  world.shedding.note(kNearLimit);
+  SUBCASE("small bodies are passed over, and the next request is understood") {
+    const std::string answers = world.exchange(
+        IngressWorld::head("Content-Length: 2\r\n\r\nab") +
+        IngressWorld::head("Transfer-Encoding: chunked\r\n\r\n" + chunk("abc") + "0\r\n\r\n") +
+        IngressWorld::head("Connection: close\r\n\r\n"));
+    CHECK(statusOf(answers) == "HTTP/1.1 503");
+    CHECK(answers.find("Retry-After: 0.020\r\n") != std::string::npos);
+    CHECK(answers.find("\"kind\":\"overloaded\"") != std::string::npos);
+    CHECK(answers.find("\"run\":\"not_run\"") != std::string::npos);
+    size_t refusals = 0;
+    for (size_t at = 0; (at = answers.find("HTTP/1.1 503", at)) != std::string::npos; ++at) {
+      ++refusals;
+    }
+    CHECK(refusals == 3);
+    CHECK(answers.find("Connection: close") > answers.rfind("HTTP/1.1 503"));
+  }
+  SUBCASE("a long body is refused before it is sent, and its connection ends") {
+    const std::string answer =
+        world.exchange(IngressWorld::head("Content-Length: 4000000\r\n\r\n"));
+    CHECK(statusOf(answer) == "HTTP/1.1 503");
+    CHECK(answer.find("Connection: close\r\n") != std::string::npos);
+  }
+  SUBCASE("a caller that waits to be told to go on sends no body") {
+    const std::string answer =
+        world.exchange(IngressWorld::head("Expect: 100-continue\r\nContent-Length: 2\r\n\r\n"));
+    CHECK(statusOf(answer) == "HTTP/1.1 503");
+    CHECK(answer.find("100 Continue") == std::string::npos);
+    CHECK(answer.find("Connection: close\r\n") != std::string::npos);
+  }
+  CHECK(world.engine.requests() == 0);
+  world.shedding.note(kFarFromLimit);
+  CHECK(statusOf(world.exchange(IngressWorld::head("Connection: close\r\n\r\n"))) ==
+        "HTTP/1.1 200");
+  CHECK(world.engine.requests() == 1);
+}
+
 }  // namespace fernmoor::platform
