Bodies, headers and held answers of all requests share one budget in bytes

Cause: each body (4 MB) and each answer that is held until it is whole (256 KB) was bounded for itself, their number by 1,500 connections only. A body was copied whole once more while it was sent to its engine, and an answer while it was written.

The budget is a quarter of limits.memory-mb (22 MB of 88). A request whose header or stated body finds no room is refused before its body is read, one in chunks when it outgrows the room: 503, overloaded, not run. An answer without room is passed on as it comes, as longer ones are. Long bodies go out behind their heads without a copy.

Tests red without the budget: 200 instead of 503 at the ingress, the broken answer asked for twice at the forwarder.

--- /dev/null
+++ b/src/gateway/byte_budget.cpp
@@ -0,0 +1,50 @@
+#include "gateway/byte_budget.h"
+
+namespace fernmoor::gateway {
+
+namespace {
+
+/// 22 MB on a machine of 88 MB: five of the longest bodies, or some thousand usual prompts. A
+/// process without requests takes an eighth, connections at most a third, the rest is for tables
+/// and other nodes.
+constexpr size_t kCallersPercent = 25;
+
+}  // namespace
+
+bool ByteBudget::hasRoom(size_t bytes) const {
+  const size_t held = held_;
+  return mostBytes_ == 0 || (held <= mostBytes_ && bytes <= mostBytes_ - held);
+}
+
+bool ByteBudget::take(size_t bytes) {
+  if (mostBytes_ == 0) {
+    held_ += bytes;
+    return true;
+  }
+  size_t held = held_;
+  do {
+    if (bytes > mostBytes_ - held) {
+      return false;
+    }
+  } while (!held_.compare_exchange_weak(held, held + bytes));
+  return true;
+}
+
+bool HeldBytes::add(size_t bytes) {
+  if (!budget_.take(bytes)) {
+    return false;
+  }
+  bytes_ += bytes;
+  return true;
+}
+
+void HeldBytes::clear() {
+  budget_.giveBack(bytes_);
+  bytes_ = 0;
+}
+
+size_t callersShare(size_t limitBytes) {
+  return limitBytes / 100 * kCallersPercent;
+}
+
+}  // namespace fernmoor::gateway
--- a/src/gateway/engine_attempt.cpp
+++ b/src/gateway/engine_attempt.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <cerrno>
 #include <sstream>
+#include <utility>
 
 #include "http/header_block.h"
 
@@ -18,6 +19,9 @@
 
 constexpr size_t kMaxAnswerHeaderBytes = 32768;
 constexpr size_t kReadBytes = 16384;
+/// Shorter bodies are sent in one piece with their heads, which costs a copy; of longer ones, of up
+/// to 4 MB each, a second copy would be held while the engine takes them.
+constexpr size_t kMostCopiedBytes = 16384;
 constexpr int kFirstFinalStatus = 200;
 constexpr int kMostInterimAnswers = 8;
 /// How long a back end that says nothing about it keeps an idle connection, at least.
@@ -92,13 +96,25 @@
   return AttemptStep::kDone;
 }
 
+AttemptStep EngineAttempt::writeRequest(CallerChannel& caller, Time deadline) {
+  std::string head = headText();
+  if (request_.body.size() <= kMostCopiedBytes) {
+    return writeAll(head.append(request_.body), caller, deadline);
+  }
+  sentWhole_ = false;
+  const AttemptStep step = writeAll(head, caller, deadline);
+  // Without its body the head is no whole request, also where the engine has answered it already.
+  const bool isTaken = std::exchange(sentWhole_, false);
+  return step == AttemptStep::kDone && isTaken ? writeAll(request_.body, caller, deadline) : step;
+}
+
 AttemptStep EngineAttempt::send(CallerChannel& caller, Time deadline) {
   connection_ = pool_.borrow(incarnationHash(plan_.backend), plan_.backend.address, clock_.now());
   if (connection_ == nullptr) {
     return AttemptStep::kNotSent;
   }
   connection_->setIoTimeout(kRestOfMessage);
-  const AttemptStep step = writeAll(headText() + request_.body, caller, deadline);
+  const AttemptStep step = writeRequest(caller, deadline);
   // A failed send may have left an answer to be read, e.g. a refusal before the body was taken.
   return step == AttemptStep::kBroken && connection_->socketReadable() ? AttemptStep::kDone : step;
 }
--- a/src/gateway/engine_attempt.h
+++ b/src/gateway/engine_attempt.h
@@ -50,6 +50,7 @@
 
  private:
   std::string headText() const;
+  AttemptStep writeRequest(CallerChannel& caller, Time deadline);
   AttemptStep writeAll(std::string_view bytes, CallerChannel& caller, Time deadline);
   bool parseHead(const std::string& text);
 
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -13,6 +13,7 @@
 #include "common/metrics.h"
 #include "common/time.h"
 #include "gateway/backend_protocol.h"
+#include "gateway/byte_budget.h"
 #include "gateway/caller_channel.h"
 #include "gateway/connection_pool.h"
 #include "gateway/incoming_request.h"
@@ -40,6 +41,7 @@
   TenantLimits& limits;
   RequestQuarantine& quarantine;
   Metrics& metrics;
+  ByteBudget& heldBytes;  ///< For answers that are held until they are whole.
 };
 
 struct ForwarderOptions {
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -30,7 +30,8 @@
       metrics_(services_.metrics.of(ServiceId(request.pool),
                                     TenantId(request.tenant ? request.tenant->name : ""))),
       fingerprint_(fingerprintOf(request)),
-      lastEventId_(request.resumeAfter) {}
+      lastEventId_(request.resumeAfter),
+      heldBytes_(services_.heldBytes) {}
 
 bool RequestRun::mayRunElsewhere() const {
   if (!mayHaveRun_) {
--- a/src/gateway/request_run.h
+++ b/src/gateway/request_run.h
@@ -100,7 +100,8 @@
   std::optional<Duration> hopelessWait_;        ///< Until its first event, why it was not sent.
   bool isPatient_ = false;                      ///< It stays with its engine, whatever the silence.
   std::optional<HeldAnswer> held_;
-  Time sentAt_;  ///< When the latest send began.
+  HeldBytes heldBytes_;  ///< Of that answer, or of one that is read.
+  Time sentAt_;          ///< When the latest send began.
   std::optional<Time> firstEventAt_;
   Time lastEventAt_;
   Duration longestPause_{};
--- a/src/gateway/request_run_relay.cpp
+++ b/src/gateway/request_run_relay.cpp
@@ -9,7 +9,8 @@
 
 constexpr int kFirstServerError = 500;
 /// Answers up to this size are held back until they are whole, so that a broken one can be asked
-/// for again and never reaches the caller.
+/// for again and never reaches the caller. Where the budget for all of them has no room, they are
+/// passed on as longer ones are.
 constexpr size_t kHeldAnswerBytes = 256U << 10U;
 
 }  // namespace
@@ -26,7 +27,7 @@
       return afterStep(step);
     }
     body += bytes;
-    if (body.size() > kHeldAnswerBytes) {
+    if (body.size() > kHeldAnswerBytes || !heldBytes_.add(bytes.size())) {
       return passOnLarge(attempt, std::move(body));
     }
   }
--- a/test/gateway/forwarder_test.cpp
+++ b/test/gateway/forwarder_test.cpp
@@ -100,6 +100,41 @@
   CHECK(promisesNothing(world.caller));
 }
 
+TEST_CASE("answers are held until they are whole only while there is room for all that are held") {
+  const std::string begun = "HTTP/1.1 200 OK\r\nId: r1\r\nContent-Length: 100\r\n\r\nbegun";
+  ForwarderWorld world;
+  world.row.repetition = Repetition::kRepeatable;
+  world.add("a", thenReset(begun));
+  world.add("b", thenReset(begun));
+  SUBCASE("with room, one that breaks off never reaches the caller") {
+    world.serve();
+    CHECK(world.caller.body.empty());
+    CHECK(requestsOf(world) == 2);
+  }
+  SUBCASE("without room, it is passed on as it comes") {
+    HeldBytes others(world.heldBytes);
+    REQUIRE(others.add(kHeldBytes));
+    world.serve();
+    CHECK(world.caller.body == "begun");
+    CHECK(world.caller.broken);
+    CHECK(requestsOf(world) == 1);
+    CHECK(world.heldBytes.held() == kHeldBytes);
+  }
+}
+
+TEST_CASE("a long body reaches the back end whole behind its head") {
+  ForwarderWorld world;
+  ScriptedBackend& backend = world.add("a", always(answer("200 OK", "x")));
+  IncomingRequest request = world.request();
+  request.body = std::string(300000, 'b') + "end";
+  world.forwarder.serve(request, world.caller);
+  world.forwarder.serve(request, world.caller);
+  CHECK(world.caller.body == "xx");
+  CHECK(backend.connectionCount() == 1);
+  const std::string sent = backend.lastRequest();
+  CHECK(sent.substr(sent.find("\r\n\r\n") + 4) == request.body);
+}
+
 TEST_CASE("a request that may run again is sent to another back end, within its attempts") {
   ForwarderWorld world;
   world.row.repetition = Repetition::kRepeatable;
@@ -361,10 +396,11 @@
   auto table = std::make_shared<TrafficTable>();
   table->addTenant(Tenant{"sese", false, 0}, {"key"});
   old.take(table, world.clock.now() - std::chrono::seconds(6));
-  Forwarder forwarder(ForwarderServices{world.clock, old, world.backends, world.connections,
-                                        world.budget, world.protocol, world.wanted, world.hints,
-                                        world.loads, world.limits, world.quarantine, world.metrics},
-                      ForwarderOptions{"zone", std::chrono::seconds(5), 1});
+  Forwarder forwarder(
+      ForwarderServices{world.clock, old, world.backends, world.connections, world.budget,
+                        world.protocol, world.wanted, world.hints, world.loads, world.limits,
+                        world.quarantine, world.metrics, world.heldBytes},
+      ForwarderOptions{"zone", std::chrono::seconds(5), 1});
   IncomingRequest request = world.request();
   request.tenant = Tenant{"sese", false, 0};
   request.key = "key";
--- a/test/gateway/forwarder_world.h
+++ b/test/gateway/forwarder_world.h
@@ -311,6 +311,8 @@
   int waits = 0;
 };
 
+/// Room for the answers of some requests at once.
+constexpr size_t kHeldBytes = 1 << 20;
 /// Silence after which a request that may run again is sent elsewhere.
 constexpr Duration kSilence{100000};
 
@@ -322,7 +324,7 @@
         connections(ConnectOptions{}),
         budget(SecondSendBounds{0, std::chrono::seconds(10), secondSends}),
         forwarder(ForwarderServices{clock, table, backends, connections, budget, protocol, wanted,
-                                    hints, loads, limits, quarantine, metrics},
+                                    hints, loads, limits, quarantine, metrics, heldBytes},
                   ForwarderOptions{"zone", std::chrono::seconds(5), 1, kSilence}) {
     row.name = "row";
     row.maxAttempts = 2;
@@ -369,6 +371,7 @@
   TestLimits limits;
   TestQuarantine quarantine;
   Metrics metrics;
+  ByteBudget heldBytes{kHeldBytes};
   Forwarder forwarder;
   Row row;
   RecordingCaller caller;
--- a/test/platform/ingress_test.cpp
+++ b/test/platform/ingress_test.cpp
@@ -26,6 +26,8 @@
 }
 
 constexpr size_t kMemoryLimit = 88000000;
+/// Some requests with the longest bodies that this world allows.
+constexpr size_t kHeldBytes = 5000;
 /// Above the high-water mark, and below the low one.
 constexpr size_t kNearLimit = 80000000;
 constexpr size_t kFarFromLimit = 40000000;
@@ -39,11 +41,12 @@
         connections(ConnectOptions{}),
         budget(gateway::SecondSendBounds{}),
         forwarder(gateway::ForwarderServices{clock, table, backends, connections, budget, protocol,
-                                             wanted, hints, loads, limits, quarantine, metrics},
+                                             wanted, hints, loads, limits, quarantine, metrics,
+                                             heldBytes},
                   gateway::ForwarderOptions{"z", std::chrono::seconds(4), 1}),
         work(gateway::StopTimes{}),
-        ingress(IngressServices{clock, table, forwarder, work, shedding, pools, metrics, refusals,
-                                std::chrono::seconds(2), std::chrono::seconds(4)},
+        ingress(IngressServices{clock, table, forwarder, work, shedding, heldBytes, pools, metrics,
+                                refusals, std::chrono::seconds(2), std::chrono::seconds(4)},
                 freeAddress(), 20) {
     auto made = std::make_shared<gateway::TrafficTable>();
     made->version = 1;
@@ -109,6 +112,7 @@
   gateway::test::TestLimits limits;
   gateway::test::TestQuarantine quarantine;
   Metrics metrics;
+  gateway::ByteBudget heldBytes{kHeldBytes};
   LogBudget refusals{LogBudgetBounds{}};
   gateway::Forwarder forwarder;
   gateway::WorkState work;
@@ -235,6 +239,37 @@
   CHECK(late.engine.requests() == 0);
 }
 
+TEST_CASE("what all callers make a node hold has one bound, beyond which requests are refused") {
+  IngressWorld world;
+  SUBCASE("each gives back what it held") {
+    std::string requests;
+    for (int request = 0; request < 20; ++request) {
+      requests += IngressWorld::head("Content-Length: 900\r\n\r\n" + std::string(900, 'x'));
+    }
+    const std::string answers =
+        world.exchange(requests + IngressWorld::head("Connection: close\r\n\r\n"));
+    CHECK(answers.find("503") == std::string::npos);
+    CHECK(world.engine.requests() == 21);
+  }
+  SUBCASE("a body without room is refused before it is read, one that outgrows it midway") {
+    gateway::HeldBytes others(world.heldBytes);
+    REQUIRE(others.add(kHeldBytes - 500));
+    const std::string answers =
+        world.exchange(IngressWorld::head("Content-Length: 400\r\n\r\n" + std::string(400, 'x')) +
+                       IngressWorld::head("Transfer-Encoding: chunked\r\n\r\n" +
+                                          chunk(std::string(400, 'x')) + "0\r\n\r\n"));
+    const size_t second = answers.find("HTTP/1.1 503", 1);
+    CHECK(statusOf(answers) == "HTTP/1.1 503");
+    REQUIRE(second != std::string::npos);
+    CHECK(answers.find("\"kind\":\"overloaded\"") < second);
+    CHECK(answers.find("Connection: close") > second);
+    CHECK(world.engine.requests() == 0);
+    others.clear();
+    CHECK(statusOf(world.exchange(IngressWorld::head("Connection: close\r\n\r\n"))) ==
+          "HTTP/1.1 200");
+  }
+}
+
 TEST_CASE("a node near its memory refuses what it has not begun, and keeps safe connections") {
   IngressWorld world;
   world.shedding.note(kNearLimit);
