An event that does not end is not held without bound

Cause: a stream's event is held until it is whole, however long it gets; an engine that sends none of its ends filled the process.

Bound: 256 KB an event, as held answers; beyond 16 KB it counts against the budget in bytes of all requests. A stream beyond either is broken off, as its engine's word can't be passed on whole. Red before: an event of 2 MB was held and passed on, and one of 200 KB beside a full budget.

--- a/src/gateway/byte_budget.cpp
+++ b/src/gateway/byte_budget.cpp
@@ -38,6 +38,15 @@
   return true;
 }
 
+bool HeldBytes::resize(size_t bytes) {
+  if (bytes > bytes_) {
+    return add(bytes - bytes_);
+  }
+  budget_.giveBack(bytes_ - bytes);
+  bytes_ = bytes;
+  return true;
+}
+
 void HeldBytes::clear() {
   budget_.giveBack(bytes_);
   bytes_ = 0;
--- a/src/gateway/byte_budget.h
+++ b/src/gateway/byte_budget.h
@@ -38,6 +38,8 @@
   /// @return whether there was room for so many more.
   bool add(size_t bytes);
   void clear();
+  /// Holds so many instead of what is held now. @return false, with no change, without room.
+  bool resize(size_t bytes);
 
  private:
   ByteBudget& budget_;
--- a/src/gateway/event_splitter.h
+++ b/src/gateway/event_splitter.h
@@ -22,7 +22,9 @@
   /// @return the next whole event, or nothing until more bytes come.
   std::optional<RawEvent> next();
   /// @return whether bytes of an event that is not whole wait.
-  bool hasPartialEvent() const { return start_ < waiting_.size(); }
+  bool hasPartialEvent() const { return partialBytes() > 0; }
+  /// Of the event that is not whole.
+  size_t partialBytes() const { return waiting_.size() - start_; }
 
  private:
   std::string waiting_;
--- a/src/gateway/request_run.h
+++ b/src/gateway/request_run.h
@@ -46,6 +46,8 @@
   Next relayStream(EngineAttempt& attempt);
   Next passOnLarge(EngineAttempt& attempt, std::string body);
   bool forwardEvents(EventSplitter& events);
+  /// @return whether there is room for an event that is not whole yet.
+  bool mayHold(const EventSplitter& events);
   void noteEvents(Time now);
   bool sendStreamHead(EngineAttempt& attempt);
   bool mayRunElsewhere() const;
--- a/src/gateway/request_run_relay.cpp
+++ b/src/gateway/request_run_relay.cpp
@@ -12,6 +12,11 @@
 /// for again and never reaches the caller. Where the budget for all of them has no room, they are
 /// passed on as longer ones are.
 constexpr size_t kHeldAnswerBytes = 256U << 10U;
+/// Longest event of a stream, which is held until it is whole so that the stream can go on after
+/// it; as long as a held answer. Events of our users' engines have some hundred bytes.
+constexpr size_t kMostEventBytes = kHeldAnswerBytes;
+/// Events up to about one read are not counted against the budget: each stream may hold one.
+constexpr size_t kEventPieceBytes = 16U << 10U;
 
 }  // namespace
 
@@ -115,6 +120,11 @@
   return caller_.sendBody(whole);
 }
 
+bool RequestRun::mayHold(const EventSplitter& events) {
+  const size_t bytes = events.partialBytes();
+  return bytes <= kMostEventBytes && heldBytes_.resize(bytes > kEventPieceBytes ? bytes : 0);
+}
+
 RequestRun::Next RequestRun::relayStream(EngineAttempt& attempt) {
   EventSplitter events;
   std::string bytes;
@@ -131,6 +141,11 @@
     if (!sendStreamHead(attempt) || !forwardEvents(events)) {
       return afterStep(AttemptStep::kCallerGone);
     }
+    if (!mayHold(events)) {  // No fault of its engine where others hold too much.
+      noteEnd(BackendVerdict::kNeutral, AttemptEnd::kBroken);
+      mayHaveRun_ = true;
+      return Next::kGiveUp;
+    }
   }
   if (events.hasPartialEvent()) {
     return afterStep(AttemptStep::kBroken);
--- a/test/gateway/forwarder_test.cpp
+++ b/test/gateway/forwarder_test.cpp
@@ -122,6 +122,38 @@
   }
 }
 
+TEST_CASE("an event that does not end is no reason to hold all of it") {
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nId: r1\r\nContent-Type: text/event-stream\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n";
+  const auto streamOf = [&](size_t bytes) {
+    return always(head + chunk("data: first\n\n") + chunk(std::string(bytes, 'x') + "\n\n") +
+                  "0\r\n\r\n");
+  };
+  ForwarderWorld world;
+  SUBCASE("a long one is passed on whole") {
+    world.add("a", streamOf(200000));
+    world.serve();
+    CHECK(world.caller.body.size() > 200000);
+    CHECK(world.caller.finished);
+  }
+  SUBCASE("beyond the bound the stream is broken off") {
+    world.add("a", streamOf(2000000));
+    world.serve();
+    CHECK(world.caller.body == "data: first\n\n");
+    CHECK(world.caller.broken);
+  }
+  SUBCASE("so is one for which there is no room beside what others hold") {
+    HeldBytes others(world.heldBytes);
+    REQUIRE(others.add(kHeldBytes - 50000));
+    world.add("a", streamOf(200000));
+    world.serve();
+    CHECK(world.caller.body == "data: first\n\n");
+    CHECK(world.caller.broken);
+    CHECK(world.heldBytes.held() == kHeldBytes - 50000);
+  }
+}
+
 TEST_CASE("a long body reaches the back end whole behind its head") {
   ForwarderWorld world;
   ScriptedBackend& backend = world.add("a", always(answer("200 OK", "x")));
