Names in log lines are cut, so that the lines that wait are bounded in bytes

Cause: the log's queue counts lines; messages were cut at 1,024 bytes, but not names from outside (a request's id may be as long as a header) nor the list of attempts. Names are cut at 256 bytes, attempts at 1,024. Red before: one line of 216 KB.

--- a/src/common/log.cpp
+++ b/src/common/log.cpp
@@ -14,6 +14,10 @@
 namespace {
 
 constexpr size_t kMaximumMessageBytes = 1024;
+/// Names come from outside, up to a header's length; real ones have some ten bytes. What was sent
+/// to several engines takes some hundred.
+constexpr size_t kMaximumFieldBytes = 256;
+constexpr size_t kMaximumAttemptsBytes = 1024;
 const char* const kTextPattern = "%Y-%m-%dT%H:%M:%S.%fZ %l %v";
 const char* const kJsonPattern = R"({"time":"%Y-%m-%dT%H:%M:%S.%fZ","level":"%l",%v})";
 
@@ -51,9 +55,9 @@
     payload_ = json_ ? "\"message\":" + Poco::toJSON(cut) : Poco::toJSON(cut, 0);
   }
 
-  void text(const char* name, const std::string& value) {
+  void text(const char* name, std::string_view value, size_t maximum = kMaximumFieldBytes) {
     if (!value.empty()) {
-      append(name, Poco::toJSON(value));
+      append(name, Poco::toJSON(std::string(value.substr(0, maximum))));
     }
   }
   void number(const char* name, const std::string& value) { append(name, value); }
@@ -101,7 +105,7 @@
   if (fields.sends) {
     writer.number("sends", std::to_string(*fields.sends));
   }
-  writer.text("attempts", fields.attempts);
+  writer.text("attempts", fields.attempts, kMaximumAttemptsBytes);
   if (fields.fingerprint) {
     char hex[17];
     std::snprintf(hex, sizeof(hex), "%016" PRIx64, *fields.fingerprint);
--- a/src/common/log.h
+++ b/src/common/log.h
@@ -44,7 +44,8 @@
 /// @return whether lines of the level are written; lets callers skip building fields.
 bool logEnabled(LogLevel level);
 /// Queues a line. Thread-safe.
-/// @param message a phrase without prompt text or keys; longer ones are cut at 1,024 bytes.
+/// @param message a phrase without prompt text or keys; longer ones are cut at 1,024 bytes, names
+///        at 256, so that the lines that wait are bounded in bytes.
 void logEvent(LogLevel level, std::string_view message, const LogFields& fields = {});
 
 inline void logDebug(std::string_view message, const LogFields& fields = {}) {
--- a/test/common/log_test.cpp
+++ b/test/common/log_test.cpp
@@ -50,4 +50,13 @@
   logError("dropped");
 }
 
+TEST_CASE("a long name from outside is cut, so that the lines that wait are bounded in bytes") {
+  LogFields fields = sampleFields();
+  fields.request = RequestId(std::string(16000, 'x') + "\n");
+  fields.attempts = std::string(100000, '\n');
+  for (const LogFormat format : {LogFormat::kText, LogFormat::kJson}) {
+    CHECK(formatLogPayload(format, NodeId(1), "refused", fields).size() < 8000);
+  }
+}
+
 }  // namespace fernmoor
