--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -14,7 +14,6 @@
 namespace {
 
 constexpr size_t kMaxIdleConnections = 256;
-constexpr size_t kMaxAnswerBytes = 64U << 20U;
 constexpr size_t kMaxEventBytes = 1U << 20U;
 constexpr int kIdleSeconds =
     20;  ///< Below the back ends' own limit, so that they do not close first.
@@ -24,17 +23,22 @@
   return Poco::Timespan(duration.count());
 }
 
-/// Reads at most `limit` bytes of an answer.
+/// Reads an answer. @return more than `limit` bytes where it is longer; the rest is not read.
 std::string readBounded(std::istream& body, size_t limit) {
   std::string text;
   std::vector<char> buffer(16384);
-  while (body.good() && text.size() < limit) {
+  while (body.good() && text.size() <= limit) {
     body.read(buffer.data(), static_cast<std::streamsize>(buffer.size()));
     text.append(buffer.data(), static_cast<size_t>(body.gcount()));
   }
   return text;
 }
 
+HttpFailure tooLong(const HttpCall& call) {
+  return HttpFailure{CallProgress::kAnswered, "the answer is longer than " +
+                                                  std::to_string(call.mostAnswerBytes) + " bytes"};
+}
+
 }  // namespace
 
 /// A client session that tells whether bytes wait in its own buffer.
@@ -199,10 +203,13 @@
   }
   auto& open = std::get<Started>(started);
   try {
-    HttpAnswer answer{open.status, readBounded(*open.body, kMaxAnswerBytes)};
+    HttpAnswer answer{open.status, readBounded(*open.body, call.mostAnswerBytes)};
     if (open.body->bad()) {
       return HttpFailure{CallProgress::kSent, "the answer broke off"};
     }
+    if (answer.body.size() > call.mostAnswerBytes) {
+      return tooLong(call);
+    }
     giveBack(std::move(open.connection));
     return answer;
   } catch (const Poco::Exception& exception) {
@@ -220,7 +227,10 @@
     return std::make_unique<EventStream>(*this, std::move(open.connection), *open.body);
   }
   try {
-    HttpAnswer answer{open.status, readBounded(*open.body, kMaxAnswerBytes)};
+    HttpAnswer answer{open.status, readBounded(*open.body, call.mostAnswerBytes)};
+    if (answer.body.size() > call.mostAnswerBytes) {
+      return tooLong(call);
+    }
     giveBack(std::move(open.connection));
     return answer;
   } catch (const Poco::Exception& exception) {
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -32,6 +32,8 @@
   std::string body;  ///< JSON; empty: none.
   std::vector<HttpHeader> headers;
   Duration timeout{2000000};  ///< For connecting and for each read.
+  /// A longer answer is a failure: what is left of a cut one would be taken for the whole.
+  size_t mostAnswerBytes = 64U << 20U;
 };
 
 /// How far a failed call got; decides whether a request may be tried again.
@@ -100,7 +102,7 @@
  public:
   HttpClient();
   ~HttpClient();
-  /// Makes a call and reads the whole answer (at most 64 MB).
+  /// Makes a call and reads the whole answer.
   HttpOutcome call(const HttpCall& call);
   /// Makes a call whose answer is an event stream.
   StreamOutcome open(const HttpCall& call);
--- a/test/http/http_client_test.cpp
+++ b/test/http/http_client_test.cpp
@@ -17,8 +17,9 @@
 /// Takes one connection and answers each request on it after the pause given for it.
 class PausingServer {
  public:
-  explicit PausingServer(const std::vector<Duration>& pauses)
-      : socket_(Poco::Net::SocketAddress("127.0.0.1", 0)),
+  explicit PausingServer(const std::vector<Duration>& pauses, const std::string& answer = kAnswer)
+      : answer_(answer),
+        socket_(Poco::Net::SocketAddress("127.0.0.1", 0)),
         thread_([this, pauses] { serve(pauses); }) {}
   ~PausingServer() { thread_.join(); }
   SocketAddress address() const { return SocketAddress{"127.0.0.1", socket_.address().port()}; }
@@ -32,10 +33,11 @@
         return;
       }
       std::this_thread::sleep_for(pause);
-      connection.sendBytes(kAnswer.data(), static_cast<int>(kAnswer.size()));
+      connection.sendBytes(answer_.data(), static_cast<int>(answer_.size()));
     }
   }
 
+  const std::string answer_;
   Poco::Net::ServerSocket socket_;
   std::thread thread_;
 };
@@ -87,6 +89,20 @@
   CHECK(server.wasReset());
 }
 
+TEST_CASE("an answer longer than the call allows is a failure, not the beginning of it") {
+  const std::string body(100000, 'x');
+  for (const size_t allowed : {size_t{99999}, size_t{100000}}) {
+    PausingServer server({Duration(0)}, "HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n" + body);
+    HttpClient client;
+    HttpCall call;
+    call.address = server.address();
+    call.path = "/";
+    call.mostAnswerBytes = allowed;
+    const HttpOutcome outcome = client.call(call);
+    CHECK(std::holds_alternative<HttpAnswer>(outcome) == (allowed == body.size()));
+  }
+}
+
 TEST_CASE("a kept connection waits as long as the call on it may, not as the first one might") {
   PausingServer server({Duration(0), std::chrono::milliseconds(600)});
   HttpClient client;
