A caller that goes on sending after its refusal is cut off

Cause: what it sends was read and dropped until it stopped, which bound a thread and its buffers for ever.

--- a/test/platform/ingress_test.cpp
+++ b/test/platform/ingress_test.cpp
@@ -270,6 +270,23 @@
   }
 }
 
+TEST_CASE("a caller that goes on sending after its refusal is cut off at last") {
+  IngressWorld world;
+  Poco::Net::StreamSocket socket;
+  socket.connect(Poco::Net::SocketAddress(world.address.host, world.address.port));
+  say(socket, IngressWorld::head("Content-Length: 100000000\r\n\r\n"));
+  const std::string piece(1 << 20, 'x');
+  size_t taken = 0;
+  try {
+    while (taken < (size_t{64} << 20)) {
+      taken += static_cast<size_t>(socket.sendBytes(piece.data(), static_cast<int>(piece.size())));
+    }
+  } catch (const Poco::Exception&) {
+    // Reset by the node.
+  }
+  CHECK(taken < (size_t{32} << 20));
+}
+
 TEST_CASE("a node near its memory refuses what it has not begun, and keeps safe connections") {
   IngressWorld world;
   world.shedding.note(kNearLimit);
