Of a prompt in many parts no more is told than is ever asked for

Cause: where parts of a prompt are is asked for its first 64 parts, but told for all, up to 4,096: messages too large for a datagram, in the queue that is bounded in bytes.

--- a/src/peers/part_directory.cpp
+++ b/src/peers/part_directory.cpp
@@ -14,7 +14,8 @@
 
 /// About 150 bytes each.
 constexpr size_t kPartsKept = 8192;
-constexpr size_t kMostPartsAsked = 64;
+/// Of one prompt, counted from its beginning, asked for and told: what nobody asks for is not told.
+constexpr size_t kMostPartsOfPrompt = 64;
 /// A node that has run for so long was told of every part that is still worth a hint.
 constexpr Duration kLearningTime{20000000};
 
@@ -60,7 +61,7 @@
     const std::lock_guard<std::mutex> lock(mutex_);
     const Time now = clock_.now();
     std::map<NodeId, std::vector<size_t>> byKeeper;
-    for (size_t index = 0; index < std::min(parts.size(), kMostPartsAsked); ++index) {
+    for (size_t index = 0; index < std::min(parts.size(), kMostPartsOfPrompt); ++index) {
       if (lookup.isSettled[index]) {
         continue;
       }
@@ -102,7 +103,8 @@
   const Time now = clock_.now();
   {
     const std::lock_guard<std::mutex> lock(mutex_);
-    for (const PartKey part : parts) {
+    for (size_t index = 0; index < std::min(parts.size(), kMostPartsOfPrompt); ++index) {
+      const PartKey part = parts[index];
       const Keepers keepers = keepersOf(part);
       for (const NodeId keeper : std::set<NodeId>{keepers.first, keepers.second}) {
         if (keeper == self_) {
--- a/test/peers/directory_world.h
+++ b/test/peers/directory_world.h
@@ -31,6 +31,7 @@
     Direct(DirectoryWorld& world, NodeId from) : world_(world), from_(from) {}
     void send(NodeId to, const proto::Envelope& envelope) override {
       ++world_.messages;
+      world_.messageBytes += envelope.ByteSizeLong();
       if (world_.silent.count(to) == 0 && world_.isCut(from_) == world_.isCut(to)) {
         world_.node(to).onMessage(NodeLife{from_, Incarnation(1)}, envelope, world_.clock.now(),
                                   *world_.senders_.at(to));
@@ -82,6 +83,7 @@
   sim::VirtualClock clock;
   Maker maker;
   int messages = 0;
+  size_t messageBytes = 0;  ///< Of all messages, unsealed.
   std::set<NodeId> silent;  ///< Nodes that get no messages.
 
  private:
--- a/test/peers/part_directory_test.cpp
+++ b/test/peers/part_directory_test.cpp
@@ -47,6 +47,20 @@
   }
 }
 
+TEST_CASE("of a prompt in very many parts no more is told than is ever asked for") {
+  std::vector<PartKey> parts;
+  for (PartKey part = 0; part < 4096; ++part) {
+    parts.push_back(part << 32U | part);
+  }
+  DirectoryWorld world(7);
+  world.clock.advanceTo(world.clock.now() + kLongRun);
+  world.node(1).note(parts, 5, false);
+  CHECK(world.messageBytes < 4096);
+  const std::vector<PartHint> hints = world.node(1).find(parts);
+  CHECK(hints[63].engine == 5);
+  CHECK(world.messageBytes < 8192);
+}
+
 TEST_CASE("parts stay known though one of their keepers") {
   DirectoryWorld world(7);
   for (PartKey part = 100; part < 150; ++part) {
