--- a/src/gateway/memory_watch.cpp
+++ b/src/gateway/memory_watch.cpp
@@ -30,8 +30,8 @@
   toldTenths_ = tenths;
   logInfo("memory: " + kilobytes(use.residentBytes) + " of " + kilobytes(limitBytes_) +
           " in use; " + kilobytes(use.peerQueueBytes) + " wait for other nodes, " +
-          std::to_string(use.requests) + " requests under way, the table has " +
-          kilobytes(use.tableTextBytes));
+          std::to_string(use.requests) + " requests under way hold " + kilobytes(use.requestBytes) +
+          ", the table has " + kilobytes(use.tableTextBytes));
 }
 
 }  // namespace fernmoor::gateway
--- a/src/gateway/memory_watch.h
+++ b/src/gateway/memory_watch.h
@@ -14,6 +14,7 @@
   size_t residentBytes = 0;   ///< Of the whole process.
   size_t peerQueueBytes = 0;  ///< Messages that wait to be sent to other nodes.
   size_t requests = 0;        ///< Under way.
+  size_t requestBytes = 0;    ///< Of their headers and bodies, and of answers held for them.
   size_t tableTextBytes = 0;  ///< Of the operators' table as it is passed on.
 };
 
