--- a/src/gateway/request_run.h
+++ b/src/gateway/request_run.h
@@ -46,6 +46,8 @@
   Next relayStream(EngineAttempt& attempt);
   Next passOnLarge(EngineAttempt& attempt, std::string body);
   bool forwardEvents(EventSplitter& events);
+  /// @return whether there is room for an event that is not whole yet.
+  bool mayHold(const EventSplitter& events);
   void noteEvents(Time now);
   bool sendStreamHead(EngineAttempt& attempt);
   bool mayRunElsewhere() const;
@@ -100,7 +102,8 @@
   std::optional<Duration> hopelessWait_;        ///< Until its first event, why it was not sent.
   bool isPatient_ = false;                      ///< It stays with its engine, whatever the silence.
   std::optional<HeldAnswer> held_;
-  Time sentAt_;  ///< When the latest send began.
+  HeldBytes heldBytes_;  ///< Of that answer, or of one that is read.
+  Time sentAt_;          ///< When the latest send began.
   std::optional<Time> firstEventAt_;
   Time lastEventAt_;
   Duration longestPause_{};
--- a/test/platform/ingress_test.cpp
+++ b/test/platform/ingress_test.cpp
@@ -25,6 +25,13 @@
   return true;
 }
 
+constexpr size_t kMemoryLimit = 88000000;
+/// Some requests with the longest bodies that this world allows.
+constexpr size_t kHeldBytes = 5000;
+/// Above the high-water mark, and below the low one.
+constexpr size_t kNearLimit = 80000000;
+constexpr size_t kFarFromLimit = 40000000;
+
 /// The whole request path on loopback.
 class IngressWorld {
  public:
@@ -34,11 +41,12 @@
         connections(ConnectOptions{}),
         budget(gateway::SecondSendBounds{}),
         forwarder(gateway::ForwarderServices{clock, table, backends, connections, budget, protocol,
-                                             wanted, hints, loads, limits, quarantine, metrics},
+                                             wanted, hints, loads, limits, quarantine, metrics,
+                                             heldBytes},
                   gateway::ForwarderOptions{"z", std::chrono::seconds(4), 1}),
         work(gateway::StopTimes{}),
-        ingress(IngressServices{clock, table, forwarder, work, pools, metrics, refusals,
-                                std::chrono::seconds(2), std::chrono::seconds(4)},
+        ingress(IngressServices{clock, table, forwarder, work, shedding, heldBytes, pools, metrics,
+                                refusals, std::chrono::seconds(2), std::chrono::seconds(4)},
                 freeAddress(), 20) {
     auto made = std::make_shared<gateway::TrafficTable>();
     made->version = 1;
@@ -104,9 +112,11 @@
   gateway::test::TestLimits limits;
   gateway::test::TestQuarantine quarantine;
   Metrics metrics;
+  gateway::ByteBudget heldBytes{kHeldBytes};
   LogBudget refusals{LogBudgetBounds{}};
   gateway::Forwarder forwarder;
   gateway::WorkState work;
+  gateway::LoadShedding shedding{kMemoryLimit};
   gateway::PoolSelector pools;
   SocketAddress address;
   Ingress ingress;
@@ -229,4 +239,91 @@
   CHECK(late.engine.requests() == 0);
 }
 
+TEST_CASE("what all callers make a node hold has one bound, beyond which requests are refused") {
+  IngressWorld world;
+  SUBCASE("each gives back what it held") {
+    std::string requests;
+    for (int request = 0; request < 20; ++request) {
+      requests += IngressWorld::head("Content-Length: 900\r\n\r\n" + std::string(900, 'x'));
+    }
+    const std::string answers =
+        world.exchange(requests + IngressWorld::head("Connection: close\r\n\r\n"));
+    CHECK(answers.find("503") == std::string::npos);
+    CHECK(world.engine.requests() == 21);
+  }
+  SUBCASE("a body without room is refused before it is read, one that outgrows it midway") {
+    gateway::HeldBytes others(world.heldBytes);
+    REQUIRE(others.add(kHeldBytes - 500));
+    const std::string answers =
+        world.exchange(IngressWorld::head("Content-Length: 400\r\n\r\n" + std::string(400, 'x')) +
+                       IngressWorld::head("Transfer-Encoding: chunked\r\n\r\n" +
+                                          chunk(std::string(400, 'x')) + "0\r\n\r\n"));
+    const size_t second = answers.find("HTTP/1.1 503", 1);
+    CHECK(statusOf(answers) == "HTTP/1.1 503");
+    REQUIRE(second != std::string::npos);
+    CHECK(answers.find("\"kind\":\"overloaded\"") < second);
+    CHECK(answers.find("Connection: close") > second);
+    CHECK(world.engine.requests() == 0);
+    others.clear();
+    CHECK(statusOf(world.exchange(IngressWorld::head("Connection: close\r\n\r\n"))) ==
+          "HTTP/1.1 200");
+  }
+}
+
+TEST_CASE("a caller that goes on sending after its refusal is cut off at last") {
+  IngressWorld world;
+  Poco::Net::StreamSocket socket;
+  socket.connect(Poco::Net::SocketAddress(world.address.host, world.address.port));
+  say(socket, IngressWorld::head("Content-Length: 100000000\r\n\r\n"));
+  const std::string piece(1 << 20, 'x');
+  size_t taken = 0;
+  try {
+    while (taken < (size_t{64} << 20)) {
+      taken += static_cast<size_t>(socket.sendBytes(piece.data(), static_cast<int>(piece.size())));
+    }
+  } catch (const Poco::Exception&) {
+    // Reset by the node.
+  }
+  CHECK(taken < (size_t{32} << 20));
+}
+
+TEST_CASE("a node near its memory refuses what it has not begun, and keeps safe connections") {
+  IngressWorld world;
+  world.shedding.note(kNearLimit);
+  SUBCASE("small bodies are passed over, and the next request is understood") {
+    const std::string answers = world.exchange(
+        IngressWorld::head("Content-Length: 2\r\n\r\nab") +
+        IngressWorld::head("Transfer-Encoding: chunked\r\n\r\n" + chunk("abc") + "0\r\n\r\n") +
+        IngressWorld::head("Connection: close\r\n\r\n"));
+    CHECK(statusOf(answers) == "HTTP/1.1 503");
+    CHECK(answers.find("Retry-After: 0.020\r\n") != std::string::npos);
+    CHECK(answers.find("\"kind\":\"overloaded\"") != std::string::npos);
+    CHECK(answers.find("\"run\":\"not_run\"") != std::string::npos);
+    size_t refusals = 0;
+    for (size_t at = 0; (at = answers.find("HTTP/1.1 503", at)) != std::string::npos; ++at) {
+      ++refusals;
+    }
+    CHECK(refusals == 3);
+    CHECK(answers.find("Connection: close") > answers.rfind("HTTP/1.1 503"));
+  }
+  SUBCASE("a long body is refused before it is sent, and its connection ends") {
+    const std::string answer =
+        world.exchange(IngressWorld::head("Content-Length: 4000000\r\n\r\n"));
+    CHECK(statusOf(answer) == "HTTP/1.1 503");
+    CHECK(answer.find("Connection: close\r\n") != std::string::npos);
+  }
+  SUBCASE("a caller that waits to be told to go on sends no body") {
+    const std::string answer =
+        world.exchange(IngressWorld::head("Expect: 100-continue\r\nContent-Length: 2\r\n\r\n"));
+    CHECK(statusOf(answer) == "HTTP/1.1 503");
+    CHECK(answer.find("100 Continue") == std::string::npos);
+    CHECK(answer.find("Connection: close\r\n") != std::string::npos);
+  }
+  CHECK(world.engine.requests() == 0);
+  world.shedding.note(kFarFromLimit);
+  CHECK(statusOf(world.exchange(IngressWorld::head("Connection: close\r\n\r\n"))) ==
+        "HTTP/1.1 200");
+  CHECK(world.engine.requests() == 1);
+}
+
 }  // namespace fernmoor::platform
