Soak: tables that grow, narrow links, peak memory judged from outside

Operators' tables grow by a thousand rows and more in series of their own (--growth N) and are changed row by row while they spread; draws of existing seeds stay as they are. Nodes then reach each other (large messages) and the store through proxies that carry 1.25 MB/s each way for a machine (--narrow N); a library preloaded into the gateway leads its connections there, so the product stays as it is. Datagrams, callers and engines go straight. limits.memory-mb and limits.link-mbps are written to the settings.

Judge: MEMORY holds VmHWM against limits.memory-mb, and finds processes that ended by themselves. LOST also finds requests that did not run and got no answer on an open connection; only the last 0.2 s before the end of a process that was told to stop are let off. After a run with growth each node must hold the newest table.

Each run claims a loopback net of its own, so that runs side by side and processes that were left behind can't reach each other; a run or test that is cut off ends its gateways by their ids.

--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -8,6 +8,7 @@
 import concurrent.futures
 import os
 import pathlib
+import signal
 import subprocess
 import sys
 import xml.etree.ElementTree as ElementTree
@@ -15,6 +16,8 @@
 UNIT_TIMEOUT_SECONDS = 300
 PROCESS_TIMEOUT_SECONDS = 180
 UNIT_SHARDS = 6
+# A process test that is cut off ends what it started when it is told to; what is left then is killed.
+CUT_OFF_SECONDS = 20
 
 
 def known_red(root):
@@ -68,14 +71,28 @@
 
 
 def run_process_test(script, build):
+    test = subprocess.Popen([str(script), str(build)], stdout=subprocess.PIPE,
+                            stderr=subprocess.PIPE, start_new_session=True)
     try:
-        result = subprocess.run([str(script), str(build)], capture_output=True,
-                                timeout=PROCESS_TIMEOUT_SECONDS)
-        output = (result.stdout + result.stderr).decode(errors="replace")[-6000:]
-        return (script.name, result.returncode == 0, output)
-    except subprocess.TimeoutExpired as expired:
-        output = ((expired.stdout or b"") + (expired.stderr or b"")).decode(errors="replace")[-6000:]
-        return (script.name, False, "timed out\n" + output)
+        output = b"".join(test.communicate(timeout=PROCESS_TIMEOUT_SECONDS))
+        return (script.name, test.returncode == 0, output.decode(errors="replace")[-6000:])
+    except subprocess.TimeoutExpired:
+        output = b"timed out\n" + cut_off(test)
+        return (script.name, False, output.decode(errors="replace")[-6000:])
+
+
+def cut_off(test):
+    """Ends a process test with all that it started: processes that it left would go on sending to ports
+    that later tests use. Returns what it printed."""
+    for how in (signal.SIGTERM, signal.SIGKILL):
+        try:
+            os.killpg(test.pid, how)
+            return b"".join(test.communicate(timeout=CUT_OFF_SECONDS))
+        except subprocess.TimeoutExpired:
+            continue
+        except ProcessLookupError:
+            break
+    return b""
 
 
 def main():
--- a/test/platform_soak/judge.py
+++ b/test/platform_soak/judge.py
@@ -8,6 +8,9 @@
 VERSION_SECONDS = 8.0
 CONTACT_SECONDS = 3.0
 CRASHES, LATE_SENDS = 3, 3
+MEGABYTE = 1e6  # As the users' pages count it.
+# A process that was told to stop may end while a request reaches it.
+END_SECONDS = 0.2
 
 
 def judge(calls, runs, orders, world):
@@ -31,6 +34,7 @@
         "LOST": lost(calls, by_id, world),
         "BUDGET": budget(runs, asked, world),
         "BLAMED": blamed(calls, world),
+        "MEMORY": memory(world),
     }
 
 
@@ -170,21 +174,43 @@
 
 
 def lost(calls, by_id, world):
-    """A request that a sound engine ran is answered, also by a process that was told to stop: only a
-    kill or a standstill of the process, or a caller that gave up, ends it without an answer."""
+    """A request that a sound engine ran is answered, also by a process that was told to stop, and so
+    is each one on a connection that is open, whether it ran or not: only a kill or a standstill of the
+    process, or a caller that gave up, ends it without an answer. What did not run may also meet the very
+    end of a process that was told to stop."""
     faults = []
     for call in calls:
-        if call["status"] is not None or call["gave_up"] or not by_id[call["id"]]:
+        if call["status"] is not None or call["gave_up"] or was_killed(call, world):
             continue
-        is_sound = not any(run["fault"] for run in by_id[call["id"]])
-        was_killed = any(call["sent_at"] - CONTACT_SECONDS < moment <= call["ended_at"] + 0.1
-                         for moment in world["killed"].get(call["node"], ()))
-        if is_sound and not was_killed:
-            faults.append(f"{call['id']} ran and got no answer from node {call['node']} after "
-                          f"{call['ended_at'] - call['sent_at']:.2f} s: {call['broken']}")
+        runs = by_id[call["id"]]
+        if any(run["fault"] for run in runs):
+            continue
+        if runs or (call["connected"] and not met_exit(call, world)):
+            faults.append(f"{call['id']} {'ran and' if runs else 'did not run and'} got no answer from "
+                          f"node {call['node']} after {call['ended_at'] - call['sent_at']:.2f} s: "
+                          f"{call['broken']}")
     return faults
 
 
+def was_killed(call, world):
+    return any(call["sent_at"] - CONTACT_SECONDS < moment <= call["ended_at"] + 0.1
+               for moment in world["killed"].get(call["node"], ()))
+
+
+def met_exit(call, world):
+    """Whether it was sent within a moment of the end of a process that was told to stop."""
+    return any(abs(call["sent_at"] - moment) <= END_SECONDS
+               for moment in world["exits"].get(call["node"], ()))
+
+
+def memory(world):
+    """No process takes more memory than its machine has, and none ends without having been told to."""
+    faults = [f"node {node} took {peak / MEGABYTE:.1f} MB of {world['memory_bytes'][node] / MEGABYTE:.0f}"
+              for node, peak in world["peak_bytes"].items() if peak > world["memory_bytes"][node]]
+    return faults + [f"node {node} ended by itself with status {status}"
+                     for node, ends in world["ended_itself"].items() for _, status in ends]
+
+
 def budget(runs, asked, world):
     """After a request has crashed three engines, and nodes in touch have had the time to hear of it, it
     reaches engines at most three times more."""
--- a/test/platform_soak/soak.py
+++ b/test/platform_soak/soak.py
@@ -3,19 +3,25 @@
 that ask all the while, and faults drawn by a seed. Callers keep their connections until these are
 closed, also those of a process that stops. Faults come in several series that overlap; in some
 series all nodes are struck one after the other. With every other seed the store stays sound, as the
-bound of new weights holds only while it does. What callers and engines saw is judged by the users'
+bound of new weights holds only while it does. With growth the operators' table grows by a thousand
+rows and more, time after time, and its rows are changed one by one while it spreads; nodes then have
+narrow links to each other and to the store. What callers and engines saw is judged by the users'
 rules; at the end, with all faults over, each kind of request must be served again.
 
-usage: soak.py BUILD_FOLDER [--seed N] [--seconds S] [--nodes N] [--series N] [--poison N]
+usage: soak.py BUILD_FOLDER [--seed N] [--seconds S] [--nodes N] [--series N] [--poison N] [--growth N]
+               [--narrow N] [--memory-mb N] [--binary GATEWAY]
 """
 import argparse
 import collections
 import concurrent.futures
+import functools
 import http.client
 import itertools
 import os
 import pathlib
 import random
+import re
+import select
 import signal
 import socket
 import subprocess
@@ -23,11 +29,15 @@
 import tempfile
 import threading
 import time
+import urllib.request
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
 
 import engines as standin  # noqa: E402  (the path above comes first)
+import hosts as own_hosts  # noqa: E402
 import judge  # noqa: E402
+import links  # noqa: E402
+import memory  # noqa: E402
 import store as platform_store  # noqa: E402
 
 MODEL, MODELS, PLAIN = "m0", "models", "plain"
@@ -47,6 +57,12 @@
 MODEL_ENGINES, PLAIN_ENGINES = 10, 3
 RECOVERY_SECONDS = 40
 LAST_POISON_NODES = 5
+# A table of the users' smallest machines may have so many bytes; those grown past it are cut back.
+MOST_TABLE_BYTES, ROW_BYTES = 1_000_000, 200
+ROWS_OF_A_GROWTH = (1000, 1400)
+CHANGES_OF_A_GROWTH, CHANGE_PAUSE_SECONDS = (3, 10), (0.1, 0.6)
+GROWTH_PAUSE_SECONDS = (0.5, 3.0)
+MEMORY_MB, NARROW_MBPS, WIDE_MBPS = 88, 10, 1000  # The smallest machines of the users, and a wide link.
 
 
 def free_port(hosts):
@@ -65,13 +81,37 @@
             continue
 
 
+@functools.lru_cache(maxsize=None)
+def extra_row(number, timeout_ms):
+    """Rows that did not change are the same object in all versions that the store remembers."""
+    return {"name": f"extra-{number}", "host": "h.example", "service": PLAIN,
+            "path-prefix": f"/extra-{number}/", "type": "unsafe", "timeout-ms": timeout_ms}
+
+
+def has_ended(connection):
+    """Whether the other side closed a connection on which nothing was asked."""
+    poll = select.poll()
+    poll.register(connection, select.POLLIN)
+    return bool(poll.poll(0))
+
+
+class Machine:
+    """What a node's machine has; `link`: none where its bytes are not bounded."""
+
+    def __init__(self, memory_mb=MEMORY_MB, link=None, environment=None):
+        self.memory_mb, self.link = memory_mb, link
+        self.link_mbps = NARROW_MBPS if link else WIDE_MBPS
+        self.environment = environment or {}
+
+
 class Node:
     """One gateway process on a loopback address of its own."""
 
-    def __init__(self, number, binary, folder, store, ports, hosts):
+    def __init__(self, number, binary, folder, store, ports, hosts, machine=None):
         self.number, self.binary, self.folder = number, binary, folder
         self.host, self.ports = hosts[number], ports
-        self.store_address = platform_store.serve(store, number, "127.0.0.1")
+        self.machine = machine or Machine()
+        self.store_address = self.store_by_link(platform_store.serve(store, number, hosts[number]))
         self.settings = folder / f"node-{number}.conf"
         seeds = ",".join(f"{host}:{ports['peers']}" for host in hosts[:3])
         self.settings.write_text("\n".join([
@@ -82,13 +122,27 @@
             f"platform.addr={self.store_address}", "bounds.grace-s=8", "bounds.revoke-ms=5000",
             "bounds.config-ms=2000", "bounds.lease-ms=3000", "bounds.version-ms=8000",
             "bounds.budget-ratio=0.2", "bounds.budget-window-s=10", "bounds.retry-slack=54",
-            "limits.max-fds=4000"]) + "\n")
+            "limits.max-fds=4000", f"limits.memory-mb={self.machine.memory_mb}",
+            f"limits.link-mbps={self.machine.link_mbps}"]) + "\n")
         self.process = None
+        self.life = threading.Lock()  # Held while the process begins or ends.
+        self.is_closed = False  # It is not started again.
+        self.peak_bytes = 0
+        self.exits = []  # when it had ended after it was told to
+        self.ended_itself = []  # (when, exit status)
         self.struck = []  # (start, end) of all that kept it out of touch
         self.killed = []  # when it was killed or frozen
         self.turn = threading.Lock()  # Held by the fault that strikes it.
         self.start()
 
+    def store_by_link(self, address):
+        link = self.machine.link
+        if link is None:
+            return address
+        host, port = address.split(":")
+        proxy = links.listen((self.host, 0), (host, int(port)), [link.up], [link.down])
+        return f"{proxy[0]}:{proxy[1]}"
+
     def strike(self, start=None):
         """Notes that something struck the process, from `start` until now."""
         now = time.monotonic()
@@ -96,17 +150,72 @@
 
     def start(self):
         self.strike()
-        log = open(self.folder / f"node-{self.number}.log", "ab")
-        self.process = subprocess.Popen(
-            [self.binary, f"--metrics_port={self.ports['metrics']}"], stderr=log, stdout=log,
-            env=dict(os.environ, FERNMOOR_SETTINGS=str(self.settings)))
+        environment = dict(os.environ, FERNMOOR_SETTINGS=str(self.settings))
+        environment.update(self.machine.environment)
+        with self.life, open(self.folder / f"node-{self.number}.log", "ab") as log:
+            if not self.is_closed:
+                self.process = subprocess.Popen(
+                    [self.binary, f"--metrics_port={self.ports['metrics']}"], stderr=log,
+                    stdout=log, env=environment)
 
     def end(self, how=signal.SIGKILL):
         self.strike()
-        if how == signal.SIGKILL:
+        self.note_memory()
+        with self.life:
+            if how == signal.SIGKILL:
+                self.killed.append(time.monotonic())
+            self.process.send_signal(how)
+            process = self.process
+        self.wait_for_end(process)
+
+    def wait_for_end(self, process):
+        """Reads its memory up to its end."""
+        end = time.monotonic() + 20
+        while process.poll() is None:
+            if time.monotonic() > end:
+                raise AssertionError(f"node {self.number} did not end when told to")
+            self.note_memory()
+            time.sleep(0.01)
+        self.exits.append(time.monotonic())
+
+    def table_version(self):
+        """Returns the version of the table in force, as the process tells it; None: it does not."""
+        url = f"http://{self.host}:{self.ports['metrics']}/metrics"
+        try:
+            with urllib.request.urlopen(url, timeout=5) as answer:
+                found = re.search(r"^fernmoor_table_version\S* (\S+)$", answer.read().decode(),
+                                  re.MULTILINE)
+                return int(float(found.group(1))) if found else None
+        except OSError:
+            return None
+
+    def note_memory(self):
+        peak = memory.peak_bytes(self.process.pid)
+        self.peak_bytes = max(self.peak_bytes, peak)
+
+    def look(self):
+        """Notes its memory, and whether it ended without having been told to; it is started again
+        then, as the platform does. Nothing while a fault strikes it."""
+        self.note_memory()
+        if not self.turn.acquire(blocking=False):
+            return
+        try:
+            status = self.process.poll()
+            if status is not None and not self.is_closed:
+                self.ended_itself.append((time.monotonic(), status))
+                self.start()
+        finally:
+            self.turn.release()
+
+    def close(self):
+        with self.life:
+            self.is_closed = True
+            if self.process is None or self.process.poll() is not None:
+                return
             self.killed.append(time.monotonic())
-        self.process.send_signal(how)
-        self.process.wait(timeout=20)
+            self.note_memory()
+            self.process.kill()  # Also where it is frozen.
+            self.process.wait()
 
 
 class World:
@@ -114,6 +223,8 @@
 
     def __init__(self, options):
         self.random = random.Random(options.seed)
+        self.net, self.net_holder = own_hosts.claim_net()
+        self.nodes = []
         self.changes = threading.Lock()  # Held by a fault that changes what the operators wrote.
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="fernmoor-soak-"))
         self.store = platform_store.Store()
@@ -125,27 +236,41 @@
                       "named": [], "unstable": [],
                       "service_of": {kind: entry[2] for kind, entry in KINDS.items()}}
         self.extra_routes = 0
+        self.row_timeouts = {}  # number of an extra row -> its time in ms, where it was changed
         self.write_config()
         self.store.put("versions", MODEL, {"model": MODEL, "version": 1})
         self.engines = [self.new_engine(number, MODELS) for number in range(MODEL_ENGINES)]
         self.engines += [self.new_engine(MODEL_ENGINES + number, PLAIN)
                          for number in range(PLAIN_ENGINES)]
-        hosts = [f"127.0.0.{20 + number}" for number in range(options.nodes)]
-        ports = {name: free_port(hosts) for name in ("front", "ready", "peers", "metrics")}
-        self.nodes = [Node(number, options.binary, self.folder, self.store, ports, hosts)
-                      for number in range(options.nodes)]
         self.stopping, self.faults_over = threading.Event(), threading.Event()
+        self.is_over = threading.Event()  # Nobody looks after the processes any more.
         self.seed, self.series = options.seed, options.series
+        self.growth_series = options.growth
         self.poison_series = options.poison  # Without them all draws are as before there were any.
         self.engines_turn = threading.Lock()  # Held by the fault that replaces an engine.
         self.poisons = []  # (kind, body)
         self.returning = []  # threads that bring crashed engines back
         self.seen.on_crash = self.bring_back
 
+    def start_nodes(self, options):
+        hosts = own_hosts.node_hosts(self.net, options.nodes)
+        ports = {name: free_port(hosts) for name in ("front", "ready", "peers", "metrics")}
+        narrow = {number: links.Link(NARROW_MBPS) for number in range(options.narrow)}
+        for number in range(options.nodes):
+            environment = {}
+            if narrow:
+                detour = free_port(hosts)
+                links.between_nodes(hosts, ports["peers"], detour, number, narrow)
+                environment = {"FERNMOOR_PEER_DETOUR": f"{ports['peers']},{detour}",
+                               "LD_PRELOAD": options.detour}
+            machine = Machine(options.memory_mb, narrow.get(number), environment)
+            self.nodes.append(Node(number, options.binary, self.folder, self.store, ports, hosts,
+                                   machine))
+
     def new_engine(self, number, service, former_id=None):
         self.lives += 1
         model = MODEL if service == MODELS else None
-        engine = standin.Engine(number, self.lives, service, self.store, self.seen, "127.0.0.1",
+        engine = standin.Engine(number, self.lives, service, self.store, self.seen, self.net + ".2",
                                 self.weights if model else 0, model, former_id)
         if number % 2 == 1:  # Its streams keep a process that stops alive for longer.
             engine.event_seconds = SLOW_EVENT_SECONDS
@@ -172,8 +297,7 @@
                    "service": service, "attempts": attempts, "timeout-ms": 4000, "target-ms": 500,
                    "priority": 0, "sticky": service == MODELS, "resumable": kind == "stream-again"}
                   for kind, (path, kind_type, service, attempts) in KINDS.items()]
-        routes += [{"name": f"extra-{number}", "host": "h.example", "service": PLAIN,
-                    "path-prefix": f"/extra-{number}/", "type": "unsafe", "timeout-ms": 4000}
+        routes += [extra_row(number, self.row_timeouts.get(number, 4000))
                    for number in range(self.extra_routes)]
         tenants = [{"name": name, "isolated": name in self.rules["isolated"], "priority": 0,
                     "api-keys": [key for key, who in self.keys.items() if who == name]}
@@ -194,7 +318,8 @@
         call = {"id": number, "kind": kind, "key": key, "path": path, "method": "POST",
                 "sent_body": body, "sent_at": time.monotonic(), "status": None, "body": b"",
                 "complete": False, "stamp": None, "answered_id": None, "events": standin.EVENTS,
-                "node": node.number, "gave_up": False, "ended_at": None, "broken": ""}
+                "node": node.number, "gave_up": False, "ended_at": None, "broken": "",
+                "connected": False}
         with self.calls_lock:
             self.calls.append(call)
         headers = {"Host": "h.example", "X-Request-Id": number, "X-Deadline-Ms": "4000",
@@ -205,6 +330,10 @@
                             "X-Prefix-Hash": f"aa:100,b{group}:150,{subject}:50"})
         connection = kept or http.client.HTTPConnection(node.host, node.ports["front"], timeout=6)
         try:
+            if connection.sock is None or has_ended(connection.sock):
+                connection.close()
+                connection.connect()
+            call["connected"] = True
             connection.request("POST", path, body, headers)
             answer = connection.getresponse()
             call["status"] = answer.status
@@ -270,6 +399,38 @@
             self.call(poison[0], "k-open", draw.choice(self.nodes), repeated=poison[1])
             time.sleep(POISON_PAUSE_SECONDS)
 
+    def table_grows(self, draw):
+        """The operators add a thousand rows and more, and change single rows while these spread. A
+        table that grew too large for the store is cut back first."""
+        rows = draw.randint(*ROWS_OF_A_GROWTH)
+        with self.changes:
+            if (self.extra_routes + rows) * ROW_BYTES > MOST_TABLE_BYTES:
+                self.extra_routes = 0
+            self.extra_routes += rows
+            self.version += 1
+            self.write_config()
+        for _ in range(draw.randint(*CHANGES_OF_A_GROWTH)):
+            time.sleep(draw.uniform(*CHANGE_PAUSE_SECONDS))
+            with self.changes:
+                self.row_timeouts[draw.randrange(self.extra_routes)] = draw.randint(3000, 5000)
+                self.version += 1
+                self.write_config()
+
+    def keep_growing(self, series, seconds):
+        """A series of its own, beside all others."""
+        draw = random.Random(f"{self.seed} growth {series}")
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            self.table_grows(draw)
+            print(f"{time.monotonic() - end + seconds:6.2f} g{series} table_grows to "
+                  f"{self.extra_routes} rows", flush=True)
+            time.sleep(draw.uniform(*GROWTH_PAUSE_SECONDS))
+
+    def watch_processes(self):
+        while not self.is_over.wait(memory.LOOK_SECONDS):
+            for node in self.nodes:
+                node.look()
+
     # Faults: each takes its time and mends what it broke.
 
     def node_killed(self, draw):
@@ -284,6 +445,7 @@
             node.turn.acquire()
         for node in self.nodes:
             node.strike()
+            node.note_memory()
             node.killed.append(time.monotonic())
             node.process.kill()
         for node in self.nodes:
@@ -432,6 +594,7 @@
         callers = [threading.Thread(target=self.keep_calling, args=(number,), daemon=True)
                    for number in range(CALLERS)]
         self.wait_until_served()
+        threading.Thread(target=self.watch_processes, daemon=True).start()
         for caller in callers:
             caller.start()
         failing = threading.Thread(target=self.keep_failing_engines, args=(self.seed,))
@@ -440,6 +603,8 @@
                   for number in range(self.series)]
         series += [threading.Thread(target=self.keep_sending_poison, args=(number, seconds))
                    for number in range(self.poison_series)]
+        series += [threading.Thread(target=self.keep_growing, args=(number, seconds))
+                   for number in range(self.growth_series)]
         try:
             for each in series:
                 each.start()
@@ -453,6 +618,8 @@
             each.join()
         self.wait_until_served()
         self.wait_until_moved()
+        if self.growth_series:
+            self.wait_until_table_is_held()
         self.stopping.set()
         for caller in callers:
             caller.join()
@@ -518,14 +685,34 @@
                 raise AssertionError(f"VERSION: {held} never came to {self.weights}")
             time.sleep(0.1)
 
+    def wait_until_table_is_held(self):
+        """Until every node has the newest table in force. Raises where that never comes."""
+        end = time.monotonic() + RECOVERY_SECONDS
+        while True:
+            held = [node.table_version() for node in self.nodes]
+            if all(each == self.version for each in held):
+                return
+            if time.monotonic() > end:
+                raise AssertionError(f"CONFIG: tables {held} never came to {self.version}")
+            time.sleep(0.1)
+
     def close(self):
+        """Ends all gateways, also where the run was cut off, and starts none again."""
+        self.is_over.set()
         for node in self.nodes:
-            if node.process.poll() is None:
-                node.process.send_signal(signal.SIGCONT)
-                node.end()
+            node.close()
+
+    def seen_by_judge(self):
+        """All that the judge needs beside calls, runs and orders."""
+        rules = dict(self.rules, crashes=self.seen.crashes, poison=self.seen.poison)
+        for name in ("struck", "killed", "exits", "peak_bytes", "ended_itself"):
+            rules[name] = {node.number: getattr(node, name) for node in self.nodes}
+        rules["memory_bytes"] = {node.number: node.machine.memory_mb * judge.MEGABYTE
+                                 for node in self.nodes}
+        return rules
 
 
-def parse():
+def parse(arguments=None):
     parser = argparse.ArgumentParser()
     parser.add_argument("build")
     parser.add_argument("--seed", type=int, default=1)
@@ -534,29 +721,72 @@
     parser.add_argument("--series", type=int, default=2, help="series of faults that overlap")
     parser.add_argument("--poison", type=int, default=1,
                         help="series of requests that crash engines, beside the others")
-    options = parser.parse_args()
-    options.binary = str(pathlib.Path(options.build).resolve() / "fernmoor-gateway")
+    parser.add_argument("--growth", type=int, default=0,
+                        help="series of growths of the operators' table, beside the others")
+    parser.add_argument("--narrow", type=int,
+                        help="nodes with narrow links; all with growth, else none")
+    parser.add_argument("--memory-mb", type=int, default=MEMORY_MB, help="limit of each gateway")
+    parser.add_argument("--binary", help="the gateway, if not the build folder's")
+    options = parser.parse_args(arguments)
+    build = pathlib.Path(options.build).resolve()
+    options.binary = options.binary or str(build / "fernmoor-gateway")
+    options.detour = str(build / "libfernmoor-peer-detour.so")
+    if options.narrow is None:
+        options.narrow = options.nodes if options.growth else 0
     return options
 
 
-def main():
-    options = parse()
+def end_on_signals():
+    """A run that is cut off ends its gateways as any other does."""
+    def cut(number, _):
+        raise SystemExit(f"cut off by signal {number}")
+    for each in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(each, cut)
+
+
+def play(options):
+    """Returns the world after its run, with all gateways ended."""
     world = World(options)
-    print(f"seed {options.seed}, logs in {world.folder}", flush=True)
     try:
+        world.start_nodes(options)
+        print(f"seed {options.seed}, hosts {world.net}.0/24, logs in {world.folder}", flush=True)
         world.run(options.seconds)
-    finally:
+    except BaseException as fault:
         world.close()
-    world.rules["struck"] = {node.number: node.struck for node in world.nodes}
-    world.rules["killed"] = {node.number: node.killed for node in world.nodes}
-    world.rules["crashes"], world.rules["poison"] = world.seen.crashes, world.seen.poison
-    found = judge.judge(world.calls, world.seen.runs, world.seen.orders, world.rules)
+        tell_memory(world)
+        print(f"the run was not finished: {fault}", flush=True)
+        os._exit(1)  # Other threads may still wait for what they strike.
+    world.close()
+    return world
+
+
+def what_came(call):
+    """The status, or why there was none; of refusals their kind."""
+    kind = re.search(rb'"kind":"([^"]*)"', call["body"])
+    if call["status"] is None:
+        return "gave up" if call["gave_up"] else "no answer"
+    return str(call["status"]) + (" " + kind.group(1).decode() if kind else "")
+
+
+def tell_memory(world):
+    for node in world.nodes:
+        print(f"node {node.number}: peak memory {node.peak_bytes / judge.MEGABYTE:.1f} MB of "
+              f"{node.machine.memory_mb}, ended by itself: {node.ended_itself}")
+
+
+def main():
+    options = parse()
+    end_on_signals()
+    world = play(options)
+    found = judge.judge(world.calls, world.seen.runs, world.seen.orders, world.seen_by_judge())
     served = sum(call["status"] == 200 for call in world.calls)
     print(f"{len(world.calls)} requests, {served} served, {len(world.seen.runs)} runs, "
           f"{len(world.seen.orders)} orders")
+    print("answers:", dict(collections.Counter(what_came(call) for call in world.calls)))
     met = collections.Counter(f"{run['service']} {run['fault']}" for run in world.seen.runs
                               if run["fault"])
     print("runs at failing engines:", dict(sorted(met.items())))
+    tell_memory(world)
     for rule, faults in found.items():
         for fault in faults[:5]:
             print(f"{rule}: {fault}")
--- /dev/null
+++ b/test/process/growth_soak_test.py
@@ -0,0 +1,19 @@
+#!/usr/bin/env python3
+"""A seed of the fault soak with a table of the operators that grows by a thousand rows and more, time
+after time, and is changed row by row meanwhile, on machines with narrow links and little memory.
+"""
+import pathlib
+import subprocess
+import sys
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+SOAK = ROOT / "test" / "platform_soak" / "soak.py"
+
+
+def main():
+    subprocess.run([sys.executable, str(SOAK), sys.argv[1], "--seed", "2", "--seconds", "25",
+                    "--series", "1", "--poison", "0", "--growth", "2", "--nodes", "8"], check=True)
+
+
+if __name__ == "__main__":
+    main()
--- a/test/process/old_weights_test.py
+++ b/test/process/old_weights_test.py
@@ -14,7 +14,6 @@
 
 usage: old_weights_test.py BUILD_FOLDER [NAME]
 """
-import argparse
 import pathlib
 import signal
 import sys
@@ -39,9 +38,9 @@
     """A world in which callers stream through every gateway all the time."""
 
     def __init__(self, build):
-        options = argparse.Namespace(seed=1, nodes=NODES, series=0, poison=0,
-                                     binary=str(pathlib.Path(build).resolve() / "fernmoor-gateway"))
+        options = soak.parse([build, "--nodes", str(NODES), "--poison", "0"])
         self.world = soak.World(options)
+        self.world.start_nodes(options)
         print(f"logs in {self.world.folder}", flush=True)
         self.models = [each for each in self.world.engines if each.service == soak.MODELS]
         self.world.wait_until_served()
@@ -74,10 +73,7 @@
         for caller in self.callers:
             caller.join()
         world.close()
-        world.rules["struck"] = {node.number: node.struck for node in world.nodes}
-        world.rules["killed"] = {node.number: node.killed for node in world.nodes}
-        world.rules["crashes"], world.rules["poison"] = [], set()
-        found = judge.judge(world.calls, world.seen.runs, world.seen.orders, world.rules)
+        found = judge.judge(world.calls, world.seen.runs, world.seen.orders, world.seen_by_judge())
         assert not any(found.values()), found
 
 
@@ -85,17 +81,18 @@
     """With every gateway told to stop, those that still live move the engines: the last of them
     ends only after all engines hold the version that was named meanwhile."""
     world = scenario.world
-    for node in world.nodes:
-        node.strike()
-        node.process.send_signal(signal.SIGTERM)
+    stops = [threading.Thread(target=node.end, args=(signal.SIGTERM,)) for node in world.nodes]
+    for each in stops:
+        each.start()
     world.weights_named()
     newest = world.weights
     while any(engine.version < newest for engine in scenario.models):
         living = [node for node in world.nodes if node.process.poll() is None]
         assert living, "all gateways ended and left engines on old weights"
         time.sleep(0.02)
+    for each in stops:
+        each.join()
     for node in world.nodes:
-        node.process.wait()
         node.start()
     world.wait_until_served()
 
--- a/test/process/platform_soak_test.py
+++ b/test/process/platform_soak_test.py
@@ -17,7 +17,8 @@
 WORLD = {"tenant_of": {"k": "open", "w": "wall"}, "isolated": {"wall"}, "revoked": {"k": 100.0},
          "service_of": {"once": "plain", "stream-once": "models"},
          "named": [(2, 100.0)], "unstable": [], "struck": {1: [(105.0, 106.0)]},
-         "killed": {1: [1.5]}, "poison": {b"p"},
+         "killed": {1: [1.5]}, "poison": {b"p"}, "exits": {2: [1.1]}, "memory_bytes": {0: 88e6},
+         "peak_bytes": {0: 88e6}, "ended_itself": {0: []},
          "crashes": [{"body": b"p", "engine": f"e{n}", "at": 100.0 + n} for n in range(5)]}
 
 
@@ -25,7 +26,7 @@
     made = {"id": "r1", "kind": "once", "key": "k", "path": "/p", "method": "POST",
             "sent_body": b"x", "sent_at": 1.0, "status": 200, "body": b"answer e.r1" * 20,
             "complete": True, "stamp": "e.r1", "answered_id": "r1", "events": 2,
-            "node": 0, "gave_up": False, "ended_at": 2.0, "broken": ""}
+            "node": 0, "gave_up": False, "ended_at": 2.0, "broken": "", "connected": True}
     made.update(changes)
     return made
 
@@ -79,6 +80,9 @@
     ("VERSION", [call()], [run(at=108.1, arrived=107.0)], []),
     ("VERSION", [call(node=1)], [run(at=109.2, arrived=109.1)], []),
     ("LOST", [call(status=None)], [run(fault=None)], []),
+    ("LOST", [call(status=None)], [], []),                            # on an open connection
+    ("LOST", [call(status=None, node=2)], [run()], []),               # ran; the process stopped
+    ("LOST", [call(status=None, node=2, sent_at=0.8)], [], []),       # long before its end
     ("BUDGET", *late_poison(4)),
     ("BLAMED", [call(status=503, body=b'{"error":{"kind":"quarantined"}}')], [], []),
 ]
@@ -100,11 +104,16 @@
         found = judge.judge(calls, runs, [], dict(WORLD, unstable=unstable))
         assert not found["VERSION"], found
     for allowed in (call(status=None, node=1), call(status=None, gave_up=True)):
-        assert not judge.judge([allowed], [run()], [], WORLD)["LOST"]
+        for runs in ([run()], []):
+            assert not judge.judge([allowed], runs, [], WORLD)["LOST"]
+    for allowed in (call(status=None, connected=False), call(status=None, node=2)):
+        assert not judge.judge([allowed], [], [], WORLD)["LOST"]
     assert not judge.judge([call(status=None)], [run(fault="lost")], [], WORLD)["LOST"]
     # Three more sends, sends within the bound, and sends of a node that was struck lately.
     for allowed in (late_poison(3), late_poison(9, at=104.9), late_poison(9, at=107.0, node=1)):
         assert not judge.judge(*allowed, WORLD)["BUDGET"]
+    for changes in ({"peak_bytes": {0: 88e6 + 1}}, {"ended_itself": {0: [(1.0, -11)]}}):
+        assert judge.judge([], [], [], dict(WORLD, **changes))["MEMORY"], changes
     for rule, calls, runs, orders in FAULTS:
         found = judge.judge(calls, runs, orders, WORLD)
         assert found[rule], f"{rule} does not find {calls} {runs} {orders}"
--- a/test/process/poison_request_test.py
+++ b/test/process/poison_request_test.py
@@ -11,7 +11,6 @@
 
 usage: poison_request_test.py BUILD_FOLDER [NAME]
 """
-import argparse
 import concurrent.futures
 import pathlib
 import random
@@ -35,9 +34,9 @@
     """A world with callers beside the poison requests; each scenario is judged like a soak."""
 
     def __init__(self, build):
-        options = argparse.Namespace(seed=1, nodes=NODES, series=0, poison=1,
-                                     binary=str(pathlib.Path(build).resolve() / "fernmoor-gateway"))
+        options = soak.parse([build, "--nodes", str(NODES), "--poison", "1"])
         self.world = soak.World(options)
+        self.world.start_nodes(options)
         print(f"logs in {self.world.folder}", flush=True)
         self.world.wait_until_served()
         time.sleep(judge.CONTACT_SECONDS)  # All gateways are in touch when the story begins.
@@ -74,10 +73,7 @@
         for each in world.returning:
             each.join()
         world.close()
-        world.rules["struck"] = {node.number: node.struck for node in world.nodes}
-        world.rules["killed"] = {node.number: node.killed for node in world.nodes}
-        world.rules["crashes"], world.rules["poison"] = world.seen.crashes, world.seen.poison
-        found = judge.judge(world.calls, world.seen.runs, world.seen.orders, world.rules)
+        found = judge.judge(world.calls, world.seen.runs, world.seen.orders, world.seen_by_judge())
         assert not any(found.values()), {rule: faults[:3] for rule, faults in found.items() if faults}
 
 
--- a/test/process/store_calls_test.py
+++ b/test/process/store_calls_test.py
@@ -11,7 +11,8 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 sys.path.insert(0, str(ROOT / "test" / "platform_soak"))
 
-import soak  # noqa: E402  (the path above comes first)
+import hosts as own_hosts  # noqa: E402  (the path above comes first)
+import soak  # noqa: E402
 import store as platform_store  # noqa: E402
 
 BINARY = str(pathlib.Path(sys.argv[1]).resolve() / "fernmoor-gateway")
@@ -37,7 +38,8 @@
                                           "services": []})
         self.store.put("versions", "m0", {"model": "m0", "version": 1})
         self.store.put("servers", "e1", {"service": "models", "addr": "127.0.0.1:1", "zone": "z"})
-        hosts = [f"127.0.0.{40 + number}" for number in range(NODES)]
+        net, self.net_holder = own_hosts.claim_net()
+        hosts = own_hosts.node_hosts(net, NODES)
         ports = {name: soak.free_port(hosts) for name in ("front", "ready", "peers", "metrics")}
         self.folder = tempfile.TemporaryDirectory()
         self.nodes = [soak.Node(number, BINARY, pathlib.Path(self.folder.name), self.store, ports,
@@ -49,6 +51,7 @@
         for node in self.nodes:
             node.end()
         self.folder.cleanup()
+        self.net_holder.close()
 
     def calls_of(self, number, since=0):
         return [f"{method} {path}" for node, method, path in self.store.calls[since:]
