Runs that were cut off are open questions until later evidence tells whether their engine ended

Cause: whether an engine's process ended was decided by one look, at the moment at which an answer broke off; a run that left in silence, or whose caller left, was never looked at again. Now each is kept (5 s, 512 runs, 0.1 MB) until its engine left the list, has a later start, refuses connections (held against the request, by the time of the cut), or reports or answers as the same process (dropped). Looks at 0.1 s and then ever rarer, at four engines a step at most.

--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -15,6 +15,7 @@
 #include "gateway/backend_protocol.h"
 #include "gateway/caller_channel.h"
 #include "gateway/connection_pool.h"
+#include "gateway/cut_off_runs.h"
 #include "gateway/incoming_request.h"
 #include "gateway/outcome_log.h"
 #include "gateway/part_memory.h"
@@ -39,6 +40,7 @@
   EngineLoads& loads;
   TenantLimits& limits;
   RequestQuarantine& quarantine;
+  CutOffRuns& cutOffRuns;
   Metrics& metrics;
 };
 
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -15,6 +15,12 @@
 constexpr Duration kLeastUsefulTime{5000};
 /// A back end that could not be reached is left alone for so long.
 constexpr Duration kUnreachablePause{1000000};
+/// A back end that said nothing for less than this when its caller left is taken for a live one:
+/// half of the silence after which one is left at the earliest. Each that is not costs a few looks.
+constexpr Duration kLeastSilence{300000};
+/// What is read may have been sent so much earlier: a way between regions, 20 ms, and the wait for
+/// a thread on a busy machine.
+constexpr Duration kMayHaveWaited{200000};
 
 bool isEventStream(const Poco::Net::HTTPResponse& head) {
   return head.get("Content-Type", "").rfind("text/event-stream", 0) == 0;
@@ -97,6 +103,7 @@
   services_.backends.ended(plan_.backend.id, verdict, now);
   if (end == AttemptEnd::kServed || end == AttemptEnd::kFailed) {
     services_.quarantine.noteServed(fingerprint_);  // Its back end outlived it.
+    noteBackendAlive();
   }
   trail_.end(end, now - request_.arrivedAt);
   atBackend_ = false;
@@ -164,13 +171,25 @@
   logEvent(level, isLateAnswer ? "request: delivered late" : phraseOf(outcome), fields);
 }
 
-/// The moment at which an answer breaks off is the only one at which a crash of the back end can be
-/// told from a broken connection: seconds later another process may listen there.
+void RequestRun::noteCutOff() {
+  services_.cutOffRuns.note(
+      fingerprint_, plan_.backend,
+      quarantine::CrashedRun{incarnationHash(plan_.backend), sentAt_, services_.clock.now()});
+}
+
+void RequestRun::noteBackendAlive() {
+  const Time sentByThen = std::max(sentAt_, services_.clock.now() - kMayHaveWaited);
+  services_.cutOffRuns.noteAlive(incarnationHash(plan_.backend), sentByThen);
+}
+
+/// A port that is closed when an answer breaks off tells a crash of the back end from a broken
+/// connection: seconds later another process may listen there. One that is open tells nothing yet.
 AttemptEnd RequestRun::howItBroke() {
   const BackendListing& backend = plan_.backend;
   const uint64_t incarnation = incarnationHash(backend);
   const Time brokeAt = services_.clock.now();
   if (services_.connections.stillAnswers(incarnation, backend.address, brokeAt)) {
+    noteCutOff();
     return AttemptEnd::kBroken;
   }
   // A back end that was about to leave ends with what still runs there.
@@ -195,6 +214,9 @@
   switch (step) {
     case AttemptStep::kCallerGone:
       callerGone_ = true;
+      if (services_.clock.now() - std::max(sentAt_, lastEventAt_) >= kLeastSilence) {
+        noteCutOff();
+      }
       noteEnd(BackendVerdict::kNeutral, AttemptEnd::kCallerLeft);
       return Next::kFinished;
     case AttemptStep::kNotSent:
@@ -203,6 +225,9 @@
       return Next::kElsewhere;
     case AttemptStep::kBroken:
     case AttemptStep::kSilent:
+      if (step == AttemptStep::kSilent) {
+        noteCutOff();
+      }
       noteEnd(BackendVerdict::kFailed,
               step == AttemptStep::kSilent ? AttemptEnd::kSilent : howItBroke());
       mayHaveRun_ = true;
--- a/src/gateway/request_run.h
+++ b/src/gateway/request_run.h
@@ -57,8 +57,13 @@
   AttemptStep readStream(EngineAttempt& attempt, std::string& bytes);
   void noteEnd(BackendVerdict verdict, AttemptEnd end);
   /// @return whether the answer broke off with its connection or with its back end, which is held
-  ///         against the request.
+  ///         against the request; where the connection alone seems to have broken, that may show
+  ///         later.
   AttemptEnd howItBroke();
+  /// Its run is held against the request if it turns out that the back end ended.
+  void noteCutOff();
+  /// The back end sent something that was read now.
+  void noteBackendAlive();
   /// @return whether the request must not be sent; its caller was told then, if it has not run.
   bool isQuarantined();
   /// @return whether its prompt was counted at its back end until now.
--- a/src/gateway/request_run_relay.cpp
+++ b/src/gateway/request_run_relay.cpp
@@ -88,6 +88,7 @@
 }
 
 void RequestRun::noteEvents(Time now) {
+  noteBackendAlive();
   if (firstEventAt_) {
     longestPause_ = std::max(longestPause_, now - lastEventAt_);
     metrics_.observeTokenInterval(now - lastEventAt_);
--- a/src/http/byte_connection.cpp
+++ b/src/http/byte_connection.cpp
@@ -143,4 +143,17 @@
   }
 }
 
+PortState lookAtPort(const SocketAddress& address, Duration timeout) {
+  try {
+    Poco::Net::StreamSocket socket;
+    socket.connect(Poco::Net::SocketAddress(address.host, address.port),
+                   Poco::Timespan(timeout.count()));
+    return PortState::kTakesConnections;
+  } catch (const Poco::Net::ConnectionRefusedException&) {
+    return PortState::kRefuses;
+  } catch (const Poco::Exception&) {
+    return PortState::kNotReached;
+  }
+}
+
 }  // namespace fernmoor
--- a/src/http/byte_connection.h
+++ b/src/http/byte_connection.h
@@ -75,6 +75,14 @@
 std::unique_ptr<ByteConnection> connectTo(const SocketAddress& address,
                                           const ConnectOptions& options);
 
+/// What a look at a port shows of the process behind it.
+enum class PortState {
+  kTakesConnections,  ///< The process is there, or its machine keeps the port for it.
+  kRefuses,           ///< The machine is there, the process isn't.
+  kNotReached,        ///< Neither in the time given: nothing is known.
+};
+PortState lookAtPort(const SocketAddress& address, Duration timeout);
+
 /// Sets no-delay and the times after which a silent peer counts as dead.
 void guardAgainstSilence(Poco::Net::StreamSocket& socket, Duration silence);
 
--- /dev/null
+++ b/test/gateway/cut_off_runs_test.cpp
@@ -0,0 +1,141 @@
+/// @file
+/// Tests of src/gateway/cut_off_runs.h.
+#include "gateway/cut_off_runs.h"
+
+#include <doctest/doctest.h>
+
+#include "sim/virtual_clock.h"
+#include "test/gateway/forwarder_world.h"
+
+namespace fernmoor::gateway {
+
+using namespace test;
+
+namespace {
+
+constexpr uint64_t kFingerprint = 7;
+constexpr int64_t kStart = 1000;
+constexpr Duration kTick{100000};
+
+/// A back end at which one run was cut off a moment ago.
+struct CutOffWorld {
+  CutOffWorld() : port([](Poco::Net::StreamSocket&, const std::string&) { return false; }) {
+    listing.id = "a";
+    listing.startedAt = kStart;
+    listing.pool = "pool";
+    listing.address = port.address();
+    backends.update(listing, clock.now());
+    cut();
+  }
+  void cut(uint64_t fingerprint = kFingerprint) {
+    runs.note(fingerprint, listing,
+              quarantine::CrashedRun{incarnationHash(listing), clock.now() - kTick, clock.now()});
+  }
+  void pass(Duration time) {
+    for (Duration passed{0}; passed < time; passed += kTick) {
+      clock.advanceTo(clock.now() + kTick);
+      runs.step();
+    }
+  }
+
+  sim::VirtualClock clock;
+  ScriptedBackend port;
+  BackendSet backends;
+  BackendListing listing;
+  TestReports engines;
+  TestQuarantine quarantine;
+  CutOffRuns runs{clock, backends, engines, quarantine};
+};
+
+const std::vector<uint64_t> kHeld{kFingerprint};
+
+}  // namespace
+
+TEST_CASE("a run that was cut off is held against its request when its back end shows as ended") {
+  CutOffWorld world;
+  world.pass(Duration(300000));
+  CHECK(world.quarantine.crashes.empty());
+  const Time cutAt = world.clock.now() - Duration(300000);
+  SUBCASE("its port refuses connections") {
+    world.port.stopListening();
+  }
+  SUBCASE("it left the list") {
+    world.backends.remove("a");
+  }
+  SUBCASE("the list names a later start") {
+    world.listing.startedAt = kStart + 1;
+    world.backends.update(world.listing, world.clock.now());
+  }
+  SUBCASE("it reports a later start") {
+    world.engines.startedAt = kStart + 1;
+  }
+  world.pass(Duration(1000000));
+  CHECK(world.quarantine.crashes == kHeld);
+  CHECK(world.quarantine.lastRun.endedAt == cutAt);
+  CHECK(world.runs.size() == 0);
+}
+
+TEST_CASE("a run that its back end outlived is held against nobody") {
+  CutOffWorld world;
+  const uint64_t incarnation = incarnationHash(world.listing);
+  SUBCASE("it reports the same start half a second later") {
+    world.engines.startedAt = kStart;
+    world.pass(Duration(400000));
+    CHECK(world.runs.size() == 1);  // A process that ends may talk for a moment.
+    world.pass(Duration(600000));
+  }
+  SUBCASE("it answered something that was sent later") {
+    world.pass(kTick);
+    world.runs.noteAlive(incarnation, world.clock.now());
+  }
+  SUBCASE("it is about to leave") {
+    world.listing.isDraining = true;
+    world.backends.update(world.listing, world.clock.now());
+    world.pass(kTick);
+  }
+  CHECK(world.runs.size() == 0);
+  world.backends.remove("a");
+  world.pass(Duration(1000000));
+  CHECK(world.quarantine.crashes.empty());
+}
+
+TEST_CASE("what a back end sent before a run was cut off tells nothing of its end") {
+  CutOffWorld world;
+  world.runs.noteAlive(incarnationHash(world.listing), world.clock.now() - kTick);
+  world.runs.noteAlive(incarnationHash(world.listing) + 1, world.clock.now() + kTick);
+  CHECK(world.runs.size() == 1);
+}
+
+TEST_CASE("a silent back end without evidence for five seconds is held against nobody") {
+  CutOffWorld world;
+  world.pass(Duration(4900000));
+  CHECK(world.runs.size() == 1);
+  world.pass(Duration(300000));
+  CHECK(world.runs.size() == 0);
+  world.backends.remove("a");
+  world.pass(kTick);
+  CHECK(world.quarantine.crashes.empty());
+}
+
+TEST_CASE("at most 512 runs are kept, the newest") {
+  CutOffWorld world;
+  for (uint64_t number = 0; number < 600; ++number) {
+    world.cut(1000 + number);
+  }
+  CHECK(world.runs.size() == 512);
+  world.backends.remove("a");
+  world.pass(kTick);
+  CHECK(world.quarantine.crashes.size() == 512);
+  CHECK(world.quarantine.crashes.back() == 1599);
+}
+
+TEST_CASE("a run at a back end that is about to leave is not kept") {
+  CutOffWorld world;
+  world.pass(Duration(5200000));
+  world.listing.isDraining = true;
+  world.backends.update(world.listing, world.clock.now());
+  world.cut();
+  CHECK(world.runs.size() == 0);
+}
+
+}  // namespace fernmoor::gateway
--- a/test/gateway/forwarder_quarantine_test.cpp
+++ b/test/gateway/forwarder_quarantine_test.cpp
@@ -108,13 +108,59 @@
         });
     world.serve();
     CHECK(world.quarantine.crashes.empty());
+    CHECK(world.cutOffRuns.size() == 1);  // It may show later that the back end ended.
     world.serve();
     CHECK(backend.connectionCount() == 2);
+    CHECK(world.cutOffRuns.size() == 0);  // It answered.
   }
   CHECK(world.caller.refusals.size() == 1);
   CHECK(world.caller.refusals[0].kind == ErrorKind::kOutcomeUnknown);
 }
 
+TEST_CASE("a run that left a silent back end is held against the request when that one has ended") {
+  ForwarderWorld world;
+  world.row.repetition = Repetition::kRepeatable;
+  std::atomic<bool> isOver{false};
+  const Script silent = [&](Poco::Net::StreamSocket&, const std::string&) {
+    while (!isOver) {
+      std::this_thread::yield();
+    }
+    return false;
+  };
+  world.add("a", silent);
+  world.add("b", silent);
+  std::thread end([&] {
+    while (requestsOf(world) < 2) {
+      std::this_thread::yield();
+    }
+    isOver = true;
+  });
+  world.serve();
+  end.join();
+  CHECK(world.quarantine.crashes.empty());
+  CHECK(world.cutOffRuns.size() == 2);  // The second one broke its connection.
+  world.backends.remove("a");
+  world.backends.remove("b");
+  world.cutOffRuns.step();
+  CHECK(world.quarantine.crashes.size() == 2);
+}
+
+TEST_CASE("a run whose caller left a silent back end is held against the request likewise") {
+  ForwarderWorld world;
+  world.add("a", [&](Poco::Net::StreamSocket& socket, const std::string&) {
+    world.clock.leap = Duration(std::chrono::seconds(1));  // Without a word.
+    world.caller.socket.far.close();
+    char byte = 0;
+    socket.receiveBytes(&byte, 1);  // Until the connection is closed.
+    return false;
+  });
+  world.serve();
+  CHECK(world.cutOffRuns.size() == 1);
+  world.backends.remove("a");
+  world.cutOffRuns.step();
+  CHECK(world.quarantine.crashes == std::vector<uint64_t>{fingerprintOf(world.request())});
+}
+
 TEST_CASE("a whole answer, also one that states a failure, shows that its back end outlived it") {
   ForwarderWorld world;
   std::string status;
--- a/test/gateway/forwarder_test.cpp
+++ b/test/gateway/forwarder_test.cpp
@@ -361,10 +361,11 @@
   auto table = std::make_shared<TrafficTable>();
   table->addTenant(Tenant{"sese", false, 0}, {"key"});
   old.take(table, world.clock.now() - std::chrono::seconds(6));
-  Forwarder forwarder(ForwarderServices{world.clock, old, world.backends, world.connections,
-                                        world.budget, world.protocol, world.wanted, world.hints,
-                                        world.loads, world.limits, world.quarantine, world.metrics},
-                      ForwarderOptions{"zone", std::chrono::seconds(5), 1});
+  Forwarder forwarder(
+      ForwarderServices{world.clock, old, world.backends, world.connections, world.budget,
+                        world.protocol, world.wanted, world.hints, world.loads, world.limits,
+                        world.quarantine, world.cutOffRuns, world.metrics},
+      ForwarderOptions{"zone", std::chrono::seconds(5), 1});
   IncomingRequest request = world.request();
   request.tenant = Tenant{"sese", false, 0};
   request.key = "key";
--- a/test/gateway/forwarder_world.h
+++ b/test/gateway/forwarder_world.h
@@ -298,8 +298,9 @@
  public:
   void awaitDecision(uint64_t) override { ++waits; }
   std::optional<Duration> timeLeft(uint64_t) override { return left; }
-  void noteCrash(uint64_t fingerprint, const quarantine::CrashedRun&) override {
+  void noteCrash(uint64_t fingerprint, const quarantine::CrashedRun& run) override {
     crashes.push_back(fingerprint);
+    lastRun = run;
     left = leftAfterCrash;
   }
   void noteServed(uint64_t fingerprint) override { served.push_back(fingerprint); }
@@ -307,10 +308,29 @@
   std::optional<Duration> left;
   std::optional<Duration> leftAfterCrash;
   std::vector<uint64_t> crashes;
+  quarantine::CrashedRun lastRun;
   std::vector<uint64_t> served;
   int waits = 0;
 };
 
+/// Reports of the start that the test says, or of none.
+class TestReports : public weights::EngineOrders {
+ public:
+  Result<weights::EngineReport> report(const std::string&, const std::string&) override {
+    if (!startedAt) {
+      return Error{ErrorKind::kUnavailable, "no report", RunState::kNotRun, std::nullopt};
+    }
+    weights::EngineReport given;
+    given.startedAt = *startedAt;
+    return given;
+  }
+  weights::OrderAnswer order(const weights::WeightOrder&) override {
+    return weights::OrderAnswer::kRefused;
+  }
+
+  std::optional<int64_t> startedAt;
+};
+
 /// Silence after which a request that may run again is sent elsewhere.
 constexpr Duration kSilence{100000};
 
@@ -321,8 +341,9 @@
       : wanted(WeightBounds{}),
         connections(ConnectOptions{}),
         budget(SecondSendBounds{0, std::chrono::seconds(10), secondSends}),
+        cutOffRuns(clock, backends, engines, quarantine),
         forwarder(ForwarderServices{clock, table, backends, connections, budget, protocol, wanted,
-                                    hints, loads, limits, quarantine, metrics},
+                                    hints, loads, limits, quarantine, cutOffRuns, metrics},
                   ForwarderOptions{"zone", std::chrono::seconds(5), 1, kSilence}) {
     row.name = "row";
     row.maxAttempts = 2;
@@ -368,6 +389,8 @@
   LocalLoads loads;
   TestLimits limits;
   TestQuarantine quarantine;
+  TestReports engines;
+  CutOffRuns cutOffRuns;
   Metrics metrics;
   Forwarder forwarder;
   Row row;
--- a/test/peers/false_blame_test.cpp
+++ b/test/peers/false_blame_test.cpp
@@ -31,6 +31,15 @@
 constexpr Duration kStep{10000};
 constexpr Duration kPlayed{12000000};
 
+/// How late the end of an engine shows, each drawn for each run: at once where the port is closed
+/// when the connections break.
+struct Lateness {
+  Duration cutWithin{};   ///< A run is cut off so long after the end at most.
+  Duration toldWithin{};  ///< The end is known so long after the run was cut off at most.
+};
+/// A silent engine is left after 1.5 s at most, and the list names it for up to 3.4 s.
+constexpr Lateness kSilentEnds{Duration(1500000), Duration(3400000)};
+
 struct Run {
   uint64_t fingerprint = 0;
   uint64_t node = 0;
@@ -43,7 +52,8 @@
 /// One play: who was quarantined that crashes nothing, of how many whose engine ended.
 class Play {
  public:
-  explicit Play(uint64_t seed) : world_(kNodes), random_(seed) {}
+  explicit Play(uint64_t seed, Lateness lateness = {})
+      : world_(kNodes), random_(seed), lateness_(lateness) {}
 
   void run() {
     const Time end = world_.clock.now() + kPlayed;
@@ -63,6 +73,7 @@
         }
       }
       endRuns(now);
+      tellEnds(now);
       for (uint64_t node = 1; node <= kNodes; ++node) {
         world_.node(node).onTick(now, world_.sender(NodeId(node)));
       }
@@ -121,19 +132,49 @@
       std::swap(there[index - 1], there[random_.below(index)]);
     }
     for (const Run& run : there) {
-      world_.node(run.node).noteCrash(run.fingerprint,
-                                      quarantine::CrashedRun{run.engine, run.beganAt, now});
-      if (run.fingerprint > kPoisons) {
-        ++victims;
-        if (run.fingerprint >= kFirstStream && run.attempt < kTries) {
-          begin(run.fingerprint, kStreamTime, run.attempt + 1);
+      const Time cutAt = now + within(lateness_.cutWithin);
+      late_.push_back(LateEnd{run, cutAt, cutAt + within(lateness_.toldWithin), false});
+      victims += run.fingerprint > kPoisons ? 1 : 0;
+    }
+    tellEnds(now);
+  }
+  Duration within(Duration most) {
+    return most == Duration(0) ? most : random_.between(Duration(0), most);
+  }
+  /// Callers of streams ask again when they are cut off; nodes tell when they know of the end.
+  void tellEnds(Time now) {
+    std::vector<LateEnd> late;
+    late.swap(late_);
+    for (LateEnd& each : late) {
+      if (now >= each.toldAt) {
+        world_.node(each.run.node)
+            .noteCrash(each.run.fingerprint,
+                       quarantine::CrashedRun{each.run.engine, each.run.beganAt, each.cutAt});
+      }
+      if (now >= each.cutAt && !each.isCut) {
+        each.isCut = true;
+        if (each.run.fingerprint >= kFirstStream && each.run.attempt < kTries) {
+          begin(each.run.fingerprint, kStreamTime, each.run.attempt + 1);
         }
       }
+      if (now < each.toldAt) {
+        late_.push_back(each);
+      }
     }
   }
 
+  /// A run that ended with its engine.
+  struct LateEnd {
+    Run run;
+    Time cutAt;
+    Time toldAt;
+    bool isCut = false;
+  };
+
   test::QuarantineWorld world_;
   Random random_;
+  const Lateness lateness_;
+  std::vector<LateEnd> late_;
   std::array<Time, kEngines> awayUntil_{};
   std::vector<Run> runs_;
   uint64_t lastStream_ = kFirstStream;
@@ -157,4 +198,19 @@
   MESSAGE(victims << " runs of others ended with an engine, " << blamed << " requests blamed");
 }
 
+TEST_CASE("nor where ends of engines show seconds later, at other times to each run") {
+  size_t blamed = 0;
+  size_t victims = 0;
+  for (uint64_t seed = 1; seed <= 60; ++seed) {
+    Play play(seed, kSilentEnds);
+    play.run();
+    CHECK(play.foundAll());
+    blamed += play.blamed();
+    victims += play.victims;
+  }
+  CHECK(victims > 3000);
+  CHECK(blamed == 0);
+  MESSAGE(victims << " runs of others ended with an engine, " << blamed << " requests blamed");
+}
+
 }  // namespace fernmoor::peers
--- a/test/platform/ingress_test.cpp
+++ b/test/platform/ingress_test.cpp
@@ -33,8 +33,10 @@
         engine(answerAsEngine),
         connections(ConnectOptions{}),
         budget(gateway::SecondSendBounds{}),
+        cutOffRuns(clock, backends, reports, quarantine),
         forwarder(gateway::ForwarderServices{clock, table, backends, connections, budget, protocol,
-                                             wanted, hints, loads, limits, quarantine, metrics},
+                                             wanted, hints, loads, limits, quarantine, cutOffRuns,
+                                             metrics},
                   gateway::ForwarderOptions{"z", std::chrono::seconds(4), 1}),
         work(gateway::StopTimes{}),
         ingress(IngressServices{clock, table, forwarder, work, pools, metrics, refusals,
@@ -103,6 +105,8 @@
   gateway::test::LocalLoads loads;
   gateway::test::TestLimits limits;
   gateway::test::TestQuarantine quarantine;
+  gateway::test::TestReports reports;
+  gateway::CutOffRuns cutOffRuns;
   Metrics metrics;
   LogBudget refusals{LogBudgetBounds{}};
   gateway::Forwarder forwarder;
--- a/test/platform_soak/soak.py
+++ b/test/platform_soak/soak.py
@@ -38,6 +38,7 @@
     "stream-again": ("/stream/again/", "stream", MODELS, 2),
 }
 SLOW_EVENT_SECONDS = 0.5
+CALLER_SECONDS = 6  # A caller leaves that hears nothing for so long.
 # A caller of a poison request asks again so long after each failure; each series goes on so long.
 POISON_PAUSE_SECONDS = 0.7
 POISON_SECONDS = (4.0, 9.0)
@@ -184,7 +185,8 @@
 
     # What callers do.
 
-    def call(self, kind, key, node, kept=None, repeated=None):
+    def call(self, kind, key, node, kept=None, repeated=None,
+             patience=CALLER_SECONDS):
         """Asks a node. `kept`: the caller's connection to it, which stays open if the answer lets it.
         `repeated`: what the request is about, which gives its path and body; else both are its own."""
         number = self.random_id()
@@ -203,7 +205,8 @@
             group = sum(number.encode()) % 5
             headers.update({"X-Model": MODEL, "X-Token-Count": "300,6",
                             "X-Prefix-Hash": f"aa:100,b{group}:150,{subject}:50"})
-        connection = kept or http.client.HTTPConnection(node.host, node.ports["front"], timeout=6)
+        connection = kept or http.client.HTTPConnection(node.host, node.ports["front"],
+                                                        timeout=patience)
         try:
             connection.request("POST", path, body, headers)
             answer = connection.getresponse()
@@ -263,11 +266,12 @@
         self.poisons.append((kind, subject))
         return self.poisons[-1]
 
-    def keep_asking_poison(self, poison, seconds, draw):
+    def keep_asking_poison(self, poison, seconds, draw, patience=CALLER_SECONDS):
         """One caller asks again after each failure, at any node."""
         end = time.monotonic() + seconds
         while time.monotonic() < end and not self.stopping.is_set():
-            self.call(poison[0], "k-open", draw.choice(self.nodes), repeated=poison[1])
+            self.call(poison[0], "k-open", draw.choice(self.nodes), repeated=poison[1],
+                      patience=patience)
             time.sleep(POISON_PAUSE_SECONDS)
 
     # Faults: each takes its time and mends what it broke.
--- a/test/process/poison_late_end_test.py
+++ b/test/process/poison_late_end_test.py
@@ -8,15 +8,16 @@
 
 usage: poison_late_end_test.py BUILD_FOLDER [NAME]
 """
-from poison_request_test import join, main
+from poison_request_test import join, main, soak
 
+LEAVING_SECONDS = 0.5  # Less than the least silence after which a gateway tries another engine.
 ASKED_SECONDS = 22  # An end that shows late makes each round of a request longer.
 
 
-def ask_two(scenario, ending):
+def ask_two(scenario, ending, patience=soak.CALLER_SECONDS):
     scenario.world.seen.ending = ending
     join(scenario.ask([scenario.world.new_poison("again"),
-                       scenario.world.new_poison("stream-again")], ASKED_SECONDS))
+                       scenario.world.new_poison("stream-again")], ASKED_SECONDS, patience))
 
 
 def engines_fall_silent(scenario):
@@ -29,5 +30,10 @@
     ask_two(scenario, "closes late")
 
 
+def callers_leave_silent_engines(scenario):
+    """The caller has left before its gateway does; then no second engine is tried."""
+    ask_two(scenario, "silent", LEAVING_SECONDS)
+
+
 if __name__ == "__main__":
-    main([engines_fall_silent, engines_close_their_ports_late])
+    main([engines_fall_silent, engines_close_their_ports_late, callers_leave_silent_engines])
--- a/test/process/poison_request_test.py
+++ b/test/process/poison_request_test.py
@@ -47,10 +47,11 @@
             caller.start()
         self.draw = random.Random(7)
 
-    def ask(self, poisons, seconds):
+    def ask(self, poisons, seconds, patience=soak.CALLER_SECONDS):
         """One caller a poison request asks again after each failure, at any gateway."""
         asking = [threading.Thread(target=self.world.keep_asking_poison,
-                                   args=(poison, seconds, random.Random(number)), daemon=True)
+                                   args=(poison, seconds, random.Random(number), patience),
+                                   daemon=True)
                   for number, poison in enumerate(poisons)]
         for each in asking:
             each.start()
