A process whose start is known ends once, however far apart its runs were cut off

Cause: runs at a silent engine are cut off seconds apart, as it goes on being asked until it shows as ended; ends of one incarnation more than 1.2 s apart were counted as two. A request that crashed two engines was quarantined so, and an innocent one could be. Reports tell now whether the incarnation names one process (a field more; without it as before).

--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -171,10 +171,13 @@
   logEvent(level, isLateAnswer ? "request: delivered late" : phraseOf(outcome), fields);
 }
 
+quarantine::CrashedRun RequestRun::runUntilNow() const {
+  return quarantine::CrashedRun{incarnationHash(plan_.backend), sentAt_, services_.clock.now(),
+                                plan_.backend.startedAt != 0};
+}
+
 void RequestRun::noteCutOff() {
-  services_.cutOffRuns.note(
-      fingerprint_, plan_.backend,
-      quarantine::CrashedRun{incarnationHash(plan_.backend), sentAt_, services_.clock.now()});
+  services_.cutOffRuns.note(fingerprint_, plan_.backend, runUntilNow());
 }
 
 void RequestRun::noteBackendAlive() {
@@ -186,16 +189,14 @@
 /// connection: seconds later another process may listen there. One that is open tells nothing yet.
 AttemptEnd RequestRun::howItBroke() {
   const BackendListing& backend = plan_.backend;
-  const uint64_t incarnation = incarnationHash(backend);
-  const Time brokeAt = services_.clock.now();
-  if (services_.connections.stillAnswers(incarnation, backend.address, brokeAt)) {
-    noteCutOff();
+  const quarantine::CrashedRun run = runUntilNow();
+  if (services_.connections.stillAnswers(run.incarnation, backend.address, run.endedAt)) {
+    services_.cutOffRuns.note(fingerprint_, backend, run);
     return AttemptEnd::kBroken;
   }
   // A back end that was about to leave ends with what still runs there.
   if (services_.backends.isUsable(backend.id)) {
-    services_.quarantine.noteCrash(fingerprint_,
-                                   quarantine::CrashedRun{incarnation, sentAt_, brokeAt});
+    services_.quarantine.noteCrash(fingerprint_, run);
   }
   return AttemptEnd::kCrashed;
 }
--- a/src/gateway/request_run.h
+++ b/src/gateway/request_run.h
@@ -60,6 +60,8 @@
   ///         against the request; where the connection alone seems to have broken, that may show
   ///         later.
   AttemptEnd howItBroke();
+  /// @return its run at its back end, cut off now.
+  quarantine::CrashedRun runUntilNow() const;
   /// Its run is held against the request if it turns out that the back end ended.
   void noteCutOff();
   /// The back end sent something that was read now.
--- a/src/peers/quarantine_directory.cpp
+++ b/src/peers/quarantine_directory.cpp
@@ -50,12 +50,13 @@
   out.set_incarnation(run.incarnation);
   out.set_began_age_milliseconds(ageInMessage(run.beganAt, now));
   out.set_ended_age_milliseconds(ageInMessage(run.endedAt, now));
+  out.set_start_known(run.startKnown);
 }
 
 CrashedRun takeRun(const proto::CrashedRun& run, Time now) {
-  return CrashedRun{run.incarnation(),
-                    now - std::chrono::milliseconds(run.began_age_milliseconds()),
-                    now - std::chrono::milliseconds(run.ended_age_milliseconds())};
+  return CrashedRun{
+      run.incarnation(), now - std::chrono::milliseconds(run.began_age_milliseconds()),
+      now - std::chrono::milliseconds(run.ended_age_milliseconds()), run.start_known()};
 }
 
 /// @tparam Message a proposal or a verdict.
--- a/src/quarantine/crash_evidence.cpp
+++ b/src/quarantine/crash_evidence.cpp
@@ -17,7 +17,8 @@
 /// fewer on the deployments known.
 constexpr size_t kMostSuspects = 2048;
 constexpr size_t kMostExplained = 512;
-/// Engines take longer than this to start, and reports of one end come within less.
+/// Engines take longer than this to start, and reports of one end whose process is not known come
+/// within less.
 constexpr Duration kOneEnd{1200000};
 
 /// Ends that lie so far apart count as a story of their own even where few followed each other: who
@@ -53,7 +54,8 @@
 
 bool isSameEnd(const CrashedRun& a, const CrashedRun& b) {
   const Duration apart = a.endedAt < b.endedAt ? b.endedAt - a.endedAt : a.endedAt - b.endedAt;
-  return a.incarnation == b.incarnation && apart < kOneEnd;
+  const bool isOneProcess = a.startKnown && b.startKnown;
+  return a.incarnation == b.incarnation && (isOneProcess || apart < kOneEnd);
 }
 
 Time Suspicion::since() const {
--- a/src/quarantine/crash_evidence.h
+++ b/src/quarantine/crash_evidence.h
@@ -21,10 +21,13 @@
   uint64_t incarnation = 0;  ///< Equal on all nodes for one incarnation of an engine.
   Time beganAt;              ///< When it was sent there.
   Time endedAt;
+  bool startKnown = false;  ///< The incarnation names one process, as its start was told.
 };
 
-/// @return whether both ended with one and the same process. An engine that starts again takes
-///         seconds, and the list of engines may still name its former incarnation then.
+/// @return whether both ended with one and the same process. One that fell silent goes on being
+/// asked,
+///         and what it held is cut off some seconds apart: where its start is known, no time tells
+///         two ends apart, else an engine that starts again takes seconds.
 bool isSameEnd(const CrashedRun& a, const CrashedRun& b);
 
 /// A request under which enough engines ended.
--- a/test/quarantine/crash_evidence_test.cpp
+++ b/test/quarantine/crash_evidence_test.cpp
@@ -69,6 +69,21 @@
   }
 }
 
+TEST_CASE("a process whose start is known ends once, however far apart its runs were cut off") {
+  CrashEvidence evidence;
+  CrashedRun first = runAt(1, 0, 100);
+  CrashedRun later = runAt(1, 2000, 3500);
+  size_t ends = 2;
+  SUBCASE("its start is known") {
+    first.startKnown = later.startKnown = true;
+    ends = 1;
+  }
+  SUBCASE("its start is not known") {}
+  evidence.note(kVictim, first, at(100));
+  evidence.note(kVictim, later, at(3500));
+  CHECK(evidence.runsOf(kVictim).size() == ends);
+}
+
 TEST_CASE("ends that another request explains count against nobody else") {
   CrashEvidence evidence;
   evidence.note(kVictim, runAt(1, 0, 100), at(100));
