--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -16,6 +16,7 @@
 #include "gateway/byte_budget.h"
 #include "gateway/caller_channel.h"
 #include "gateway/connection_pool.h"
+#include "gateway/cut_off_runs.h"
 #include "gateway/incoming_request.h"
 #include "gateway/outcome_log.h"
 #include "gateway/part_memory.h"
@@ -40,6 +41,7 @@
   EngineLoads& loads;
   TenantLimits& limits;
   RequestQuarantine& quarantine;
+  CutOffRuns& cutOffRuns;
   Metrics& metrics;
   ByteBudget& heldBytes;  ///< For answers that are held until they are whole.
 };
--- a/test/gateway/forwarder_world.h
+++ b/test/gateway/forwarder_world.h
@@ -298,8 +298,9 @@
  public:
   void awaitDecision(uint64_t) override { ++waits; }
   std::optional<Duration> timeLeft(uint64_t) override { return left; }
-  void noteCrash(uint64_t fingerprint, const quarantine::CrashedRun&) override {
+  void noteCrash(uint64_t fingerprint, const quarantine::CrashedRun& run) override {
     crashes.push_back(fingerprint);
+    lastRun = run;
     left = leftAfterCrash;
   }
   void noteServed(uint64_t fingerprint) override { served.push_back(fingerprint); }
@@ -307,12 +308,32 @@
   std::optional<Duration> left;
   std::optional<Duration> leftAfterCrash;
   std::vector<uint64_t> crashes;
+  quarantine::CrashedRun lastRun;
   std::vector<uint64_t> served;
   int waits = 0;
 };
 
 /// Room for the answers of some requests at once.
 constexpr size_t kHeldBytes = 1 << 20;
+
+/// Reports of the start that the test says, or of none.
+class TestReports : public weights::EngineOrders {
+ public:
+  Result<weights::EngineReport> report(const std::string&, const std::string&) override {
+    if (!startedAt) {
+      return Error{ErrorKind::kUnavailable, "no report", RunState::kNotRun, std::nullopt};
+    }
+    weights::EngineReport given;
+    given.startedAt = *startedAt;
+    return given;
+  }
+  weights::OrderAnswer order(const weights::WeightOrder&) override {
+    return weights::OrderAnswer::kRefused;
+  }
+
+  std::optional<int64_t> startedAt;
+};
+
 /// Silence after which a request that may run again is sent elsewhere.
 constexpr Duration kSilence{100000};
 
@@ -323,9 +344,11 @@
       : wanted(WeightBounds{}),
         connections(ConnectOptions{}),
         budget(SecondSendBounds{0, std::chrono::seconds(10), secondSends}),
-        forwarder(ForwarderServices{clock, table, backends, connections, budget, protocol, wanted,
-                                    hints, loads, limits, quarantine, metrics, heldBytes},
-                  ForwarderOptions{"zone", std::chrono::seconds(5), 1, kSilence}) {
+        cutOffRuns(clock, backends, engines, quarantine),
+        forwarder(
+            ForwarderServices{clock, table, backends, connections, budget, protocol, wanted, hints,
+                              loads, limits, quarantine, cutOffRuns, metrics, heldBytes},
+            ForwarderOptions{"zone", std::chrono::seconds(5), 1, kSilence}) {
     row.name = "row";
     row.maxAttempts = 2;
     row.repetition = Repetition::kOnce;
@@ -370,6 +393,8 @@
   LocalLoads loads;
   TestLimits limits;
   TestQuarantine quarantine;
+  TestReports engines;
+  CutOffRuns cutOffRuns;
   Metrics metrics;
   ByteBudget heldBytes{kHeldBytes};
   Forwarder forwarder;
--- a/test/platform/ingress_test.cpp
+++ b/test/platform/ingress_test.cpp
@@ -40,9 +40,10 @@
         engine(answerAsEngine),
         connections(ConnectOptions{}),
         budget(gateway::SecondSendBounds{}),
+        cutOffRuns(clock, backends, reports, quarantine),
         forwarder(gateway::ForwarderServices{clock, table, backends, connections, budget, protocol,
-                                             wanted, hints, loads, limits, quarantine, metrics,
-                                             heldBytes},
+                                             wanted, hints, loads, limits, quarantine, cutOffRuns,
+                                             metrics, heldBytes},
                   gateway::ForwarderOptions{"z", std::chrono::seconds(4), 1}),
         work(gateway::StopTimes{}),
         ingress(IngressServices{clock, table, forwarder, work, shedding, heldBytes, pools, metrics,
@@ -111,6 +112,8 @@
   gateway::test::LocalLoads loads;
   gateway::test::TestLimits limits;
   gateway::test::TestQuarantine quarantine;
+  gateway::test::TestReports reports;
+  gateway::CutOffRuns cutOffRuns;
   Metrics metrics;
   gateway::ByteBudget heldBytes{kHeldBytes};
   LogBudget refusals{LogBudgetBounds{}};
--- a/test/process/poison_request_test.py
+++ b/test/process/poison_request_test.py
@@ -46,10 +46,11 @@
             caller.start()
         self.draw = random.Random(7)
 
-    def ask(self, poisons, seconds):
+    def ask(self, poisons, seconds, patience=soak.CALLER_SECONDS):
         """One caller a poison request asks again after each failure, at any gateway."""
         asking = [threading.Thread(target=self.world.keep_asking_poison,
-                                   args=(poison, seconds, random.Random(number)), daemon=True)
+                                   args=(poison, seconds, random.Random(number), patience),
+                                   daemon=True)
                   for number, poison in enumerate(poisons)]
         for each in asking:
             each.start()
@@ -73,6 +74,8 @@
         for each in world.returning:
             each.join()
         world.close()
+        ends = [len(self.crashes_of(poison)) for poison in world.poisons]
+        print(f"engines ended under each request: {ends}", flush=True)
         found = judge.judge(world.calls, world.seen.runs, world.seen.orders, world.seen_by_judge())
         assert not any(found.values()), {rule: faults[:3] for rule, faults in found.items() if faults}
 
@@ -193,13 +196,13 @@
         scenario.world.close()
 
 
-def main():
+def main(scenarios):
     wanted = sys.argv[2] if len(sys.argv) > 2 else ""
-    chosen = [run for run in SCENARIOS if wanted in run.__name__]
+    chosen = [run for run in scenarios if wanted in run.__name__]
     with concurrent.futures.ThreadPoolExecutor(AT_ONCE) as pool:
         went_well = list(pool.map(lambda run: play(run, sys.argv[1]), chosen))
     sys.exit(0 if all(went_well) else 1)
 
 
 if __name__ == "__main__":
-    main()
+    main(SCENARIOS)
