--- a/test/gateway/forwarder_test.cpp
+++ b/test/gateway/forwarder_test.cpp
@@ -431,17 +431,14 @@
   Forwarder forwarder(
       ForwarderServices{world.clock, old, world.backends, world.connections, world.budget,
                         world.protocol, world.wanted, world.hints, world.loads, world.limits,
-                        world.quarantine, world.metrics, world.heldBytes},
-
-                        world.quarantine, world.cutOffRuns, world.metrics
-},
+                        world.quarantine, world.cutOffRuns, world.metrics, world.heldBytes},
       ForwarderOptions{"zone", std::chrono::seconds(5), 1});
-IncomingRequest request = world.request();
-request.tenant = Tenant{"sese", false, 0};
-request.key = "key";
-forwarder.serve(request, world.caller);
-CHECK(backend.requests() == 0);
-CHECK(promisesNotRun(world.caller));
+  IncomingRequest request = world.request();
+  request.tenant = Tenant{"sese", false, 0};
+  request.key = "key";
+  forwarder.serve(request, world.caller);
+  CHECK(backend.requests() == 0);
+  CHECK(promisesNotRun(world.caller));
 }
 
 TEST_CASE("requests, refusals and first tokens are measured by service and tenant") {
