--- a/src/gateway/cut_off_runs.cpp
+++ b/src/gateway/cut_off_runs.cpp
@@ -72,11 +72,11 @@
   if (clock_.now() - cut.run.endedAt < kMayStillTalk) {
     return Fate::kUnknown;
   }
-  const Result<weights::EngineReport> report = engines_.report(cut.backend, "");
-  if (!isOk(report)) {
+  const std::optional<int64_t> startedAt = askStart_(cut.backend);
+  if (!startedAt) {
     return Fate::kUnknown;  // Silence; the list or the next look tells.
   }
-  const bool isAnother = cut.startedAt != 0 && valueOf(report).startedAt > cut.startedAt;
+  const bool isAnother = cut.startedAt != 0 && *startedAt > cut.startedAt;
   return isAnother ? Fate::kEnded : Fate::kLives;
 }
 
--- a/src/gateway/cut_off_runs.h
+++ b/src/gateway/cut_off_runs.h
@@ -9,24 +9,33 @@
 #include <atomic>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "backends/backend_set.h"
 #include "gateway/request_quarantine.h"
-#include "weights/move_ledger.h"
 
 namespace fernmoor::gateway {
 
+/// Asks a back end by its id when its process started, in Unix ms (0: not told).
+/// @return nothing where it doesn't answer.
+using AskStart = std::function<std::optional<int64_t>(const std::string&)>;
+
 /// Thread-safe.
 class CutOffRuns {
  public:
-  /// @param engines asked for their reports on the thread that calls step().
-  CutOffRuns(const Clock& clock, const BackendSet& backends, weights::EngineOrders& engines,
+  /// @param askStart used on the thread that calls step().
+  CutOffRuns(const Clock& clock, const BackendSet& backends, AskStart askStart,
              RequestQuarantine& quarantine)
-      : clock_(clock), backends_(backends), engines_(engines), quarantine_(quarantine) {}
+      : clock_(clock),
+        backends_(backends),
+        askStart_(std::move(askStart)),
+        quarantine_(quarantine) {}
 
   /// Keeps a run of the request, whose end is the moment at which it was cut off. Runs at a back
   /// end that was about to leave are not kept: they end with it as planned.
@@ -63,7 +72,7 @@
 
   const Clock& clock_;
   const BackendSet& backends_;
-  weights::EngineOrders& engines_;
+  const AskStart askStart_;
   RequestQuarantine& quarantine_;
   mutable std::mutex mutex_;
   std::deque<CutOffRun> runs_;         ///< In the order in which they were cut off.
--- a/test/gateway/cut_off_runs_test.cpp
+++ b/test/gateway/cut_off_runs_test.cpp
@@ -42,9 +42,9 @@
   ScriptedBackend port;
   BackendSet backends;
   BackendListing listing;
-  TestReports engines;
+  std::optional<int64_t> reported;  ///< Nothing: it doesn't answer.
   TestQuarantine quarantine;
-  CutOffRuns runs{clock, backends, engines, quarantine};
+  CutOffRuns runs{clock, backends, [this](const std::string&) { return reported; }, quarantine};
 };
 
 const std::vector<uint64_t> kHeld{kFingerprint};
@@ -67,7 +67,7 @@
     world.backends.update(world.listing, world.clock.now());
   }
   SUBCASE("it reports a later start") {
-    world.engines.startedAt = kStart + 1;
+    world.reported = kStart + 1;
   }
   world.pass(Duration(1000000));
   CHECK(world.quarantine.crashes == kHeld);
@@ -79,7 +79,7 @@
   CutOffWorld world;
   const uint64_t incarnation = incarnationHash(world.listing);
   SUBCASE("it reports the same start half a second later") {
-    world.engines.startedAt = kStart;
+    world.reported = kStart;
     world.pass(Duration(400000));
     CHECK(world.runs.size() == 1);  // A process that ends may talk for a moment.
     world.pass(Duration(600000));
--- a/test/gateway/forwarder_world.h
+++ b/test/gateway/forwarder_world.h
@@ -313,24 +313,6 @@
   int waits = 0;
 };
 
-/// Reports of the start that the test says, or of none.
-class TestReports : public weights::EngineOrders {
- public:
-  Result<weights::EngineReport> report(const std::string&, const std::string&) override {
-    if (!startedAt) {
-      return Error{ErrorKind::kUnavailable, "no report", RunState::kNotRun, std::nullopt};
-    }
-    weights::EngineReport given;
-    given.startedAt = *startedAt;
-    return given;
-  }
-  weights::OrderAnswer order(const weights::WeightOrder&) override {
-    return weights::OrderAnswer::kRefused;
-  }
-
-  std::optional<int64_t> startedAt;
-};
-
 /// Silence after which a request that may run again is sent elsewhere.
 constexpr Duration kSilence{100000};
 
@@ -341,7 +323,8 @@
       : wanted(WeightBounds{}),
         connections(ConnectOptions{}),
         budget(SecondSendBounds{0, std::chrono::seconds(10), secondSends}),
-        cutOffRuns(clock, backends, engines, quarantine),
+        cutOffRuns(
+            clock, backends, [](const std::string&) { return std::nullopt; }, quarantine),
         forwarder(ForwarderServices{clock, table, backends, connections, budget, protocol, wanted,
                                     hints, loads, limits, quarantine, cutOffRuns, metrics},
                   ForwarderOptions{"zone", std::chrono::seconds(5), 1, kSilence}) {
@@ -389,7 +372,6 @@
   LocalLoads loads;
   TestLimits limits;
   TestQuarantine quarantine;
-  TestReports engines;
   CutOffRuns cutOffRuns;
   Metrics metrics;
   Forwarder forwarder;
--- a/test/platform/ingress_test.cpp
+++ b/test/platform/ingress_test.cpp
@@ -33,7 +33,8 @@
         engine(answerAsEngine),
         connections(ConnectOptions{}),
         budget(gateway::SecondSendBounds{}),
-        cutOffRuns(clock, backends, reports, quarantine),
+        cutOffRuns(
+            clock, backends, [](const std::string&) { return std::nullopt; }, quarantine),
         forwarder(gateway::ForwarderServices{clock, table, backends, connections, budget, protocol,
                                              wanted, hints, loads, limits, quarantine, cutOffRuns,
                                              metrics},
@@ -105,7 +106,6 @@
   gateway::test::LocalLoads loads;
   gateway::test::TestLimits limits;
   gateway::test::TestQuarantine quarantine;
-  gateway::test::TestReports reports;
   gateway::CutOffRuns cutOffRuns;
   Metrics metrics;
   LogBudget refusals{LogBudgetBounds{}};
