--- a/test/platform/ingress_test.cpp
+++ b/test/platform/ingress_test.cpp
@@ -40,7 +40,8 @@
         engine(answerAsEngine),
         connections(ConnectOptions{}),
         budget(gateway::SecondSendBounds{}),
-        cutOffRuns(clock, backends, reports, quarantine),
+        cutOffRuns(
+            clock, backends, [](const std::string&) { return std::nullopt; }, quarantine),
         forwarder(gateway::ForwarderServices{clock, table, backends, connections, budget, protocol,
                                              wanted, hints, loads, limits, quarantine, cutOffRuns,
                                              metrics, heldBytes},
@@ -112,7 +113,6 @@
   gateway::test::LocalLoads loads;
   gateway::test::TestLimits limits;
   gateway::test::TestQuarantine quarantine;
-  gateway::test::TestReports reports;
   gateway::CutOffRuns cutOffRuns;
   Metrics metrics;
   gateway::ByteBudget heldBytes{kHeldBytes};
