--- a/test/platform/table_spread_test.cpp
+++ b/test/platform/table_spread_test.cpp
@@ -59,18 +59,18 @@
 }
 
 StoreObject tableOf(uint64_t revision, size_t rows, size_t changed) {
-  std::string text = R"({"version":)" + std::to_string(revision) + R"(,"routes":[)";
+  std::ostringstream out;
+  out << R"({"version":)" << revision << R"(,"routes":[)";
   for (size_t row = 0; row < rows; ++row) {
-    const std::string number = nameOf(row);
-    text += row == 0 ? "" : ",";
-    text += R"({"name":"row-)" + number + R"(","host":"tenant)" + nameOf(row % 97) +
-            R"(.example","path-prefix":"/path)" + number + R"(/","type":"unsafe","service":")" +
-            (row == changed ? "other" : "pool") +
-            R"(","attempts":1,"timeout-ms":1500,"target-ms":120,"priority":2,"sticky":false,)" +
-            R"("resumable":false,"public":false})";
+    const std::string name = nameOf(row);
+    out << (row == 0 ? "" : ",") << R"({"name":"row-)" << name << R"(","host":"tenant)"
+        << nameOf(row % 97) << R"(.example","path-prefix":"/path)" << name
+        << R"(/","type":"unsafe","service":")" << (row == changed ? "other" : "pool")
+        << R"(","attempts":1,"timeout-ms":1500,"target-ms":120,"priority":2,"sticky":false,)"
+        << R"("resumable":false,"public":false})";
   }
-  text += R"(],"services":[{"name":"pool"},{"name":"other"}]})";
-  return StoreObject{"main", revision, valueOf(parseJsonObject(text))};
+  out << R"(],"services":[{"name":"pool"},{"name":"other"}]})";
+  return StoreObject{"main", revision, valueOf(parseJsonObject(out.str()))};
 }
 
 /// Nodes with a link of their own each, before a store that serves all of them.
