--- a/test/peers/mirror_role_test.cpp
+++ b/test/peers/mirror_role_test.cpp
@@ -194,27 +194,6 @@
   CHECK(zonesOfReaders.size() == 2);
 }
 
-TEST_CASE("nodes with wide links read the store and pass on what they read") {
-  constexpr uint32_t kNarrow = 10;
-  constexpr uint32_t kWide = 200;
-  constexpr uint64_t kNodes = 79;
-  MembershipSnapshot members;
-  std::set<NodeId> wide;
-  for (uint64_t id = 1; id <= kNodes; ++id) {
-    Member member;
-    member.life.node = NodeId(id);
-    member.zone = ZoneId(std::to_string(id % 3));
-    member.linkMegabits = id <= 6 ? kWide : kNarrow + id % 3;
-    members.members.push_back(member);
-    if (member.linkMegabits == kWide) {
-      wide.insert(NodeId(id));
-    }
-  }
-  const RelayTiers tiers = relayTiers(members);
-  CHECK(std::set<NodeId>(tiers.relays.begin(), tiers.relays.end()) == wide);
-  CHECK(tiers.readers.size() == 3);
-}
-
 TEST_CASE("a node that is told by a reader neither reads itself nor lacks anything") {
   RelayWorld world(7);
   RelayWorld::Node& plain = world.plainNode();
--- /dev/null
+++ b/test/peers/relay_tiers_test.cpp
@@ -0,0 +1,33 @@
+/// @file
+/// Tests of src/peers/relay_tiers.h; how its tiers work together is tested with the role.
+#include "peers/relay_tiers.h"
+
+#include <doctest/doctest.h>
+
+#include <set>
+#include <string>
+
+namespace fernmoor::peers {
+
+TEST_CASE("nodes with wide links read the store and pass on what they read") {
+  constexpr uint32_t kNarrow = 10;
+  constexpr uint32_t kWide = 200;
+  constexpr uint64_t kNodes = 79;
+  MembershipSnapshot members;
+  std::set<NodeId> wide;
+  for (uint64_t id = 1; id <= kNodes; ++id) {
+    Member member;
+    member.life.node = NodeId(id);
+    member.zone = ZoneId(std::to_string(id % 3));
+    member.linkMegabits = id <= 6 ? kWide : kNarrow + id % 3;
+    members.members.push_back(member);
+    if (member.linkMegabits == kWide) {
+      wide.insert(NodeId(id));
+    }
+  }
+  const RelayTiers tiers = relayTiers(members);
+  CHECK(std::set<NodeId>(tiers.relays.begin(), tiers.relays.end()) == wide);
+  CHECK(tiers.readers.size() == 3);
+}
+
+}  // namespace fernmoor::peers
