Sight on late begins: what was expected and what was left of the bound when a request was sent

The line of a request that began past its bound told neither when it was to begin nor how long the bound still was, and was written at the head of the answer, which may come before the first event. It is now written at the first event, and the trail tells both. The lines on named versions tell by whom the time was known and when the bound ends; a bound that an outage of the store makes longer was told nowhere and is now.

--- a/src/backends/wanted_weights.cpp
+++ b/src/backends/wanted_weights.cpp
@@ -19,10 +19,17 @@
   return std::to_string(time.count() / 1000) + " ms";
 }
 
-void tellNamed(const std::string& model, uint64_t version, std::optional<Time> namedBy, Time now) {
-  logInfo(
-      "weights: version " + std::to_string(version) + " of " + model + " named, " +
-      (namedBy ? "at most " + milliseconds(now - *namedBy) + " ago" : "nobody here knows when"));
+void tellNamed(const std::string& model, const NamedVersion& named, bool isTold, Time now) {
+  const std::string since = named.namedBy ? "at most " + milliseconds(now - *named.namedBy) +
+                                                " ago" + (isTold ? ", as another node knows" : "")
+                                          : "nobody here knows when";
+  logInfo("weights: version " + std::to_string(named.version) + " of " + model + " named, " +
+          since + ", its bound ends in " + milliseconds(named.dueAt - now));
+}
+
+void tellExtended(const std::string& model, uint64_t version, Duration by) {
+  logInfo("weights: the store is away, the bound of version " + std::to_string(version) + " of " +
+          model + " ends " + milliseconds(by) + " later");
 }
 
 }  // namespace
@@ -56,7 +63,7 @@
   if (versions.size() > kVersionsKept) {
     versions.erase(versions.begin());
   }
-  tellNamed(model, named.version, named.namedBy, now);
+  tellNamed(model, named, isTold, now);
 }
 
 void WantedWeights::note(const std::string& model, uint64_t version, std::optional<Time> namedBy,
@@ -75,8 +82,9 @@
   storeAwayAt_ = storeAwayAt_ ? std::max(*storeAwayAt_, at) : at;
   for (auto& model : named_) {
     for (NamedVersion& named : model.second) {
-      if (named.dueAt > at) {
-        named.dueAt = std::max(named.dueAt, at + bounds_.inForce);
+      if (named.dueAt > at && named.dueAt < at + bounds_.inForce) {
+        tellExtended(model.first, named.version, at + bounds_.inForce - named.dueAt);
+        named.dueAt = at + bounds_.inForce;
       }
     }
   }
@@ -103,6 +111,20 @@
   return std::nullopt;
 }
 
+std::optional<Time> WantedWeights::boundEnd(const std::string& model, uint64_t held) const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const auto found = named_.find(model);
+  std::optional<Time> end;
+  if (found != named_.end()) {
+    for (const NamedVersion& named : found->second) {
+      if (named.version > held) {
+        end = end ? std::min(*end, named.dueAt) : named.dueAt;
+      }
+    }
+  }
+  return end;
+}
+
 uint64_t WantedWeights::dueVersion(const std::string& model, Time now) const {
   const std::lock_guard<std::mutex> lock(mutex_);
   const auto found = named_.find(model);
--- a/src/backends/wanted_weights.h
+++ b/src/backends/wanted_weights.h
@@ -58,6 +58,9 @@
   uint64_t newest(const std::string& model) const;
   /// @return by when an engine that holds `held` should hold a newer one; nothing if it may stay.
   std::optional<Time> deadlineFor(const std::string& model, uint64_t held) const;
+  /// @return when the bound ends within which requests may begin on an engine that holds `held`;
+  ///         nothing while nothing newer is named.
+  std::optional<Time> boundEnd(const std::string& model, uint64_t held) const;
   /// @return the newest version whose bound has passed: what begins on an older one breaks it.
   uint64_t dueVersion(const std::string& model, Time now) const;
   /// @return the lowest version that requests may still be sent to at `now`, with a margin for the
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -284,6 +284,7 @@
   atBackend_ = true;
   promptCounted_ = true;
   isPatient_ = false;
+  hasBegun_ = false;
   sentAt_ = now;
   TrailEntry entry;
   entry.backend = plan_.backend.id;
@@ -291,6 +292,10 @@
   entry.pendingTokens = planned.pendingTokens;
   entry.weights = plan_.weightsVersion;
   entry.lowestWeights = planned.lowestWeights;
+  entry.expectedFirstEvent = expectedFirstEvent_;
+  if (const auto end = services_.wanted.boundEnd(request_.model, plan_.weightsVersion)) {
+    entry.boundLeft = *end - now;
+  }
   entry.sentAfter = now - request_.arrivedAt;
   trail_.begin(std::move(entry));
 }
@@ -306,9 +311,9 @@
   }
 }
 
-void RequestRun::reportOldWeights(const AnswerFacts& facts) {
+void RequestRun::reportOldWeights() {
   const uint64_t due = services_.wanted.dueVersion(request_.model, services_.clock.now());
-  if (facts.weightsVersion == 0 || facts.didNotRun || facts.weightsVersion >= due) {
+  if (answeredWeights_ == 0 || answeredWeights_ >= due) {
     return;
   }
   services_.metrics.countOldWeights();
@@ -318,7 +323,7 @@
 RequestRun::Next RequestRun::takeAnswer(EngineAttempt& attempt) {
   const AnswerFacts& facts = attempt.facts();
   noteWeights(facts);
-  reportOldWeights(facts);
+  answeredWeights_ = facts.weightsVersion;
   if (facts.didNotRun) {
     trail_.noteStatus(static_cast<int>(attempt.head().getStatus()));
     noteEnd(BackendVerdict::kNeutral, AttemptEnd::kTurnedAway);
@@ -328,8 +333,11 @@
     return Next::kElsewhere;
   }
   const int status = static_cast<int>(attempt.head().getStatus());
-  const bool stream = status == kStatusOk && isEventStream(attempt.head());
-  return stream ? relayStream(attempt) : relayWhole(attempt);
+  if (status == kStatusOk && isEventStream(attempt.head())) {
+    return relayStream(attempt);
+  }
+  reportOldWeights();  // Of a whole answer its head is the first sign that it began.
+  return relayWhole(attempt);
 }
 
 void RequestRun::giveUp() {
--- a/src/gateway/request_run.h
+++ b/src/gateway/request_run.h
@@ -82,8 +82,8 @@
   void refuseUnproven();
   bool isKeyProven() const;
   bool isLate(Time now) const;
-  /// Tells that the back end began the request on weights that are due to be replaced.
-  void reportOldWeights(const AnswerFacts& facts);
+  /// Tells it where the back end begins the request, now, on weights whose bound has ended.
+  void reportOldWeights();
   void logEnd(RequestOutcome outcome);
   void logLine(RequestOutcome outcome, LogLevel level);
 
@@ -101,8 +101,10 @@
   bool mayHaveRun_ = false;
   bool promptCounted_ = false;
   bool atBackend_ = false;
-  bool isCounted_ = false;   ///< Against its tenant's limit.
-  std::string lastEventId_;  ///< Of the last event that the caller has.
+  bool hasBegun_ = false;         ///< At its latest back end: its first event came from there.
+  uint64_t answeredWeights_ = 0;  ///< That its latest back end answers with; 0: not told.
+  bool isCounted_ = false;        ///< Against its tenant's limit.
+  std::string lastEventId_;       ///< Of the last event that the caller has.
   bool callerGone_ = false;
   bool secondSendPaid_ = false;  ///< The budget was asked before the back end was chosen.
   std::optional<Duration> expectedFirstEvent_;  ///< From the latest send, where it is known.
--- a/src/gateway/request_run_relay.cpp
+++ b/src/gateway/request_run_relay.cpp
@@ -95,6 +95,10 @@
 
 void RequestRun::noteEvents(Time now) {
   noteBackendAlive();
+  if (!hasBegun_) {
+    hasBegun_ = true;
+    reportOldWeights();
+  }
   if (firstEventAt_) {
     longestPause_ = std::max(longestPause_, now - lastEventAt_);
     metrics_.observeTokenInterval(now - lastEventAt_);
--- a/src/gateway/request_trail.cpp
+++ b/src/gateway/request_trail.cpp
@@ -33,9 +33,19 @@
 }
 
 std::string weightsText(const TrailEntry& entry) {
-  return entry.weights == 0 ? ""
-                            : "weights " + std::to_string(entry.weights) + ", lowest " +
-                                  std::to_string(entry.lowestWeights) + ", ";
+  if (entry.weights == 0) {
+    return "";
+  }
+  const std::string bound =
+      entry.boundLeft ? "bound ends in " + milliseconds(*entry.boundLeft) + ", " : "";
+  return "weights " + std::to_string(entry.weights) + ", lowest " +
+         std::to_string(entry.lowestWeights) + ", " + bound;
+}
+
+std::string expectationText(const TrailEntry& entry) {
+  return entry.expectedFirstEvent
+             ? ", first event expected in " + milliseconds(*entry.expectedFirstEvent)
+             : "";
 }
 
 }  // namespace
@@ -58,8 +68,9 @@
   for (const TrailEntry& entry : entries_) {
     text += text.empty() ? "" : "; ";
     text += entry.backend + " (" + weightsText(entry) + std::to_string(entry.inFlight) +
-            " running, " + std::to_string(entry.pendingTokens) + " tokens waiting) at " +
-            milliseconds(entry.sentAfter) + " " + phraseOf(entry.end);
+            " running, " + std::to_string(entry.pendingTokens) + " tokens waiting" +
+            expectationText(entry) + ") at " + milliseconds(entry.sentAfter) + " " +
+            phraseOf(entry.end);
     if (entry.status != 0) {
       text += " with " + std::to_string(entry.status);
     }
--- a/src/gateway/request_trail.h
+++ b/src/gateway/request_trail.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -32,8 +33,11 @@
   uint64_t pendingTokens = 0;  ///< Their prompt tokens that were not read yet.
   uint64_t weights = 0;        ///< Version that the back end was expected to hold; 0: none.
   uint64_t lowestWeights = 0;  ///< Lowest version that it might have held; 0: any.
-  Duration sentAfter{};        ///< From the request's arrival.
-  Duration endedAfter{};       ///< From the request's arrival.
+  std::optional<Duration> expectedFirstEvent;  ///< From the send, where it was known.
+  /// From the send until nothing may begin on `weights` any more; nothing: no newer ones are named.
+  std::optional<Duration> boundLeft;
+  Duration sentAfter{};   ///< From the request's arrival.
+  Duration endedAfter{};  ///< From the request's arrival.
   AttemptEnd end = AttemptEnd::kUnderWay;
   int status = 0;  ///< Of a back end that turned it away; 0: not noted.
 };
@@ -48,8 +52,9 @@
   void noteStatus(int status);
   bool isEmpty() const { return entries_.empty(); }
 
-  /// @return one phrase an attempt, e.g. "i-7f3 (weights 4, lowest 3, 3 running, 5200 tokens
-  ///         waiting) at 12 ms broke off after 143 ms", joined by "; ".
+  /// @return one phrase an attempt, e.g. "i-7f3 (weights 4, lowest 3, bound ends in 900 ms,
+  ///         3 running, 5200 tokens waiting, first event expected in 210 ms) at 12 ms broke off
+  ///         after 143 ms", joined by "; ".
   std::string text() const;
 
  private:
--- a/test/backends/wanted_weights_test.cpp
+++ b/test/backends/wanted_weights_test.cpp
@@ -36,6 +36,18 @@
   CHECK(wanted.lowestServing("m", at(11000)) == 3);
 }
 
+TEST_CASE("on weights that an engine holds requests may begin until the first newer bound ends") {
+  WantedWeights wanted(bounds());
+  CHECK_FALSE(wanted.boundEnd("m", 1).has_value());
+  wanted.note("m", 2, at(1000), at(1000));
+  wanted.note("m", 3, at(4000), at(4000));
+  CHECK(wanted.boundEnd("m", 1) == at(9000));
+  CHECK(wanted.boundEnd("m", 2) == at(12000));
+  CHECK_FALSE(wanted.boundEnd("m", 3).has_value());
+  wanted.noteStoreAway(at(5000));
+  CHECK(wanted.boundEnd("m", 1) == at(13000));
+}
+
 TEST_CASE("of a version named nobody knows when the bound ends when the node is held to it") {
   WantedWeights wanted(bounds());
   wanted.note("m", 2, std::nullopt, at(50));
--- a/test/gateway/request_trail_test.cpp
+++ b/test/gateway/request_trail_test.cpp
@@ -46,6 +46,18 @@
         "e-1 (weights 3, lowest 4, 3 running, 5200 tokens waiting) at 12 ms was under way");
 }
 
+TEST_CASE("a trail tells what was known at the send of the first event and of the bound") {
+  RequestTrail trail;
+  TrailEntry entry = sendTo("e-1", 12);
+  entry.weights = 3;
+  entry.expectedFirstEvent = std::chrono::milliseconds(210);
+  entry.boundLeft = std::chrono::milliseconds(900);
+  trail.begin(entry);
+  CHECK(trail.text() ==
+        "e-1 (weights 3, lowest 0, bound ends in 900 ms, 3 running, 5200 tokens waiting, first "
+        "event expected in 210 ms) at 12 ms was under way");
+}
+
 TEST_CASE("the first end of an attempt counts") {
   RequestTrail trail;
   trail.end(AttemptEnd::kServed, Duration(0));
