Failing test: requests that wait at slow or hanging engines begin on old weights past the bound

The soak's engines read no prompt, were never slow and never hung with work in their queues, so what they held began soon and a late begin could not show. They now read prompts one after the other, a request begins with its first event, what has not begun is turned away by an order and dropped when its connection closes.

--- a/test/platform_soak/engines.py
+++ b/test/platform_soak/engines.py
@@ -1,6 +1,9 @@
 """Stand-ins of the engines behind the users' platform: they run requests, stream events, take orders
 for new weights, and remember all that they saw for the judge. An engine runs as many requests as it has
-slots; the others wait in its queue, and an order for new weights turns them away. Faults of an engine: crash (its port is
+slots; the others wait in its queue. An engine of a model reads the prompts of its requests one after the other; a request
+begins when its own is read, with its first event. An order for new weights turns away what has not begun, and what has not
+begun is dropped when its connection closes. An engine may read slowly, or hang: it takes requests, does and says
+nothing for a while, and then goes on with what it holds. Faults of an engine: crash (its port is
 closed and its connections are reset), lost (it runs a request and resets), broken (it breaks off in
 the middle), error (500), busy (it turns requests away), stubborn (it takes no orders),
 late (it leaves orders unanswered and carries them out some time later).
@@ -9,8 +12,10 @@
 ends is the ledger's `ending`: its port closes before its connections are reset ("closed"), some time after
 that ("closes late"), or nothing is said or reset until it is back ("silent").
 """
+import collections
 import http.server
 import json
+import select
 import socket
 import struct
 import threading
@@ -21,6 +26,9 @@
 LOAD_SECONDS = 0.6
 LATE_SECONDS = 1.5
 SLOTS = 16
+READ_TOKENS_PER_SECOND = 50_000
+# How often a request that waits looks whether its caller left, an order came or its turn is there.
+LOOK_SECONDS = 0.01
 # From the beginning of a poison request's run to the end of its engine, and until that is back.
 POISON_SECONDS = 0.08
 BACK_SECONDS = 2.0
@@ -31,6 +39,10 @@
 ENTRY_SECONDS = 1.5
 
 
+class CallerLeft(OSError):
+    """The connection of a request that has not begun was closed."""
+
+
 class Ledger:
     """What all engines saw; thread-safe."""
 
@@ -77,6 +89,8 @@
         self.event_seconds = EVENT_SECONDS
         self.lock = threading.Lock()
         self.free = SLOTS
+        self.slowness = 1.0  # It reads a prompt in so many times the usual time.
+        self.prompts = collections.deque()  # Of requests whose prompts are not read; the first is.
         self.changed = threading.Condition(self.lock)
         self.sockets = set()
         handler = type("EngineHandler", (Handler,), {"engine": self})
@@ -140,16 +154,51 @@
         if not self.crashed:
             self.register()
 
-    def take_slot(self):
-        """Waits for a slot. Returns the version that the request begins on, or None if it is turned
-        away since new weights come."""
+    def hang(self):
+        """Does and says nothing until go_on(); requests and orders are still taken in."""
+        self.talks.clear()
+
+    def go_on(self):
+        self.talks.set()
+
+    def take_slot(self, has_left):
+        """Waits for a slot. Returns whether it has one; False: it is turned away since new weights
+        come. has_left: tells whether its caller left. Raises CallerLeft."""
         with self.changed:
             while self.free == 0 and not self.busy:
-                self.changed.wait()
+                self.changed.wait(LOOK_SECONDS)
+                if has_left():
+                    raise CallerLeft
             if self.busy:
-                return None
+                return False
             self.free -= 1
-            return self.version
+            return True
+
+    def begin(self, tokens, has_left):
+        """Reads a prompt after those that came before. Returns the version that the request begins
+        on, or None if it is turned away since new weights come. Raises CallerLeft."""
+        prompt = object()
+        with self.lock:
+            self.prompts.append(prompt)
+        try:
+            left = tokens / READ_TOKENS_PER_SECOND
+            while True:
+                with self.lock:
+                    if self.busy:
+                        return None
+                    is_its_turn = self.prompts[0] is prompt
+                    if is_its_turn and left <= 0:
+                        return self.version
+                pause = min(LOOK_SECONDS, left * self.slowness) if is_its_turn else LOOK_SECONDS
+                time.sleep(pause)
+                self.talks.wait()
+                if has_left() or self.crashed:
+                    raise CallerLeft
+                if is_its_turn:
+                    left -= pause / self.slowness
+        finally:
+            with self.lock:
+                self.prompts.remove(prompt)
 
     def give_slot(self):
         with self.changed:
@@ -183,6 +232,12 @@
         except (OSError, ValueError):
             pass
 
+    def has_left(self):
+        """Whether the caller closed its connection; it sends nothing while it waits."""
+        poll = select.poll()
+        poll.register(self.connection, select.POLLIN | select.POLLRDHUP)
+        return bool(poll.poll(0))
+
     def send(self, status, body=b"", headers=()):
         self.engine.talks.wait()
         self.send_response(status)
@@ -262,16 +317,25 @@
                 expected is not None and int(expected) != version):
             self.send(421, b"", names)
             return
-        version = None if engine.fault == "busy" else engine.take_slot()
-        if version is None:
-            self.send(503, b"", names + [("X-Not-Executed", "1")])
+        if engine.fault == "busy" or not engine.take_slot(self.has_left):
+            self.turn_away(names)
             return
-        names[1] = ("X-Weight-Versions", str(version))
         try:
+            version = engine.begin(self.prompt_tokens(), self.has_left)
+            if version is None:
+                self.turn_away(names)
+                return
+            names[1] = ("X-Weight-Versions", str(version))
             self.run(body, arrived, version, names)
         finally:
             engine.give_slot()
 
+    def prompt_tokens(self):
+        return int(self.headers.get("X-Token-Count", "0").split(",")[0])
+
+    def turn_away(self, names):
+        self.send(503, b"", names + [("X-Not-Executed", "1")])
+
     def run(self, body, arrived, version, names):
         engine = self.engine
         request = names[0][1]
--- a/test/process/old_weights_test.py
+++ b/test/process/old_weights_test.py
@@ -139,10 +139,10 @@
              a_restarted_gateway_knows_the_bound_of_the_others]
 
 
-def main():
+def main(scenarios):
     wanted = sys.argv[2] if len(sys.argv) > 2 else ""
     failed = []
-    for run in SCENARIOS:
+    for run in scenarios:
         if wanted not in run.__name__:
             continue
         scenario = Scenario(sys.argv[1])
@@ -160,4 +160,4 @@
 
 
 if __name__ == "__main__":
-    main()
+    main(SCENARIOS)
