A stream that waits at its engine is taken back before the bound of newer weights ends

What callers saw: answers made on old weights, begun up to seconds later than the bound after newer ones.

The cause: the bound was compared once, with the instant of the send plus the wait until the prompt is read from, plus one second. The request begins with its first event. An engine that is slow, hangs or reads others first begins it later, and nothing looked at the bound again while the request waited.

Why the mend holds: whatever an engine does, the request is waited for only up to half a second before the bound, which is looked up anew at each look, as new versions bring it on and outages put it off; then its connection is closed, and engines drop what has not begun. The half second covers the way and a busy machine. Those that wait together are spread by 0.3 s, go elsewhere within the budget of second sends, and fail at once without a promise where they may run only once. Fewer get there: the expected first event, half as much again, counts instead of the wait, half a second where nobody knows, and the second choice is held to the same. A stream that is resumed elsewhere has to begin in time there too. What tells no beginning (whole answers) is bound by the choice alone.

--- a/src/common/metrics.cpp
+++ b/src/common/metrics.cpp
@@ -91,6 +91,10 @@
       oldWeights_(&counter(registry_, "fernmoor_old_weights_total",
                            "Requests that began on weights whose bound had passed.")
                        .Add({})),
+      takenBack_(&counter(registry_, "fernmoor_taken_back_total",
+                          "Requests that waited at an engine and were taken back near the end of "
+                          "a bound of new weights.")
+                      .Add({})),
       platformAvailable_(&gauge(registry_, "fernmoor_platform_available",
                                 "1 if the last call to the platform succeeded, else 0.")
                               .Add({})),
--- a/src/common/metrics.h
+++ b/src/common/metrics.h
@@ -118,6 +118,8 @@
   void setQuarantined(size_t count) { quarantined_->Set(static_cast<double>(count)); }
   /// A back end began a request on weights whose bound had passed when its answer came.
   void countOldWeights() { oldWeights_->Increment(); }
+  /// A request that waited at its engine was taken back near the end of a bound of new weights.
+  void countTakenBack() { takenBack_->Increment(); }
   /// Engines that hold older weights than are wanted.
   void setEnginesBehind(size_t count) { enginesBehind_->Set(static_cast<double>(count)); }
   /// Whether the last call to the platform succeeded.
@@ -157,6 +159,7 @@
   prometheus::Gauge* quarantined_;
   prometheus::Gauge* enginesBehind_;
   prometheus::Counter* oldWeights_;
+  prometheus::Counter* takenBack_;
   prometheus::Gauge* platformAvailable_;
   prometheus::Gauge* peerQueue_;
   prometheus::Gauge* tableText_;
--- a/src/gateway/engine_attempt.cpp
+++ b/src/gateway/engine_attempt.cpp
@@ -113,6 +113,9 @@
   if (connection_ == nullptr) {
     return AttemptStep::kNotSent;
   }
+  if (clock_.now() >= deadline) {  // Opening a connection takes its time.
+    return AttemptStep::kTooLate;
+  }
   connection_->setIoTimeout(kRestOfMessage);
   const AttemptStep step = writeRequest(caller, deadline);
   // A failed send may have left an answer to be read, e.g. a refusal before the body was taken.
--- a/src/gateway/engine_attempt.h
+++ b/src/gateway/engine_attempt.h
@@ -20,6 +20,7 @@
 enum class AttemptStep {
   kDone,        ///< The step succeeded.
   kNotSent,     ///< No byte reached the back end.
+  kTooLate,     ///< The time given was over before a byte was sent.
   kBroken,      ///< The connection failed, or what came is no answer: the request may have run.
   kSilent,      ///< Nothing came in the time given.
   kCallerGone,  ///< The caller left.
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -35,6 +35,7 @@
       caller_(caller),
       metrics_(services_.metrics.of(ServiceId(request.pool),
                                     TenantId(request.tenant ? request.tenant->name : ""))),
+      beginDeadline_(services_.wanted, request.id),
       fingerprint_(fingerprintOf(request)),
       lastEventId_(request.resumeAfter),
       heldBytes_(services_.heldBytes) {}
@@ -80,18 +81,40 @@
   return isPatient_;
 }
 
+Time RequestRun::nextLook(Time leaveAt) const {
+  const Time look = std::min(leaveAt, services_.clock.now() + kLongestWaitPiece);
+  return std::min(look, beginDeadline_.takeBackAt().value_or(look));
+}
+
 AttemptStep RequestRun::awaitHead(EngineAttempt& attempt) {
-  const AttemptStep step = attempt.awaitHead(caller_, stepDeadline());
-  return step == AttemptStep::kSilent && staysWithSilentEngine()
-             ? attempt.awaitHead(caller_, stepDeadline())
-             : step;
+  Time leaveAt = stepDeadline();
+  while (true) {
+    const AttemptStep step = attempt.awaitHead(caller_, nextLook(leaveAt));
+    const Time now = services_.clock.now();
+    if (step != AttemptStep::kSilent || beginDeadline_.isOver(now)) {
+      return step;
+    }
+    if (now < leaveAt) {
+      continue;
+    }
+    if (!staysWithSilentEngine()) {
+      return step;
+    }
+    leaveAt = stepDeadline();
+  }
 }
 
 AttemptStep RequestRun::readStream(EngineAttempt& attempt, std::string& bytes) {
-  const AttemptStep step = attempt.readBody(caller_, stepDeadline(), bytes);
-  return step == AttemptStep::kSilent && staysWithSilentEngine()
-             ? attempt.readBody(caller_, stepDeadline(), bytes)
-             : step;
+  const Time leaveAt = stepDeadline();
+  const AttemptStep step = attempt.readBody(caller_, nextLook(leaveAt), bytes);
+  const Time now = services_.clock.now();
+  if (step != AttemptStep::kSilent || beginDeadline_.isOver(now)) {
+    return step;
+  }
+  if (now < leaveAt) {
+    return AttemptStep::kDone;  // It only was time to look.
+  }
+  return staysWithSilentEngine() ? attempt.readBody(caller_, stepDeadline(), bytes) : step;
 }
 
 void RequestRun::noteEnd(BackendVerdict verdict, AttemptEnd end) {
@@ -225,22 +248,33 @@
       services_.backends.avoidUntil(plan_.backend.id, services_.clock.now() + kUnreachablePause);
       noteEnd(BackendVerdict::kFailed, AttemptEnd::kNotReached);
       return Next::kElsewhere;
+    case AttemptStep::kTooLate:
+      noteEnd(BackendVerdict::kNeutral, AttemptEnd::kTooLate);
+      return Next::kElsewhere;
     case AttemptStep::kBroken:
+      noteEnd(BackendVerdict::kFailed, howItBroke());
+      return afterUnknownRun();
     case AttemptStep::kSilent:
-      if (step == AttemptStep::kSilent) {
-        noteCutOff();
+      noteCutOff();
+      if (beginDeadline_.isOver(services_.clock.now())) {
+        services_.metrics.countTakenBack();
+        noteEnd(BackendVerdict::kNeutral, AttemptEnd::kTakenBack);
+      } else {
+        noteEnd(BackendVerdict::kFailed, AttemptEnd::kSilent);
       }
-      noteEnd(BackendVerdict::kFailed,
-              step == AttemptStep::kSilent ? AttemptEnd::kSilent : howItBroke());
-      mayHaveRun_ = true;
-      ++runs_;
-      return mayRunElsewhere() ? Next::kElsewhere : Next::kGiveUp;
+      return afterUnknownRun();
     case AttemptStep::kDone:
       break;
   }
   return Next::kFinished;
 }
 
+RequestRun::Next RequestRun::afterUnknownRun() {
+  mayHaveRun_ = true;
+  ++runs_;
+  return mayRunElsewhere() ? Next::kElsewhere : Next::kGiveUp;
+}
+
 RequestRun::Next RequestRun::tryOnce() {
   const std::optional<PlannedSend> planned =
       forwarder_.planner_.plan(PlanInput{request_, tried_, lastEventId_, sends_ == 0});
@@ -262,8 +296,10 @@
   noteStart(*planned);
   EngineAttempt attempt(request_, plan_, services_.protocol, services_.connections,
                         services_.clock);
-  AttemptStep step = attempt.send(caller_, stepDeadline());
-  if (step != AttemptStep::kNotSent) {
+  const Time sendBy = stepDeadline();
+  AttemptStep step =
+      attempt.send(caller_, std::min(sendBy, beginDeadline_.takeBackAt().value_or(sendBy)));
+  if (step != AttemptStep::kNotSent && step != AttemptStep::kTooLate) {
     ++sends_;
   }
   if (step == AttemptStep::kDone) {
@@ -280,11 +316,11 @@
   } else {
     metrics_.countRetry();
   }
+  beginDeadline_.start(request_.model, plan_.weightsVersion, request_.row->isStream);
   services_.backends.started(plan_.backend.id, request_.promptTokens);
   atBackend_ = true;
   promptCounted_ = true;
   isPatient_ = false;
-  hasBegun_ = false;
   sentAt_ = now;
   TrailEntry entry;
   entry.backend = plan_.backend.id;
--- a/src/gateway/request_run.h
+++ b/src/gateway/request_run.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "common/log_options.h"
+#include "gateway/begin_deadline.h"
 #include "gateway/engine_attempt.h"
 #include "gateway/event_splitter.h"
 #include "gateway/forwarder.h"
@@ -40,6 +41,8 @@
   Next tryOnce();
   void noteStart(const PlannedSend& planned);
   Next afterStep(AttemptStep step);
+  /// @return what comes after an attempt that may have run and brought no answer.
+  Next afterUnknownRun();
   void noteWeights(const AnswerFacts& facts);
   Next takeAnswer(EngineAttempt& attempt);
   Next relayWhole(EngineAttempt& attempt);
@@ -54,6 +57,9 @@
   bool maySendAgain();
   bool mayLeaveEngine() const;
   Time stepDeadline() const;
+  /// @return when to look again whether the request still waits at its back end, `leaveAt` at the
+  ///         latest.
+  Time nextLook(Time leaveAt) const;
   bool staysWithSilentEngine();
   AttemptStep awaitHead(EngineAttempt& attempt);
   AttemptStep readStream(EngineAttempt& attempt, std::string& bytes);
@@ -92,6 +98,7 @@
   const IncomingRequest& request_;
   CallerChannel& caller_;
   ClassMetrics& metrics_;
+  BeginDeadline beginDeadline_;
   std::set<std::string> tried_;
   const uint64_t fingerprint_;
   SendPlan plan_;
@@ -101,7 +108,6 @@
   bool mayHaveRun_ = false;
   bool promptCounted_ = false;
   bool atBackend_ = false;
-  bool hasBegun_ = false;         ///< At its latest back end: its first event came from there.
   uint64_t answeredWeights_ = 0;  ///< That its latest back end answers with; 0: not told.
   bool isCounted_ = false;        ///< Against its tenant's limit.
   std::string lastEventId_;       ///< Of the last event that the caller has.
--- a/src/gateway/request_run_relay.cpp
+++ b/src/gateway/request_run_relay.cpp
@@ -95,8 +95,8 @@
 
 void RequestRun::noteEvents(Time now) {
   noteBackendAlive();
-  if (!hasBegun_) {
-    hasBegun_ = true;
+  if (!beginDeadline_.hasBegun()) {
+    beginDeadline_.noteBegun();
     reportOldWeights();
   }
   if (firstEventAt_) {
--- a/src/gateway/request_trail.cpp
+++ b/src/gateway/request_trail.cpp
@@ -16,12 +16,16 @@
       return "turned it away";
     case AttemptEnd::kNotReached:
       return "was not reached";
+    case AttemptEnd::kTooLate:
+      return "was reached too late";
     case AttemptEnd::kBroken:
       return "broke off";
     case AttemptEnd::kCrashed:
       return "broke off and takes no connections";
     case AttemptEnd::kSilent:
       return "fell silent";
+    case AttemptEnd::kTakenBack:
+      return "had not begun it near the end of the bound and was left";
     case AttemptEnd::kCallerLeft:
       return "was left, as the caller left";
   }
--- a/src/gateway/request_trail.h
+++ b/src/gateway/request_trail.h
@@ -20,9 +20,11 @@
   kFailed,      ///< A whole answer that states a failure.
   kTurnedAway,  ///< The back end vouched that it did not run the request.
   kNotReached,  ///< No connection; nothing was sent.
+  kTooLate,     ///< Its time was over when there was a connection; nothing was sent.
   kBroken,      ///< The connection or the answer broke.
   kCrashed,     ///< It broke, and the back end takes no connections any more.
   kSilent,      ///< No word for too long.
+  kTakenBack,   ///< It had not begun shortly before the bound of newer weights.
   kCallerLeft,  ///< The caller left meanwhile.
 };
 
--- a/src/gateway/send_planner.cpp
+++ b/src/gateway/send_planner.cpp
@@ -4,6 +4,7 @@
 
 #include "common/rendezvous.h"
 #include "gateway/backend_choice.h"
+#include "gateway/begin_deadline.h"
 #include "gateway/part_source.h"
 #include "gateway/send_decisions.h"
 #include "gateway/serving_versions.h"
@@ -78,19 +79,22 @@
                                                         Time now, uint64_t& lowest) {
   const std::string& model = input.request.model;
   lowest = services_.wanted.lowestServing(model, now);
-  std::optional<BackendChoice> chosen = choose(input, members, lowest, now);
-  if (!chosen || !chosen->expected) {
-    return chosen;
-  }
-  const uint64_t atBegin = services_.wanted.lowestServing(model, now + chosen->expected->wait);
-  if (chosen->backend.weightsVersion >= atBegin) {
-    return chosen;
-  }
-  if (chosen->ticket) {
-    release(*chosen->ticket);
+  while (true) {
+    std::optional<BackendChoice> chosen = choose(input, members, lowest, now);
+    if (!chosen) {
+      return chosen;
+    }
+    const Duration expected = chosen->expected ? chosen->expected->firstEvent : kUnknownFirstEvent;
+    const Time begin = now + fromSeconds(toSeconds(expected) * kBeginAllowance);
+    const uint64_t atBegin = services_.wanted.lowestServing(model, begin);
+    if (chosen->backend.weightsVersion >= atBegin) {
+      return chosen;
+    }
+    if (chosen->ticket) {
+      release(*chosen->ticket);
+    }
+    lowest = atBegin;  // Rises each time, as what was chosen held no older weights.
   }
-  lowest = atBegin;
-  return choose(input, members, lowest, now);
 }
 
 void SendPlanner::planCache(const PlanInput& input, const std::vector<BackendView>& members,
--- a/test/process/late_begin_test.py
+++ b/test/process/late_begin_test.py
@@ -3,6 +3,12 @@
 
 The story: an operator named new weights while engines were busy and orders to them came late. A request
 that had been sent to an engine with old weights in time waited there, and began when the bound had passed.
+The bound was compared with the instant of the send and the wait that was expected then; nothing looked at it
+again while the request waited.
+
+The evidence: on the code before the mend both scenarios are red, and the gateways log for each such request
+"bound ends in 1333 ms, first event expected in 7 ms" at the send, and its first event 3.3 s later. In a play of
+deploy/days/versions-slow-engines.toml 289 requests began so, while all nodes dated the versions right.
 
 usage: late_begin_test.py BUILD_FOLDER [NAME]
 """
