--- a/test/platform_soak/store.py
+++ b/test/platform_soak/store.py
@@ -1,7 +1,8 @@
 """A stand-in of the users' platform's store: objects by kind with revisions, conditional writes,
 lists and watches, over HTTP. Each node has a port of its own, so that the store can turn some nodes
 away and serve others. Faults: refuse (503), throttle (429), reset, silent, slow, lost (done, but not
-answered), late (done some time later, not answered).
+answered), late (done some time later, not answered). Beside these, connections that are open may go silent for
+good while new ones work.
 """
 import http.server
 import json
@@ -25,6 +26,7 @@
         self.events = []   # (revision, kind, object, gone)
         self.faults = {}   # node -> name of the fault
         self.calls = []    # (node, method, path), refused ones too
+        self.silent_since = 0.0  # Connections that were opened before say nothing any more.
         self.seed = 0
 
     def put(self, kind, name, spec, revision=None, must_be_new=False):
@@ -75,6 +77,10 @@
                     return {"events": found, "at": self.revision}
                 self.changed.wait(left)
 
+    def silence_connections(self):
+        """Connections that are open now stay so, but nothing comes by them any more."""
+        self.silent_since = time.monotonic()
+
     def forget_history(self):
         with self.changed:
             del self.events[:-1]
@@ -88,12 +94,24 @@
     def log_message(self, *_):
         pass
 
+    def setup(self):
+        super().setup()
+        self.opened_at = time.monotonic()
+
     def handle(self):
         try:
             super().handle()
         except (OSError, ValueError):
             pass  # The node went away, or this stand-in closed the connection.
 
+    def wait_if_silent(self):
+        """On a silent connection waits until the node closes it, and raises."""
+        if self.opened_at >= self.store.silent_since:
+            return
+        while self.connection.recv(4096):
+            pass  # Whatever is asked is not heard.
+        raise ConnectionAbortedError
+
     def finish(self):
         try:
             super().finish()
@@ -104,6 +122,7 @@
         return self.store.faults.get(self.node)
 
     def answer(self, status, body):
+        self.wait_if_silent()
         text = json.dumps(body).encode()
         self.send_response(status)
         self.send_header("Content-Type", "application/json")
@@ -119,6 +138,7 @@
 
     def turned_away(self):
         """Notes the call. Returns whether a fault answered it."""
+        self.wait_if_silent()
         self.store.calls.append((self.node, self.command, self.path))
         return self.is_faulty()
 
