Back ends are told the time that is left when a request is sent, not when it was planned

What callers saw: nothing yet; found by asking where else something is checked at one moment and broken at a later one. The time left was taken with the plan, and opening a connection after it takes up to 0.6 s: an engine was told that much more time than its caller had, and a request whose time was over by then was still sent.

It is now taken as the head is written, and a connection that is there too late is not written to; that is not held against the back end. Before: engine_attempt_test red by construction (the time stood in the plan); after: green.

--- a/src/gateway/backend_protocol.h
+++ b/src/gateway/backend_protocol.h
@@ -21,8 +21,7 @@
   std::string cacheScope;       ///< Requests share cached prompts only within one scope.
   PartTransfer transfer;        ///< Where its shared parts are taken from and left.
   int urgency = 0;              ///< 0 is the most urgent.
-  Duration timeLeft{};
-  std::string resumeAfter;  ///< Id of the last event delivered; empty: from the start.
+  std::string resumeAfter;      ///< Id of the last event delivered; empty: from the start.
 };
 
 /// What an answer's head tells.
@@ -36,7 +35,8 @@
 class BackendProtocol {
  public:
   virtual ~BackendProtocol() = default;
-  virtual void addHeaders(const IncomingRequest& request, const SendPlan& plan,
+  /// @param timeLeft until the request's deadline, from the instant at which the head is sent.
+  virtual void addHeaders(const IncomingRequest& request, const SendPlan& plan, Duration timeLeft,
                           Poco::Net::HTTPRequest& head) const = 0;
   virtual AnswerFacts readAnswer(const IncomingRequest& request,
                                  const Poco::Net::HTTPResponse& answer) const = 0;
--- a/src/gateway/engine_attempt.cpp
+++ b/src/gateway/engine_attempt.cpp
@@ -60,7 +60,7 @@
   if (hasBody) {
     head.setContentLength64(static_cast<Poco::Int64>(request_.body.size()));
   }
-  protocol_.addHeaders(request_, plan_, head);
+  protocol_.addHeaders(request_, plan_, request_.deadline - clock_.now(), head);
   std::ostringstream out;
   head.write(out);
   return out.str();
@@ -113,7 +113,8 @@
   if (connection_ == nullptr) {
     return AttemptStep::kNotSent;
   }
-  if (clock_.now() >= deadline) {  // Opening a connection takes its time.
+  // Opening a connection takes its time.
+  if (clock_.now() >= std::min(deadline, request_.deadline)) {
     return AttemptStep::kTooLate;
   }
   connection_->setIoTimeout(kRestOfMessage);
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -286,7 +286,8 @@
     releaseTicket();
     return Next::kGiveUp;
   }
-  if (!planned || planned->send.timeLeft < kLeastUsefulTime || !maySendAgain()) {
+  const Duration timeLeft = request_.deadline - services_.clock.now();
+  if (!planned || timeLeft < kLeastUsefulTime || !maySendAgain()) {
     releaseTicket();
     return Next::kGiveUp;
   }
--- a/src/gateway/send_planner.cpp
+++ b/src/gateway/send_planner.cpp
@@ -142,7 +142,6 @@
     plan.cacheScope = cacheScopeOf(request, plan.weightsVersion);
     planCache(input, members, now, plan);
   }
-  plan.timeLeft = request.deadline - services_.clock.now();
   return planned;
 }
 
--- /dev/null
+++ b/test/gateway/engine_attempt_test.cpp
@@ -0,0 +1,52 @@
+/// @file
+/// Tests of src/gateway/engine_attempt.h: what was true when a send was planned is looked at again
+/// when it is made.
+#include "gateway/engine_attempt.h"
+
+#include <doctest/doctest.h>
+
+#include "test/gateway/forwarder_world.h"
+
+namespace fernmoor::gateway {
+
+using namespace test;  // NOLINT(google-build-using-namespace)
+
+namespace {
+
+/// A planned send of a request with twenty seconds.
+struct PlannedWorld : ForwarderWorld {
+  PlannedWorld() : backend(add("a", always(answer("200 OK", "x")))), made(request()) {
+    plan.backend = backends.all().front();
+  }
+  AttemptStep send() {
+    EngineAttempt attempt(made, plan, protocol, connections, clock);
+    const AttemptStep sent = attempt.send(caller, made.deadline);
+    return sent == AttemptStep::kDone ? attempt.awaitHead(caller, made.deadline) : sent;
+  }
+
+  ScriptedBackend& backend;
+  IncomingRequest made;
+  SendPlan plan;
+};
+
+}  // namespace
+
+TEST_CASE("a back end is told the time that is left when the request is sent") {
+  PlannedWorld world;
+  world.clock.leap = std::chrono::seconds(15);  // A connection took long to come up.
+  REQUIRE(world.send() == AttemptStep::kDone);
+  const std::string sent = world.backend.lastRequest();
+  const std::string name = "Time-Left: ";
+  const int left = std::atoi(sent.c_str() + sent.find(name) + name.size());
+  CHECK(left <= 5000);
+  CHECK(left > 0);
+}
+
+TEST_CASE("nothing is sent when the time is over before there is a connection") {
+  PlannedWorld world;
+  world.clock.leap = std::chrono::seconds(21);
+  CHECK(world.send() == AttemptStep::kTooLate);
+  CHECK(world.backend.requests() == 0);
+}
+
+}  // namespace fernmoor::gateway
--- a/test/gateway/forwarder_world.h
+++ b/test/gateway/forwarder_world.h
@@ -161,10 +161,10 @@
 /// Headers of no real system: "Id" is echoed, "Not-Run" says that a request did not run.
 class TestProtocol : public BackendProtocol {
  public:
-  void addHeaders(const IncomingRequest& request, const SendPlan& plan,
+  void addHeaders(const IncomingRequest& request, const SendPlan& plan, Duration timeLeft,
                   Poco::Net::HTTPRequest& head) const override {
     head.set("Expect-Life", plan.backend.id);
-    head.set("Time-Left", std::to_string(plan.timeLeft.count() / 1000));
+    head.set("Time-Left", std::to_string(timeLeft.count() / 1000));
     if (!plan.cacheScope.empty()) {
       head.set("Scope", plan.cacheScope);
     }
--- a/test/platform/engine_protocol_test.cpp
+++ b/test/platform/engine_protocol_test.cpp
@@ -12,11 +12,10 @@
   Sent() {
     request.id = "r1";
     plan.backend.id = "i-1";
-    plan.timeLeft = std::chrono::milliseconds(1234);
   }
   Poco::Net::HTTPRequest head() {
     Poco::Net::HTTPRequest made;
-    EngineProtocol().addHeaders(request, plan, made);
+    EngineProtocol().addHeaders(request, plan, std::chrono::milliseconds(1234), made);
     return made;
   }
   gateway::AnswerFacts facts(int status,
