Where a kept connection fails, the others kept to its address are closed

What callers saw: nothing by itself; where connections to the store go silent for good, each kept one cost a call its 0.9 s, and two such calls in a row count as a store that is away, which makes every bound of new weights longer. What silenced one may have silenced the others, so they are closed with it.

Before -> after: of three connections that went silent each cost a call -> one does (http_client_test).

--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <istream>
+#include <iterator>
 
 #include "http/json_text.h"
 
@@ -145,6 +146,16 @@
   return connection;
 }
 
+void HttpClient::dropIdle(const SocketAddress& address) {
+  std::vector<std::unique_ptr<HttpConnection>> dropped;  // Destroyed after the lock is released.
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const auto first = std::stable_partition(idle_.begin(), idle_.end(), [&](const auto& connection) {
+    return !(connection->address() == address);
+  });
+  std::move(first, idle_.end(), std::back_inserter(dropped));
+  idle_.erase(first, idle_.end());
+}
+
 void HttpClient::giveBack(std::unique_ptr<HttpConnection> connection) {
   if (!connection->connected()) {
     return;
@@ -191,9 +202,13 @@
     connection = takeIdle(call.address);
   }
   if (connection == nullptr) {
-    connection = std::make_unique<HttpConnection>(call.address);
+    return startOn(std::make_unique<HttpConnection>(call.address), call);
+  }
+  auto started = startOn(std::move(connection), call);
+  if (std::holds_alternative<HttpFailure>(started)) {
+    dropIdle(call.address);
   }
-  return startOn(std::move(connection), call);
+  return started;
 }
 
 HttpOutcome HttpClient::call(const HttpCall& call) {
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -97,7 +97,9 @@
 /// Outcome of opening a stream: the stream, an answer with an error status, or a failure.
 using StreamOutcome = std::variant<std::unique_ptr<EventStream>, HttpAnswer, HttpFailure>;
 
-/// Thread-safe; keeps idle connections per address.
+/// Thread-safe; keeps idle connections per address. Where one of them fails the others to its
+/// address are closed: what silenced it may have silenced them, and each would cost a call its
+/// time.
 class HttpClient {
  public:
   HttpClient();
@@ -118,6 +120,8 @@
   std::variant<Started, HttpFailure> startOn(std::unique_ptr<HttpConnection> connection,
                                              const HttpCall& call);
   std::unique_ptr<HttpConnection> takeIdle(const SocketAddress& address);
+  /// Closes the kept connections to an address.
+  void dropIdle(const SocketAddress& address);
   void giveBack(std::unique_ptr<HttpConnection> connection);
 
   std::mutex mutex_;
--- a/test/http/http_client_test.cpp
+++ b/test/http/http_client_test.cpp
@@ -6,7 +6,9 @@
 #include <Poco/Net/ServerSocket.h>
 #include <doctest/doctest.h>
 
+#include <atomic>
 #include <thread>
+#include <vector>
 
 namespace fernmoor {
 
@@ -74,6 +76,65 @@
   std::thread thread_;
 };
 
+/// Takes connections and answers what comes by them; those that it has taken go silent when told.
+class SilencedServer {
+ public:
+  SilencedServer()
+      : socket_(Poco::Net::SocketAddress("127.0.0.1", 0)), thread_([this] { accept(); }) {}
+  ~SilencedServer() {
+    isEnding_ = true;
+    thread_.join();
+    for (std::thread& each : connections_) {
+      each.join();
+    }
+  }
+  SocketAddress address() const { return SocketAddress{"127.0.0.1", socket_.address().port()}; }
+  /// Answers wait until so many requests are there, so that they come by as many connections.
+  void answerTogether(int requests) { together_ = requests; }
+  void silence() { silentBefore_ = taken_.load(); }
+
+ private:
+  void accept() {
+    while (!isEnding_) {
+      if (socket_.poll(Poco::Timespan(20000), Poco::Net::Socket::SELECT_READ)) {
+        connections_.emplace_back([this, connection = socket_.acceptConnection(),
+                                   number = taken_++]() mutable { serve(connection, number); });
+      }
+    }
+  }
+  void serve(Poco::Net::StreamSocket& connection, int number) {
+    char buffer[4096];
+    while (!isEnding_) {
+      if (!connection.poll(Poco::Timespan(20000), Poco::Net::Socket::SELECT_READ)) {
+        continue;
+      }
+      try {
+        if (connection.receiveBytes(buffer, sizeof(buffer)) <= 0) {
+          return;
+        }
+      } catch (const Poco::Exception&) {
+        return;  // Reset by a call that was given up.
+      }
+      ++requests_;
+      while (requests_ < together_ && !isEnding_) {
+        std::this_thread::yield();
+      }
+      if (number >= silentBefore_) {
+        connection.sendBytes(kAnswer.data(), static_cast<int>(kAnswer.size()));
+      }
+    }
+  }
+
+  Poco::Net::ServerSocket socket_;
+  std::atomic<bool> isEnding_{false};
+  std::atomic<int> taken_{0};
+  std::atomic<int> requests_{0};
+  std::atomic<int> together_{0};
+  std::atomic<int> silentBefore_{0};
+  std::vector<std::thread> connections_;
+  std::thread thread_;
+};
+
 }  // namespace
 
 TEST_CASE("a call that is given up is reset: its bytes do not reach the server later") {
@@ -115,4 +176,26 @@
   CHECK(std::holds_alternative<HttpAnswer>(client.call(call)));
 }
 
+TEST_CASE("of kept connections that went silent one costs a call, the others none") {
+  SilencedServer server;
+  HttpClient client;
+  HttpCall call;
+  call.address = server.address();
+  call.path = "/";
+  call.timeout = std::chrono::seconds(30);
+  server.answerTogether(3);
+  std::vector<std::thread> callers;
+  for (int caller = 0; caller < 3; ++caller) {
+    callers.emplace_back([&] { client.call(call); });
+  }
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  server.silence();
+  call.timeout = std::chrono::milliseconds(50);
+  CHECK(std::holds_alternative<HttpFailure>(client.call(call)));
+  call.timeout = std::chrono::seconds(30);
+  CHECK(std::holds_alternative<HttpAnswer>(client.call(call)));
+}
+
 }  // namespace fernmoor
