--- a/src/backends/wanted_weights.cpp
+++ b/src/backends/wanted_weights.cpp
@@ -11,6 +11,9 @@
 constexpr size_t kVersionsKept = 64;
 /// A request may wait at its engine for so long before it begins.
 constexpr Duration kBeginMargin{1000000};
+/// What another node knows of a version's time is taken where it is later by so much: the ways of
+/// questions make the difference of what all know.
+constexpr Duration kWorthLearning{50000};
 /// Other nodes are told of a version for so many times its bound: an outage of the store may have
 /// made the bound longer.
 constexpr int kBoundsTold = 3;
@@ -20,9 +23,9 @@
 }
 
 void tellNamed(const std::string& model, const NamedVersion& named, bool isTold, Time now) {
-  const std::string since = named.namedBy ? "at most " + milliseconds(now - *named.namedBy) +
-                                                " ago" + (isTold ? ", as another node knows" : "")
-                                          : "nobody here knows when";
+  const std::string since = named.notBefore ? "at most " + milliseconds(now - *named.notBefore) +
+                                                  " ago" + (isTold ? ", as another node knows" : "")
+                                            : "nobody here knows when";
   logInfo("weights: version " + std::to_string(named.version) + " of " + model + " named, " +
           since + ", its bound ends in " + milliseconds(named.dueAt - now));
 }
@@ -34,14 +37,14 @@
 
 }  // namespace
 
-Time WantedWeights::plainDueAt(std::optional<Time> namedBy) const {
-  return namedBy ? *namedBy + bounds_.inForce : bounds_.heldFrom;
+Time WantedWeights::plainDueAt(std::optional<Time> notBefore) const {
+  return notBefore ? *notBefore + bounds_.inForce : bounds_.heldFrom;
 }
 
-Time WantedWeights::dueAtOf(std::optional<Time> namedBy) const {
-  const Time due = plainDueAt(namedBy);
+Time WantedWeights::dueAtOf(std::optional<Time> notBefore) const {
+  const Time due = plainDueAt(notBefore);
   const bool isExtended =
-      storeAwayAt_ && (!namedBy || (*namedBy < *storeAwayAt_ && *storeAwayAt_ < due));
+      storeAwayAt_ && (!notBefore || (*notBefore < *storeAwayAt_ && *storeAwayAt_ < due));
   return isExtended ? std::max(due, *storeAwayAt_ + bounds_.inForce) : due;
 }
 
@@ -52,7 +55,10 @@
     return each.version >= named.version;
   });
   const bool isKnown = place != versions.end() && place->version == named.version;
-  if (isKnown && (!isTold || place->namedBy)) {
+  const bool tellsMore =
+      isKnown && isTold &&
+      (!place->notBefore || *named.notBefore > *place->notBefore + kWorthLearning);
+  if (isKnown && !tellsMore) {
     return;
   }
   if (isKnown) {
@@ -66,15 +72,16 @@
   tellNamed(model, named, isTold, now);
 }
 
-void WantedWeights::note(const std::string& model, uint64_t version, std::optional<Time> namedBy,
+void WantedWeights::note(const std::string& model, uint64_t version, std::optional<Time> notBefore,
                          Time now) {
   const std::lock_guard<std::mutex> lock(mutex_);
-  noteLocked(model, NamedVersion{version, namedBy, dueAtOf(namedBy)}, false, now);
+  noteLocked(model, NamedVersion{version, notBefore, dueAtOf(notBefore)}, false, now);
 }
 
-void WantedWeights::learnSince(const std::string& model, uint64_t version, Time namedBy, Time now) {
+void WantedWeights::learnSince(const std::string& model, uint64_t version, Time notBefore,
+                               Time now) {
   const std::lock_guard<std::mutex> lock(mutex_);
-  noteLocked(model, NamedVersion{version, namedBy, dueAtOf(namedBy)}, true, now);
+  noteLocked(model, NamedVersion{version, notBefore, dueAtOf(notBefore)}, true, now);
 }
 
 void WantedWeights::noteStoreAway(Time at) {
@@ -105,7 +112,7 @@
   for (const NamedVersion& named : found->second) {
     if (named.version > held) {
       // Not the end of a bound that an outage has made longer: moves that are late stay urgent.
-      return plainDueAt(named.namedBy);
+      return plainDueAt(named.notBefore);
     }
   }
   return std::nullopt;
@@ -146,8 +153,8 @@
   std::vector<YoungVersion> young;
   for (const auto& [model, versions] : named_) {
     for (const NamedVersion& named : versions) {
-      if (named.namedBy && now - *named.namedBy < bounds_.inForce * kBoundsTold) {
-        young.push_back(YoungVersion{model, named.version, now - *named.namedBy});
+      if (named.notBefore && now - *named.notBefore < bounds_.inForce * kBoundsTold) {
+        young.push_back(YoungVersion{model, named.version, now - *named.notBefore});
       }
     }
   }
--- a/src/backends/wanted_weights.h
+++ b/src/backends/wanted_weights.h
@@ -19,9 +19,9 @@
 /// One named version.
 struct NamedVersion {
   uint64_t version = 0;
-  /// Last instant at which it is known not to have been named; nothing: it lay there when this node
-  /// started to look, and no other node has told since when.
-  std::optional<Time> namedBy;
+  /// An instant at which it was not named yet, the latest that is known; nothing: it lay there when
+  /// this node started to look, and no other node has told since when.
+  std::optional<Time> notBefore;
   Time dueAt;  ///< From then on no request may begin on an older one.
 };
 
@@ -29,7 +29,7 @@
 struct YoungVersion {
   std::string model;
   uint64_t version = 0;
-  Duration age{};  ///< Since the last instant at which it is known not to have been named.
+  Duration age{};  ///< Since an instant at which it was not named yet.
 };
 
 struct WeightBounds {
@@ -44,12 +44,11 @@
 
   /// Notes a version that was found. Of one that is known here it tells nothing: what is found
   /// again was not named just now.
-  /// @param namedBy the last instant at which it was known not to be named, or nothing if that is
-  ///        unknown.
-  void note(const std::string& model, uint64_t version, std::optional<Time> namedBy, Time now);
-  /// Notes since when a version is named, as another node knows it. What this node knows of the
-  /// time by itself stays.
-  void learnSince(const std::string& model, uint64_t version, Time namedBy, Time now);
+  /// @param notBefore an instant at which it was not named yet, or nothing if none is known.
+  void note(const std::string& model, uint64_t version, std::optional<Time> notBefore, Time now);
+  /// Notes an instant at which a version was not named yet, as another node knows it. The latest of
+  /// all that nodes know is the nearest to the truth, and none is beyond it.
+  void learnSince(const std::string& model, uint64_t version, Time notBefore, Time now);
   /// Notes that the operators' store served nobody at `at`. Engines can't be moved without it, so
   /// the bounds that had not passed by then count from there.
   void noteStoreAway(Time at);
@@ -70,13 +69,13 @@
   std::vector<YoungVersion> youngVersions(Time now) const;
 
  private:
-  /// Call with the lock held. Notes the version where it is not known yet, or where its time is not
-  /// and `isTold`.
+  /// Call with the lock held. Notes the version where it is not known yet, or where `isTold` tells
+  /// more of its time.
   void noteLocked(const std::string& model, const NamedVersion& named, bool isTold, Time now);
   /// @return when the bound of a version ends if the store is not away meanwhile.
-  Time plainDueAt(std::optional<Time> namedBy) const;
+  Time plainDueAt(std::optional<Time> notBefore) const;
   /// Call with the lock held.
-  Time dueAtOf(std::optional<Time> namedBy) const;
+  Time dueAtOf(std::optional<Time> notBefore) const;
 
   WeightBounds bounds_;
   mutable std::mutex mutex_;
--- a/src/peers/mirror_role.cpp
+++ b/src/peers/mirror_role.cpp
@@ -161,7 +161,6 @@
 }
 
 void MirrorRole::onTick(Time now, MessageSender& sender) {
-  standstills_.tick(now);
   std::optional<NodeId> node;
   {
     const std::lock_guard<std::mutex> lock(mutex_);
@@ -212,7 +211,11 @@
   }
 }
 
-void MirrorRole::addNamedVersions(Time now, proto::MirrorAnswer& answer) const {
+void MirrorRole::addTimes(Time now, proto::MirrorAnswer& answer) const {
+  if (const std::optional<RevisionTime> newest = revisionTimes_.newest()) {
+    answer.set_store_revision(newest->revision);
+    answer.set_store_revision_age_microseconds(static_cast<uint64_t>((now - newest->at).count()));
+  }
   for (const YoungVersion& young : wanted_.youngVersions(now)) {
     proto::MirrorNamedVersion& out = *answer.add_named();
     out.set_model(young.model);
@@ -221,10 +224,14 @@
   }
 }
 
-void MirrorRole::takeNamedVersions(const proto::MirrorAnswer& answer, Time toldAt, Time now) {
+void MirrorRole::takeTimes(const proto::MirrorAnswer& answer, Time askedAt, Time now) {
+  if (answer.store_revision() != 0) {
+    const Duration age(static_cast<int64_t>(answer.store_revision_age_microseconds()));
+    revisionTimes_.note({answer.store_revision(), askedAt - age});
+  }
   for (const proto::MirrorNamedVersion& named : answer.named()) {
     const Duration age(static_cast<int64_t>(named.age_microseconds()));
-    wanted_.learnSince(named.model(), named.version(), toldAt - age, now);
+    wanted_.learnSince(named.model(), named.version(), askedAt - age, now);
   }
 }
 
@@ -245,7 +252,7 @@
       const uint64_t held = index < question.revisions_size() ? question.revisions(index) : 0;
       addKind(static_cast<MirrorKind>(kind), held, question.pulls(), now, sender, answer);
     }
-    addNamedVersions(now, answer);
+    addTimes(now, answer);
     sender.send(from.node, envelope);
   }
   if (question.pulls() && sender.waitingBytes(from.node) > 0) {
@@ -300,7 +307,7 @@
   delta.entries = valueOf(std::move(entries));
   const uint64_t before = mirror_.revision(kind);
   const bool hasEntries = !delta.entries.empty();
-  const bool isNew = mirror_.apply(kind, delta, ranUntil(now)) == MirrorOutcome::kApplied;
+  const bool isNew = mirror_.apply(kind, delta) == MirrorOutcome::kApplied;
   if (isNew && before != 0 && hasEntries) {
     announce(kind, delta.fromRevision == 0 ? before : delta.fromRevision, now, sender);
   }
@@ -349,9 +356,9 @@
     }
     asked = questions_.takeAnswered(answer.question_id(), from.node);
   }
-  // An answer is as old as its question; what was told unasked came while this node ran.
-  const Time toldAt = asked ? asked->askedAt : ranUntil(now);
-  takeNamedVersions(answer, toldAt, now);
+  if (asked) {
+    takeTimes(answer, asked->askedAt, now);
+  }
   std::optional<Time> rowsProof;
   uint64_t provenRows = 0;
   for (const proto::MirrorChanges& changes : answer.changes()) {
@@ -400,9 +407,6 @@
   proto::Envelope envelope;
   proto::MirrorAnswer& answer = *envelope.mutable_mirror()->mutable_answer();
   addKind(kind, fromRevision, false, now, sender, answer);
-  if (kind == MirrorKind::kWeights) {
-    addNamedVersions(now, answer);
-  }
   for (const NodeId node : audience) {
     sender.send(node, envelope);
   }
--- a/src/peers/mirror_role.h
+++ b/src/peers/mirror_role.h
@@ -19,7 +19,9 @@
 /// tells ask the other nodes in turn.
 ///
 /// Beside the copy, nodes tell each other since when versions of weights are named: the bound of a
-/// version must not begin anew in each process.
+/// version must not begin anew in each process. They also tell how far the store had come at which
+/// instant, by which each dates what it is told. Such ages too count from the asker's question, and
+/// none is told without one: a message may have been on its way for long.
 #pragma once
 
 #include <array>
@@ -30,7 +32,7 @@
 #include <set>
 #include <vector>
 
-#include "backends/standstills.h"
+#include "backends/revision_times.h"
 #include "backends/wanted_weights.h"
 #include "common/role.h"
 #include "envelope.pb.h"
@@ -58,13 +60,15 @@
 /// Thread-safe.
 class MirrorRole : public Role {
  public:
-  /// @param mirror, wanted outlive the role.
+  /// @param mirror, wanted, revisionTimes outlive the role.
   /// @param startedAt when this node was started.
-  MirrorRole(NodeId self, StateMirror& mirror, WantedWeights& wanted, Time startedAt)
+  MirrorRole(NodeId self, StateMirror& mirror, WantedWeights& wanted, RevisionTimes& revisionTimes,
+             Time startedAt)
       : self_(self),
         mirror_(mirror),
         content_(mirror),
         wanted_(wanted),
+        revisionTimes_(revisionTimes),
         startedAt_(startedAt),
         questions_(static_cast<uint32_t>(startedAt.time_since_epoch().count())) {}
 
@@ -72,8 +76,6 @@
   void setMembers(std::shared_ptr<const MembershipSnapshot> members);
   /// @return whether this node must read the store now.
   ReadDuty duty(Time now) const;
-  /// @return the instant by which news that are read now may be dated.
-  Time ranUntil(Time now) const { return standstills_.ranUntil(now); }
   /// @return how many nodes come before this one to step in where the readers do not do what one
   ///         node has to; nothing where it is none of the first few. Nodes that stop are among
   ///         them for as long as they live.
@@ -122,15 +124,16 @@
   /// @param isPulled the asker waits for it, however large.
   void addKind(MirrorKind kind, uint64_t held, bool isPulled, Time now, MessageSender& sender,
                proto::MirrorAnswer& answer);
-  void addNamedVersions(Time now, proto::MirrorAnswer& answer) const;
-  void takeNamedVersions(const proto::MirrorAnswer& answer, Time toldAt, Time now);
+  void addTimes(Time now, proto::MirrorAnswer& answer) const;
+  /// @param askedAt when the question began.
+  void takeTimes(const proto::MirrorAnswer& answer, Time askedAt, Time now);
 
   const NodeId self_;
   StateMirror& mirror_;
   MirrorContent content_;
   WantedWeights& wanted_;
+  RevisionTimes& revisionTimes_;
   const Time startedAt_;
-  Standstills standstills_;
   mutable std::mutex mutex_;
   std::shared_ptr<const MembershipSnapshot> members_;
   Duties duties_;  ///< By `members_`.
--- a/src/peers/peer_plane.cpp
+++ b/src/peers/peer_plane.cpp
@@ -30,10 +30,11 @@
 }
 
 PeerPlane::PeerPlane(PeerOptions options, const Clock& clock, StateMirror& mirror,
-                     WantedWeights& wanted, quarantine::QuarantineTable& quarantined)
+                     WantedWeights& wanted, RevisionTimes& revisionTimes,
+                     quarantine::QuarantineTable& quarantined)
     : options_(std::move(options)),
       clock_(clock),
-      mirrorRole_(nodeIdOf(options_.listen), mirror, wanted, clock.now()),
+      mirrorRole_(nodeIdOf(options_.listen), mirror, wanted, revisionTimes, clock.now()),
       parts_(nodeIdOf(options_.listen), clock, *this),
       loads_(nodeIdOf(options_.listen), clock, *this),
       limits_(nodeIdOf(options_.listen), clock, *this, options_.knobs),
--- a/src/peers/peer_plane.h
+++ b/src/peers/peer_plane.h
@@ -42,7 +42,7 @@
  public:
   /// Binds the address. Throws Poco::Net::NetException where it is in use.
   PeerPlane(PeerOptions options, const Clock& clock, StateMirror& mirror, WantedWeights& wanted,
-            quarantine::QuarantineTable& quarantined);
+            RevisionTimes& revisionTimes, quarantine::QuarantineTable& quarantined);
   ~PeerPlane() override;
 
   void start();
--- a/src/peers/state_mirror.cpp
+++ b/src/peers/state_mirror.cpp
@@ -37,23 +37,18 @@
   return kHoldsParts[static_cast<size_t>(kind)] ? state.revision == from : state.revision >= from;
 }
 
-MirrorOutcome StateMirror::apply(MirrorKind kind, const MirrorDelta& delta,
-                                 std::optional<Time> heardAt) {
+MirrorOutcome StateMirror::apply(MirrorKind kind, const MirrorDelta& delta) {
   const std::lock_guard<std::mutex> order(applying_);
   const bool isDiffed = delta.fromRevision == 0 && kHoldsParts[static_cast<size_t>(kind)];
-  return applyNext(kind, isDiffed ? differenceTo(kind, delta.toRevision, delta.entries) : delta,
-                   heardAt);
+  return applyNext(kind, isDiffed ? differenceTo(kind, delta.toRevision, delta.entries) : delta);
 }
 
-MirrorOutcome StateMirror::applyNext(MirrorKind kind, const MirrorDelta& delta,
-                                     std::optional<Time> heardAt) {
+MirrorOutcome StateMirror::applyNext(MirrorKind kind, const MirrorDelta& delta) {
   const bool isWhole = delta.fromRevision == 0;
   std::vector<MirrorEntry> news;
-  bool wasKnown = false;
   {
     const std::lock_guard<std::mutex> lock(mutex_);
     KindState& state = stateOf(kind);
-    wasKnown = state.isKnown;
     if (state.isKnown && delta.toRevision <= state.revision) {
       return MirrorOutcome::kKnown;
     }
@@ -86,8 +81,7 @@
       state.held.pop_front();
     }
   }
-  // The first state that comes here tells nothing of since when it is so.
-  listener_(kind, news, isWhole, wasKnown ? heardAt : std::nullopt);
+  listener_(kind, news, isWhole);
   {
     const std::lock_guard<std::mutex> lock(mutex_);
     stateOf(kind).told = delta.toRevision;
@@ -127,10 +121,9 @@
 }
 
 MirrorOutcome StateMirror::applyList(MirrorKind kind, uint64_t revision,
-                                     const std::vector<MirrorEntry>& entries,
-                                     std::optional<Time> heardAt) {
+                                     const std::vector<MirrorEntry>& entries) {
   const std::lock_guard<std::mutex> order(applying_);
-  return applyNext(kind, differenceTo(kind, revision, entries), heardAt);
+  return applyNext(kind, differenceTo(kind, revision, entries));
 }
 
 void StateMirror::prove(MirrorKind kind, uint64_t revision, Time provenAt) {
--- a/src/peers/state_mirror.h
+++ b/src/peers/state_mirror.h
@@ -54,9 +54,8 @@
 class StateMirror {
  public:
   /// Takes entries that are new here. @param isWhole others of the kind are gone.
-  /// @param heardAt the last instant at which the former state is known to have been complete here.
-  using Listener = std::function<void(MirrorKind kind, const std::vector<MirrorEntry>& entries,
-                                      bool isWhole, std::optional<Time> heardAt)>;
+  using Listener =
+      std::function<void(MirrorKind kind, const std::vector<MirrorEntry>& entries, bool isWhole)>;
 
   /// Hears that nothing newer than `revision`, which this copy holds, existed at `provenAt`.
   using ProofListener = std::function<void(MirrorKind kind, uint64_t revision, Time provenAt)>;
@@ -64,12 +63,11 @@
   StateMirror(Listener listener, ProofListener onProof)
       : listener_(std::move(listener)), onProof_(std::move(onProof)) {}
 
-  /// @param heardAt see Listener.
-  MirrorOutcome apply(MirrorKind kind, const MirrorDelta& delta, std::optional<Time> heardAt);
+  MirrorOutcome apply(MirrorKind kind, const MirrorDelta& delta);
   /// Takes the whole kind as it was at a revision, and tells only what differs. Parts that come as
   /// the whole kind are taken so too.
   MirrorOutcome applyList(MirrorKind kind, uint64_t revision,
-                          const std::vector<MirrorEntry>& entries, std::optional<Time> heardAt);
+                          const std::vector<MirrorEntry>& entries);
   /// Notes that nothing newer than `revision` existed at `provenAt`; counts only if this copy is
   /// complete up to that revision.
   void prove(MirrorKind kind, uint64_t revision, Time provenAt);
@@ -103,7 +101,7 @@
   /// Call with the lock held. @return whether changes since that revision can be told.
   static bool tellsSince(MirrorKind kind, const KindState& state, uint64_t since);
   /// Call with applying_ held.
-  MirrorOutcome applyNext(MirrorKind kind, const MirrorDelta& delta, std::optional<Time> heardAt);
+  MirrorOutcome applyNext(MirrorKind kind, const MirrorDelta& delta);
   /// Calls `take` with each entry, and with each that is gone, that a copy at `since` lacks.
   template <class Take>
   static void forEachSince(const KindState& state, uint64_t from, Take take);
--- a/test/backends/wanted_weights_test.cpp
+++ b/test/backends/wanted_weights_test.cpp
@@ -59,8 +59,16 @@
     wanted.learnSince("m", 2, at(-1000), at(400));
     CHECK(wanted.dueVersion("m", at(6999)) == 0);
     CHECK(wanted.dueVersion("m", at(7000)) == 2);
-    wanted.learnSince("m", 2, at(-500), at(800));
-    CHECK(wanted.dueVersion("m", at(7000)) == 2);
+    SUBCASE("of which the latest instant before it is nearest to the truth") {
+      wanted.learnSince("m", 2, at(-500), at(800));
+      CHECK(wanted.dueVersion("m", at(7499)) == 0);
+      CHECK(wanted.dueVersion("m", at(7500)) == 2);
+    }
+    SUBCASE("and an earlier one tells nothing") {
+      wanted.learnSince("m", 2, at(-1500), at(800));
+      CHECK(wanted.dueVersion("m", at(6999)) == 0);
+      CHECK(wanted.dueVersion("m", at(7000)) == 2);
+    }
   }
   SUBCASE("and is no later where the version is found once more") {
     wanted.note("m", 2, at(2500), at(2500));
--- a/test/platform/store_client_test.cpp
+++ b/test/platform/store_client_test.cpp
@@ -71,4 +71,39 @@
   }
 }
 
+namespace {
+
+/// @return what a store client makes of that list.
+Result<StoreText> listed(const std::string& body) {
+  ScriptedBackend store(gateway::test::always(gateway::test::answer("200 OK", body)));
+  return StoreClient(store.address()).listText("config");
+}
+
+const std::string kItems = R"({"items":[{"meta":{"name":"main","rev":7},"spec":{"at":5}}],)";
+
+}  // namespace
+
+TEST_CASE("of a list as text its revision is known apart from the rest, which stays the same") {
+  const Result<StoreText> first = listed(kItems + R"("more":false,"at":530})");
+  const Result<StoreText> second = listed(kItems + R"("more":false,"at": 531 })" + "\n");
+  REQUIRE(isOk(first));
+  REQUIRE(isOk(second));
+  CHECK(valueOf(first).revision == 530);
+  CHECK(valueOf(first).items() == kItems + R"("more":false,)");
+  CHECK(valueOf(second).items() == valueOf(first).items());
+
+  const Result<StoreObject> object = findObject(valueOf(first), "main");
+  REQUIRE(isOk(object));
+  CHECK(valueOf(object).revision == 7);
+  CHECK(errorOf(findObject(valueOf(first), "other")).kind == ErrorKind::kNotFound);
+}
+
+TEST_CASE("a list that does not end with its revision is read all the same") {
+  const Result<StoreText> list = listed(R"({"at":530,)" + kItems.substr(1) + R"("more":false})");
+  REQUIRE(isOk(list));
+  CHECK(valueOf(list).revision == 530);
+  CHECK(isOk(findObject(valueOf(list), "main")));
+  CHECK_FALSE(isOk(listed("no list")));
+}
+
 }  // namespace fernmoor::platform
