Soak: engines read slowly or hang with work in their queues, connections to the store go silent

Two series of their own beside the others, drawn apart, so that the draws of known seeds stay as they are; and a check that no node in touch takes a sound store for away (a longer bound on nothing).

--- a/test/platform_soak/judge.py
+++ b/test/platform_soak/judge.py
@@ -31,6 +31,7 @@
         "STALE": stale(runs),
         "ONE": one(orders),
         "VERSION": version(runs, asked, world),
+        "STRETCHED": stretched(world),
         "LOST": lost(calls, by_id, world),
         "BUDGET": budget(runs, asked, world),
         "BLAMED": blamed(calls, world),
@@ -173,6 +174,13 @@
     return faults
 
 
+def stretched(world):
+    """No node that is in touch takes a store for away that is sound, and holds requests to longer bounds."""
+    return [f"node {node} took the store for away" for node, moments in world["stretched"].items()
+            for moment in moments if in_touch(world, node, moment)
+            and calm_since(world, moment - CONTACT_SECONDS, moment) is not None]
+
+
 def lost(calls, by_id, world):
     """A request that a sound engine ran is answered, also by a process that was told to stop, and so
     is each one on a connection that is open, whether it ran or not: only a kill or a standstill of the
--- a/test/platform_soak/soak.py
+++ b/test/platform_soak/soak.py
@@ -2,21 +2,24 @@
 """A randomized fault soak: real gateway processes before a stand-in of the users' platform, callers
 that ask all the while, and faults drawn by a seed. Callers keep their connections until these are
 closed, also those of a process that stops. Faults come in several series that overlap; in some
-series all nodes are struck one after the other. With every other seed the store stays sound, as the
+series all nodes are struck one after the other. Engines read slowly or hang with work in their queues, and
+connections to the store go silent for good. With every other seed the store itself stays sound, as the
 bound of new weights holds only while it does. With growth the operators' table grows by a thousand
 rows and more, time after time, and its rows are changed one by one while it spreads; nodes then have
 narrow links to each other and to the store. What callers and engines saw is judged by the users'
 rules; at the end, with all faults over, each kind of request must be served again.
 
 usage: soak.py BUILD_FOLDER [--seed N] [--seconds S] [--nodes N] [--series N] [--poison N] [--growth N]
-               [--narrow N] [--memory-mb N] [--binary GATEWAY]
+               [--slow N] [--silent N] [--narrow N] [--memory-mb N] [--binary GATEWAY]
 """
 import argparse
 import collections
 import concurrent.futures
+import datetime
 import functools
 import http.client
 import itertools
+import json
 import os
 import pathlib
 import random
@@ -56,6 +59,9 @@
 REPEATED_SHARE, REPEATED_SUBJECTS = 0.2, 3
 CALLERS = 24
 MODEL_ENGINES, PLAIN_ENGINES = 10, 3
+# An engine that is slow reads the 300 tokens of a call in 0.03 to 0.9 s, one that hangs begins nothing.
+SLOWNESS, SLOW_SECONDS, HANG_SECONDS = (5, 150), (0.5, 4.0), (0.3, 3.0)
+SILENCE_PAUSE_SECONDS = (2.0, 9.0)
 RECOVERY_SECONDS = 40
 LAST_POISON_NODES = 5
 # A table of the users' smallest machines may have so many bytes; those grown past it are cut back.
@@ -190,6 +196,16 @@
         except OSError:
             return None
 
+    def bounds_stretched(self):
+        """Returns when the process took the store for away and held requests to longer bounds."""
+        since_boot = time.time() - time.monotonic()
+        moments = []
+        for line in (self.folder / f"node-{self.number}.log").read_text().splitlines():
+            if "the store is away" in line and line.startswith("{"):
+                told = datetime.datetime.fromisoformat(json.loads(line)["time"].replace("Z", "+00:00"))
+                moments.append(told.timestamp() - since_boot)
+        return moments
+
     def note_memory(self):
         peak = memory.peak_bytes(self.process.pid)
         self.peak_bytes = max(self.peak_bytes, peak)
@@ -247,6 +263,7 @@
         self.is_over = threading.Event()  # Nobody looks after the processes any more.
         self.seed, self.series = options.seed, options.series
         self.growth_series = options.growth
+        self.slow_series, self.silent_series = options.slow, options.silent
         self.poison_series = options.poison  # Without them all draws are as before there were any.
         self.engines_turn = threading.Lock()  # Held by the fault that replaces an engine.
         self.poisons = []  # (kind, body)
@@ -551,6 +568,40 @@
             engine.fault = None
             time.sleep(draw.uniform(0.1, 0.4))
 
+    def keep_slowing_engines(self, series, seconds):
+        """A series of its own: some engines of the model read slowly for a while, or hang and then go
+        on with what they hold."""
+        draw = random.Random(f"{self.seed} slow {series}")
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            models = [each for each in self.engines if each.service == MODELS]
+            some = draw.sample(models, draw.randint(1, len(models)))
+            hangs = draw.random() < 0.5
+            print(f"{time.monotonic() - end + seconds:6.2f} l{series} {len(some)} engines "
+                  f"{'hang' if hangs else 'are slow'}", flush=True)
+            for engine in some:
+                if hangs:
+                    engine.hang()
+                else:
+                    engine.slowness = draw.uniform(*SLOWNESS)
+            time.sleep(draw.uniform(*(HANG_SECONDS if hangs else SLOW_SECONDS)))
+            for engine in some:
+                engine.slowness = 1.0
+                engine.go_on()
+            time.sleep(draw.uniform(0.0, 2.0))
+
+    def keep_silencing_connections(self, series, seconds):
+        """A series of its own: connections to the store that are open go silent for good. For the
+        rules that counts as a reset of the connections of all nodes."""
+        draw = random.Random(f"{self.seed} silent {series}")
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            time.sleep(draw.uniform(*SILENCE_PAUSE_SECONDS))
+            print(f"{time.monotonic() - end + seconds:6.2f} s{series} connections silent", flush=True)
+            for node in self.nodes:
+                node.strike()
+            self.store.silence_connections()
+
     def weights_named(self, draw=None):
         with self.changes:
             self.weights += 1
@@ -609,6 +660,10 @@
                    for number in range(self.poison_series)]
         series += [threading.Thread(target=self.keep_growing, args=(number, seconds))
                    for number in range(self.growth_series)]
+        series += [threading.Thread(target=self.keep_slowing_engines, args=(number, seconds))
+                   for number in range(self.slow_series)]
+        series += [threading.Thread(target=self.keep_silencing_connections, args=(number, seconds))
+                   for number in range(self.silent_series)]
         try:
             for each in series:
                 each.start()
@@ -711,6 +766,7 @@
         rules = dict(self.rules, crashes=self.seen.crashes, poison=self.seen.poison)
         for name in ("struck", "killed", "exits", "peak_bytes", "ended_itself"):
             rules[name] = {node.number: getattr(node, name) for node in self.nodes}
+        rules["stretched"] = {node.number: node.bounds_stretched() for node in self.nodes}
         rules["memory_bytes"] = {node.number: node.machine.memory_mb * judge.MEGABYTE
                                  for node in self.nodes}
         return rules
@@ -727,6 +783,10 @@
                         help="series of requests that crash engines, beside the others")
     parser.add_argument("--growth", type=int, default=0,
                         help="series of growths of the operators' table, beside the others")
+    parser.add_argument("--slow", type=int, default=1,
+                        help="series of engines that read slowly or hang, beside the others")
+    parser.add_argument("--silent", type=int, default=1,
+                        help="series of connections to the store that go silent, beside the others")
     parser.add_argument("--narrow", type=int,
                         help="nodes with narrow links; all with growth, else none")
     parser.add_argument("--memory-mb", type=int, default=MEMORY_MB, help="limit of each gateway")
--- a/test/process/platform_soak_test.py
+++ b/test/process/platform_soak_test.py
@@ -18,7 +18,7 @@
          "service_of": {"once": "plain", "stream-once": "models"},
          "named": [(2, 100.0)], "unstable": [], "struck": {1: [(105.0, 106.0)]},
          "killed": {1: [1.5]}, "poison": {b"p"}, "exits": {2: [1.1]}, "memory_bytes": {0: 88e6},
-         "peak_bytes": {0: 88e6}, "ended_itself": {0: []},
+         "peak_bytes": {0: 88e6}, "ended_itself": {0: []}, "stretched": {0: []},
          "crashes": [{"body": b"p", "engine": f"e{n}", "at": 100.0 + n} for n in range(5)]}
 
 
@@ -114,6 +114,11 @@
         assert not judge.judge(*allowed, WORLD)["BUDGET"]
     for changes in ({"peak_bytes": {0: 88e6 + 1}}, {"ended_itself": {0: [(1.0, -11)]}}):
         assert judge.judge([], [], [], dict(WORLD, **changes))["MEMORY"], changes
+    # Taken for away while it was sound, while the node was struck, and while it was away.
+    assert judge.judge([], [], [], dict(WORLD, stretched={0: [50.0]}))["STRETCHED"]
+    assert not judge.judge([], [], [], dict(WORLD, stretched={1: [106.5]}))["STRETCHED"]
+    assert not judge.judge([], [], [], dict(WORLD, stretched={0: [50.0]},
+                                            unstable=[(48.0, 49.5)]))["STRETCHED"]
     for rule, calls, runs, orders in FAULTS:
         found = judge.judge(calls, runs, orders, WORLD)
         assert found[rule], f"{rule} does not find {calls} {runs} {orders}"
