Soak: nodes listen at fixed ports of the run's own net, out of the kernel's range

What was seen: a gateway ended at its start with "Net Exception", as an address was taken (known red since old_weights_test met it once). The cause: ports were drawn from the range from which the kernel gives ports and were not held; the store of each node and the links then listen on the nodes' addresses at ports that the kernel gives, now and then at one of these, or one was drawn twice. A net is claimed by one run, so ports need not be drawn: no collision is left.

--- a/test/platform_soak/hosts.py
+++ b/test/platform_soak/hosts.py
@@ -5,6 +5,10 @@
 import socket
 
 CLAIM_PORT = 1099  # Outside the range that the kernel gives to connections.
+# Of each node, on its own address, and of the detours between nodes. Outside that range too: the store and
+# the links listen on the nodes' addresses at ports that the kernel gives.
+NODE_PORTS = {"front": 10001, "ready": 10002, "peers": 10003, "metrics": 10004}
+FIRST_DETOUR_PORT = 10100
 FIRST_NODE = 20
 NETS = 254
 
--- a/test/platform_soak/soak.py
+++ b/test/platform_soak/soak.py
@@ -26,7 +26,6 @@
 import re
 import select
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -72,22 +71,6 @@
 MEMORY_MB, NARROW_MBPS, WIDE_MBPS = 88, 10, 1000  # The smallest machines of the users, and a wide link.
 
 
-def free_port(hosts):
-    """A port that is free on every host."""
-    while True:
-        with socket.socket() as first:
-            first.bind((hosts[0], 0))
-            port = first.getsockname()[1]
-        try:
-            for host in hosts:
-                for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
-                    with socket.socket(socket.AF_INET, kind) as probe:
-                        probe.bind((host, port))
-            return port
-        except OSError:
-            continue
-
-
 @functools.lru_cache(maxsize=None)
 def extra_row(number, timeout_ms):
     """Rows that did not change are the same object in all versions that the store remembers."""
@@ -272,12 +255,12 @@
 
     def start_nodes(self, options):
         hosts = own_hosts.node_hosts(self.net, options.nodes)
-        ports = {name: free_port(hosts) for name in ("front", "ready", "peers", "metrics")}
+        ports = own_hosts.NODE_PORTS
         narrow = {number: links.Link(NARROW_MBPS) for number in range(options.narrow)}
         for number in range(options.nodes):
             environment = {}
             if narrow:
-                detour = free_port(hosts)
+                detour = own_hosts.FIRST_DETOUR_PORT + number
                 links.between_nodes(hosts, ports["peers"], detour, number, narrow)
                 environment = {"FERNMOOR_PEER_DETOUR": f"{ports['peers']},{detour}",
                                "LD_PRELOAD": options.detour}
--- a/test/process/store_calls_test.py
+++ b/test/process/store_calls_test.py
@@ -40,10 +40,9 @@
         self.store.put("servers", "e1", {"service": "models", "addr": "127.0.0.1:1", "zone": "z"})
         net, self.net_holder = own_hosts.claim_net()
         hosts = own_hosts.node_hosts(net, NODES)
-        ports = {name: soak.free_port(hosts) for name in ("front", "ready", "peers", "metrics")}
         self.folder = tempfile.TemporaryDirectory()
-        self.nodes = [soak.Node(number, BINARY, pathlib.Path(self.folder.name), self.store, ports,
-                                hosts) for number in range(NODES)]
+        self.nodes = [soak.Node(number, BINARY, pathlib.Path(self.folder.name), self.store,
+                                own_hosts.NODE_PORTS, hosts) for number in range(NODES)]
         wait_for(lambda: len(self.watching()) == 2, "two nodes follow the store")
         self.told = next(number for number in range(NODES) if number not in self.watching())
 
