--- a/test/http/http_client_test.cpp
+++ b/test/http/http_client_test.cpp
@@ -185,6 +185,7 @@
   call.timeout = std::chrono::seconds(30);
   server.answerTogether(3);
   std::vector<std::thread> callers;
+  callers.reserve(3);
   for (int caller = 0; caller < 3; ++caller) {
     callers.emplace_back([&] { client.call(call); });
   }
