--- a/src/backends/wanted_weights.cpp
+++ b/src/backends/wanted_weights.cpp
@@ -11,8 +11,8 @@
 constexpr size_t kVersionsKept = 64;
 /// A request may wait at its engine for so long before it begins.
 constexpr Duration kBeginMargin{1000000};
-/// What another node knows of a version's time is taken where it is later by so much: the ways of
-/// questions make the difference of what all know.
+/// What another node knows of a version's time is taken only where it is later by so much; less is
+/// the time that questions are on their way.
 constexpr Duration kWorthLearning{50000};
 /// Other nodes are told of a version for so many times its bound: an outage of the store may have
 /// made the bound longer.
--- a/src/gateway/begin_deadline.h
+++ b/src/gateway/begin_deadline.h
@@ -14,11 +14,11 @@
 
 namespace fernmoor::gateway {
 
-/// Part of what is expected of a back end that a request is given until it begins there: on busy
-/// engines estimates are off by half and more.
+/// A back end may take so many times the expected time to the first event: on busy engines
+/// estimates are off by half and more.
 inline constexpr double kBeginAllowance = 1.5;
 
-/// What is told of a back end that nothing is expected of, when it is chosen.
+/// From the send to the first event, where nobody knows a back end's load.
 inline constexpr Duration kUnknownFirstEvent{500000};
 
 /// Not thread-safe; belongs to one request.
