Failing test: engines that state a limit get several times as much

The soak's engines can state limits now, and its judge counts what comes from gateways that were told.

--- a/test/platform_soak/engines.py
+++ b/test/platform_soak/engines.py
@@ -11,6 +11,8 @@
 stays in the store for a while, and the engine comes back, every other time under the id that it had. How it
 ends is the ledger's `ending`: its port closes before its connections are reset ("closed"), some time after
 that ("closes late"), or nothing is said or reset until it is back ("silent").
+An engine may state in its answers how many requests a second it takes from all gateways together; it takes
+more all the same, as the judge counts what comes.
 """
 import collections
 import http.server
@@ -52,6 +54,9 @@
         self.orders = []  # dicts
         self.poison = set()  # bodies of requests that crash engines
         self.crashes = []  # dicts: body, engine, at
+        self.arrivals = []  # dicts: id, life, at
+        self.limits = []  # dicts: life, at, text; None: the engine states none from then on
+        self.told = []  # dicts: id, life, at; of answers that state a limit
         self.on_crash = None  # called with an engine that a request crashed
         self.ending = "closed"  # how engines end that a request crashes
 
@@ -63,6 +68,10 @@
         with self.lock:
             self.orders.append(entry)
 
+    def note(self, entries, **entry):
+        with self.lock:
+            entries.append(dict(entry, at=time.monotonic()))
+
     def crash(self, body, engine):
         """Returns whether it is the first crash of this life."""
         with self.lock:
@@ -83,6 +92,7 @@
         self.talks = threading.Event()  # Cleared while it says nothing.
         self.talks.set()
         self.number, self.life, self.service, self.model = number, life, service, model
+        self.limit = None  # The text of the limit that it states; None: none.
         self.store, self.ledger = store, ledger
         self.version, self.orders, self.fence, self.busy = version, 0, 0, False
         self.fault = None
@@ -148,6 +158,11 @@
         self.crash(keeps_entry=True)
         self.talks.set()  # What its handlers have to say meets closed connections.
 
+    def state_limit(self, text):
+        """States that limit from now on; None: none."""
+        self.limit = text
+        self.ledger.note(self.ledger.limits, life=self.life, text=text)
+
     def load(self, version):
         time.sleep(LOAD_SECONDS)
         self.version, self.busy = version, False
@@ -241,12 +256,20 @@
     def send(self, status, body=b"", headers=()):
         self.engine.talks.wait()
         self.send_response(status)
-        for name, value in headers:
+        for name, value in [*headers, *self.limit_headers(headers)]:
             self.send_header(name, value)
         self.send_header("Content-Length", str(len(body)))
         self.end_headers()
         self.wfile.write(body)
 
+    def limit_headers(self, headers):
+        """The limit that the answer to a request states, as headers."""
+        request, text = dict(headers).get("X-Request-Id"), self.engine.limit
+        if request is None or text is None:
+            return []
+        self.engine.ledger.note(self.engine.ledger.told, id=request, life=self.engine.life)
+        return [("Server-Limit", each) for each in text.split("|")]
+
     def drop(self):
         self.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         self.close_connection = True
@@ -310,6 +333,7 @@
         engine.talks.wait()  # A silent engine runs nothing.
         arrived = time.monotonic()
         request = self.headers.get("X-Request-Id", "")
+        engine.ledger.note(engine.ledger.arrivals, id=request, life=engine.life)
         version = engine.version  # It may change while the request is looked at.
         names = [("X-Request-Id", request), ("X-Weight-Versions", str(version))]
         expected = self.headers.get("X-Expect-Version")
@@ -381,7 +405,7 @@
     def stream(self, names, stamp):
         self.send_response(200)
         for name, value in names + [("Content-Type", "text/event-stream"),
-                                    ("Transfer-Encoding", "chunked")]:
+                                    ("Transfer-Encoding", "chunked"), *self.limit_headers(names)]:
             self.send_header(name, value)
         self.end_headers()
         first = int(self.headers.get("Last-Event-Id") or 0) + 1
--- a/test/platform_soak/judge.py
+++ b/test/platform_soak/judge.py
@@ -2,6 +2,8 @@
 bounds that they name. Each check returns the list of its faults.
 """
 import collections
+import math
+import re
 
 REVOKE_SECONDS = 5.0
 LEASE_SECONDS = 3.0
@@ -11,6 +13,8 @@
 MEGABYTE = 1e6  # As the users' pages count it.
 # A process that was told to stop may end while a request reaches it.
 END_SECONDS = 0.2
+# Of limits that engines state: the window, what is allowed in it, and how long a node is told before it counts.
+LIMIT_WINDOW_SECONDS, LIMIT_FACTOR, LIMIT_SLACK, LIMIT_TOLD_SECONDS = 4.0, 1.5, 5, 0.5
 
 
 def judge(calls, runs, orders, world):
@@ -36,6 +40,7 @@
         "BUDGET": budget(runs, asked, world),
         "BLAMED": blamed(calls, world),
         "MEMORY": memory(world),
+        "LIMIT": limit(asked, world),
     }
 
 
@@ -263,3 +268,73 @@
     faults += [f"{engine}: fence {fence} was used by {sorted(who)}"
                for (engine, fence), who in holders.items() if len(who) > 1]
     return faults
+
+
+def stated_rate(text):
+    """The requests a second of a limit's text; None: it states none."""
+    try:
+        rate = float(text) if text is not None and re.fullmatch(r"[0-9]+(\.[0-9]+)?", text) else None
+    except ValueError:
+        return None
+    return rate if rate is not None and math.isfinite(rate) else None
+
+
+def limit_stretches(limits):
+    """Returns {life: [[start, end, greatest rate]]}: where an engine states limits without a gap. An odd text
+    neither states nor ends one."""
+    stretches = collections.defaultdict(list)
+    for entry in sorted(limits, key=lambda entry: entry["at"]):
+        own, rate = stretches[entry["life"]], stated_rate(entry["text"])
+        is_open = bool(own) and own[-1][1] is None
+        if entry["text"] is None and is_open:
+            own[-1][1] = entry["at"]
+        elif rate is not None and is_open:
+            own[-1][2].append((entry["at"], rate))
+        elif rate is not None:
+            own.append([entry["at"], None, [(entry["at"], rate)]])
+    return stretches
+
+
+def most_allowed(rates, start, end):
+    """rates: (since, requests a second). What a window may hold: the greatest limit that was stated in it, or
+    shortly before, counts for all of it."""
+    in_force = [rate for (since, rate), (until, _) in zip(rates, rates[1:] + [(math.inf, 0)])
+                if since <= end and until + LIMIT_TOLD_SECONDS >= start]
+    return LIMIT_FACTOR * max(in_force) * LIMIT_WINDOW_SECONDS + LIMIT_SLACK
+
+
+def limit(asked, world):
+    """From a while after an engine first stated a limit, it gets no more than that allows from nodes in touch
+    that had such an answer."""
+    faults = []
+    for life, stretches in limit_stretches(world["limits"]).items():
+        told = [entry for entry in world["told"] if entry["life"] == life and entry["id"] in asked]
+        for start, end, rates in stretches:
+            first = {}
+            for entry in told:
+                if entry["at"] >= start:
+                    first.setdefault(asked[entry["id"]]["node"], entry["at"])
+            if not first:
+                continue
+            since = min(first.values()) + CONTACT_SECONDS
+            counted = sorted(
+                entry["at"] for entry in world["arrivals"]
+                if entry["life"] == life and entry["id"] in asked
+                and since <= entry["at"] <= (end or math.inf)
+                and first.get(asked[entry["id"]]["node"], math.inf) + LIMIT_TOLD_SECONDS <= entry["at"]
+                and in_touch(world, asked[entry["id"]]["node"], entry["at"]))
+            faults += windows_beyond(life, counted, rates)
+    return faults
+
+
+def windows_beyond(life, arrivals, rates):
+    """The windows that hold more arrivals than the limit allows, each told by its first arrival."""
+    faults, last = [], 0
+    for first, start in enumerate(arrivals):
+        while last < len(arrivals) and arrivals[last] <= start + LIMIT_WINDOW_SECONDS:
+            last += 1
+        allowed = most_allowed(rates, start, start + LIMIT_WINDOW_SECONDS)
+        if last - first > allowed:
+            faults.append(f"life {life}: {last - first} requests in {LIMIT_WINDOW_SECONDS} s, "
+                          f"allowed {allowed:.1f}")
+    return faults
--- a/test/platform_soak/soak.py
+++ b/test/platform_soak/soak.py
@@ -321,7 +321,7 @@
                 "sent_body": body, "sent_at": time.monotonic(), "status": None, "body": b"",
                 "complete": False, "stamp": None, "answered_id": None, "events": standin.EVENTS,
                 "node": node.number, "gave_up": False, "ended_at": None, "broken": "",
-                "connected": False}
+                "connected": False, "retry_after": None}
         with self.calls_lock:
             self.calls.append(call)
         headers = {"Host": "h.example", "X-Request-Id": number, "X-Deadline-Ms": "4000",
@@ -342,6 +342,7 @@
             call["status"] = answer.status
             call["stamp"] = answer.headers.get("X-Server-Stamp")
             call["answered_id"] = answer.headers.get("X-Request-Id")
+            call["retry_after"] = answer.headers.get("Retry-After")
             self.read(answer, call)
         except TimeoutError:
             call["gave_up"] = True
@@ -746,7 +747,8 @@
 
     def seen_by_judge(self):
         """All that the judge needs beside calls, runs and orders."""
-        rules = dict(self.rules, crashes=self.seen.crashes, poison=self.seen.poison)
+        rules = dict(self.rules, crashes=self.seen.crashes, poison=self.seen.poison,
+                     arrivals=self.seen.arrivals, limits=self.seen.limits, told=self.seen.told)
         for name in ("struck", "killed", "exits", "peak_bytes", "ended_itself"):
             rules[name] = {node.number: getattr(node, name) for node in self.nodes}
         rules["stretched"] = {node.number: node.bounds_stretched() for node in self.nodes}
--- a/test/process/platform_soak_test.py
+++ b/test/process/platform_soak_test.py
@@ -19,6 +19,7 @@
          "named": [(2, 100.0)], "unstable": [], "struck": {1: [(105.0, 106.0)]},
          "killed": {1: [1.5]}, "poison": {b"p"}, "exits": {2: [1.1]}, "memory_bytes": {0: 88e6},
          "peak_bytes": {0: 88e6}, "ended_itself": {0: []}, "stretched": {0: []},
+         "arrivals": [], "limits": [], "told": [],
          "crashes": [{"body": b"p", "engine": f"e{n}", "at": 100.0 + n} for n in range(5)]}
 
 
@@ -124,8 +125,38 @@
         assert found[rule], f"{rule} does not find {calls} {runs} {orders}"
 
 
+def limited(count, first_at=110.0, node=0, changes=(), end=None):
+    """A world whose engine stated 1 a second at 100 s, and got `count` requests within 4 s; and the calls."""
+    calls = [call(id=f"r{n}", node=node) for n in range(count + 1)]
+    limits = [{"life": 1, "at": 100.0, "text": "1"}, *changes]
+    if end:
+        limits.append({"life": 1, "at": end, "text": None})
+    arrivals = [{"id": f"r{n}", "life": 1, "at": first_at + n * 3.9 / count} for n in range(count)]
+    return calls, dict(WORLD, limits=limits, arrivals=arrivals,
+                       told=[{"id": f"r{count}", "life": 1, "at": 100.1}])
+
+
+def limit_faults(calls, world):
+    return judge.judge(calls, [], [], world)["LIMIT"]
+
+
+def check_judge_of_limits():
+    assert not limit_faults(*limited(11)) and limit_faults(*limited(12))
+    odd = [{"life": 1, "at": 101.0, "text": text} for text in ("abc", "-1", "nan", "1e400", "1|9")]
+    assert limit_faults(*limited(12, changes=odd)), "an odd text ends no limit"
+    rise = {"life": 1, "at": 105.0, "text": "2.5"}
+    assert not limit_faults(*limited(20, changes=[rise])) and limit_faults(*limited(21, changes=[rise]))
+    assert not limit_faults(*limited(30, first_at=98.9)), "too soon after it was first stated"
+    assert not limit_faults(*limited(30, end=109.0)), "it had ended"
+    assert not limit_faults(*limited(30, first_at=104.0, node=1)), "a node that was struck"
+    calls, world = limited(30)
+    assert not limit_faults(calls, dict(world, told=[])), "no node was told"
+    assert not limit_faults(calls, dict(world, limits=[dict(world["limits"][0], text="abc")]))
+
+
 def main():
     check_judge()
+    check_judge_of_limits()
     for seed in SEEDS:
         subprocess.run([sys.executable, str(SOAK / "soak.py"), sys.argv[1], "--seed", str(seed),
                         "--seconds", str(SECONDS), "--poison", "0"], check=True)
