--- a/src/admission/limit_role.cpp
+++ b/src/admission/limit_role.cpp
@@ -189,6 +189,11 @@
   return limiter_.shortCount();
 }
 
+double LimitRole::reachableShare() const {
+  const RankedLock lock(mutex_);
+  return reachableShare_;
+}
+
 void LimitRole::answerOwn(const std::vector<LimitDemand>& questions, Time now) {
   for (const LimitDemand& demand : questions) {
     takeGrant(owner_.onDemand(self_, demand, situation(now), now), now);
--- a/src/admission/limit_role.h
+++ b/src/admission/limit_role.h
@@ -37,6 +37,8 @@
   bool awaitsAnswer(const RowKey& row) const;
   /// @return rows whose owner gives this node less than it wants.
   size_t shortCount() const;
+  /// @return part of the known nodes that this one can hear of.
+  double reachableShare() const;
 
   void onMessage(NodeLife from, const proto::Envelope& envelope, Time now,
                  MessageSender& sender) override;
--- a/src/backends/backend_set.cpp
+++ b/src/backends/backend_set.cpp
@@ -113,6 +113,14 @@
                                  : std::optional<BackendListing>(*found->second.listing);
 }
 
+std::string BackendSet::idOf(uint64_t incarnation) const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const auto found = std::find_if(entries_.begin(), entries_.end(), [&](const auto& entry) {
+    return entry.second.incarnation == incarnation;
+  });
+  return found == entries_.end() ? "" : found->first;
+}
+
 size_t BackendSet::size() const {
   const std::lock_guard<std::mutex> lock(mutex_);
   return entries_.size();
--- a/src/backends/backend_set.h
+++ b/src/backends/backend_set.h
@@ -70,6 +70,8 @@
   std::vector<BackendListing> all() const;
   /// @return nothing where it is not listed.
   std::optional<BackendListing> find(const std::string& id) const;
+  /// @return the id of a listed incarnation; empty where it is not listed.
+  std::string idOf(uint64_t incarnation) const;
   size_t size() const;
   /// @return whether the back end is listed and not draining.
   bool isUsable(const std::string& id) const;
--- a/src/common/metrics.cpp
+++ b/src/common/metrics.cpp
@@ -82,6 +82,15 @@
       shortLimits_(&gauge(registry_, "fernmoor_short_limits",
                           "Limits that give this node less than it wants.")
                         .Add({})),
+      limitedEngines_(&gauge(registry_, "fernmoor_limited_engines",
+                             "Engines that state how many requests a second they take.")
+                           .Add({})),
+      permitted_(&counter(registry_, "fernmoor_permitted_sends_total",
+                          "Requests sent to engines that state a limit, within it.")
+                      .Add({})),
+      unpermitted_(&counter(registry_, "fernmoor_unpermitted_requests_total",
+                            "Requests refused as all engines were at the limits that they state.")
+                        .Add({})),
       quarantined_(&gauge(registry_, "fernmoor_quarantined_requests",
                           "Requests that are not sent on, as they crashed several engines.")
                         .Add({})),
--- a/src/common/metrics.h
+++ b/src/common/metrics.h
@@ -114,6 +114,11 @@
   void setOpenStreams(int64_t count) { openStreams_->Set(static_cast<double>(count)); }
   /// Limits of rows or tenants that give this node less than it wants.
   void setShortLimits(size_t count) { shortLimits_->Set(static_cast<double>(count)); }
+  /// Engines that state how many requests they take.
+  void setLimitedEngines(size_t count) { limitedEngines_->Set(static_cast<double>(count)); }
+  /// A request was sent to an engine on a permit, or was refused for want of one.
+  void countPermitted() { permitted_->Increment(); }
+  void countUnpermitted() { unpermitted_->Increment(); }
   /// Requests that are not sent on, as they crashed several engines.
   void setQuarantined(size_t count) { quarantined_->Set(static_cast<double>(count)); }
   /// A back end began a request on weights whose bound had passed when its answer came.
@@ -156,6 +161,9 @@
   prometheus::Gauge* tableAge_;
   prometheus::Gauge* openStreams_;
   prometheus::Gauge* shortLimits_;
+  prometheus::Gauge* limitedEngines_;
+  prometheus::Counter* permitted_;
+  prometheus::Counter* unpermitted_;
   prometheus::Gauge* quarantined_;
   prometheus::Gauge* enginesBehind_;
   prometheus::Counter* oldWeights_;
--- a/src/gateway/backend_choice.cpp
+++ b/src/gateway/backend_choice.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 #include "common/rendezvous.h"
 
@@ -109,6 +110,45 @@
   return tokens;
 }
 
+/// @return those that state no limit, or that may take a request now.
+Candidates permittingNow(Candidates candidates, const EngineLoads& loads) {
+  candidates.erase(std::remove_if(candidates.begin(), candidates.end(),
+                                  [&](const BackendView* each) {
+                                    const auto due = loads.permitDue(each->incarnation);
+                                    return due && *due > Duration(0);
+                                  }),
+                   candidates.end());
+  return candidates;
+}
+
+EngineDemand permitOnly(const IncomingRequest& request, Time now, Duration longestWait) {
+  EngineDemand demand = demandOf(request, now);
+  demand.longestPermitWait = longestWait;
+  demand.isCounted = false;
+  return demand;
+}
+
+BackendChoice unaskedChoice(const BackendView& backend) {
+  BackendChoice choice;
+  choice.backend = backend;
+  choice.pendingTokens = backend.pendingTokens;
+  return choice;
+}
+
+/// @return nothing where the back end permits none in time, or nobody answered.
+std::optional<BackendChoice> askForPermit(const BackendView& backend, const EngineDemand& demand,
+                                          const ChoiceContext& context, EngineLoads& loads) {
+  const std::optional<LoadAnswer> answer =
+      loads.reserve(backend.incarnation, demand, context.room, kNoBound);
+  if (!answer || !answer->isGranted) {
+    return std::nullopt;
+  }
+  BackendChoice choice = unaskedChoice(backend);
+  choice.ticket = answer->ticket;
+  choice.permitWait = answer->permitWait;
+  return choice;
+}
+
 /// A home that was asked and had too much to do.
 struct BusyHome {
   BackendChoice choice;
@@ -128,7 +168,8 @@
 std::optional<BackendChoice> chooseHome(const IncomingRequest& request,
                                         const std::vector<BackendView>& candidates,
                                         const ChoiceContext& context, EngineLoads& loads) {
-  const Candidates homes = firstHomes(request, usableOf(candidates, context.tried));
+  const Candidates homes =
+      firstHomes(request, permittingNow(usableOf(candidates, context.tried), loads));
   const uint64_t shared = sharedTokensOf(request);
   const EngineDemand demand = demandOf(request, context.now);
   // A wait as long as the request's own reading is not worth a question to another node.
@@ -145,7 +186,8 @@
     const uint64_t bound = best ? std::min(shortWait, best->cost - toBring) : shortWait;
     const std::optional<LoadAnswer> answer =
         loads.reserve(home.incarnation, demand, context.room, bound);
-    if (answer && answer->isStalled) {
+    const bool isUnanswered = !answer && loads.permitDue(home.incarnation);
+    if (isUnanswered || (answer && (answer->isStalled || answer->lacksPermit))) {
       continue;
     }
     ++asked;
@@ -178,20 +220,72 @@
   if (counted && counted->isGranted) {
     best->choice.ticket = counted->ticket;
   }
-  return best->choice;
+  const bool isPermitted =
+      best->choice.ticket || !loads.permitDue(best->choice.backend.incarnation);
+  return isPermitted ? std::optional(best->choice) : std::nullopt;
 }
 
-std::optional<BackendChoice> chooseLeastLoaded(const std::vector<BackendView>& candidates,
-                                               const ChoiceContext& context, Random& random) {
-  const Candidates usable = usableOf(candidates, context.tried);
-  if (usable.empty()) {
-    return std::nullopt;
+std::optional<BackendChoice> chooseLeastLoaded(const IncomingRequest& request,
+                                               const std::vector<BackendView>& candidates,
+                                               const ChoiceContext& context, EngineLoads& loads,
+                                               Random& random) {
+  Candidates usable = permittingNow(usableOf(candidates, context.tried), loads);
+  const EngineDemand demand = permitOnly(request, context.now, Duration(0));
+  for (size_t asked = 0; !usable.empty();) {
+    const BackendView& best = *leastLoaded(usable, context.zone, random);
+    if (!loads.permitDue(best.incarnation)) {
+      return unaskedChoice(best);
+    }
+    if (asked < kMostHomesAsked) {
+      ++asked;
+      if (const auto permitted = askForPermit(best, demand, context, loads)) {
+        return permitted;
+      }
+    }
+    usable.erase(std::find(usable.begin(), usable.end(), &best));
   }
-  const BackendView& chosen = *leastLoaded(usable, context.zone, random);
-  BackendChoice choice;
-  choice.backend = chosen;
-  choice.pendingTokens = chosen.pendingTokens;
-  return choice;
+  return std::nullopt;
+}
+
+std::optional<BackendChoice> chooseSoonestPermit(const IncomingRequest& request,
+                                                 const std::vector<BackendView>& candidates,
+                                                 const ChoiceContext& context, EngineLoads& loads,
+                                                 Duration longestWait) {
+  std::vector<std::pair<Duration, const BackendView*>> due;
+  for (const BackendView* each : usableOf(candidates, context.tried)) {
+    const std::optional<Duration> wait = loads.permitDue(each->incarnation);
+    if (!wait || *wait <= longestWait) {
+      due.emplace_back(wait.value_or(Duration(0)), each);
+    }
+  }
+  std::stable_sort(due.begin(), due.end(),
+                   [](const auto& left, const auto& right) { return left.first < right.first; });
+  due.resize(std::min(due.size(), kMostHomesAsked));
+  const EngineDemand demand = permitOnly(request, context.now, longestWait);
+  for (const auto& each : due) {
+    const BackendView& backend = *each.second;
+    if (const auto permitted = askForPermit(backend, demand, context, loads)) {
+      return permitted;
+    }
+    if (loads.permitDue(backend.incarnation) == Duration(0) &&
+        loads.mayGoUnasked(backend.incarnation)) {
+      return unaskedChoice(backend);
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<Duration> soonestPermit(const std::vector<BackendView>& candidates,
+                                      const ChoiceContext& context, const EngineLoads& loads) {
+  std::optional<Duration> soonest;
+  for (const BackendView* each : usableOf(candidates, context.tried)) {
+    const std::optional<Duration> due = loads.permitDue(each->incarnation);
+    if (!due) {
+      return std::nullopt;
+    }
+    soonest = std::min(soonest.value_or(*due), *due);
+  }
+  return soonest;
 }
 
 std::string cacheScopeOf(const IncomingRequest& request, uint64_t weightsVersion) {
--- a/src/gateway/backend_choice.h
+++ b/src/gateway/backend_choice.h
@@ -34,6 +34,7 @@
 /// A choice, and what is known of the back end's load.
 struct BackendChoice {
   BackendView backend;
+  Duration permitWait{0};            ///< To be waited for before the request is sent.
   uint64_t pendingTokens = 0;        ///< Of all nodes where somebody answered, else of this one.
   std::optional<LoadTicket> ticket;  ///< To be released when the request left the back end.
   std::optional<ExpectedTimes> expected;  ///< Where somebody answered.
@@ -43,17 +44,33 @@
 /// the request's own prompt: what waits there, of all nodes, and, anywhere but at the home, the
 /// shared parts, which have to be brought. Asks those who count for all nodes, home after home,
 /// until the wait is no longer than the request's own reading; engines where nothing moves are
-/// passed over. Candidates that were tried are left out, and avoided ones unless all are. Waits for
-/// other nodes.
+/// passed over, and so are those that take no further request now by the limits that they state.
+/// Candidates that were tried are left out, and avoided ones unless all are. Waits for other nodes.
 /// @return nothing for a request without shared parts, or where no candidate is left.
 std::optional<BackendChoice> chooseHome(const IncomingRequest& request,
                                         const std::vector<BackendView>& candidates,
                                         const ChoiceContext& context, EngineLoads& loads);
 
-/// Chooses by what this node has running, its own zone first.
+/// Chooses by what this node has running, its own zone first, among those that take a request now.
+/// Waits for other nodes where candidates state limits.
 /// @return nothing where no candidate is left.
-std::optional<BackendChoice> chooseLeastLoaded(const std::vector<BackendView>& candidates,
-                                               const ChoiceContext& context, Random& random);
+std::optional<BackendChoice> chooseLeastLoaded(const IncomingRequest& request,
+                                               const std::vector<BackendView>& candidates,
+                                               const ChoiceContext& context, EngineLoads& loads,
+                                               Random& random);
+
+/// Chooses the candidate that permits a request soonest, within `longestWait`. For where none takes
+/// one now by the limits that they state. Waits for other nodes.
+/// @return nothing where none does so in time.
+std::optional<BackendChoice> chooseSoonestPermit(const IncomingRequest& request,
+                                                 const std::vector<BackendView>& candidates,
+                                                 const ChoiceContext& context, EngineLoads& loads,
+                                                 Duration longestWait);
+
+/// @return the time until a candidate may permit a request; nothing where one states no limit, or
+///         none is left.
+std::optional<Duration> soonestPermit(const std::vector<BackendView>& candidates,
+                                      const ChoiceContext& context, const EngineLoads& loads);
 
 /// @return what the request takes of an engine, and when it can be forgotten there.
 EngineDemand demandOf(const IncomingRequest& request, Time now);
--- a/src/gateway/backend_protocol.h
+++ b/src/gateway/backend_protocol.h
@@ -24,12 +24,22 @@
   std::string resumeAfter;      ///< Id of the last event delivered; empty: from the start.
 };
 
+/// What an answer's head tells of the requests a second that its back end takes from all nodes.
+enum class LimitMention {
+  kUntold,  ///< Nothing: another incarnation answered, or none is named where one may be left out.
+  kNone,    ///< There is no limit.
+  kStated,  ///< It is AnswerFacts::limit.
+  kUnreadable,  ///< It is no decimal number; it neither states nor ends a limit.
+};
+
 /// What an answer's head tells.
 struct AnswerFacts {
   bool isOurs = false;          ///< It answers the request that was sent.
   bool didNotRun = false;       ///< The back end vouches that the request did not run.
   bool isWrongLife = false;     ///< Another life of the back end, or other weights.
   uint64_t weightsVersion = 0;  ///< 0: not told.
+  LimitMention limitMention = LimitMention::kUntold;
+  double limit = 0;  ///< Requests a second, 0 or more.
 };
 
 class BackendProtocol {
--- a/src/gateway/engine_loads.h
+++ b/src/gateway/engine_loads.h
@@ -1,12 +1,14 @@
 /// @file
-/// What waits and runs at engines. Each node sees its own requests only, a small part where there
-/// are many nodes, so the choice of an engine asks somebody who counts for all nodes.
+/// What waits and runs at engines, and what they take by the limits that they state. Each node sees
+/// its own requests only, a small part where there are many nodes, so the choice of an engine asks
+/// somebody who counts for all nodes.
 #pragma once
 
 #include <cstdint>
 #include <optional>
 
 #include "common/time.h"
+#include "gateway/stated_limits.h"
 
 namespace fernmoor::gateway {
 
@@ -21,12 +23,16 @@
   uint64_t promptTokens = 0;
   uint64_t memoryTokens = 0;      ///< Prompt and expected answer.
   Duration forgetAfter{3000000};  ///< Its end was not told if it is still counted then.
+  Duration longestPermitWait{0};  ///< For which it can wait where the engine states a limit.
+  bool isCounted = true;          ///< False: it only needs a permit.
 };
 
 /// A request that is counted at an engine until it is released or forgotten.
 struct LoadTicket {
   uint64_t engine = 0;  ///< Hash of its id.
   uint32_t id = 0;
+  bool isCounted = true;   ///< Its end is to be told.
+  bool hasPermit = false;  ///< To be given back where the request is not sent.
 };
 
 struct LoadAnswer {
@@ -36,6 +42,9 @@
   uint64_t pendingTokens = 0;
   double tokensPerSecond = 0;  ///< Prompt tokens that the engine got through lately, cached or not.
   bool isStalled = false;      ///< Prompts wait there and none was begun for far too long.
+  /// The engine states a limit, and no permit comes within the time for which the request can wait.
+  bool lacksPermit = false;
+  Duration permitWait{0};  ///< Until the request may be sent, or until a permit may come.
   LoadTicket ticket;
 
   /// @return the time until the engine begins to read a newcomer's prompt.
@@ -61,6 +70,19 @@
   virtual void promptRead(const LoadTicket& ticket) = 0;
   /// The request left the engine.
   virtual void release(const LoadTicket& ticket) = 0;
+
+  // Limits that engines state; by default there are none.
+
+  /// The request was not sent: it is counted no more, and its permit is another one's.
+  virtual void giveBack(const LoadTicket& ticket) { release(ticket); }
+  /// Takes what an answer states.
+  virtual void noteLimit(uint64_t, const LimitStatement&) {}
+  /// @return the time until a request may be permitted, as far as this node knows; nothing where
+  /// the
+  ///         engine states no limit.
+  virtual std::optional<Duration> permitDue(uint64_t) const { return std::nullopt; }
+  /// @return whether a request may be sent though nobody answered who counts for the engine.
+  virtual bool mayGoUnasked(uint64_t) { return true; }
 };
 
 }  // namespace fernmoor::gateway
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -10,6 +10,7 @@
 
 #include "backends/backend_set.h"
 #include "backends/wanted_weights.h"
+#include "common/log_budget.h"
 #include "common/metrics.h"
 #include "common/time.h"
 #include "gateway/backend_protocol.h"
@@ -55,6 +56,9 @@
   Duration silenceBeforeSecondSend{1500000};
 };
 
+/// Lines on limits of back ends that can't be read.
+inline constexpr LogBudgetBounds kOddLimitLines{0.2, 5};
+
 /// Thread-safe: serves many requests at once.
 class Forwarder {
  public:
@@ -70,6 +74,7 @@
   ForwarderOptions options_;
   SendPlanner planner_;
   OutcomeLog outcomeLog_;
+  LogBudget oddLimitLog_{kOddLimitLines};
 };
 
 }  // namespace fernmoor::gateway
--- a/src/gateway/outcome_log.cpp
+++ b/src/gateway/outcome_log.cpp
@@ -29,6 +29,8 @@
       return "request: refused, its tenant is over its limit";
     case RequestOutcome::kQuarantined:
       return "request: refused, it crashed several engines before";
+    case RequestOutcome::kUnpermitted:
+      return "request: refused, all engines are at the limits that they state";
     case RequestOutcome::kOldWeights:
       return "request: began on weights past their bound";
   }
@@ -39,7 +41,7 @@
     : budgets_{LogBudget(kLinesOfAKind), LogBudget(kLinesOfAKind), LogBudget(kLinesOfAKind),
                LogBudget(kLinesOfAKind), LogBudget(kLinesOfAKind), LogBudget(kLinesOfAKind),
                LogBudget(kLinesOfAKind), LogBudget(kLinesOfAKind), LogBudget(kLinesOfAKind),
-               LogBudget(kLinesOfAKind)} {}
+               LogBudget(kLinesOfAKind), LogBudget(kLinesOfAKind)} {}
 
 std::optional<uint64_t> OutcomeLog::take(RequestOutcome outcome, bool wentWell, Time now) {
   if (wentWell) {
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -155,6 +155,27 @@
   }
 }
 
+void RequestRun::giveBackTicket() {
+  if (ticket_) {
+    forwarder_.planner_.giveBack(*ticket_);
+    ticket_.reset();
+  }
+}
+
+bool RequestRun::awaitPermit(const PlannedSend& planned) {
+  if (planned.permitWait <= Duration(0)) {
+    return true;
+  }
+  const Time permitAt = services_.clock.now() + planned.permitWait;
+  for (Time now = services_.clock.now(); now < permitAt; now = services_.clock.now()) {
+    if (caller_.connection().leftWithin(std::min(permitAt - now, kLongestWaitPiece))) {
+      callerGone_ = true;
+      return false;
+    }
+  }
+  return services_.backends.isUsable(planned.send.backend.id);
+}
+
 bool RequestRun::isLate(Time now) const {
   return firstEventAt_.value_or(now) - request_.arrivedAt > request_.row->target;
 }
@@ -281,14 +302,27 @@
   if (planned) {
     ticket_ = planned->ticket;
   }
+  if (planned && planned->unpermittedFor) {
+    unpermittedFor_ = planned->unpermittedFor;
+    trail_.noteUnpermitted(*unpermittedFor_);
+    return Next::kGiveUp;
+  }
   if (planned && planned->isTooLate) {
     hopelessWait_ = planned->expected->firstEvent;
-    releaseTicket();
+    giveBackTicket();
     return Next::kGiveUp;
   }
   const Duration timeLeft = request_.deadline - services_.clock.now();
-  if (!planned || timeLeft < kLeastUsefulTime || !maySendAgain()) {
-    releaseTicket();
+  if (!planned || timeLeft < kLeastUsefulTime + planned->permitWait) {
+    giveBackTicket();
+    return Next::kGiveUp;
+  }
+  if (!awaitPermit(*planned)) {
+    giveBackTicket();
+    return callerGone_ ? Next::kFinished : Next::kElsewhere;
+  }
+  if (!maySendAgain()) {
+    giveBackTicket();
     return Next::kGiveUp;
   }
   plan_ = planned->send;
@@ -300,8 +334,13 @@
   const Time sendBy = stepDeadline();
   AttemptStep step =
       attempt.send(caller_, std::min(sendBy, beginDeadline_.takeBackAt().value_or(sendBy)));
-  if (step != AttemptStep::kNotSent && step != AttemptStep::kTooLate) {
+  if (step == AttemptStep::kNotSent || step == AttemptStep::kTooLate) {
+    giveBackTicket();
+  } else {
     ++sends_;
+    if (ticket_ && ticket_->hasPermit) {
+      services_.metrics.countPermitted();
+    }
   }
   if (step == AttemptStep::kDone) {
     step = awaitHead(attempt);
@@ -330,6 +369,7 @@
   entry.weights = plan_.weightsVersion;
   entry.lowestWeights = planned.lowestWeights;
   entry.expectedFirstEvent = expectedFirstEvent_;
+  entry.permitWait = planned.permitWait;
   if (const auto end = services_.wanted.boundEnd(request_.model, plan_.weightsVersion)) {
     entry.boundLeft = *end - now;
   }
@@ -348,6 +388,30 @@
   }
 }
 
+void RequestRun::noteLimit(const AnswerFacts& facts) {
+  const Time now = services_.clock.now();
+  switch (facts.limitMention) {
+    case LimitMention::kUntold:
+      return;
+    case LimitMention::kNone:
+      services_.loads.noteLimit(incarnationHash(plan_.backend),
+                                LimitStatement{std::nullopt, sentAt_, now});
+      return;
+    case LimitMention::kStated:
+      services_.loads.noteLimit(incarnationHash(plan_.backend),
+                                LimitStatement{facts.limit, sentAt_, now});
+      return;
+    case LimitMention::kUnreadable:
+      break;
+  }
+  if (const std::optional<uint64_t> leftOut = forwarder_.oddLimitLog_.take(now)) {
+    LogFields fields;
+    fields.engine = EngineId(plan_.backend.id);
+    fields.leftOut = *leftOut;
+    logWarning("engine limit: what was stated is no decimal number and is ignored", fields);
+  }
+}
+
 void RequestRun::reportOldWeights() {
   const uint64_t due = services_.wanted.dueVersion(request_.model, services_.clock.now());
   if (answeredWeights_ == 0 || answeredWeights_ >= due) {
@@ -360,6 +424,7 @@
 RequestRun::Next RequestRun::takeAnswer(EngineAttempt& attempt) {
   const AnswerFacts& facts = attempt.facts();
   noteWeights(facts);
+  noteLimit(facts);
   answeredWeights_ = facts.weightsVersion;
   if (facts.didNotRun) {
     trail_.noteStatus(static_cast<int>(attempt.head().getStatus()));
@@ -389,7 +454,12 @@
     return;
   }
   const bool isLate = services_.clock.now() + kLeastUsefulTime >= request_.deadline;
-  refuse(givenUpError(GivenUp{mayHaveRun_, isLate, hopelessWait_}));
+  refuse(givenUpError(GivenUp{mayHaveRun_, isLate, hopelessWait_, unpermittedFor_}));
+  if (unpermittedFor_ && !mayHaveRun_) {
+    services_.metrics.countUnpermitted();
+    logEnd(RequestOutcome::kUnpermitted);
+    return;
+  }
   logEnd(mayHaveRun_ ? RequestOutcome::kNoWholeAnswer : RequestOutcome::kNoBackend);
 }
 
--- a/src/gateway/request_run.h
+++ b/src/gateway/request_run.h
@@ -80,6 +80,12 @@
   bool uncountPrompt();
   void notePromptRead();
   void releaseTicket();
+  /// The request was not sent on its plan.
+  void giveBackTicket();
+  /// Waits until the request may be sent to a back end that states a limit.
+  /// @return false where its caller left meanwhile, or the back end is no more to be used.
+  bool awaitPermit(const PlannedSend& planned);
+  void noteLimit(const AnswerFacts& facts);
   void deliverHeld();
   void giveUp();
   /// @return false where it was refused.
@@ -114,6 +120,7 @@
   bool callerGone_ = false;
   bool secondSendPaid_ = false;  ///< The budget was asked before the back end was chosen.
   std::optional<Duration> expectedFirstEvent_;  ///< From the latest send, where it is known.
+  std::optional<Duration> unpermittedFor_;      ///< Why it was not sent: see PlannedSend.
   std::optional<Duration> hopelessWait_;        ///< Until its first event, why it was not sent.
   bool isPatient_ = false;                      ///< It stays with its engine, whatever the silence.
   std::optional<HeldAnswer> held_;
--- a/src/gateway/request_trail.cpp
+++ b/src/gateway/request_trail.cpp
@@ -52,6 +52,12 @@
              : "";
 }
 
+std::string permitText(const TrailEntry& entry) {
+  return entry.permitWait > Duration(0)
+             ? ", waited " + milliseconds(entry.permitWait) + " for its permit"
+             : "";
+}
+
 }  // namespace
 
 void RequestTrail::end(AttemptEnd end, Duration after) {
@@ -73,8 +79,8 @@
     text += text.empty() ? "" : "; ";
     text += entry.backend + " (" + weightsText(entry) + std::to_string(entry.inFlight) +
             " running, " + std::to_string(entry.pendingTokens) + " tokens waiting" +
-            expectationText(entry) + ") at " + milliseconds(entry.sentAfter) + " " +
-            phraseOf(entry.end);
+            expectationText(entry) + permitText(entry) + ") at " + milliseconds(entry.sentAfter) +
+            " " + phraseOf(entry.end);
     if (entry.status != 0) {
       text += " with " + std::to_string(entry.status);
     }
@@ -82,6 +88,10 @@
       text += " after " + milliseconds(entry.endedAfter);
     }
   }
+  if (permitDue_) {
+    text += std::string(text.empty() ? "" : "; ") + "all at their limits for " +
+            milliseconds(*permitDue_);
+  }
   return text;
 }
 
--- a/src/gateway/request_trail.h
+++ b/src/gateway/request_trail.h
@@ -38,6 +38,7 @@
   std::optional<Duration> expectedFirstEvent;  ///< From the send, where it was known.
   /// From the send until nothing may begin on `weights` any more; nothing: no newer ones are named.
   std::optional<Duration> boundLeft;
+  Duration permitWait{};  ///< For which it waited before, as the back end states a limit.
   Duration sentAfter{};   ///< From the request's arrival.
   Duration endedAfter{};  ///< From the request's arrival.
   AttemptEnd end = AttemptEnd::kUnderWay;
@@ -52,6 +53,9 @@
   void end(AttemptEnd end, Duration after);
   /// Notes the status that the last attempt was answered with.
   void noteStatus(int status);
+  /// Notes that all back ends were at the limits that they state.
+  /// @param due until one of them takes a request.
+  void noteUnpermitted(Duration due) { permitDue_ = due; }
   bool isEmpty() const { return entries_.empty(); }
 
   /// @return one phrase an attempt, e.g. "i-7f3 (weights 4, lowest 3, bound ends in 900 ms,
@@ -61,6 +65,7 @@
 
  private:
   std::vector<TrailEntry> entries_;
+  std::optional<Duration> permitDue_;
 };
 
 }  // namespace fernmoor::gateway
--- a/src/gateway/send_decisions.cpp
+++ b/src/gateway/send_decisions.cpp
@@ -17,7 +17,10 @@
 /// Part of its time after which a request without an estimate is sent elsewhere.
 constexpr int kPatienceDivisor = 2;
 constexpr Duration kRetryAfterBusy{250000};
+/// Of the most urgent requests, for a permit of an engine that is at its limit.
+constexpr Duration kLongestPermitWait{300000};
 constexpr Duration kRetryAfterStale{500000};
+constexpr Duration kLeastRetryAfter{50000};
 
 }  // namespace
 
@@ -26,6 +29,15 @@
   return waited + expected.wait <= request.row->target * kMostWaitPercent / 100;
 }
 
+Duration longestPermitWait(const IncomingRequest& request, int urgency, bool mayBeRefused,
+                           Time now) {
+  const Duration ofUrgency = kLongestPermitWait / (int64_t{1} << urgency);
+  const Duration inTime =
+      mayBeRefused ? request.arrivedAt + request.row->target * kMostWaitPercent / 100 - now
+                   : request.deadline - now;
+  return std::max(Duration(0), std::min(ofUrgency, inTime));
+}
+
 Duration patienceWith(const IncomingRequest& request, std::optional<Duration> expectedFirstEvent,
                       Duration most) {
   if (expectedFirstEvent) {
@@ -40,6 +52,11 @@
                  "no whole answer came from the back end; ask for the outcome before retrying.",
                  RunState::kUnknown, std::nullopt};
   }
+  if (request.unpermittedFor) {
+    return Error{ErrorKind::kOverloaded,
+                 "all back ends are at the limits that they state; come back after the time given.",
+                 RunState::kNotRun, std::max(kLeastRetryAfter, *request.unpermittedFor)};
+  }
   return Error{ErrorKind::kOverloaded,
                "no back end could take the request; come back after the time given.",
                RunState::kNotRun,
--- a/src/gateway/send_decisions.h
+++ b/src/gateway/send_decisions.h
@@ -16,6 +16,14 @@
 ///         expected. One that can't would only make others late that can.
 bool canBeInTime(const IncomingRequest& request, const ExpectedTimes& expected, Time now);
 
+/// @param urgency 0 is the most urgent; each step halves the time, so that the more urgent ones
+/// find
+///        the shorter queue.
+/// @param mayBeRefused no back end has it yet: it is to be in time.
+/// @return how long a request may wait for an engine that is at the limit that it states.
+Duration longestPermitWait(const IncomingRequest& request, int urgency, bool mayBeRefused,
+                           Time now);
+
 /// @param expectedFirstEvent from the send; nothing where it is not known or has come.
 /// @param most of a back end of which nothing is expected.
 /// @return how long a back end may be silent before the request goes elsewhere, if it may.
@@ -28,6 +36,8 @@
   bool isLate = false;  ///< Its deadline has come.
   /// Until its first event, where it was not sent for that wait.
   std::optional<Duration> expectedFirstEvent;
+  /// Until an engine takes a request, where all are at the limits that they state.
+  std::optional<Duration> unpermittedFor;
 };
 
 /// @return what its caller is told. Only a request that has not run is promised that, with the time
--- a/src/gateway/send_planner.cpp
+++ b/src/gateway/send_planner.cpp
@@ -15,6 +15,8 @@
 
 constexpr int kUrgenciesPerTenantPriority = 3;
 constexpr int kLeastUrgent = 9;
+/// One request in so many waits for a permit as if it were urgent, so that no row gets none.
+constexpr uint64_t kFairShare = 8;
 
 /// The parts of a prompt that other requests share, as the nodes remember them.
 struct SharedParts {
@@ -66,12 +68,27 @@
   leaveOutOldWeights(members, lowest);
   const Pool* const pool = input.request.table->findPool(input.request.pool);
   const ChoiceContext context{zone_, input.tried, pool == nullptr ? EngineRoom{} : pool->room, now};
-  std::optional<BackendChoice> home = chooseHome(input.request, members, context, services_.loads);
-  if (home) {
-    return home;
+  std::optional<BackendChoice> chosen =
+      chooseHome(input.request, members, context, services_.loads);
+  if (!chosen) {
+    Random random(drawSeed());
+    chosen = chooseLeastLoaded(input.request, members, context, services_.loads, random);
+  }
+  if (!chosen) {
+    chosen = chooseSoonestPermit(input.request, members, context, services_.loads,
+                                 longestWaitOf(input, now));
   }
+  return chosen;
+}
+
+uint64_t SendPlanner::drawSeed() {
   const std::lock_guard<std::mutex> lock(randomMutex_);
-  return chooseLeastLoaded(members, context, random_);
+  return random_.next();
+}
+
+Duration SendPlanner::longestWaitOf(const PlanInput& input, Time now) {
+  const int urgency = drawSeed() % kFairShare == 0 ? 0 : urgencyOf(input.request);
+  return longestPermitWait(input.request, urgency, input.mayBeRefused, now);
 }
 
 std::optional<BackendChoice> SendPlanner::chooseInForce(const PlanInput& input,
@@ -84,19 +101,28 @@
     if (!chosen) {
       return chosen;
     }
-    const Duration expected = chosen->expected ? chosen->expected->firstEvent : kUnknownFirstEvent;
+    const Duration expected =
+        chosen->permitWait + (chosen->expected ? chosen->expected->firstEvent : kUnknownFirstEvent);
     const Time begin = now + fromSeconds(toSeconds(expected) * kBeginAllowance);
     const uint64_t atBegin = services_.wanted.lowestServing(model, begin);
     if (chosen->backend.weightsVersion >= atBegin) {
       return chosen;
     }
     if (chosen->ticket) {
-      release(*chosen->ticket);
+      giveBack(*chosen->ticket);
     }
     lowest = atBegin;  // Rises each time, as what was chosen held no older weights.
   }
 }
 
+std::optional<Duration> SendPlanner::unpermittedFor(const PlanInput& input,
+                                                    std::vector<BackendView> members,
+                                                    uint64_t lowest, Time now) const {
+  leaveOutOldWeights(members, lowest);
+  return soonestPermit(members, ChoiceContext{zone_, input.tried, EngineRoom{}, now},
+                       services_.loads);
+}
+
 void SendPlanner::planCache(const PlanInput& input, const std::vector<BackendView>& members,
                             Time now, SendPlan& plan) {
   const SharedParts shared = sharedPartsOf(input.request, plan.cacheScope);
@@ -122,8 +148,10 @@
   const std::optional<BackendChoice> chosen =
       chooseInForce(input, members, now, planned.lowestWeights);
   if (!chosen) {
-    return std::nullopt;
+    planned.unpermittedFor = unpermittedFor(input, members, planned.lowestWeights, now);
+    return planned.unpermittedFor ? std::optional(planned) : std::nullopt;
   }
+  planned.permitWait = chosen->permitWait;
   planned.inFlight = chosen->backend.inFlight;
   planned.pendingTokens = chosen->pendingTokens;
   planned.ticket = chosen->ticket;
--- a/src/gateway/send_planner.h
+++ b/src/gateway/send_planner.h
@@ -47,6 +47,9 @@
   std::optional<LoadTicket> ticket;       ///< To be released when the request left its back end.
   std::optional<ExpectedTimes> expected;  ///< Where they are known.
   bool isTooLate = false;  ///< It can't be in time and may be refused; don't send it.
+  Duration permitWait{0};  ///< To be waited for before it is sent.
+  /// Set where all back ends are at the limits that they state: the time until one takes a request.
+  std::optional<Duration> unpermittedFor;
 };
 
 /// Thread-safe.
@@ -55,12 +58,14 @@
   /// @param zone this node's.
   SendPlanner(PlannerServices services, std::string zone, uint64_t randomSeed);
 
-  /// @return nothing where no back end is left; may wait some milliseconds for hints.
+  /// @return nothing where no back end is left; may wait some milliseconds for other nodes.
   std::optional<PlannedSend> plan(const PlanInput& input);
   /// Tells that a request's prompt was read; it still runs.
   void promptRead(const LoadTicket& ticket) { services_.loads.promptRead(ticket); }
   /// Tells that a request left its engine.
   void release(const LoadTicket& ticket) { services_.loads.release(ticket); }
+  /// Tells that a request is not sent after all.
+  void giveBack(const LoadTicket& ticket) { services_.loads.giveBack(ticket); }
   /// Tells where the request's shared parts were read.
   /// @param took from the send to the first event.
   void notePartsRead(const IncomingRequest& request, const SendPlan& plan, Duration took);
@@ -69,6 +74,14 @@
   /// @param lowest version that the back end must hold.
   std::optional<BackendChoice> choose(const PlanInput& input, std::vector<BackendView> members,
                                       uint64_t lowest, Time now);
+  uint64_t drawSeed();
+  /// @return the time for which the request may wait for a permit.
+  Duration longestWaitOf(const PlanInput& input, Time now);
+  /// @return the time until a back end takes a request; nothing where it isn't for their limits
+  /// that
+  ///         none is chosen.
+  std::optional<Duration> unpermittedFor(const PlanInput& input, std::vector<BackendView> members,
+                                         uint64_t lowest, Time now) const;
   /// Chooses so that the request begins before the bound of newer weights, however long it waits.
   /// @param lowest set to the lowest version that the back end might hold.
   std::optional<BackendChoice> chooseInForce(const PlanInput& input,
--- /dev/null
+++ b/src/gateway/stated_limits.cpp
@@ -0,0 +1,148 @@
+#include "gateway/stated_limits.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace fernmoor::gateway {
+
+namespace {
+
+/// One trial in four seconds at a back end that takes less.
+constexpr double kLeastRate = 0.25;
+/// A limit that ended is remembered for so long, against answers that were overtaken.
+constexpr Duration kEndedMemory{10000000};
+/// Back ends may be missing from the list for a while, as when the store was away.
+constexpr Duration kUnlistedMemory{30000000};
+/// Of its part of the limit a node uses so much unasked: those whose answers are lost may have been
+/// given permits all the same.
+constexpr double kUnaskedPart = 0.5;
+
+double rateOrAny(const LimitStatement& statement) {
+  return statement.ratePerSecond.value_or(std::numeric_limits<double>::infinity());
+}
+
+LimitChange changeOf(const LimitStatement& from, const LimitStatement& to) {
+  if (from.ratePerSecond == to.ratePerSecond) {
+    return LimitChange::kNone;
+  }
+  if (!to.ratePerSecond) {
+    return LimitChange::kEnded;
+  }
+  return from.ratePerSecond ? LimitChange::kChanged : LimitChange::kNamed;
+}
+
+}  // namespace
+
+bool supersedes(const LimitStatement& next, const LimitStatement& known) {
+  if (next.sentAt >= known.cameAt) {
+    return true;
+  }
+  if (next.cameAt <= known.sentAt) {
+    return false;
+  }
+  const double nextRate = rateOrAny(next);
+  const double knownRate = rateOrAny(known);
+  return nextRate < knownRate || (nextRate == knownRate && next.cameAt > known.cameAt);
+}
+
+double permittedRate(double statedRate) {
+  return std::max(statedRate, kLeastRate);
+}
+
+LimitChange StatedLimits::note(uint64_t engine, const LimitStatement& statement) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const auto known = entries_.find(engine);
+  if (known == entries_.end()) {
+    if (!statement.ratePerSecond) {
+      return LimitChange::kNone;
+    }
+    entries_[engine].statement = statement;
+    return LimitChange::kNamed;
+  }
+  Entry& entry = known->second;
+  if (!supersedes(statement, entry.statement)) {
+    return LimitChange::kNone;
+  }
+  const LimitChange change = changeOf(entry.statement, statement);
+  entry.statement = statement;
+  if (change != LimitChange::kNone) {
+    entry.permitAt = Time();
+    entry.unasked.reset();
+  }
+  return change;
+}
+
+std::optional<LimitStatement> StatedLimits::find(uint64_t engine) const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const auto known = entries_.find(engine);
+  return known == entries_.end() ? std::nullopt : std::optional(known->second.statement);
+}
+
+std::optional<double> StatedLimits::rateOf(uint64_t engine) const {
+  const std::optional<LimitStatement> statement = find(engine);
+  return statement ? statement->ratePerSecond : std::nullopt;
+}
+
+void StatedLimits::noteWait(uint64_t engine, Time until) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const auto known = entries_.find(engine);
+  if (known != entries_.end()) {
+    known->second.permitAt = until;
+  }
+}
+
+std::optional<Duration> StatedLimits::permitDue(uint64_t engine, Time now) const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const auto known = entries_.find(engine);
+  if (known == entries_.end() || !known->second.statement.ratePerSecond) {
+    return std::nullopt;
+  }
+  return std::max(Duration(0), known->second.permitAt - now);
+}
+
+bool StatedLimits::takeUnasked(uint64_t engine, size_t nodes, Time now) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const auto known = entries_.find(engine);
+  if (known == entries_.end() || !known->second.statement.ratePerSecond) {
+    return true;
+  }
+  Entry& entry = known->second;
+  const double rate = permittedRate(*entry.statement.ratePerSecond) * kUnaskedPart /
+                      static_cast<double>(std::max<size_t>(1, nodes));
+  if (!entry.unasked) {
+    entry.unasked.emplace(rate, 1.0, now);
+    entry.unasked->charge(1.0, now);
+  }
+  entry.unasked->configure(rate, 1.0, now);
+  return entry.unasked->tryTake(now);
+}
+
+std::vector<EngineStatement> StatedLimits::all() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  std::vector<EngineStatement> statements;
+  statements.reserve(entries_.size());
+  for (const auto& entry : entries_) {
+    statements.push_back(EngineStatement{entry.first, entry.second.statement});
+  }
+  return statements;
+}
+
+size_t StatedLimits::count() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return static_cast<size_t>(std::count_if(entries_.begin(), entries_.end(), [](const auto& entry) {
+    return entry.second.statement.ratePerSecond.has_value();
+  }));
+}
+
+void StatedLimits::forgetOld(const std::function<bool(uint64_t)>& isListed, Time now) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  for (auto entry = entries_.begin(); entry != entries_.end();) {
+    const LimitStatement& statement = entry->second.statement;
+    const Duration age = now - statement.cameAt;
+    const bool isOld = statement.ratePerSecond ? age > kUnlistedMemory && !isListed(entry->first)
+                                               : age > kEndedMemory;
+    entry = isOld ? entries_.erase(entry) : std::next(entry);
+  }
+}
+
+}  // namespace fernmoor::gateway
--- a/src/http/byte_connection.cpp
+++ b/src/http/byte_connection.cpp
@@ -44,6 +44,12 @@
   return ::poll(&entry, 1, 0) != 0 && (entry.revents & kClosedEvents) != 0;
 }
 
+bool ByteConnection::leftWithin(Duration time) {
+  pollfd entry{socket().impl()->sockfd(), POLLRDHUP, 0};
+  const int milliseconds = static_cast<int>((time.count() + 999) / 1000);
+  return ::poll(&entry, 1, milliseconds) > 0 && (entry.revents & kClosedEvents) != 0;
+}
+
 WaitOutcome ByteConnection::waitReadable(Duration timeout, ByteConnection* other) {
   if (hasBufferedBytes()) {
     return WaitOutcome::kReadable;
--- a/src/http/byte_connection.h
+++ b/src/http/byte_connection.h
@@ -57,6 +57,9 @@
   void reset();
   /// @return whether the peer has closed or reset its side.
   bool closedByPeer();
+  /// Waits for so long, or until the peer closes or resets its side.
+  /// @return whether it did.
+  bool leftWithin(Duration time);
 };
 
 /// Waits of the system stand while a machine is suspended, its deadlines don't. A wait for a back
--- /dev/null
+++ b/src/peers/engine_limit_codec.h
@@ -0,0 +1,20 @@
+/// @file
+/// Limits that engines state as nodes tell them to each other: by ages, as clocks differ.
+#pragma once
+
+#include "gateway/stated_limits.h"
+#include "load.pb.h"
+
+namespace fernmoor::peers {
+
+/// @return whole milliseconds, 0 for a negative time, the greatest number for a very long one.
+uint32_t inMilliseconds(Duration time);
+
+/// @param now when the message is sent.
+void encodeLimit(const gateway::EngineStatement& told, Time now, proto::EngineLimit& message);
+
+/// Reads a message of another node. A rate that is no finite number of 0 or more counts as none.
+/// @param now when it came.
+gateway::EngineStatement decodeLimit(const proto::EngineLimit& message, Time now);
+
+}  // namespace fernmoor::peers
--- a/src/peers/limit_directory.h
+++ b/src/peers/limit_directory.h
@@ -47,6 +47,8 @@
 
   /// @return limits whose owner gives this node less than it wants.
   size_t shortCount() const { return role_.shortCount(); }
+  /// @return part of the known nodes that this one can hear of.
+  double reachableShare() const { return role_.reachableShare(); }
 
  private:
   /// @return false where no answer came in time.
--- a/src/peers/load_directory.h
+++ b/src/peers/load_directory.h
@@ -4,33 +4,55 @@
 /// counts it, and tells it when its prompt was read and when it ended: four short messages a
 /// request in the usual case, however many nodes there are. An answer that does not come costs a
 /// few milliseconds and the knowledge.
+///
+/// The same node gives the permits of an engine that states a limit (see gateway/engine_permits.h),
+/// with the answer to the same question. Who is told a limit by an engine tells that node, which
+/// tells all others, again and again while it holds; questions and answers carry it too, so that a
+/// node that has just begun to count for an engine knows it.
 #pragma once
 
 #include <condition_variable>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
+#include <string>
+#include <vector>
 
+#include "common/log_budget.h"
 #include "common/role.h"
 #include "envelope.pb.h"
+#include "gateway/engine_permits.h"
 #include "gateway/pending_work.h"
+#include "gateway/stated_limits.h"
 #include "membership/membership_snapshot.h"
 
 namespace fernmoor::peers {
 
+/// @return the id of a listed engine, given the hash of its incarnation; empty: it isn't listed.
+using EngineNames = std::function<std::string(uint64_t)>;
+
 /// Thread-safe.
 class LoadDirectory : public Role, public gateway::EngineLoads {
  public:
   /// @param sender outlives the directory; used on the threads that call reserve() and release().
-  LoadDirectory(NodeId self, const Clock& clock, MessageSender& sender);
+  /// @param names of listed engines; null: none is named, and none is taken for gone.
+  LoadDirectory(NodeId self, const Clock& clock, MessageSender& sender, EngineNames names = {});
 
   void setMembers(std::shared_ptr<const MembershipSnapshot> members);
+  /// Sets the part of the known nodes that this one can hear of: the two sides of a cut together
+  /// keep the limits that engines state.
+  void setReachableShare(double share);
 
   std::optional<gateway::LoadAnswer> reserve(uint64_t engine, const gateway::EngineDemand& demand,
                                              const gateway::EngineRoom& room,
                                              uint64_t bound) override;
   void promptRead(const gateway::LoadTicket& ticket) override;
   void release(const gateway::LoadTicket& ticket) override;
+  void giveBack(const gateway::LoadTicket& ticket) override;
+  void noteLimit(uint64_t engine, const gateway::LimitStatement& statement) override;
+  std::optional<Duration> permitDue(uint64_t engine) const override;
+  bool mayGoUnasked(uint64_t engine) override;
 
   void onMessage(NodeLife from, const proto::Envelope& envelope, Time now,
                  MessageSender& sender) override;
@@ -38,14 +60,45 @@
 
   /// @return engines that this node counts for now.
   size_t engineCount() const { return work_.size(); }
+  /// @return engines that state a limit, as far as this node knows.
+  size_t limitedCount() const { return limits_.count(); }
 
  private:
+  /// When a limit is told to all nodes again.
+  struct Announcement {
+    Time toldAt;
+    Duration pause{0};  ///< Until the next time; grows.
+  };
   /// A question that waits for its answer.
   struct Question {
+    bool isCounted = true;
     std::optional<gateway::LoadAnswer> answer;
   };
 
   NodeId keeperOf(uint64_t engine) const;
+  bool isKeeper(uint64_t engine) const { return keeperOf(engine) == self_; }
+  /// Counts a request at an engine that this node counts for, and gives its permit.
+  gateway::LoadAnswer reserveHere(uint64_t engine, const gateway::PendingRequest& request,
+                                  const gateway::EngineRoom& room, uint64_t bound, Time now);
+  proto::Envelope questionOf(uint32_t id, uint64_t engine, const gateway::EngineDemand& demand,
+                             const gateway::EngineRoom& room, uint64_t bound) const;
+  /// @return requests a second that this node permits under a stated limit.
+  double rateHere(double statedRate) const;
+  /// Takes a statement that this node or another one was told.
+  /// @param from another node; nothing: this one was told by the engine.
+  /// @return whether it changed what was known.
+  bool takeStatement(const gateway::EngineStatement& told, std::optional<NodeId> from, Time now);
+  /// Tells all nodes, now and then again and again.
+  void announce(uint64_t engine, Time now);
+  void sendLimits(const std::vector<uint64_t>& engines, const std::vector<NodeId>& to, Time now);
+  /// Tells the limits that are due again, and all of them to nodes that have just come.
+  void announceDue(Time now);
+  /// @return nodes that were not told of since they began.
+  std::vector<NodeId> newcomers();
+  void logChange(uint64_t engine, gateway::LimitChange change,
+                 const gateway::LimitStatement& statement, std::optional<NodeId> from, Time now);
+  void logPermits(Time now);
+  std::vector<NodeId> otherNodes() const;
   /// Tells the engine's keeper that a request's prompt was read, or that it ended.
   void tell(const gateway::LoadTicket& ticket, bool stillRuns);
   void noteEnd(uint64_t owner, const proto::LoadRelease& release, Time now);
@@ -53,17 +106,27 @@
   void onQuestion(NodeLife from, const proto::LoadQuestion& question, Time now,
                   MessageSender& sender);
   void onAnswer(NodeLife from, const proto::LoadAnswer& answer, MessageSender& sender);
+  void onLimits(NodeLife from, const proto::EngineLimits& limits, Time now);
 
   const NodeId self_;
   const Clock& clock_;
   MessageSender& sender_;
+  const EngineNames names_;
   gateway::PendingWork work_;
+  gateway::StatedLimits limits_;
+  gateway::EnginePermits permits_;
+  LogBudget changeLog_;
+  LogBudget permitLog_;
   mutable std::mutex mutex_;
   std::condition_variable answered_;
   std::shared_ptr<const MembershipSnapshot> members_;
   std::map<uint32_t, Question> questions_;
   uint32_t lastQuestion_ = 0;
   std::map<NodeId, Incarnation> askers_;  ///< In which life each node asked last.
+  double reachableShare_ = 1.0;
+  std::map<uint64_t, Announcement> announcements_;  ///< Of engines that this node counts for.
+  std::map<NodeId, Incarnation> told_;              ///< Nodes that were there at the last tick.
+  Time permitsLoggedAt_;
 };
 
 }  // namespace fernmoor::peers
--- a/src/peers/peer_plane.cpp
+++ b/src/peers/peer_plane.cpp
@@ -31,12 +31,13 @@
 
 PeerPlane::PeerPlane(PeerOptions options, const Clock& clock, StateMirror& mirror,
                      WantedWeights& wanted, RevisionTimes& revisionTimes,
-                     quarantine::QuarantineTable& quarantined)
+                     quarantine::QuarantineTable& quarantined, const BackendSet& backends)
     : options_(std::move(options)),
       clock_(clock),
       mirrorRole_(nodeIdOf(options_.listen), mirror, wanted, revisionTimes, clock.now()),
       parts_(nodeIdOf(options_.listen), clock, *this),
-      loads_(nodeIdOf(options_.listen), clock, *this),
+      loads_(nodeIdOf(options_.listen), clock, *this,
+             [&backends](uint64_t engine) { return backends.idOf(engine); }),
       limits_(nodeIdOf(options_.listen), clock, *this, options_.knobs),
       quarantine_(nodeIdOf(options_.listen), clock, *this, quarantined),
       life_(makeLife(static_cast<uint64_t>(clock.wallMicroseconds()))) {}
@@ -165,6 +166,8 @@
   loads_.setMembers(snapshot);
   limits_.setMembers(snapshot);
   limits_.onTick(now, *current->transport);
+  loads_.setReachableShare(limits_.reachableShare());
+  loads_.onTick(now, *current->transport);
   quarantine_.setMembers(snapshot);
   quarantine_.onTick(now, *current->transport);
   mirrorRole_.onTick(now, *current->transport);
--- a/src/peers/peer_plane.h
+++ b/src/peers/peer_plane.h
@@ -10,6 +10,7 @@
 #include <thread>
 #include <vector>
 
+#include "backends/backend_set.h"
 #include "common/knobs.h"
 #include "common/message_sender.h"
 #include "common/metrics.h"
@@ -42,7 +43,8 @@
  public:
   /// Binds the address. Throws Poco::Net::NetException where it is in use.
   PeerPlane(PeerOptions options, const Clock& clock, StateMirror& mirror, WantedWeights& wanted,
-            RevisionTimes& revisionTimes, quarantine::QuarantineTable& quarantined);
+            RevisionTimes& revisionTimes, quarantine::QuarantineTable& quarantined,
+            const BackendSet& backends);
   ~PeerPlane() override;
 
   void start();
--- a/test/gateway/backend_choice_test.cpp
+++ b/test/gateway/backend_choice_test.cpp
@@ -78,7 +78,7 @@
   const ChoiceContext context{"near", tried, {}, {}};
   auto choice = chooseHome(request, candidates, context, loads);
   if (!choice) {
-    choice = chooseLeastLoaded(candidates, context, random);
+    choice = chooseLeastLoaded(request, candidates, context, loads, random);
   }
   return choice ? choice->backend.listing->id : "none";
 }
--- /dev/null
+++ b/test/gateway/forwarder_limit_test.cpp
@@ -0,0 +1,88 @@
+/// @file
+/// Tests of src/gateway/forwarder.h over loopback where back ends state how many requests they
+/// take.
+#include <doctest/doctest.h>
+
+#include "test/gateway/forwarder_world.h"
+
+namespace fernmoor::gateway {
+
+using namespace test;  // NOLINT(google-build-using-namespace)
+
+namespace {
+
+constexpr Duration kWait{30000};
+
+const std::string kAnswer = answer("200 OK", "body", "Id: r1\r\nSigned: yes\r\n");
+
+}  // namespace
+
+TEST_CASE("what an answer states of its back end's limit is told, with when its request was sent") {
+  ForwarderWorld world;
+  world.add("a", always(answer("200 OK", "body", "Id: r1\r\nSigned: yes\r\nLimit: 1.4\r\n")));
+  const Time before = world.clock.now();
+  world.serve();
+  REQUIRE(world.loads.told.size() == 1);
+  CHECK(world.loads.told[0].ratePerSecond == 1.4);
+  CHECK(world.loads.told[0].sentAt >= before);
+  CHECK(world.loads.told[0].cameAt >= world.loads.told[0].sentAt);
+}
+
+TEST_CASE("a request waits for the permit of the only engine, and uses it") {
+  ForwarderWorld world;
+  ScriptedBackend& backend = world.add("a", always(kAnswer));
+  world.row.target = std::chrono::seconds(1);
+  world.loads.permitWait = kWait;
+  const Time before = world.clock.now();
+  world.serve();
+  CHECK((world.clock.now() - before >= kWait));
+  CHECK(backend.requests() == 1);
+  CHECK(world.loads.permits == 1);
+  CHECK(world.caller.finished);
+}
+
+TEST_CASE(
+    "a request that can't get a permit in time is refused at once with the time of the next one") {
+  ForwarderWorld world;
+  ScriptedBackend& backend = world.add("a", always(kAnswer));
+  world.row.target = std::chrono::seconds(1);
+  world.loads.permitWait = std::chrono::milliseconds(700);
+  world.serve();
+  CHECK(promisesNotRun(world.caller));
+  CHECK((*world.caller.refusals.at(0).retryAfter >= std::chrono::milliseconds(700)));
+  CHECK(backend.requests() == 0);
+  CHECK(world.loads.permits == 0);
+}
+
+TEST_CASE("a permit goes back whose request is not sent") {
+  ForwarderWorld world;
+  world.row.target = std::chrono::seconds(1);
+  world.loads.permitWait = kWait;
+  SUBCASE("as its caller left while it waited") {
+    ScriptedBackend& backend = world.add("a", always(kAnswer));
+    world.caller.socket.farCloses();
+    world.serve();
+    CHECK(backend.requests() == 0);
+    CHECK(world.caller.refusals.empty());
+  }
+  SUBCASE("as its engine can't be reached") {
+    ScriptedBackend& backend = world.add("a", always(kAnswer));
+    backend.stopListening();
+    world.serve();
+    CHECK(promisesNotRun(world.caller));
+  }
+  SUBCASE("as no second send is paid for") {
+    ForwarderWorld poor(0);
+    poor.row.target = std::chrono::seconds(1);
+    poor.row.repetition = Repetition::kRepeatable;
+    poor.loads.permitWait = Duration(0);
+    poor.add("a", always(answer("503 Service Unavailable", "", "Id: r1\r\nNot-Run: yes\r\n")));
+    poor.add("b", always(answer("503 Service Unavailable", "", "Id: r1\r\nNot-Run: yes\r\n")));
+    poor.serve();
+    CHECK(promisesNotRun(poor.caller));
+    CHECK(poor.loads.permits == 1);
+  }
+  CHECK(world.loads.permits == 0);
+}
+
+}  // namespace fernmoor::gateway
--- a/test/gateway/forwarder_world.h
+++ b/test/gateway/forwarder_world.h
@@ -158,7 +158,8 @@
   return text.find(part) != std::string::npos;
 }
 
-/// Headers of no real system: "Id" is echoed, "Not-Run" says that a request did not run.
+/// Headers of no real system: "Id" is echoed, "Not-Run" says that a request did not run, "Limit"
+/// how many the back end takes a second.
 class TestProtocol : public BackendProtocol {
  public:
   void addHeaders(const IncomingRequest& request, const SendPlan& plan, Duration timeLeft,
@@ -183,6 +184,8 @@
     AnswerFacts facts;
     facts.isOurs = answer.get("Id", "") == request.id;
     facts.didNotRun = facts.isOurs && answer.has("Not-Run");
+    facts.limitMention = answer.has("Limit") ? LimitMention::kStated : LimitMention::kNone;
+    facts.limit = std::strtod(answer.get("Limit", "0").c_str(), nullptr);
     return facts;
   }
 };
@@ -246,7 +249,8 @@
          caller.refusals[0].retryAfter.has_value();
 }
 
-/// Counts the load of engines in this process, as one node alone would.
+/// Counts the load of engines in this process, as one node alone would. Where the test sets a wait,
+/// all engines state a limit, and each request gets its permit after that wait.
 class LocalLoads : public EngineLoads {
  public:
   std::optional<LoadAnswer> reserve(uint64_t engine, const EngineDemand& demand,
@@ -254,8 +258,24 @@
     if (isSilent) {
       return std::nullopt;
     }
-    return work.reserve(engine, PendingRequest{1, ++last, demand}, room, bound, clock.now());
+    if (!permitWait) {
+      return work.reserve(engine, PendingRequest{1, ++last, demand}, room, bound, clock.now());
+    }
+    LoadAnswer answer;
+    answer.tokensPerSecond = 1;
+    answer.permitWait = *permitWait;
+    answer.lacksPermit = *permitWait > demand.longestPermitWait;
+    answer.isGranted = !answer.lacksPermit;
+    answer.ticket = LoadTicket{engine, ++last, false, answer.isGranted};
+    permits += answer.isGranted ? 1 : 0;
+    return answer;
+  }
+  void giveBack(const LoadTicket& ticket) override {
+    permits -= ticket.hasPermit ? 1 : 0;
+    release(ticket);
   }
+  void noteLimit(uint64_t, const LimitStatement& statement) override { told.push_back(statement); }
+  std::optional<Duration> permitDue(uint64_t) const override { return permitWait; }
   void promptRead(const LoadTicket& ticket) override {
     work.promptRead(ticket.engine, 1, ticket.id, clock.now());
   }
@@ -267,6 +287,9 @@
   PendingWork work;
   std::atomic<uint32_t> last{0};
   bool isSilent = false;
+  std::optional<Duration> permitWait;
+  std::atomic<int> permits{0};  ///< Taken and not given back.
+  std::vector<LimitStatement> told;
 };
 
 /// Lets every request pass until told otherwise, and counts.
--- /dev/null
+++ b/test/gateway/limited_choice_test.cpp
@@ -0,0 +1,165 @@
+/// @file
+/// Tests of src/gateway/backend_choice.h where engines state limits.
+#include <doctest/doctest.h>
+
+#include <map>
+#include <memory>
+#include <set>
+
+#include "gateway/backend_choice.h"
+
+namespace fernmoor::gateway {
+
+namespace {
+
+constexpr Duration kNextPermit{700000};
+
+std::vector<BackendView> engines(size_t count) {
+  std::vector<BackendView> made(count);
+  for (size_t index = 0; index < count; ++index) {
+    BackendListing listing;
+    listing.id = "e" + std::to_string(index);
+    made[index].incarnation = incarnationHash(listing);
+    made[index].listing = std::make_shared<BackendListing>(listing);
+  }
+  return made;
+}
+
+/// Gives the permits that the test has put there, and remembers waits as a node does.
+class LimitedLoads : public EngineLoads {
+ public:
+  std::optional<LoadAnswer> reserve(uint64_t engine, const EngineDemand& demand, const EngineRoom&,
+                                    uint64_t) override {
+    ++questions;
+    if (silent.count(engine) > 0) {
+      return std::nullopt;
+    }
+    LoadAnswer answer;
+    answer.tokensPerSecond = 40000;
+    answer.ticket = LoadTicket{engine, 1, demand.isCounted, false};
+    if (const auto limited = waits.find(engine); limited != waits.end()) {
+      answer.permitWait = limited->second;
+      answer.lacksPermit = limited->second > demand.longestPermitWait;
+      if (answer.lacksPermit) {
+        known[engine] = limited->second;
+      }
+      answer.ticket.hasPermit = !answer.lacksPermit;
+    }
+    answer.isGranted = !answer.lacksPermit;
+    return answer;
+  }
+  void promptRead(const LoadTicket&) override {}
+  void release(const LoadTicket&) override {}
+  std::optional<Duration> permitDue(uint64_t engine) const override {
+    const auto found = known.find(engine);
+    return found == known.end() ? std::nullopt : std::optional(found->second);
+  }
+  bool mayGoUnasked(uint64_t) override { return unaskedLeft-- > 0; }
+
+  void limit(const BackendView& engine, Duration wait) {
+    waits[engine.incarnation] = wait;
+    known[engine.incarnation] = Duration(0);
+  }
+
+  std::map<uint64_t, Duration> waits;  ///< Until the next permit, of engines with limits.
+  std::map<uint64_t, Duration> known;  ///< What this node knows of it.
+  std::set<uint64_t> silent;
+  int unaskedLeft = 0;
+  int questions = 0;
+};
+
+struct Fixture {
+  Fixture() {
+    row.usesPrefixes = true;
+    row.target = std::chrono::seconds(1);
+    request.row = &row;
+    request.parts = {PromptPart{"common", 2500}, PromptPart{"own", 2900}};
+  }
+  std::optional<BackendChoice> home() { return chooseHome(request, candidates, context, loads); }
+  std::optional<BackendChoice> least() {
+    return chooseLeastLoaded(request, candidates, context, loads, random);
+  }
+  std::optional<BackendChoice> soonest(Duration longestWait) {
+    return chooseSoonestPermit(request, candidates, context, loads, longestWait);
+  }
+
+  Row row;
+  IncomingRequest request;
+  std::vector<BackendView> candidates = engines(8);
+  ChoiceContext context;
+  LimitedLoads loads;
+  Random random{1};
+};
+
+}  // namespace
+
+TEST_CASE("a home that is at its limit passes requests on, and gets them while it permits some") {
+  Fixture fixture;
+  const std::string id = fixture.home()->backend.listing->id;
+  for (const BackendView& each : fixture.candidates) {
+    if (each.listing->id == id) {
+      fixture.loads.limit(each, Duration(0));
+      CHECK(fixture.home()->backend.listing->id == id);
+      CHECK(fixture.home()->ticket->hasPermit);
+      fixture.loads.limit(each, kNextPermit);
+    }
+  }
+  CHECK(fixture.home()->backend.listing->id != id);
+  const int before = fixture.loads.questions;
+  CHECK(fixture.home()->backend.listing->id != id);
+  CHECK(fixture.loads.questions == before + 1);
+}
+
+TEST_CASE("nothing is refused while one engine of all has no limit") {
+  Fixture fixture;
+  for (size_t index = 1; index < fixture.candidates.size(); ++index) {
+    fixture.loads.limit(fixture.candidates[index], kNextPermit);
+  }
+  for (int request = 0; request < 20; ++request) {
+    fixture.request.parts[0].id = std::to_string(request);
+    std::optional<BackendChoice> choice = fixture.home();
+    choice = choice ? choice : fixture.least();
+    REQUIRE(choice);
+    CHECK(choice->backend.listing->id == "e0");
+  }
+  CHECK_FALSE(soonestPermit(fixture.candidates, fixture.context, fixture.loads).has_value());
+}
+
+TEST_CASE(
+    "where all are at their limits a request waits for the soonest permit, if that is in time") {
+  Fixture fixture;
+  for (size_t index = 0; index < fixture.candidates.size(); ++index) {
+    fixture.loads.limit(fixture.candidates[index],
+                        std::chrono::milliseconds(100 * (fixture.candidates.size() - index)));
+    fixture.loads.known[fixture.candidates[index].incarnation] =
+        fixture.loads.waits[fixture.candidates[index].incarnation];
+  }
+  CHECK_FALSE(fixture.home().has_value());
+  CHECK_FALSE(fixture.least().has_value());
+  const std::optional<BackendChoice> choice = fixture.soonest(std::chrono::milliseconds(150));
+  REQUIRE(choice);
+  CHECK(choice->backend.listing->id == "e7");
+  CHECK((choice->permitWait == std::chrono::milliseconds(100)));
+  CHECK(choice->ticket->hasPermit);
+  CHECK_FALSE(fixture.soonest(std::chrono::milliseconds(50)).has_value());
+  CHECK((soonestPermit(fixture.candidates, fixture.context, fixture.loads) ==
+         std::chrono::milliseconds(100)));
+}
+
+TEST_CASE(
+    "an engine with a limit that nobody answers for gets this node's part, where no other is "
+    "left") {
+  Fixture fixture;
+  fixture.candidates.resize(2);
+  for (const BackendView& each : fixture.candidates) {
+    fixture.loads.limit(each, Duration(0));
+    fixture.loads.silent.insert(each.incarnation);
+  }
+  CHECK_FALSE(fixture.home().has_value());
+  CHECK_FALSE(fixture.least().has_value());
+  CHECK_FALSE(fixture.soonest(Duration(0)).has_value());
+  fixture.loads.unaskedLeft = 1;
+  CHECK(fixture.soonest(Duration(0)).has_value());
+}
+
+}  // namespace fernmoor::gateway
--- /dev/null
+++ b/test/peers/engine_limits_test.cpp
@@ -0,0 +1,211 @@
+/// @file
+/// Tests of src/peers/load_directory.h: limits that engines state, kept by several nodes whose
+/// messages are delivered at once.
+#include <doctest/doctest.h>
+
+#include "common/random.h"
+#include "peers/load_directory.h"
+#include "test/peers/directory_world.h"
+
+namespace fernmoor::peers {
+
+namespace {
+
+using gateway::LimitStatement;
+using gateway::LoadAnswer;
+
+constexpr uint64_t kEngine = 1000;
+constexpr gateway::EngineRoom kRoom;
+constexpr Duration kStep{10000};
+constexpr Duration kTick{100000};
+
+gateway::EngineDemand permitOnly(Duration longestWait = Duration(0)) {
+  gateway::EngineDemand demand;
+  demand.isCounted = false;
+  demand.longestPermitWait = longestWait;
+  return demand;
+}
+
+class LimitWorld : public test::DirectoryWorld<LoadDirectory> {
+ public:
+  using DirectoryWorld::DirectoryWorld;
+
+  /// A node is told by the engine, in an answer that took 10 ms.
+  void tell(uint64_t id, std::optional<double> rate) {
+    node(id).noteLimit(kEngine, LimitStatement{rate, clock.now() - kStep, clock.now()});
+  }
+  void pass(Duration time) {
+    const Time end = clock.now() + time;
+    while (clock.now() < end) {
+      clock.advanceTo(clock.now() + kStep);
+      if ((clock.now() - sim::VirtualClock::kStart) % kTick == Duration(0)) {
+        for (uint64_t id = 1; id <= size(); ++id) {
+          node(id).onTick(clock.now(), sender(NodeId(id)));
+        }
+      }
+    }
+  }
+  bool isPermitted(uint64_t id) {
+    const auto answer = node(id).reserve(kEngine, permitOnly(), kRoom, 1);
+    return answer && answer->isGranted;
+  }
+  /// All nodes ask again and again. @return requests that were permitted.
+  int permitted(Duration time, const std::set<uint64_t>& without = {}) {
+    int count = 0;
+    for (Duration passed{0}; passed < time; passed += kStep) {
+      for (uint64_t id = 1; id <= size(); ++id) {
+        count += without.count(id) == 0 && isPermitted(id) ? 1 : 0;
+      }
+      pass(kStep);
+    }
+    return count;
+  }
+  size_t nodesThatKnow() {
+    size_t sum = 0;
+    for (uint64_t id = 1; id <= size(); ++id) {
+      sum += node(id).limitedCount();
+    }
+    return sum;
+  }
+  /// @return the node that counts for the engine: it tells nobody what it hears of it.
+  uint64_t keeper() {
+    for (uint64_t id = 1; id <= size(); ++id) {
+      const int before = messages;
+      node(id).promptRead(gateway::LoadTicket{kEngine, 0, false, false});
+      if (messages == before) {
+        return id;
+      }
+    }
+    return 0;
+  }
+};
+
+}  // namespace
+
+TEST_CASE("what one node is told all keep, together") {
+  for (const uint64_t count : {uint64_t{1}, uint64_t{7}, uint64_t{69}}) {
+    LimitWorld world(count);
+    CHECK(world.isPermitted(1));
+    world.tell(1, 1.4);
+    CHECK(world.nodesThatKnow() == count);
+    const int permitted = world.permitted(std::chrono::seconds(20));
+    CHECK(permitted >= 26);
+    CHECK(permitted <= 29);
+  }
+}
+
+TEST_CASE("a limit ends for all with an answer that states none") {
+  LimitWorld world(7);
+  world.tell(1, 1.4);
+  world.pass(std::chrono::seconds(1));
+  world.tell(3, std::nullopt);
+  CHECK(world.nodesThatKnow() == 0);
+  CHECK(world.permitted(std::chrono::seconds(1)) == 700);
+  SUBCASE("and engines without limits cost no message between nodes beside the questions") {
+    world.pass(std::chrono::seconds(20));
+    const int before = world.messages;
+    world.pass(std::chrono::seconds(20));
+    CHECK(world.messages == before);
+  }
+}
+
+TEST_CASE("whoever counts next gives no more than the limit, as askers tell it") {
+  LimitWorld world(7);
+  world.tell(1, 1.4);
+  int permitted = world.permitted(std::chrono::seconds(4));
+  for (int round = 0; round < 5; ++round) {
+    const uint64_t keeper = world.keeper();
+    SUBCASE("it is started anew") {
+      world.restart(keeper);
+    }
+    SUBCASE("it is a suspect, and comes back") {
+      world.setState(keeper, MemberState::kSuspect);
+      permitted += world.permitted(std::chrono::seconds(2));
+      world.setState(keeper, MemberState::kAlive);
+    }
+    permitted += world.permitted(std::chrono::seconds(4));
+  }
+  CHECK(permitted >= 20);
+  // A suspect goes on counting for itself until it hears that it is one.
+  CHECK(permitted <= 1.4 * (24 + 2 * 5 * 2) + 8);
+}
+
+TEST_CASE("two sides of a cut together keep the limit") {
+  LimitWorld world(6);
+  world.tell(1, 10);
+  world.cut({1, 2});
+  for (const uint64_t away : {1, 2}) {
+    world.setState(away, MemberState::kSuspect);
+  }
+  for (uint64_t id = 1; id <= 6; ++id) {
+    world.node(id).setReachableShare(id <= 2 ? 2.0 / 6 : 4.0 / 6);
+  }
+  const int permitted = world.permitted(std::chrono::seconds(10));
+  CHECK(permitted <= 10 * 10 + 10);
+}
+
+TEST_CASE(
+    "who counts for an engine and does not answer costs its permits, and at most half as many "
+    "pass") {
+  LimitWorld world(5);
+  world.tell(1, 10);
+  world.silent.insert(NodeId(world.keeper()));
+  int passed = 0;
+  for (int step = 0; step < 400; ++step) {
+    for (uint64_t id = 1; id <= 5; ++id) {
+      passed += world.node(id).mayGoUnasked(kEngine) ? 1 : 0;
+    }
+    world.pass(kStep);
+  }
+  CHECK(passed >= 10);
+  CHECK(passed <= 20);
+}
+
+TEST_CASE("a node that comes later hears of a limit without asking") {
+  LimitWorld world(7);
+  world.tell(1, 1.4);
+  world.pass(std::chrono::seconds(1));
+  const uint64_t other = world.keeper() == 7 ? 6 : 7;
+  world.restart(other);
+  CHECK(world.node(other).limitedCount() == 0);
+  world.pass(std::chrono::seconds(11));
+  CHECK(world.node(other).limitedCount() == 1);
+}
+
+TEST_CASE("a permit that is not used is another one's, also where its answer came too late") {
+  LimitWorld world(2);
+  world.tell(1, 0.5);
+  world.pass(std::chrono::seconds(3));
+  const uint64_t asker = world.keeper() == 1 ? 2 : 1;
+  const LoadAnswer answer = *world.node(asker).reserve(kEngine, permitOnly(), kRoom, 1);
+  REQUIRE(answer.ticket.hasPermit);
+  CHECK(world.node(asker).reserve(kEngine, permitOnly(), kRoom, 1)->lacksPermit);
+  world.node(asker).giveBack(answer.ticket);
+  CHECK(world.node(asker).reserve(kEngine, permitOnly(), kRoom, 1)->isGranted);
+}
+
+TEST_CASE("an engine that has too much to do keeps its permit") {
+  LimitWorld world(2);
+  world.tell(1, 0.5);
+  world.pass(std::chrono::seconds(3));
+  gateway::EngineDemand demand;
+  demand.promptTokens = 9000;
+  CHECK_FALSE(world.node(1).reserve(kEngine, demand, kRoom, 0)->isGranted);
+  const LoadAnswer answer = *world.node(2).reserve(kEngine, demand, kRoom, 1);
+  CHECK(answer.isGranted);
+  CHECK(answer.ticket.hasPermit);
+}
+
+TEST_CASE("limits that change all the time are told to all at most ten times a second") {
+  LimitWorld world(7);
+  world.tell(1, 1.4);
+  world.pass(std::chrono::seconds(1));
+  const int before = world.messages;
+  for (int change = 0; change < 100; ++change) {
+    world.tell(1, 1.0 + change % 2);
+    world.pass(kStep);
+  }
+  CHECK(world.messages - before <= 100 + 10 * 2 * 7);
+}
+
+}  // namespace fernmoor::peers
--- a/test/platform/engine_protocol_test.cpp
+++ b/test/platform/engine_protocol_test.cpp
@@ -70,6 +70,59 @@
   CHECK_FALSE(sent.facts(503, {{"X-Request-Id", "r0"}, {"X-Not-Executed", "1"}}).didNotRun);
 }
 
+TEST_CASE("an engine states a limit as a decimal number, once, in an answer of its own") {
+  using gateway::LimitMention;
+  Sent sent;
+  const auto mentionOf = [&](const std::string& text, int status = 200) {
+    return sent.facts(status, {{"X-Request-Id", "r1"}, {"Server-Limit", text}}).limitMention;
+  };
+  SUBCASE("a decimal number") {
+    for (const auto& [text, limit] :
+         std::vector<std::pair<std::string, double>>{{"1.4", 1.4},
+                                                     {"0", 0},
+                                                     {"0.1", 0.1},
+                                                     {"10", 10},
+                                                     {"007", 7},
+                                                     {"100000000000000", 1e14}}) {
+      const gateway::AnswerFacts facts =
+          sent.facts(200, {{"X-Request-Id", "r1"}, {"Server-Limit", text}});
+      CHECK(facts.limitMention == LimitMention::kStated);
+      CHECK(facts.limit == doctest::Approx(limit));
+    }
+  }
+  SUBCASE("what is none states no limit and ends none") {
+    const std::string huge(400, '9');
+    for (const char* text : {"abc", "-1", "nan", "inf", "1e400", "1e1", "1,4", "", " ", "+1", "0x1",
+                             ".5", "5.", "1.4 a second", "1.4, 1.4", huge.c_str()}) {
+      CHECK_MESSAGE(mentionOf(text) == LimitMention::kUnreadable, text);
+    }
+  }
+  SUBCASE("twice") {
+    Poco::Net::HTTPResponse answer;
+    answer.set("X-Request-Id", "r1");
+    answer.add("Server-Limit", "1.4");
+    answer.add("server-limit", "1.4");
+    CHECK(EngineProtocol().readAnswer(sent.request, answer).limitMention ==
+          LimitMention::kUnreadable);
+  }
+  SUBCASE("an answer without it states that there is none") {
+    CHECK(sent.facts(200, {{"X-Request-Id", "r1"}}).limitMention == LimitMention::kNone);
+    CHECK(sent.facts(500, {{"X-Request-Id", "r1"}}).limitMention == LimitMention::kNone);
+  }
+  SUBCASE("where it turns a request away it may state one, and ends none") {
+    const std::vector<std::pair<std::string, std::string>> away = {{"X-Request-Id", "r1"},
+                                                                   {"X-Not-Executed", "1"}};
+    CHECK(sent.facts(503, away).limitMention == LimitMention::kUntold);
+    CHECK(sent.facts(503, {away[0], away[1], {"Server-Limit", "2"}}).limitMention ==
+          LimitMention::kStated);
+  }
+  SUBCASE("another incarnation, or an answer to another request, tells nothing") {
+    CHECK(mentionOf("1.4", 421) == LimitMention::kUntold);
+    CHECK(sent.facts(200, {{"X-Request-Id", "r2"}, {"Server-Limit", "1.4"}}).limitMention ==
+          LimitMention::kUntold);
+  }
+}
+
 TEST_CASE("an answer is ours only by its id") {
   Sent sent;
   CHECK(sent.facts(200, {{"X-Request-Id", "r1"}}).isOurs);
--- a/test/process/engine_limit_test.py
+++ b/test/process/engine_limit_test.py
@@ -41,6 +41,8 @@
         self.world.start_nodes(options)
         print(f"logs in {self.world.folder}", flush=True)
         self.world.wait_until_served()
+        for engine in self.world.engines:  # Callers that wait for slow streams would ask for little.
+            engine.event_seconds = soak.standin.EVENT_SECONDS
         self.callers = [threading.Thread(target=self.world.keep_calling, args=(number,), daemon=True)
                         for number in range(CALLERS)]
         for caller in self.callers:
