--- a/src/gateway/backend_choice.cpp
+++ b/src/gateway/backend_choice.cpp
@@ -238,7 +238,7 @@
     }
     if (asked < kMostHomesAsked) {
       ++asked;
-      if (const auto permitted = askForPermit(best, demand, context, loads)) {
+      if (auto permitted = askForPermit(best, demand, context, loads)) {
         return permitted;
       }
     }
@@ -264,7 +264,7 @@
   const EngineDemand demand = permitOnly(request, context.now, longestWait);
   for (const auto& each : due) {
     const BackendView& backend = *each.second;
-    if (const auto permitted = askForPermit(backend, demand, context, loads)) {
+    if (auto permitted = askForPermit(backend, demand, context, loads)) {
       return permitted;
     }
     if (loads.permitDue(backend.incarnation) == Duration(0) &&
