Callers refused at engines' limits are told to come back spread out, where far more is refused than permitted

All were told the time of the next permit, which one of them gets; the others were refused once more. A node spreads them over as many permits as it refuses requests for each it sends, within a third of their time left; with little shortage the time told is that of the next permit, as before. Beside it: choices don't look up limits one by one where no engine states any.

--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -9,7 +9,8 @@
       options_(std::move(options)),
       planner_(PlannerServices{services_.clock, services_.backends, services_.wanted,
                                services_.parts, services_.loads},
-               options_.zone, options_.randomSeed) {}
+               options_.zone, options_.randomSeed),
+      returnTimes_(options_.randomSeed) {}
 
 void Forwarder::serve(const IncomingRequest& request, CallerChannel& caller) {
   RequestRun(*this, request, caller).run();
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -22,6 +22,7 @@
 #include "gateway/outcome_log.h"
 #include "gateway/part_memory.h"
 #include "gateway/request_quarantine.h"
+#include "gateway/return_times.h"
 #include "gateway/second_send_budget.h"
 #include "gateway/send_planner.h"
 #include "gateway/table_in_force.h"
@@ -75,6 +76,7 @@
   SendPlanner planner_;
   OutcomeLog outcomeLog_;
   LogBudget oddLimitLog_{kOddLimitLines};
+  ReturnTimes returnTimes_;
 };
 
 }  // namespace fernmoor::gateway
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -340,6 +340,7 @@
     ++sends_;
     if (ticket_ && ticket_->hasPermit) {
       services_.metrics.countPermitted();
+      forwarder_.returnTimes_.notePermitted(request_.pool, services_.clock.now());
     }
   }
   if (step == AttemptStep::kDone) {
@@ -453,7 +454,12 @@
     logEnd(RequestOutcome::kEngineFailed);
     return;
   }
-  const bool isLate = services_.clock.now() + kLeastUsefulTime >= request_.deadline;
+  const Time now = services_.clock.now();
+  const bool isLate = now + kLeastUsefulTime >= request_.deadline;
+  if (unpermittedFor_ && !mayHaveRun_) {
+    unpermittedFor_ =
+        forwarder_.returnTimes_.next(request_.pool, *unpermittedFor_, request_.deadline - now, now);
+  }
   refuse(givenUpError(GivenUp{mayHaveRun_, isLate, hopelessWait_, unpermittedFor_}));
   if (unpermittedFor_ && !mayHaveRun_) {
     services_.metrics.countUnpermitted();
--- a/src/gateway/stated_limits.cpp
+++ b/src/gateway/stated_limits.cpp
@@ -50,6 +50,9 @@
 }
 
 LimitChange StatedLimits::note(uint64_t engine, const LimitStatement& statement) {
+  if (isEmpty_ && !statement.ratePerSecond) {
+    return LimitChange::kNone;
+  }
   const std::lock_guard<std::mutex> lock(mutex_);
   const auto known = entries_.find(engine);
   if (known == entries_.end()) {
@@ -57,6 +60,7 @@
       return LimitChange::kNone;
     }
     entries_[engine].statement = statement;
+    isEmpty_ = false;
     return LimitChange::kNamed;
   }
   Entry& entry = known->second;
@@ -73,6 +77,9 @@
 }
 
 std::optional<LimitStatement> StatedLimits::find(uint64_t engine) const {
+  if (isEmpty_) {
+    return std::nullopt;
+  }
   const std::lock_guard<std::mutex> lock(mutex_);
   const auto known = entries_.find(engine);
   return known == entries_.end() ? std::nullopt : std::optional(known->second.statement);
@@ -92,6 +99,9 @@
 }
 
 std::optional<Duration> StatedLimits::permitDue(uint64_t engine, Time now) const {
+  if (isEmpty_) {
+    return std::nullopt;
+  }
   const std::lock_guard<std::mutex> lock(mutex_);
   const auto known = entries_.find(engine);
   if (known == entries_.end() || !known->second.statement.ratePerSecond) {
@@ -143,6 +153,7 @@
                                                : age > kEndedMemory;
     entry = isOld ? entries_.erase(entry) : std::next(entry);
   }
+  isEmpty_ = entries_.empty();
 }
 
 }  // namespace fernmoor::gateway
--- a/src/gateway/stated_limits.h
+++ b/src/gateway/stated_limits.h
@@ -5,6 +5,7 @@
 /// whose answers made them, as answers overtake each other.
 #pragma once
 
+#include <atomic>
 #include <cstdint>
 #include <functional>
 #include <mutex>
@@ -72,6 +73,7 @@
 
   mutable std::mutex mutex_;
   std::unordered_map<uint64_t, Entry> entries_;
+  std::atomic<bool> isEmpty_{true};  ///< Choices ask for each back end: most times there is none.
 };
 
 }  // namespace fernmoor::gateway
