--- a/src/peers/load_directory.cpp
+++ b/src/peers/load_directory.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <limits>
 
-#include "common/log.h"
 #include "peers/answer_timeout.h"
 #include "peers/engine_limit_codec.h"
 #include "peers/node_hash.h"
@@ -15,22 +14,12 @@
 using gateway::EngineDemand;
 using gateway::EngineRoom;
 using gateway::EngineStatement;
-using gateway::LimitChange;
 using gateway::LimitStatement;
 using gateway::LoadAnswer;
 using gateway::LoadTicket;
 using gateway::PendingRequest;
 using gateway::PermitOffer;
 
-/// A limit is told to all nodes again after this, then after twice as long, and so on.
-constexpr Duration kFirstPause{300000};
-constexpr Duration kLongestPause{10000000};
-/// A limit that changes more often is told with the next tick.
-constexpr Duration kLeastPause{100000};
-constexpr Duration kPermitLogInterval{4000000};
-constexpr LogBudgetBounds kChangeLines{5, 40};
-constexpr LogBudgetBounds kPermitLines{2, 20};
-
 uint32_t inMessage(uint64_t tokens) {
   return static_cast<uint32_t>(std::min<uint64_t>(tokens, std::numeric_limits<uint32_t>::max()));
 }
@@ -48,12 +37,7 @@
 
 LoadDirectory::LoadDirectory(NodeId self, const Clock& clock, MessageSender& sender,
                              EngineNames names)
-    : self_(self),
-      clock_(clock),
-      sender_(sender),
-      names_(std::move(names)),
-      changeLog_(kChangeLines),
-      permitLog_(kPermitLines) {}
+    : self_(self), clock_(clock), sender_(sender), names_(std::move(names)) {}
 
 void LoadDirectory::setReachableShare(double share) {
   const std::lock_guard<std::mutex> lock(mutex_);
@@ -65,7 +49,7 @@
   members_ = std::move(members);
 }
 
-NodeId LoadDirectory::keeperOf(uint64_t engine) const {
+NodeId LoadDirectory::ownerOf(uint64_t engine) const {
   const std::lock_guard<std::mutex> lock(mutex_);
   return rendezvousKeeper(engine, self_, members_.get());
 }
@@ -127,21 +111,21 @@
 
 std::optional<LoadAnswer> LoadDirectory::reserve(uint64_t engine, const EngineDemand& demand,
                                                  const EngineRoom& room, uint64_t bound) {
-  const NodeId keeper = keeperOf(engine);
+  const NodeId owner = ownerOf(engine);
   uint32_t id = 0;
   {
     const std::lock_guard<std::mutex> lock(mutex_);
     id = ++lastQuestion_;
-    if (keeper != self_) {
+    if (owner != self_) {
       questions_[id].isCounted = demand.isCounted;
     }
   }
   std::optional<LoadAnswer> answer;
-  if (keeper == self_) {
+  if (owner == self_) {
     const PendingRequest request{self_.value(), id, demand};
     answer = reserveHere(engine, request, room, bound, clock_.now());
   } else {
-    sender_.send(keeper, questionOf(id, engine, demand, room, bound));
+    sender_.send(owner, questionOf(id, engine, demand, room, bound));
     std::unique_lock<std::mutex> lock(mutex_);
     answered_.wait_for(lock, kAnswerTimeout, [&] { return questions_.at(id).answer.has_value(); });
     answer = questions_.at(id).answer;
@@ -155,11 +139,11 @@
 
 void LoadDirectory::tell(const LoadTicket& ticket, bool stillRuns) {
   const proto::Envelope envelope = releaseOf(ticket, stillRuns);
-  const NodeId keeper = keeperOf(ticket.engine);
-  if (keeper == self_) {
+  const NodeId owner = ownerOf(ticket.engine);
+  if (owner == self_) {
     noteEnd(self_.value(), envelope.load().release(), clock_.now());
   } else {
-    sender_.send(keeper, envelope);
+    sender_.send(owner, envelope);
   }
 }
 
@@ -180,189 +164,22 @@
   }
   proto::Envelope envelope = releaseOf(ticket, false);
   envelope.mutable_load()->mutable_release()->set_permit_unused(true);
-  const NodeId keeper = keeperOf(ticket.engine);
-  if (keeper == self_) {
+  const NodeId owner = ownerOf(ticket.engine);
+  if (owner == self_) {
     noteEnd(self_.value(), envelope.load().release(), clock_.now());
   } else {
-    sender_.send(keeper, envelope);
-  }
-}
-
-std::optional<Duration> LoadDirectory::permitDue(uint64_t engine) const {
-  return limits_.permitDue(engine, clock_.now());
-}
-
-bool LoadDirectory::mayGoUnasked(uint64_t engine) {
-  return limits_.takeUnasked(engine, otherNodes().size() + 1, clock_.now());
-}
-
-void LoadDirectory::noteLimit(uint64_t engine, const LimitStatement& statement) {
-  const Time now = clock_.now();
-  if (!takeStatement(EngineStatement{engine, statement}, std::nullopt, now)) {
-    return;
-  }
-  const NodeId keeper = keeperOf(engine);
-  if (keeper == self_) {
-    announce(engine, now);
-  } else {
-    sendLimits({engine}, {keeper}, now);
-  }
-}
-
-bool LoadDirectory::takeStatement(const EngineStatement& told, std::optional<NodeId> from,
-                                  Time now) {
-  const LimitChange change = limits_.note(told.engine, told.statement);
-  if (change == LimitChange::kNone) {
-    return false;
-  }
-  if (told.statement.ratePerSecond && isKeeper(told.engine)) {
-    permits_.expect(told.engine, rateHere(*told.statement.ratePerSecond), now);
-  }
-  logChange(told.engine, change, told.statement, from, now);
-  return true;
-}
-
-void LoadDirectory::logChange(uint64_t engine, LimitChange change, const LimitStatement& statement,
-                              std::optional<NodeId> from, Time now) {
-  const std::optional<uint64_t> leftOut = changeLog_.take(now);
-  if (!leftOut) {
-    return;
+    sender_.send(owner, envelope);
   }
-  LogFields fields;
-  fields.engine = EngineId(names_ ? names_(engine) : "");
-  fields.peer = from;
-  fields.elapsed = now - statement.cameAt;
-  fields.leftOut = *leftOut;
-  const std::string rate = std::to_string(statement.ratePerSecond.value_or(0));
-  logInfo(change == LimitChange::kEnded ? "engine limit: none is stated any more"
-          : change == LimitChange::kNamed
-              ? "engine limit: " + rate + " requests a second are stated"
-              : "engine limit: changed to " + rate + " requests a second",
-          fields);
 }
 
-void LoadDirectory::logPermits(Time now) {
-  if (now - permitsLoggedAt_ < kPermitLogInterval) {
-    return;
-  }
-  permitsLoggedAt_ = now;
-  for (const gateway::PermitCounts& counts : permits_.takeCounts()) {
-    const std::optional<uint64_t> leftOut = permitLog_.take(now);
-    if (!leftOut) {
-      continue;
-    }
-    LogFields fields;
-    fields.engine = EngineId(names_ ? names_(counts.engine) : "");
-    fields.leftOut = *leftOut;
-    logInfo("engine limit: in the last 4 s " + std::to_string(counts.given) +
-                " requests of all nodes were permitted, " + std::to_string(counts.withheld) +
-                " questions were not",
-            fields);
-  }
-}
-
-std::vector<NodeId> LoadDirectory::otherNodes() const {
-  const std::lock_guard<std::mutex> lock(mutex_);
-  std::vector<NodeId> nodes;
-  if (members_ != nullptr) {
-    for (const Member& member : members_->members) {
-      if (member.life.node != self_) {
-        nodes.push_back(member.life.node);
-      }
-    }
-  }
-  return nodes;
-}
-
-void LoadDirectory::announce(uint64_t engine, Time now) {
-  {
-    const std::lock_guard<std::mutex> lock(mutex_);
-    const auto known = announcements_.find(engine);
-    if (known != announcements_.end() && now - known->second.toldAt < kLeastPause) {
-      known->second.pause = kLeastPause;
-      return;
-    }
-    announcements_[engine] = Announcement{now, kFirstPause};
-  }
-  sendLimits({engine}, otherNodes(), now);
-}
-
-void LoadDirectory::sendLimits(const std::vector<uint64_t>& engines, const std::vector<NodeId>& to,
-                               Time now) {
-  proto::Envelope envelope;
-  proto::EngineLimits& limits = *envelope.mutable_load()->mutable_limits();
-  for (const uint64_t engine : engines) {
-    if (const std::optional<LimitStatement> known = limits_.find(engine)) {
-      encodeLimit(EngineStatement{engine, *known}, now, *limits.add_limits());
-    }
-  }
-  if (limits.limits_size() == 0) {
-    return;
-  }
-  for (const NodeId node : to) {
-    sender_.send(node, envelope);
-  }
-}
-
-std::vector<NodeId> LoadDirectory::newcomers() {
-  const std::lock_guard<std::mutex> lock(mutex_);
-  std::map<NodeId, Incarnation> present;
-  std::vector<NodeId> found;
-  if (members_ != nullptr) {
-    for (const Member& member : members_->members) {
-      const auto known = told_.find(member.life.node);
-      present[member.life.node] = member.life.incarnation;
-      const bool isKnown = known != told_.end() && known->second == member.life.incarnation;
-      if (!isKnown && member.life.node != self_) {
-        found.push_back(member.life.node);
-      }
-    }
-  }
-  told_ = std::move(present);
-  return found;
-}
-
-void LoadDirectory::announceDue(Time now) {
-  std::vector<uint64_t> own;
-  for (const EngineStatement& each : limits_.all()) {
-    if (isKeeper(each.engine)) {
-      own.push_back(each.engine);
-    }
-  }
-  if (own.empty()) {
-    return;
-  }
-  const std::vector<NodeId> added = newcomers();
-  std::vector<uint64_t> due;
-  {
-    const std::lock_guard<std::mutex> lock(mutex_);
-    std::map<uint64_t, Announcement> kept;
-    for (const uint64_t engine : own) {
-      const auto known = announcements_.find(engine);
-      Announcement next = known == announcements_.end() ? Announcement{} : known->second;
-      if (now - next.toldAt >= next.pause) {
-        due.push_back(engine);
-        next.pause = std::clamp(next.pause * 2, kFirstPause, kLongestPause);
-        next.toldAt = now;
-      }
-      kept[engine] = next;
-    }
-    announcements_ = std::move(kept);
-  }
-  sendLimits(due, otherNodes(), now);
-  if (!added.empty()) {
-    sendLimits(own, added, now);
-  }
-}
-
-void LoadDirectory::noteEnd(uint64_t owner, const proto::LoadRelease& release, Time now) {
+void LoadDirectory::noteEnd(uint64_t asker, const proto::LoadRelease& release, Time now) {
   if (release.permit_unused()) {
     permits_.giveBack(release.engine(), now);
   }
   if (release.still_runs()) {
-    work_.promptRead(release.engine(), owner, release.question_id(), now);
+    work_.promptRead(release.engine(), asker, release.question_id(), now);
   } else {
-    work_.release(release.engine(), owner, release.question_id(), now);
+    work_.release(release.engine(), asker, release.question_id(), now);
   }
 }
 
@@ -456,20 +273,4 @@
   }
 }
 
-void LoadDirectory::onLimits(NodeLife from, const proto::EngineLimits& limits, Time now) {
-  for (const proto::EngineLimit& limit : limits.limits()) {
-    const EngineStatement told = decodeLimit(limit, now);
-    if (takeStatement(told, from.node, now) && isKeeper(told.engine)) {
-      announce(told.engine, now);
-    }
-  }
-}
-
-void LoadDirectory::onTick(Time now, MessageSender&) {
-  announceDue(now);
-  limits_.forgetOld([this](uint64_t engine) { return !names_ || !names_(engine).empty(); }, now);
-  permits_.forgetUnused(now);
-  logPermits(now);
-}
-
 }  // namespace fernmoor::peers
--- a/src/peers/load_directory.h
+++ b/src/peers/load_directory.h
@@ -29,6 +29,10 @@
 
 namespace fernmoor::peers {
 
+/// Lines on limits that are stated, change or end, and on the permits that a node gave.
+inline constexpr LogBudgetBounds kChangeLines{5, 40};
+inline constexpr LogBudgetBounds kPermitLines{2, 20};
+
 /// @return the id of a listed engine, given the hash of its incarnation; empty: it isn't listed.
 using EngineNames = std::function<std::string(uint64_t)>;
 
@@ -75,8 +79,8 @@
     std::optional<gateway::LoadAnswer> answer;
   };
 
-  NodeId keeperOf(uint64_t engine) const;
-  bool isKeeper(uint64_t engine) const { return keeperOf(engine) == self_; }
+  NodeId ownerOf(uint64_t engine) const;
+  bool isOwner(uint64_t engine) const { return ownerOf(engine) == self_; }
   /// Counts a request at an engine that this node counts for, and gives its permit.
   gateway::LoadAnswer reserveHere(uint64_t engine, const gateway::PendingRequest& request,
                                   const gateway::EngineRoom& room, uint64_t bound, Time now);
@@ -99,9 +103,9 @@
                  const gateway::LimitStatement& statement, std::optional<NodeId> from, Time now);
   void logPermits(Time now);
   std::vector<NodeId> otherNodes() const;
-  /// Tells the engine's keeper that a request's prompt was read, or that it ended.
+  /// Tells the engine's owner that a request's prompt was read, or that it ended.
   void tell(const gateway::LoadTicket& ticket, bool stillRuns);
-  void noteEnd(uint64_t owner, const proto::LoadRelease& release, Time now);
+  void noteEnd(uint64_t asker, const proto::LoadRelease& release, Time now);
   void forgetFormerLife(NodeLife from);
   void onQuestion(NodeLife from, const proto::LoadQuestion& question, Time now,
                   MessageSender& sender);
@@ -115,8 +119,8 @@
   gateway::PendingWork work_;
   gateway::StatedLimits limits_;
   gateway::EnginePermits permits_;
-  LogBudget changeLog_;
-  LogBudget permitLog_;
+  LogBudget changeLog_{kChangeLines};
+  LogBudget permitLog_{kPermitLines};
   mutable std::mutex mutex_;
   std::condition_variable answered_;
   std::shared_ptr<const MembershipSnapshot> members_;
--- a/test/peers/engine_limits_test.cpp
+++ b/test/peers/engine_limits_test.cpp
@@ -68,7 +68,7 @@
     return sum;
   }
   /// @return the node that counts for the engine: it tells nobody what it hears of it.
-  uint64_t keeper() {
+  uint64_t owner() {
     for (uint64_t id = 1; id <= size(); ++id) {
       const int before = messages;
       node(id).promptRead(gateway::LoadTicket{kEngine, 0, false, false});
@@ -114,14 +114,14 @@
   world.tell(1, 1.4);
   int permitted = world.permitted(std::chrono::seconds(4));
   for (int round = 0; round < 5; ++round) {
-    const uint64_t keeper = world.keeper();
+    const uint64_t owner = world.owner();
     SUBCASE("it is started anew") {
-      world.restart(keeper);
+      world.restart(owner);
     }
     SUBCASE("it is a suspect, and comes back") {
-      world.setState(keeper, MemberState::kSuspect);
+      world.setState(owner, MemberState::kSuspect);
       permitted += world.permitted(std::chrono::seconds(2));
-      world.setState(keeper, MemberState::kAlive);
+      world.setState(owner, MemberState::kAlive);
     }
     permitted += world.permitted(std::chrono::seconds(4));
   }
@@ -149,7 +149,7 @@
     "pass") {
   LimitWorld world(5);
   world.tell(1, 10);
-  world.silent.insert(NodeId(world.keeper()));
+  world.silent.insert(NodeId(world.owner()));
   int passed = 0;
   for (int step = 0; step < 400; ++step) {
     for (uint64_t id = 1; id <= 5; ++id) {
@@ -165,7 +165,7 @@
   LimitWorld world(7);
   world.tell(1, 1.4);
   world.pass(std::chrono::seconds(1));
-  const uint64_t other = world.keeper() == 7 ? 6 : 7;
+  const uint64_t other = world.owner() == 7 ? 6 : 7;
   world.restart(other);
   CHECK(world.node(other).limitedCount() == 0);
   world.pass(std::chrono::seconds(11));
@@ -176,7 +176,7 @@
   LimitWorld world(2);
   world.tell(1, 0.5);
   world.pass(std::chrono::seconds(3));
-  const uint64_t asker = world.keeper() == 1 ? 2 : 1;
+  const uint64_t asker = world.owner() == 1 ? 2 : 1;
   const LoadAnswer answer = *world.node(asker).reserve(kEngine, permitOnly(), kRoom, 1);
   REQUIRE(answer.ticket.hasPermit);
   CHECK(world.node(asker).reserve(kEngine, permitOnly(), kRoom, 1)->lacksPermit);
