A node sends unasked only where nobody answered, and not ahead of a permit that is less than a millisecond away

Read in the diff: a refusal with a wait below a millisecond was told as 0, and a node then took it for no answer and used its own part of the limit as well. limited_choice_test shows it: an answer that there is no permit for one more microsecond.

--- a/src/gateway/backend_choice.cpp
+++ b/src/gateway/backend_choice.cpp
@@ -135,17 +135,10 @@
   return choice;
 }
 
-/// @return nothing where the back end permits none in time, or nobody answered.
-std::optional<BackendChoice> askForPermit(const BackendView& backend, const EngineDemand& demand,
-                                          const ChoiceContext& context, EngineLoads& loads) {
-  const std::optional<LoadAnswer> answer =
-      loads.reserve(backend.incarnation, demand, context.room, kNoBound);
-  if (!answer || !answer->isGranted) {
-    return std::nullopt;
-  }
+BackendChoice permittedChoice(const BackendView& backend, const LoadAnswer& answer) {
   BackendChoice choice = unaskedChoice(backend);
-  choice.ticket = answer->ticket;
-  choice.permitWait = answer->permitWait;
+  choice.ticket = answer.ticket;
+  choice.permitWait = answer.permitWait;
   return choice;
 }
 
@@ -238,8 +231,9 @@
     }
     if (asked < kMostHomesAsked) {
       ++asked;
-      if (auto permitted = askForPermit(best, demand, context, loads)) {
-        return permitted;
+      const auto answer = loads.reserve(best.incarnation, demand, context.room, kNoBound);
+      if (answer && answer->isGranted) {
+        return permittedChoice(best, *answer);
       }
     }
     usable.erase(std::find(usable.begin(), usable.end(), &best));
@@ -264,11 +258,11 @@
   const EngineDemand demand = permitOnly(request, context.now, longestWait);
   for (const auto& each : due) {
     const BackendView& backend = *each.second;
-    if (auto permitted = askForPermit(backend, demand, context, loads)) {
-      return permitted;
+    const auto answer = loads.reserve(backend.incarnation, demand, context.room, kNoBound);
+    if (answer && answer->isGranted) {
+      return permittedChoice(backend, *answer);
     }
-    if (loads.permitDue(backend.incarnation) == Duration(0) &&
-        loads.mayGoUnasked(backend.incarnation)) {
+    if (!answer && loads.mayGoUnasked(backend.incarnation)) {
       return unaskedChoice(backend);
     }
   }
--- a/src/peers/load_directory.cpp
+++ b/src/peers/load_directory.cpp
@@ -20,6 +20,8 @@
 using gateway::PendingRequest;
 using gateway::PermitOffer;
 
+constexpr Duration kAlmostMillisecond{999};
+
 uint32_t inMessage(uint64_t tokens) {
   return static_cast<uint32_t>(std::min<uint64_t>(tokens, std::numeric_limits<uint32_t>::max()));
 }
@@ -219,7 +221,8 @@
   answer.set_tokens_per_second(inMessage(static_cast<uint64_t>(counted.tokensPerSecond)));
   answer.set_stalled(counted.isStalled);
   answer.set_lacks_permit(counted.lacksPermit);
-  answer.set_permit_wait_milliseconds(inMilliseconds(counted.permitWait));
+  // Rounded up: what is sent or asked for sooner would be too soon.
+  answer.set_permit_wait_milliseconds(inMilliseconds(counted.permitWait + kAlmostMillisecond));
   if (const std::optional<LimitStatement> known = limits_.find(question.engine())) {
     encodeLimit(EngineStatement{question.engine(), *known}, now, *answer.mutable_limit());
   }
--- a/test/gateway/limited_choice_test.cpp
+++ b/test/gateway/limited_choice_test.cpp
@@ -159,7 +159,17 @@
   CHECK_FALSE(fixture.least().has_value());
   CHECK_FALSE(fixture.soonest(Duration(0)).has_value());
   fixture.loads.unaskedLeft = 1;
-  CHECK(fixture.soonest(Duration(0)).has_value());
+  SUBCASE("but not where the answer is that there is no permit, however soon one comes") {
+    fixture.loads.silent.clear();
+    for (const BackendView& each : fixture.candidates) {
+      fixture.loads.waits[each.incarnation] = Duration(1);
+    }
+    CHECK_FALSE(fixture.soonest(Duration(0)).has_value());
+  }
+  SUBCASE("once") {
+    CHECK(fixture.soonest(Duration(0)).has_value());
+    CHECK_FALSE(fixture.soonest(Duration(0)).has_value());
+  }
 }
 
 }  // namespace fernmoor::gateway
