--- a/test/gateway/return_times_test.cpp
+++ b/test/gateway/return_times_test.cpp
@@ -28,8 +28,10 @@
 
 TEST_CASE("callers that are refused all the time come back spread out, while they have time left") {
   ReturnTimes times(1);
+  constexpr int kCallers = 400;
   std::vector<Duration> told;
-  for (int step = 0; step < 400; ++step) {
+  told.reserve(kCallers);
+  for (int step = 0; step < kCallers; ++step) {
     told.push_back(times.next("pool", kDue, kTimeLeft, kStart + step * kDue / 20));
   }
   const auto late = std::count_if(told.begin() + 200, told.end(),
