--- a/src/gateway/stated_limits.cpp
+++ b/src/gateway/stated_limits.cpp
@@ -127,14 +127,14 @@
   return entry.unasked->tryTake(now);
 }
 
-std::vector<EngineStatement> StatedLimits::all() const {
+std::vector<uint64_t> StatedLimits::engines() const {
   const std::lock_guard<std::mutex> lock(mutex_);
-  std::vector<EngineStatement> statements;
-  statements.reserve(entries_.size());
+  std::vector<uint64_t> engines;
+  engines.reserve(entries_.size());
   for (const auto& entry : entries_) {
-    statements.push_back(EngineStatement{entry.first, entry.second.statement});
+    engines.push_back(entry.first);
   }
-  return statements;
+  return engines;
 }
 
 size_t StatedLimits::count() const {
--- a/src/gateway/stated_limits.h
+++ b/src/gateway/stated_limits.h
@@ -57,8 +57,8 @@
   std::optional<Duration> permitDue(uint64_t engine, Time now) const;
   /// Lets a request pass on this node's part of the limit, where nobody answers who counts for all.
   bool takeUnasked(uint64_t engine, size_t nodes, Time now);
-  /// @return all statements that are kept.
-  std::vector<EngineStatement> all() const;
+  /// @return back ends of which a statement is kept.
+  std::vector<uint64_t> engines() const;
   /// @return back ends that state a limit.
   size_t count() const;
   /// Forgets limits that ended a while ago, and those of back ends that are not listed any more.
--- a/src/peers/load_directory.h
+++ b/src/peers/load_directory.h
@@ -79,6 +79,14 @@
     std::optional<gateway::LoadAnswer> answer;
   };
 
+  /// The engines that this node counts for: looked up anew only where the members or the engines
+  /// with limits changed, as each look goes over all members.
+  struct OwnedLimits {
+    std::shared_ptr<const MembershipSnapshot> members;
+    std::vector<uint64_t> among;
+    std::vector<uint64_t> engines;
+  };
+
   NodeId ownerOf(uint64_t engine) const;
   bool isOwner(uint64_t engine) const { return ownerOf(engine) == self_; }
   /// Counts a request at an engine that this node counts for, and gives its permit.
@@ -95,6 +103,8 @@
   /// Tells all nodes, now and then again and again.
   void announce(uint64_t engine, Time now);
   void sendLimits(const std::vector<uint64_t>& engines, const std::vector<NodeId>& to, Time now);
+  /// Used on the thread that ticks. @return engines with limits that this node counts for.
+  const std::vector<uint64_t>& ownLimits();
   /// Tells the limits that are due again, and all of them to nodes that have just come.
   void announceDue(Time now);
   /// @return nodes that were not told of since they began.
@@ -129,6 +139,7 @@
   std::map<NodeId, Incarnation> askers_;  ///< In which life each node asked last.
   double reachableShare_ = 1.0;
   std::map<uint64_t, Announcement> announcements_;  ///< Of engines that this node counts for.
+  OwnedLimits owned_;                               ///< Used on the thread that ticks.
   std::map<NodeId, Incarnation> told_;              ///< Nodes that were there at the last tick.
   Time permitsLoggedAt_;
 };
--- a/src/peers/load_directory_limits.cpp
+++ b/src/peers/load_directory_limits.cpp
@@ -2,6 +2,7 @@
 /// What the directory does with the limits that engines state: takes them, tells them to the other
 /// nodes, and writes what changed. The permits stand in load_directory.cpp.
 #include <algorithm>
+#include <iterator>
 
 #include "common/log.h"
 #include "peers/engine_limit_codec.h"
@@ -158,13 +159,23 @@
   return found;
 }
 
-void LoadDirectory::announceDue(Time now) {
-  std::vector<uint64_t> own;
-  for (const EngineStatement& each : limits_.all()) {
-    if (isOwner(each.engine)) {
-      own.push_back(each.engine);
-    }
+const std::vector<uint64_t>& LoadDirectory::ownLimits() {
+  std::shared_ptr<const MembershipSnapshot> members;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    members = members_;
   }
+  std::vector<uint64_t> engines = limits_.engines();
+  if (members != owned_.members || engines != owned_.among) {
+    owned_ = OwnedLimits{std::move(members), std::move(engines), {}};
+    std::copy_if(owned_.among.begin(), owned_.among.end(), std::back_inserter(owned_.engines),
+                 [this](uint64_t engine) { return isOwner(engine); });
+  }
+  return owned_.engines;
+}
+
+void LoadDirectory::announceDue(Time now) {
+  const std::vector<uint64_t>& own = ownLimits();
   if (own.empty()) {
     return;
   }
--- a/test/gateway/stated_limits_test.cpp
+++ b/test/gateway/stated_limits_test.cpp
@@ -92,14 +92,14 @@
     limits.forgetOld(isNotListed, at(20000));
     CHECK(limits.count() == 1);
     limits.forgetOld(isNotListed, at(40000));
-    CHECK(limits.all().empty());
+    CHECK(limits.engines().empty());
   }
   SUBCASE("when it ended") {
     limits.note(kEngine, stated(std::nullopt, 100, 110));
     limits.forgetOld(isListed, at(9000));
-    CHECK(limits.all().size() == 1);
+    CHECK(limits.engines().size() == 1);
     limits.forgetOld(isListed, at(20000));
-    CHECK(limits.all().empty());
+    CHECK(limits.engines().empty());
   }
 }
 
