Peers: one way to tell an engine's owner of a request, one conversion of ages for messages; a look at the caller's end is a wait of no time

giveBack() repeated tell(), three files held the same cast to whole milliseconds (two without a bound on great ages), and leftWithin() was closedByPeer() with a time. The same tests.

--- a/src/gateway/engine_loads.h
+++ b/src/gateway/engine_loads.h
@@ -78,8 +78,7 @@
   /// Takes what an answer states.
   virtual void noteLimit(uint64_t, const LimitStatement&) {}
   /// @return the time until a request may be permitted, as far as this node knows; nothing where
-  /// the
-  ///         engine states no limit.
+  ///         the engine states no limit.
   virtual std::optional<Duration> permitDue(uint64_t) const { return std::nullopt; }
   /// @return whether a request may be sent though nobody answered who counts for the engine.
   virtual bool mayGoUnasked(uint64_t) { return true; }
--- a/src/http/byte_connection.cpp
+++ b/src/http/byte_connection.cpp
@@ -40,8 +40,7 @@
 }
 
 bool ByteConnection::closedByPeer() {
-  pollfd entry{socket().impl()->sockfd(), POLLRDHUP, 0};
-  return ::poll(&entry, 1, 0) != 0 && (entry.revents & kClosedEvents) != 0;
+  return leftWithin(Duration(0));
 }
 
 bool ByteConnection::leftWithin(Duration time) {
--- a/src/peers/engine_limit_codec.cpp
+++ b/src/peers/engine_limit_codec.cpp
@@ -1,15 +1,10 @@
 #include "peers/engine_limit_codec.h"
 
-#include <algorithm>
 #include <cmath>
-#include <limits>
 
-namespace fernmoor::peers {
+#include "peers/message_time.h"
 
-uint32_t inMilliseconds(Duration time) {
-  constexpr int64_t kMost = std::numeric_limits<uint32_t>::max();
-  return static_cast<uint32_t>(std::clamp<int64_t>(time.count() / 1000, 0, kMost));
-}
+namespace fernmoor::peers {
 
 void encodeLimit(const gateway::EngineStatement& told, Time now, proto::EngineLimit& message) {
   const gateway::LimitStatement& statement = told.statement;
--- a/src/peers/engine_limit_codec.h
+++ b/src/peers/engine_limit_codec.h
@@ -7,9 +7,6 @@
 
 namespace fernmoor::peers {
 
-/// @return whole milliseconds, 0 for a negative time, the greatest number for a very long one.
-uint32_t inMilliseconds(Duration time);
-
 /// @param now when the message is sent.
 void encodeLimit(const gateway::EngineStatement& told, Time now, proto::EngineLimit& message);
 
--- a/src/peers/load_directory.cpp
+++ b/src/peers/load_directory.cpp
@@ -5,6 +5,7 @@
 
 #include "peers/answer_timeout.h"
 #include "peers/engine_limit_codec.h"
+#include "peers/message_time.h"
 #include "peers/node_hash.h"
 
 namespace fernmoor::peers {
@@ -26,13 +27,18 @@
   return static_cast<uint32_t>(std::min<uint64_t>(tokens, std::numeric_limits<uint32_t>::max()));
 }
 
-proto::Envelope releaseOf(const LoadTicket& ticket, bool stillRuns) {
-  proto::Envelope envelope;
-  proto::LoadRelease& release = *envelope.mutable_load()->mutable_release();
+proto::LoadRelease releaseOf(const LoadTicket& ticket) {
+  proto::LoadRelease release;
   release.set_engine(ticket.engine);
   release.set_question_id(ticket.id);
-  release.set_still_runs(stillRuns);
-  return envelope;
+  return release;
+}
+
+/// Of a request that was not sent.
+proto::LoadRelease unsentOf(const LoadTicket& ticket) {
+  proto::LoadRelease release = releaseOf(ticket);
+  release.set_permit_unused(ticket.hasPermit);
+  return release;
 }
 
 }  // namespace
@@ -139,38 +145,32 @@
   return answer;
 }
 
-void LoadDirectory::tell(const LoadTicket& ticket, bool stillRuns) {
-  const proto::Envelope envelope = releaseOf(ticket, stillRuns);
-  const NodeId owner = ownerOf(ticket.engine);
+void LoadDirectory::tell(const proto::LoadRelease& release) {
+  const NodeId owner = ownerOf(release.engine());
   if (owner == self_) {
-    noteEnd(self_.value(), envelope.load().release(), clock_.now());
-  } else {
-    sender_.send(owner, envelope);
+    noteEnd(self_.value(), release, clock_.now());
+    return;
   }
+  proto::Envelope envelope;
+  *envelope.mutable_load()->mutable_release() = release;
+  sender_.send(owner, envelope);
 }
 
 void LoadDirectory::promptRead(const LoadTicket& ticket) {
-  tell(ticket, true);
+  proto::LoadRelease release = releaseOf(ticket);
+  release.set_still_runs(true);
+  tell(release);
 }
 
 void LoadDirectory::release(const LoadTicket& ticket) {
   if (ticket.isCounted) {
-    tell(ticket, false);
+    tell(releaseOf(ticket));
   }
 }
 
 void LoadDirectory::giveBack(const LoadTicket& ticket) {
-  if (!ticket.hasPermit) {
-    release(ticket);
-    return;
-  }
-  proto::Envelope envelope = releaseOf(ticket, false);
-  envelope.mutable_load()->mutable_release()->set_permit_unused(true);
-  const NodeId owner = ownerOf(ticket.engine);
-  if (owner == self_) {
-    noteEnd(self_.value(), envelope.load().release(), clock_.now());
-  } else {
-    sender_.send(owner, envelope);
+  if (ticket.isCounted || ticket.hasPermit) {
+    tell(unsentOf(ticket));
   }
 }
 
@@ -256,8 +256,8 @@
     }
   }
   if (answer.granted()) {  // Nobody waits any more, so nobody would release it.
-    proto::Envelope envelope = releaseOf(taken.ticket, false);
-    envelope.mutable_load()->mutable_release()->set_permit_unused(taken.ticket.hasPermit);
+    proto::Envelope envelope;
+    *envelope.mutable_load()->mutable_release() = unsentOf(taken.ticket);
     sender.send(from.node, envelope);
   }
 }
--- a/src/peers/load_directory.h
+++ b/src/peers/load_directory.h
@@ -113,8 +113,8 @@
                  const gateway::LimitStatement& statement, std::optional<NodeId> from, Time now);
   void logPermits(Time now);
   std::vector<NodeId> otherNodes() const;
-  /// Tells the engine's owner that a request's prompt was read, or that it ended.
-  void tell(const gateway::LoadTicket& ticket, bool stillRuns);
+  /// Tells the engine's owner that a request's prompt was read, that it ended, or was not sent.
+  void tell(const proto::LoadRelease& release);
   void noteEnd(uint64_t asker, const proto::LoadRelease& release, Time now);
   void forgetFormerLife(NodeLife from);
   void onQuestion(NodeLife from, const proto::LoadQuestion& question, Time now,
--- a/src/peers/part_directory.cpp
+++ b/src/peers/part_directory.cpp
@@ -4,6 +4,7 @@
 #include <set>
 
 #include "peers/answer_timeout.h"
+#include "peers/message_time.h"
 
 namespace fernmoor::peers {
 
@@ -23,10 +24,6 @@
   return hint.engine != 0 || hint.isStored;
 }
 
-uint32_t ageInMilliseconds(Time since, Time now) {
-  return static_cast<uint32_t>(std::max<int64_t>(0, (now - since).count() / 1000));
-}
-
 }  // namespace
 
 PartDirectory::PartDirectory(NodeId self, const Clock& clock, MessageSender& sender)
@@ -137,9 +134,9 @@
     proto::PartHintEntry& entry = *answer.add_hints();
     entry.set_index(static_cast<uint32_t>(index));
     entry.set_engine(hint.engine);
-    entry.set_read_age_milliseconds(ageInMilliseconds(hint.readAt, now));
+    entry.set_read_age_milliseconds(inMilliseconds(now - hint.readAt));
     entry.set_stored(hint.isStored);
-    entry.set_stored_age_milliseconds(ageInMilliseconds(hint.storedAt, now));
+    entry.set_stored_age_milliseconds(inMilliseconds(now - hint.storedAt));
   }
   sender.send(from.node, envelope);
 }
--- a/src/peers/quarantine_directory.cpp
+++ b/src/peers/quarantine_directory.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "common/log.h"
+#include "peers/message_time.h"
 
 namespace fernmoor::peers {
 
@@ -42,14 +43,10 @@
 constexpr size_t kNodesThatStore = 4;
 constexpr Duration kNextStores{700000};
 
-uint32_t ageInMessage(Time then, Time now) {
-  return static_cast<uint32_t>(std::max<int64_t>(0, (now - then).count() / 1000));
-}
-
 void putRun(const CrashedRun& run, Time now, proto::CrashedRun& out) {
   out.set_incarnation(run.incarnation);
-  out.set_began_age_milliseconds(ageInMessage(run.beganAt, now));
-  out.set_ended_age_milliseconds(ageInMessage(run.endedAt, now));
+  out.set_began_age_milliseconds(inMilliseconds(now - run.beganAt));
+  out.set_ended_age_milliseconds(inMilliseconds(now - run.endedAt));
   out.set_start_known(run.startKnown);
 }
 
@@ -82,7 +79,7 @@
   proto::Envelope envelope;
   proto::QuarantineVerdict& verdict = *envelope.mutable_quarantine()->mutable_verdict();
   putSuspicion(suspicion, now, verdict);
-  verdict.set_age_milliseconds(ageInMessage(since, now));
+  verdict.set_age_milliseconds(inMilliseconds(now - since));
   return envelope;
 }
 
