Request run: what it does about engines' limits in a file of its own, its refusal as a function; the tenant's limit is tested beside them

The refusal is no third case of givenUpError() any more, whose tests stand as they were before limits; the wait for a permit and that refusal have unit tests now.

--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -148,34 +148,6 @@
   }
 }
 
-void RequestRun::releaseTicket() {
-  if (ticket_) {
-    forwarder_.planner_.release(*ticket_);
-    ticket_.reset();
-  }
-}
-
-void RequestRun::giveBackTicket() {
-  if (ticket_) {
-    forwarder_.planner_.giveBack(*ticket_);
-    ticket_.reset();
-  }
-}
-
-bool RequestRun::awaitPermit(const PlannedSend& planned) {
-  if (planned.permitWait <= Duration(0)) {
-    return true;
-  }
-  const Time permitAt = services_.clock.now() + planned.permitWait;
-  for (Time now = services_.clock.now(); now < permitAt; now = services_.clock.now()) {
-    if (caller_.connection().leftWithin(std::min(permitAt - now, kLongestWaitPiece))) {
-      callerGone_ = true;
-      return false;
-    }
-  }
-  return services_.backends.isUsable(planned.send.backend.id);
-}
-
 bool RequestRun::isLate(Time now) const {
   return firstEventAt_.value_or(now) - request_.arrivedAt > request_.row->target;
 }
@@ -338,10 +310,7 @@
     giveBackTicket();
   } else {
     ++sends_;
-    if (ticket_ && ticket_->hasPermit) {
-      services_.metrics.countPermitted();
-      forwarder_.returnTimes_.notePermitted(request_.pool, services_.clock.now());
-    }
+    notePermitUsed();
   }
   if (step == AttemptStep::kDone) {
     step = awaitHead(attempt);
@@ -389,30 +358,6 @@
   }
 }
 
-void RequestRun::noteLimit(const AnswerFacts& facts) {
-  const Time now = services_.clock.now();
-  switch (facts.limitMention) {
-    case LimitMention::kUntold:
-      return;
-    case LimitMention::kNone:
-      services_.loads.noteLimit(incarnationHash(plan_.backend),
-                                LimitStatement{std::nullopt, sentAt_, now});
-      return;
-    case LimitMention::kStated:
-      services_.loads.noteLimit(incarnationHash(plan_.backend),
-                                LimitStatement{facts.limit, sentAt_, now});
-      return;
-    case LimitMention::kUnreadable:
-      break;
-  }
-  if (const std::optional<uint64_t> leftOut = forwarder_.oddLimitLog_.take(now)) {
-    LogFields fields;
-    fields.engine = EngineId(plan_.backend.id);
-    fields.leftOut = *leftOut;
-    logWarning("engine limit: what was stated is no decimal number and is ignored", fields);
-  }
-}
-
 void RequestRun::reportOldWeights() {
   const uint64_t due = services_.wanted.dueVersion(request_.model, services_.clock.now());
   if (answeredWeights_ == 0 || answeredWeights_ >= due) {
@@ -454,18 +399,12 @@
     logEnd(RequestOutcome::kEngineFailed);
     return;
   }
-  const Time now = services_.clock.now();
-  const bool isLate = now + kLeastUsefulTime >= request_.deadline;
-  if (unpermittedFor_ && !mayHaveRun_) {
-    unpermittedFor_ =
-        forwarder_.returnTimes_.next(request_.pool, *unpermittedFor_, request_.deadline - now, now);
-  }
-  refuse(givenUpError(GivenUp{mayHaveRun_, isLate, hopelessWait_, unpermittedFor_}));
   if (unpermittedFor_ && !mayHaveRun_) {
-    services_.metrics.countUnpermitted();
-    logEnd(RequestOutcome::kUnpermitted);
+    refuseUnpermitted(*unpermittedFor_);
     return;
   }
+  const bool isLate = services_.clock.now() + kLeastUsefulTime >= request_.deadline;
+  refuse(givenUpError(GivenUp{mayHaveRun_, isLate, hopelessWait_}));
   logEnd(mayHaveRun_ ? RequestOutcome::kNoWholeAnswer : RequestOutcome::kNoBackend);
 }
 
--- a/src/gateway/request_run.h
+++ b/src/gateway/request_run.h
@@ -18,7 +18,8 @@
 /// Grace after the deadline in which the back end's own last word may still come.
 inline constexpr Duration kLastWordGrace{60000};
 
-/// Not thread-safe; used for one request. What passes answers on stands in request_run_relay.cpp.
+/// Not thread-safe; used for one request. What passes answers on stands in request_run_relay.cpp,
+/// what it does about engines' limits in request_run_permits.cpp.
 class RequestRun {
  public:
   RequestRun(Forwarder& forwarder, const IncomingRequest& request, CallerChannel& caller);
@@ -85,7 +86,11 @@
   /// Waits until the request may be sent to a back end that states a limit.
   /// @return false where its caller left meanwhile, or the back end is no more to be used.
   bool awaitPermit(const PlannedSend& planned);
+  /// It was sent.
+  void notePermitUsed();
   void noteLimit(const AnswerFacts& facts);
+  /// @param due until an engine takes a request.
+  void refuseUnpermitted(Duration due);
   void deliverHeld();
   void giveUp();
   /// @return false where it was refused.
--- a/src/gateway/send_decisions.cpp
+++ b/src/gateway/send_decisions.cpp
@@ -52,17 +52,18 @@
                  "no whole answer came from the back end; ask for the outcome before retrying.",
                  RunState::kUnknown, std::nullopt};
   }
-  if (request.unpermittedFor) {
-    return Error{ErrorKind::kOverloaded,
-                 "all back ends are at the limits that they state; come back after the time given.",
-                 RunState::kNotRun, std::max(kLeastRetryAfter, *request.unpermittedFor)};
-  }
   return Error{ErrorKind::kOverloaded,
                "no back end could take the request; come back after the time given.",
                RunState::kNotRun,
                std::max(kRetryAfterBusy, request.expectedFirstEvent.value_or(Duration(0)) / 2)};
 }
 
+Error unpermittedError(Duration comeBack) {
+  return Error{ErrorKind::kOverloaded,
+               "all back ends are at the limits that they state; come back after the time given.",
+               RunState::kNotRun, std::max(kLeastRetryAfter, comeBack)};
+}
+
 Error quarantinedError(Duration left) {
   return Error{ErrorKind::kQuarantined,
                "this request crashed several engines and is not sent on; change it, or come back "
--- a/src/gateway/send_decisions.h
+++ b/src/gateway/send_decisions.h
@@ -36,14 +36,17 @@
   bool isLate = false;  ///< Its deadline has come.
   /// Until its first event, where it was not sent for that wait.
   std::optional<Duration> expectedFirstEvent;
-  /// Until an engine takes a request, where all are at the limits that they state.
-  std::optional<Duration> unpermittedFor;
 };
 
 /// @return what its caller is told. Only a request that has not run is promised that, with the time
 ///         to come back.
 Error givenUpError(const GivenUp& request);
 
+/// @param comeBack when its caller is to ask again.
+/// @return what the caller of a request is told where all engines are at the limits that they
+/// state.
+Error unpermittedError(Duration comeBack);
+
 /// @param left for which the request is not sent on.
 /// @return what the caller of a request that crashes engines is told.
 Error quarantinedError(Duration left);
--- a/test/gateway/forwarder_limit_test.cpp
+++ b/test/gateway/forwarder_limit_test.cpp
@@ -1,6 +1,6 @@
 /// @file
-/// Tests of src/gateway/forwarder.h over loopback where back ends state how many requests they
-/// take.
+/// Tests of src/gateway/forwarder.h over loopback where tenants have limits, or back ends state how
+/// many requests they take.
 #include <doctest/doctest.h>
 
 #include "test/gateway/forwarder_world.h"
@@ -85,4 +85,41 @@
   CHECK(world.loads.permits == 0);
 }
 
+TEST_CASE("a request beyond its tenant's limit is refused before any back end is asked") {
+  ForwarderWorld world;
+  ScriptedBackend& backend = world.add("e1", [](Poco::Net::StreamSocket& socket, const auto&) {
+    say(socket, answer("200 OK", "whole"));
+    return true;
+  });
+  IncomingRequest request = world.request();
+  request.tenant = Tenant{"sese", false, 0};
+  request.tenant->limits.unit = LimitUnit::kTokens;
+  request.tenant->costWithoutTokens = 200;
+  request.key = "key";
+  SUBCASE("with the time to come back") {
+    world.limits.isOver = true;
+    world.forwarder.serve(request, world.caller);
+    CHECK(backend.requests() == 0);
+    REQUIRE(world.caller.refusals.size() == 1);
+    CHECK((world.caller.refusals[0].kind == ErrorKind::kRateLimited));
+    CHECK((world.caller.refusals[0].retryAfter == Duration(700000)));
+  }
+  SUBCASE("and one that passes counts its prompt and its longest answer") {
+    request.promptTokens = 1460;
+    request.mostAnswerTokens = 80;
+    world.forwarder.serve(request, world.caller);
+    CHECK(world.limits.counted == 1540);
+  }
+  SUBCASE("or the fixed number where it tells none") {
+    world.forwarder.serve(request, world.caller);
+    CHECK(world.limits.counted == 200);
+  }
+  SUBCASE("and gets back what it counted where no back end ran it") {
+    world.backends.remove("e1");
+    world.forwarder.serve(request, world.caller);
+    CHECK(world.caller.refusals.size() == 1);
+    CHECK(world.limits.counted == 0);
+  }
+}
+
 }  // namespace fernmoor::gateway
--- a/test/gateway/send_decisions_test.cpp
+++ b/test/gateway/send_decisions_test.cpp
@@ -51,19 +51,45 @@
   }
 }
 
+TEST_CASE("how long a request may wait for an engine that is at its limit") {
+  Case each;
+  const auto waitOf = [&](int urgency, Time now, bool mayBeRefused = true) {
+    return longestPermitWait(each.request, urgency, mayBeRefused, now);
+  };
+  SUBCASE("half as long for each step of urgency") {
+    CHECK((waitOf(0, kStart) == milliseconds(300)));
+    CHECK((waitOf(1, kStart) == milliseconds(150)));
+    CHECK((waitOf(9, kStart) < milliseconds(1)));
+  }
+  SUBCASE("no longer than it can be in time") {
+    CHECK((waitOf(0, kStart + milliseconds(250)) == milliseconds(150)));
+    CHECK((waitOf(0, kStart + milliseconds(900)) == Duration(0)));
+  }
+  SUBCASE("one that a back end has had, to its deadline") {
+    CHECK((waitOf(0, kStart + milliseconds(900), false) == milliseconds(300)));
+    CHECK((waitOf(0, kStart + milliseconds(4900), false) == milliseconds(100)));
+  }
+}
+
+TEST_CASE("what the caller of a request is told where all engines are at their limits") {
+  const Error error = unpermittedError(milliseconds(430));
+  CHECK((error.kind == ErrorKind::kOverloaded));
+  CHECK((error.runState == RunState::kNotRun));
+  CHECK((error.retryAfter == milliseconds(430)));
+  CHECK((unpermittedError(Duration(0)).retryAfter == milliseconds(50)));
+}
+
 TEST_CASE("what the caller of a request is told that was given up") {
-  const Error notRun = givenUpError(GivenUp{false, false, std::nullopt, std::nullopt});
+  const Error notRun = givenUpError(GivenUp{false, false, std::nullopt});
   CHECK((notRun.kind == ErrorKind::kOverloaded));
   CHECK((notRun.runState == RunState::kNotRun));
   CHECK((notRun.retryAfter == milliseconds(250)));
-  CHECK((givenUpError(GivenUp{false, false, milliseconds(2000), std::nullopt}).retryAfter ==
-         milliseconds(1000)));
-  const Error mayHaveRun = givenUpError(GivenUp{true, false, std::nullopt, std::nullopt});
+  CHECK((givenUpError(GivenUp{false, false, milliseconds(2000)}).retryAfter == milliseconds(1000)));
+  const Error mayHaveRun = givenUpError(GivenUp{true, false, std::nullopt});
   CHECK((mayHaveRun.kind == ErrorKind::kOutcomeUnknown));
   CHECK((mayHaveRun.runState == RunState::kUnknown));
   CHECK_FALSE(mayHaveRun.retryAfter.has_value());
-  CHECK(
-      (givenUpError(GivenUp{true, true, std::nullopt, std::nullopt}).kind == ErrorKind::kTimeout));
+  CHECK((givenUpError(GivenUp{true, true, std::nullopt}).kind == ErrorKind::kTimeout));
   CHECK((unprovenKeyError(false).runState == RunState::kNotRun));
   CHECK((unprovenKeyError(true).runState == RunState::kUnknown));
 }
