--- a/test/peers/engine_limits_test.cpp
+++ b/test/peers/engine_limits_test.cpp
@@ -3,7 +3,8 @@
 /// messages are delivered at once.
 #include <doctest/doctest.h>
 
-#include "common/random.h"
+#include <functional>
+
 #include "peers/load_directory.h"
 #include "test/peers/directory_world.h"
 
@@ -50,11 +51,15 @@
     return answer && answer->isGranted;
   }
   /// All nodes ask again and again. @return requests that were permitted.
-  int permitted(Duration time, const std::set<uint64_t>& without = {}) {
+  int permitted(Duration time) {
+    return passing(time, [this](uint64_t id) { return isPermitted(id); });
+  }
+  /// All nodes try again and again. @return how often one passed.
+  int passing(Duration time, const std::function<bool(uint64_t)>& tries) {
     int count = 0;
     for (Duration passed{0}; passed < time; passed += kStep) {
       for (uint64_t id = 1; id <= size(); ++id) {
-        count += without.count(id) == 0 && isPermitted(id) ? 1 : 0;
+        count += tries(id) ? 1 : 0;
       }
       pass(kStep);
     }
@@ -150,13 +155,8 @@
   LimitWorld world(5);
   world.tell(1, 10);
   world.silent.insert(NodeId(world.owner()));
-  int passed = 0;
-  for (int step = 0; step < 400; ++step) {
-    for (uint64_t id = 1; id <= 5; ++id) {
-      passed += world.node(id).mayGoUnasked(kEngine) ? 1 : 0;
-    }
-    world.pass(kStep);
-  }
+  const int passed = world.passing(
+      std::chrono::seconds(4), [&](uint64_t id) { return world.node(id).mayGoUnasked(kEngine); });
   CHECK(passed >= 10);
   CHECK(passed <= 20);
 }
--- a/test/process/engine_limit_test.py
+++ b/test/process/engine_limit_test.py
@@ -7,19 +7,14 @@
 usage: engine_limit_test.py BUILD_FOLDER [NAME]
 """
 import bisect
-import concurrent.futures
-import pathlib
 import random
-import signal
-import sys
 import threading
 import time
 
-ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
-sys.path.insert(0, str(ROOT / "test" / "platform_soak"))
+import scenarios
+from scenarios import judge  # Makes the soak's folder known.
 
-import judge  # noqa: E402  (the path above comes first)
-import soak  # noqa: E402
+import soak
 
 NODES, CALLERS = 5, 40
 AT_ONCE = 2
@@ -29,7 +24,6 @@
 HEARD_SECONDS = 0.5
 # In a window: its rate, a request that lies ready, and the one on its way.
 STRICT_SLACK = 2
-ODD_TEXTS = ("abc", "-1", "nan", "inf", "1e400", "1,4", "", "1.4|1.4", "+1", " ", "0x1", "9" * 400)
 QUICK_REFUSAL_SECONDS = 0.02
 AGAIN_SECONDS = 2.0  # After its limit ended an engine has its former share.
 
@@ -56,6 +50,12 @@
     def some_engines(self):
         return self.engines_of(soak.MODELS, 5) + self.engines_of(soak.PLAIN, 2)
 
+    def busiest(self, engines, count):
+        """Those that got most lately: an engine of the model may be home to no prompt, and gets little then
+        whether it states a limit or not."""
+        now = time.monotonic()
+        return sorted(engines, key=lambda each: -len(self.arrivals_at(each, now - 3, now)))[:count]
+
     def first_told(self, engine):
         return min((entry["at"] for entry in self.world.seen.told if entry["life"] == engine.life),
                    default=None)
@@ -93,13 +93,7 @@
         return sum(call["status"] == 200 for call in calls) / max(1, len(calls))
 
     def end(self):
-        world = self.world
-        world.stopping.set()
-        for caller in self.callers:
-            caller.join()
-        world.close()
-        found = judge.judge(world.calls, world.seen.runs, world.seen.orders, world.seen_by_judge())
-        assert not any(found.values()), {rule: faults[:3] for rule, faults in found.items() if faults}
+        scenarios.end_and_judge(self.world, self.callers)
 
 
 def state(engines, text):
@@ -173,14 +167,15 @@
 
 def odd_limits_are_none(scenario):
     """What is no decimal number states no limit and ends none."""
-    limited, others = scenario.some_engines(), scenario.engines_of(soak.MODELS)[5:]
+    limited = scenario.some_engines()
+    others = scenario.busiest(scenario.engines_of(soak.MODELS)[5:], 3)
     state(limited, RATE)
     time.sleep(2)
     end = time.monotonic() + LIMITED_SECONDS
     start = time.monotonic()
     while time.monotonic() < end:
         for engine in limited + others:
-            engine.state_limit(scenario.draw.choice(ODD_TEXTS))
+            engine.state_limit(scenario.draw.choice(soak.ODD_LIMIT_TEXTS))
         time.sleep(0.3)
         state(limited, RATE)
         time.sleep(0.3)
@@ -212,7 +207,7 @@
 
 def a_limit_of_nothing_ends(scenario):
     """An engine that takes nothing is tried seldom, and has its share again when that ended."""
-    limited = scenario.engines_of(soak.MODELS, 2) + scenario.engines_of(soak.PLAIN, 1)
+    limited = scenario.busiest(scenario.engines_of(soak.MODELS), 2) + scenario.engines_of(soak.PLAIN, 1)
     state(limited, "0")
     time.sleep(LIMITED_SECONDS)
     now = time.monotonic()
@@ -231,30 +226,5 @@
              an_engine_comes_back_without_its_limit, a_limit_of_nothing_ends]
 
 
-def play(run, build):
-    """Returns whether the scenario went well."""
-    scenario = Scenario(build)
-    try:
-        run(scenario)
-        scenario.end()
-        print(f"ok   {run.__name__}", flush=True)
-        return True
-    except AssertionError as fault:
-        print(f"FAIL {run.__name__}: {str(fault)[:1500]}", flush=True)
-        return False
-    finally:
-        scenario.world.stopping.set()
-        scenario.world.close()
-
-
-def main(scenarios):
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
-    wanted = sys.argv[2] if len(sys.argv) > 2 else ""
-    chosen = [run for run in scenarios if wanted in run.__name__]
-    with concurrent.futures.ThreadPoolExecutor(AT_ONCE) as pool:
-        went_well = list(pool.map(lambda run: play(run, sys.argv[1]), chosen))
-    sys.exit(0 if all(went_well) else 1)
-
-
 if __name__ == "__main__":
-    main(SCENARIOS)
+    scenarios.play_all(Scenario, SCENARIOS, AT_ONCE)
--- a/test/process/old_weights_test.py
+++ b/test/process/old_weights_test.py
@@ -14,17 +14,14 @@
 
 usage: old_weights_test.py BUILD_FOLDER [NAME]
 """
-import pathlib
 import signal
-import sys
 import threading
 import time
 
-ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
-sys.path.insert(0, str(ROOT / "test" / "platform_soak"))
+import scenarios
+from scenarios import judge  # Makes the soak's folder known.
 
-import judge  # noqa: E402  (the path above comes first)
-import soak  # noqa: E402
+import soak
 
 NODES = 3
 STREAMS_OF_A_NODE = 6
@@ -68,13 +65,7 @@
             engine.fault = "stubborn"
 
     def end(self):
-        world = self.world
-        world.stopping.set()
-        for caller in self.callers:
-            caller.join()
-        world.close()
-        found = judge.judge(world.calls, world.seen.runs, world.seen.orders, world.seen_by_judge())
-        assert not any(found.values()), found
+        scenarios.end_and_judge(self.world, self.callers)
 
 
 def moves_go_on_while_all_gateways_stop(scenario):
@@ -139,24 +130,8 @@
              a_restarted_gateway_knows_the_bound_of_the_others]
 
 
-def main(scenarios):
-    wanted = sys.argv[2] if len(sys.argv) > 2 else ""
-    failed = []
-    for run in scenarios:
-        if wanted not in run.__name__:
-            continue
-        scenario = Scenario(sys.argv[1])
-        try:
-            run(scenario)
-            scenario.end()
-            print(f"ok   {run.__name__}", flush=True)
-        except AssertionError as fault:
-            failed.append(run.__name__)
-            print(f"FAIL {run.__name__}: {str(fault)[:1500]}", flush=True)
-        finally:
-            scenario.world.stopping.set()
-            scenario.world.close()
-    sys.exit(1 if failed else 0)
+def main(stories):
+    scenarios.play_all(Scenario, stories, 1)
 
 
 if __name__ == "__main__":
--- a/test/process/poison_request_test.py
+++ b/test/process/poison_request_test.py
@@ -11,19 +11,15 @@
 
 usage: poison_request_test.py BUILD_FOLDER [NAME]
 """
-import concurrent.futures
-import pathlib
 import random
 import signal
-import sys
 import threading
 import time
 
-ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
-sys.path.insert(0, str(ROOT / "test" / "platform_soak"))
+import scenarios
+from scenarios import judge  # Makes the soak's folder known.
 
-import judge  # noqa: E402  (the path above comes first)
-import soak  # noqa: E402
+import soak
 
 NODES = 5
 CALLERS = 8
@@ -67,17 +63,11 @@
             time.sleep(0.02)
 
     def end(self):
-        world = self.world
-        world.stopping.set()
-        for caller in self.callers:
-            caller.join()
-        for each in world.returning:
-            each.join()
-        world.close()
-        ends = [len(self.crashes_of(poison)) for poison in world.poisons]
-        print(f"engines ended under each request: {ends}", flush=True)
-        found = judge.judge(world.calls, world.seen.runs, world.seen.orders, world.seen_by_judge())
-        assert not any(found.values()), {rule: faults[:3] for rule, faults in found.items() if faults}
+        try:
+            scenarios.end_and_judge(self.world, self.callers)
+        finally:
+            ends = [len(self.crashes_of(poison)) for poison in self.world.poisons]
+            print(f"engines ended under each request: {ends}", flush=True)
 
 
 def join(threads):
@@ -180,28 +170,8 @@
              the_store_is_away_meanwhile]
 
 
-def play(run, build):
-    """Returns whether the scenario went well."""
-    scenario = Scenario(build)
-    try:
-        run(scenario)
-        scenario.end()
-        print(f"ok   {run.__name__}", flush=True)
-        return True
-    except AssertionError as fault:
-        print(f"FAIL {run.__name__}: {str(fault)[:1500]}", flush=True)
-        return False
-    finally:
-        scenario.world.stopping.set()
-        scenario.world.close()
-
-
-def main(scenarios):
-    wanted = sys.argv[2] if len(sys.argv) > 2 else ""
-    chosen = [run for run in scenarios if wanted in run.__name__]
-    with concurrent.futures.ThreadPoolExecutor(AT_ONCE) as pool:
-        went_well = list(pool.map(lambda run: play(run, sys.argv[1]), chosen))
-    sys.exit(0 if all(went_well) else 1)
+def main(stories):
+    scenarios.play_all(Scenario, stories, AT_ONCE)
 
 
 if __name__ == "__main__":
--- a/test/process/poison_soak_test.py
+++ b/test/process/poison_soak_test.py
@@ -6,13 +6,8 @@
 a stream blamed that callers ask all the time: all gateways had just been started, and two such requests ended three engines
 at which it ran within 0.3 s.
 """
-import concurrent.futures
-import pathlib
-import subprocess
-import sys
+import scenarios
 
-ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
-SOAK = ROOT / "test" / "platform_soak" / "soak.py"
 PLAYS = (  # seed, seconds, series of faults, series of such requests
     (201, 30, 2, 1),
     (301, 40, 3, 2),
@@ -21,19 +16,6 @@
 )
 
 
-def play(chosen):
-    seed, seconds, series, poison = chosen
-    return subprocess.run([sys.executable, str(SOAK), sys.argv[1], "--seed", str(seed),
-                           "--seconds", str(seconds), "--series", str(series),
-                           "--poison", str(poison), "--limits", "0"], stdout=subprocess.PIPE, text=True)
-
-
-def main():
-    with concurrent.futures.ThreadPoolExecutor(len(PLAYS)) as pool:
-        played = list(pool.map(play, PLAYS))
-    print("\n".join(each.stdout for each in played))
-    sys.exit(max(each.returncode for each in played))
-
-
 if __name__ == "__main__":
-    main()
+    scenarios.play_soaks([("--seed", seed, "--seconds", seconds, "--series", series, "--poison", poison,
+                           "--limits", 0) for seed, seconds, series, poison in PLAYS])
