--- a/src/backends/backend_set.cpp
+++ b/src/backends/backend_set.cpp
@@ -18,6 +18,15 @@
 constexpr double kFailureShare = 0.25;
 constexpr Duration kFirstEjection{1500000};
 constexpr int kLongestEjectionDoublings = 2;
+/// A back end that leaves is the last resort for this part of its bound: requests that are sent
+/// then reach it and end within the rest.
+constexpr int kLastResortDivisor = 2;
+/// Entries may be missing for as long as the store is away.
+constexpr Duration kUnlistedMemory{600000000};
+/// Of a back end that leaves and of which nobody knows since when.
+constexpr Time kLongAgo{-std::chrono::hours(24)};
+/// A rest that ends later by less is not worth telling.
+constexpr Duration kWorthTelling{100000};
 
 }  // namespace
 
@@ -43,14 +52,31 @@
     }
     entry = Entry();
   }
+  const uint64_t incarnation = incarnationHash(listing);
+  if (listing.isDraining) {
+    std::optional<Time>& since = stated_[incarnation].withdrawal.leavingSince;
+    const Time listedSince = listing.notListedAt.value_or(kLongAgo);
+    since = since ? std::min(*since, listedSince) : listedSince;
+  }
   auto merged = std::make_shared<BackendListing>(listing);
+  // An entry that is older than what the back end said in its answers does not take it back.
+  merged->isDraining = isLeaving(incarnation);
   // The list lags behind what answers and moves have told: versions of one incarnation only rise.
   for (HeldWeights& held : merged->weights) {
     const uint64_t known = entry.listing ? heldVersion(*entry.listing, held.model) : 0;
     held.version = std::max(held.version, known);
   }
   entry.listing = std::move(merged);
-  entry.incarnation = incarnationHash(listing);
+  entry.incarnation = incarnation;
+}
+
+bool BackendSet::isLeaving(uint64_t incarnation) const {
+  const auto found = stated_.find(incarnation);
+  return found != stated_.end() && found->second.withdrawal.leavingSince;
+}
+
+bool BackendSet::mayStillServe(const Withdrawal& stated, Time now) const {
+  return now < *stated.leavingSince + bounds_.drain / kLastResortDivisor;
 }
 
 void BackendSet::replaceAll(const std::vector<BackendListing>& listings, Time now) {
@@ -81,14 +107,23 @@
   std::vector<BackendView> members;
   members.reserve(entries_.size());
   for (const auto& [id, entry] : entries_) {
-    if (entry.listing->pool != pool || entry.listing->isDraining) {
+    if (entry.listing->pool != pool) {
+      continue;
+    }
+    const auto found = stated_.find(entry.incarnation);
+    const Withdrawal stated = found == stated_.end() ? Withdrawal() : found->second.withdrawal;
+    if (stated.leavingSince && !mayStillServe(stated, now)) {
       continue;
     }
     BackendView view;
     view.listing = entry.listing;
     view.inFlight = entry.inFlight;
     view.pendingTokens = entry.pendingTokens;
-    view.isAvoided = now < entry.avoidedUntil;
+    const bool isSpared =
+        stated.sparedUntil != Time() && now < stated.sparedUntil + bounds_.returnDelay;
+    view.isAvoided = now < entry.avoidedUntil || isSpared;
+    view.isLeaving = stated.leavingSince.has_value();
+    view.restsUntil = stated.restsUntil;
     view.incarnation = entry.incarnation;
     view.weightsVersion = heldVersion(*entry.listing, model);
     members.push_back(std::move(view));
@@ -221,6 +256,8 @@
     return;
   }
   BackendListing listing = *found->second.listing;
+  // An entry that does not tell a start may be of this incarnation; one that does is of a former.
+  listing.isDraining = listing.isDraining && listing.startedAt == 0;
   listing.startedAt = startedAt;
   for (HeldWeights& held : listing.weights) {
     held.version = 0;  // Of the former incarnation.
@@ -236,4 +273,110 @@
   }
 }
 
+void BackendSet::listAsDraining(uint64_t incarnation) {
+  for (auto& [id, entry] : entries_) {
+    if (entry.incarnation == incarnation && !entry.listing->isDraining) {
+      auto changed = std::make_shared<BackendListing>(*entry.listing);
+      changed->isDraining = true;
+      entry.listing = std::move(changed);
+    }
+  }
+}
+
+bool BackendSet::noteLeaving(uint64_t incarnation, Time since) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  std::optional<Time>& known = stated_[incarnation].withdrawal.leavingSince;
+  const bool isNews = !known;
+  known = known ? std::min(*known, since) : since;
+  if (isNews) {
+    listAsDraining(incarnation);
+  }
+  return isNews;
+}
+
+bool BackendSet::noteRest(uint64_t incarnation, Time until, RestOf whom) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  Withdrawal& known = stated_[incarnation].withdrawal;
+  const bool isNews = until > known.sparedUntil + kWorthTelling;
+  known.sparedUntil = std::max(known.sparedUntil, until);
+  if (whom == RestOf::kThisNode) {
+    known.restsUntil = std::max(known.restsUntil, until);
+  }
+  return isNews;
+}
+
+std::optional<Withdrawal> BackendSet::withdrawal(uint64_t incarnation, Time now) const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const auto found = stated_.find(incarnation);
+  if (found == stated_.end()) {
+    return std::nullopt;
+  }
+  const Withdrawal& known = found->second.withdrawal;
+  const bool holds = known.leavingSince || known.sparedUntil > now;
+  return holds ? std::optional(known) : std::nullopt;
+}
+
+std::vector<uint64_t> BackendSet::withdrawn(Time now) const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  std::vector<uint64_t> found;
+  for (const auto& [incarnation, stated] : stated_) {
+    if (stated.withdrawal.leavingSince || stated.withdrawal.sparedUntil > now) {
+      found.push_back(incarnation);
+    }
+  }
+  std::sort(found.begin(), found.end());
+  return found;
+}
+
+WithdrawnCounts BackendSet::withdrawnCounts(Time now) const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  WithdrawnCounts counts;
+  for (const auto& [id, entry] : entries_) {
+    const auto found = stated_.find(entry.incarnation);
+    if (found != stated_.end()) {
+      counts.leaving += found->second.withdrawal.leavingSince ? 1 : 0;
+      counts.resting += found->second.withdrawal.restsUntil > now ? 1 : 0;
+    }
+  }
+  return counts;
+}
+
+bool BackendSet::takesRequests(const BackendListing& listing, Time now) const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const uint64_t incarnation = incarnationHash(listing);
+  const auto entry = entries_.find(listing.id);
+  if (entry == entries_.end() || entry->second.incarnation != incarnation) {
+    return false;
+  }
+  const auto found = stated_.find(incarnation);
+  if (found == stated_.end()) {
+    return true;
+  }
+  const Withdrawal& known = found->second.withdrawal;
+  return known.restsUntil <= now && (!known.leavingSince || mayStillServe(known, now));
+}
+
+void BackendSet::forgetWithdrawn(Time now) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  if (stated_.empty()) {
+    return;
+  }
+  for (const auto& [id, entry] : entries_) {
+    const auto found = stated_.find(entry.incarnation);
+    if (found != stated_.end()) {
+      found->second.listedAt = now;
+    }
+  }
+  for (auto each = stated_.begin(); each != stated_.end();) {
+    Stated& stated = each->second;
+    if (stated.listedAt == Time()) {
+      stated.listedAt = now;  // Heard of before its entry was.
+    }
+    const bool isOver = !stated.withdrawal.leavingSince &&
+                        stated.withdrawal.sparedUntil + bounds_.returnDelay < now;
+    const bool isLongGone = now - stated.listedAt > kUnlistedMemory;
+    each = isOver || isLongGone ? stated_.erase(each) : std::next(each);
+  }
+}
+
 }  // namespace fernmoor
--- a/src/backends/backend_set.h
+++ b/src/backends/backend_set.h
@@ -1,6 +1,7 @@
 /// @file
 /// Back ends as this node knows them: who is there, which weights each holds, what this node has
-/// running there, and which of them it avoids for a while.
+/// running there, and which of them it leaves alone: those that failed lately for a while, those
+/// that asked for rest until its end, those that leave for good.
 #pragma once
 
 #include <cstdint>
@@ -10,6 +11,7 @@
 #include <mutex>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "common/socket_address.h"
@@ -33,6 +35,8 @@
   int slots = 0;
   bool isDraining = false;
   std::vector<HeldWeights> weights;
+  /// An instant at which the store did not hold this entry yet; nothing: not known.
+  std::optional<Time> notListedAt;
 };
 
 /// @return a hash of the incarnation, equal on all nodes: what is known of a back end ends with it.
@@ -47,23 +51,53 @@
   uint64_t incarnation = 0;                       ///< incarnationHash().
   int inFlight = 0;                               ///< Requests of this node that run there.
   uint64_t pendingTokens = 0;   ///< Prompt tokens of this node's requests without a first event.
-  bool isAvoided = false;       ///< Failed lately, or is taking new weights.
+  bool isAvoided = false;       ///< Failed lately, is taking new weights, or other nodes spare it.
+  bool isLeaving = false;       ///< It says that it leaves; it still serves for a moment.
+  Time restsUntil;              ///< It asked this node to send it nothing before then.
   uint64_t weightsVersion = 0;  ///< Of the asked model; 0: unknown.
 };
 
+/// What one incarnation of a back end states about whether it takes requests at all.
+struct Withdrawal {
+  /// When a node was first told that it leaves, which never ends; nothing: it did not say so.
+  std::optional<Time> leavingSince;
+  Time restsUntil;   ///< End of the rest that it asked this node for.
+  Time sparedUntil;  ///< End of the rest that it asked any node for.
+};
+
+/// Listed back ends that take no requests of this node.
+struct WithdrawnCounts {
+  size_t leaving = 0;
+  size_t resting = 0;
+};
+
+/// Whom a back end asked for rest.
+enum class RestOf { kThisNode, kOtherNode };
+
+struct BackendSetBounds {
+  /// A back end that says that it leaves gets no request later than this.
+  Duration drain{2000000};
+  /// By so much this node is later than the first one to use a back end again that asked others for
+  /// rest, so that not all come back at once.
+  Duration returnDelay{0};
+};
+
 /// How a request at a back end ended, as far as it tells of the back end's health.
 enum class BackendVerdict { kServed, kFailed, kNeutral };
 
 /// Thread-safe.
 class BackendSet {
  public:
+  explicit BackendSet(BackendSetBounds bounds = {}) : bounds_(bounds) {}
+
   /// Replaces the whole list. Of a back end that started again under its id, here and in update(),
   /// nothing is kept that was known before; an entry older than the known start is not taken.
   void replaceAll(const std::vector<BackendListing>& listings, Time now);
   void update(const BackendListing& listing, Time now);
   void remove(const std::string& id);
 
-  /// @return the members of the pool that are not draining, with the version of `model`.
+  /// @return the members of the pool, with the version of `model`: those too that rest, and those
+  ///         that leave while a request may still be sent there.
   std::vector<BackendView> membersOf(const std::string& pool, const std::string& model,
                                      Time now) const;
   /// @return every back end that is listed, draining or not.
@@ -90,6 +124,26 @@
   /// Leaves the back end alone until then, e.g. while it takes new weights.
   void avoidUntil(const std::string& id, Time until);
 
+  // What incarnations state of themselves, listed or not: an entry may be missing for a while, and
+  // one that is older than the statement must not undo it.
+
+  /// Notes that a back end says that it leaves.
+  /// @param since when a node was told.
+  /// @return whether it was not known.
+  bool noteLeaving(uint64_t incarnation, Time since);
+  /// Notes that a back end asked for rest; one that ends earlier than another changes nothing.
+  /// @return whether it tells more than was known.
+  bool noteRest(uint64_t incarnation, Time until, RestOf whom);
+  /// @return what the back end states now; nothing where it takes requests.
+  std::optional<Withdrawal> withdrawal(uint64_t incarnation, Time now) const;
+  /// @return back ends that leave or rest.
+  std::vector<uint64_t> withdrawn(Time now) const;
+  WithdrawnCounts withdrawnCounts(Time now) const;
+  /// @return whether a request may still be sent to the listed incarnation now.
+  bool takesRequests(const BackendListing& listing, Time now) const;
+  /// Forgets rests that ended, and what back ends stated that left the list long ago.
+  void forgetWithdrawn(Time now);
+
  private:
   struct Entry {
     std::shared_ptr<const BackendListing> listing;  ///< Replaced, never changed.
@@ -107,11 +161,25 @@
   /// @param rule gives the new version from the one listed, 0 where none is.
   template <class Rule>
   void setWeights(const std::string& id, const std::string& model, Rule rule);
-  static void merge(Entry& entry, const BackendListing& listing);
+  void merge(Entry& entry, const BackendListing& listing);
   void judge(Entry& entry, BackendVerdict verdict, Time now);
+  /// Call with the lock held.
+  bool isLeaving(uint64_t incarnation) const;
+  /// Call with the lock held. Lists the back end as draining from now on.
+  void listAsDraining(uint64_t incarnation);
+  /// Call with the lock held. @return whether a back end that leaves still gets requests.
+  bool mayStillServe(const Withdrawal& stated, Time now) const;
+
+  /// What is stated, and until when it is kept.
+  struct Stated {
+    Withdrawal withdrawal;
+    Time listedAt;  ///< When it was in the list last, by looks of forgetWithdrawn().
+  };
 
+  const BackendSetBounds bounds_;
   mutable std::mutex mutex_;
   std::map<std::string, Entry> entries_;
+  std::unordered_map<uint64_t, Stated> stated_;  ///< By incarnation.
 };
 
 }  // namespace fernmoor
--- a/src/common/metrics.cpp
+++ b/src/common/metrics.cpp
@@ -85,11 +85,18 @@
       limitedEngines_(&gauge(registry_, "fernmoor_limited_engines",
                              "Engines that state how many requests a second they take.")
                            .Add({})),
+      leavingEngines_(
+          &gauge(registry_, "fernmoor_leaving_engines", "Listed engines that say that they leave.")
+               .Add({})),
+      restingEngines_(&gauge(registry_, "fernmoor_resting_engines",
+                             "Listed engines that asked this node for rest.")
+                           .Add({})),
       permitted_(&counter(registry_, "fernmoor_permitted_sends_total",
                           "Requests sent to engines that state a limit, within it.")
                       .Add({})),
       unpermitted_(&counter(registry_, "fernmoor_unpermitted_requests_total",
-                            "Requests refused as all engines were at the limits that they state.")
+                            "Requests refused as all engines were at the limits that they state, "
+                            "or rested.")
                         .Add({})),
       quarantined_(&gauge(registry_, "fernmoor_quarantined_requests",
                           "Requests that are not sent on, as they crashed several engines.")
--- a/src/common/metrics.h
+++ b/src/common/metrics.h
@@ -116,6 +116,11 @@
   void setShortLimits(size_t count) { shortLimits_->Set(static_cast<double>(count)); }
   /// Engines that state how many requests they take.
   void setLimitedEngines(size_t count) { limitedEngines_->Set(static_cast<double>(count)); }
+  /// Listed engines that say that they leave, and those that asked this node for rest.
+  void setWithdrawnEngines(size_t leaving, size_t resting) {
+    leavingEngines_->Set(static_cast<double>(leaving));
+    restingEngines_->Set(static_cast<double>(resting));
+  }
   /// A request was sent to an engine on a permit, or was refused for want of one.
   void countPermitted() { permitted_->Increment(); }
   void countUnpermitted() { unpermitted_->Increment(); }
@@ -162,6 +167,8 @@
   prometheus::Gauge* openStreams_;
   prometheus::Gauge* shortLimits_;
   prometheus::Gauge* limitedEngines_;
+  prometheus::Gauge* leavingEngines_;
+  prometheus::Gauge* restingEngines_;
   prometheus::Counter* permitted_;
   prometheus::Counter* unpermitted_;
   prometheus::Gauge* quarantined_;
--- a/src/gateway/backend_choice.cpp
+++ b/src/gateway/backend_choice.cpp
@@ -1,6 +1,7 @@
 #include "gateway/backend_choice.h"
 
 #include <algorithm>
+#include <array>
 #include <limits>
 #include <utility>
 
@@ -27,16 +28,28 @@
 
 using Candidates = std::vector<const BackendView*>;
 
-Candidates usableOf(const std::vector<BackendView>& candidates, const std::set<std::string>& tried,
-                    bool withAvoided) {
-  Candidates usable;
+/// The first of these that has any candidates gives the choice.
+enum class Resort { kSound, kAvoided, kLeaving };
+constexpr size_t kResorts = 3;
+
+Resort resortOf(const BackendView& candidate) {
+  if (candidate.isLeaving) {
+    return Resort::kLeaving;
+  }
+  return candidate.isAvoided ? Resort::kAvoided : Resort::kSound;
+}
+
+/// @return those that were not tried and do not rest, of the first resort that has any.
+Candidates usableOf(const std::vector<BackendView>& candidates, const ChoiceContext& context) {
+  std::array<Candidates, kResorts> usable;
   for (const BackendView& candidate : candidates) {
-    const bool wasTried = tried.count(candidate.listing->id) > 0;
-    if (!wasTried && (withAvoided || !candidate.isAvoided)) {
-      usable.push_back(&candidate);
+    if (context.tried.count(candidate.listing->id) == 0 && candidate.restsUntil <= context.now) {
+      usable[static_cast<size_t>(resortOf(candidate))].push_back(&candidate);
     }
   }
-  return usable;
+  const auto first = std::find_if(usable.begin(), usable.end(),
+                                  [](const Candidates& resort) { return !resort.empty(); });
+  return first == usable.end() ? Candidates() : std::move(*first);
 }
 
 /// @return the part by which the request's home is found: the last one that others share.
@@ -70,12 +83,6 @@
   return best;
 }
 
-Candidates usableOf(const std::vector<BackendView>& candidates,
-                    const std::set<std::string>& tried) {
-  const Candidates sound = usableOf(candidates, tried, false);
-  return sound.empty() ? usableOf(candidates, tried, true) : sound;
-}
-
 /// @return the first of the candidates in the order in which a request with shared parts is to try
 ///         them: its home first, those beyond their share of this node's requests last. Empty for
 ///         other requests.
@@ -161,8 +168,7 @@
 std::optional<BackendChoice> chooseHome(const IncomingRequest& request,
                                         const std::vector<BackendView>& candidates,
                                         const ChoiceContext& context, EngineLoads& loads) {
-  const Candidates homes =
-      firstHomes(request, permittingNow(usableOf(candidates, context.tried), loads));
+  const Candidates homes = firstHomes(request, permittingNow(usableOf(candidates, context), loads));
   const uint64_t shared = sharedTokensOf(request);
   const EngineDemand demand = demandOf(request, context.now);
   // A wait as long as the request's own reading is not worth a question to another node.
@@ -222,7 +228,7 @@
                                                const std::vector<BackendView>& candidates,
                                                const ChoiceContext& context, EngineLoads& loads,
                                                Random& random) {
-  Candidates usable = permittingNow(usableOf(candidates, context.tried), loads);
+  Candidates usable = permittingNow(usableOf(candidates, context), loads);
   const EngineDemand demand = permitOnly(request, context.now, Duration(0));
   for (size_t asked = 0; !usable.empty();) {
     const BackendView& best = *leastLoaded(usable, context.zone, random);
@@ -246,7 +252,7 @@
                                                  const ChoiceContext& context, EngineLoads& loads,
                                                  Duration longestWait) {
   std::vector<std::pair<Duration, const BackendView*>> due;
-  for (const BackendView* each : usableOf(candidates, context.tried)) {
+  for (const BackendView* each : usableOf(candidates, context)) {
     const std::optional<Duration> wait = loads.permitDue(each->incarnation);
     if (!wait || *wait <= longestWait) {
       due.emplace_back(wait.value_or(Duration(0)), each);
@@ -269,15 +275,20 @@
   return std::nullopt;
 }
 
-std::optional<Duration> soonestPermit(const std::vector<BackendView>& candidates,
-                                      const ChoiceContext& context, const EngineLoads& loads) {
+std::optional<Duration> soonestTaker(const std::vector<BackendView>& candidates,
+                                     const EngineLoads& loads, Time now) {
   std::optional<Duration> soonest;
-  for (const BackendView* each : usableOf(candidates, context.tried)) {
-    const std::optional<Duration> due = loads.permitDue(each->incarnation);
-    if (!due) {
+  for (const BackendView& each : candidates) {
+    const std::optional<Duration> permit = loads.permitDue(each.incarnation);
+    const bool isResting = each.restsUntil > now;
+    if (each.isLeaving) {
+      continue;
+    }
+    if (!permit && !isResting) {
       return std::nullopt;
     }
-    soonest = std::min(soonest.value_or(*due), *due);
+    const Duration due = std::max(permit.value_or(Duration(0)), each.restsUntil - now);
+    soonest = std::min(soonest.value_or(due), due);
   }
   return soonest;
 }
--- a/src/gateway/backend_choice.h
+++ b/src/gateway/backend_choice.h
@@ -45,7 +45,8 @@
 /// shared parts, which have to be brought. Asks those who count for all nodes, home after home,
 /// until the wait is no longer than the request's own reading; engines where nothing moves are
 /// passed over, and so are those that take no further request now by the limits that they state.
-/// Candidates that were tried are left out, and avoided ones unless all are. Waits for other nodes.
+/// Candidates that were tried or that rest are left out, avoided ones unless all are, and those
+/// that leave unless no other is left. Waits for other nodes.
 /// @return nothing for a request without shared parts, or where no candidate is left.
 std::optional<BackendChoice> chooseHome(const IncomingRequest& request,
                                         const std::vector<BackendView>& candidates,
@@ -67,10 +68,11 @@
                                                  const ChoiceContext& context, EngineLoads& loads,
                                                  Duration longestWait);
 
-/// @return the time until a candidate may permit a request; nothing where one states no limit, or
-///         none is left.
-std::optional<Duration> soonestPermit(const std::vector<BackendView>& candidates,
-                                      const ChoiceContext& context, const EngineLoads& loads);
+/// @return the time until a candidate may take a request, as far as is known, where it is for what
+///         they state that none is chosen; nothing where one neither rests nor states a limit, or
+///         all leave.
+std::optional<Duration> soonestTaker(const std::vector<BackendView>& candidates,
+                                     const EngineLoads& loads, Time now);
 
 /// @return what the request takes of an engine, and when it can be forgotten there.
 EngineDemand demandOf(const IncomingRequest& request, Time now);
--- a/src/gateway/backend_protocol.h
+++ b/src/gateway/backend_protocol.h
@@ -39,7 +39,10 @@
   bool isWrongLife = false;     ///< Another life of the back end, or other weights.
   uint64_t weightsVersion = 0;  ///< 0: not told.
   LimitMention limitMention = LimitMention::kUntold;
-  double limit = 0;  ///< Requests a second, 0 or more.
+  double limit = 0;     ///< Requests a second, 0 or more.
+  bool leaves = false;  ///< The back end says that it leaves.
+  Duration rest{0};     ///< For which it wants no request of this node; 0: it asks for none.
+  bool hasOddWithdrawal = false;  ///< What it says of leaving or rest can't be read.
 };
 
 class BackendProtocol {
--- a/src/gateway/engine_attempt.cpp
+++ b/src/gateway/engine_attempt.cpp
@@ -108,7 +108,7 @@
   return step == AttemptStep::kDone && isTaken ? writeAll(request_.body, caller, deadline) : step;
 }
 
-AttemptStep EngineAttempt::send(CallerChannel& caller, Time deadline) {
+AttemptStep EngineAttempt::open(Time deadline) {
   connection_ = pool_.borrow(incarnationHash(plan_.backend), plan_.backend.address, clock_.now());
   if (connection_ == nullptr) {
     return AttemptStep::kNotSent;
@@ -118,6 +118,10 @@
     return AttemptStep::kTooLate;
   }
   connection_->setIoTimeout(kRestOfMessage);
+  return AttemptStep::kDone;
+}
+
+AttemptStep EngineAttempt::send(CallerChannel& caller, Time deadline) {
   const AttemptStep step = writeRequest(caller, deadline);
   // A failed send may have left an answer to be read, e.g. a refusal before the body was taken.
   return step == AttemptStep::kBroken && connection_->socketReadable() ? AttemptStep::kDone : step;
--- a/src/gateway/engine_attempt.h
+++ b/src/gateway/engine_attempt.h
@@ -21,6 +21,7 @@
   kDone,        ///< The step succeeded.
   kNotSent,     ///< No byte reached the back end.
   kTooLate,     ///< The time given was over before a byte was sent.
+  kUnwanted,    ///< The back end takes no requests any more; no byte was sent.
   kBroken,      ///< The connection failed, or what came is no answer: the request may have run.
   kSilent,      ///< Nothing came in the time given.
   kCallerGone,  ///< The caller left.
@@ -32,7 +33,9 @@
   EngineAttempt(const IncomingRequest& request, const SendPlan& plan,
                 const BackendProtocol& protocol, ConnectionPool& pool, const Clock& clock);
 
-  /// Opens or borrows a connection and sends the request.
+  /// Opens or borrows a connection.
+  AttemptStep open(Time deadline);
+  /// Sends the request on the connection that is open.
   /// @param caller watched while the back end does not take bytes.
   AttemptStep send(CallerChannel& caller, Time deadline);
   /// Waits for the head of the answer.
--- a/src/gateway/engine_loads.h
+++ b/src/gateway/engine_loads.h
@@ -1,5 +1,5 @@
 /// @file
-/// What waits and runs at engines, and what they take by the limits that they state. Each node sees
+/// What waits and runs at engines, and what they take by what they state. Each node sees
 /// its own requests only, a small part where there are many nodes, so the choice of an engine asks
 /// somebody who counts for all nodes.
 #pragma once
@@ -71,12 +71,12 @@
   /// The request left the engine.
   virtual void release(const LoadTicket& ticket) = 0;
 
-  // Limits that engines state; by default there are none.
+  // What engines state; by default they state nothing.
 
   /// The request was not sent: it is counted no more, and its permit is another one's.
   virtual void giveBack(const LoadTicket& ticket) { release(ticket); }
-  /// Takes what an answer states.
-  virtual void noteLimit(uint64_t, const LimitStatement&) {}
+  /// Takes what an answer to a request of this node states.
+  virtual void noteStatement(const EngineStatement&) {}
   /// @return the time until a request may be permitted, as far as this node knows; nothing where
   ///         the engine states no limit.
   virtual std::optional<Duration> permitDue(uint64_t) const { return std::nullopt; }
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -57,8 +57,8 @@
   Duration silenceBeforeSecondSend{1500000};
 };
 
-/// Lines on limits of back ends that can't be read.
-inline constexpr LogBudgetBounds kOddLimitLines{0.2, 5};
+/// Lines on what back ends state that can't be read.
+inline constexpr LogBudgetBounds kOddStatementLines{0.2, 5};
 
 /// Thread-safe: serves many requests at once.
 class Forwarder {
@@ -75,7 +75,7 @@
   ForwarderOptions options_;
   SendPlanner planner_;
   OutcomeLog outcomeLog_;
-  LogBudget oddLimitLog_{kOddLimitLines};
+  LogBudget oddStatementLog_{kOddStatementLines};
   ReturnTimes returnTimes_;
 };
 
--- a/src/gateway/outcome_log.cpp
+++ b/src/gateway/outcome_log.cpp
@@ -30,7 +30,7 @@
     case RequestOutcome::kQuarantined:
       return "request: refused, it crashed several engines before";
     case RequestOutcome::kUnpermitted:
-      return "request: refused, all engines are at the limits that they state";
+      return "request: refused, all engines are at the limits that they state, or rest";
     case RequestOutcome::kOldWeights:
       return "request: began on weights past their bound";
   }
--- a/src/gateway/outcome_log.h
+++ b/src/gateway/outcome_log.h
@@ -20,7 +20,7 @@
   kUnprovenKey,    ///< It has not run: this node cannot prove that the key is still valid.
   kOverLimit,      ///< It has not run: its tenant asks for more than its limit.
   kQuarantined,    ///< It has not run: it crashed several engines before.
-  kUnpermitted,    ///< It has not run: all back ends are at the limits that they state.
+  kUnpermitted,    ///< It has not run: all back ends are at their limits, or rest.
   kOldWeights,     ///< Told beside its end: it began on weights that were due to be replaced.
 };
 inline constexpr size_t kRequestOutcomes = static_cast<size_t>(RequestOutcome::kOldWeights) + 1;
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -22,6 +22,11 @@
 /// a thread on a busy machine.
 constexpr Duration kMayHaveWaited{200000};
 
+bool wasNotSent(AttemptStep step) {
+  return step == AttemptStep::kNotSent || step == AttemptStep::kTooLate ||
+         step == AttemptStep::kUnwanted;
+}
+
 bool isEventStream(const Poco::Net::HTTPResponse& head) {
   return head.get("Content-Type", "").rfind("text/event-stream", 0) == 0;
 }
@@ -244,6 +249,9 @@
     case AttemptStep::kTooLate:
       noteEnd(BackendVerdict::kNeutral, AttemptEnd::kTooLate);
       return Next::kElsewhere;
+    case AttemptStep::kUnwanted:
+      noteEnd(BackendVerdict::kNeutral, AttemptEnd::kUnwanted);
+      return Next::kElsewhere;
     case AttemptStep::kBroken:
       noteEnd(BackendVerdict::kFailed, howItBroke());
       return afterUnknownRun();
@@ -304,9 +312,17 @@
   EngineAttempt attempt(request_, plan_, services_.protocol, services_.connections,
                         services_.clock);
   const Time sendBy = stepDeadline();
-  AttemptStep step =
-      attempt.send(caller_, std::min(sendBy, beginDeadline_.takeBackAt().value_or(sendBy)));
-  if (step == AttemptStep::kNotSent || step == AttemptStep::kTooLate) {
+  const Time sentBy = std::min(sendBy, beginDeadline_.takeBackAt().value_or(sendBy));
+  AttemptStep step = attempt.open(sentBy);
+  // Opening a connection takes its time.
+  if (step == AttemptStep::kDone &&
+      !services_.backends.takesRequests(plan_.backend, services_.clock.now())) {
+    step = AttemptStep::kUnwanted;
+  }
+  if (step == AttemptStep::kDone) {
+    step = attempt.send(caller_, sentBy);
+  }
+  if (wasNotSent(step)) {
     giveBackTicket();
   } else {
     ++sends_;
@@ -370,7 +386,7 @@
 RequestRun::Next RequestRun::takeAnswer(EngineAttempt& attempt) {
   const AnswerFacts& facts = attempt.facts();
   noteWeights(facts);
-  noteLimit(facts);
+  noteStatement(facts);
   answeredWeights_ = facts.weightsVersion;
   if (facts.didNotRun) {
     trail_.noteStatus(static_cast<int>(attempt.head().getStatus()));
--- a/src/gateway/request_run.h
+++ b/src/gateway/request_run.h
@@ -84,11 +84,13 @@
   /// The request was not sent on its plan.
   void giveBackTicket();
   /// Waits until the request may be sent to a back end that states a limit.
-  /// @return false where its caller left meanwhile, or the back end is no more to be used.
+  /// @return false where its caller left meanwhile, or the back end takes no requests any more.
   bool awaitPermit(const PlannedSend& planned);
   /// It was sent.
   void notePermitUsed();
-  void noteLimit(const AnswerFacts& facts);
+  /// Takes what an answer's head states of its back end.
+  void noteStatement(const AnswerFacts& facts);
+  void logOddStatement(const AnswerFacts& facts, Time now);
   /// @param due until an engine takes a request.
   void refuseUnpermitted(Duration due);
   void deliverHeld();
--- a/src/gateway/request_run_permits.cpp
+++ b/src/gateway/request_run_permits.cpp
@@ -1,6 +1,6 @@
 /// @file
-/// What a request does about the load and the limits of engines: its ticket, the wait for its
-/// permit, what answers state, and its refusal where all engines are at their limits.
+/// What a request does about the load of engines and what they state: its ticket, the wait for its
+/// permit, what answers state, and its refusal where no engine takes requests now.
 #include <algorithm>
 
 #include "common/log.h"
@@ -34,27 +34,45 @@
       return false;
     }
   }
-  return services_.backends.isUsable(planned.send.backend.id);
+  return services_.backends.takesRequests(planned.send.backend, services_.clock.now());
 }
 
-void RequestRun::noteLimit(const AnswerFacts& facts) {
-  if (facts.limitMention == LimitMention::kUntold) {
-    return;
-  }
+void RequestRun::noteStatement(const AnswerFacts& facts) {
   const Time now = services_.clock.now();
-  if (facts.limitMention != LimitMention::kUnreadable) {
-    const bool isStated = facts.limitMention == LimitMention::kStated;
-    services_.loads.noteLimit(
-        incarnationHash(plan_.backend),
-        LimitStatement{isStated ? std::optional(facts.limit) : std::nullopt, sentAt_, now});
-    return;
+  EngineStatement told;
+  told.engine = incarnationHash(plan_.backend);
+  if (facts.limitMention == LimitMention::kStated) {
+    told.limit = LimitStatement{facts.limit, sentAt_, now};
+  } else if (facts.limitMention == LimitMention::kNone) {
+    told.limit = LimitStatement{std::nullopt, sentAt_, now};
+  }
+  if (facts.leaves) {
+    told.leavingSince = now;
+  }
+  if (facts.rest > Duration(0)) {
+    told.restsUntil = now + facts.rest;
+    trail_.noteRest(facts.rest);
   }
-  if (const std::optional<uint64_t> leftOut = forwarder_.oddLimitLog_.take(now)) {
-    LogFields fields;
-    fields.engine = EngineId(plan_.backend.id);
-    fields.leftOut = *leftOut;
-    logWarning("engine limit: what was stated is no decimal number and is ignored", fields);
+  if (!told.isEmpty()) {
+    services_.loads.noteStatement(told);
+  }
+  if (facts.hasOddWithdrawal || facts.limitMention == LimitMention::kUnreadable) {
+    logOddStatement(facts, now);
+  }
+}
+
+void RequestRun::logOddStatement(const AnswerFacts& facts, Time now) {
+  const std::optional<uint64_t> leftOut = forwarder_.oddStatementLog_.take(now);
+  if (!leftOut) {
+    return;
   }
+  LogFields fields;
+  fields.engine = EngineId(plan_.backend.id);
+  fields.leftOut = *leftOut;
+  logWarning(facts.hasOddWithdrawal
+                 ? "engine leaves or rests: what was stated can't be read and is ignored"
+                 : "engine limit: what was stated is no decimal number and is ignored",
+             fields);
 }
 
 void RequestRun::notePermitUsed() {
--- a/src/gateway/request_run_relay.cpp
+++ b/src/gateway/request_run_relay.cpp
@@ -39,7 +39,9 @@
   attempt.keepConnection();
   const int status = static_cast<int>(attempt.head().getStatus());
   const bool failed = status >= kFirstServerError;
-  noteEnd(failed ? BackendVerdict::kFailed : BackendVerdict::kServed,
+  const bool asksForRest = attempt.facts().rest > Duration(0);  // That is no sign of its health.
+  const BackendVerdict ofFailure = asksForRest ? BackendVerdict::kNeutral : BackendVerdict::kFailed;
+  noteEnd(failed ? ofFailure : BackendVerdict::kServed,
           failed ? AttemptEnd::kFailed : AttemptEnd::kServed);
   ++runs_;
   mayHaveRun_ = true;
--- a/src/gateway/request_trail.cpp
+++ b/src/gateway/request_trail.cpp
@@ -18,6 +18,8 @@
       return "was not reached";
     case AttemptEnd::kTooLate:
       return "was reached too late";
+    case AttemptEnd::kUnwanted:
+      return "was not sent it, as it leaves or rests";
     case AttemptEnd::kBroken:
       return "broke off";
     case AttemptEnd::kCrashed:
@@ -73,6 +75,12 @@
   }
 }
 
+void RequestTrail::noteRest(Duration rest) {
+  if (!entries_.empty()) {
+    entries_.back().rest = rest;
+  }
+}
+
 std::string RequestTrail::text() const {
   std::string text;
   for (const TrailEntry& entry : entries_) {
@@ -84,12 +92,15 @@
     if (entry.status != 0) {
       text += " with " + std::to_string(entry.status);
     }
+    if (entry.rest > Duration(0)) {
+      text += " and asked for " + milliseconds(entry.rest) + " of rest";
+    }
     if (entry.end != AttemptEnd::kUnderWay) {
       text += " after " + milliseconds(entry.endedAfter);
     }
   }
   if (permitDue_) {
-    text += std::string(text.empty() ? "" : "; ") + "all at their limits for " +
+    text += std::string(text.empty() ? "" : "; ") + "all at their limits or at rest for " +
             milliseconds(*permitDue_);
   }
   return text;
--- a/src/gateway/request_trail.h
+++ b/src/gateway/request_trail.h
@@ -21,6 +21,7 @@
   kTurnedAway,  ///< The back end vouched that it did not run the request.
   kNotReached,  ///< No connection; nothing was sent.
   kTooLate,     ///< Its time was over when there was a connection; nothing was sent.
+  kUnwanted,    ///< The back end said meanwhile that it leaves or rests; nothing was sent.
   kBroken,      ///< The connection or the answer broke.
   kCrashed,     ///< It broke, and the back end takes no connections any more.
   kSilent,      ///< No word for too long.
@@ -42,7 +43,8 @@
   Duration sentAfter{};   ///< From the request's arrival.
   Duration endedAfter{};  ///< From the request's arrival.
   AttemptEnd end = AttemptEnd::kUnderWay;
-  int status = 0;  ///< Of a back end that turned it away; 0: not noted.
+  int status = 0;   ///< Of a back end that turned it away; 0: not noted.
+  Duration rest{};  ///< For which the back end wants no further request.
 };
 
 /// Not thread-safe; belongs to one request.
@@ -53,7 +55,9 @@
   void end(AttemptEnd end, Duration after);
   /// Notes the status that the last attempt was answered with.
   void noteStatus(int status);
-  /// Notes that all back ends were at the limits that they state.
+  /// Notes the rest that the last attempt's back end asked for.
+  void noteRest(Duration rest);
+  /// Notes that all back ends were at the limits that they state, or rested.
   /// @param due until one of them takes a request.
   void noteUnpermitted(Duration due) { permitDue_ = due; }
   bool isEmpty() const { return entries_.empty(); }
--- a/src/gateway/send_decisions.cpp
+++ b/src/gateway/send_decisions.cpp
@@ -60,7 +60,8 @@
 
 Error unpermittedError(Duration comeBack) {
   return Error{ErrorKind::kOverloaded,
-               "all back ends are at the limits that they state; come back after the time given.",
+               "all back ends are at the limits that they state, or rest as they asked; come back "
+               "after the time given.",
                RunState::kNotRun, std::max(kLeastRetryAfter, comeBack)};
 }
 
--- a/src/gateway/send_decisions.h
+++ b/src/gateway/send_decisions.h
@@ -44,7 +44,7 @@
 
 /// @param comeBack when its caller is to ask again.
 /// @return what the caller of a request is told where all engines are at the limits that they
-/// state.
+///         state, or rest.
 Error unpermittedError(Duration comeBack);
 
 /// @param left for which the request is not sent on.
--- a/src/gateway/send_planner.cpp
+++ b/src/gateway/send_planner.cpp
@@ -44,7 +44,8 @@
 std::optional<SocketAddress> sourceEngine(const std::vector<BackendView>& members, uint64_t engine,
                                           uint64_t version) {
   for (const BackendView& member : members) {
-    if (member.weightsVersion == version && !member.isAvoided && member.incarnation == engine) {
+    const bool isSound = !member.isAvoided && !member.isLeaving;
+    if (member.weightsVersion == version && isSound && member.incarnation == engine) {
       return member.listing->address;
     }
   }
@@ -115,12 +116,10 @@
   }
 }
 
-std::optional<Duration> SendPlanner::unpermittedFor(const PlanInput& input,
-                                                    std::vector<BackendView> members,
+std::optional<Duration> SendPlanner::unpermittedFor(std::vector<BackendView> members,
                                                     uint64_t lowest, Time now) const {
   leaveOutOldWeights(members, lowest);
-  return soonestPermit(members, ChoiceContext{zone_, input.tried, EngineRoom{}, now},
-                       services_.loads);
+  return soonestTaker(members, services_.loads, now);
 }
 
 void SendPlanner::planCache(const PlanInput& input, const std::vector<BackendView>& members,
@@ -148,7 +147,7 @@
   const std::optional<BackendChoice> chosen =
       chooseInForce(input, members, now, planned.lowestWeights);
   if (!chosen) {
-    planned.unpermittedFor = unpermittedFor(input, members, planned.lowestWeights, now);
+    planned.unpermittedFor = unpermittedFor(members, planned.lowestWeights, now);
     return planned.unpermittedFor ? std::optional(planned) : std::nullopt;
   }
   planned.permitWait = chosen->permitWait;
--- a/src/gateway/send_planner.h
+++ b/src/gateway/send_planner.h
@@ -48,7 +48,8 @@
   std::optional<ExpectedTimes> expected;  ///< Where they are known.
   bool isTooLate = false;  ///< It can't be in time and may be refused; don't send it.
   Duration permitWait{0};  ///< To be waited for before it is sent.
-  /// Set where all back ends are at the limits that they state: the time until one takes a request.
+  /// Set where all back ends are at the limits that they state, or rest: the time until one takes a
+  /// request.
   std::optional<Duration> unpermittedFor;
 };
 
@@ -77,11 +78,10 @@
   uint64_t drawSeed();
   /// @return the time for which the request may wait for a permit.
   Duration longestWaitOf(const PlanInput& input, Time now);
-  /// @return the time until a back end takes a request; nothing where it isn't for their limits
-  /// that
-  ///         none is chosen.
-  std::optional<Duration> unpermittedFor(const PlanInput& input, std::vector<BackendView> members,
-                                         uint64_t lowest, Time now) const;
+  /// @return the time until a back end takes a request; nothing where it isn't for what they state
+  ///         that none is chosen.
+  std::optional<Duration> unpermittedFor(std::vector<BackendView> members, uint64_t lowest,
+                                         Time now) const;
   /// Chooses so that the request begins before the bound of newer weights, however long it waits.
   /// @param lowest set to the lowest version that the back end might hold.
   std::optional<BackendChoice> chooseInForce(const PlanInput& input,
--- a/src/gateway/stated_limits.h
+++ b/src/gateway/stated_limits.h
@@ -25,10 +25,14 @@
   Time cameAt;                          ///< When the answer came.
 };
 
-/// A statement, and whose it is.
+/// What an answer, or all that a node knows, states of one engine.
 struct EngineStatement {
-  uint64_t engine = 0;  ///< Hash of its incarnation.
-  LimitStatement statement;
+  uint64_t engine = 0;                  ///< Hash of its incarnation.
+  std::optional<LimitStatement> limit;  ///< Nothing: it does not tell whether there is one.
+  std::optional<Time> leavingSince;     ///< When a node was first told that it leaves.
+  std::optional<Time> restsUntil;       ///< End of the rest that it asked a node for.
+
+  bool isEmpty() const { return !limit && !leavingSince && !restsUntil; }
 };
 
 /// What a statement changed.
--- a/src/peers/engine_statement_codec.cpp
+++ b/src/peers/engine_statement_codec.cpp
@@ -1,4 +1,4 @@
-#include "peers/engine_limit_codec.h"
+#include "peers/engine_statement_codec.h"
 
 #include <cmath>
 
@@ -6,24 +6,44 @@
 
 namespace fernmoor::peers {
 
-void encodeLimit(const gateway::EngineStatement& told, Time now, proto::EngineLimit& message) {
-  const gateway::LimitStatement& statement = told.statement;
+using gateway::EngineStatement;
+using gateway::LimitStatement;
+
+void encodeStatement(const EngineStatement& told, Time now, proto::EngineStatement& message) {
   message.set_engine(told.engine);
-  message.set_is_limited(statement.ratePerSecond.has_value());
-  message.set_requests_per_second(statement.ratePerSecond.value_or(0));
-  message.set_sent_ago_milliseconds(inMilliseconds(now - statement.sentAt));
-  message.set_came_ago_milliseconds(inMilliseconds(now - statement.cameAt));
+  if (told.limit) {
+    message.set_is_limited(told.limit->ratePerSecond.has_value());
+    message.set_requests_per_second(told.limit->ratePerSecond.value_or(0));
+    message.set_sent_ago_milliseconds(inMilliseconds(now - told.limit->sentAt));
+    message.set_came_ago_milliseconds(inMilliseconds(now - told.limit->cameAt));
+  }
+  if (told.leavingSince) {
+    message.set_leaves_since_milliseconds(inMilliseconds(now - *told.leavingSince));
+  }
+  if (told.restsUntil && *told.restsUntil > now) {
+    message.set_rest_left_milliseconds(inMilliseconds(*told.restsUntil - now));
+  }
 }
 
-gateway::EngineStatement decodeLimit(const proto::EngineLimit& message, Time now) {
-  gateway::EngineStatement told;
+EngineStatement decodeStatement(const proto::EngineStatement& message, Time now) {
+  EngineStatement told;
   told.engine = message.engine();
-  const double rate = message.requests_per_second();
-  if (message.is_limited() && std::isfinite(rate) && rate >= 0) {
-    told.statement.ratePerSecond = rate;
+  if (message.has_is_limited()) {
+    LimitStatement limit;
+    const double rate = message.requests_per_second();
+    if (message.is_limited() && std::isfinite(rate) && rate >= 0) {
+      limit.ratePerSecond = rate;
+    }
+    limit.sentAt = now - std::chrono::milliseconds(message.sent_ago_milliseconds());
+    limit.cameAt = now - std::chrono::milliseconds(message.came_ago_milliseconds());
+    told.limit = limit;
+  }
+  if (message.has_leaves_since_milliseconds()) {
+    told.leavingSince = now - std::chrono::milliseconds(message.leaves_since_milliseconds());
+  }
+  if (message.rest_left_milliseconds() > 0) {
+    told.restsUntil = now + std::chrono::milliseconds(message.rest_left_milliseconds());
   }
-  told.statement.sentAt = now - std::chrono::milliseconds(message.sent_ago_milliseconds());
-  told.statement.cameAt = now - std::chrono::milliseconds(message.came_ago_milliseconds());
   return told;
 }
 
--- a/src/peers/load_directory.cpp
+++ b/src/peers/load_directory.cpp
@@ -4,7 +4,7 @@
 #include <limits>
 
 #include "peers/answer_timeout.h"
-#include "peers/engine_limit_codec.h"
+#include "peers/engine_statement_codec.h"
 #include "peers/message_time.h"
 #include "peers/node_hash.h"
 
@@ -15,7 +15,6 @@
 using gateway::EngineDemand;
 using gateway::EngineRoom;
 using gateway::EngineStatement;
-using gateway::LimitStatement;
 using gateway::LoadAnswer;
 using gateway::LoadTicket;
 using gateway::PendingRequest;
@@ -44,8 +43,8 @@
 }  // namespace
 
 LoadDirectory::LoadDirectory(NodeId self, const Clock& clock, MessageSender& sender,
-                             EngineNames names)
-    : self_(self), clock_(clock), sender_(sender), names_(std::move(names)) {}
+                             BackendSet* engines)
+    : self_(self), clock_(clock), sender_(sender), engines_(engines) {}
 
 void LoadDirectory::setReachableShare(double share) {
   const std::lock_guard<std::mutex> lock(mutex_);
@@ -111,8 +110,9 @@
   question.set_forget_after_milliseconds(inMilliseconds(demand.forgetAfter));
   question.set_longest_permit_wait_milliseconds(inMilliseconds(demand.longestPermitWait));
   question.set_only_permit(!demand.isCounted);
-  if (const std::optional<LimitStatement> known = limits_.find(engine)) {
-    encodeLimit(EngineStatement{engine, *known}, clock_.now(), *question.mutable_limit());
+  const Time now = clock_.now();
+  if (const EngineStatement known = statementOf(engine, now); !known.isEmpty()) {
+    encodeStatement(known, now, *question.mutable_statement());
   }
   return envelope;
 }
@@ -206,7 +206,8 @@
   demand.forgetAfter = std::chrono::milliseconds(question.forget_after_milliseconds());
   demand.longestPermitWait = std::chrono::milliseconds(question.longest_permit_wait_milliseconds());
   demand.isCounted = !question.only_permit();
-  if (question.has_limit() && takeStatement(decodeLimit(question.limit(), now), from.node, now)) {
+  if (question.has_statement() &&
+      takeStatement(decodeStatement(question.statement(), now), from.node, now)) {
     announce(question.engine(), now);
   }
   const EngineRoom room{question.engine_places(), question.engine_memory_tokens()};
@@ -223,8 +224,8 @@
   answer.set_lacks_permit(counted.lacksPermit);
   // Rounded up: what is sent or asked for sooner would be too soon.
   answer.set_permit_wait_milliseconds(inMilliseconds(counted.permitWait + kAlmostMillisecond));
-  if (const std::optional<LimitStatement> known = limits_.find(question.engine())) {
-    encodeLimit(EngineStatement{question.engine(), *known}, now, *answer.mutable_limit());
+  if (const EngineStatement known = statementOf(question.engine(), now); !known.isEmpty()) {
+    encodeStatement(known, now, *answer.mutable_statement());
   }
   sender.send(from.node, envelope);
 }
@@ -238,12 +239,12 @@
   taken.isStalled = answer.stalled();
   taken.lacksPermit = answer.lacks_permit();
   taken.permitWait = std::chrono::milliseconds(answer.permit_wait_milliseconds());
-  const bool isLimited = answer.has_limit() && answer.limit().is_limited();
+  const bool isLimited = answer.statement().is_limited();
   taken.ticket =
       LoadTicket{answer.engine(), answer.question_id(), true, answer.granted() && isLimited};
-  if (answer.has_limit()) {
+  if (answer.has_statement()) {
     const Time now = clock_.now();
-    takeStatement(decodeLimit(answer.limit(), now), from.node, now);
+    takeStatement(decodeStatement(answer.statement(), now), from.node, now);
   }
   {
     const std::lock_guard<std::mutex> lock(mutex_);
@@ -271,8 +272,8 @@
     onAnswer(from, message.answer(), sender);
   } else if (message.has_release()) {
     noteEnd(from.node.value(), message.release(), now);
-  } else if (message.has_limits()) {
-    onLimits(from, message.limits(), now);
+  } else if (message.has_statements()) {
+    onStatements(from, message.statements(), now);
   }
 }
 
--- a/src/peers/load_directory.h
+++ b/src/peers/load_directory.h
@@ -6,9 +6,13 @@
 /// few milliseconds and the knowledge.
 ///
 /// The same node gives the permits of an engine that states a limit (see gateway/engine_permits.h),
-/// with the answer to the same question. Who is told a limit by an engine tells that node, which
-/// tells all others, again and again while it holds; questions and answers carry it too, so that a
-/// node that has just begun to count for an engine knows it.
+/// with the answer to the same question.
+///
+/// What an engine states in its answers, a limit, that it leaves, or that it wants rest, concerns
+/// all nodes: who is told it tells the node that counts for the engine, which tells all others,
+/// both again and again while it holds. Questions and answers carry it too, and nodes that have
+/// just begun are told it, so that whoever counts for an engine next knows it. Limits are kept
+/// here, with their permits; leaving and rest by the set of back ends, where choices look.
 #pragma once
 
 #include <condition_variable>
@@ -19,6 +23,7 @@
 #include <string>
 #include <vector>
 
+#include "backends/backend_set.h"
 #include "common/log_budget.h"
 #include "common/role.h"
 #include "envelope.pb.h"
@@ -29,19 +34,18 @@
 
 namespace fernmoor::peers {
 
-/// Lines on limits that are stated, change or end, and on the permits that a node gave.
+/// Lines on what engines state, change and end, and on the permits that a node gave.
 inline constexpr LogBudgetBounds kChangeLines{5, 40};
 inline constexpr LogBudgetBounds kPermitLines{2, 20};
 
-/// @return the id of a listed engine, given the hash of its incarnation; empty: it isn't listed.
-using EngineNames = std::function<std::string(uint64_t)>;
-
 /// Thread-safe.
 class LoadDirectory : public Role, public gateway::EngineLoads {
  public:
   /// @param sender outlives the directory; used on the threads that call reserve() and release().
-  /// @param names of listed engines; null: none is named, and none is taken for gone.
-  LoadDirectory(NodeId self, const Clock& clock, MessageSender& sender, EngineNames names = {});
+  /// @param engines that are listed, told what they state; outlives the directory. Null: none is
+  ///        named, none is taken for gone, and only limits are kept.
+  LoadDirectory(NodeId self, const Clock& clock, MessageSender& sender,
+                BackendSet* engines = nullptr);
 
   void setMembers(std::shared_ptr<const MembershipSnapshot> members);
   /// Sets the part of the known nodes that this one can hear of: the two sides of a cut together
@@ -54,7 +58,7 @@
   void promptRead(const gateway::LoadTicket& ticket) override;
   void release(const gateway::LoadTicket& ticket) override;
   void giveBack(const gateway::LoadTicket& ticket) override;
-  void noteLimit(uint64_t engine, const gateway::LimitStatement& statement) override;
+  void noteStatement(const gateway::EngineStatement& told) override;
   std::optional<Duration> permitDue(uint64_t engine) const override;
   bool mayGoUnasked(uint64_t engine) override;
 
@@ -68,7 +72,7 @@
   size_t limitedCount() const { return limits_.count(); }
 
  private:
-  /// When a limit is told to all nodes again.
+  /// When a statement is told again.
   struct Announcement {
     Time toldAt;
     Duration pause{0};  ///< Until the next time; grows.
@@ -79,16 +83,18 @@
     std::optional<gateway::LoadAnswer> answer;
   };
 
-  /// The engines that this node counts for: looked up anew only where the members or the engines
-  /// with limits changed, as each look goes over all members.
-  struct OwnedLimits {
+  /// The engines that state something, by who counts for them: looked up anew only where the
+  /// members or the engines changed, as each look goes over all members.
+  struct Owners {
     std::shared_ptr<const MembershipSnapshot> members;
-    std::vector<uint64_t> among;
     std::vector<uint64_t> engines;
+    std::map<uint64_t, NodeId> of;  ///< By engine.
   };
 
   NodeId ownerOf(uint64_t engine) const;
   bool isOwner(uint64_t engine) const { return ownerOf(engine) == self_; }
+  /// @return the id of a listed engine; empty: it isn't listed.
+  std::string nameOf(uint64_t engine) const;
   /// Counts a request at an engine that this node counts for, and gives its permit.
   gateway::LoadAnswer reserveHere(uint64_t engine, const gateway::PendingRequest& request,
                                   const gateway::EngineRoom& room, uint64_t bound, Time now);
@@ -96,21 +102,34 @@
                              const gateway::EngineRoom& room, uint64_t bound) const;
   /// @return requests a second that this node permits under a stated limit.
   double rateHere(double statedRate) const;
+  /// @return all that this node knows that the engine states.
+  gateway::EngineStatement statementOf(uint64_t engine, Time now) const;
+  /// @return engines that state anything.
+  std::vector<uint64_t> statedEngines(Time now) const;
   /// Takes a statement that this node or another one was told.
   /// @param from another node; nothing: this one was told by the engine.
   /// @return whether it changed what was known.
   bool takeStatement(const gateway::EngineStatement& told, std::optional<NodeId> from, Time now);
-  /// Tells all nodes, now and then again and again.
+  bool takeLimit(const gateway::EngineStatement& told, std::optional<NodeId> from, Time now);
+  bool takeLeaving(const gateway::EngineStatement& told, std::optional<NodeId> from, Time now);
+  bool takeRest(const gateway::EngineStatement& told, std::optional<NodeId> from, Time now);
+  /// Tells all nodes where this one counts for the engine, else the one that does; now and then
+  /// again and again.
   void announce(uint64_t engine, Time now);
-  void sendLimits(const std::vector<uint64_t>& engines, const std::vector<NodeId>& to, Time now);
-  /// Used on the thread that ticks. @return engines with limits that this node counts for.
-  const std::vector<uint64_t>& ownLimits();
-  /// Tells the limits that are due again, and all of them to nodes that have just come.
+  void sendStatements(const std::vector<uint64_t>& engines, const std::vector<NodeId>& to,
+                      Time now);
+  /// Used on the thread that ticks.
+  const Owners& owners(Time now);
+  /// Tells the statements that are due again, and nodes that have just come what they have to know.
   void announceDue(Time now);
+  /// Tells a node that has just come all that engines state for which this one counts, and what
+  /// others state for which that one counts from now on.
+  void tellNewcomer(NodeId node, const Owners& known, Time now);
   /// @return nodes that were not told of since they began.
   std::vector<NodeId> newcomers();
-  void logChange(uint64_t engine, gateway::LimitChange change,
-                 const gateway::LimitStatement& statement, std::optional<NodeId> from, Time now);
+  /// Writes what changed about an engine, within a budget.
+  void logChange(const std::string& change, uint64_t engine, std::optional<NodeId> from,
+                 Duration age, Time now);
   void logPermits(Time now);
   std::vector<NodeId> otherNodes() const;
   /// Tells the engine's owner that a request's prompt was read, that it ended, or was not sent.
@@ -120,12 +139,12 @@
   void onQuestion(NodeLife from, const proto::LoadQuestion& question, Time now,
                   MessageSender& sender);
   void onAnswer(NodeLife from, const proto::LoadAnswer& answer, MessageSender& sender);
-  void onLimits(NodeLife from, const proto::EngineLimits& limits, Time now);
+  void onStatements(NodeLife from, const proto::EngineStatements& statements, Time now);
 
   const NodeId self_;
   const Clock& clock_;
   MessageSender& sender_;
-  const EngineNames names_;
+  BackendSet* const engines_;
   gateway::PendingWork work_;
   gateway::StatedLimits limits_;
   gateway::EnginePermits permits_;
@@ -138,9 +157,11 @@
   uint32_t lastQuestion_ = 0;
   std::map<NodeId, Incarnation> askers_;  ///< In which life each node asked last.
   double reachableShare_ = 1.0;
-  std::map<uint64_t, Announcement> announcements_;  ///< Of engines that this node counts for.
-  OwnedLimits owned_;                               ///< Used on the thread that ticks.
-  std::map<NodeId, Incarnation> told_;              ///< Nodes that were there at the last tick.
+  /// Of engines that this node counts for, or that told it themselves.
+  std::map<uint64_t, Announcement> announcements_;
+  Owners owners_;                       ///< Used on the thread that ticks.
+  std::map<NodeId, Incarnation> told_;  ///< Nodes that were there at the last tick.
+  std::shared_ptr<const MembershipSnapshot> toldMembers_;  ///< What `told_` was made from.
   Time permitsLoggedAt_;
 };
 
--- a/src/peers/load_directory_statements.cpp
+++ b/src/peers/load_directory_statements.cpp
@@ -1,11 +1,11 @@
 /// @file
-/// What the directory does with the limits that engines state: takes them, tells them to the other
-/// nodes, and writes what changed. The permits stand in load_directory.cpp.
+/// What the directory does with what engines state: takes it, tells it to the other nodes, and
+/// writes what changed. The permits stand in load_directory.cpp.
 #include <algorithm>
 #include <iterator>
 
 #include "common/log.h"
-#include "peers/engine_limit_codec.h"
+#include "peers/engine_statement_codec.h"
 #include "peers/load_directory.h"
 
 namespace fernmoor::peers {
@@ -14,27 +14,20 @@
 
 using gateway::EngineStatement;
 using gateway::LimitChange;
-using gateway::LimitStatement;
 
-/// A limit is told to all nodes again after this, then after twice as long, and so on.
+/// A statement is told again after this, then after twice as long, and so on.
 constexpr Duration kFirstPause{300000};
 constexpr Duration kLongestPause{10000000};
-/// A limit that changes more often is told with the next tick.
+/// One that changes more often is told with the next tick.
 constexpr Duration kLeastPause{100000};
 constexpr Duration kPermitLogInterval{4000000};
 
 }  // namespace
 
-void LoadDirectory::noteLimit(uint64_t engine, const LimitStatement& statement) {
+void LoadDirectory::noteStatement(const EngineStatement& told) {
   const Time now = clock_.now();
-  if (!takeStatement(EngineStatement{engine, statement}, std::nullopt, now)) {
-    return;
-  }
-  const NodeId owner = ownerOf(engine);
-  if (owner == self_) {
-    announce(engine, now);
-  } else {
-    sendLimits({engine}, {owner}, now);
+  if (takeStatement(told, std::nullopt, now)) {
+    announce(told.engine, now);
   }
 }
 
@@ -46,36 +39,96 @@
   return limits_.takeUnasked(engine, otherNodes().size() + 1, clock_.now());
 }
 
+std::string LoadDirectory::nameOf(uint64_t engine) const {
+  return engines_ == nullptr ? "" : engines_->idOf(engine);
+}
+
+EngineStatement LoadDirectory::statementOf(uint64_t engine, Time now) const {
+  EngineStatement known;
+  known.engine = engine;
+  known.limit = limits_.find(engine);
+  const std::optional<Withdrawal> withdrawal =
+      engines_ == nullptr ? std::nullopt : engines_->withdrawal(engine, now);
+  if (withdrawal) {
+    known.leavingSince = withdrawal->leavingSince;
+    known.restsUntil =
+        withdrawal->sparedUntil > now ? std::optional(withdrawal->sparedUntil) : std::nullopt;
+  }
+  return known;
+}
+
+std::vector<uint64_t> LoadDirectory::statedEngines(Time now) const {
+  std::vector<uint64_t> engines = limits_.engines();
+  if (engines_ != nullptr) {
+    const std::vector<uint64_t> withdrawn = engines_->withdrawn(now);
+    engines.insert(engines.end(), withdrawn.begin(), withdrawn.end());
+  }
+  std::sort(engines.begin(), engines.end());
+  engines.erase(std::unique(engines.begin(), engines.end()), engines.end());
+  return engines;
+}
+
 bool LoadDirectory::takeStatement(const EngineStatement& told, std::optional<NodeId> from,
                                   Time now) {
-  const LimitChange change = limits_.note(told.engine, told.statement);
+  const bool limitChanged = takeLimit(told, from, now);
+  const bool leavingChanged = takeLeaving(told, from, now);
+  const bool restChanged = takeRest(told, from, now);
+  return limitChanged || leavingChanged || restChanged;
+}
+
+bool LoadDirectory::takeLimit(const EngineStatement& told, std::optional<NodeId> from, Time now) {
+  const LimitChange change =
+      told.limit ? limits_.note(told.engine, *told.limit) : LimitChange::kNone;
   if (change == LimitChange::kNone) {
     return false;
   }
-  if (told.statement.ratePerSecond && isOwner(told.engine)) {
-    permits_.expect(told.engine, rateHere(*told.statement.ratePerSecond), now);
+  const std::optional<double> stated = told.limit->ratePerSecond;
+  if (stated && isOwner(told.engine)) {
+    permits_.expect(told.engine, rateHere(*stated), now);
   }
-  logChange(told.engine, change, told.statement, from, now);
+  const std::string rate = std::to_string(stated.value_or(0)) + " requests a second";
+  logChange(change == LimitChange::kEnded   ? "engine limit: none is stated any more"
+            : change == LimitChange::kNamed ? "engine limit: " + rate + " are stated"
+                                            : "engine limit: changed to " + rate,
+            told.engine, from, now - told.limit->cameAt, now);
   return true;
 }
 
-void LoadDirectory::logChange(uint64_t engine, LimitChange change, const LimitStatement& statement,
-                              std::optional<NodeId> from, Time now) {
+bool LoadDirectory::takeLeaving(const EngineStatement& told, std::optional<NodeId> from, Time now) {
+  const bool isNews = told.leavingSince && engines_ != nullptr &&
+                      engines_->noteLeaving(told.engine, *told.leavingSince);
+  if (isNews) {
+    logChange("engine leaves: it says so in its answers", told.engine, from,
+              now - *told.leavingSince, now);
+  }
+  return isNews;
+}
+
+bool LoadDirectory::takeRest(const EngineStatement& told, std::optional<NodeId> from, Time now) {
+  const RestOf whom = from ? RestOf::kOtherNode : RestOf::kThisNode;
+  const bool isNews = told.restsUntil && engines_ != nullptr &&
+                      engines_->noteRest(told.engine, *told.restsUntil, whom);
+  if (isNews) {
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(*told.restsUntil - now);
+    logChange("engine rests: " + std::to_string(left.count()) + " ms are left of what it asked " +
+                  (from ? "another node for" : "this node for"),
+              told.engine, from, Duration(0), now);
+  }
+  return isNews;
+}
+
+void LoadDirectory::logChange(const std::string& change, uint64_t engine,
+                              std::optional<NodeId> from, Duration age, Time now) {
   const std::optional<uint64_t> leftOut = changeLog_.take(now);
   if (!leftOut) {
     return;
   }
   LogFields fields;
-  fields.engine = EngineId(names_ ? names_(engine) : "");
+  fields.engine = EngineId(nameOf(engine));
   fields.peer = from;
-  fields.elapsed = now - statement.cameAt;
+  fields.elapsed = age;
   fields.leftOut = *leftOut;
-  const std::string rate = std::to_string(statement.ratePerSecond.value_or(0));
-  logInfo(change == LimitChange::kEnded ? "engine limit: none is stated any more"
-          : change == LimitChange::kNamed
-              ? "engine limit: " + rate + " requests a second are stated"
-              : "engine limit: changed to " + rate + " requests a second",
-          fields);
+  logInfo(change, fields);
 }
 
 void LoadDirectory::logPermits(Time now) {
@@ -89,7 +142,7 @@
       continue;
     }
     LogFields fields;
-    fields.engine = EngineId(names_ ? names_(counts.engine) : "");
+    fields.engine = EngineId(nameOf(counts.engine));
     fields.leftOut = *leftOut;
     logInfo("engine limit: in the last 4 s " + std::to_string(counts.given) +
                 " requests of all nodes were permitted, " + std::to_string(counts.withheld) +
@@ -112,6 +165,7 @@
 }
 
 void LoadDirectory::announce(uint64_t engine, Time now) {
+  const NodeId owner = ownerOf(engine);
   {
     const std::lock_guard<std::mutex> lock(mutex_);
     const auto known = announcements_.find(engine);
@@ -121,19 +175,19 @@
     }
     announcements_[engine] = Announcement{now, kFirstPause};
   }
-  sendLimits({engine}, otherNodes(), now);
+  sendStatements({engine}, owner == self_ ? otherNodes() : std::vector<NodeId>{owner}, now);
 }
 
-void LoadDirectory::sendLimits(const std::vector<uint64_t>& engines, const std::vector<NodeId>& to,
-                               Time now) {
+void LoadDirectory::sendStatements(const std::vector<uint64_t>& engines,
+                                   const std::vector<NodeId>& to, Time now) {
   proto::Envelope envelope;
-  proto::EngineLimits& limits = *envelope.mutable_load()->mutable_limits();
+  proto::EngineStatements& statements = *envelope.mutable_load()->mutable_statements();
   for (const uint64_t engine : engines) {
-    if (const std::optional<LimitStatement> known = limits_.find(engine)) {
-      encodeLimit(EngineStatement{engine, *known}, now, *limits.add_limits());
+    if (const EngineStatement known = statementOf(engine, now); !known.isEmpty()) {
+      encodeStatement(known, now, *statements.add_statements());
     }
   }
-  if (limits.limits_size() == 0) {
+  if (statements.statements_size() == 0) {
     return;
   }
   for (const NodeId node : to) {
@@ -143,6 +197,10 @@
 
 std::vector<NodeId> LoadDirectory::newcomers() {
   const std::lock_guard<std::mutex> lock(mutex_);
+  if (members_ == toldMembers_) {
+    return {};
+  }
+  toldMembers_ = members_;
   std::map<NodeId, Incarnation> present;
   std::vector<NodeId> found;
   if (members_ != nullptr) {
@@ -159,36 +217,40 @@
   return found;
 }
 
-const std::vector<uint64_t>& LoadDirectory::ownLimits() {
+const LoadDirectory::Owners& LoadDirectory::owners(Time now) {
   std::shared_ptr<const MembershipSnapshot> members;
   {
     const std::lock_guard<std::mutex> lock(mutex_);
     members = members_;
   }
-  std::vector<uint64_t> engines = limits_.engines();
-  if (members != owned_.members || engines != owned_.among) {
-    owned_ = OwnedLimits{std::move(members), std::move(engines), {}};
-    std::copy_if(owned_.among.begin(), owned_.among.end(), std::back_inserter(owned_.engines),
-                 [this](uint64_t engine) { return isOwner(engine); });
+  std::vector<uint64_t> engines = statedEngines(now);
+  if (members != owners_.members || engines != owners_.engines) {
+    owners_ = Owners{std::move(members), std::move(engines), {}};
+    for (const uint64_t engine : owners_.engines) {
+      owners_.of[engine] = ownerOf(engine);
+    }
   }
-  return owned_.engines;
+  return owners_;
 }
 
 void LoadDirectory::announceDue(Time now) {
-  const std::vector<uint64_t>& own = ownLimits();
-  if (own.empty()) {
+  const std::vector<NodeId> added = newcomers();
+  const Owners& known = owners(now);
+  if (known.engines.empty()) {
     return;
   }
-  const std::vector<NodeId> added = newcomers();
-  std::vector<uint64_t> due;
+  std::map<NodeId, std::vector<uint64_t>> due;  // By who counts for them.
   {
     const std::lock_guard<std::mutex> lock(mutex_);
     std::map<uint64_t, Announcement> kept;
-    for (const uint64_t engine : own) {
-      const auto known = announcements_.find(engine);
-      Announcement next = known == announcements_.end() ? Announcement{} : known->second;
+    for (const auto& [engine, owner] : known.of) {
+      const auto announced = announcements_.find(engine);
+      if (owner != self_ && announced == announcements_.end()) {
+        continue;  // Another node told this one.
+      }
+      Announcement next = announced == announcements_.end() ? Announcement{} : announced->second;
       if (now - next.toldAt >= next.pause) {
-        due.push_back(engine);
+        due[owner].push_back(engine);
         next.pause = std::clamp(next.pause * 2, kFirstPause, kLongestPause);
         next.toldAt = now;
       }
@@ -196,15 +258,28 @@
     }
     announcements_ = std::move(kept);
   }
-  sendLimits(due, otherNodes(), now);
-  if (!added.empty()) {
-    sendLimits(own, added, now);
+  for (const auto& [owner, engines] : due) {
+    sendStatements(engines, owner == self_ ? otherNodes() : std::vector<NodeId>{owner}, now);
+  }
+  for (const NodeId node : added) {
+    tellNewcomer(node, known, now);
+  }
+}
+
+void LoadDirectory::tellNewcomer(NodeId node, const Owners& known, Time now) {
+  std::vector<uint64_t> engines;
+  for (const auto& [engine, owner] : known.of) {
+    if (owner == self_ || owner == node) {
+      engines.push_back(engine);
+    }
   }
+  sendStatements(engines, {node}, now);
 }
 
-void LoadDirectory::onLimits(NodeLife from, const proto::EngineLimits& limits, Time now) {
-  for (const proto::EngineLimit& limit : limits.limits()) {
-    const EngineStatement told = decodeLimit(limit, now);
+void LoadDirectory::onStatements(NodeLife from, const proto::EngineStatements& statements,
+                                 Time now) {
+  for (const proto::EngineStatement& statement : statements.statements()) {
+    const EngineStatement told = decodeStatement(statement, now);
     if (takeStatement(told, from.node, now) && isOwner(told.engine)) {
       announce(told.engine, now);
     }
@@ -213,7 +288,11 @@
 
 void LoadDirectory::onTick(Time now, MessageSender&) {
   announceDue(now);
-  limits_.forgetOld([this](uint64_t engine) { return !names_ || !names_(engine).empty(); }, now);
+  limits_.forgetOld(
+      [this](uint64_t engine) { return engines_ == nullptr || !nameOf(engine).empty(); }, now);
+  if (engines_ != nullptr) {
+    engines_->forgetWithdrawn(now);
+  }
   permits_.forgetUnused(now);
   logPermits(now);
 }
--- a/src/peers/peer_plane.cpp
+++ b/src/peers/peer_plane.cpp
@@ -31,13 +31,12 @@
 
 PeerPlane::PeerPlane(PeerOptions options, const Clock& clock, StateMirror& mirror,
                      WantedWeights& wanted, RevisionTimes& revisionTimes,
-                     quarantine::QuarantineTable& quarantined, const BackendSet& backends)
+                     quarantine::QuarantineTable& quarantined, BackendSet& backends)
     : options_(std::move(options)),
       clock_(clock),
       mirrorRole_(nodeIdOf(options_.listen), mirror, wanted, revisionTimes, clock.now()),
       parts_(nodeIdOf(options_.listen), clock, *this),
-      loads_(nodeIdOf(options_.listen), clock, *this,
-             [&backends](uint64_t engine) { return backends.idOf(engine); }),
+      loads_(nodeIdOf(options_.listen), clock, *this, &backends),
       limits_(nodeIdOf(options_.listen), clock, *this, options_.knobs),
       quarantine_(nodeIdOf(options_.listen), clock, *this, quarantined),
       life_(makeLife(static_cast<uint64_t>(clock.wallMicroseconds()))) {}
--- a/src/peers/peer_plane.h
+++ b/src/peers/peer_plane.h
@@ -44,7 +44,7 @@
   /// Binds the address. Throws Poco::Net::NetException where it is in use.
   PeerPlane(PeerOptions options, const Clock& clock, StateMirror& mirror, WantedWeights& wanted,
             RevisionTimes& revisionTimes, quarantine::QuarantineTable& quarantined,
-            const BackendSet& backends);
+            BackendSet& backends);
   ~PeerPlane() override;
 
   void start();
--- a/test/backends/backend_set_test.cpp
+++ b/test/backends/backend_set_test.cpp
@@ -129,4 +129,97 @@
   CHECK(pause.afterFailure() <= std::chrono::milliseconds(100));
 }
 
+TEST_CASE("an incarnation that said that it leaves does so whatever its entry says") {
+  BackendSet set;
+  set.replaceAll({listing("a"), listing("b")}, at(0));
+  const uint64_t engine = incarnationHash(listing("a"));
+  CHECK(set.noteLeaving(engine, at(10000)));
+  CHECK_FALSE(set.noteLeaving(engine, at(10500)));
+  CHECK_FALSE(set.isUsable("a"));
+  SUBCASE("an older entry, and one that comes back after it was missing") {
+    set.update(listing("a"), at(10100));
+    CHECK(set.find("a")->isDraining);
+    set.remove("a");
+    set.update(listing("a"), at(10200));
+    CHECK(set.find("a")->isDraining);
+    CHECK(only(set, at(12000)).listing->id == "b");
+  }
+  SUBCASE("it is told so also before it is listed") {
+    set.noteLeaving(incarnationHash(listing("c")), at(10000));
+    set.update(listing("c"), at(10100));
+    CHECK(set.find("c")->isDraining);
+  }
+  SUBCASE("another incarnation has said nothing") {
+    BackendListing born = listing("a");
+    born.startedAt = 77;
+    set.update(born, at(10100));
+    CHECK(set.isUsable("a"));
+    CHECK(set.membersOf("pool", "m", at(12000)).size() == 2);
+  }
+  SUBCASE("an engine whose entry does not tell its start is the same when it reports it") {
+    CHECK(set.find("a")->isDraining);
+    set.noteStart("a", 77);
+    CHECK(set.find("a")->isDraining);
+  }
+  SUBCASE("it is kept while the engine may come back, and forgotten long after") {
+    set.remove("a");
+    set.forgetWithdrawn(at(20000));
+    set.forgetWithdrawn(at(320000));
+    CHECK(set.withdrawn(at(320000)).size() == 1);
+    set.forgetWithdrawn(at(700000));
+    CHECK(set.withdrawn(at(700000)).empty());
+  }
+}
+
+TEST_CASE("a back end that leaves may be sent requests for half of its bound, as the last resort") {
+  BackendSet set(BackendSetBounds{std::chrono::seconds(3), Duration(0)});
+  BackendListing leaving = listing("a");
+  const BackendListing asIncarnation = leaving;
+  SUBCASE("since it said so in an answer") {
+    set.update(leaving, at(0));
+    set.noteLeaving(incarnationHash(leaving), at(10000));
+  }
+  SUBCASE("since its entry can have been written") {
+    leaving.isDraining = true;
+    leaving.notListedAt = at(10000);
+    set.update(leaving, at(0));
+  }
+  CHECK(only(set, at(11499)).isLeaving);
+  CHECK(set.takesRequests(asIncarnation, at(11499)));
+  CHECK(set.membersOf("pool", "m", at(11500)).empty());
+  CHECK_FALSE(set.takesRequests(asIncarnation, at(11500)));
+}
+
+TEST_CASE("a rest holds to the latest end that the back end named, and is its incarnation's") {
+  BackendSet set(BackendSetBounds{std::chrono::seconds(2), std::chrono::milliseconds(300)});
+  set.update(listing("a"), at(0));
+  const uint64_t engine = incarnationHash(listing("a"));
+  CHECK(set.noteRest(engine, at(5000), RestOf::kThisNode));
+  CHECK_FALSE(set.noteRest(engine, at(3000), RestOf::kThisNode));
+  CHECK(only(set, at(4000)).restsUntil == at(5000));
+  CHECK_FALSE(set.takesRequests(listing("a"), at(4999)));
+  CHECK(set.takesRequests(listing("a"), at(5000)));
+  CHECK_FALSE(only(set, at(4000)).isLeaving);
+  CHECK(set.withdrawnCounts(at(4000)).resting == 1);
+  SUBCASE("what others were asked is spared a little longer, and may be used") {
+    CHECK(set.noteRest(engine, at(8000), RestOf::kOtherNode));
+    CHECK(set.takesRequests(listing("a"), at(6000)));
+    CHECK(only(set, at(8200)).isAvoided);
+    CHECK_FALSE(only(set, at(8300)).isAvoided);
+  }
+  SUBCASE("another incarnation rests no more") {
+    BackendListing born = listing("a");
+    born.startedAt = 77;
+    set.update(born, at(1000));
+    CHECK(set.takesRequests(born, at(1000)));
+    CHECK_FALSE(set.takesRequests(listing("a"), at(1000)));
+  }
+  SUBCASE("it is forgotten when it is over") {
+    set.forgetWithdrawn(at(5299));
+    CHECK(set.withdrawn(at(4000)).size() == 1);
+    set.forgetWithdrawn(at(5400));
+    CHECK(set.withdrawn(at(4000)).empty());
+  }
+}
+
 }  // namespace fernmoor
--- a/test/gateway/engine_attempt_test.cpp
+++ b/test/gateway/engine_attempt_test.cpp
@@ -20,7 +20,9 @@
   }
   AttemptStep send() {
     EngineAttempt attempt(made, plan, protocol, connections, clock);
-    const AttemptStep sent = attempt.send(caller, made.deadline);
+    const AttemptStep opened = attempt.open(made.deadline);
+    const AttemptStep sent =
+        opened == AttemptStep::kDone ? attempt.send(caller, made.deadline) : opened;
     return sent == AttemptStep::kDone ? attempt.awaitHead(caller, made.deadline) : sent;
   }
 
--- a/test/gateway/forwarder_limit_test.cpp
+++ b/test/gateway/forwarder_limit_test.cpp
@@ -3,6 +3,9 @@
 /// many requests they take.
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <thread>
+
 #include "test/gateway/forwarder_world.h"
 
 namespace fernmoor::gateway {
@@ -23,9 +26,10 @@
   const Time before = world.clock.now();
   world.serve();
   REQUIRE(world.loads.told.size() == 1);
-  CHECK(world.loads.told[0].ratePerSecond == 1.4);
-  CHECK(world.loads.told[0].sentAt >= before);
-  CHECK(world.loads.told[0].cameAt >= world.loads.told[0].sentAt);
+  const LimitStatement limit = world.loads.told[0].limit.value();
+  CHECK(limit.ratePerSecond == 1.4);
+  CHECK(limit.sentAt >= before);
+  CHECK(limit.cameAt >= limit.sentAt);
 }
 
 TEST_CASE("a request waits for the permit of the only engine, and uses it") {
@@ -122,4 +126,47 @@
   }
 }
 
+TEST_CASE(
+    "a back end that asks for rest is no failure: the request runs elsewhere and it is told") {
+  ForwarderWorld world;
+  const std::string away = answer("503 Away", "", "Id: r1\r\nNot-Run: 1\r\nRest: 3000\r\n");
+  ScriptedBackend& resting = world.add("a", always(away));
+  ScriptedBackend& other = world.add("b", always(kAnswer));
+  for (int request = 0; request < 8; ++request) {
+    world.serve();
+  }
+  CHECK(other.requests() == 8);
+  const auto rests = std::count_if(world.loads.told.begin(), world.loads.told.end(),
+                                   [](const auto& told) { return told.restsUntil.has_value(); });
+  CHECK(rests == resting.requests());
+  for (const BackendView& each : world.backends.membersOf("pool", "", world.clock.now())) {
+    CHECK_FALSE(each.isAvoided);
+  }
+}
+
+TEST_CASE("where all back ends rest a request is refused at once, with the soonest end of a rest") {
+  ForwarderWorld world;
+  ScriptedBackend& backend = world.add("a", always(kAnswer));
+  const uint64_t engine = incarnationHash(world.backends.all().at(0));
+  world.backends.noteRest(engine, world.clock.now() + std::chrono::seconds(3), RestOf::kThisNode);
+  world.serve();
+  CHECK(promisesNotRun(world.caller));
+  CHECK((*world.caller.refusals.at(0).retryAfter >= std::chrono::milliseconds(2500)));
+  CHECK(backend.requests() == 0);
+}
+
+TEST_CASE("a request that waits for its permit is not sent to a back end that leaves meanwhile") {
+  ForwarderWorld world;
+  ScriptedBackend& backend = world.add("a", always(kAnswer));
+  world.row.target = std::chrono::seconds(1);
+  world.loads.permitWait = kWait;
+  const uint64_t engine = incarnationHash(world.backends.all().at(0));
+  std::thread leaving([&] { world.backends.noteLeaving(engine, Time()); });
+  world.serve();
+  leaving.join();
+  CHECK(backend.requests() == 0);
+  CHECK(promisesNotRun(world.caller));
+  CHECK(world.loads.permits == 0);
+}
+
 }  // namespace fernmoor::gateway
--- a/test/gateway/forwarder_world.h
+++ b/test/gateway/forwarder_world.h
@@ -159,7 +159,8 @@
 }
 
 /// Headers of no real system: "Id" is echoed, "Not-Run" says that a request did not run, "Limit"
-/// how many the back end takes a second.
+/// how many the back end takes a second, "Leaves" that it leaves, "Rest" for how many ms it wants
+/// nothing.
 class TestProtocol : public BackendProtocol {
  public:
   void addHeaders(const IncomingRequest& request, const SendPlan& plan, Duration timeLeft,
@@ -186,6 +187,8 @@
     facts.didNotRun = facts.isOurs && answer.has("Not-Run");
     facts.limitMention = answer.has("Limit") ? LimitMention::kStated : LimitMention::kNone;
     facts.limit = std::strtod(answer.get("Limit", "0").c_str(), nullptr);
+    facts.leaves = answer.has("Leaves");
+    facts.rest = std::chrono::milliseconds(std::atoi(answer.get("Rest", "0").c_str()));
     return facts;
   }
 };
@@ -274,7 +277,7 @@
     permits -= ticket.hasPermit ? 1 : 0;
     release(ticket);
   }
-  void noteLimit(uint64_t, const LimitStatement& statement) override { told.push_back(statement); }
+  void noteStatement(const EngineStatement& statement) override { told.push_back(statement); }
   std::optional<Duration> permitDue(uint64_t) const override { return permitWait; }
   void promptRead(const LoadTicket& ticket) override {
     work.promptRead(ticket.engine, 1, ticket.id, clock.now());
@@ -289,7 +292,7 @@
   bool isSilent = false;
   std::optional<Duration> permitWait;
   std::atomic<int> permits{0};  ///< Taken and not given back.
-  std::vector<LimitStatement> told;
+  std::vector<EngineStatement> told;
 };
 
 /// Lets every request pass until told otherwise, and counts.
--- a/test/gateway/limited_choice_test.cpp
+++ b/test/gateway/limited_choice_test.cpp
@@ -122,7 +122,7 @@
     REQUIRE(choice);
     CHECK(choice->backend.listing->id == "e0");
   }
-  CHECK_FALSE(soonestPermit(fixture.candidates, fixture.context, fixture.loads).has_value());
+  CHECK_FALSE(soonestTaker(fixture.candidates, fixture.loads, fixture.context.now).has_value());
 }
 
 TEST_CASE(
@@ -142,7 +142,7 @@
   CHECK((choice->permitWait == std::chrono::milliseconds(100)));
   CHECK(choice->ticket->hasPermit);
   CHECK_FALSE(fixture.soonest(std::chrono::milliseconds(50)).has_value());
-  CHECK((soonestPermit(fixture.candidates, fixture.context, fixture.loads) ==
+  CHECK((soonestTaker(fixture.candidates, fixture.loads, fixture.context.now) ==
          std::chrono::milliseconds(100)));
 }
 
@@ -172,4 +172,36 @@
   }
 }
 
+TEST_CASE("engines that rest are passed over, and those that leave are the last resort") {
+  Fixture fixture;
+  fixture.candidates = engines(3);
+  fixture.context.now = Time(std::chrono::seconds(10));
+  const Time later = fixture.context.now + std::chrono::milliseconds(600);
+  fixture.candidates[0].restsUntil = later;
+  fixture.candidates[1].isLeaving = true;
+  SUBCASE("while another one serves") {
+    CHECK(fixture.home()->backend.listing->id == "e2");
+    CHECK(fixture.least()->backend.listing->id == "e2");
+    CHECK_FALSE(soonestTaker(fixture.candidates, fixture.loads, fixture.context.now).has_value());
+  }
+  SUBCASE("also one that is avoided") {
+    fixture.candidates[2].isAvoided = true;
+    CHECK(fixture.home()->backend.listing->id == "e2");
+    CHECK(fixture.least()->backend.listing->id == "e2");
+  }
+  SUBCASE("where no other does") {
+    fixture.candidates[2].restsUntil = later + std::chrono::seconds(1);
+    CHECK(fixture.home()->backend.listing->id == "e1");
+    CHECK(fixture.least()->backend.listing->id == "e1");
+    SUBCASE("the first that takes requests again is told") {
+      fixture.candidates[1].restsUntil = later;
+      CHECK_FALSE(fixture.home().has_value());
+      CHECK_FALSE(fixture.least().has_value());
+      CHECK_FALSE(fixture.soonest(std::chrono::seconds(1)).has_value());
+      CHECK((soonestTaker(fixture.candidates, fixture.loads, fixture.context.now) ==
+             std::chrono::milliseconds(600)));
+    }
+  }
+}
+
 }  // namespace fernmoor::gateway
--- a/test/peers/engine_limits_test.cpp
+++ b/test/peers/engine_limits_test.cpp
@@ -33,7 +33,10 @@
 
   /// A node is told by the engine, in an answer that took 10 ms.
   void tell(uint64_t id, std::optional<double> rate) {
-    node(id).noteLimit(kEngine, LimitStatement{rate, clock.now() - kStep, clock.now()});
+    gateway::EngineStatement told;
+    told.engine = kEngine;
+    told.limit = LimitStatement{rate, clock.now() - kStep, clock.now()};
+    node(id).noteStatement(told);
   }
   void pass(Duration time) {
     const Time end = clock.now() + time;
--- /dev/null
+++ b/test/peers/engine_statements_test.cpp
@@ -0,0 +1,165 @@
+/// @file
+/// Tests of src/peers/load_directory.h: what engines state of leaving and rest, told among several
+/// nodes whose messages are delivered at once.
+#include <doctest/doctest.h>
+
+#include <map>
+#include <memory>
+
+#include "peers/load_directory.h"
+#include "test/peers/directory_world.h"
+
+namespace fernmoor::peers {
+
+namespace {
+
+constexpr Duration kTick{100000};
+
+BackendListing engineListing() {
+  BackendListing listing;
+  listing.id = "e";
+  listing.pool = "pool";
+  return listing;
+}
+
+/// Each node has a set of back ends of its own, with one engine; a node that is started anew has a
+/// new one.
+struct DirectoryMaker {
+  std::unique_ptr<LoadDirectory> operator()(NodeId node, const Clock& clock,
+                                            MessageSender& sender) const {
+    std::unique_ptr<BackendSet>& set = (*sets)[node];
+    set = std::make_unique<BackendSet>();
+    set->update(engineListing(), clock.now());
+    return std::make_unique<LoadDirectory>(node, clock, sender, set.get());
+  }
+
+  std::shared_ptr<std::map<NodeId, std::unique_ptr<BackendSet>>> sets =
+      std::make_shared<std::map<NodeId, std::unique_ptr<BackendSet>>>();
+};
+
+class StatementWorld : public test::DirectoryWorld<LoadDirectory, DirectoryMaker> {
+ public:
+  using DirectoryWorld::DirectoryWorld;
+
+  const uint64_t engine = incarnationHash(engineListing());
+
+  BackendSet& engines(uint64_t id) { return *maker.sets->at(NodeId(id)); }
+  /// The engine says to a node that it leaves.
+  void tellLeaving(uint64_t id) {
+    gateway::EngineStatement told;
+    told.engine = engine;
+    told.leavingSince = clock.now();
+    node(id).noteStatement(told);
+  }
+  void tellRest(uint64_t id, Duration rest) {
+    gateway::EngineStatement told;
+    told.engine = engine;
+    told.restsUntil = clock.now() + rest;
+    node(id).noteStatement(told);
+  }
+  void pass(Duration time) {
+    const Time end = clock.now() + time;
+    while (clock.now() < end) {
+      clock.advanceTo(clock.now() + kTick);
+      for (uint64_t id = 1; id <= size(); ++id) {
+        node(id).onTick(clock.now(), sender(NodeId(id)));
+      }
+    }
+  }
+  size_t nodesThatKnow() {
+    size_t count = 0;
+    for (uint64_t id = 1; id <= size(); ++id) {
+      count += engines(id).isUsable("e") ? 0 : 1;
+    }
+    return count;
+  }
+  /// @return the node that counts for the engine: it tells nobody what it hears of it.
+  uint64_t owner() {
+    for (uint64_t id = 1; id <= size(); ++id) {
+      const int before = messages;
+      node(id).promptRead(gateway::LoadTicket{engine, 0, false, false});
+      if (messages == before) {
+        return id;
+      }
+    }
+    return 0;
+  }
+};
+
+}  // namespace
+
+TEST_CASE("what an engine tells one node that it leaves all nodes know at once") {
+  for (const uint64_t count : {uint64_t{1}, uint64_t{7}, uint64_t{69}}) {
+    StatementWorld world(count);
+    world.tellLeaving(count);
+    CHECK(world.nodesThatKnow() == count);
+    const int before = world.messages;
+    world.tellLeaving(1);
+    CHECK(world.messages == before);
+  }
+}
+
+TEST_CASE("a node that begins later hears of an engine that leaves, whoever begins") {
+  StatementWorld world(7);
+  world.tellLeaving(1);
+  world.pass(std::chrono::seconds(1));
+  SUBCASE("the one that counts for the engine") {
+    const uint64_t owner = world.owner();
+    world.restart(owner);
+    CHECK(world.nodesThatKnow() == 6);
+  }
+  SUBCASE("another one") {
+    world.restart(world.owner() == 7 ? 6 : 7);
+    CHECK(world.nodesThatKnow() == 6);
+  }
+  world.pass(std::chrono::seconds(12));
+  CHECK(world.nodesThatKnow() == 7);
+}
+
+TEST_CASE("a statement whose message was lost is told again") {
+  StatementWorld world(7);
+  const uint64_t owner = world.owner();
+  world.silent.insert(NodeId(owner));
+  world.tellLeaving(owner == 1 ? 2 : 1);
+  CHECK(world.nodesThatKnow() == 1);
+  world.silent.clear();
+  world.pass(std::chrono::seconds(1));
+  CHECK(world.nodesThatKnow() == 7);
+}
+
+TEST_CASE("a rest binds the node that was asked for it, and all others spare the engine") {
+  StatementWorld world(7);
+  world.tellRest(3, std::chrono::seconds(3));
+  for (uint64_t id = 1; id <= world.size(); ++id) {
+    const BackendView view = world.engines(id).membersOf("pool", "", world.clock.now()).at(0);
+    CHECK((view.restsUntil > world.clock.now()) == (id == 3));
+    CHECK(view.isAvoided);
+  }
+  world.pass(std::chrono::seconds(4));
+  for (uint64_t id = 1; id <= world.size(); ++id) {
+    CHECK_FALSE(world.engines(id).membersOf("pool", "", world.clock.now()).at(0).isAvoided);
+  }
+  SUBCASE("and it costs no message any more when it is over") {
+    const int before = world.messages;
+    world.pass(std::chrono::seconds(20));
+    CHECK(world.messages == before);
+  }
+}
+
+TEST_CASE("what an engine states of all kinds is told together") {
+  StatementWorld world(5);
+  gateway::EngineStatement told;
+  told.engine = world.engine;
+  told.limit = gateway::LimitStatement{1.4, world.clock.now(), world.clock.now()};
+  told.leavingSince = world.clock.now();
+  told.restsUntil = world.clock.now() + std::chrono::seconds(2);
+  world.node(2).noteStatement(told);
+  for (uint64_t id = 1; id <= world.size(); ++id) {
+    CHECK(world.node(id).limitedCount() == 1);
+    CHECK_FALSE(world.engines(id).isUsable("e"));
+    CHECK((world.engines(id).withdrawal(world.engine, world.clock.now())->sparedUntil >
+           world.clock.now()));
+  }
+}
+
+}  // namespace fernmoor::peers
--- a/test/platform/engine_protocol_test.cpp
+++ b/test/platform/engine_protocol_test.cpp
@@ -131,4 +131,25 @@
   CHECK(sent.facts(200, {{"X-Request-Id", "r1"}, {"X-Weight-Versions", "4"}}).weightsVersion == 4);
 }
 
+TEST_CASE("an engine says that it leaves in answers of its own, with the one text for it") {
+  Sent sent;
+  const auto factsOf = [&](const std::string& text, int status = 200) {
+    return sent.facts(status, {{"X-Request-Id", "r1"}, {"Server-Leaving", text}});
+  };
+  CHECK(factsOf("1").leaves);
+  CHECK(factsOf("1", 503).leaves);
+  CHECK_FALSE(sent.facts(200, {{"X-Request-Id", "r1"}}).leaves);
+  CHECK_FALSE(sent.facts(200, {{"X-Request-Id", "r1"}}).hasOddWithdrawal);
+  SUBCASE("other texts say nothing") {
+    for (const char* text : {"0", "", "true", "01", "1.0", "yes", "-1", "1, 1"}) {
+      CHECK_MESSAGE(!factsOf(text).leaves, text);
+      CHECK_MESSAGE(factsOf(text).hasOddWithdrawal, text);
+    }
+  }
+  SUBCASE("another incarnation, or an answer to another request, tells nothing") {
+    CHECK_FALSE(factsOf("1", 421).leaves);
+    CHECK_FALSE(sent.facts(200, {{"X-Request-Id", "r0"}, {"Server-Leaving", "1"}}).leaves);
+  }
+}
+
 }  // namespace fernmoor::platform
--- a/test/platform_soak/soak.py
+++ b/test/platform_soak/soak.py
@@ -3,15 +3,16 @@
 that ask all the while, and faults drawn by a seed. Callers keep their connections until these are
 closed, also those of a process that stops. Faults come in several series that overlap; in some
 series all nodes are struck one after the other. Engines read slowly or hang with work in their queues, and
-connections to the store go silent for good. Engines state limits, change and end them. With every other seed the store itself stays sound, as the
+connections to the store go silent for good. Engines state limits, change and end them; engines say in their answers
+that they leave, long before or without their entries in the store, and are replaced; engines ask for rest. With every other seed the store itself stays sound, as the
 bound of new weights holds only while it does. With growth the operators' table grows by a thousand
 rows and more, time after time, and its rows are changed one by one while it spreads; nodes then have
 narrow links to each other and to the store. What callers and engines saw is judged by the users'
 rules; at the end, with all faults over, each kind of request must be served again.
 
 usage: soak.py BUILD_FOLDER [--seed N] [--seconds S] [--nodes N] [--series N] [--poison N] [--growth N]
-               [--slow N] [--silent N] [--limits N] [--callers N] [--narrow N] [--memory-mb N]
-               [--binary GATEWAY]
+               [--slow N] [--silent N] [--limits N] [--leaves N] [--rests N] [--callers N] [--narrow N]
+               [--memory-mb N] [--binary GATEWAY]
 """
 import argparse
 import collections
@@ -68,6 +69,9 @@
 LIMIT_CHANGES, LIMIT_PAUSE_SECONDS, ODD_LIMIT_CHANCE = (0, 4), (0.3, 6.0), 0.2
 # Rests that engines ask for, and texts that ask for none.
 REST_TEXTS = ("0", "0.3", "1", "2.5", "3", "5")
+REST_CHANGES, REST_PAUSE_SECONDS = (0, 3), (0.2, 2.0)
+# An engine that leaves says so in the store so much later, or never, and ends so long after that.
+STORE_LEAVE_SECONDS, LAST_SECONDS, SAYS_NOTHING_CHANCE = (0.0, 4.0), (2.5, 5.0), 0.3
 ODD_REST_TEXTS = ("abc", "-1", "nan", "inf", "1,4", "", "+1", " ", "0x1", "Wed, 21 Oct 2026 07:28:00 GMT")
 RECOVERY_SECONDS = 40
 LAST_POISON_NODES = 5
@@ -256,6 +260,7 @@
         self.growth_series = options.growth
         self.slow_series, self.silent_series = options.slow, options.silent
         self.limit_series, self.caller_count = options.limits, options.callers
+        self.leave_series, self.rest_series = options.leaves, options.rests
         self.poison_series = options.poison  # Without them all draws are as before there were any.
         self.engines_turn = threading.Lock()  # Held by the fault that replaces an engine.
         self.poisons = []  # (kind, body)
@@ -603,6 +608,59 @@
                 engine.state_limit(None)
             time.sleep(draw.uniform(0.0, 3.0))
 
+    def keep_replacing_engines(self, series, seconds):
+        """A series of its own: some engines, or all plain ones, leave, and new ones come before or after they
+        say so."""
+        draw = random.Random(f"{self.seed} leaves {series}")
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            plain = [engine for engine in self.engines if engine.service == PLAIN]
+            some = plain if draw.random() < 0.2 else draw.sample(list(self.engines), draw.randint(1, 3))
+            print(f"{time.monotonic() - end + seconds:6.2f} l{series} {len(some)} engines leave", flush=True)
+            leaving = [threading.Thread(target=self.replace, args=(old, random.Random(draw.random())))
+                       for old in some]
+            for each in leaving:
+                each.start()
+            for each in leaving:
+                each.join()
+            time.sleep(draw.uniform(0.0, 2.0))
+
+    def replace(self, old, draw):
+        """An engine leaves and ends. Where another fault has ended it meanwhile, it leaves its place alone."""
+        with self.engines_turn:
+            place = next((number for number, each in enumerate(self.engines) if each is old), None)
+            if place is None:
+                return
+            says_nothing = draw.random() < SAYS_NOTHING_CHANCE
+            old.leave(says_so_in_store=False)
+            time.sleep(draw.uniform(0.0, 0.4))
+            self.engines[place] = self.new_engine(old.number, old.service)
+        time.sleep(draw.uniform(*STORE_LEAVE_SECONDS))
+        if not says_nothing and not old.crashed:
+            old.leave(says_so_in_store=True)
+        time.sleep(draw.uniform(*LAST_SECONDS))
+        if not old.crashed:
+            old.crash()
+
+    def keep_resting_engines(self, series, seconds):
+        """A series of its own: some engines, or all, turn requests away and ask for rest, more and less of it
+        and in odd words."""
+        draw = random.Random(f"{self.seed} rests {series}")
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            engines = list(self.engines)
+            some = engines if draw.random() < 0.1 else draw.sample(engines, draw.randint(1, len(engines) // 2))
+            print(f"{time.monotonic() - end + seconds:6.2f} r{series} {len(some)} engines ask for rest",
+                  flush=True)
+            for _ in range(1 + draw.randint(*REST_CHANGES)):
+                for engine in some:
+                    odd = draw.random() < ODD_LIMIT_CHANCE
+                    engine.ask_rest(draw.choice(ODD_REST_TEXTS if odd else REST_TEXTS))
+                time.sleep(draw.uniform(*REST_PAUSE_SECONDS))
+            for engine in some:
+                engine.ask_rest(None)
+            time.sleep(draw.uniform(0.0, 4.0))
+
     def keep_silencing_connections(self, series, seconds):
         """A series of its own: connections to the store that are open go silent for good. For the
         rules that counts as a reset of the connections of all nodes."""
@@ -679,6 +737,10 @@
                    for number in range(self.silent_series)]
         series += [threading.Thread(target=self.keep_limiting_engines, args=(number, seconds))
                    for number in range(self.limit_series)]
+        series += [threading.Thread(target=self.keep_replacing_engines, args=(number, seconds))
+                   for number in range(self.leave_series)]
+        series += [threading.Thread(target=self.keep_resting_engines, args=(number, seconds))
+                   for number in range(self.rest_series)]
         try:
             for each in series:
                 each.start()
@@ -806,6 +868,10 @@
                         help="series of connections to the store that go silent, beside the others")
     parser.add_argument("--limits", type=int, default=1,
                         help="series of limits that engines state, beside the others")
+    parser.add_argument("--leaves", type=int, default=1,
+                        help="series of engines that leave and are replaced, beside the others")
+    parser.add_argument("--rests", type=int, default=1,
+                        help="series of rests that engines ask for, beside the others")
     parser.add_argument("--callers", type=int, default=CALLERS)
     parser.add_argument("--narrow", type=int,
                         help="nodes with narrow links; all with growth, else none")
