--- a/test/platform/engine_protocol_test.cpp
+++ b/test/platform/engine_protocol_test.cpp
@@ -152,4 +152,38 @@
   }
 }
 
+TEST_CASE("an engine asks for rest where it is unavailable, in seconds") {
+  Sent sent;
+  const auto factsOf = [&](const std::string& text, int status = 503) {
+    return sent.facts(status,
+                      {{"X-Request-Id", "r1"}, {"X-Not-Executed", "1"}, {"Retry-After", text}});
+  };
+  CHECK((factsOf("3").rest == std::chrono::seconds(3)));
+  CHECK((factsOf("0.25").rest == std::chrono::milliseconds(250)));
+  CHECK((factsOf("0").rest == Duration(0)));
+  CHECK((factsOf("99999999999999999999").rest == std::chrono::hours(1)));
+  CHECK((sent.facts(503, {{"X-Request-Id", "r1"}, {"Retry-After", "2"}}).rest ==
+         std::chrono::seconds(2)));
+  SUBCASE("other answers ask for none") {
+    CHECK((factsOf("3", 200).rest == Duration(0)));
+    CHECK((factsOf("3", 429).rest == Duration(0)));
+    CHECK((factsOf("3", 421).rest == Duration(0)));
+    CHECK((sent.facts(503, {{"X-Request-Id", "r0"}, {"Retry-After", "2"}}).rest == Duration(0)));
+  }
+  SUBCASE("what is no number of seconds asks for none") {
+    for (const char* text : {"abc", "-1", "nan", "inf", "1e400", "1,4", "", " ", "+1", "0x1", ".5",
+                             "5.", "Wed, 21 Oct 2026 07:28:00 GMT"}) {
+      CHECK_MESSAGE((factsOf(text).rest == Duration(0)), text);
+      CHECK_MESSAGE(factsOf(text).hasOddWithdrawal, text);
+    }
+  }
+  SUBCASE("twice") {
+    Poco::Net::HTTPResponse answer(Poco::Net::HTTPResponse::HTTP_SERVICE_UNAVAILABLE);
+    answer.set("X-Request-Id", "r1");
+    answer.add("Retry-After", "3");
+    answer.add("retry-after", "3");
+    CHECK((EngineProtocol().readAnswer(sent.request, answer).rest == Duration(0)));
+  }
+}
+
 }  // namespace fernmoor::platform
--- a/test/platform_soak/soak.py
+++ b/test/platform_soak/soak.py
@@ -616,7 +616,7 @@
         while time.monotonic() < end:
             plain = [engine for engine in self.engines if engine.service == PLAIN]
             some = plain if draw.random() < 0.2 else draw.sample(list(self.engines), draw.randint(1, 3))
-            print(f"{time.monotonic() - end + seconds:6.2f} l{series} {len(some)} engines leave", flush=True)
+            print(f"{time.monotonic() - end + seconds:6.2f} d{series} {len(some)} engines leave", flush=True)
             leaving = [threading.Thread(target=self.replace, args=(old, random.Random(draw.random())))
                        for old in some]
             for each in leaving:
