--- a/test/platform_soak/engines.py
+++ b/test/platform_soak/engines.py
@@ -60,6 +60,7 @@
         self.told = []  # dicts: id, life, at, text; of answers that state a limit
         self.told_leaving = []  # dicts: id, life, engine, at; of answers that say that their engine leaves
         self.told_rest = []  # dicts: id, life, at, text; of answers that ask for rest
+        self.left = []  # dicts: life, at; when an entry that says that its engine leaves was acknowledged
         self.on_crash = None  # called with an engine that a request crashed
         self.ending = "closed"  # how engines end that a request crashes
 
@@ -99,6 +100,7 @@
         self.leaves = False  # It says in its answers that it leaves.
         self.rest = None  # The text of the rest that it asks for as it turns requests away; None: it serves.
         self.state = "ready"  # As its entry in the store says.
+        self.beats = 0
         self.store, self.ledger = store, ledger
         self.version, self.orders, self.fence, self.busy = version, 0, 0, False
         self.fault = None
@@ -117,11 +119,26 @@
                          daemon=True).start()
         self.register()
 
+    def heartbeat(self):
+        """Writes its entry, unless it ended or another has its id."""
+        if not self.crashed and self.is_listed():
+            self.beats += 1
+            self.register()
+
+    def is_listed(self):
+        entry = self.store.objects.get(("servers", self.id))
+        return entry is not None and entry["spec"]["born"] == self.born
+
+    def write_again(self):
+        """Writes its entry where the store lost it, or an older one came back."""
+        if not self.crashed:
+            self.register()
+
     def register(self):
         models = [{"name": self.model, "version": self.version}] if self.model else []
         self.store.put("servers", self.id, {
             "service": self.service, "addr": self.address, "zone": "z", "slots": 16,
-            "state": self.state, "seq": self.orders, "models": models, "born": self.born})
+            "state": self.state, "seq": self.orders + self.beats, "models": models, "born": self.born})
 
     def crash(self, keeps_entry=False):
         self.crashed = True
@@ -175,6 +192,7 @@
         if says_so_in_store:
             self.state = "draining"
             self.register()
+            self.ledger.note(self.ledger.left, life=self.life)
 
     def ask_rest(self, text):
         """Turns requests away from now on and asks for that much rest; None: it serves again."""
--- a/test/platform_soak/judge.py
+++ b/test/platform_soak/judge.py
@@ -15,8 +15,8 @@
 END_SECONDS = 0.2
 # Of limits that engines state: the window, what is allowed in it, and how long a node is told before it counts.
 LIMIT_WINDOW_SECONDS, LIMIT_FACTOR, LIMIT_SLACK, LIMIT_TOLD_SECONDS = 4.0, 1.5, 5, 0.5
-# Of engines that say that they leave: the bound from then on.
-DRAIN_SECONDS = 2.0
+# Of engines that say that they leave, and of changes of the table: the bound from then on.
+DRAIN_SECONDS, CONFIG_SECONDS = 2.0, 2.0
 # Of rests that engines ask for: when one begins to count after its answer, and what may still come in it.
 REST_TOLD_SECONDS, REST_SENDS = 0.5, 2
 
@@ -34,7 +34,7 @@
         "ORDER": order(calls),
         "UNASKED": unasked(runs, asked, world),
         "ROUTE": route(runs, asked, world),
-        "CONFIG": revoked(runs, asked, world),
+        "CONFIG": revoked(runs, asked, world) + behind(calls, world) + world["went_back"],
         "WALL": wall(runs, world),
         "STALE": stale(runs),
         "ONE": one(orders),
@@ -45,7 +45,7 @@
         "BLAMED": blamed(calls, world),
         "MEMORY": memory(world),
         "LIMIT": limit(asked, world),
-        "DRAIN": drain(calls, asked, world),
+        "DRAIN": drain(calls, asked, world) + drained(asked, world),
         "REST": rest(asked, world),
     }
 
@@ -134,6 +134,36 @@
     return faults
 
 
+def behind(calls, world):
+    """A row that was added and not taken away is known to nodes in touch within its bound."""
+    faults = []
+    for call in calls:
+        acked = world["added"].get(call["path"].split("/")[1])
+        since = None if acked is None or call["status"] != 404 else calm_since(world, acked, call["sent_at"])
+        if since is not None and call["sent_at"] > since + CONFIG_SECONDS \
+                and in_touch(world, call["node"], call["sent_at"]):
+            faults.append(f"{call['id']}: node {call['node']} knew no row {call['path']} "
+                          f"{call['sent_at'] - acked:.2f} s after it was added")
+    return faults
+
+
+def drained(asked, world):
+    """Nothing that a node in touch sends reaches an engine later than the bound after its entry said that it
+    leaves."""
+    left = {}
+    for entry in world["left"]:
+        left.setdefault(entry["life"], entry["at"])
+    faults = []
+    for entry in world["arrivals"]:
+        if entry["life"] not in left or entry["id"] not in asked:
+            continue
+        since, node = calm_since(world, left[entry["life"]], entry["at"]), asked[entry["id"]]["node"]
+        if since is not None and entry["at"] > since + DRAIN_SECONDS and in_touch(world, node, entry["at"]):
+            faults.append(f"life {entry['life']}: a request of node {node} came "
+                          f"{entry['at'] - left[entry['life']]:.2f} s after its entry had said that it leaves")
+    return faults
+
+
 def wall(runs, world):
     """Requests of an isolated tenant share a scope with nobody else's."""
     tenants = collections.defaultdict(set)
--- a/test/platform_soak/soak.py
+++ b/test/platform_soak/soak.py
@@ -3,16 +3,18 @@
 that ask all the while, and faults drawn by a seed. Callers keep their connections until these are
 closed, also those of a process that stops. Faults come in several series that overlap; in some
 series all nodes are struck one after the other. Engines read slowly or hang with work in their queues, and
-connections to the store go silent for good. Engines state limits, change and end them; engines say in their answers
-that they leave, long before or without their entries in the store, and are replaced; engines ask for rest. With every other seed the store itself stays sound, as the
-bound of new weights holds only while it does. With growth the operators' table grows by a thousand
-rows and more, time after time, and its rows are changed one by one while it spreads; nodes then have
-narrow links to each other and to the store. What callers and engines saw is judged by the users'
-rules; at the end, with all faults over, each kind of request must be served again.
+connections to the store go silent for good. Engines state limits, change and end them; engines say in
+their answers that they leave, long before or without their entries in the store, and are replaced;
+engines ask for rest. With every other seed the store itself stays sound, as the bound of new weights
+holds only while it does. With drills the store comes back from copies some seconds old, and operators
+and engines write again what it lost. With growth the operators' table grows by a thousand rows and
+more, time after time, and its rows are changed one by one while it spreads; nodes then have narrow
+links to each other and to the store. What callers and engines saw is judged by the users' rules; at the
+end, with all faults over, each kind of request must be served again.
 
 usage: soak.py BUILD_FOLDER [--seed N] [--seconds S] [--nodes N] [--series N] [--poison N] [--growth N]
-               [--slow N] [--silent N] [--limits N] [--leaves N] [--rests N] [--callers N] [--narrow N]
-               [--memory-mb N] [--binary GATEWAY]
+               [--slow N] [--silent N] [--limits N] [--leaves N] [--rests N] [--drills N] [--beats N]
+               [--callers N] [--narrow N] [--memory-mb N] [--binary GATEWAY]
 """
 import argparse
 import collections
@@ -51,6 +53,7 @@
     "stream-once": ("/stream/once/", "stream", MODELS, 1),
     "stream-again": ("/stream/again/", "stream", MODELS, 2),
 }
+ROW = "row"  # The kind of a request to a row that was added.
 SLOW_EVENT_SECONDS = 0.5
 CALLER_SECONDS = 6  # A caller leaves that hears nothing for so long.
 # A caller of a poison request asks again so long after each failure; each series goes on so long.
@@ -73,6 +76,12 @@
 # An engine that leaves says so in the store so much later, or never, and ends so long after that.
 STORE_LEAVE_SECONDS, LAST_SECONDS, SAYS_NOTHING_CHANCE = (0.0, 4.0), (2.5, 5.0), 0.3
 ODD_REST_TEXTS = ("abc", "-1", "nan", "inf", "1,4", "", "+1", " ", "0x1", "Wed, 21 Oct 2026 07:28:00 GMT")
+# Callers ask for the rows that were added last, some of the time.
+ROW_CHANCE, ROWS_ASKED = 0.2, 3
+# The store comes back from a copy so old, after it was away for so long; what it lost is written again so much later.
+COPY_SECONDS, AWAY_SECONDS, WRITTEN_AGAIN_SECONDS = (0.5, 8.0), (0.0, 1.5), (0.0, 1.0)
+DRILL_PAUSE_SECONDS, SECOND_DRILL_CHANCE, GHOST_SECONDS = (2.0, 9.0), 0.25, 1.5
+TABLE_LOOK_SECONDS = 0.2
 RECOVERY_SECONDS = 40
 LAST_POISON_NODES = 5
 # A table of the users' smallest machines may have so many bytes; those grown past it are cut back.
@@ -246,11 +255,13 @@
         self.keys = {"k-open": "open", "k-wall": "wall", "k-lost-1": "open", "k-lost-2": "wall"}
         self.rules = {"tenant_of": dict(self.keys), "isolated": {"wall"}, "revoked": {},
                       "named": [], "unstable": [], "all_killed": [],
-                      "service_of": {kind: entry[2] for kind, entry in KINDS.items()}}
+                      "service_of": dict({kind: entry[2] for kind, entry in KINDS.items()}, row=PLAIN),
+                      "added": {}, "went_back": []}
         self.extra_routes = 0
         self.row_timeouts = {}  # number of an extra row -> its time in ms, where it was changed
         self.write_config()
         self.store.put("versions", MODEL, {"model": MODEL, "version": 1})
+        self.drill_series, self.beats = options.drills, options.beats
         self.engines = [self.new_engine(number, MODELS) for number in range(MODEL_ENGINES)]
         self.engines += [self.new_engine(MODEL_ENGINES + number, PLAIN)
                          for number in range(PLAIN_ENGINES)]
@@ -264,6 +275,7 @@
         self.poison_series = options.poison  # Without them all draws are as before there were any.
         self.engines_turn = threading.Lock()  # Held by the fault that replaces an engine.
         self.poisons = []  # (kind, body)
+        self.leaving = []  # engines that leave and are replaced already
         self.returning = []  # threads that bring crashed engines back
         self.seen.on_crash = self.bring_back
 
@@ -323,14 +335,14 @@
 
     # What callers do.
 
-    def call(self, kind, key, node, kept=None, repeated=None,
-             patience=CALLER_SECONDS):
+    def call(self, kind, key, node, kept=None, repeated=None, patience=CALLER_SECONDS, row=None):
         """Asks a node. `kept`: the caller's connection to it, which stays open if the answer lets it.
-        `repeated`: what the request is about, which gives its path and body; else both are its own."""
+        `repeated`: what the request is about, which gives its path and body; else both are its own.
+        `row`: the path, of a row that was added."""
         number = self.random_id()
         subject = repeated or number
         body = f"body of {subject}".encode()
-        path = KINDS[kind][0] + subject
+        path = row or KINDS[kind][0] + subject
         call = {"id": number, "kind": kind, "key": key, "path": path, "method": "POST",
                 "sent_body": body, "sent_at": time.monotonic(), "status": None, "body": b"",
                 "complete": False, "stamp": None, "answered_id": None, "events": standin.EVENTS,
@@ -340,7 +352,7 @@
             self.calls.append(call)
         headers = {"Host": "h.example", "X-Request-Id": number, "X-Deadline-Ms": "4000",
                    "Api-Key": key}
-        if KINDS[kind][2] == MODELS:
+        if kind != ROW and KINDS[kind][2] == MODELS:
             group = sum(number.encode()) % 5
             headers.update({"X-Model": MODEL, "X-Token-Count": "300,6",
                             "X-Prefix-Hash": f"aa:100,b{group}:150,{subject}:50"})
@@ -400,6 +412,9 @@
                 repeated = f"subject-{draw.randrange(REPEATED_SUBJECTS)}"
             self.call(draw.choice(list(KINDS)), draw.choice(list(self.rules["tenant_of"])), node,
                       connection, repeated)
+            if self.drill_series and draw.random() < ROW_CHANCE and self.rules["added"]:
+                newest = list(self.rules["added"])[-ROWS_ASKED:]
+                self.call(ROW, "k-open", node, row=f"/{draw.choice(newest)}/x")
             time.sleep(0.01)
 
     def new_poison(self, kind):
@@ -632,6 +647,7 @@
             if place is None:
                 return
             says_nothing = draw.random() < SAYS_NOTHING_CHANCE
+            self.leaving.append(old)
             old.leave(says_so_in_store=False)
             time.sleep(draw.uniform(0.0, 0.4))
             self.engines[place] = self.new_engine(old.number, old.service)
@@ -639,6 +655,7 @@
         if not says_nothing and not old.crashed:
             old.leave(says_so_in_store=True)
         time.sleep(draw.uniform(*LAST_SECONDS))
+        self.leaving.remove(old)
         if not old.crashed:
             old.crash()
 
@@ -715,12 +732,83 @@
         self.version += draw.randint(1, 4)
         self.extra_routes += 1
         self.write_config()
+        if not self.growth_series:  # With growth rows are cut back.
+            self.rules["added"][f"extra-{self.extra_routes - 1}"] = time.monotonic()
+
+    # The store comes back from an old copy.
+
+    def drill(self, draw):
+        """What was acknowledged since the copy is gone; operators and engines write it again. One fault holds
+        what operators wrote meanwhile."""
+        with self.changes:
+            start = time.monotonic()
+            away = draw.uniform(*AWAY_SECONDS)
+            if draw.random() < 0.7:
+                how = draw.choice(["refuse", "silent", "reset"])
+                for node in self.nodes:
+                    self.store.faults[node.number] = how
+            lost = self.store.restore(draw.uniform(*COPY_SECONDS))
+            time.sleep(away)
+            if draw.random() < 0.3:  # It serves some again, and turns others away.
+                turned = draw.sample(self.nodes, len(self.nodes) // 2)
+                self.store.faults = {node.number: "refuse" for node in turned}
+                time.sleep(draw.uniform(0.0, 1.0))
+            self.store.faults.clear()
+            print(f"       drill: {lost} revisions lost, era {self.store.era}", flush=True)
+            if draw.random() < SECOND_DRILL_CHANCE:
+                time.sleep(draw.uniform(0.0, 1.0))
+                self.store.restore(draw.uniform(*COPY_SECONDS))
+            self.write_again(draw)
+            self.rules["unstable"].append((start, time.monotonic()))
+
+    def write_again(self, draw):
+        """Operators and engines write what the store has lost; entries of engines that ended lapse."""
+        time.sleep(draw.uniform(*WRITTEN_AGAIN_SECONDS))
+        if self.store.objects[("config", "main")]["spec"]["version"] < self.version:
+            self.write_config()
+        if self.store.objects[("versions", MODEL)]["spec"]["version"] < self.weights:
+            self.store.put("versions", MODEL, {"model": MODEL, "version": self.weights})
+        for engine in [*self.engines, *self.leaving]:
+            engine.write_again()
+            time.sleep(draw.uniform(0.0, 0.05))
+        time.sleep(GHOST_SECONDS)
+        living = {engine.id for engine in [*self.engines, *self.leaving] if not engine.crashed}
+        for kind, name in list(self.store.objects):
+            if kind == "servers" and name not in living:
+                self.store.remove(kind, name)
+
+    def keep_drilling(self, series, seconds):
+        """A series of its own, beside all others."""
+        draw = random.Random(f"{self.seed} drills {series}")
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            time.sleep(draw.uniform(*DRILL_PAUSE_SECONDS))
+            print(f"{time.monotonic() - end + seconds:6.2f} e{series} the store comes back from a copy",
+                  flush=True)
+            self.drill(draw)
+
+    def keep_beating(self):
+        """Engines write their entries again and again, `beats` of them a second."""
+        while not self.is_over.wait(1 / self.beats):
+            random.choice(self.engines).heartbeat()
+
+    def watch_tables(self):
+        """Looks whether a table that is in force at a node ever goes back in one life of its process."""
+        newest = {}
+        while not self.is_over.wait(TABLE_LOOK_SECONDS):
+            for node in self.nodes:
+                process, held = node.process, node.table_version()
+                life = (node.number, process.pid)
+                if held and held < newest.get(life, 0) and process is node.process:
+                    self.rules["went_back"].append(f"node {node.number} went from {newest[life]} to {held}")
+                newest[life] = max(held or 0, newest.get(life, 0))
 
     def run(self, seconds):
         callers = [threading.Thread(target=self.keep_calling, args=(number,), daemon=True)
                    for number in range(self.caller_count)]
         self.wait_until_served()
         threading.Thread(target=self.watch_processes, daemon=True).start()
+        self.start_beating()
         for caller in callers:
             caller.start()
         failing = threading.Thread(target=self.keep_failing_engines, args=(self.seed,))
@@ -741,6 +829,8 @@
                    for number in range(self.leave_series)]
         series += [threading.Thread(target=self.keep_resting_engines, args=(number, seconds))
                    for number in range(self.rest_series)]
+        series += [threading.Thread(target=self.keep_drilling, args=(number, seconds))
+                   for number in range(self.drill_series)]
         try:
             for each in series:
                 each.start()
@@ -754,12 +844,17 @@
             each.join()
         self.wait_until_served()
         self.wait_until_moved()
-        if self.growth_series:
+        if self.growth_series or self.drill_series:
             self.wait_until_table_is_held()
         self.stopping.set()
         for caller in callers:
             caller.join()
 
+    def start_beating(self):
+        if self.beats:
+            threading.Thread(target=self.keep_beating, daemon=True).start()
+            threading.Thread(target=self.watch_tables, daemon=True).start()
+
     def keep_sending_poison(self, series, seconds):
         """A series of its own, beside all others."""
         draw = random.Random(f"{self.seed} poison {series}")
@@ -811,9 +906,9 @@
                     raise AssertionError(f"RECOVER: node {node.number} does not serve {kind}")
                 time.sleep(0.1)
 
-    def wait_until_moved(self):
+    def wait_until_moved(self, seconds=RECOVERY_SECONDS):
         """Until every model engine holds the newest weights. Raises where that never comes."""
-        end = time.monotonic() + RECOVERY_SECONDS
+        end = time.monotonic() + seconds
         models = [engine for engine in self.engines if engine.service == MODELS]
         while any(engine.version != self.weights for engine in models):
             if time.monotonic() > end:
@@ -842,7 +937,8 @@
         """All that the judge needs beside calls, runs and orders."""
         rules = dict(self.rules, crashes=self.seen.crashes, poison=self.seen.poison,
                      arrivals=self.seen.arrivals, limits=self.seen.limits, told=self.seen.told,
-                     told_leaving=self.seen.told_leaving, told_rest=self.seen.told_rest)
+                     told_leaving=self.seen.told_leaving, told_rest=self.seen.told_rest,
+                     left=self.seen.left)
         for name in ("struck", "killed", "exits", "peak_bytes", "ended_itself"):
             rules[name] = {node.number: getattr(node, name) for node in self.nodes}
         rules["stretched"] = {node.number: node.bounds_stretched() for node in self.nodes}
@@ -872,6 +968,9 @@
                         help="series of engines that leave and are replaced, beside the others")
     parser.add_argument("--rests", type=int, default=1,
                         help="series of rests that engines ask for, beside the others")
+    parser.add_argument("--drills", type=int, default=0,
+                        help="series in which the store comes back from an old copy, beside the others")
+    parser.add_argument("--beats", type=int, help="heartbeats of engines a second; 25 with drills, else none")
     parser.add_argument("--callers", type=int, default=CALLERS)
     parser.add_argument("--narrow", type=int,
                         help="nodes with narrow links; all with growth, else none")
@@ -881,6 +980,8 @@
     build = pathlib.Path(options.build).resolve()
     options.binary = options.binary or str(build / "fernmoor-gateway")
     options.detour = str(build / "libfernmoor-peer-detour.so")
+    if options.beats is None:
+        options.beats = 25 if options.drills else 0
     if options.narrow is None:
         options.narrow = options.nodes if options.growth else 0
     return options
--- a/test/platform_soak/store.py
+++ b/test/platform_soak/store.py
@@ -2,8 +2,10 @@
 lists and watches, over HTTP. Each node has a port of its own, so that the store can turn some nodes
 away and serve others. Faults: refuse (503), throttle (429), reset, silent, slow, lost (done, but not
 answered), late (done some time later, not answered). Beside these, connections that are open may go silent for
-good while new ones work.
+good while new ones work, and the store may come back from a copy some seconds old: its revisions go back and are
+given out again, a watch from one that it doesn't have gets 410, and all its answers name the next era.
 """
+import collections
 import http.server
 import json
 import socket
@@ -13,6 +15,7 @@
 import urllib.parse
 
 HISTORY = 2000
+COPIES_KEPT_SECONDS = 20
 LATE_SECONDS = 0.8
 
 
@@ -22,7 +25,10 @@
     def __init__(self):
         self.changed = threading.Condition()
         self.revision = 0
-        self.objects = {}  # (kind, name) -> object
+        self.era = 1
+        self.oldest = 0    # A watch from an earlier revision finds its history gone.
+        self.copies = collections.deque()  # (when, revision, objects)
+        self.objects = {}  # (kind, name) -> object; replaced, never changed
         self.events = []   # (revision, kind, object, gone)
         self.faults = {}   # node -> name of the fault
         self.calls = []    # (node, method, path), refused ones too
@@ -42,22 +48,40 @@
             self.revision += 1
             made = {"meta": {"name": name, "rev": self.revision, "created": 0, "finalizers": [],
                              "deleting": False}, "spec": spec, "status": {}}
-            self.objects[(kind, name)] = made
+            self.objects = {**self.objects, (kind, name): made}
             self._note(kind, made, False)
             return 200, made
 
     def remove(self, kind, name):
         with self.changed:
-            gone = self.objects.pop((kind, name), None)
+            gone = self.objects.get((kind, name))
             if gone is not None:
+                self.objects = {key: thing for key, thing in self.objects.items() if key != (kind, name)}
                 self.revision += 1
                 self._note(kind, gone, True)
 
     def _note(self, kind, thing, gone):
         self.events.append((self.revision, kind, thing, gone))
         del self.events[:-HISTORY]
+        now = time.monotonic()
+        self.copies.append((now, self.revision, self.objects))
+        while self.copies[0][0] < now - COPIES_KEPT_SECONDS:
+            self.copies.popleft()
         self.changed.notify_all()
 
+    def restore(self, seconds):
+        """Comes back from a copy that is that old. Returns how many revisions were lost."""
+        with self.changed:
+            then = time.monotonic() - seconds
+            older = [copy for copy in self.copies if copy[0] <= then] or [self.copies[0]]
+            lost = self.revision - older[-1][1]
+            _, self.revision, self.objects = older[-1]
+            self.copies = collections.deque(older)
+            self.events, self.oldest = [], self.revision
+            self.era += 1
+            self.changed.notify_all()
+            return lost
+
     def list(self, kind):
         with self.changed:
             items = [thing for (each, _), thing in sorted(self.objects.items()) if each == kind]
@@ -68,6 +92,8 @@
         end = time.monotonic() + wait_seconds
         with self.changed:
             while True:
+                if since > self.revision or since < self.oldest:
+                    return None
                 if self.events and since + 1 < self.events[0][0]:
                     return None
                 found = [{"object": thing, "gone": gone} for revision, each, thing, gone
@@ -84,6 +110,7 @@
     def forget_history(self):
         with self.changed:
             del self.events[:-1]
+            self.oldest = self.revision - 1 if self.events else self.revision
 
 
 class Handler(http.server.BaseHTTPRequestHandler):
@@ -125,6 +152,7 @@
         self.wait_if_silent()
         text = json.dumps(body).encode()
         self.send_response(status)
+        self.send_header("Store-Era", str(self.store.era))
         self.send_header("Content-Type", "application/json")
         self.send_header("Content-Length", str(len(text)))
         self.end_headers()
