Revisions of the store bear its era: what it holds after it came back from an old copy is newer than all before

What callers saw: requests at an engine 2,015 ms after the store had acknowledged that it leaves; a row that had been added refused with 404, and a revoked key served, more than 2 s after their acknowledgements.

Cause: revisions were compared by the count alone, which goes back with the store. Lists and changes with lower counts were dropped as known until the store had passed the highest count that nodes had seen; what came meanwhile was never told. Class: an order that is taken from a counter whose keeper may go back.

Change: era and count are one number, made where an answer of the store is read, refusals too, so that each comparison goes by the era first: mirrors, deltas, dates, hints, late messages, which need no change of their own. A watch whose answer names another era has lost its history, a write that rests on a former one is a conflict without being made, and one whose answer names another era is not relied on. What is written within 3 s of the return is dated by the last that any node knows of the era before, as its first acknowledgement counts.

--- a/src/backends/revision_times.cpp
+++ b/src/backends/revision_times.cpp
@@ -2,17 +2,49 @@
 
 #include <algorithm>
 
+#include "common/store_revision.h"
+
 namespace fernmoor {
 
 namespace {
 
 /// Readers note two a second: enough for news that are half a minute late.
 constexpr size_t kTimesKept = 64;
+/// What the store lost is written again within this after it is back.
+constexpr Duration kWrittenAgain{3000000};
 
 }  // namespace
 
+void RevisionTimes::noteChangeLocked(uint64_t era, const EraChange& change) {
+  if (era < changedTo_) {
+    return;
+  }
+  if (era > changedTo_ || !change_) {
+    changedTo_ = era;
+    change_ = change;
+    return;
+  }
+  change_->seenAt = std::min(change_->seenAt, change.seenAt);
+  if (change.lastBefore.at > change_->lastBefore.at) {
+    change_->lastBefore = change.lastBefore;
+  }
+}
+
+void RevisionTimes::noteChange(uint64_t era, const EraChange& change) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  noteChangeLocked(era, change);
+}
+
+std::optional<EraChange> RevisionTimes::change() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return change_;
+}
+
 void RevisionTimes::note(const RevisionTime& seen) {
   const std::lock_guard<std::mutex> lock(mutex_);
+  if (!times_.empty() && eraOf(seen.revision) > eraOf(times_.back().revision)) {
+    noteChangeLocked(eraOf(seen.revision), EraChange{times_.back(), seen.at});
+  }
   const auto tellsMore = [&](const RevisionTime& known) {
     return known.revision <= seen.revision && known.at >= seen.at;
   };
@@ -40,7 +72,9 @@
       latest = known.at;
     }
   }
-  return latest;
+  const bool mayBeWrittenAgain = latest && change_ && changedTo_ == eraOf(revision) &&
+                                 *latest < change_->seenAt + kWrittenAgain;
+  return mayBeWrittenAgain ? std::min(*latest, change_->lastBefore.at) : latest;
 }
 
 std::optional<RevisionTime> RevisionTimes::newest() const {
--- a/src/backends/revision_times.h
+++ b/src/backends/revision_times.h
@@ -3,6 +3,10 @@
 /// object that bears a later revision than the store had at an instant was written after it,
 /// however late anybody is told: so what was written when is known without trusting how news
 /// travel.
+///
+/// Revisions bear the store's era (common/store_revision.h). What it holds soon after it came back
+/// from an old copy may have been written before and lost, and was acknowledged then: it is dated
+/// by the last that is known of the era before.
 #pragma once
 
 #include <cstdint>
@@ -20,6 +24,12 @@
   Time at;
 };
 
+/// When the store came back from an old copy, as far as that is known.
+struct EraChange {
+  RevisionTime lastBefore;  ///< The latest that is known of the era before.
+  Time seenAt;              ///< When the present era was seen first by any node.
+};
+
 /// Thread-safe.
 class RevisionTimes {
  public:
@@ -31,10 +41,20 @@
   std::optional<Time> notBefore(uint64_t revision) const;
   /// @return what is known of the latest instant.
   std::optional<RevisionTime> newest() const;
+  /// Notes an era change as another node knows it.
+  /// @param era that began with it.
+  void noteChange(uint64_t era, const EraChange& change);
+  /// @return how the present era began; nothing where none is known before it.
+  std::optional<EraChange> change() const;
 
  private:
+  /// Call with the lock held.
+  void noteChangeLocked(uint64_t era, const EraChange& change);
+
   mutable std::mutex mutex_;
   std::deque<RevisionTime> times_;  ///< Rising in both.
+  uint64_t changedTo_ = 0;          ///< The era that `change_` is of.
+  std::optional<EraChange> change_;
 };
 
 }  // namespace fernmoor
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -3,6 +3,7 @@
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/NetException.h>
+#include <Poco/String.h>
 
 #include <algorithm>
 #include <istream>
@@ -188,7 +189,12 @@
     out << call.body << std::flush;
     Poco::Net::HTTPResponse response;
     std::istream& body = connection->receiveResponse(response);
-    return Started{std::move(connection), &body, static_cast<int>(response.getStatus())};
+    std::vector<HttpHeader> headers;
+    for (const auto& [name, value] : response) {
+      headers.push_back(HttpHeader{name, value});
+    }
+    return Started{std::move(connection), &body, static_cast<int>(response.getStatus()),
+                   std::move(headers)};
   } catch (const Poco::Exception& exception) {
     return HttpFailure{progress, exception.displayText()};
   }
@@ -211,6 +217,13 @@
   return started;
 }
 
+const std::string* findHeader(const HttpAnswer& answer, const std::string& name) {
+  const auto found = std::find_if(
+      answer.headers.begin(), answer.headers.end(),
+      [&](const HttpHeader& header) { return Poco::icompare(header.name, name) == 0; });
+  return found == answer.headers.end() ? nullptr : &found->value;
+}
+
 HttpOutcome HttpClient::call(const HttpCall& call) {
   auto started = start(call);
   if (const auto* failure = std::get_if<HttpFailure>(&started)) {
@@ -218,7 +231,7 @@
   }
   auto& open = std::get<Started>(started);
   try {
-    HttpAnswer answer{open.status, readBounded(*open.body, call.mostAnswerBytes)};
+    HttpAnswer answer{open.status, readBounded(*open.body, call.mostAnswerBytes), open.headers};
     if (open.body->bad()) {
       return HttpFailure{CallProgress::kSent, "the answer broke off"};
     }
@@ -242,7 +255,7 @@
     return std::make_unique<EventStream>(*this, std::move(open.connection), *open.body);
   }
   try {
-    HttpAnswer answer{open.status, readBounded(*open.body, call.mostAnswerBytes)};
+    HttpAnswer answer{open.status, readBounded(*open.body, call.mostAnswerBytes), open.headers};
     if (answer.body.size() > call.mostAnswerBytes) {
       return tooLong(call);
     }
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -46,8 +46,12 @@
 struct HttpAnswer {
   int status = 0;
   std::string body;
+  std::vector<HttpHeader> headers;
 };
 
+/// @return the value of the answer's first header of that name, in whatever case; null: none.
+const std::string* findHeader(const HttpAnswer& answer, const std::string& name);
+
 /// Failure of a call.
 struct HttpFailure {
   CallProgress progress = CallProgress::kNotSent;
@@ -115,6 +119,7 @@
     std::unique_ptr<HttpConnection> connection;
     std::istream* body = nullptr;
     int status = 0;
+    std::vector<HttpHeader> headers;
   };
   std::variant<Started, HttpFailure> start(const HttpCall& call);
   std::variant<Started, HttpFailure> startOn(std::unique_ptr<HttpConnection> connection,
--- a/src/peers/mirror_role.cpp
+++ b/src/peers/mirror_role.cpp
@@ -4,6 +4,7 @@
 
 #include "common/log.h"
 #include "common/rendezvous.h"
+#include "common/store_revision.h"
 #include "peers/node_hash.h"
 #include "peers/packed_entries.h"
 
@@ -216,6 +217,12 @@
     answer.set_store_revision(newest->revision);
     answer.set_store_revision_age_microseconds(static_cast<uint64_t>((now - newest->at).count()));
   }
+  if (const std::optional<EraChange> change = revisionTimes_.change()) {
+    const RevisionTime& before = change->lastBefore;
+    answer.set_former_revision(before.revision);
+    answer.set_former_revision_age_microseconds(static_cast<uint64_t>((now - before.at).count()));
+    answer.set_era_age_microseconds(static_cast<uint64_t>((now - change->seenAt).count()));
+  }
   for (const YoungVersion& young : wanted_.youngVersions(now)) {
     proto::MirrorNamedVersion& out = *answer.add_named();
     out.set_model(young.model);
@@ -229,6 +236,13 @@
     const Duration age(static_cast<int64_t>(answer.store_revision_age_microseconds()));
     revisionTimes_.note({answer.store_revision(), askedAt - age});
   }
+  if (answer.former_revision() != 0) {
+    const Duration age(static_cast<int64_t>(answer.former_revision_age_microseconds()));
+    const Duration eraAge(static_cast<int64_t>(answer.era_age_microseconds()));
+    revisionTimes_.noteChange(
+        eraOf(answer.store_revision()),
+        EraChange{{answer.former_revision(), askedAt - age}, askedAt - eraAge});
+  }
   for (const proto::MirrorNamedVersion& named : answer.named()) {
     const Duration age(static_cast<int64_t>(named.age_microseconds()));
     wanted_.learnSince(named.model(), named.version(), askedAt - age, now);
--- a/src/peers/packed_entries.cpp
+++ b/src/peers/packed_entries.cpp
@@ -22,6 +22,7 @@
   out.set_revision(entry.revision);
   out.set_gone(entry.isGone);
   out.set_text(entry.text);
+  out.set_lost(entry.isLost);
 }
 
 template <class Entries>
@@ -29,7 +30,8 @@
   std::vector<MirrorEntry> entries;
   entries.reserve(static_cast<size_t>(messages.size()));
   for (const proto::MirrorEntry& entry : messages) {
-    entries.push_back(MirrorEntry{entry.name(), entry.revision(), entry.gone(), entry.text()});
+    entries.push_back(
+        MirrorEntry{entry.name(), entry.revision(), entry.gone(), entry.text(), entry.lost()});
   }
   return entries;
 }
--- a/src/peers/state_mirror.cpp
+++ b/src/peers/state_mirror.cpp
@@ -15,10 +15,10 @@
 
 void StateMirror::forgetOldRemovals(KindState& state) {
   while (state.gone.size() > kRemovalsKept) {
-    const auto oldest =
-        std::min_element(state.gone.begin(), state.gone.end(),
-                         [](const auto& a, const auto& b) { return a.second < b.second; });
-    state.goneKnownSince = std::max(state.goneKnownSince, oldest->second);
+    const auto oldest = std::min_element(
+        state.gone.begin(), state.gone.end(),
+        [](const auto& a, const auto& b) { return a.second.revision < b.second.revision; });
+    state.goneKnownSince = std::max(state.goneKnownSince, oldest->second.revision);
     state.gone.erase(oldest);
   }
 }
@@ -37,6 +37,12 @@
   return kHoldsParts[static_cast<size_t>(kind)] ? state.revision == from : state.revision >= from;
 }
 
+bool StateMirror::isReadAgain(const KindState& state, const MirrorEntry& entry) {
+  const auto known = state.entries.find(entry.name);
+  return !entry.isGone && known != state.entries.end() &&
+         eraOf(known->second.revision) != eraOf(entry.revision) && known->second.text == entry.text;
+}
+
 MirrorOutcome StateMirror::apply(MirrorKind kind, const MirrorDelta& delta) {
   const std::lock_guard<std::mutex> order(applying_);
   const bool isDiffed = delta.fromRevision == 0 && kHoldsParts[static_cast<size_t>(kind)];
@@ -62,16 +68,18 @@
       state.goneKnownSince = delta.toRevision;
     }
     for (const MirrorEntry& entry : delta.entries) {
+      if (!isReadAgain(state, entry)) {
+        news.push_back(entry);
+      }
       if (entry.isGone) {
         state.entries.erase(entry.name);
-        state.gone[entry.name] = delta.toRevision;
+        state.gone[entry.name] = MirrorEntry{entry.name, delta.toRevision, true, "", entry.isLost};
       } else {
         state.entries[entry.name] = entry;
         state.entries[entry.name].revision =
             kHoldsParts[static_cast<size_t>(kind)] ? delta.toRevision : entry.revision;
         state.gone.erase(entry.name);
       }
-      news.push_back(entry);
     }
     forgetOldRemovals(state);
     state.isKnown = true;
@@ -114,7 +122,8 @@
   }
   for (const auto& known : state.entries) {
     if (listed.count(known.first) == 0) {
-      delta.entries.push_back(MirrorEntry{known.first, revision, true, ""});
+      const bool isLost = eraOf(known.second.revision) != eraOf(revision);
+      delta.entries.push_back(MirrorEntry{known.first, revision, true, "", isLost});
     }
   }
   return delta;
@@ -132,7 +141,8 @@
     const std::lock_guard<std::mutex> lock(mutex_);
     KindState& state = stateOf(kind);
     // A listener that is still being told what is newer would take the proof for what it knew.
-    if (!state.isKnown || state.told < revision) {
+    const bool holdsParts = kHoldsParts[static_cast<size_t>(kind)];
+    if (!state.isKnown || state.told < revision || (holdsParts && state.told != revision)) {
       return;
     }
     held = state.told;
@@ -167,9 +177,9 @@
       take(entry);
     }
   }
-  for (const auto& [name, revision] : state.gone) {
-    if (from != 0 && revision > from) {
-      take(MirrorEntry{name, revision, true, ""});
+  for (const auto& [name, entry] : state.gone) {
+    if (from != 0 && entry.revision > from) {
+      take(entry);
     }
   }
 }
--- a/src/peers/state_mirror.h
+++ b/src/peers/state_mirror.h
@@ -2,6 +2,11 @@
 /// This node's copy of what lies in the operators' store, kind by kind, complete up to a revision.
 /// Some nodes read the store, the others take the changes from them: a copy that is complete up to
 /// a revision is the same on every node, so changes between two revisions can be passed on.
+///
+/// Revisions are the store's, with its era (common/store_revision.h): what it holds after it came
+/// back from an old copy is newer than all that was read before, and what it lost is told as lost.
+/// Parts of one object bear that object's own version, which its writers only raise: an older one
+/// that came back is never taken.
 #pragma once
 
 #include <array>
@@ -14,6 +19,7 @@
 #include <string>
 #include <vector>
 
+#include "common/store_revision.h"
 #include "common/time.h"
 
 namespace fernmoor::peers {
@@ -34,6 +40,7 @@
   uint64_t revision = 0;
   bool isGone = false;
   std::string text;
+  bool isLost = false;  ///< Gone, as the store came back from a copy that lacks it.
 };
 
 /// Changes of a kind.
@@ -69,7 +76,8 @@
   MirrorOutcome applyList(MirrorKind kind, uint64_t revision,
                           const std::vector<MirrorEntry>& entries);
   /// Notes that nothing newer than `revision` existed at `provenAt`; counts only if this copy is
-  /// complete up to that revision.
+  /// complete up to that revision. Of parts it counts only for just what this copy holds: a store
+  /// that shows an older version has lost the newer one, and perhaps others.
   void prove(MirrorKind kind, uint64_t revision, Time provenAt);
 
   uint64_t revision(MirrorKind kind) const;
@@ -92,8 +100,9 @@
     /// `revision`.
     std::deque<uint64_t> held;
     std::map<std::string, MirrorEntry> entries;
-    /// Entries that are gone, with the revision at which that was known; the oldest are forgotten.
-    std::map<std::string, uint64_t> gone;
+    /// Entries that are gone, each with the revision at which that was known; the oldest are
+    /// forgotten.
+    std::map<std::string, MirrorEntry> gone;
     uint64_t goneKnownSince = 0;  ///< Removals after this revision are all in `gone`.
     std::optional<Time> provenAt;
   };
@@ -105,6 +114,9 @@
   /// Calls `take` with each entry, and with each that is gone, that a copy at `since` lacks.
   template <class Take>
   static void forEachSince(const KindState& state, uint64_t from, Take take);
+  /// Call with the lock held. @return whether an entry only was read again after the store came
+  /// back.
+  static bool isReadAgain(const KindState& state, const MirrorEntry& entry);
   /// Call with the lock held. @return whether changes from that revision on complete this copy.
   static bool completes(MirrorKind kind, const KindState& state, uint64_t from);
   MirrorDelta differenceTo(MirrorKind kind, uint64_t revision,
--- a/test/backends/revision_times_test.cpp
+++ b/test/backends/revision_times_test.cpp
@@ -5,6 +5,8 @@
 
 #include <doctest/doctest.h>
 
+#include "common/store_revision.h"
+
 namespace fernmoor {
 
 namespace {
@@ -48,4 +50,38 @@
   }
 }
 
+TEST_CASE("what may have been written again after the store came back is dated by the era before") {
+  RevisionTimes times;
+  times.note({storeRevision(1, 500), at(0)});
+  times.note({storeRevision(1, 510), at(600)});
+  times.note({storeRevision(2, 300), at(2600)});
+  times.note({storeRevision(2, 320), at(3200)});
+  times.note({storeRevision(2, 330), at(5700)});
+  times.note({storeRevision(2, 331), at(6300)});
+  CHECK(times.newest()->revision == storeRevision(2, 331));
+  CHECK(times.notBefore(storeRevision(2, 250)) == at(600));
+  CHECK(times.notBefore(storeRevision(2, 310)) == at(600));
+  CHECK(times.notBefore(storeRevision(2, 325)) == at(600));
+  CHECK(times.notBefore(storeRevision(2, 332)) == at(6300));
+  CHECK(times.notBefore(storeRevision(1, 505)) == at(0));
+  REQUIRE(times.change());
+  CHECK(times.change()->seenAt == at(2600));
+
+  SUBCASE("by a node too that began afterwards and is told of it") {
+    RevisionTimes late;
+    late.note({storeRevision(2, 320), at(3200)});
+    CHECK(late.notBefore(storeRevision(2, 325)) == at(3200));
+    late.noteChange(2, *times.change());
+    CHECK(late.notBefore(storeRevision(2, 325)) == at(600));
+    late.note({storeRevision(2, 331), at(6300)});
+    CHECK(late.notBefore(storeRevision(2, 332)) == at(6300));
+  }
+  SUBCASE("the latest that any node knows of the era before counts") {
+    times.noteChange(2, EraChange{{storeRevision(1, 512), at(900)}, at(2500)});
+    CHECK(times.notBefore(storeRevision(2, 325)) == at(900));
+    times.noteChange(1, EraChange{{storeRevision(0, 9), at(0)}, at(10)});
+    CHECK(times.notBefore(storeRevision(2, 325)) == at(900));
+  }
+}
+
 }  // namespace fernmoor
--- a/test/peers/state_mirror_test.cpp
+++ b/test/peers/state_mirror_test.cpp
@@ -171,4 +171,50 @@
   CHECK(proven == std::vector<uint64_t>{5});
 }
 
+TEST_CASE("what the store holds after it came back from an old copy is newer than all before") {
+  Mirrored copy;
+  copy.mirror.applyList(Mirrored::kKind, storeRevision(1, 50),
+                        {entry("a", storeRevision(1, 3)), entry("b", storeRevision(1, 40)),
+                         entry("c", storeRevision(1, 45))});
+  const std::vector<MirrorEntry> listed = {entry("a", storeRevision(2, 3)),
+                                           entry("b", storeRevision(2, 20), "older")};
+  CHECK(copy.mirror.applyList(Mirrored::kKind, storeRevision(2, 30), listed) ==
+        MirrorOutcome::kApplied);
+  CHECK(copy.mirror.revision(Mirrored::kKind) == storeRevision(2, 30));
+  SUBCASE("what it holds unchanged is no news, what it lost is told as lost") {
+    REQUIRE(copy.heard.entries.size() == 2);
+    CHECK(copy.heard.entries[0].text == "older");
+    CHECK(copy.heard.entries[1].name == "c");
+    CHECK(copy.heard.entries[1].isGone);
+    CHECK(copy.heard.entries[1].isLost);
+  }
+  SUBCASE("a copy of the former era is told all of it") {
+    const std::optional<MirrorDelta> lacks = copy.since(storeRevision(1, 50));
+    REQUIRE(lacks);
+    CHECK(lacks->entries.size() == 3);
+    CHECK(lacks->entries[2].isLost);
+  }
+  SUBCASE("late news of the former era are known") {
+    CHECK(copy.apply(storeRevision(1, 50), storeRevision(1, 60),
+                     {entry("d", storeRevision(1, 60))}) == MirrorOutcome::kKnown);
+  }
+  SUBCASE("and what goes afterwards is gone, not lost") {
+    MirrorEntry gone = entry("a", storeRevision(2, 31));
+    gone.isGone = true;
+    CHECK(copy.apply(storeRevision(2, 30), storeRevision(2, 31), {gone}) ==
+          MirrorOutcome::kApplied);
+    CHECK_FALSE(copy.heard.entries[0].isLost);
+  }
+}
+
+TEST_CASE("of an object in parts only the very version that is held can be proven") {
+  Mirrored copy;
+  copy.applyParts(0, 24, {entry("row", 24)});
+  copy.mirror.prove(MirrorKind::kRows, 22, at(100));
+  CHECK(copy.heard.proofs.empty());
+  CHECK(copy.applyParts(0, 22, {entry("row", 22, "older")}) == MirrorOutcome::kKnown);
+  copy.mirror.prove(MirrorKind::kRows, 24, at(200));
+  CHECK(copy.heard.proofs.size() == 1);
+}
+
 }  // namespace fernmoor::peers
--- a/test/platform/store_client_test.cpp
+++ b/test/platform/store_client_test.cpp
@@ -4,6 +4,7 @@
 
 #include <doctest/doctest.h>
 
+#include "common/store_revision.h"
 #include "test/gateway/forwarder_world.h"
 
 namespace fernmoor::platform {
@@ -48,9 +49,10 @@
 }  // namespace
 
 TEST_CASE("a list of several pages is as new as its oldest page") {
+  const SystemClock clock;
   SUBCASE("where the store changed between pages") {
     PagedStore store(100, 103);
-    StoreClient client(store.address());
+    StoreClient client(store.address(), clock);
     const Result<StoreList> list = client.list("servers", ListAge::kNewest);
     REQUIRE(isOk(list));
     CHECK(valueOf(list).items.size() == 2);
@@ -61,7 +63,7 @@
   }
   SUBCASE("where a later page is an older answer") {
     PagedStore store(100, 90);
-    StoreClient client(store.address());
+    StoreClient client(store.address(), clock);
     const Result<StoreList> list = client.list("servers", ListAge::kMayBeOld);
     REQUIRE(isOk(list));
     CHECK(valueOf(list).revision == 90);
@@ -75,8 +77,9 @@
 
 /// @return what a store client makes of that list.
 Result<StoreText> listed(const std::string& body) {
+  const SystemClock clock;
   ScriptedBackend store(gateway::test::always(gateway::test::answer("200 OK", body)));
-  return StoreClient(store.address()).listText("config");
+  return StoreClient(store.address(), clock).listText("config");
 }
 
 const std::string kItems = R"({"items":[{"meta":{"name":"main","rev":7},"spec":{"at":5}}],)";
@@ -106,4 +109,92 @@
   CHECK_FALSE(isOk(listed("no list")));
 }
 
+namespace {
+
+/// Answers all calls alike, in the era that the test sets.
+class EraStore {
+ public:
+  SocketAddress address() const { return backend_.address(); }
+  int calls() const { return backend_.requests(); }
+  std::string lastCall() { return backend_.lastRequest(); }
+  void answers(const std::string& status, const std::string& body, const std::string& era) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    answer_ = gateway::test::answer(status, body, "Store-Era: " + era + "\r\n");
+  }
+
+ private:
+  std::mutex mutex_;
+  std::string answer_;
+  ScriptedBackend backend_{[this](Poco::Net::StreamSocket& socket, const std::string&) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    gateway::test::say(socket, answer_);
+    return true;
+  }};
+};
+
+const std::string kList =
+    R"({"items":[{"meta":{"name":"a","rev":7},"spec":{}}],"more":false,"at":30})";
+const std::string kWritten = R"({"meta":{"name":"a","rev":31},"spec":{}})";
+
+}  // namespace
+
+TEST_CASE("revisions bear the era that the answer names, and one of a later era is the newer one") {
+  const SystemClock clock;
+  EraStore store;
+  StoreClient client(store.address(), clock);
+  store.answers("200 OK", kList, "4");
+  const uint64_t before = valueOf(client.listText("config")).revision;
+  CHECK(before == storeRevision(4, 30));
+  CHECK(client.era().isFirst);
+  CHECK(valueOf(client.list("servers", ListAge::kNewest)).items[0].revision == storeRevision(4, 7));
+  SUBCASE("a refusal names it too") {
+    store.answers("503 Away", "", "5");
+    CHECK_FALSE(isOk(client.listText("config")));
+    CHECK(client.era().number == 5);
+    CHECK_FALSE(client.era().isFirst);
+  }
+  SUBCASE("a watch from a revision of a former era has lost its history") {
+    store.answers("200 OK", R"({"events":[],"at":35})", "5");
+    CHECK(errorOf(client.watch("servers", before, Duration(0))).kind == ErrorKind::kConflict);
+    CHECK(isOk(client.watch("servers", storeRevision(5, 30), Duration(0))));
+    CHECK(store.lastCall().find("watch=30&") != std::string::npos);
+  }
+  SUBCASE("an era that is no number fails the call") {
+    for (const char* era : {"abc", "-1", "", "5.0", "9999999", "5 6"}) {
+      store.answers("200 OK", kList, era);
+      CHECK_MESSAGE(errorOf(client.listText("config")).kind == ErrorKind::kUnavailable, era);
+    }
+    CHECK(client.era().number == 4);
+  }
+}
+
+TEST_CASE("a write that rests on a revision of a former era is not made") {
+  const SystemClock clock;
+  EraStore store;
+  StoreClient client(store.address(), clock);
+  const Poco::JSON::Object::Ptr spec(new Poco::JSON::Object);
+  store.answers("200 OK", kList, "4");
+  REQUIRE(isOk(client.listText("config")));
+  SUBCASE("where the new one is known, it is a conflict") {
+    store.answers("200 OK", kWritten, "5");
+    REQUIRE(isOk(client.get("moves", "a")));
+    const Result<WriteOutcome> outcome = client.replace("moves", "a", storeRevision(4, 31), spec);
+    REQUIRE(isOk(outcome));
+    CHECK(std::get<WriteConflict>(valueOf(outcome)).current.revision == storeRevision(5, 31));
+    CHECK(store.lastCall().rfind("GET ", 0) == 0);
+  }
+  SUBCASE("where the answer names it first, nobody may rely on it") {
+    store.answers("200 OK", kWritten, "5");
+    CHECK(errorOf(client.replace("moves", "a", storeRevision(4, 31), spec)).kind ==
+          ErrorKind::kUnavailable);
+    CHECK(isOk(client.create("moves", "b", spec)));
+  }
+  SUBCASE("within one era it is done") {
+    store.answers("200 OK", kWritten, "4");
+    CHECK(std::get<WriteDone>(valueOf(client.replace("moves", "a", storeRevision(4, 30), spec)))
+              .revision == storeRevision(4, 31));
+    CHECK(store.lastCall().find("\"rev\":30") != std::string::npos);
+  }
+}
+
 }  // namespace fernmoor::platform
