What the store lost as it came back from an old copy is not taken for removed

A verdict on a request that crashes engines would have been lifted as if an operator had deleted it, and would have been nowhere any more; engines that had registered within the copy's age would have had no requests until they registered again.

Change: entries that vanish with an era are told as lost, also between nodes. A verdict stays and is written again by those whose duty that is; a back end stays for 3 s, in which it writes itself again, and is gone then if it didn't.

Evidence: mirror_decoder_test and state_mirror_test (the first fails without the change, as both would be gone).

--- a/src/backends/backend_set.cpp
+++ b/src/backends/backend_set.cpp
@@ -68,6 +68,7 @@
   }
   entry.listing = std::move(merged);
   entry.incarnation = incarnation;
+  entry.removedAt.reset();
 }
 
 bool BackendSet::isLeaving(uint64_t incarnation) const {
@@ -101,6 +102,14 @@
   entries_.erase(id);
 }
 
+void BackendSet::removeAt(const std::string& id, Time when) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const auto found = entries_.find(id);
+  if (found != entries_.end()) {
+    found->second.removedAt = when;
+  }
+}
+
 std::vector<BackendView> BackendSet::membersOf(const std::string& pool, const std::string& model,
                                                Time now) const {
   const std::lock_guard<std::mutex> lock(mutex_);
@@ -356,8 +365,12 @@
   return known.restsUntil <= now && (!known.leavingSince || mayStillServe(known, now));
 }
 
-void BackendSet::forgetWithdrawn(Time now) {
+void BackendSet::forgetOld(Time now) {
   const std::lock_guard<std::mutex> lock(mutex_);
+  for (auto entry = entries_.begin(); entry != entries_.end();) {
+    const std::optional<Time> removedAt = entry->second.removedAt;
+    entry = removedAt && now >= *removedAt ? entries_.erase(entry) : std::next(entry);
+  }
   if (stated_.empty()) {
     return;
   }
--- a/src/backends/backend_set.h
+++ b/src/backends/backend_set.h
@@ -95,6 +95,8 @@
   void replaceAll(const std::vector<BackendListing>& listings, Time now);
   void update(const BackendListing& listing, Time now);
   void remove(const std::string& id);
+  /// Notes that the store lost the entry: it is removed unless it is written again by then.
+  void removeAt(const std::string& id, Time when);
 
   /// @return the members of the pool, with the version of `model`: those too that rest, and those
   ///         that leave while a request may still be sent there.
@@ -141,8 +143,9 @@
   WithdrawnCounts withdrawnCounts(Time now) const;
   /// @return whether a request may still be sent to the listed incarnation now.
   bool takesRequests(const BackendListing& listing, Time now) const;
-  /// Forgets rests that ended, and what back ends stated that left the list long ago.
-  void forgetWithdrawn(Time now);
+  /// Removes entries whose time is over, and forgets rests that ended and what back ends stated
+  /// that left the list long ago.
+  void forgetOld(Time now);
 
  private:
   struct Entry {
@@ -155,6 +158,7 @@
     Time countedAt;
     Time avoidedUntil;
     int ejections = 0;
+    std::optional<Time> removedAt;  ///< Set where the store lost it.
   };
 
   /// Lists another version of the model for the back end. Call with the lock held.
--- a/src/peers/load_directory_statements.cpp
+++ b/src/peers/load_directory_statements.cpp
@@ -291,7 +291,7 @@
   limits_.forgetOld(
       [this](uint64_t engine) { return engines_ == nullptr || !nameOf(engine).empty(); }, now);
   if (engines_ != nullptr) {
-    engines_->forgetWithdrawn(now);
+    engines_->forgetOld(now);
   }
   permits_.forgetUnused(now);
   logPermits(now);
--- a/src/quarantine/quarantine_table.cpp
+++ b/src/quarantine/quarantine_table.cpp
@@ -43,6 +43,14 @@
   }
 }
 
+void QuarantineTable::noteLost(uint64_t fingerprint) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const auto found = entries_.find(fingerprint);
+  if (found != entries_.end()) {
+    found->second.isStored = false;
+  }
+}
+
 void QuarantineTable::lift(uint64_t fingerprint) {
   const std::lock_guard<std::mutex> lock(mutex_);
   entries_.erase(fingerprint);
--- a/src/quarantine/quarantine_table.h
+++ b/src/quarantine/quarantine_table.h
@@ -26,6 +26,8 @@
   bool add(const Quarantined& request, Time now);
   /// Notes that it lies in the store.
   void noteStored(uint64_t fingerprint);
+  /// Notes that the store has lost it: it is to be written again.
+  void noteLost(uint64_t fingerprint);
   /// An operator took it out of the store: it may be sent again.
   void lift(uint64_t fingerprint);
   /// @return how long it must not be sent from now on; nothing: it may be sent.
--- a/test/backends/backend_set_test.cpp
+++ b/test/backends/backend_set_test.cpp
@@ -163,10 +163,10 @@
   }
   SUBCASE("it is kept while the engine may come back, and forgotten long after") {
     set.remove("a");
-    set.forgetWithdrawn(at(20000));
-    set.forgetWithdrawn(at(320000));
+    set.forgetOld(at(20000));
+    set.forgetOld(at(320000));
     CHECK(set.withdrawn(at(320000)).size() == 1);
-    set.forgetWithdrawn(at(700000));
+    set.forgetOld(at(700000));
     CHECK(set.withdrawn(at(700000)).empty());
   }
 }
@@ -215,9 +215,9 @@
     CHECK_FALSE(set.takesRequests(listing("a"), at(1000)));
   }
   SUBCASE("it is forgotten when it is over") {
-    set.forgetWithdrawn(at(5299));
+    set.forgetOld(at(5299));
     CHECK(set.withdrawn(at(4000)).size() == 1);
-    set.forgetWithdrawn(at(5400));
+    set.forgetOld(at(5400));
     CHECK(set.withdrawn(at(4000)).empty());
   }
 }
--- a/test/platform/mirror_decoder_test.cpp
+++ b/test/platform/mirror_decoder_test.cpp
@@ -121,4 +121,36 @@
   CHECK_FALSE(world.engineAfter(0).isAvoided);
 }
 
+TEST_CASE("what the store lost is not taken for removed") {
+  DecoderWorld world;
+  MirrorEntry lost{"e", 9, true, "", true};
+  SUBCASE("a back end stays until it must have been written again") {
+    world.decoder.take(MirrorKind::kBackends, {lost}, false);
+    world.backends.forgetOld(world.clock.now() + std::chrono::milliseconds(2900));
+    CHECK(world.backends.isUsable("e"));
+    SUBCASE("and is gone where it was not") {
+      world.backends.forgetOld(world.clock.now() + std::chrono::seconds(3));
+      CHECK(world.backends.size() == 0);
+    }
+    SUBCASE("and stays where it was") {
+      BackendListing again;
+      again.id = "e";
+      again.pool = "pool";
+      world.backends.update(again, world.clock.now());
+      world.backends.forgetOld(world.clock.now() + std::chrono::seconds(3));
+      CHECK(world.backends.size() == 1);
+    }
+  }
+  SUBCASE("a verdict on a request stays, and is written again") {
+    const uint64_t fingerprint = 0x5c1e07a291bd3f06;
+    world.quarantined.add(quarantine::Quarantined{fingerprint, world.clock.now()},
+                          world.clock.now());
+    world.quarantined.noteStored(fingerprint);
+    lost.name = "5c1e07a291bd3f06";
+    world.decoder.take(MirrorKind::kQuarantine, {lost}, false);
+    CHECK(world.quarantined.timeLeft(fingerprint, world.clock.now()).has_value());
+    CHECK(world.quarantined.unstored(world.clock.now()).size() == 1);
+  }
+}
+
 }  // namespace fernmoor::platform
