Orders for new weights outlive the store's return from an old copy: fences rise, and nobody orders by a ledger of before

Cause: an order's fence is the revision of the ledger's write. After the return it was lower than what engines had seen, so that they refused each order. And the ledger that came back named a former holder and lacked the orders of the last seconds: whoever took it up could order an engine that another node had ordered just before.

Change: fences bear the era, as revisions do. The ledger names the era in which it was written; one of a former era may lack orders, so nobody orders, resolves an unknown write or hands over by it for the time between two nodes' orders and its margin, from when this process saw the era first. All wait, the former holder too: another node may have taken over in what was lost. A ledger of this era is trusted at once, so starts cost nothing.

--- a/src/weights/move_ledger.h
+++ b/src/weights/move_ledger.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include <mutex>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -27,8 +28,9 @@
 };
 
 struct Ledger {
-  uint64_t revision = 0;  ///< 0: there is none yet.
-  std::string holder;     ///< Who wrote last.
+  uint64_t revision = 0;   ///< 0: there is none yet.
+  std::string holder;      ///< Who wrote last.
+  uint64_t writtenIn = 0;  ///< Era of the store in which it was written; 0: not told.
   std::vector<LedgerMove> moves;
 };
 
@@ -53,6 +55,10 @@
   /// Writes if the revision is still `ledger.revision`. On an error it may have been written, or
   /// may be later.
   virtual Result<LedgerOutcome> write(const Ledger& ledger) = 0;
+  /// @return an instant by which the store had come back from an old copy since the ledger was
+  ///         written, so that it may lack moves and a holder of before; nothing where it lacks
+  ///         none.
+  virtual std::optional<Time> wentBackBy(const Ledger&) const { return std::nullopt; }
 };
 
 /// A ledger as this node sees it.
--- a/src/weights/weight_mover.cpp
+++ b/src/weights/weight_mover.cpp
@@ -142,6 +142,12 @@
   return !services_.view.take(valueOf(found), services_.clock.now());
 }
 
+bool WeightMover::mayLackMoves(const Ledger& ledger, Time now) const {
+  const std::optional<Time> wentBack = services_.store.wentBackBy(ledger);
+  // Orders of before rest on intents that the store had taken by then.
+  return wentBack && now < *wentBack + options_.orderTurn + kTurnMargin;
+}
+
 bool WeightMover::isLeftAlone(const std::string& engine, const Ledger& ledger, Time now) const {
   return std::any_of(ledger.moves.begin(), ledger.moves.end(), [&](const LedgerMove& move) {
     return move.engine == engine && move.holder != options_.node &&
@@ -188,7 +194,8 @@
   const Ledger& current = valueOf(found);
   // An earlier write of ours may have been done late: only the very moves intended count.
   const bool ours = current.revision > intended.revision && current.holder == options_.node &&
-                    holdsMoves(current, intended, options_.node);
+                    holdsMoves(current, intended, options_.node) &&
+                    !mayLackMoves(current, services_.clock.now());
   return ours ? std::optional<uint64_t>(current.revision) : std::nullopt;
 }
 
@@ -247,7 +254,8 @@
 
 void WeightMover::handOver() {
   Ledger ledger = services_.view.seen().ledger;
-  if (ledger.revision == 0 || ledger.holder != options_.node) {
+  if (ledger.revision == 0 || ledger.holder != options_.node ||
+      mayLackMoves(ledger, services_.clock.now())) {
     return;
   }
   ledger.holder.clear();
@@ -267,6 +275,8 @@
       return "none of them can be ordered now";
     case Waiting::kForLedger:
       return "the ledger could not be written";
+    case Waiting::kForLostMoves:
+      return "the store came back from an old copy, orders of before may count still";
     case Waiting::kNot:
       return "orders are given";
   }
@@ -308,6 +318,10 @@
     tell(Waiting::kForTurn, plan);
     return kAfterFailure;
   }
+  if (mayLackMoves(seen.ledger, now)) {
+    tell(Waiting::kForLostMoves, plan);
+    return kAfterFailure;
+  }
   const std::vector<Candidate> candidates =
       pickCandidates(seen.ledger, plan, bounds_.atOnce - underWay_.size());
   if (candidates.empty()) {
--- a/src/weights/weight_mover.h
+++ b/src/weights/weight_mover.h
@@ -67,7 +67,15 @@
   };
 
   /// Why no order is given though engines are behind.
-  enum class Waiting { kUntilDue, kForMoves, kForTurn, kForEngines, kForLedger, kNot };
+  enum class Waiting {
+    kUntilDue,
+    kForMoves,
+    kForTurn,
+    kForEngines,
+    kForLedger,
+    kForLostMoves,
+    kNot
+  };
 
   static const char* phraseOf(Waiting why);
   /// Tells why engines that are behind are not moved, whenever that changes.
@@ -84,6 +92,10 @@
   /// Reads the ledger where this node isn't shown it.
   /// @return whether it stands as it was seen last.
   bool standsStill(const SeenLedger& seen, const MoverPlace& place);
+  /// @return whether orders may count still that the ledger lacks, as the store came back from an
+  /// old
+  ///         copy: of whom they were nobody can tell any more.
+  bool mayLackMoves(const Ledger& ledger, Time now) const;
   bool isLeftAlone(const std::string& engine, const Ledger& ledger, Time now) const;
   std::vector<Candidate> pickCandidates(const Ledger& ledger, const WeightPlan& plan, size_t room);
   std::optional<uint64_t> writeIntent(Ledger ledger, const std::vector<Candidate>& candidates);
--- a/test/platform/table_decoder_test.cpp
+++ b/test/platform/table_decoder_test.cpp
@@ -119,11 +119,12 @@
   ledger.holder = "n1";
   ledger.moves.push_back(
       weights::LedgerMove{"e", "m", 4, "n0", written - std::chrono::milliseconds(1500)});
-  const auto spec = encodeLedger(ledger, written);
+  const auto spec = encodeLedger(ledger, 6, written);
   const Time read(std::chrono::seconds(7));
   const weights::Ledger back = decodeLedger(55, *valueOf(parseJsonObject(toText(*spec))), read);
   CHECK(back.revision == 55);
   CHECK(back.holder == "n1");
+  CHECK(back.writtenIn == 6);
   REQUIRE(back.moves.size() == 1);
   CHECK(back.moves[0].holder == "n0");
   CHECK(back.moves[0].version == 4);
--- a/test/weights/weight_mover_test.cpp
+++ b/test/weights/weight_mover_test.cpp
@@ -295,4 +295,39 @@
   CHECK(world.store.ledger.moves.size() <= 60);
 }
 
+TEST_CASE(
+    "nobody orders by a ledger that the store brought back, until orders of before are over") {
+  WeightWorld world(3, 12);
+  world.name(2);
+  world.run(std::chrono::milliseconds(300));
+  const Ledger copy = world.store.ledger;
+  world.run(std::chrono::seconds(2));
+  REQUIRE(world.engines.seen.size() >= 4);
+  const uint64_t highestFence = world.engines.seen.back().fence;
+  const size_t before = world.engines.seen.size();
+  const Time wentBack = world.clock.now();
+  world.store.goBack(copy, wentBack);
+  world.name(3);
+  SUBCASE("also where its holder ends then") {
+    for (const auto& node : world.nodes) {
+      if (node->mover.holdsTurn()) {
+        node->mover.handOver();
+        node->isAlive = false;
+      }
+    }
+    CHECK(world.store.ledger.revision == storeRevision(1, countOf(copy.revision)));
+  }
+  SUBCASE("where it lives on too") { CHECK(world.store.ledger.holder == copy.holder); }
+  world.run(std::chrono::seconds(16));
+  REQUIRE(world.engines.seen.size() > before);
+  for (size_t index = before; index < world.engines.seen.size(); ++index) {
+    const SeenOrder& order = world.engines.seen[index];
+    CHECK(order.at >= wentBack + std::chrono::seconds(4));
+    CHECK(order.fence > highestFence);
+  }
+  for (const auto& engine : world.engines.engines) {
+    CHECK(world.engines.versionOf(engine.first) == 3);
+  }
+}
+
 }  // namespace fernmoor::weights
--- a/test/weights/weight_world.h
+++ b/test/weights/weight_world.h
@@ -11,6 +11,7 @@
 
 #include "backends/backend_set.h"
 #include "backends/wanted_weights.h"
+#include "common/store_revision.h"
 #include "weights/move_ledger.h"
 #include "weights/weight_mover.h"
 
@@ -45,14 +46,28 @@
     }
     ledger = wanted;
     ledger.revision = ++revision;
+    ledger.writtenIn = eraOf(revision);
     if (losesAnswers) {
       return down();
     }
     return LedgerOutcome(LedgerWritten{ledger.revision});
   }
 
+  std::optional<Time> wentBackBy(const Ledger& asked) const override {
+    return asked.writtenIn == eraOf(revision) ? std::nullopt : wentBackAt;
+  }
+  /// Comes back from a copy, whose ledger is that one.
+  void goBack(const Ledger& copy, Time at) {
+    const uint64_t era = eraOf(revision) + 1;
+    ledger = copy;
+    ledger.revision = storeRevision(era, countOf(copy.revision));
+    revision = storeRevision(era, countOf(copy.revision) + 3);
+    wentBackAt = at;
+  }
+
   Ledger ledger;
   uint64_t revision = 100;
+  std::optional<Time> wentBackAt;
   bool isDown = false;
   bool losesAnswers = false;
   size_t reads = 0;
