Other nodes are told of an engine that leaves until its entry is gone for 30 s, not for ten minutes

Each statement is told again each 10 s while it holds, and that of an engine that left is kept for ten minutes, in case its entry comes back: with 100 engines replaced in that time each owner would have told 68 others of them for as long.

--- a/src/backends/backend_set.cpp
+++ b/src/backends/backend_set.cpp
@@ -23,6 +23,8 @@
 constexpr int kLastResortDivisor = 2;
 /// Entries may be missing for as long as the store is away.
 constexpr Duration kUnlistedMemory{600000000};
+/// Other nodes are told of a back end that leaves until its entry is gone for so long.
+constexpr Duration kToldUnlisted{30000000};
 /// Of a back end that leaves and of which nobody knows since when.
 constexpr Time kLongAgo{-std::chrono::hours(24)};
 /// A rest that ends later by less is not worth telling.
@@ -329,7 +331,9 @@
   const std::lock_guard<std::mutex> lock(mutex_);
   std::vector<uint64_t> found;
   for (const auto& [incarnation, stated] : stated_) {
-    if (stated.withdrawal.leavingSince || stated.withdrawal.sparedUntil > now) {
+    const bool isGone = stated.listedAt != Time() && now - stated.listedAt > kToldUnlisted;
+    const bool leaves = stated.withdrawal.leavingSince && !isGone;
+    if (leaves || stated.withdrawal.sparedUntil > now) {
       found.push_back(incarnation);
     }
   }
--- a/src/backends/backend_set.h
+++ b/src/backends/backend_set.h
@@ -138,7 +138,7 @@
   bool noteRest(uint64_t incarnation, Time until, RestOf whom);
   /// @return what the back end states now; nothing where it takes requests.
   std::optional<Withdrawal> withdrawal(uint64_t incarnation, Time now) const;
-  /// @return back ends that leave or rest.
+  /// @return back ends that leave or rest, of which other nodes are to be told.
   std::vector<uint64_t> withdrawn(Time now) const;
   WithdrawnCounts withdrawnCounts(Time now) const;
   /// @return whether a request may still be sent to the listed incarnation now.
