Whether a read proves the table is decided where the store is read

The mirror took a proof of parts only for the very version that it holds. That also drops proofs of a relay that is one change behind, which are true: nothing newer existed then. What matters is that a store which shows an older table than is in force has lost something; the reader knows that.

--- a/src/peers/state_mirror.cpp
+++ b/src/peers/state_mirror.cpp
@@ -141,8 +141,7 @@
     const std::lock_guard<std::mutex> lock(mutex_);
     KindState& state = stateOf(kind);
     // A listener that is still being told what is newer would take the proof for what it knew.
-    const bool holdsParts = kHoldsParts[static_cast<size_t>(kind)];
-    if (!state.isKnown || state.told < revision || (holdsParts && state.told != revision)) {
+    if (!state.isKnown || state.told < revision) {
       return;
     }
     held = state.told;
--- a/src/peers/state_mirror.h
+++ b/src/peers/state_mirror.h
@@ -76,8 +76,7 @@
   MirrorOutcome applyList(MirrorKind kind, uint64_t revision,
                           const std::vector<MirrorEntry>& entries);
   /// Notes that nothing newer than `revision` existed at `provenAt`; counts only if this copy is
-  /// complete up to that revision. Of parts it counts only for just what this copy holds: a store
-  /// that shows an older version has lost the newer one, and perhaps others.
+  /// complete up to that revision.
   void prove(MirrorKind kind, uint64_t revision, Time provenAt);
 
   uint64_t revision(MirrorKind kind) const;
