--- a/test/weights/weight_mover_test.cpp
+++ b/test/weights/weight_mover_test.cpp
@@ -317,7 +317,9 @@
     }
     CHECK(world.store.ledger.revision == storeRevision(1, countOf(copy.revision)));
   }
-  SUBCASE("where it lives on too") { CHECK(world.store.ledger.holder == copy.holder); }
+  SUBCASE("where it lives on too") {
+    CHECK(world.store.ledger.holder == copy.holder);
+  }
   world.run(std::chrono::seconds(16));
   REQUIRE(world.engines.seen.size() > before);
   for (size_t index = before; index < world.engines.seen.size(); ++index) {
