--- a/src/backends/revision_times.cpp
+++ b/src/backends/revision_times.cpp
@@ -10,8 +10,6 @@
 
 /// Readers note two a second: enough for news that are half a minute late.
 constexpr size_t kTimesKept = 64;
-/// What the store lost is written again within this after it is back.
-constexpr Duration kWrittenAgain{3000000};
 
 }  // namespace
 
--- a/src/backends/revision_times.h
+++ b/src/backends/revision_times.h
@@ -18,6 +18,9 @@
 
 namespace fernmoor {
 
+/// What the store lost as it came back from an old copy is written again within this after that.
+inline constexpr Duration kWrittenAgain{3000000};
+
 /// The store had not gone beyond the revision at the instant.
 struct RevisionTime {
   uint64_t revision = 0;
--- a/src/weights/weight_mover.h
+++ b/src/weights/weight_mover.h
@@ -93,8 +93,7 @@
   /// @return whether it stands as it was seen last.
   bool standsStill(const SeenLedger& seen, const MoverPlace& place);
   /// @return whether orders may count still that the ledger lacks, as the store came back from an
-  /// old
-  ///         copy: of whom they were nobody can tell any more.
+  ///         old copy; whose they were nobody can tell any more.
   bool mayLackMoves(const Ledger& ledger, Time now) const;
   bool isLeftAlone(const std::string& engine, const Ledger& ledger, Time now) const;
   std::vector<Candidate> pickCandidates(const Ledger& ledger, const WeightPlan& plan, size_t room);
