A ledger of moves that the store lost is written anew

The copy was older than the ledger, so that it was gone; a write that rests on the former era's ledger asked for the present one, was answered 404, and took that for a failure each time. No ledger is a state of its own now, with a revision that is newer than all of former eras, so that the next write makes it. stored_ledger_test.

--- a/src/weights/move_ledger.h
+++ b/src/weights/move_ledger.h
@@ -28,7 +28,7 @@
 };
 
 struct Ledger {
-  uint64_t revision = 0;   ///< 0: there is none yet.
+  uint64_t revision = 0;   ///< With a count of 0: there is none in that era of the store.
   std::string holder;      ///< Who wrote last.
   uint64_t writtenIn = 0;  ///< Era of the store in which it was written; 0: not told.
   std::vector<LedgerMove> moves;
@@ -50,7 +50,7 @@
 class LedgerStore {
  public:
   virtual ~LedgerStore() = default;
-  /// @return an empty ledger with revision 0 where none was written.
+  /// @return an empty ledger whose revision has a count of 0 where there is none.
   virtual Result<Ledger> read() = 0;
   /// Writes if the revision is still `ledger.revision`. On an error it may have been written, or
   /// may be later.
--- a/src/weights/weight_mover.cpp
+++ b/src/weights/weight_mover.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "common/log.h"
+#include "common/store_revision.h"
 
 namespace fernmoor::weights {
 
@@ -125,7 +126,7 @@
     return true;
   }
   const Duration delay = stepInDelay_ + kStandstill * static_cast<Duration::rep>(place.rank);
-  if (ledger.revision == 0 || ledger.holder.empty()) {
+  if (countOf(ledger.revision) == 0 || ledger.holder.empty()) {
     return now >= *plan.startBy + delay - kStandstill;
   }
   return now >= *plan.startBy + delay && now >= seen.changedAt + delay;
@@ -254,7 +255,7 @@
 
 void WeightMover::handOver() {
   Ledger ledger = services_.view.seen().ledger;
-  if (ledger.revision == 0 || ledger.holder != options_.node ||
+  if (countOf(ledger.revision) == 0 || ledger.holder != options_.node ||
       mayLackMoves(ledger, services_.clock.now())) {
     return;
   }
