--- a/test/platform_soak/soak.py
+++ b/test/platform_soak/soak.py
@@ -278,6 +278,7 @@
         self.leaving = []  # engines that leave and are replaced already
         self.returning = []  # threads that bring crashed engines back
         self.seen.on_crash = self.bring_back
+        self.store.begin_copies()
 
     def start_nodes(self, options):
         hosts = own_hosts.node_hosts(self.net, options.nodes)
--- a/test/platform_soak/store.py
+++ b/test/platform_soak/store.py
@@ -65,10 +65,15 @@
         del self.events[:-HISTORY]
         now = time.monotonic()
         self.copies.append((now, self.revision, self.objects))
-        while self.copies[0][0] < now - COPIES_KEPT_SECONDS:
+        while len(self.copies) > 1 and self.copies[0][0] < now - COPIES_KEPT_SECONDS:
             self.copies.popleft()
         self.changed.notify_all()
 
+    def begin_copies(self):
+        """What was written until now is in every copy."""
+        with self.changed:
+            self.copies = collections.deque([(time.monotonic(), self.revision, self.objects)])
+
     def restore(self, seconds):
         """Comes back from a copy that is that old. Returns how many revisions were lost."""
         with self.changed:
