--- a/src/backends/revision_times.h
+++ b/src/backends/revision_times.h
@@ -9,6 +9,7 @@
 /// by the last that is known of the era before.
 #pragma once
 
+#include <atomic>
 #include <cstdint>
 #include <deque>
 #include <mutex>
@@ -44,6 +45,10 @@
   std::optional<Time> notBefore(uint64_t revision) const;
   /// @return what is known of the latest instant.
   std::optional<RevisionTime> newest() const;
+  /// Notes that another node told what it knows.
+  void noteTold() { wasTold_ = true; }
+  /// @return whether any other node told what it knows.
+  bool wasTold() const { return wasTold_; }
   /// Notes an era change as another node knows it.
   /// @param era that began with it.
   void noteChange(uint64_t era, const EraChange& change);
@@ -54,6 +59,7 @@
   /// Call with the lock held.
   void noteChangeLocked(uint64_t era, const EraChange& change);
 
+  std::atomic<bool> wasTold_{false};
   mutable std::mutex mutex_;
   std::deque<RevisionTime> times_;  ///< Rising in both.
   uint64_t changedTo_ = 0;          ///< The era that `change_` is of.
--- a/src/peers/mirror_role.cpp
+++ b/src/peers/mirror_role.cpp
@@ -235,6 +235,7 @@
   if (answer.store_revision() != 0) {
     const Duration age(static_cast<int64_t>(answer.store_revision_age_microseconds()));
     revisionTimes_.note({answer.store_revision(), askedAt - age});
+    revisionTimes_.noteTold();
   }
   if (answer.former_revision() != 0) {
     const Duration age(static_cast<int64_t>(answer.former_revision_age_microseconds()));
