Test of the soak's judge: it is shown a fault for each of its new rules, and what they allow

DRAIN by answers and by the store, REST, CONFIG of rows and of tables that go back: one fault each, and the cases on the other side of each bound.

--- a/test/process/platform_soak_test.py
+++ b/test/process/platform_soak_test.py
@@ -19,7 +19,8 @@
          "named": [(2, 100.0)], "unstable": [], "struck": {1: [(105.0, 106.0)]},
          "killed": {1: [1.5]}, "poison": {b"p"}, "exits": {2: [1.1]}, "memory_bytes": {0: 88e6},
          "peak_bytes": {0: 88e6}, "ended_itself": {0: []}, "stretched": {0: []},
-         "arrivals": [], "limits": [], "told": [], "all_killed": [],
+         "arrivals": [], "limits": [], "told": [], "all_killed": [], "told_leaving": [],
+         "told_rest": [], "left": [], "added": {}, "went_back": [],
          "crashes": [{"body": b"p", "engine": f"e{n}", "at": 100.0 + n} for n in range(5)]}
 
 
@@ -27,7 +28,8 @@
     made = {"id": "r1", "kind": "once", "key": "k", "path": "/p", "method": "POST",
             "sent_body": b"x", "sent_at": 1.0, "status": 200, "body": b"answer e.r1" * 20,
             "complete": True, "stamp": "e.r1", "answered_id": "r1", "events": 2,
-            "node": 0, "gave_up": False, "ended_at": 2.0, "broken": "", "connected": True}
+            "node": 0, "gave_up": False, "ended_at": 2.0, "broken": "", "connected": True,
+            "answered_at": 1.5}
     made.update(changes)
     return made
 
@@ -158,9 +160,58 @@
     assert limit_faults(calls, dict(world, all_killed=[105.0])), "they were told again"
 
 
+def arrivals_faults(rule, at, calls=(), **world):
+    """Faults of a world in which node 0, or that of the first call, sent a request that arrived at life 1."""
+    calls = [call(id="late", sent_at=at, stamp=None), *calls]
+    arrivals = [{"id": "late", "life": 1, "at": at}]
+    return judge.judge(calls, [], [], dict(WORLD, arrivals=arrivals, **world))[rule]
+
+
+def check_judge_of_leaving():
+    told = [{"id": "r1", "life": 1, "engine": "e", "at": 1.4}]
+    passed_on, kept = [call()], [call(stamp="f.r1")]
+    assert arrivals_faults("DRAIN", 3.6, passed_on, told_leaving=told)
+    assert not arrivals_faults("DRAIN", 3.4, passed_on, told_leaving=told), "within the bound"
+    assert not arrivals_faults("DRAIN", 3.6, kept, told_leaving=told), "the answer was not passed on"
+    assert not arrivals_faults("DRAIN", 3.6, passed_on, told_leaving=told,
+                               struck={0: [(2.0, 2.1)]}), "the node was struck since"
+    left = [{"life": 1, "at": 1.0}]
+    assert arrivals_faults("DRAIN", 3.1, left=left)
+    assert not arrivals_faults("DRAIN", 2.9, left=left), "within the bound"
+    assert not arrivals_faults("DRAIN", 3.1, left=left, unstable=[(0.5, 1.5)]), "the store was away"
+
+
+def rest_faults(count, text="3", at=2.0, **world):
+    calls = [call(id=f"r{n}") for n in range(count)] + [call(id="first")]
+    arrivals = [{"id": f"r{n}", "life": 1, "at": at} for n in range(count)]
+    told = [{"id": "first", "life": 1, "at": 1.0, "text": text}]
+    return judge.judge(calls, [], [], dict(WORLD, arrivals=arrivals, told_rest=told, **world))["REST"]
+
+
+def check_judge_of_rests():
+    assert rest_faults(3) and not rest_faults(2)
+    assert not rest_faults(3, at=1.4), "on their way"
+    assert not rest_faults(3, at=4.1), "its rest was over"
+    assert rest_faults(3, text="3.2", at=4.1)
+    assert not rest_faults(3, text="abc"), "no rest"
+    assert not rest_faults(3, struck={0: [(1.5, 1.6)]}), "the node was struck since"
+
+
+def check_judge_of_tables():
+    late = call(kind="row", path="/extra-1/x", status=404, stamp=None, sent_at=3.1)
+    added = dict(WORLD, added={"extra-1": 1.0}, service_of=dict(WORLD["service_of"], row="plain"))
+    assert judge.judge([late], [], [], added)["CONFIG"]
+    assert not judge.judge([dict(late, sent_at=2.9)], [], [], added)["CONFIG"], "within the bound"
+    assert not judge.judge([late], [], [], dict(added, unstable=[(0.5, 1.5)]))["CONFIG"], "away"
+    assert judge.judge([], [], [], dict(WORLD, went_back=["node 0"]))["CONFIG"]
+
+
 def main():
     check_judge()
     check_judge_of_limits()
+    check_judge_of_leaving()
+    check_judge_of_rests()
+    check_judge_of_tables()
     for seed in SEEDS:
         subprocess.run([sys.executable, str(SOAK / "soak.py"), sys.argv[1], "--seed", str(seed),
                         "--seconds", str(SECONDS), "--poison", "0"], check=True)
