Soak: an order that begins and ends while an engine is silent rejects what waits there

Cause: leaves_soak_test.py failed once on code untouched (STALE: scope t-wall.v3 was used under versions [3, 4]), beside a build on all cores. The emulated engine looked for an order under way only when a waiting request woke up; a silent engine took an order, loaded for 0.6 s and began the request, which was sent for version 3, on version 4. The users' protocol: requests that have not begun when an order comes receive 503 until it is done. Change: a waiting request is rejected if any order was taken since it arrived. Shown: standin_engine_test.py fails without the condition (began on version 4). That the failed run was of this kind is not shown: its ledger was not kept.

--- a/test/platform_soak/engines.py
+++ b/test/platform_soak/engines.py
@@ -224,10 +224,18 @@
             self.free -= 1
             return True
 
-    def begin(self, tokens, has_left):
+    def start_order(self, version):
+        """Starts loading new weights. Call with the lock held. Requests that have not begun are rejected."""
+        self.orders += 1
+        self.busy = True
+        self.changed.notify_all()
+        threading.Thread(target=self.load, args=(version,), daemon=True).start()
+
+    def begin(self, tokens, has_left, orders):
         """Reads a prompt once those queued before it are read. Returns the version on which the request begins,
         or None if it is rejected because an order for new weights arrived. Raises CallerLeft if the caller
-        disconnected or the engine crashed."""
+        disconnected or the engine crashed. orders: number of orders taken when the request arrived; an order may
+        begin and end while the engine is silent."""
         prompt = object()
         with self.lock:
             self.prompts.append(prompt)
@@ -235,7 +243,7 @@
             left = tokens / READ_TOKENS_PER_SECOND
             while True:
                 with self.lock:
-                    if self.busy:
+                    if self.busy or self.orders != orders:
                         return None
                     is_its_turn = self.prompts[0] is prompt
                     if is_its_turn and left <= 0:
@@ -367,10 +375,7 @@
             if status in (200, 202):
                 engine.fence = order["fence"]
             if status == 202:
-                engine.orders += 1
-                engine.busy = True
-                engine.changed.notify_all()
-                threading.Thread(target=engine.load, args=(order["version"],), daemon=True).start()
+                engine.start_order(order["version"])
         return status
 
     def work(self, body):
@@ -379,7 +384,8 @@
         arrived = time.monotonic()
         request = self.headers.get("X-Request-Id", "")
         engine.ledger.note(engine.ledger.arrivals, id=request, life=engine.life)
-        version = engine.version  # Read once, as it may change during the checks below.
+        with engine.lock:  # Read once, as they may change during the checks below.
+            version, orders = engine.version, engine.orders
         names = [("X-Request-Id", request), ("X-Weight-Versions", str(version))]
         expected = self.headers.get("X-Expect-Version")
         if self.headers.get("X-Expect-Instance", engine.id) != engine.id or (
@@ -393,7 +399,7 @@
             self.turn_away(names)
             return
         try:
-            version = engine.begin(self.prompt_tokens(), self.has_left)
+            version = engine.begin(self.prompt_tokens(), self.has_left, orders)
             if version is None:
                 self.turn_away(names)
                 return
