--- a/programs/fernmoor-bench/slopes_command.cpp
+++ b/programs/fernmoor-bench/slopes_command.cpp
@@ -24,6 +24,7 @@
     {"membership", measureMembership}, {"table", measureTableMemory},
     {"spread", measureTableSpread},    {"admission", measureAdmission},
     {"claims", measureClaims},         {"wire", measureWire},
+    {"gateway", measureGateway},
 };
 
 bool isWanted(const Part& part, const Arguments& names) {
--- a/scripts/check_layers.py
+++ b/scripts/check_layers.py
@@ -12,7 +12,7 @@
           "gateway": BACKENDS + ["admission", "quarantine"],
           "peers": BACKENDS + ["wire", "membership", "admission", "gateway", "quarantine"],
           "operator_client": ["common", "http"], "sim": ORDER, "standin": ORDER,
-          "bench": ORDER + ["sim", "standin"]}
+          "bench": ORDER + ["sim", "standin", "backends", "weights", "quarantine", "gateway", "peers"]}
 INCLUDE = re.compile(r'^\s*#\s*include\s+"([a-z_]+)/')
 
 
--- a/src/bench/slopes.h
+++ b/src/bench/slopes.h
@@ -29,5 +29,8 @@
 std::vector<Slope> measureClaims();
 /// Sealing, sending and opening of node-to-node messages, by bytes.
 std::vector<Slope> measureWire();
+/// A gateway before the operators' store: choice, upkeep, copy of the list and moves by back ends,
+/// duties by nodes.
+std::vector<Slope> measureGateway();
 
 }  // namespace fernmoor::bench
--- a/src/bench/target_sizes.h
+++ b/src/bench/target_sizes.h
@@ -19,6 +19,10 @@
 constexpr double kFailuresPerDay = 19;
 constexpr double kSecondsPerDay = 86400;
 
+/// Gateways before one operators' store, and the back ends that it lists.
+constexpr double kGateways = 985;
+constexpr double kListedBackends = 9998;
+
 /// Control plane of one node.
 constexpr double kBudgetCorePercent = 1.7;
 constexpr double kBudgetMegabytes = 32;
