Upkeep of the list of back ends no longer looks at the whole list

Cause: ten times a second every node went through all listed back ends to find removals that are due and statements of listed incarnations: work for each engine at each node, whether anything changed or not. Finding an engine by its incarnation (statements, log lines) searched the whole list as well. Change: the set keeps the time of the next removal and an index by incarnation.

--- a/src/backends/backend_set.cpp
+++ b/src/backends/backend_set.cpp
@@ -48,11 +48,13 @@
   return 0;
 }
 
-void BackendSet::merge(Entry& entry, const BackendListing& listing) {
+void BackendSet::merge(Entries::iterator place, const BackendListing& listing) {
+  Entry& entry = place->second;
   if (entry.listing && listing.startedAt != entry.listing->startedAt) {
     if (listing.startedAt < entry.listing->startedAt) {
       return;
     }
+    byIncarnation_.erase(entry.incarnation);
     entry = Entry();
   }
   const uint64_t incarnation = incarnationHash(listing);
@@ -72,6 +74,12 @@
   entry.listing = std::move(merged);
   entry.incarnation = incarnation;
   entry.removedAt.reset();
+  byIncarnation_[incarnation] = place;
+}
+
+BackendSet::Entries::iterator BackendSet::erase(Entries::iterator entry) {
+  byIncarnation_.erase(entry->second.incarnation);
+  return entries_.erase(entry);
 }
 
 bool BackendSet::isLeaving(uint64_t incarnation) const {
@@ -87,22 +95,25 @@
   const std::lock_guard<std::mutex> lock(mutex_);
   std::set<std::string> kept;
   for (const BackendListing& listing : listings) {
-    merge(entries_[listing.id], listing);
+    merge(listing);
     kept.insert(listing.id);
   }
   for (auto entry = entries_.begin(); entry != entries_.end();) {
-    entry = kept.count(entry->first) == 0 ? entries_.erase(entry) : std::next(entry);
+    entry = kept.count(entry->first) == 0 ? erase(entry) : std::next(entry);
   }
 }
 
 void BackendSet::update(const BackendListing& listing, Time now) {
   const std::lock_guard<std::mutex> lock(mutex_);
-  merge(entries_[listing.id], listing);
+  merge(listing);
 }
 
 void BackendSet::remove(const std::string& id) {
   const std::lock_guard<std::mutex> lock(mutex_);
-  entries_.erase(id);
+  const auto found = entries_.find(id);
+  if (found != entries_.end()) {
+    erase(found);
+  }
 }
 
 void BackendSet::removeAt(const std::string& id, Time when) {
@@ -110,6 +121,7 @@
   const auto found = entries_.find(id);
   if (found != entries_.end()) {
     found->second.removedAt = when;
+    nextRemovalAt_ = std::min(nextRemovalAt_.value_or(when), when);
   }
 }
 
@@ -162,10 +174,8 @@
 
 std::string BackendSet::idOf(uint64_t incarnation) const {
   const std::lock_guard<std::mutex> lock(mutex_);
-  const auto found = std::find_if(entries_.begin(), entries_.end(), [&](const auto& entry) {
-    return entry.second.incarnation == incarnation;
-  });
-  return found == entries_.end() ? "" : found->first;
+  const auto found = byIncarnation_.find(incarnation);
+  return found == byIncarnation_.end() ? "" : found->second->first;
 }
 
 size_t BackendSet::size() const {
@@ -275,7 +285,7 @@
   for (HeldWeights& held : listing.weights) {
     held.version = 0;  // Was held by the former incarnation.
   }
-  merge(found->second, listing);
+  merge(found, listing);
 }
 
 void BackendSet::avoidUntil(const std::string& id, Time until) {
@@ -287,13 +297,14 @@
 }
 
 void BackendSet::listAsDraining(uint64_t incarnation) {
-  for (auto& [id, entry] : entries_) {
-    if (entry.incarnation == incarnation && !entry.listing->isDraining) {
-      auto changed = std::make_shared<BackendListing>(*entry.listing);
-      changed->isDraining = true;
-      entry.listing = std::move(changed);
-    }
+  const auto found = byIncarnation_.find(incarnation);
+  if (found == byIncarnation_.end() || found->second->second.listing->isDraining) {
+    return;
   }
+  Entry& entry = found->second->second;
+  auto changed = std::make_shared<BackendListing>(*entry.listing);
+  changed->isDraining = true;
+  entry.listing = std::move(changed);
 }
 
 bool BackendSet::noteLeaving(uint64_t incarnation, Time since) {
@@ -371,31 +382,42 @@
   return known.restsUntil <= now && (!known.leavingSince || mayStillServe(known, now));
 }
 
-void BackendSet::forgetOld(Time now) {
-  const std::lock_guard<std::mutex> lock(mutex_);
+size_t BackendSet::removeDue(Time now) {
+  if (!nextRemovalAt_ || now < *nextRemovalAt_) {
+    return 0;
+  }
+  const size_t examined = entries_.size();
+  nextRemovalAt_.reset();
   for (auto entry = entries_.begin(); entry != entries_.end();) {
     const std::optional<Time> removedAt = entry->second.removedAt;
-    entry = removedAt && now >= *removedAt ? entries_.erase(entry) : std::next(entry);
-  }
-  if (stated_.empty()) {
-    return;
-  }
-  for (const auto& [id, entry] : entries_) {
-    const auto found = stated_.find(entry.incarnation);
-    if (found != stated_.end()) {
-      found->second.listedAt = now;
+    if (removedAt && now >= *removedAt) {
+      entry = erase(entry);
+      continue;
+    }
+    if (removedAt) {
+      nextRemovalAt_ = std::min(nextRemovalAt_.value_or(*removedAt), *removedAt);
     }
+    ++entry;
   }
+  return examined;
+}
+
+size_t BackendSet::forgetOld(Time now) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  size_t examined = removeDue(now);
   for (auto each = stated_.begin(); each != stated_.end();) {
+    ++examined;
     Stated& stated = each->second;
-    if (stated.listedAt == Time()) {
-      stated.listedAt = now;  // The statement arrived before the entry.
+    const bool isListed = byIncarnation_.count(each->first) > 0;
+    if (isListed || stated.listedAt == Time()) {
+      stated.listedAt = now;  // A statement may arrive before the entry.
     }
     const bool isOver = !stated.withdrawal.leavingSince &&
                         stated.withdrawal.sparedUntil + bounds_.returnDelay < now;
     const bool isLongGone = now - stated.listedAt > kUnlistedRetention;
     each = isOver || isLongGone ? stated_.erase(each) : std::next(each);
   }
+  return examined;
 }
 
 }  // namespace fernmoor
--- a/src/backends/backend_set.h
+++ b/src/backends/backend_set.h
@@ -149,7 +149,9 @@
   bool takesRequests(const BackendListing& listing, Time now) const;
   /// Removes entries whose scheduled removal is due, rests that ended, and statements of
   /// incarnations that have been unlisted for long.
-  void forgetOld(Time now);
+  /// @return the number of entries and statements examined: not the whole list, unless a removal is
+  ///         due.
+  size_t forgetOld(Time now);
 
  private:
   struct Entry {
@@ -165,11 +167,23 @@
     std::optional<Time> removedAt;  ///< Due time of the removal if the store lost the entry.
   };
 
+  using Entries = std::map<std::string, Entry>;
+
   /// Changes the listed version of the model. Call with the lock held.
   /// @param rule maps the listed version, 0 if there is none, to the new one.
   template <class Rule>
   void setWeights(const std::string& id, const std::string& model, Rule rule);
-  void merge(Entry& entry, const BackendListing& listing);
+  /// Applies a listing to the entry, which may be new. Call with the lock held.
+  void merge(Entries::iterator entry, const BackendListing& listing);
+  /// Adds the entry if it is missing. Call with the lock held.
+  void merge(const BackendListing& listing) {
+    merge(entries_.try_emplace(listing.id).first, listing);
+  }
+  /// Call with the lock held. @return the next entry.
+  Entries::iterator erase(Entries::iterator entry);
+  /// Removes the entries that are due. Call with the lock held.
+  /// @return the number of entries examined.
+  size_t removeDue(Time now);
   void recordOutcome(Entry& entry, BackendVerdict verdict, Time now);
   /// Call with the lock held.
   bool isLeaving(uint64_t incarnation) const;
@@ -186,7 +200,9 @@
 
   const BackendSetBounds bounds_;
   mutable std::mutex mutex_;
-  std::map<std::string, Entry> entries_;
+  Entries entries_;  ///< By id.
+  std::unordered_map<uint64_t, Entries::iterator> byIncarnation_;
+  std::optional<Time> nextRemovalAt_;  ///< No scheduled removal is due before; nothing: none is.
   std::unordered_map<uint64_t, Stated> stated_;  ///< By incarnation.
 };
 
--- a/test/backends/backend_set_test.cpp
+++ b/test/backends/backend_set_test.cpp
@@ -224,4 +224,45 @@
   }
 }
 
+TEST_CASE("the upkeep of a long list examines only what may be due") {
+  constexpr size_t kListed = 2000;
+  BackendSet set;
+  std::vector<BackendListing> listings;
+  for (size_t index = 0; index < kListed; ++index) {
+    listings.push_back(listing("e" + std::to_string(index)));
+  }
+  set.replaceAll(listings, at(0));
+  CHECK(set.forgetOld(at(100)) == 0);
+
+  SUBCASE("and statements of its back ends are found without a search") {
+    const uint64_t leaving = incarnationHash(listings[7]);
+    CHECK(set.noteLeaving(leaving, at(100)));
+    CHECK(set.idOf(leaving) == "e7");
+    CHECK(set.find("e7")->isDraining);
+    CHECK(set.forgetOld(at(200)) == 1);
+    set.remove("e7");
+    CHECK(set.idOf(leaving).empty());
+  }
+  SUBCASE("and removals at their time, of which one may be cancelled") {
+    set.removeAt("e1", at(3000));
+    set.removeAt("e2", at(4000));
+    set.removeAt("e3", at(3000));
+    set.update(listing("e3"), at(200));
+    CHECK(set.forgetOld(at(2999)) == 0);
+    CHECK(set.forgetOld(at(3000)) == kListed);
+    CHECK(set.size() == kListed - 1);
+    CHECK(set.forgetOld(at(3999)) == 0);
+    set.forgetOld(at(4000));
+    CHECK_FALSE(set.find("e2"));
+    CHECK(set.find("e3"));
+  }
+  SUBCASE("and a back end that restarts under its id is found by its new incarnation only") {
+    BackendListing restarted = listing("e4");
+    restarted.startedAt = 5;
+    set.update(restarted, at(200));
+    CHECK(set.idOf(incarnationHash(restarted)) == "e4");
+    CHECK(set.idOf(incarnationHash(listings[4])).empty());
+  }
+}
+
 }  // namespace fernmoor
