--- a/test/platform/store_client_test.cpp
+++ b/test/platform/store_client_test.cpp
@@ -5,6 +5,7 @@
 #include <doctest/doctest.h>
 
 #include "common/store_revision.h"
+#include "platform/list_reader.h"
 #include "test/gateway/forwarder_world.h"
 
 namespace fernmoor::platform {
@@ -46,6 +47,14 @@
   ScriptedBackend backend_;
 };
 
+std::vector<peers::MirrorEntry> toEntry(const StoreObject& object) {
+  return {peers::MirrorEntry{object.name, object.revision, false, ""}};
+}
+
+Result<EntryList> listed(StoreClient& client, const Clock& clock, ListFreshness age) {
+  return ListReader(client, clock, "servers", age, toEntry).read(2);
+}
+
 }  // namespace
 
 TEST_CASE("a list of several pages has the revision of its oldest page") {
@@ -53,9 +62,9 @@
   SUBCASE("if the store changed between pages") {
     PagedStore store(100, 103);
     StoreClient client(store.address(), clock);
-    const Result<StoreList> list = client.list("servers", ListFreshness::kNewest);
+    const Result<EntryList> list = listed(client, clock, ListFreshness::kNewest);
     REQUIRE(isOk(list));
-    CHECK(valueOf(list).items.size() == 2);
+    CHECK(valueOf(list).entries.size() == 2);
     CHECK(valueOf(list).revision == 100);
     REQUIRE(store.asked().size() == 2);
     CHECK(store.asked()[0] == "GET /fernmoor/objects/servers");
@@ -64,7 +73,7 @@
   SUBCASE("if a later page comes from a staler replica") {
     PagedStore store(100, 90);
     StoreClient client(store.address(), clock);
-    const Result<StoreList> list = client.list("servers", ListFreshness::kMayBeStale);
+    const Result<EntryList> list = listed(client, clock, ListFreshness::kMayBeStale);
     REQUIRE(isOk(list));
     CHECK(valueOf(list).revision == 90);
     REQUIRE(store.asked().size() == 2);
@@ -147,7 +156,7 @@
   const uint64_t before = valueOf(client.listRaw("config")).revision;
   CHECK(before == storeRevision(4, 30));
   CHECK(client.era().number == 4);
-  CHECK(valueOf(client.list("servers", ListFreshness::kNewest)).items[0].revision ==
+  CHECK(valueOf(client.listPage("servers", ListFreshness::kNewest, "")).items[0].revision ==
         storeRevision(4, 7));
   SUBCASE("an error response names the era too") {
     store.answers("503 Away", "", "5");
--- a/test/platform_soak/store.py
+++ b/test/platform_soak/store.py
@@ -32,6 +32,8 @@
         self.events = []   # (revision, kind, object, whether it was removed)
         self.faults = {}   # node -> name of the fault
         self.calls = []    # (node, method, path), including rejected ones
+        self.page_items = 500  # Objects on one page of a list.
+        self.failing_pages = []  # Pages that are rejected once, by the name that they follow.
         self.silent_since = 0.0  # Connections opened before this time send nothing any more.
         self.seed = 0
 
@@ -88,10 +90,13 @@
             self.changed.notify_all()
             return lost
 
-    def list(self, kind):
+    def list(self, kind, after=""):
+        """Returns the page that follows the object of that name."""
         with self.changed:
-            items = [thing for (each, _), thing in sorted(self.objects.items()) if each == kind]
-            return {"items": items, "more": False, "at": self.revision}
+            items = [thing for (each, name), thing in sorted(self.objects.items())
+                     if each == kind and name > after]
+            return {"items": items[:self.page_items], "more": len(items) > self.page_items,
+                    "at": self.revision}
 
     def watch(self, kind, since, wait_seconds):
         """Returns the events after the revision, or None if their history is gone."""
@@ -212,7 +217,12 @@
                 return
             self.answer(410 if found is None else 200, found or {})
         else:
-            self.answer(200, self.store.list(words[0]))
+            after = query.get("after", [""])[0]
+            if after in self.store.failing_pages:
+                self.store.failing_pages.remove(after)
+                self.answer(503, {})
+                return
+            self.answer(200, self.store.list(words[0], after))
 
     def write(self, must_be_new):
         body = json.loads(self.rfile.read(int(self.headers["Content-Length"])))
