A node takes a duty of the store only once its view of the members has settled

Cause: one second after its start each node took the duties that follow from the members it knew then. Of 300 nodes that start at once 4 hold themselves readers at that time, of 985 nodes 215 (188 of them know nobody yet): each of them lists everything at the full price, 50 pages for each, and watches. A fixed time that holds only while the fleet is small; nodes learn of each other in a time that grows with their number. Change: a view has settled when it has not grown by over a tenth within a second; a node that knows nobody waits three seconds, as the seeds may be busy with others.

--- a/src/peers/mirror_role.cpp
+++ b/src/peers/mirror_role.cpp
@@ -17,12 +17,16 @@
 constexpr size_t kStandbyCount = 4;
 constexpr uint64_t kStandbyKey = 0x72656164657273;
 constexpr Duration kPollInterval{400000};
-/// A node is not considered a reader for this time after its start: until nodes know the other
-/// members, each of them would become one.
+/// A newly started node takes no duty until its view of the members has settled: until nodes know
+/// each other, each of them would become a reader. A view has settled once it has not grown by more
+/// than kSettledGrowth within this time.
 constexpr Duration kSettleTime{1000000};
-/// A node that has received nothing from others within this time after its start has read by itself
-/// what it needs to serve.
-constexpr Duration kStartupTime{3000000};
+constexpr double kSettledGrowth = 0.1;
+/// The same for a node that knows no other one: the seeds may be too busy with others to answer.
+constexpr Duration kAloneSettleTime{3000000};
+/// A node that has received nothing from others within this time after its view settled has read by
+/// itself what it needs to serve.
+constexpr Duration kStartupTime{2000000};
 /// Age that one more hop between the store and this node adds to a confirmed read: the interval
 /// between questions plus the transit time.
 constexpr Duration kHopDelay{500000};
@@ -94,11 +98,35 @@
   duties_ = members_ == nullptr ? Duties() : dutiesOf(self_, *members_);
 }
 
+void MirrorRole::noteGrowth(Time now) {
+  if (settledAt_) {
+    return;
+  }
+  const size_t known = duties_.pollOrder.size();
+  const bool isFirst = grownAt_ == Time();
+  const bool hasGrown =
+      static_cast<double>(known) > static_cast<double>(membersAtGrowth_) * (1 + kSettledGrowth);
+  if (isFirst || hasGrown) {
+    grownAt_ = isFirst ? startedAt_ : now;
+    membersAtGrowth_ = known;
+  }
+  settledAt_ = settledAt(now);
+}
+
+std::optional<Time> MirrorRole::settledAt(Time now) const {
+  if (settledAt_) {
+    return settledAt_;
+  }
+  const Duration needed = duties_.isAlone ? kAloneSettleTime : kSettleTime;
+  const Time settled = std::max(startedAt_, grownAt_) + needed;
+  return now < settled ? std::nullopt : std::optional(settled);
+}
+
 ReadDuty MirrorRole::duty(Time now) const {
   const std::lock_guard<std::mutex> lock(mutex_);
   const bool wasTold = upstreamReadAt_ != Time();
-  const Duration age = now - startedAt_;
-  if (age < kSettleTime) {
+  const std::optional<Time> settled = settledAt(now);
+  if (!settled) {
     return wasTold ? ReadDuty::kNone : ReadDuty::kStart;
   }
   if (duties_.isAlone || duties_.isReader) {
@@ -108,7 +136,7 @@
   if (now - upstreamReadAt_ <= trusted) {
     return ReadDuty::kNone;
   }
-  return !wasTold && age < kStartupTime ? ReadDuty::kStart : ReadDuty::kFallback;
+  return !wasTold && now < *settled + kStartupTime ? ReadDuty::kStart : ReadDuty::kFallback;
 }
 
 std::optional<size_t> MirrorRole::standbyRank() const {
@@ -168,6 +196,7 @@
   std::optional<NodeId> node;
   {
     const std::lock_guard<std::mutex> lock(mutex_);
+    noteGrowth(now);
     pollOffset_ += questions_.expire(now);
     if (now < nextPollAt_ || questions_.size() >= kMaxOpenQuestions) {
       return;
--- a/src/peers/mirror_role.h
+++ b/src/peers/mirror_role.h
@@ -99,6 +99,12 @@
     std::vector<NodeId> pollOrder;  ///< All other live nodes, in the order of preference.
   };
 
+  /// Notes whether many more members are known than before. Call with the lock held.
+  void noteGrowth(Time now);
+  /// @return since when this node has known enough of the members to tell its duties; nothing if it
+  ///         does not yet. Call with the lock held.
+  std::optional<Time> settledAt(Time now) const;
+
   static Duties dutiesOf(NodeId self, const MembershipSnapshot& members);
   std::optional<NodeId> nodeToAsk() const;
   /// Records the confirmed read of the rows in an answer, and moves on to another node if it is
@@ -141,7 +147,10 @@
   const Time startedAt_;
   mutable std::mutex mutex_;
   std::shared_ptr<const MembershipSnapshot> members_;
-  Duties duties_;  ///< Derived from `members_`.
+  Duties duties_;                  ///< Derived from `members_`.
+  size_t membersAtGrowth_ = 0;     ///< Other live nodes known at `grownAt_`.
+  Time grownAt_;                   ///< When many more nodes became known last.
+  std::optional<Time> settledAt_;  ///< Once the view has settled, it counts as settled for good.
   OpenQuestions questions_;
   std::array<uint64_t, kMirrorKinds>
       offered_{};                        ///< Newest revision of each kind that any node offered.
