Many engines are moved at the rate at which they can be ordered

Cause: a sixth of the engines was queried one after the other before an intent was written, 4 s for 1,612 engines, and orders are sent for 0.35 s after it: the more engines, the fewer were ordered for each intent, and the ledger named thousands that no order followed. The plan began the moves as if all engines of a round were ordered at once. Change: engines are queried for half of the life of an intent at most; the time that a query and an order take is learnt, and the plan begins early enough for all of them one after the other.

--- a/src/weights/weight_mover.cpp
+++ b/src/weights/weight_mover.cpp
@@ -18,6 +18,9 @@
 constexpr Duration kLeaderTimeoutJitter{500000};
 /// An order is sent within this time after the write of its intent began, or not at all.
 constexpr Duration kIntentLifetime{350000};
+/// Engines are queried for no longer than this before an intent is written. An order takes about as
+/// long as a report, and orders whose intent is too old are not sent.
+constexpr Duration kMaxQueryTime = kIntentLifetime / 2;
 /// The connection of an abandoned order is reset, so no part of it arrives later than this after it
 /// was started: the timeout of a call to an engine, once to connect and once for the answer.
 constexpr Duration kMaxOrderDelivery{500000};
@@ -39,6 +42,9 @@
 /// New requests avoid a moving engine for the usual duration of a move times this factor.
 constexpr double kAvoidFactor = 1.1;
 constexpr double kLearningRate = 0.3;
+constexpr size_t kMinLearnedOrders = 8;
+/// Longest time in seconds that one engine counts with in the estimate of the time to order many.
+constexpr double kMaxOrderTime = 0.02;
 /// Moves are kept in the ledger for this long after they stop blocking other nodes.
 constexpr Duration kLedgerRetention{600000};
 
@@ -74,6 +80,15 @@
   bounds_.moveTime = fromSeconds(std::clamp(learned, 0.2, 3.0));
 }
 
+void WeightMover::learnOrderTime(Duration took, size_t count) {
+  if (count < kMinLearnedOrders) {
+    return;  // Mostly the time of the ledger write, which many orders share.
+  }
+  const double each = toSeconds(took) / static_cast<double>(count);
+  bounds_.orderTime = fromSeconds(toSeconds(bounds_.orderTime) * (1 - kLearningRate) +
+                                  std::min(each, kMaxOrderTime) * kLearningRate);
+}
+
 uint64_t WeightMover::listedVersion(const std::string& engine, const std::string& model) const {
   const std::optional<BackendListing> listing = services_.engines.find(engine);
   return listing ? heldVersion(*listing, model) : 0;
@@ -163,10 +178,11 @@
                                                                 const WeightPlan& plan,
                                                                 size_t room) {
   std::vector<Candidate> picked;
+  const Time until = services_.clock.now() + kMaxQueryTime;
   for (const PlannedMove& move : plan.moves) {
     const Time now = services_.clock.now();
     const auto skipped = skipUntil_.find(move.engine);
-    if (picked.size() >= room) {
+    if (picked.size() >= room || now >= until) {
       break;
     }
     if (activeMoves_.count(move.engine) > 0 || isBlockedByOtherNode(move.engine, ledger, now) ||
@@ -330,6 +346,7 @@
     logWaitReason(WaitReason::kStoreRestored, plan);
     return kRetryInterval;
   }
+  const Time queriedAt = services_.clock.now();
   const std::vector<Candidate> candidates =
       pickCandidates(seen.ledger, plan, bounds_.maxConcurrentMoves - activeMoves_.size());
   if (candidates.empty()) {
@@ -344,6 +361,7 @@
   }
   logWaitReason(WaitReason::kNone, plan);
   sendOrders(candidates, *fence, intendedAt);
+  learnOrderTime(services_.clock.now() - queriedAt, candidates.size());
   return kActiveInterval;
 }
 
--- a/src/weights/weight_plan.cpp
+++ b/src/weights/weight_plan.cpp
@@ -32,7 +32,11 @@
   const size_t maxConcurrentMoves = std::max<size_t>(1, bounds.maxConcurrentMoves);
   for (size_t index = 0; index < plan.moves.size(); ++index) {
     const auto rounds = static_cast<Duration::rep>(index / maxConcurrentMoves + 1);
-    const Time latest = plan.moves[index].deadline - bounds.reserve - bounds.moveTime * rounds;
+    // One node orders one engine after the other, which takes longer than the moves if many engines
+    // are moved at once.
+    const Duration ordered = bounds.orderTime * static_cast<Duration::rep>(index) + bounds.moveTime;
+    const Duration needed = std::max(bounds.moveTime * rounds, ordered);
+    const Time latest = plan.moves[index].deadline - bounds.reserve - needed;
     plan.startBy = plan.startBy ? std::min(*plan.startBy, latest) : latest;
   }
   return plan;
--- a/src/weights/weight_plan.h
+++ b/src/weights/weight_plan.h
@@ -27,6 +27,7 @@
 struct PlanBounds {
   size_t maxConcurrentMoves = 2;  ///< Maximum number of concurrent moves.
   Duration moveTime{800000};      ///< Duration of one move, from its order to the next one.
+  Duration orderTime{5000};       ///< Time that the query and the order of one engine take.
   Duration reserve{2200000};      ///< Time reserved for a takeover by another node.
 };
 
--- a/test/weights/weight_mover_test.cpp
+++ b/test/weights/weight_mover_test.cpp
@@ -50,6 +50,29 @@
   checkOrders(world.engines.receivedOrders, kLease);
 }
 
+TEST_CASE("of many engines only those are named in the ledger that can be ordered in time") {
+  constexpr size_t kEngines = 1800;
+  constexpr Duration kCallTime{2500};
+  WeightWorld world(1, kEngines);
+  world.engines.onReport = [&] { world.clock.advance(kCallTime); };
+  world.engines.onOrder = [&] { world.clock.advance(kCallTime); };
+  world.setDesiredVersion(2);
+  while (world.engines.receivedOrders.empty()) {
+    world.run(std::chrono::milliseconds(20));
+  }
+  const Time began = world.clock.now();
+  world.run(std::chrono::seconds(3));
+  const size_t named = world.store.ledger.moves.size();
+  CHECK(named <= world.engines.receivedOrders.size());
+  while (world.enginesAt(2) < kEngines && world.clock.now() - began < std::chrono::minutes(1)) {
+    world.run(std::chrono::milliseconds(100));
+  }
+  const double perSecond = static_cast<double>(kEngines) / toSeconds(world.clock.now() - began);
+  MESSAGE("engines moved in a second: ", perSecond);
+  CHECK(world.enginesAt(2) == kEngines);
+  CHECK(perSecond > 130);
+}
+
 TEST_CASE("an engine that restarts under its id is moved again") {
   WeightWorld world(3, 6);
   world.setDesiredVersion(2);
--- a/test/weights/weight_plan_test.cpp
+++ b/test/weights/weight_plan_test.cpp
@@ -50,6 +50,11 @@
   }
   CHECK(planMoves(engines, desired, bounds).startBy == at(8000 - 2200 - 2 * 800));
   CHECK_FALSE(planMoves({engine("a", 2)}, desired, bounds).startBy.has_value());
+  SUBCASE("so early that one node can order all of them one after the other") {
+    bounds.orderTime = std::chrono::milliseconds(700);
+    CHECK(planMoves(engines, desired, bounds).startBy ==
+          at(8000 - 2200 - 800 - 700 * (static_cast<int64_t>(engines.size()) - 1)));
+  }
 }
 
 }  // namespace fernmoor::weights
--- a/test/weights/weight_world.h
+++ b/test/weights/weight_world.h
@@ -112,6 +112,9 @@
     return EngineReport{engine.next != 0, engine.orders, engine.version, engine.startedAt};
   }
   OrderAnswer order(const WeightOrder& order) override {
+    if (onOrder) {
+      onOrder();
+    }
     const bool isDelayed = order.holder == delayedLeader;
     const Time at = clock_.now() + (isDelayed ? orderDelay : Duration(0));
     receivedOrders.push_back(
@@ -140,6 +143,7 @@
   Duration loadTime{630000};
   bool answersLost = false;
   std::function<void()> onReport;  ///< Called while a report is in transit.
+  std::function<void()> onOrder;   ///< Called while an order is in transit.
   std::string delayedLeader;       ///< Its orders reach engines late and are not executed.
   Duration orderDelay{};
 
