A list of any length is packed in blocks

Cause: the whole list was packed as one block of 4 MB unpacked at most; at 250 bytes an entry a list of 20,000 back ends would be an error on every node that starts, and packing held all of it in three forms at once. Change: blocks of 512 KB, packed and unpacked one by one. Test: packed_entries_test, 24,000 entries of 250 bytes, is decoded; kTooLarge before.

--- a/src/peers/packed_entries.cpp
+++ b/src/peers/packed_entries.cpp
@@ -13,8 +13,11 @@
 /// Fastest level of zlib. Compressing a table of 650 KB takes about 10 ms of one core, and the
 /// result is at most a few tenths larger than that of the slowest level.
 constexpr int kCompressionLevel = 1;
-/// The largest object of the store has 1 MB, and its entries repeat names of it.
-constexpr size_t kMaxUnpackedBytes = 4U << 20U;
+/// A list of any length is packed in blocks of about this many bytes, so that neither side holds
+/// all of it in several forms at once.
+constexpr size_t kBlockBytes = 512U << 10U;
+/// One entry may exceed the size of a block: the largest object of the store has 1 MB.
+constexpr size_t kMaxUnpackedBytes = 2U << 20U;
 constexpr size_t kReadBufferBytes = 16384;
 
 void encodeEntry(const MirrorEntry& entry, proto::MirrorEntry& out) {
@@ -26,14 +29,11 @@
 }
 
 template <class Entries>
-std::vector<MirrorEntry> decodeEntries(const Entries& messages) {
-  std::vector<MirrorEntry> entries;
-  entries.reserve(static_cast<size_t>(messages.size()));
+void decodeEntries(const Entries& messages, std::vector<MirrorEntry>& entries) {
   for (const proto::MirrorEntry& entry : messages) {
     entries.push_back(
         MirrorEntry{entry.name(), entry.revision(), entry.gone(), entry.text(), entry.lost()});
   }
-  return entries;
 }
 
 Error unpackError(ErrorKind kind, const std::string& what) {
@@ -60,41 +60,58 @@
   return out;
 }
 
+void packBlock(const proto::MirrorEntries& entries, proto::PackedEntries& block) {
+  std::ostringstream out;
+  Poco::DeflatingOutputStream deflating(out, Poco::DeflatingStreamBuf::STREAM_ZLIB,
+                                        kCompressionLevel);
+  entries.SerializeToOstream(&deflating);
+  deflating.close();
+  block.set_packed(out.str());
+  block.set_unpacked_bytes(entries.ByteSizeLong());
+}
+
 }  // namespace
 
 void packEntries(const std::vector<MirrorEntry>& entries, size_t plainBytes,
                  proto::MirrorChanges& changes) {
   proto::MirrorEntries message;
+  size_t bytes = 0;
   for (const MirrorEntry& entry : entries) {
-    encodeEntry(entry, *message.add_entries());
+    proto::MirrorEntry& added = *message.add_entries();
+    encodeEntry(entry, added);
+    bytes += added.ByteSizeLong();
+    if (bytes >= kBlockBytes) {
+      packBlock(message, *changes.add_blocks());
+      message.clear_entries();
+      bytes = 0;
+    }
   }
-  if (message.ByteSizeLong() <= plainBytes) {
+  const bool isShort = changes.blocks().empty() && message.ByteSizeLong() <= plainBytes;
+  if (isShort) {
     changes.mutable_entries()->Swap(message.mutable_entries());
-    return;
+  } else if (message.entries_size() > 0) {
+    packBlock(message, *changes.add_blocks());
   }
-  std::ostringstream out;
-  Poco::DeflatingOutputStream deflating(out, Poco::DeflatingStreamBuf::STREAM_ZLIB,
-                                        kCompressionLevel);
-  message.SerializeToOstream(&deflating);
-  deflating.close();
-  changes.set_packed_entries(out.str());
-  changes.set_unpacked_bytes(message.ByteSizeLong());
 }
 
 Result<std::vector<MirrorEntry>> unpackEntries(const proto::MirrorChanges& changes) {
-  if (changes.packed_entries().empty()) {
-    return decodeEntries(changes.entries());
-  }
-  const size_t size = changes.unpacked_bytes();
-  if (size > kMaxUnpackedBytes) {
-    return unpackError(ErrorKind::kTooLarge, "exceed the maximum size of a table");
-  }
-  proto::MirrorEntries message;
-  const std::string bytes = inflate(changes.packed_entries(), size);
-  if (bytes.size() != size || !message.ParseFromString(bytes)) {
-    return unpackError(ErrorKind::kInvalidRequest, "can't be decompressed");
+  std::vector<MirrorEntry> entries;
+  decodeEntries(changes.entries(), entries);
+  for (const proto::PackedEntries& block : changes.blocks()) {
+    const size_t size = block.unpacked_bytes();
+    if (size > kMaxUnpackedBytes) {
+      return unpackError(ErrorKind::kTooLarge,
+                         "have a block of " + std::to_string(size) + " bytes, at most " +
+                             std::to_string(kMaxUnpackedBytes) + " are accepted");
+    }
+    proto::MirrorEntries message;
+    const std::string bytes = inflate(block.packed(), size);
+    if (bytes.size() != size || !message.ParseFromString(bytes)) {
+      return unpackError(ErrorKind::kInvalidRequest, "can't be decompressed");
+    }
+    decodeEntries(message.entries(), entries);
   }
-  return decodeEntries(message.entries());
+  return entries;
 }
 
 }  // namespace fernmoor::peers
