--- a/test/process/scenarios.py
+++ b/test/process/scenarios.py
@@ -5,6 +5,7 @@
 import pathlib
 import subprocess
 import sys
+import time
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 SOAK_FOLDER = ROOT / "test" / "platform_soak"
@@ -13,6 +14,19 @@
 import judge  # noqa: E402  (the path above comes first)
 
 
+PATIENCE_SECONDS = 40
+
+
+def wait_for(condition, what):
+    """Waits until the condition holds. Raises AssertionError, which names what was waited for, where it does not."""
+    end = time.monotonic() + PATIENCE_SECONDS
+    while time.monotonic() < end:
+        if condition():
+            return
+        time.sleep(0.05)
+    raise AssertionError(f"in vain: {what}")
+
+
 def end_and_judge(world, callers):
     """Ends callers and gateways. Raises where a rule was broken."""
     world.stopping.set()
