--- a/src/gateway/cut_off_runs.cpp
+++ b/src/gateway/cut_off_runs.cpp
@@ -41,6 +41,12 @@
     runs_.pop_front();
   }
   hasRuns_ = true;
+  added_.notify_one();
+}
+
+void CutOffRuns::waitForRuns() {
+  std::unique_lock<std::mutex> lock(mutex_);
+  added_.wait(lock, [this] { return !runs_.empty(); });
 }
 
 void CutOffRuns::noteAlive(uint64_t incarnation, Time at) {
--- a/src/gateway/cut_off_runs.h
+++ b/src/gateway/cut_off_runs.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include <atomic>
+#include <condition_variable>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -45,6 +46,8 @@
   /// Records that this process of a back end sent data at time `at`: runs that were cut off earlier
   /// did not crash it, and are dropped.
   void noteAlive(uint64_t incarnation, Time at);
+  /// Blocks until there is a run to look for evidence for.
+  void waitForRuns();
   /// Looks for evidence; to be called every `kStep`. Blocks while it probes a few back ends.
   void step();
   size_t size() const;
@@ -79,6 +82,7 @@
   const AskStart askStart_;
   RequestQuarantine& quarantine_;
   mutable std::mutex mutex_;
+  std::condition_variable added_;     ///< Notified when `runs_` grows.
   std::deque<CutOffRun> runs_;        ///< In the order in which they were recorded.
   std::atomic<bool> hasRuns_{false};  ///< `runs_` isn't empty.
 };
--- a/src/quarantine/quarantine_table.cpp
+++ b/src/quarantine/quarantine_table.cpp
@@ -28,6 +28,7 @@
     return true;
   }
   entry->second.since = std::min(entry->second.since, request.since);
+  added_.notify_one();
   if (entries_.size() > kMaxQuarantined) {
     entries_.erase(std::min_element(
         entries_.begin(), entries_.end(),
@@ -36,6 +37,11 @@
   return isNew;
 }
 
+void QuarantineTable::waitForAny() {
+  std::unique_lock<std::mutex> lock(mutex_);
+  added_.wait(lock, [this] { return !entries_.empty(); });
+}
+
 void QuarantineTable::noteStored(uint64_t fingerprint) {
   const std::lock_guard<std::mutex> lock(mutex_);
   const auto found = entries_.find(fingerprint);
--- a/src/quarantine/quarantine_table.h
+++ b/src/quarantine/quarantine_table.h
@@ -4,6 +4,7 @@
 /// survive a restart of all nodes.
 #pragma once
 
+#include <condition_variable>
 #include <cstdint>
 #include <map>
 #include <mutex>
@@ -39,6 +40,8 @@
   /// Drops the expired requests. @return those of them that are in the store.
   std::vector<uint64_t> takeExpired(Time now);
   size_t size() const;
+  /// Blocks until a request is quarantined.
+  void waitForAny();
 
  private:
   struct Entry {
@@ -47,6 +50,7 @@
   };
 
   mutable std::mutex mutex_;
+  std::condition_variable added_;  ///< Notified when `entries_` grows.
   std::map<uint64_t, Entry> entries_;
 };
 
--- a/test/gateway/cut_off_runs_test.cpp
+++ b/test/gateway/cut_off_runs_test.cpp
@@ -4,6 +4,9 @@
 
 #include <doctest/doctest.h>
 
+#include <atomic>
+#include <thread>
+
 #include "sim/virtual_clock.h"
 #include "test/gateway/forwarder_world.h"
 
@@ -138,4 +141,20 @@
   CHECK(world.runs.size() == 0);
 }
 
+TEST_CASE("the search for evidence sleeps until a run is cut off") {
+  CutOffWorld world;
+  world.runs.noteAlive(incarnationHash(world.listing), world.clock.now() + kTick);
+  REQUIRE(world.runs.size() == 0);
+  std::atomic<bool> isAwake{false};
+  std::thread search([&] {
+    world.runs.waitForRuns();
+    isAwake = true;
+  });
+  CHECK_FALSE(isAwake);
+  world.cut();
+  search.join();
+  CHECK(isAwake);
+  world.runs.waitForRuns();  // Returns at once while there is one.
+}
+
 }  // namespace fernmoor::gateway
--- a/test/quarantine/quarantine_table_test.cpp
+++ b/test/quarantine/quarantine_table_test.cpp
@@ -4,6 +4,8 @@
 
 #include <doctest/doctest.h>
 
+#include <thread>
+
 #include "quarantine/served_memory.h"
 
 namespace fernmoor::quarantine {
@@ -75,4 +77,12 @@
   CHECK(memory.wasServedAfter(4999, at(0)));
 }
 
+TEST_CASE("a thread that waits for quarantined requests wakes up for the first one") {
+  QuarantineTable table;
+  std::thread waiting([&] { table.waitForAny(); });
+  CHECK(table.add(Quarantined{7, Time()}, Time()));
+  waiting.join();
+  table.waitForAny();  // Returns at once while there is one.
+}
+
 }  // namespace fernmoor::quarantine
