--- a/src/membership/member_status.h
+++ b/src/membership/member_status.h
@@ -1,5 +1,5 @@
 /// @file
-/// What the members say about each other, and which of two statements counts.
+/// Statements of members about each other, and which of two statements takes precedence.
 #pragma once
 
 #include <cstdint>
@@ -10,24 +10,24 @@
 
 namespace fernmoor {
 
-/// How one life of a member is held to be; the later enumerator counts for the same sequence.
+/// Believed health of one incarnation of a member; for the same sequence the later enumerator wins.
 enum class MemberHealth : uint8_t {
   kAlive,
   kSuspect,
   kDead,
-  kLeft,  ///< Said by the member itself when it stops; needs no suspicion before it.
+  kLeft,  ///< Announced by the member itself when it stops; no suspicion precedes it.
 };
 
-/// What can change in one life of a member.
+/// What can change within one incarnation of a member.
 struct MemberStatus {
   NodeLife life;
   uint32_t sequence = 0;  ///< Raised by the member alone.
   MemberHealth health = MemberHealth::kAlive;
   bool draining = false;
-  TableVersion tableVersion;  ///< Last known to be in force there; never falls in one life.
+  TableVersion tableVersion;  ///< Last known in force there; never falls within an incarnation.
 };
 
-/// What stays the same in one life of a member.
+/// What does not change within one incarnation of a member.
 struct MemberIdentity {
   ZoneId zone;
   RegionId region;
@@ -36,15 +36,15 @@
   uint32_t linkMegabits = 0;  ///< Bandwidth of its own link in Mbit/s; 0: unknown.
 };
 
-/// A statement about one life of one member, as it is passed on.
+/// A statement about one incarnation of one member, as it is forwarded.
 struct MemberStatement {
   MemberStatus status;
-  std::optional<MemberIdentity> identity;  ///< Absent where the life is expected to be known.
+  std::optional<MemberIdentity> identity;  ///< Absent if receivers know the incarnation.
 };
 
 /// Order of statements about one node: by incarnation, then sequence, then health. (The order of
 /// SWIM with one change: a greater sequence also overrides "dead", so that a node which was only
-/// paused or cut off returns in the same life.)
+/// paused or cut off returns in the same incarnation.)
 /// @return whether `candidate` replaces `held`.
 inline bool overrides(const MemberStatus& candidate, const MemberStatus& held) {
   if (candidate.life.incarnation != held.life.incarnation) {
--- a/src/membership/member_table.h
+++ b/src/membership/member_table.h
@@ -20,10 +20,10 @@
 enum class MergeOutcome {
   kStale,            ///< Nothing new.
   kChanged,          ///< Accepted; worth passing on.
-  kNewLife,          ///< Accepted, and the life was unknown; pass on with its identity.
+  kNewLife,          ///< Accepted; the incarnation was unknown, so forward its identity too.
   kRefuted,          ///< It accused this node, whose sequence has grown; pass on its own state.
-  kSuperseded,       ///< Another life of this node, with a greater incarnation, was heard of.
-  kIdentityMissing,  ///< The life is unknown and no identity came with it; ask for it.
+  kSuperseded,       ///< A greater incarnation of this node itself is known to others.
+  kIdentityMissing,  ///< Unknown incarnation without an identity; request it.
   kConflict,         ///< Held to be dead here and live there; let the member itself decide.
 };
 
@@ -31,7 +31,7 @@
 struct MemberEntry {
   MemberStatus status;
   MemberIdentity identity;
-  Time askAgainAt;    ///< When a suspect is asked directly, in case its refutation was lost.
+  Time askAgainAt;    ///< When a suspect is probed directly, in case its refutation was lost.
   Time suspectUntil;  ///< When a suspect counts as dead.
   Time deadSince;     ///< Since when a dead member is remembered.
 };
@@ -53,7 +53,8 @@
 
   /// Takes a statement of another node.
   MergeOutcome merge(const MemberStatement& statement, Time now);
-  /// Raises the version known to be in force on a life; a lower one or another life is ignored.
+  /// Raises the version known in force on an incarnation; a lower version or another incarnation is
+  /// ignored.
   /// @return whether it rose.
   bool raiseTableVersion(NodeLife life, TableVersion version);
 
--- a/src/membership/membership_role.cpp
+++ b/src/membership/membership_role.cpp
@@ -165,7 +165,7 @@
   const MemberEntry* const known = table_.find(from.node);
   const bool formerLife = known != nullptr && known->status.life.incarnation > from.incarnation;
   if (formerLife) {
-    // Late, or from a process that does not know that it was superseded; the answer tells it.
+    // Late, or from a process that does not know yet that it was superseded; the ack informs it.
     if (message.has_ping()) {
       messenger_.ack(from.node, message.ping().nonce());
     }
@@ -347,7 +347,7 @@
 }
 
 std::vector<NodeId> MembershipRole::nextGossipTargets() {
-  // All peers in turn, in random order: a small cluster is then told as a whole, which independent
+  // All peers in a random order: this way a small cluster is reached completely, which independent
   // draws would leave to chance.
   const auto fanout = static_cast<size_t>(knobs_.membershipGossipFanout);
   std::vector<NodeId> targets = table_.randomAlivePeersOfZone(table_.self().identity.zone, random_);
--- a/src/membership/membership_role.h
+++ b/src/membership/membership_role.h
@@ -25,7 +25,7 @@
 
 /// What a node's membership starts from.
 struct MembershipSettings {
-  Member self;  ///< Life, zone, region and addresses of this node.
+  Member self;  ///< Incarnation, zone, region and addresses of this node.
   std::vector<Seed> seeds;
   Knobs knobs;
   uint64_t randomSeed = 0;
@@ -59,16 +59,16 @@
   /// Adds candidates to ask, from the settings or from a list that lags. A seed never makes a node
   /// alive or dead.
   void addSeeds(const std::vector<Seed>& seeds);
-  /// Says which table version is in force here; a lower one than before is ignored.
+  /// Announces which table version is in force here; a lower one than before is ignored.
   void setLocalTableVersion(TableVersion version);
-  /// Says whether this node takes new work.
+  /// Announces whether this node accepts new work.
   void setDraining(bool draining);
   /// Tells some members that this node stops now, and falls silent for good.
   void leave(MessageSender& sender);
 
-  /// @return whether a node told of all members, or the seeds were silent for too long.
+  /// @return whether a node sent all its members, or the seeds did not answer for too long.
   bool joined() const;
-  /// @return a greater incarnation of this node that was heard of, if any: another process runs
+  /// @return a greater incarnation of this node known to others, if any: another process runs
   /// under this node's id, or its clock went back. This role is silent from then on; start anew
   /// with a greater incarnation, or stop.
   std::optional<Incarnation> supersededBy() const;
@@ -82,7 +82,7 @@
   bool canReach(const std::vector<OutgoingMessage>& messages) const;
   bool takeHeartbeat(NodeLife from, const proto::MembershipMessage& message, Time now);
   bool takeUpdates(NodeId from, const proto::MembershipMessage& message, Time now);
-  /// @return whether the statement told of a new life.
+  /// @return whether the statement was about an unknown incarnation.
   bool take(NodeId from, const MemberStatement& statement, Time now);
   /// Where hearsay makes most of a zone suspect, asks those of it that are still held alive: the
   /// hearsay about them may have been lost.
@@ -108,7 +108,7 @@
   MembershipCounters counters_;
   std::optional<Incarnation> supersededBy_;
   std::optional<Time> lastTickAt_;
-  std::vector<NodeId> gossipOrder_;  ///< Peers still to be told in this turn, the next one last.
+  std::vector<NodeId> gossipOrder_;  ///< Peers left in this round of gossip, the next one last.
   Time nextGossipAt_;
   bool addressesChanged_ = false;
   uint64_t publishedChanges_ = 0;
--- a/src/membership/membership_snapshot.h
+++ b/src/membership/membership_snapshot.h
@@ -23,13 +23,13 @@
   std::vector<Member> members;         ///< All but the dead, this node included, by node id.
   std::vector<NodeAddress> addresses;  ///< For the transport; by node id.
   TableVersion newestTableVersion;     ///< Highest version known to be in force on any node.
-  NodeId newestTableHolder;            ///< A node that said so; fetch the table from it.
+  NodeId newestTableHolder;            ///< A node that reported it; fetch the table from it.
 
   /// @return the member, or null if it is unknown or dead. Binary search.
   const Member* find(NodeId node) const;
-  /// @return the member if it is still in that life, else null.
+  /// @return the member if it is still in that incarnation, else null.
   const Member* find(NodeLife life) const;
-  /// @return where messages to the node go, or none if it was never heard of.
+  /// @return the address for messages to the node; nothing if the node is unknown.
   std::optional<SocketAddress> addressOf(NodeId node) const;
   /// @return this node itself.
   const Member& selfMember() const;
--- a/src/membership/messenger.cpp
+++ b/src/membership/messenger.cpp
@@ -11,9 +11,9 @@
 
 namespace {
 
-/// Left free in a datagram for the envelope, the sender's life and the tag.
+/// Left free in a datagram for the envelope, the sender's incarnation and the tag.
 constexpr size_t kEnvelopeReserveBytes = 64;
-/// Enough for a small cluster to be told as a whole by the first teller.
+/// Enough for the first sender alone to reach all of a small cluster.
 constexpr int64_t kMinimumTransmissions = 9;
 /// With more updates pending than this, as after a restart of all nodes, each is sent fewer times:
 /// the comparisons of tables repair what some nodes missed at a lower cost.
--- a/src/membership/messenger.h
+++ b/src/membership/messenger.h
@@ -46,7 +46,7 @@
 
   /// @return how often each node passes on an update: retransmitFactor times ln(members + 1).
   int64_t retransmitLimit() const;
-  /// @return in how many rounds of gossip something is told that often.
+  /// @return the rounds of gossip in which an update is sent that often.
   int64_t gossipRounds() const;
 
   /// @return the messages made so far, which are taken out.
--- a/src/membership/prober.h
+++ b/src/membership/prober.h
@@ -17,9 +17,9 @@
 
 /// Why a member is probed.
 enum class ProbePurpose {
-  kPeriodic,   ///< Its turn came.
+  kPeriodic,   ///< Next in the round.
   kNeighbour,  ///< Another member of its zone did not answer: perhaps the whole zone is cut off.
-  kChallenge,  ///< Held to be dead here, live elsewhere: it shall refute, or the others be told.
+  kChallenge,  ///< Dead here, live elsewhere: either it refutes, or others learn that it is dead.
   kLastWord,   ///< A suspect that half its time is over for: its refutation may have been lost.
 };
 
@@ -27,7 +27,7 @@
 struct ProbeFailure {
   NodeLife target;
   ProbePurpose purpose = ProbePurpose::kPeriodic;
-  NodeId teller;  ///< Who holds a challenged member to be live.
+  NodeId teller;  ///< Sender of the statement that a challenged member is live.
 };
 
 /// Not thread-safe; works on state that its owner guards.
@@ -36,7 +36,7 @@
   /// All references outlive the prober.
   Prober(const MemberTable& table, Messenger& messenger, Random& random, const Knobs& knobs);
 
-  /// Starts the periodic probe when it is due, asks relays, and gives up.
+  /// Starts the periodic probe when due, sends indirect probes, and reports probes that timed out.
   /// @return the probes that failed.
   std::vector<ProbeFailure> onTick(Time now);
   /// Takes an answer, direct or passed on.
@@ -46,7 +46,7 @@
 
   /// Wants a member that is held to be dead or suspect to be asked soon, directly; at most a few
   /// per tick are.
-  /// @param teller of a challenge: who holds the target to be live.
+  /// @param teller of a challenge: sender of the statement that the target is live.
   void askSoon(NodeId target, ProbePurpose purpose, NodeId teller = NodeId());
   /// Wants some other members of the target's zone to be probed soon, unless it is this node's own:
   /// a cut-off zone is then found out in a few generations of probes instead of one by one.
--- a/src/membership/synchronizer.cpp
+++ b/src/membership/synchronizer.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-/// Nodes asked at once while joining.
+/// Nodes queried in parallel while joining.
 constexpr size_t kJoinTargets = 2;
 /// Bounds what other nodes can make this one remember.
 constexpr size_t kMaximumAskSoon = 16;
@@ -14,7 +14,7 @@
 constexpr uint32_t kMaximumPages = 4096;
 /// Time for the other pages of an answer to come in before what they lack is sent back.
 constexpr Duration kPushBackDelay = std::chrono::milliseconds(200);
-/// After a comparison that brought news the next one comes this much sooner.
+/// Factor by which the next comparison comes sooner after one that found unknown members.
 constexpr int kHurry = 10;
 
 std::optional<MemberTable::BucketHashes> readHashes(
--- a/src/membership/synchronizer.h
+++ b/src/membership/synchronizer.h
@@ -34,7 +34,7 @@
 
   void onTick(Time now);
   void onRequest(NodeId from, const proto::MembershipSyncRequest& request);
-  /// @param newLives whether the page told of lives that were unknown.
+  /// @param newLives whether the page named unknown incarnations.
   void onPage(NodeId from, const proto::MembershipSyncPage& page, bool newLives, Time now);
 
   /// Wants to know who the sender is, and whom it knows.
--- a/src/membership/update_queue.h
+++ b/src/membership/update_queue.h
@@ -16,7 +16,7 @@
 /// One member's pending update.
 struct PendingUpdate {
   NodeId node;
-  bool withIdentity = false;  ///< Receivers may not know this life.
+  bool withIdentity = false;  ///< Receivers may not know this incarnation.
 };
 
 /// Bounded by the number of members, since it holds one entry for each. Not thread-safe.
--- a/src/membership/version_spread.h
+++ b/src/membership/version_spread.h
@@ -18,7 +18,7 @@
  public:
   /// @return the highest version known to be in force on any node; it never falls.
   TableVersion newest() const { return newest_; }
-  /// @return a node that said so.
+  /// @return a node that reported it.
   NodeId holder() const { return holder_; }
 
   /// Takes the version that a node has in force, by its own word or another's. News starts rounds
@@ -36,8 +36,8 @@
 
   /// Writes the set of live members that have the newest version in force.
   void encodeReport(const MemberTable& table, proto::VersionReport& report) const;
-  /// Takes a report. One that speaks of unknown lives is ignored as a whole.
-  /// @return whether it told of a member with the newest version that was not known to have it.
+  /// Applies a report. A report that names unknown incarnations is ignored as a whole.
+  /// @return whether it named a member with the newest version that was not known to have it.
   bool applyReport(const proto::VersionReport& report, MemberTable& table) const;
 
  private:
