Engines that do not answer do not keep the others from being moved

Change: only the reports that were answered count. Test: weight_mover_test, 8 of 24 engines silent: 0 of the other 16 moved within 12 s before, 16 now.

--- a/src/weights/weight_mover.cpp
+++ b/src/weights/weight_mover.cpp
@@ -18,8 +18,8 @@
 constexpr Duration kLeaderTimeoutJitter{500000};
 /// An order is sent within this time after the write of its intent began, or not at all.
 constexpr Duration kIntentLifetime{350000};
-/// Engines are queried for no longer than this before an intent is written. An order takes about as
-/// long as a report, and orders whose intent is too old are not sent.
+/// The reports of engines that are named in one intent take no longer than this in all. An order
+/// takes about as long as a report, and orders whose intent is too old are not sent.
 constexpr Duration kMaxQueryTime = kIntentLifetime / 2;
 /// The connection of an abandoned order is reset, so no part of it arrives later than this after it
 /// was started: the timeout of a call to an engine, once to connect and once for the answer.
@@ -178,11 +178,11 @@
                                                                 const WeightPlan& plan,
                                                                 size_t room) {
   std::vector<Candidate> picked;
-  const Time until = services_.clock.now() + kMaxQueryTime;
+  Duration answering{0};  // Without engines that do not answer: those get no order.
   for (const PlannedMove& move : plan.moves) {
     const Time now = services_.clock.now();
     const auto skipped = skipUntil_.find(move.engine);
-    if (picked.size() >= room || now >= until) {
+    if (picked.size() >= room || answering >= kMaxQueryTime) {
       break;
     }
     if (activeMoves_.count(move.engine) > 0 || isBlockedByOtherNode(move.engine, ledger, now) ||
@@ -194,6 +194,7 @@
       skipUntil_[move.engine] = services_.clock.now() + kUnresponsiveBackoff;
       continue;
     }
+    answering += services_.clock.now() - now;
     if (valueOf(report).version >= move.version) {
       services_.engines.noteWeights(move.engine, move.model, valueOf(report).version);
       continue;
--- a/test/weights/weight_mover_test.cpp
+++ b/test/weights/weight_mover_test.cpp
@@ -73,6 +73,17 @@
   CHECK(perSecond > 130);
 }
 
+TEST_CASE("engines that do not answer do not keep the others from being moved") {
+  WeightWorld world(3, 24);
+  for (int index = 0; index < 8; ++index) {
+    world.engines.silent.insert("e" + std::to_string(index));
+  }
+  world.engines.onSilence = [&] { world.clock.advance(std::chrono::milliseconds(250)); };
+  world.setDesiredVersion(2);
+  world.run(std::chrono::milliseconds(12000));
+  CHECK(world.enginesAt(2) == 16);
+}
+
 TEST_CASE("an engine that restarts under its id is moved again") {
   WeightWorld world(3, 6);
   world.setDesiredVersion(2);
--- a/test/weights/weight_world.h
+++ b/test/weights/weight_world.h
@@ -106,6 +106,9 @@
       onReport();
     }
     if (silent.count(name) > 0) {
+      if (onSilence) {
+        onSilence();
+      }
       return Error{ErrorKind::kUnavailable, "silent", RunState::kUnknown, std::nullopt};
     }
     Engine& engine = settle(name);
@@ -142,9 +145,10 @@
   std::vector<ReceivedOrder> receivedOrders;
   Duration loadTime{630000};
   bool answersLost = false;
-  std::function<void()> onReport;  ///< Called while a report is in transit.
-  std::function<void()> onOrder;   ///< Called while an order is in transit.
-  std::string delayedLeader;       ///< Its orders reach engines late and are not executed.
+  std::function<void()> onReport;   ///< Called while a report is in transit.
+  std::function<void()> onOrder;    ///< Called while an order is in transit.
+  std::function<void()> onSilence;  ///< Called while a report that gets no answer times out.
+  std::string delayedLeader;        ///< Its orders reach engines late and are not executed.
   Duration orderDelay{};
 
  private:
