--- a/src/backends/backend_set.h
+++ b/src/backends/backend_set.h
@@ -142,9 +142,8 @@
   bool noteRest(uint64_t incarnation, Time until, RestOf whom);
   /// @return the statements in effect; nothing if the back end accepts requests.
   std::optional<Withdrawal> withdrawal(uint64_t incarnation, Time now) const;
-  /// @return the leaving and resting incarnations to announce to other nodes, sorted. Those that
-  /// the
-  ///         list shows as leaving are left out: during a release they are a large part of it.
+  /// @return the leaving and resting incarnations to announce to other nodes, sorted; without those
+  ///         that the list shows as leaving, a large part of it during a release.
   std::vector<uint64_t> withdrawn(Time now) const;
   WithdrawnCounts withdrawnCounts(Time now) const;
   /// @return whether a request may still be sent to the listed incarnation now.
--- a/src/bench/gateway_slope.cpp
+++ b/src/bench/gateway_slope.cpp
@@ -59,7 +59,7 @@
   return listings;
 }
 
-/// The load of all nodes is unknown, so that only the choice itself is measured.
+/// Knows no load of any engine, so a choice queries no other node.
 class UnknownLoads : public gateway::EngineLoads {
  public:
   std::optional<gateway::LoadAnswer> reserve(uint64_t, const gateway::EngineDemand&,
--- a/src/weights/weight_mover.cpp
+++ b/src/weights/weight_mover.cpp
@@ -18,8 +18,8 @@
 constexpr Duration kLeaderTimeoutJitter{500000};
 /// An order is sent within this time after the write of its intent began, or not at all.
 constexpr Duration kIntentLifetime{350000};
-/// The reports of engines that are named in one intent take no longer than this in all. An order
-/// takes about as long as a report, and orders whose intent is too old are not sent.
+/// Bounds the total time of the reports of engines that are named in one intent. The orders that
+/// follow take one call each too, and must be sent within the lifetime of the intent.
 constexpr Duration kMaxQueryTime = kIntentLifetime / 2;
 /// The connection of an abandoned order is reset, so no part of it arrives later than this after it
 /// was started: the timeout of a call to an engine, once to connect and once for the answer.
