Entries are indexed by revision without a second search by name

An entry found by its revision was looked up by name in one or two maps, through a copied string, and copied twice when it was put in. The index now holds the entries themselves, ordered by revision and name.

--- a/src/peers/state_mirror.cpp
+++ b/src/peers/state_mirror.cpp
@@ -16,17 +16,18 @@
   for (auto* const entries : {&state.entries, &state.gone}) {
     const auto known = entries->find(name);
     if (known != entries->end()) {
-      state.byRevision.erase({known->second.revision, known->first});
+      state.byRevision.erase(&known->second);
       entries->erase(known);
     }
   }
 }
 
-void StateMirror::put(KindState& state, const MirrorEntry& entry) {
+void StateMirror::put(KindState& state, MirrorEntry entry) {
   drop(state, entry.name);
   auto& entries = entry.isGone ? state.gone : state.entries;
-  const auto added = entries.emplace(entry.name, entry).first;
-  state.byRevision.emplace(entry.revision, added->first);
+  const std::string name = entry.name;
+  const auto added = entries.emplace(name, std::move(entry)).first;
+  state.byRevision.insert(&added->second);
 }
 
 void StateMirror::forgetOldRemovals(KindState& state) {
@@ -92,7 +93,7 @@
       MirrorEntry held = entry;
       held.revision = isDated ? entry.revision : delta.toRevision;
       held.text = entry.isGone ? "" : entry.text;
-      put(state, held);
+      put(state, std::move(held));
     }
     forgetOldRemovals(state);
     state.isKnown = true;
@@ -192,12 +193,9 @@
     }
     return;
   }
-  const auto first = state.byRevision.lower_bound({from + 1, std::string_view()});
-  for (auto each = first; each != state.byRevision.end(); ++each) {
+  for (auto each = state.byRevision.upper_bound(from); each != state.byRevision.end(); ++each) {
     ++entriesExamined_;
-    const std::string name(each->second);
-    const auto present = state.entries.find(name);
-    take(present != state.entries.end() ? present->second : state.gone.at(name));
+    take(**each);
   }
 }
 
--- a/src/peers/state_mirror.h
+++ b/src/peers/state_mirror.h
@@ -19,8 +19,7 @@
 #include <optional>
 #include <set>
 #include <string>
-#include <string_view>
-#include <utility>
+#include <tuple>
 #include <vector>
 
 #include "common/store_revision.h"
@@ -102,6 +101,19 @@
   uint64_t entriesExamined() const;
 
  private:
+  /// Orders entries by revision, then by name; a revision alone compares with all entries of it.
+  struct ByRevision {
+    using is_transparent = void;
+    bool operator()(const MirrorEntry* left, const MirrorEntry* right) const {
+      return std::tie(left->revision, left->name) < std::tie(right->revision, right->name);
+    }
+    bool operator()(uint64_t revision, const MirrorEntry* entry) const {
+      return revision < entry->revision;
+    }
+    bool operator()(const MirrorEntry* entry, uint64_t revision) const {
+      return entry->revision < revision;
+    }
+  };
   struct KindState {
     bool isKnown = false;
     uint64_t revision = 0;
@@ -115,9 +127,8 @@
     /// forgotten.
     std::map<std::string, MirrorEntry> gone;
     uint64_t goneKnownSince = 0;  ///< Removals after this revision are all in `gone`.
-    /// Revision and name of each entry in `entries` and `gone`, which have no name in common. The
-    /// names are those of the entries.
-    std::set<std::pair<uint64_t, std::string_view>> byRevision;
+    /// The entries of `entries` and `gone`, which have no name in common.
+    std::set<const MirrorEntry*, ByRevision> byRevision;
     std::optional<Time> confirmedAt;
   };
 
@@ -130,7 +141,7 @@
   template <class Take>
   void forEachSince(const KindState& state, uint64_t from, Take take) const;
   /// Call with the lock held. Adds or replaces a present or removed entry.
-  static void put(KindState& state, const MirrorEntry& entry);
+  static void put(KindState& state, MirrorEntry entry);
   /// Call with the lock held. Drops a present or removed entry, if there is one.
   static void drop(KindState& state, const std::string& name);
   /// Call with the lock held. @return whether an entry is unchanged and was only read again after
