--- a/test/platform_soak/judge.py
+++ b/test/platform_soak/judge.py
@@ -240,11 +240,17 @@
             continue
         if runs or (call["connected"] and not met_exit(call, world)):
             faults.append(f"{call['id']} {'ran and' if runs else 'did not run and'} got no answer from "
-                          f"node {call['node']} after {call['ended_at'] - call['sent_at']:.2f} s: "
-                          f"{call['broken']}")
+                          f"node {call['node']} after {call['ended_at'] - call['sent_at']:.2f} s"
+                          f"{sent_whole_text(call)}: {call['broken']}")
     return faults
 
 
+def sent_whole_text(call):
+    if call["sent_whole_at"] is None:
+        return ", not sent whole"
+    return f", {call['ended_at'] - call['sent_whole_at']:.2f} s after its last byte"
+
+
 def was_killed(call, world):
     return any(call["sent_at"] - CONTACT_SECONDS < moment <= call["ended_at"] + 0.1
                for moment in world["killed"].get(call["node"], ()))
@@ -253,7 +259,7 @@
 def met_exit(call, world):
     """Returns whether the request was sent within END_SECONDS of the exit of its node's process. One that could
     not be sent whole also met an exit that came while it was being sent: the process cannot have read it."""
-    sent_until = call["sent_at"] if call["sent_whole"] else call["ended_at"]
+    sent_until = call["sent_at"] if call["sent_whole_at"] is not None else call["ended_at"]
     return any(call["sent_at"] - END_SECONDS <= moment <= sent_until + END_SECONDS
                for moment in world["exits"].get(call["node"], ()))
 
--- a/test/platform_soak/soak.py
+++ b/test/platform_soak/soak.py
@@ -350,7 +350,7 @@
                 "sent_body": body, "sent_at": time.monotonic(), "status": None, "body": b"",
                 "complete": False, "stamp": None, "answered_id": None, "events": standin.EVENTS,
                 "node": node.number, "gave_up": False, "ended_at": None, "broken": "",
-                "connected": False, "sent_whole": False, "retry_after": None, "answered_at": None}
+                "connected": False, "sent_whole_at": None, "retry_after": None, "answered_at": None}
         with self.calls_lock:
             self.calls.append(call)
         headers = {"Host": "h.example", "X-Request-Id": number, "X-Deadline-Ms": "4000",
@@ -367,7 +367,7 @@
                 connection.connect()
             call["connected"] = True
             connection.request("POST", path, body, headers)
-            call["sent_whole"] = True
+            call["sent_whole_at"] = time.monotonic()
             answer = connection.getresponse()
             call["status"], call["answered_at"] = answer.status, time.monotonic()
             call["stamp"] = answer.headers.get("X-Server-Stamp")
--- a/test/process/platform_soak_test.py
+++ b/test/process/platform_soak_test.py
@@ -29,7 +29,7 @@
             "sent_body": b"x", "sent_at": 1.0, "status": 200, "body": b"answer e.r1" * 20,
             "complete": True, "stamp": "e.r1", "answered_id": "r1", "events": 2,
             "node": 0, "gave_up": False, "ended_at": 2.0, "broken": "", "connected": True,
-            "sent_whole": True, "answered_at": 1.5}
+            "sent_whole_at": 1.0, "answered_at": 1.5}
     made.update(changes)
     return made
 
@@ -86,8 +86,8 @@
     ("LOST", [call(status=None)], [], []),                            # on an open connection
     ("LOST", [call(status=None, node=2)], [run()], []),               # ran; the process stopped
     ("LOST", [call(status=None, node=2, sent_at=0.8)], [], []),       # long before its end
-    ("LOST", [call(status=None, sent_whole=False)], [], []),          # no process ended
-    ("LOST", [call(status=None, node=2, sent_at=0.1, ended_at=0.8, sent_whole=False)], [], []),
+    ("LOST", [call(status=None, sent_whole_at=None)], [], []),          # no process ended
+    ("LOST", [call(status=None, node=2, sent_at=0.1, ended_at=0.8, sent_whole_at=None)], [], []),
     ("BUDGET", *late_poison(4)),
     ("BLAMED", [call(status=503, body=b'{"error":{"kind":"quarantined"}}')], [], []),
 ]
@@ -112,7 +112,7 @@
         for runs in ([run()], []):
             assert not judge.judge([allowed], runs, [], WORLD)["LOST"]
     for allowed in (call(status=None, connected=False), call(status=None, node=2),
-                    call(status=None, node=2, sent_at=0.8, sent_whole=False)):
+                    call(status=None, node=2, sent_at=0.8, sent_whole_at=None)):
         assert not judge.judge([allowed], [], [], WORLD)["LOST"]
     assert not judge.judge([call(status=None)], [run(fault="lost")], [], WORLD)["LOST"]
     # Three more sends, sends within the bound, and sends of a node that was struck lately.
