--- a/src/weights/weight_mover.cpp
+++ b/src/weights/weight_mover.cpp
@@ -42,7 +42,7 @@
 /// New requests avoid a moving engine for the usual duration of a move times this factor.
 constexpr double kAvoidFactor = 1.1;
 constexpr double kLearningRate = 0.3;
-constexpr size_t kMinLearnedOrders = 8;
+constexpr double kCallsPerMove = 2;  // A report and an order.
 /// Longest time in seconds that one engine counts with in the estimate of the time to order many.
 constexpr double kMaxOrderTime = 0.02;
 /// Moves are kept in the ledger for this long after they stop blocking other nodes.
@@ -81,10 +81,7 @@
 }
 
 void WeightMover::learnOrderTime(Duration took, size_t count) {
-  if (count < kMinLearnedOrders) {
-    return;  // Mostly the time of the ledger write, which many orders share.
-  }
-  const double each = toSeconds(took) / static_cast<double>(count);
+  const double each = toSeconds(took) / static_cast<double>(count) * kCallsPerMove;
   bounds_.orderTime = fromSeconds(toSeconds(bounds_.orderTime) * (1 - kLearningRate) +
                                   std::min(each, kMaxOrderTime) * kLearningRate);
 }
@@ -347,7 +344,6 @@
     logWaitReason(WaitReason::kStoreRestored, plan);
     return kRetryInterval;
   }
-  const Time queriedAt = services_.clock.now();
   const std::vector<Candidate> candidates =
       pickCandidates(seen.ledger, plan, bounds_.maxConcurrentMoves - activeMoves_.size());
   if (candidates.empty()) {
@@ -361,8 +357,9 @@
     return kRetryInterval;
   }
   logWaitReason(WaitReason::kNone, plan);
+  const Time sentAt = services_.clock.now();
   sendOrders(candidates, *fence, intendedAt);
-  learnOrderTime(services_.clock.now() - queriedAt, candidates.size());
+  learnOrderTime(services_.clock.now() - sentAt, candidates.size());
   return kActiveInterval;
 }
 
--- a/src/weights/weight_mover.h
+++ b/src/weights/weight_mover.h
@@ -104,7 +104,7 @@
   std::optional<uint64_t> resolveUnknownWrite(const Ledger& intended);
   void sendOrders(const std::vector<Candidate>& candidates, uint64_t fence, Time intendedAt);
   void learnMoveTime(Duration took);
-  /// @param took time in which `count` engines were queried and ordered.
+  /// @param took time in which `count` orders were sent.
   void learnOrderTime(Duration took, size_t count);
   static size_t maxConcurrentMoves(const std::vector<BackendListing>& listings);
 
