--- a/src/weights/weight_mover.cpp
+++ b/src/weights/weight_mover.cpp
@@ -241,13 +241,15 @@
   return ledger.revision;
 }
 
-void WeightMover::sendOrders(const std::vector<Candidate>& candidates, uint64_t fence,
-                             Time intendedAt) {
+size_t WeightMover::sendOrders(const std::vector<Candidate>& candidates, uint64_t fence,
+                               Time intendedAt) {
+  size_t sent = 0;
   for (const Candidate& candidate : candidates) {
     const Time now = services_.clock.now();
     if (now - intendedAt > kIntentLifetime) {
-      return;  // The intent is too old: another node may have become leader.
+      return sent;  // The intent is too old: another node may have become leader.
     }
+    ++sent;
     const Duration avoidFor = fromSeconds(toSeconds(bounds_.moveTime) * kAvoidFactor);
     services_.engines.avoidUntil(candidate.move.engine, now + avoidFor);
     WeightOrder order;
@@ -271,6 +273,7 @@
       skipUntil_[order.engine] = services_.clock.now() + kRetryInterval;
     }
   }
+  return sent;
 }
 
 void WeightMover::handOverLeadership() {
@@ -358,8 +361,10 @@
   }
   logWaitReason(WaitReason::kNone, plan);
   const Time sentAt = services_.clock.now();
-  sendOrders(candidates, *fence, intendedAt);
-  learnOrderTime(services_.clock.now() - sentAt, candidates.size());
+  const size_t sent = sendOrders(candidates, *fence, intendedAt);
+  if (sent > 0) {
+    learnOrderTime(services_.clock.now() - sentAt, sent);
+  }
   return kActiveInterval;
 }
 
--- a/src/weights/weight_mover.h
+++ b/src/weights/weight_mover.h
@@ -102,7 +102,8 @@
   std::vector<Candidate> pickCandidates(const Ledger& ledger, const WeightPlan& plan, size_t room);
   std::optional<uint64_t> writeIntent(Ledger ledger, const std::vector<Candidate>& candidates);
   std::optional<uint64_t> resolveUnknownWrite(const Ledger& intended);
-  void sendOrders(const std::vector<Candidate>& candidates, uint64_t fence, Time intendedAt);
+  /// @return the number of orders sent before the intent was too old.
+  size_t sendOrders(const std::vector<Candidate>& candidates, uint64_t fence, Time intendedAt);
   void learnMoveTime(Duration took);
   /// @param took time in which `count` orders were sent.
   void learnOrderTime(Duration took, size_t count);
