A node finds out whether it reaches engines at all, and says so

Change: EngineReach, a failure detector of the node's own links: after failed connections it probes up to three other engines before it takes its links for lost, then one each 250 ms. A log line where that changes and two gauges. Nothing acts on it yet.

--- a/src/backends/backend_set.cpp
+++ b/src/backends/backend_set.cpp
@@ -169,6 +169,31 @@
   return listings;
 }
 
+std::vector<BackendListing> BackendSet::drawUsable(size_t count,
+                                                   const std::set<std::string>& leftOut,
+                                                   Random& random) const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  std::vector<const BackendListing*> drawn;  // Reservoir sampling.
+  size_t seen = 0;
+  for (const auto& [id, entry] : entries_) {
+    if (entry.listing->isDraining || leftOut.count(id) > 0) {
+      continue;
+    }
+    ++seen;
+    if (drawn.size() < count) {
+      drawn.push_back(entry.listing.get());
+    } else if (const uint64_t place = random.below(seen); place < count) {
+      drawn[place] = entry.listing.get();
+    }
+  }
+  std::vector<BackendListing> listings;
+  listings.reserve(drawn.size());
+  for (const BackendListing* each : drawn) {
+    listings.push_back(*each);
+  }
+  return listings;
+}
+
 std::optional<BackendListing> BackendSet::find(const std::string& id) const {
   const std::lock_guard<std::mutex> lock(mutex_);
   const auto found = entries_.find(id);
--- a/src/backends/backend_set.h
+++ b/src/backends/backend_set.h
@@ -10,10 +10,12 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
+#include "common/random.h"
 #include "common/socket_address.h"
 #include "common/time.h"
 
@@ -106,6 +108,11 @@
                                      Time now) const;
   /// @return all listed back ends, including draining ones.
   std::vector<BackendListing> all() const;
+  /// Draws different back ends that are not draining, each with the same probability.
+  /// @param leftOut ids that are not drawn.
+  /// @return `count` of them, or all if there are fewer.
+  std::vector<BackendListing> drawUsable(size_t count, const std::set<std::string>& leftOut,
+                                         Random& random) const;
   /// @return the entry; nothing if the back end is not listed.
   std::optional<BackendListing> find(const std::string& id) const;
   /// @return the id of an incarnation; empty if it is not listed.
--- a/src/common/metrics.cpp
+++ b/src/common/metrics.cpp
@@ -94,6 +94,13 @@
       restingEngines_(&gauge(registry_, "fernmoor_resting_engines",
                              "Listed engines that asked this node for rest.")
                            .Add({})),
+      engineConnects_(&gauge(registry_, "fernmoor_engine_connections_succeed",
+                             "1 as long as new connections to engines succeed.")
+                           .Add({})),
+      engineHears_(
+          &gauge(registry_, "fernmoor_engine_data_arrives",
+                 "1 if an engine sent data within the last second or new connections succeed.")
+               .Add({})),
       permitted_(&counter(registry_, "fernmoor_permitted_sends_total",
                           "Requests sent to engines that state a limit, within it.")
                       .Add({})),
--- a/src/common/metrics.h
+++ b/src/common/metrics.h
@@ -123,6 +123,11 @@
     leavingEngines_->Set(static_cast<double>(leaving));
     restingEngines_->Set(static_cast<double>(resting));
   }
+  /// Whether new connections to engines succeed, and whether data comes on established ones.
+  void setEngineReach(bool connects, bool hears) {
+    engineConnects_->Set(connects ? 1 : 0);
+    engineHears_->Set(hears ? 1 : 0);
+  }
   /// A request was sent to an engine on a permit, or was refused for want of one.
   void countPermitted() { permitted_->Increment(); }
   void countUnpermitted() { unpermitted_->Increment(); }
@@ -172,6 +177,8 @@
   prometheus::Gauge* storeEra_;
   prometheus::Gauge* leavingEngines_;
   prometheus::Gauge* restingEngines_;
+  prometheus::Gauge* engineConnects_;
+  prometheus::Gauge* engineHears_;
   prometheus::Counter* permitted_;
   prometheus::Counter* unpermitted_;
   prometheus::Gauge* quarantined_;
--- a/src/gateway/connection_pool.cpp
+++ b/src/gateway/connection_pool.cpp
@@ -21,19 +21,18 @@
 
 }  // namespace
 
-std::unique_ptr<ByteConnection> ConnectionPool::borrow(uint64_t owner, const SocketAddress& address,
-                                                       Time now) {
+std::unique_ptr<ByteConnection> ConnectionPool::takeIdle(uint64_t owner, Time now) {
   while (true) {
     Idle idle;
     {
       const std::lock_guard<std::mutex> lock(mutex_);
       const auto found = idle_.find(owner);
       if (found == idle_.end()) {
-        break;
+        return nullptr;
       }
       if (found->second.empty()) {
         idle_.erase(found);
-        break;
+        return nullptr;
       }
       idle = std::move(found->second.back());
       found->second.pop_back();
@@ -45,7 +44,12 @@
       return std::move(idle.connection);
     }
   }
-  return connectTo(address, options_);
+}
+
+std::unique_ptr<ByteConnection> ConnectionPool::borrow(uint64_t owner, const SocketAddress& address,
+                                                       Time now) {
+  std::unique_ptr<ByteConnection> idle = takeIdle(owner, now);
+  return idle != nullptr ? std::move(idle) : open(address);
 }
 
 void ConnectionPool::giveBack(uint64_t owner, std::unique_ptr<ByteConnection> connection,
--- a/src/gateway/connection_pool.h
+++ b/src/gateway/connection_pool.h
@@ -25,6 +25,13 @@
   explicit ConnectionPool(ConnectOptions options, size_t mostIdle = kMostIdle)
       : options_(options), mostIdle_(mostIdle) {}
 
+  /// @return a usable idle connection; nullptr if there is none.
+  std::unique_ptr<ByteConnection> takeIdle(uint64_t owner, Time now);
+  /// Opens a new connection. @return nullptr if it could not be opened.
+  std::unique_ptr<ByteConnection> open(const SocketAddress& address) const {
+    return connectTo(address, options_);
+  }
+
   /// Returns a usable idle connection or opens a new one.
   /// @param owner incarnation of the back end; connections are never shared between two.
   /// @return nullptr if no connection could be opened; nothing was sent then.
--- a/src/gateway/engine_attempt.cpp
+++ b/src/gateway/engine_attempt.cpp
@@ -111,7 +111,11 @@
 }
 
 AttemptStep EngineAttempt::open(Time deadline) {
-  connection_ = pool_.borrow(incarnationHash(plan_.backend), plan_.backend.address, clock_.now());
+  connection_ = pool_.takeIdle(incarnationHash(plan_.backend), clock_.now());
+  if (connection_ == nullptr) {
+    connection_ = pool_.open(plan_.backend.address);
+    isNewConnection_ = connection_ != nullptr;
+  }
   if (connection_ == nullptr) {
     return AttemptStep::kNotSent;
   }
--- a/src/gateway/engine_attempt.h
+++ b/src/gateway/engine_attempt.h
@@ -47,6 +47,8 @@
   ///         one piece of the wait has passed.
   AttemptStep readBody(CallerChannel& caller, Time deadline, std::string& bytes);
 
+  /// @return whether open() opened the connection; false if it was idle in the pool.
+  bool isNewConnection() const { return isNewConnection_; }
   bool bodyComplete() const { return body_ && body_->complete(); }
   const Poco::Net::HTTPResponse& head() const { return head_; }
   const AnswerFacts& facts() const { return facts_; }
@@ -66,6 +68,7 @@
   ConnectionPool& pool_;
   const Clock& clock_;
   std::unique_ptr<ByteConnection> connection_;
+  bool isNewConnection_ = false;
   bool requestSent_ = false;
   Poco::Net::HTTPResponse head_;
   AnswerFacts facts_;
--- /dev/null
+++ b/src/gateway/engine_reach.cpp
@@ -0,0 +1,172 @@
+#include "gateway/engine_reach.h"
+
+#include <algorithm>
+
+#include "common/log.h"
+
+namespace fernmoor::gateway {
+
+namespace {
+
+/// Engines that are probed before this node takes its own links for lost.
+constexpr size_t kWitnesses = 3;
+/// Interval between probes while no engine is reached (250 ms): service resumes that soon, and each
+/// probe costs one connection attempt.
+constexpr Duration kProbeInterval{250000};
+
+}  // namespace
+
+const char* phraseOf(ReachState state) {
+  switch (state) {
+    case ReachState::kReached:
+      return "reached";
+    case ReachState::kNoNewConnections:
+      return "established connections only";
+    case ReachState::kPartitioned:
+      return "none reached";
+  }
+  return "";
+}
+
+bool needsWitnesses(const ReachEvidence& evidence) {
+  if (evidence.unreached == 0 || evidence.lastConnected > evidence.lastFailure) {
+    return false;
+  }
+  return evidence.unreached > 1 || evidence.lastHeard <= evidence.lastFailure;
+}
+
+ReachEvidence EngineReach::evidence() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  ReachEvidence known;
+  known.unreached = unreached_.size();
+  known.lastFailure = lastFailure_;
+  known.lastConnected = lastConnected_;
+  known.lastHeard = lastHeard_;
+  return known;
+}
+
+void EngineReach::noteConnected() {
+  lastConnected_ = clock_.now();
+  if (!hasFailures_) {
+    return;  // The common case; avoids the lock on the request path.
+  }
+  bool wasLost = false;
+  Duration lasted{};
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    unreached_.clear();
+    hasFailures_ = false;
+    wasLost = newConnectionsFail_.exchange(false);
+    lasted = clock_.now() - lostAt_;
+  }
+  if (wasLost) {
+    LogFields fields;
+    fields.elapsed = lasted;
+    logWarning("engines: reached again", fields);
+  }
+}
+
+void EngineReach::noteUnreached(const std::string& engine) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  lastFailure_ = clock_.now();
+  unreached_.insert(engine);
+  hasFailures_ = true;
+  failed_.notify_one();
+}
+
+void EngineReach::noteHeard() {
+  lastHeard_ = clock_.now();
+}
+
+ReachState EngineReach::state() const {
+  if (!newConnectionsFail_) {
+    return ReachState::kReached;
+  }
+  return isHeardSince(clock_.now() - kHeardWindow) ? ReachState::kNoNewConnections
+                                                   : ReachState::kPartitioned;
+}
+
+bool EngineReach::isProvenSince(Time at) const {
+  return lastConnected_.load() >= at || isHeardSince(at);
+}
+
+bool EngineReach::isHeardSince(Time at) const {
+  return lastHeard_.load() >= at;
+}
+
+bool EngineReach::reachesAnotherThan(const std::string& engine, Time since) {
+  if (isProvenSince(since)) {
+    return true;
+  }
+  return !newConnectionsFail_ && reachesAnyBut({engine}, kWitnesses);
+}
+
+bool EngineReach::reachesAnyBut(const std::set<std::string>& leftOut, size_t count) {
+  uint64_t seed = 0;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    seed = random_.next();
+  }
+  Random random(seed);
+  for (const BackendListing& witness : backends_.drawUsable(count, leftOut, random)) {
+    if (probe_(witness)) {
+      noteConnected();
+      return true;
+    }
+    noteUnreached(witness.id);
+  }
+  return false;
+}
+
+void EngineReach::waitForWork() {
+  std::unique_lock<std::mutex> lock(mutex_);
+  failed_.wait(lock, [this] { return hasFailures_.load(); });
+}
+
+void EngineReach::declareLost() {
+  Duration sinceHeard{};
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    lostAt_ = clock_.now();
+    sinceHeard = lostAt_ - lastHeard_.load();
+    nextProbeAt_ = lostAt_ + kProbeInterval;
+    newConnectionsFail_ = true;
+  }
+  LogFields fields;
+  fields.elapsed = sinceHeard;
+  logWarning(
+      std::string("engines: new connections fail, also to others that did not fail before; ") +
+          phraseOf(state()),
+      fields);
+}
+
+void EngineReach::step() {
+  if (newConnectionsFail_) {
+    const Time now = clock_.now();
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      if (now < nextProbeAt_) {
+        return;
+      }
+      nextProbeAt_ = now + kProbeInterval;
+    }
+    reachesAnyBut({}, 1);
+    return;
+  }
+  if (!needsWitnesses(evidence())) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    unreached_.clear();
+    hasFailures_ = false;
+    return;
+  }
+  std::set<std::string> unreached;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    unreached = unreached_;
+  }
+  if (!reachesAnyBut(unreached, kWitnesses)) {
+    declareLost();
+  }
+}
+
+}  // namespace fernmoor::gateway
--- /dev/null
+++ b/src/gateway/engine_reach.h
@@ -0,0 +1,104 @@
+/// @file
+/// Failure detector of this node for its own links: whether it can reach engines at all. One engine
+/// that crashed, or is silent for a moment, must not look like a lost link, nor the other way
+/// round: once connections to an engine fail, a few others that have not failed are probed, and
+/// only if these fail as well the node counts as partitioned. It is probed at a low rate from then
+/// on, until an engine takes a connection again.
+#pragma once
+
+#include <atomic>
+#include <condition_variable>
+#include <functional>
+#include <mutex>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "backends/backend_set.h"
+#include "common/random.h"
+#include "common/time.h"
+
+namespace fernmoor::gateway {
+
+/// What this node reaches of the engines.
+enum class ReachState {
+  kReached,           ///< As far as is known, new connections succeed.
+  kNoNewConnections,  ///< New connections fail, and established ones still carry data.
+  kPartitioned,       ///< New connections fail, and nothing arrives on established ones.
+};
+
+/// @return a phrase for log lines.
+const char* phraseOf(ReachState state);
+
+/// What the checks so far say.
+struct ReachEvidence {
+  size_t unreached = 0;  ///< Engines to which connections failed since the last one that succeeded.
+  Time lastFailure;      ///< Of a connection.
+  Time lastConnected;    ///< Newest connection that succeeded.
+  Time lastHeard;        ///< Newest data from any engine.
+};
+
+/// @return whether other engines have to be probed now: a connection failed since the last one that
+///         succeeded and, if it was to a single engine, nothing arrived from the others since.
+bool needsWitnesses(const ReachEvidence& evidence);
+
+/// Thread-safe.
+class EngineReach {
+ public:
+  /// Connects to an engine. @return whether it took the connection within some tens of ms.
+  using Probe = std::function<bool(const BackendListing&)>;
+
+  EngineReach(const Clock& clock, const BackendSet& backends, Probe probe, uint64_t randomSeed)
+      : clock_(clock), backends_(backends), probe_(std::move(probe)), random_(randomSeed) {}
+
+  /// A new connection to an engine succeeded.
+  void noteConnected();
+  /// A new connection to the engine failed.
+  void noteUnreached(const std::string& engine);
+  /// An engine sent data.
+  void noteHeard();
+
+  ReachState state() const;
+  /// @return whether an engine took a connection or sent data at or after that time.
+  bool isProvenSince(Time at) const;
+  /// @return whether an engine sent data at or after that time.
+  bool isHeardSince(Time at) const;
+  /// Finds out whether this node reaches another engine, if that is not proven since. Blocks for
+  /// the probes of a few engines at most.
+  /// @param engine the one in question, which does not count.
+  bool reachesAnotherThan(const std::string& engine, Time since);
+
+  /// Blocks until there is something to check.
+  void waitForWork();
+  /// Checks it; to be called every `kStep`. Blocks while it probes.
+  void step();
+
+  /// Interval between checks (50 ms).
+  static constexpr Duration kStep{50000};
+  /// An engine that sent data within this time shows that established connections work (1 s).
+  static constexpr Duration kHeardWindow{1000000};
+
+ private:
+  ReachEvidence evidence() const;
+  /// Probes up to `count` engines that accept requests, other than those left out.
+  /// @return whether one of them took the connection; false also if there is none to probe.
+  bool reachesAnyBut(const std::set<std::string>& leftOut, size_t count);
+  void declareLost();
+
+  const Clock& clock_;
+  const BackendSet& backends_;
+  const Probe probe_;
+  std::atomic<bool> newConnectionsFail_{false};
+  std::atomic<bool> hasFailures_{false};
+  std::atomic<Time> lastConnected_{Time()};
+  std::atomic<Time> lastHeard_{Time()};
+  mutable std::mutex mutex_;
+  std::condition_variable failed_;
+  std::set<std::string> unreached_;  ///< Since the last connection that succeeded.
+  Time lastFailure_;
+  Time lostAt_;
+  Time nextProbeAt_;
+  Random random_;  ///< Guarded by `mutex_`.
+};
+
+}  // namespace fernmoor::gateway
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -18,6 +18,7 @@
 #include "gateway/caller_channel.h"
 #include "gateway/connection_pool.h"
 #include "gateway/cut_off_runs.h"
+#include "gateway/engine_reach.h"
 #include "gateway/incoming_request.h"
 #include "gateway/outcome_log.h"
 #include "gateway/part_memory.h"
@@ -44,6 +45,7 @@
   TenantLimits& limits;
   RequestQuarantine& quarantine;
   CutOffRuns& cutOffRuns;
+  EngineReach& reach;
   Metrics& metrics;
   ByteBudget& heldBytes;  ///< Memory for answers that are buffered until complete.
 };
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -204,7 +204,16 @@
   services_.cutOffRuns.note(fingerprint_, plan_.backend, runUntilNow());
 }
 
+void RequestRun::noteReach(const EngineAttempt& attempt, AttemptStep opened) {
+  if (opened == AttemptStep::kNotSent) {
+    services_.reach.noteUnreached(plan_.backend.id);
+  } else if (attempt.isNewConnection()) {
+    services_.reach.noteConnected();
+  }
+}
+
 void RequestRun::recordBackendAlive() {
+  services_.reach.noteHeard();
   const Time sentByThen = std::max(sentAt_, services_.clock.now() - kMaxReadDelay);
   services_.cutOffRuns.noteAlive(incarnationHash(plan_.backend), sentByThen);
 }
@@ -317,6 +326,7 @@
   const Time sendBy = stepDeadline();
   const Time sentBy = std::min(sendBy, beginDeadline_.withdrawAt().value_or(sendBy));
   AttemptStep step = attempt.open(sentBy);
+  noteReach(attempt, step);
   // The back end may have withdrawn while the connection was opened.
   if (step == AttemptStep::kDone &&
       !services_.backends.takesRequests(plan_.backend, services_.clock.now())) {
@@ -388,6 +398,7 @@
 
 RequestRun::Next RequestRun::takeAnswer(EngineAttempt& attempt) {
   const AnswerFacts& facts = attempt.facts();
+  services_.reach.noteHeard();
   noteWeights(facts);
   noteStatement(facts);
   answeredWeights_ = facts.weightsVersion;
--- a/src/gateway/request_run.h
+++ b/src/gateway/request_run.h
@@ -78,6 +78,8 @@
   quarantine::CrashedRun runUntilNow() const;
   /// Keeps the run, so that it counts as a crash if the back end proves to have ended.
   void recordCutOff();
+  /// Records whether the connection for an attempt could be opened.
+  void noteReach(const EngineAttempt& attempt, AttemptStep opened);
   /// Records that data from the back end was read now, so that its process was alive.
   void recordBackendAlive();
   /// @return whether the request is quarantined and must not be sent. If it cannot have run, the
--- a/test/gateway/forwarder_world.h
+++ b/test/gateway/forwarder_world.h
@@ -355,9 +355,15 @@
         budget(SecondSendBounds{0, std::chrono::seconds(10), secondSends}),
         cutOffRuns(
             clock, backends, [](const std::string&) { return std::nullopt; }, quarantine),
+        reach(
+            clock, backends,
+            [this](const BackendListing& engine) {
+              return connections.stillAnswers(incarnationHash(engine), engine.address, clock.now());
+            },
+            1),
         forwarder(
             ForwarderServices{clock, table, backends, connections, budget, protocol, wanted, hints,
-                              loads, limits, quarantine, cutOffRuns, metrics, heldBytes},
+                              loads, limits, quarantine, cutOffRuns, reach, metrics, heldBytes},
             ForwarderOptions{"zone", std::chrono::seconds(5), 1, kSilence}) {
     row.name = "row";
     row.maxAttempts = 2;
@@ -404,6 +410,7 @@
   TestLimits limits;
   TestQuarantine quarantine;
   CutOffRuns cutOffRuns;
+  EngineReach reach;
   Metrics metrics;
   ByteBudget heldBytes{kHeldBytes};
   Forwarder forwarder;
--- a/test/platform/ingress_test.cpp
+++ b/test/platform/ingress_test.cpp
@@ -42,9 +42,11 @@
         budget(gateway::SecondSendBounds{}),
         cutOffRuns(
             clock, backends, [](const std::string&) { return std::nullopt; }, quarantine),
+        reach(
+            clock, backends, [](const BackendListing&) { return false; }, 1),
         forwarder(gateway::ForwarderServices{clock, table, backends, connections, budget, protocol,
                                              wanted, hints, loads, limits, quarantine, cutOffRuns,
-                                             metrics, heldBytes},
+                                             reach, metrics, heldBytes},
                   gateway::ForwarderOptions{"z", std::chrono::seconds(4), 1}),
         work(gateway::StopTimes{}),
         ingress(IngressServices{clock, table, forwarder, work, shedding, heldBytes, pools, metrics,
@@ -114,6 +116,7 @@
   gateway::test::TestLimits limits;
   gateway::test::TestQuarantine quarantine;
   gateway::CutOffRuns cutOffRuns;
+  gateway::EngineReach reach;
   Metrics metrics;
   gateway::ByteBudget heldBytes{kHeldBytes};
   LogBudget refusals{LogBudgetBounds{}};
