--- a/test/platform_soak/engines.py
+++ b/test/platform_soak/engines.py
@@ -11,6 +11,8 @@
 stays in the store for a while and the engine restarts, every other time under its former id. How it crashes is
 the ledger's `ending`: its port closes before its connections are reset ("closed"), some time after that
 ("closes late"), or nothing is sent or reset until it is back ("silent").
+A brittle engine states in its responses how many requests it may reject in one second for want of room; it
+falls if it has to reject more, and lets only a few requests wait.
 An engine may state in its responses how many requests per second it accepts from all gateways together; it
 accepts more than that, since the judge counts the arrivals. It may announce its shutdown in them, whatever its
 entry in the store says, and it may reject requests with a Retry-After.
@@ -35,6 +37,7 @@
 # Time from the start of a poison request to the crash of its engine, and until the engine is back.
 POISON_SECONDS = 0.08
 BACK_SECONDS = 2.0
+BRITTLE_WAITING = 4  # Requests that wait at a brittle engine at most.
 POLL_SECONDS = 0.05  # A crash closes the port within this time.
 # An engine that "closes late" closes its port this long after its connections were reset.
 PORT_SECONDS = 0.15
@@ -63,6 +66,8 @@
         self.left = []  # dicts: life, at; when the store acknowledged an entry in state draining
         self.on_crash = None  # called with an engine that a request crashed
         self.ending = "closed"  # how an engine crashes that runs a poison request
+        self.falls = []  # dicts: life, service, at, rejected (ids); engines that had to reject too much
+        self.links = None  # partition.EngineLinks, if nodes can be partitioned from the engines
 
     def run(self, entry):
         with self.lock:
@@ -98,6 +103,9 @@
         self.number, self.life, self.service, self.model = number, life, service, model
         self.limit = None  # Text of the limit stated in responses; None: no limit is stated.
         self.leaves = False  # Whether responses announce the engine's shutdown.
+        self.brittle = None  # Rejections in one second that it survives; None: it does not fall.
+        self.turned_away = collections.deque()  # (time, id) of the rejections for want of room.
+        self.waiting = 0  # Requests that wait for a slot.
         self.rest = None  # Retry-After with which all requests are rejected; None: they are served.
         self.state = "ready"  # The state in its entry in the store.
         self.beats = 0
@@ -105,6 +113,7 @@
         self.version, self.orders, self.fence, self.busy = version, 0, 0, False
         self.fault = None
         self.event_seconds = EVENT_SECONDS
+        self.answer_seconds = 0.0  # How long a request that is no stream occupies its slot.
         self.lock = threading.Lock()
         self.free = SLOTS
         self.slowness = 1.0  # Factor on the time that reading a prompt takes.
@@ -151,11 +160,14 @@
         self.server.shutdown()
         self.server.server_close()
 
-    def reset_connections(self):
+    def reset_connections(self, hosts=None):
+        """Resets all connections, or those from these hosts."""
         with self.lock:
             sockets = list(self.sockets)
         for each in sockets:
             try:
+                if hosts is not None and each.getpeername()[0] not in hosts:
+                    continue
                 each.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
                 each.shutdown(socket.SHUT_RDWR)
                 each.close()
@@ -215,15 +227,42 @@
         """Waits for a slot. Returns whether the request got one; it is rejected if an order for new weights
         arrived. has_left: returns whether the caller disconnected. Raises CallerLeft if it did."""
         with self.changed:
-            while self.free == 0 and not self.busy:
-                self.changed.wait(LOOK_SECONDS)
-                if has_left():
-                    raise CallerLeft
+            self.waiting += 1
+            try:
+                while self.free == 0 and not self.busy:
+                    self.changed.wait(LOOK_SECONDS)
+                    if has_left():
+                        raise CallerLeft
+            finally:
+                self.waiting -= 1
             if self.busy:
                 return False
             self.free -= 1
             return True
 
+    def lacks_room(self):
+        with self.lock:
+            return self.brittle is not None and self.free == 0 and self.waiting >= BRITTLE_WAITING
+
+    def note_rejection(self, request):
+        """Counts a rejection for want of room; the engine falls if it survives no more of them."""
+        now = time.monotonic()
+        with self.lock:
+            self.turned_away.append((now, request))
+            while self.turned_away[0][0] < now - 1.0:
+                self.turned_away.popleft()
+            falls = self.brittle is not None and len(self.turned_away) > self.brittle and not self.crashed
+            if falls:
+                self.crashed = True
+                rejected = [each for _, each in self.turned_away]
+        if falls:
+            self.ledger.note(self.ledger.falls, life=self.life, service=self.service, rejected=rejected)
+            threading.Thread(target=self.fall, daemon=True).start()
+
+    def fall(self):
+        self.crash(keeps_entry=True)
+        self.ledger.on_crash(self)
+
     def start_order(self, version):
         """Starts loading new weights. Call with the lock held. Requests that have not begun are rejected."""
         self.orders += 1
@@ -298,8 +337,13 @@
         poll.register(self.connection, select.POLLIN | select.POLLRDHUP)
         return bool(poll.poll(0))
 
+    def pass_link(self):
+        if self.engine.ledger.links is not None:
+            self.engine.ledger.links.pass_link(self.client_address[0])
+
     def send(self, status, body=b"", headers=()):
         self.engine.talks.wait()
+        self.pass_link()
         self.send_response(status)
         for name, value in [*headers, *self.statements(headers)]:
             self.send_header(name, value)
@@ -317,6 +361,8 @@
         if limit is not None:
             ledger.note(ledger.told, id=request, life=engine.life, text=limit)
             said += [("Server-Limit", each) for each in limit.split("|")]
+        if engine.brittle is not None:
+            said.append(("Server-Brittle", str(engine.brittle)))
         if engine.leaves:
             ledger.note(ledger.told_leaving, id=request, life=engine.life, engine=engine.id)
             said += [("Server-Leaving", "1"), ("Connection", "close")]
@@ -329,6 +375,7 @@
 
     def do_GET(self):
         engine = self.engine
+        self.pass_link()
         if self.path == "/fernmoor/report":
             models = [{"name": engine.model, "version": engine.version}] if engine.model else []
             self.send(200, json.dumps({"busy": engine.busy, "seq": engine.orders,
@@ -338,6 +385,9 @@
 
     def do_POST(self):
         body = self.read_body()
+        self.pass_link()
+        if self.has_left():
+            raise CallerLeft
         if self.path == "/fernmoor/order":
             self.order(json.loads(body))
         else:
@@ -395,6 +445,10 @@
         if engine.rest is not None:
             self.turn_away(names, engine.rest)
             return
+        if engine.lacks_room():
+            self.turn_away(names)
+            engine.note_rejection(request)
+            return
         if engine.fault == "busy" or not engine.take_slot(self.has_left):
             self.turn_away(names)
             return
@@ -451,6 +505,7 @@
         engine.talks.wait()
 
     def whole(self, names, stamp):
+        time.sleep(self.engine.answer_seconds)
         body = ("answer " + stamp).encode() * 20
         if self.engine.fault == "broken":
             said = "".join(f"{name}: {value}\r\n" for name, value in self.statements(names))
@@ -475,6 +530,7 @@
                 self.drop()
                 return
             self.engine.talks.wait()
+            self.pass_link()
             self.wfile.write(b"%x\r\n" % len(event) + event + b"\r\n")
             self.wfile.flush()
             time.sleep(self.engine.event_seconds)
--- a/test/platform_soak/judge.py
+++ b/test/platform_soak/judge.py
@@ -21,6 +21,10 @@
 # Pauses requested by engines (Retry-After): when one takes effect after its response, and how many requests
 # may still arrive during it.
 REST_TOLD_SECONDS, REST_SENDS = 0.5, 2
+# First tries at partitioned nodes: the least share of what the others serve, and the failures allowed beside it.
+CUT_SHARE, CUT_FAILURES, CUT_FAILURE_SHARE = 2 / 3, 10, 1 / 50
+# Falls of brittle engines allowed in one such time, beside a share of their number.
+FALLS, FALL_SHARE = 2, 0.1
 
 
 def judge(calls, runs, orders, world):
@@ -46,7 +50,8 @@
         "BUDGET": budget(runs, asked, world),
         "BLAMED": blamed(calls, world),
         "MEMORY": memory(world),
-        "LIMIT": limit(asked, world),
+        "LIMIT": limit(asked, world) + fallen(asked, world),
+        "RECOVER": cut_off(calls, world),
         "DRAIN": drain(calls, asked, world) + drained(asked, world),
         "REST": rest(asked, world),
     }
@@ -439,3 +444,58 @@
             faults.append(f"life {entry['life']}: {len(late)} requests of node {node} in the {seconds:g} s of rest "
                           "that it had asked for")
     return faults
+
+
+def is_served(call):
+    return call["status"] == 200 and call["complete"]
+
+
+def tries_between(calls, world, start, end):
+    """Returns the requests sent in the window to connected nodes that any node should serve."""
+    return [call for call in calls if start <= call["sent_at"] <= end and call["ended_at"] is not None
+            and call["sent_body"] not in world["poison"] and call["key"] not in world["revoked"]
+            and in_touch(world, call["node"], call["sent_at"])]
+
+
+def cut_off(calls, world):
+    """Callers of nodes that are partitioned from all engines are served about as well as those of the others."""
+    faults = []
+    for cut in world["cuts"]:
+        start, end = cut["start"] + CONTACT_SECONDS, cut["end"] or math.inf
+        overlapping = [each for each in world["cuts"]
+                       if each["start"] <= end and (each["end"] or math.inf) >= cut["start"]]
+        struck = {number for each in overlapping for number in each["nodes"]}
+        tries = tries_between(calls, world, start, end)
+        there = [call for call in tries if call["node"] in cut["nodes"]]
+        others = [call for call in tries if call["node"] not in struck]
+        if not there or not others:
+            continue
+        failed = sum(not is_served(call) for call in there)
+        share = 1 - failed / len(there)
+        share_of_others = sum(map(is_served, others)) / len(others)
+        if share < CUT_SHARE * share_of_others and failed > CUT_FAILURES + CUT_FAILURE_SHARE * len(there):
+            faults.append(f"nodes {cut['nodes']}, partitioned from all engines ({cut['way']}), served "
+                          f"{len(there) - failed} of {len(there)} first tries, the others {share_of_others:.2f}")
+    return faults
+
+
+def fallen(asked, world):
+    """While the engines of a service say that they are brittle, few of them fall for want of room."""
+    faults = []
+    for time_of in world["brittle"]:
+        first = min((entry["at"] for entry in world["arrivals"] if entry["at"] >= time_of["start"]),
+                    default=math.inf)
+        falls = [fall for fall in world["falls"] if fall["service"] == time_of["service"]
+                 and first + CONTACT_SECONDS <= fall["at"] <= (time_of["end"] or math.inf)
+                 and mostly_from_connected(fall, asked, world)]
+        allowed = FALLS + FALL_SHARE * time_of["engines"]
+        if len(falls) > allowed:
+            faults.append(f"{len(falls)} engines of {time_of['service']} fell that survive "
+                          f"{time_of['survives']} rejections a second; {allowed:.1f} allowed")
+    return faults
+
+
+def mostly_from_connected(fall, asked, world):
+    calls = [asked[request] for request in fall["rejected"] if request in asked]
+    connected = sum(in_touch(world, call["node"], call["sent_at"]) for call in calls)
+    return 2 * connected > len(calls)
--- a/test/platform_soak/soak.py
+++ b/test/platform_soak/soak.py
@@ -7,14 +7,15 @@
 long before their entries in the store say so or without such entries, and are replaced; engines send
 Retry-After. With every other seed the store itself stays healthy, as the bound for new weights holds only
 then. With drills the store is restored from copies some seconds old, and operators and engines rewrite
-the lost objects. With growth the operators' table repeatedly grows by a thousand rows or more, and single
+the lost objects. With cuts some nodes are partitioned from all engines, while callers and the other nodes
+still reach them; with brittle engines, those of a service fall if they must reject too much at once. With growth the operators' table repeatedly grows by a thousand rows or more, and single
 rows are changed while it spreads; nodes then have narrow links to each other and to the store. What
 callers and engines recorded is judged by the users' rules; at the end, without faults, each kind of
 request must be served.
 
 usage: soak.py BUILD_FOLDER [--seed N] [--seconds S] [--nodes N] [--series N] [--poison N] [--growth N]
-               [--slow N] [--silent N] [--limits N] [--leaves N] [--rests N] [--drills N] [--beats N]
-               [--callers N] [--narrow N] [--memory-mb N] [--binary GATEWAY]
+               [--slow N] [--silent N] [--limits N] [--leaves N] [--rests N] [--cuts N] [--brittle N]
+               [--drills N] [--beats N] [--callers N] [--narrow N] [--memory-mb N] [--binary GATEWAY]
 """
 import argparse
 import collections
@@ -44,6 +45,7 @@
 import judge  # noqa: E402
 import links  # noqa: E402
 import memory  # noqa: E402
+import partition  # noqa: E402
 import store as platform_store  # noqa: E402
 
 MODEL, MODELS, PLAIN = "m0", "models", "plain"
@@ -81,6 +83,10 @@
 # Age of the copy from which the store is restored, the duration of its unavailability, and the delay until
 # lost objects are written again.
 COPY_SECONDS, AWAY_SECONDS, WRITTEN_AGAIN_SECONDS = (0.5, 8.0), (0.0, 1.5), (0.0, 1.0)
+# Durations of partitions from the engines, and the pauses between them.
+CUT_SECONDS, CUT_PAUSE_SECONDS = (4.0, 9.0), (0.5, 4.0)
+# Rejections in one second that a brittle engine survives, how long it is brittle, and the pauses between.
+BRITTLE_TEXTS, BRITTLE_SECONDS, BRITTLE_PAUSE_SECONDS = (4, 8, 15, 30), (6.0, 12.0), (1.0, 5.0)
 DRILL_PAUSE_SECONDS, SECOND_DRILL_CHANCE, GHOST_SECONDS = (2.0, 9.0), 0.25, 1.5
 TABLE_LOOK_SECONDS = 0.2
 RECOVERY_SECONDS = 40
@@ -257,12 +263,14 @@
         self.rules = {"tenant_of": dict(self.keys), "isolated": {"wall"}, "revoked": {},
                       "named": [], "unstable": [], "all_killed": [],
                       "service_of": dict({kind: entry[2] for kind, entry in KINDS.items()}, row=PLAIN),
-                      "added": {}, "went_back": []}
+                      "added": {}, "went_back": [], "brittle": []}
+        self.brittle = {}  # service -> rejections in one second that its engines survive
         self.extra_routes = 0
         self.row_timeouts = {}  # number of an extra row -> its timeout in ms, if changed
         self.write_config()
         self.store.put("versions", MODEL, {"model": MODEL, "version": 1})
         self.drill_series, self.beats = options.drills, options.beats
+        self.links = self.seen.links = partition.EngineLinks(self.folder, self.net + ".2")
         self.engines = [self.new_engine(number, MODELS) for number in range(MODEL_ENGINES)]
         self.engines += [self.new_engine(MODEL_ENGINES + number, PLAIN)
                          for number in range(PLAIN_ENGINES)]
@@ -273,6 +281,7 @@
         self.slow_series, self.silent_series = options.slow, options.silent
         self.limit_series, self.caller_count = options.limits, options.callers
         self.leave_series, self.rest_series = options.leaves, options.rests
+        self.cut_series, self.brittle_series = options.cuts, options.brittle
         self.poison_series = options.poison  # With 0, the random draws are those of runs without poison.
         self.engines_turn = threading.Lock()  # Held by the fault that replaces an engine.
         self.poisons = []  # (kind, body)
@@ -286,12 +295,13 @@
         ports = own_hosts.NODE_PORTS
         narrow = {number: links.Link(NARROW_MBPS) for number in range(options.narrow)}
         for number in range(options.nodes):
-            environment = {}
+            environment = {"FERNMOOR_ENGINE_LINK": self.links.environment(number, hosts[number]),
+                           "LD_PRELOAD": options.engine_link}
             if narrow:
                 detour = own_hosts.FIRST_DETOUR_PORT + number
                 links.between_nodes(hosts, ports["peers"], detour, number, narrow)
-                environment = {"FERNMOOR_PEER_DETOUR": f"{ports['peers']},{detour}",
-                               "LD_PRELOAD": options.detour}
+                environment["FERNMOOR_PEER_DETOUR"] = f"{ports['peers']},{detour}"
+                environment["LD_PRELOAD"] += ":" + options.detour
             machine = Machine(options.memory_mb, narrow.get(number), environment)
             self.nodes.append(Node(number, options.binary, self.folder, self.store, ports, hosts,
                                    machine))
@@ -303,6 +313,7 @@
                                 self.weights if model else 0, model, former_id)
         if number % 2 == 1:  # Slow streams keep a stopping process alive for longer.
             engine.event_seconds = SLOW_EVENT_SECONDS
+        engine.brittle = self.brittle.get(service)
         return engine
 
     def bring_back(self, old):
@@ -681,6 +692,53 @@
                 engine.ask_rest(None)
             time.sleep(draw.uniform(0.0, 4.0))
 
+    def cut_off(self, nodes, way, seconds):
+        """Partitions the nodes from all engines for so long."""
+        entry = self.links.cut(nodes, way, [*self.engines, *self.leaving])
+        time.sleep(seconds)
+        self.links.heal(entry)
+
+    def keep_cutting_nodes_off(self, series, seconds):
+        """Separate series: some nodes, at times all but one, are partitioned from all engines."""
+        draw = random.Random(f"{self.seed} cuts {series}")
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            time.sleep(draw.uniform(*CUT_PAUSE_SECONDS))
+            most = len(self.nodes) - 1 if draw.random() < 0.2 else max(1, len(self.nodes) // 2)
+            some = draw.sample(self.nodes, draw.randint(1, most))
+            way, lasts = draw.choice(partition.WAYS), draw.uniform(*CUT_SECONDS)
+            print(f"{time.monotonic() - end + seconds:6.2f} c{series} nodes "
+                  f"{[node.number for node in some]} partitioned from all engines, {way}, {lasts:.1f} s", flush=True)
+            self.cut_off(some, way, lasts)
+
+    def set_brittle(self, service, survives):
+        """Makes the engines of a service brittle, or with None no longer so."""
+        now = time.monotonic()
+        with self.engines_turn:
+            if survives is None:
+                self.brittle.pop(service, None)
+                self.rules["brittle"][-1]["end"] = now
+            else:
+                self.brittle[service] = survives
+                self.rules["brittle"].append({"service": service, "survives": survives, "start": now, "end": None,
+                                              "engines": sum(each.service == service for each in self.engines)})
+            for engine in self.engines:
+                if engine.service == service:
+                    engine.brittle = survives
+
+    def keep_making_engines_brittle(self, series, seconds):
+        """Separate series: the engines of a service are brittle for a while."""
+        draw = random.Random(f"{self.seed} brittle {series}")
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            time.sleep(draw.uniform(*BRITTLE_PAUSE_SECONDS))
+            service, survives = draw.choice((MODELS, PLAIN)), draw.choice(BRITTLE_TEXTS)
+            print(f"{time.monotonic() - end + seconds:6.2f} b{series} engines of {service} survive {survives} "
+                  "rejections a second", flush=True)
+            self.set_brittle(service, survives)
+            time.sleep(draw.uniform(*BRITTLE_SECONDS))
+            self.set_brittle(service, None)
+
     def keep_silencing_connections(self, series, seconds):
         """Separate series: open connections to the store go silent permanently. The rules treat this like a
         reset of the connections of all nodes."""
@@ -832,6 +890,10 @@
                    for number in range(self.leave_series)]
         series += [threading.Thread(target=self.keep_resting_engines, args=(number, seconds))
                    for number in range(self.rest_series)]
+        series += [threading.Thread(target=self.keep_cutting_nodes_off, args=(number, seconds))
+                   for number in range(self.cut_series)]
+        series += [threading.Thread(target=self.keep_making_engines_brittle, args=(number, seconds))
+                   for number in range(self.brittle_series)]
         series += [threading.Thread(target=self.keep_drilling, args=(number, seconds))
                    for number in range(self.drill_series)]
         try:
@@ -941,7 +1003,8 @@
         rules = dict(self.rules, crashes=self.seen.crashes, poison=self.seen.poison,
                      arrivals=self.seen.arrivals, limits=self.seen.limits, told=self.seen.told,
                      told_leaving=self.seen.told_leaving, told_rest=self.seen.told_rest,
-                     left=self.seen.left)
+                     left=self.seen.left, falls=self.seen.falls,
+                     cuts=self.links.cuts)
         for name in ("struck", "killed", "exits", "peak_bytes", "ended_itself"):
             rules[name] = {node.number: getattr(node, name) for node in self.nodes}
         rules["stretched"] = {node.number: node.bounds_stretched() for node in self.nodes}
@@ -971,6 +1034,10 @@
                         help="series of engines that leave and are replaced, beside the others")
     parser.add_argument("--rests", type=int, default=1,
                         help="series of rests that engines ask for, beside the others")
+    parser.add_argument("--cuts", type=int, default=0,
+                        help="series of nodes partitioned from all engines, beside the others")
+    parser.add_argument("--brittle", type=int, default=0,
+                        help="series of brittle engines, beside the others (one at most)")
     parser.add_argument("--drills", type=int, default=0,
                         help="series in which the store comes back from an old copy, beside the others")
     parser.add_argument("--beats", type=int, help="heartbeats of engines a second; 25 with drills, else none")
@@ -983,6 +1050,7 @@
     build = pathlib.Path(options.build).resolve()
     options.binary = options.binary or str(build / "fernmoor-gateway")
     options.detour = str(build / "libfernmoor-peer-detour.so")
+    options.engine_link = str(build / "libfernmoor-engine-link.so")
     if options.beats is None:
         options.beats = 25 if options.drills else 0
     if options.narrow is None:
--- a/test/process/platform_soak_test.py
+++ b/test/process/platform_soak_test.py
@@ -20,7 +20,7 @@
          "killed": {1: [1.5]}, "poison": {b"p"}, "exits": {2: [1.1]}, "memory_bytes": {0: 88e6},
          "peak_bytes": {0: 88e6}, "ended_itself": {0: []}, "stretched": {0: []},
          "arrivals": [], "limits": [], "told": [], "all_killed": [], "told_leaving": [],
-         "told_rest": [], "left": [], "added": {}, "went_back": [],
+         "told_rest": [], "left": [], "added": {}, "went_back": [], "cuts": [], "brittle": [], "falls": [],
          "crashes": [{"body": b"p", "engine": f"e{n}", "at": 100.0 + n} for n in range(5)]}
 
 
@@ -200,6 +200,44 @@
     assert not rest_faults(3, struck={0: [(1.5, 1.6)]}), "the node was struck since"
 
 
+def cut_faults(served_there, failed_there, served_others=100, at=110.0, way="hang", **world):
+    """What the judge says of requests at two nodes, one of which is partitioned from all engines."""
+    calls = [call(node=0, sent_at=at) for _ in range(served_there)]
+    calls += [call(node=0, sent_at=at, status=503) for _ in range(failed_there)]
+    calls += [call(node=3, sent_at=at) for _ in range(served_others)]
+    cut = {"nodes": [0], "start": 105.0, "end": 115.0, "way": way}
+    return judge.judge(calls, [], [], dict(WORLD, revoked={}, cuts=[cut], **world))["RECOVER"]
+
+
+def check_judge_of_cuts():
+    assert cut_faults(10, 30), "callers of a partitioned node are served worse"
+    assert cut_faults(0, 11), "nobody is served there"
+    assert not cut_faults(30, 12), "served more than two thirds as often"
+    assert not cut_faults(0, 10), "so few may fail"
+    assert not cut_faults(10, 30, at=107.9), "within the time to notice"
+    assert not cut_faults(10, 30, at=115.1), "after its end"
+    assert not cut_faults(10, 30, struck={0: [(108.0, 109.0)]}), "the node is out of touch"
+    assert not cut_faults(10, 30, served_others=0), "nobody else was asked"
+    assert cut_faults(10, 30, way="reset") and cut_faults(10, 30, way="live on")
+
+
+def fall_faults(count, service="models", at=110.0, node=0, **world):
+    falls = [{"life": number, "service": service, "at": at, "rejected": ["r1"]} for number in range(count)]
+    brittle = {"service": "models", "survives": 8, "start": 100.0, "end": 120.0, "engines": 10}
+    arrivals = [{"id": "r1", "life": 1, "at": 101.0}]
+    return judge.judge([call(node=node, sent_at=at)], [], [], dict(
+        WORLD, revoked={}, brittle=[brittle], falls=falls, arrivals=arrivals, **world))["LIMIT"]
+
+
+def check_judge_of_falls():
+    assert fall_faults(4), "two falls and a tenth of ten engines are allowed"
+    assert not fall_faults(3)
+    assert not fall_faults(4, service="plain"), "engines of another service"
+    assert not fall_faults(4, at=103.9), "within the time to notice"
+    assert not fall_faults(4, at=120.1), "no longer brittle"
+    assert not fall_faults(4, struck={0: [(108.0, 109.0)]}), "what was rejected came from a node out of touch"
+
+
 def check_judge_of_tables():
     late = call(kind="row", path="/extra-1/x", status=404, stamp=None, sent_at=3.1)
     added = dict(WORLD, added={"extra-1": 1.0}, service_of=dict(WORLD["service_of"], row="plain"))
@@ -215,6 +253,8 @@
     check_judge_of_leaving()
     check_judge_of_rests()
     check_judge_of_tables()
+    check_judge_of_cuts()
+    check_judge_of_falls()
     for seed in SEEDS:
         subprocess.run([sys.executable, str(SOAK / "soak.py"), sys.argv[1], "--seed", str(seed),
                         "--seconds", str(SECONDS), "--poison", "0"], check=True)
