A node that reaches no engine serves its callers by way of another node

Cause: a node had no path to an engine but its own links, and each request learned the partition anew. Class: gray failure of one node's links, answered by local failover only. Change: while new connections to engines fail, a request is handed to another node's ordinary listener, as its caller would do it (PeerProtocol, request_run_peer.cpp): same id, key, body, what is left of the deadline, last event id; a mark lets nobody hand it on twice. Nodes say in their membership entry that they reach no engine, and are not chosen; choices are random, in the own zone while half of it reaches engines. A hop that broke is unknown; not run only where the other node said so. Limit, second sends and attempts count once. A request that may run once takes a new connection if no engine gave a sign for a second. A request now counts once in the budget of second sends, also if several engines are not reached.

--- a/src/common/metrics.cpp
+++ b/src/common/metrics.cpp
@@ -101,6 +101,12 @@
           &gauge(registry_, "fernmoor_engine_data_arrives",
                  "1 if an engine sent data within the last second or new connections succeed.")
                .Add({})),
+      handedOn_(&counter(registry_, "fernmoor_handed_on_requests_total",
+                         "Requests handed to another node, as this one reaches no engine.")
+                     .Add({})),
+      fromPeers_(&counter(registry_, "fernmoor_requests_from_nodes_total",
+                          "Requests handed to this node by one that reaches no engine.")
+                      .Add({})),
       permitted_(&counter(registry_, "fernmoor_permitted_sends_total",
                           "Requests sent to engines that state a limit, within it.")
                       .Add({})),
--- a/src/common/metrics.h
+++ b/src/common/metrics.h
@@ -128,6 +128,10 @@
     engineConnects_->Set(connects ? 1 : 0);
     engineHears_->Set(hears ? 1 : 0);
   }
+  /// A request was handed to another node, or came from one, because the node that received it from
+  /// its caller reaches no engine.
+  void countHandedOn() { handedOn_->Increment(); }
+  void countFromPeer() { fromPeers_->Increment(); }
   /// A request was sent to an engine on a permit, or was refused for want of one.
   void countPermitted() { permitted_->Increment(); }
   void countUnpermitted() { unpermitted_->Increment(); }
@@ -179,6 +183,8 @@
   prometheus::Gauge* restingEngines_;
   prometheus::Gauge* engineConnects_;
   prometheus::Gauge* engineHears_;
+  prometheus::Counter* handedOn_;
+  prometheus::Counter* fromPeers_;
   prometheus::Counter* permitted_;
   prometheus::Counter* unpermitted_;
   prometheus::Gauge* quarantined_;
--- a/src/gateway/backend_protocol.h
+++ b/src/gateway/backend_protocol.h
@@ -22,6 +22,7 @@
   PartTransfer transfer;        ///< Where its shared parts are fetched from and saved to.
   int urgency = 0;              ///< 0 is the most urgent.
   std::string resumeAfter;      ///< Id of the last event delivered; empty: start of stream.
+  int earlierRuns = 0;          ///< Back ends that may have run the request before.
 };
 
 /// How the head of an answer states the limit of its back end, in requests per second from all
--- a/src/gateway/engine_attempt.cpp
+++ b/src/gateway/engine_attempt.cpp
@@ -110,11 +110,13 @@
   return step == AttemptStep::kDone && isTaken ? writeAll(request_.body, caller, deadline) : step;
 }
 
-AttemptStep EngineAttempt::open(Time deadline) {
-  connection_ = pool_.takeIdle(incarnationHash(plan_.backend), clock_.now());
-  if (connection_ == nullptr) {
+AttemptStep EngineAttempt::open(Time deadline, ConnectionUse use) {
+  if (use.mayReuse) {
+    connection_ = pool_.takeIdle(incarnationHash(plan_.backend), clock_.now());
+  }
+  if (connection_ == nullptr && use.mayOpen) {
+    triedNewConnection_ = true;
     connection_ = pool_.open(plan_.backend.address);
-    isNewConnection_ = connection_ != nullptr;
   }
   if (connection_ == nullptr) {
     return AttemptStep::kNotSent;
--- a/src/gateway/engine_attempt.h
+++ b/src/gateway/engine_attempt.h
@@ -27,6 +27,12 @@
   kCallerGone,  ///< The caller disconnected.
 };
 
+/// Which connections an attempt may use.
+struct ConnectionUse {
+  bool mayReuse = true;  ///< An idle one of the pool.
+  bool mayOpen = true;   ///< A new one.
+};
+
 /// Not thread-safe. Closes its connection on destruction unless keepConnection() was called.
 class EngineAttempt {
  public:
@@ -34,7 +40,7 @@
                 const BackendProtocol& protocol, ConnectionPool& pool, const Clock& clock);
 
   /// Takes an idle connection from the pool or opens one.
-  AttemptStep open(Time deadline);
+  AttemptStep open(Time deadline, ConnectionUse use = {});
   /// Sends the request on the open connection.
   /// @param caller watched for a disconnect while the back end accepts no bytes.
   AttemptStep send(CallerChannel& caller, Time deadline);
@@ -47,8 +53,9 @@
   ///         one piece of the wait has passed.
   AttemptStep readBody(CallerChannel& caller, Time deadline, std::string& bytes);
 
-  /// @return whether open() opened the connection; false if it was idle in the pool.
-  bool isNewConnection() const { return isNewConnection_; }
+  /// @return whether open() tried to open a connection, with or without success; false if it took
+  ///         an idle one or was not to open one.
+  bool triedNewConnection() const { return triedNewConnection_; }
   bool bodyComplete() const { return body_ && body_->complete(); }
   const Poco::Net::HTTPResponse& head() const { return head_; }
   const AnswerFacts& facts() const { return facts_; }
@@ -68,7 +75,7 @@
   ConnectionPool& pool_;
   const Clock& clock_;
   std::unique_ptr<ByteConnection> connection_;
-  bool isNewConnection_ = false;
+  bool triedNewConnection_ = false;
   bool requestSent_ = false;
   Poco::Net::HTTPResponse head_;
   AnswerFacts facts_;
--- a/src/gateway/engine_reach.cpp
+++ b/src/gateway/engine_reach.cpp
@@ -60,6 +60,7 @@
     lasted = clock_.now() - lostAt_;
   }
   if (wasLost) {
+    onChange_(false);
     LogFields fields;
     fields.elapsed = lasted;
     logWarning("engines: reached again", fields);
@@ -132,6 +133,7 @@
     nextProbeAt_ = lostAt_ + kProbeInterval;
     newConnectionsFail_ = true;
   }
+  onChange_(true);
   LogFields fields;
   fields.elapsed = sinceHeard;
   logWarning(
--- a/src/gateway/engine_reach.h
+++ b/src/gateway/engine_reach.h
@@ -6,6 +6,7 @@
 /// on, until an engine takes a connection again.
 #pragma once
 
+#include <algorithm>
 #include <atomic>
 #include <condition_variable>
 #include <functional>
@@ -48,8 +49,16 @@
   /// Connects to an engine. @return whether it took the connection within some tens of ms.
   using Probe = std::function<bool(const BackendListing&)>;
 
-  EngineReach(const Clock& clock, const BackendSet& backends, Probe probe, uint64_t randomSeed)
-      : clock_(clock), backends_(backends), probe_(std::move(probe)), random_(randomSeed) {}
+  /// Called with whether new connections to engines fail, each time that this changes.
+  using OnChange = std::function<void(bool)>;
+
+  EngineReach(const Clock& clock, const BackendSet& backends, Probe probe, OnChange onChange,
+              uint64_t randomSeed)
+      : clock_(clock),
+        backends_(backends),
+        probe_(std::move(probe)),
+        onChange_(std::move(onChange)),
+        random_(randomSeed) {}
 
   /// A new connection to an engine succeeded.
   void noteConnected();
@@ -63,6 +72,10 @@
   bool isProvenSince(Time at) const;
   /// @return whether an engine sent data at or after that time.
   bool isHeardSince(Time at) const;
+  /// @return time since an engine took a connection or sent data.
+  Duration sinceProof() const {
+    return clock_.now() - std::max(lastConnected_.load(), lastHeard_.load());
+  }
   /// Finds out whether this node reaches another engine, if that is not proven since. Blocks for
   /// the probes of a few engines at most.
   /// @param engine the one in question, which does not count.
@@ -88,6 +101,7 @@
   const Clock& clock_;
   const BackendSet& backends_;
   const Probe probe_;
+  const OnChange onChange_;
   std::atomic<bool> newConnectionsFail_{false};
   std::atomic<bool> hasFailures_{false};
   std::atomic<Time> lastConnected_{Time()};
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -22,6 +22,7 @@
 #include "gateway/incoming_request.h"
 #include "gateway/outcome_log.h"
 #include "gateway/part_memory.h"
+#include "gateway/peer_path.h"
 #include "gateway/request_quarantine.h"
 #include "gateway/return_times.h"
 #include "gateway/second_send_budget.h"
@@ -46,6 +47,7 @@
   RequestQuarantine& quarantine;
   CutOffRuns& cutOffRuns;
   EngineReach& reach;
+  PeerPath& peers;
   Metrics& metrics;
   ByteBudget& heldBytes;  ///< Memory for answers that are buffered until complete.
 };
--- a/src/gateway/incoming_request.h
+++ b/src/gateway/incoming_request.h
@@ -38,7 +38,9 @@
   uint64_t mostAnswerTokens = 0;      ///< Upper bound; 0: unknown.
   uint64_t expectedAnswerTokens = 0;  ///< The caller's estimate; 0: unknown.
   std::vector<PromptPart> parts;
-  std::string resumeAfter;  ///< Id of the last event the caller received; empty: none.
+  std::string resumeAfter;    ///< Id of the last event the caller received; empty: none.
+  bool cameFromPeer = false;  ///< Another node that reaches no engine handed it on.
+  int earlierRuns = 0;        ///< Back ends that may have run it at that node.
 
   /// @return the number of parts that other requests may share: all but the last.
   size_t sharedPartCount() const { return parts.empty() ? 0 : parts.size() - 1; }
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -43,6 +43,8 @@
                                     TenantId(request.tenant ? request.tenant->name : ""))),
       beginDeadline_(services_.wanted, request.id),
       fingerprint_(fingerprintOf(request)),
+      runs_(request.earlierRuns),
+      isCounted_(request.cameFromPeer),
       lastEventId_(request.resumeAfter),
       heldBytes_(services_.heldBytes) {}
 
@@ -131,7 +133,8 @@
   uncountPrompt();
   releaseTicket();
   services_.backends.ended(plan_.backend.id, verdict, now);
-  if (end == AttemptEnd::kServed || end == AttemptEnd::kFailed) {
+  const bool isWhole = end == AttemptEnd::kServed || end == AttemptEnd::kFailed;
+  if (isWhole && !currentPeer_) {  // Another node records itself what its engines survived.
     services_.quarantine.noteServed(fingerprint_);  // The back end survived the request.
     recordBackendAlive();
   }
@@ -205,14 +208,21 @@
 }
 
 void RequestRun::noteReach(const EngineAttempt& attempt, AttemptStep opened) {
+  unreached_ += opened == AttemptStep::kNotSent ? 1 : 0;
+  if (!attempt.triedNewConnection()) {
+    return;
+  }
   if (opened == AttemptStep::kNotSent) {
     services_.reach.noteUnreached(plan_.backend.id);
-  } else if (attempt.isNewConnection()) {
+  } else {
     services_.reach.noteConnected();
   }
 }
 
 void RequestRun::recordBackendAlive() {
+  if (currentPeer_) {
+    return;
+  }
   services_.reach.noteHeard();
   const Time sentByThen = std::max(sentAt_, services_.clock.now() - kMaxReadDelay);
   services_.cutOffRuns.noteAlive(incarnationHash(plan_.backend), sentByThen);
@@ -221,9 +231,13 @@
 /// A closed port right after the answer broke off shows that the back end crashed. The check cannot
 /// wait, because seconds later another process may listen there. An open port proves nothing yet.
 AttemptEnd RequestRun::classifyBreak() {
+  if (currentPeer_) {
+    return AttemptEnd::kBroken;
+  }
   const BackendListing& backend = plan_.backend;
   const quarantine::CrashedRun run = runUntilNow();
   if (services_.connections.stillAnswers(run.incarnation, backend.address, run.endedAt)) {
+    services_.reach.noteConnected();
     services_.cutOffRuns.note(fingerprint_, backend, run);
     return AttemptEnd::kBroken;
   }
@@ -245,6 +259,9 @@
 }
 
 RequestRun::Next RequestRun::afterStep(AttemptStep step) {
+  if (currentPeer_) {
+    return afterPeerStep(step);
+  }
   switch (step) {
     case AttemptStep::kCallerGone:
       callerGone_ = true;
@@ -254,9 +271,7 @@
       recordAttemptEnd(BackendVerdict::kNeutral, AttemptEnd::kCallerLeft);
       return Next::kFinished;
     case AttemptStep::kNotSent:
-      services_.backends.avoidUntil(plan_.backend.id,
-                                    services_.clock.now() + kUnreachableAvoidance);
-      recordAttemptEnd(BackendVerdict::kFailed, AttemptEnd::kNotReached);
+      recordNotReached();
       return Next::kTryAnother;
     case AttemptStep::kTooLate:
       recordAttemptEnd(BackendVerdict::kNeutral, AttemptEnd::kTooLate);
@@ -282,6 +297,15 @@
   return Next::kFinished;
 }
 
+void RequestRun::recordNotReached() {
+  if (services_.reach.state() != ReachState::kReached) {  // The engine is not to blame.
+    recordAttemptEnd(BackendVerdict::kNeutral, AttemptEnd::kNotReached);
+    return;
+  }
+  services_.backends.avoidUntil(plan_.backend.id, services_.clock.now() + kUnreachableAvoidance);
+  recordAttemptEnd(BackendVerdict::kFailed, AttemptEnd::kNotReached);
+}
+
 RequestRun::Next RequestRun::afterUnknownRun() {
   mayHaveRun_ = true;
   ++runs_;
@@ -289,6 +313,15 @@
 }
 
 RequestRun::Next RequestRun::tryOnce() {
+  const std::optional<PeerNode> peer = nextPeer();
+  return peer ? tryPeer(*peer) : tryEngine();
+}
+
+RequestRun::Next RequestRun::tryEngine() {
+  if (peerRefusal_ && services_.reach.state() != ReachState::kReached) {
+    return Next::kGiveUp;
+  }
+  currentPeer_.reset();
   const std::optional<PlannedSend> planned =
       forwarder_.planner_.plan(PlanInput{request_, tried_, lastEventId_, sends_ == 0});
   if (planned) {
@@ -325,7 +358,7 @@
                         services_.clock);
   const Time sendBy = stepDeadline();
   const Time sentBy = std::min(sendBy, beginDeadline_.withdrawAt().value_or(sendBy));
-  AttemptStep step = attempt.open(sentBy);
+  AttemptStep step = attempt.open(sentBy, connectionUse());
   noteReach(attempt, step);
   // The back end may have withdrawn while the connection was opened.
   if (step == AttemptStep::kDone &&
@@ -350,12 +383,15 @@
 void RequestRun::recordSend(const PlannedSend& planned) {
   const Time now = services_.clock.now();
   tried_.insert(plan_.backend.id);
-  if (sends_ == 0) {
+  if (!isCounted_) {
     services_.budget.countRequest(request_.pool, now);
-  } else {
+    isCounted_ = true;
+  }
+  if (sends_ > 0) {
     metrics_.countRetry();
   }
-  beginDeadline_.start(request_.model, plan_.weightsVersion, request_.row->isStream);
+  beginDeadline_.start(request_.model, plan_.weightsVersion,
+                       request_.row->isStream && !currentPeer_);
   services_.backends.started(plan_.backend.id, request_.promptTokens);
   attemptOpen_ = true;
   promptCounted_ = true;
@@ -397,6 +433,9 @@
 }
 
 RequestRun::Next RequestRun::takeAnswer(EngineAttempt& attempt) {
+  if (currentPeer_) {
+    return takePeerAnswer(attempt);
+  }
   const AnswerFacts& facts = attempt.facts();
   services_.reach.noteHeard();
   noteWeights(facts);
@@ -410,6 +449,10 @@
     attempt.keepConnection();
     return Next::kTryAnother;
   }
+  return relayAnswer(attempt);
+}
+
+RequestRun::Next RequestRun::relayAnswer(EngineAttempt& attempt) {
   const int status = static_cast<int>(attempt.head().getStatus());
   if (status == kStatusOk && isEventStream(attempt.head())) {
     return relayStream(attempt);
@@ -429,6 +472,12 @@
     logEnd(RequestOutcome::kEngineFailed);
     return;
   }
+  if (peerRefusal_ && !mayHaveRun_) {
+    bufferedAnswer_ = std::move(peerRefusal_);
+    deliverBuffered();
+    logEnd(RequestOutcome::kNoBackend);
+    return;
+  }
   if (unpermittedFor_ && !mayHaveRun_) {
     rejectWithoutPermit(*unpermittedFor_);
     return;
@@ -471,6 +520,14 @@
 
 void RequestRun::run() {
   metrics_.countRequest();
+  if (request_.cameFromPeer) {
+    services_.metrics.countFromPeer();
+  }
+  if (request_.cameFromPeer && services_.reach.state() == ReachState::kPartitioned) {
+    refuse(partitionedError());
+    logEnd(RequestOutcome::kNoBackend);
+    return;
+  }
   if (isQuarantined() || !passesLimit()) {
     return;
   }
--- a/src/gateway/request_run.h
+++ b/src/gateway/request_run.h
@@ -21,7 +21,8 @@
 inline constexpr Duration kAnswerGrace{60000};
 
 /// Not thread-safe; used for one request. Relaying of answers is implemented in
-/// request_run_relay.cpp, handling of rate limits that engines state in request_run_permits.cpp.
+/// request_run_relay.cpp, handling of rate limits that engines state in request_run_permits.cpp,
+/// and the way through another node in request_run_peer.cpp.
 class RequestRun {
  public:
   RequestRun(Forwarder& forwarder, const IncomingRequest& request, CallerChannel& caller);
@@ -42,6 +43,17 @@
   };
 
   Next tryOnce();
+  Next tryEngine();
+  /// @return the node to hand the request to next; std::nullopt if it is not handed on now.
+  std::optional<PeerNode> nextPeer();
+  Next tryPeer(const PeerNode& peer);
+  Next relayAnswer(EngineAttempt& attempt);
+  Next takePeerAnswer(EngineAttempt& attempt);
+  Next afterPeerStep(AttemptStep step);
+  /// Stops counting the request against its tenant's limit: the node it is handed to counts it.
+  void uncountAgainstLimit();
+  /// @return the connections that may be used for the request at an engine.
+  ConnectionUse connectionUse() const;
   void recordSend(const PlannedSend& planned);
   Next afterStep(AttemptStep step);
   /// @return what to do after an attempt that gave no complete answer and may have executed the
@@ -78,6 +90,9 @@
   quarantine::CrashedRun runUntilNow() const;
   /// Keeps the run, so that it counts as a crash if the back end proves to have ended.
   void recordCutOff();
+  /// Records that no connection to the back end could be had, and avoids it for a while unless this
+  /// node reaches no engine at all.
+  void recordNotReached();
   /// Records whether the connection for an attempt could be opened.
   void noteReach(const EngineAttempt& attempt, AttemptStep opened);
   /// Records that data from the back end was read now, so that its process was alive.
@@ -123,11 +138,17 @@
   ClassMetrics& metrics_;
   BeginDeadline beginDeadline_;
   std::set<std::string> tried_;
+  std::set<NodeId> triedPeers_;
+  std::optional<NodeId> currentPeer_;  ///< The node that the current attempt hands the request to.
+  std::optional<BufferedAnswer> peerRefusal_;  ///< The last rejection of another node: not run.
+  size_t unreached_ = 0;                       ///< Engines to which no connection could be had.
   const uint64_t fingerprint_;
   SendPlan plan_;
-  int runs_ = 0;           ///< Number of back ends that may have run the request.
-  int sends_ = 0;          ///< Number of back ends that the request was sent to.
-  bool headSent_ = false;  ///< The head of the answer was sent to the caller.
+  int runs_ = 0;            ///< Number of back ends that may have run the request.
+  bool isCounted_ = false;  ///< It counts as a request in the budget of second sends, here or at
+                            ///< the node that handed it on.
+  int sends_ = 0;           ///< Number of back ends that the request was sent to.
+  bool headSent_ = false;   ///< The head of the answer was sent to the caller.
   bool mayHaveRun_ = false;
   bool promptCounted_ = false;
   bool attemptOpen_ = false;
--- a/src/gateway/request_run_relay.cpp
+++ b/src/gateway/request_run_relay.cpp
@@ -113,7 +113,9 @@
   } else {
     firstEventAt_ = now;
     metrics_.observeFirstToken(now - request_.arrivedAt);
-    forwarder_.planner_.notePartsRead(request_, plan_, now - sentAt_);
+    if (!currentPeer_) {
+      forwarder_.planner_.notePartsRead(request_, plan_, now - sentAt_);
+    }
   }
   lastEventAt_ = now;
 }
--- a/src/gateway/send_decisions.cpp
+++ b/src/gateway/send_decisions.cpp
@@ -20,6 +20,8 @@
 constexpr Duration kMinRetryAfterBusy{250000};
 /// How long the most urgent requests wait for a permit of an engine at its limit (300 ms).
 constexpr Duration kMaxPermitWait{300000};
+/// Engines are silent for about a second at times.
+constexpr Duration kMaxQuietBeforeReuse{1000000};
 constexpr Duration kRetryAfterUnverifiedKey{500000};
 constexpr Duration kMinRetryAfterNoPermit{50000};
 
@@ -73,6 +75,15 @@
                RunState::kNotRun, left};
 }
 
+Error partitionedError() {
+  return Error{ErrorKind::kUnavailable, "this node reaches no engine; ask another one.",
+               RunState::kNotRun, kRetryAfterOtherNode};
+}
+
+bool mayReuseConnection(const IncomingRequest& request, Duration sinceProof) {
+  return request.isRepeatable() || sinceProof <= kMaxQuietBeforeReuse;
+}
+
 Error unverifiedKeyError(bool mayHaveRun) {
   return Error{
       mayHaveRun ? ErrorKind::kOutcomeUnknown : ErrorKind::kUnavailable,
--- a/src/gateway/send_decisions.h
+++ b/src/gateway/send_decisions.h
@@ -52,6 +52,18 @@
 /// @return the error for a request that is quarantined because it crashes engines.
 Error quarantinedError(Duration left);
 
+/// Retry-After when another node can serve the request immediately.
+inline constexpr Duration kRetryAfterOtherNode{20000};
+
+/// @return the error of a node that reaches no engine for a request that another node handed to it.
+Error partitionedError();
+
+/// @param sinceProof time since an engine took a connection or sent data.
+/// @return whether the request may use an established connection. If nothing arrived for long, the
+///         links may be lost without a sign: a new connection shows that before the request is
+///         sent, an established one only after, when the request may have run.
+bool mayReuseConnection(const IncomingRequest& request, Duration sinceProof);
+
 /// @return the error if this node cannot verify that the caller's key is still valid.
 Error unverifiedKeyError(bool mayHaveRun);
 
--- a/src/membership/member.h
+++ b/src/membership/member.h
@@ -22,8 +22,9 @@
   SocketAddress peerAddress;  ///< UDP and TCP port of node-to-node messages.
   SocketAddress httpAddress;  ///< Callers' and operators' port.
   MemberState state = MemberState::kAlive;
-  TableVersion tableVersion;  ///< Last version known to be in force there.
-  uint32_t linkMegabits = 0;  ///< Bandwidth of its own link in Mbit/s; 0: unknown.
+  TableVersion tableVersion;     ///< Last version known to be in force there.
+  uint32_t linkMegabits = 0;     ///< Bandwidth of its own link in Mbit/s; 0: unknown.
+  bool reachesNoEngine = false;  ///< It stated that it is partitioned from all engines.
 };
 
 /// Read access to the members for other modules. Thread-safe.
--- a/src/membership/member_codec.cpp
+++ b/src/membership/member_codec.cpp
@@ -58,6 +58,7 @@
   update.set_sequence(status.sequence);
   update.set_health(static_cast<proto::MemberHealth>(status.health));
   update.set_draining(status.draining);
+  update.set_reaches_no_engine(status.reachesNoEngine);
   update.set_table_version(status.tableVersion.value());
   if (statement.identity) {
     encodeIdentity(*statement.identity, *update.mutable_identity());
@@ -76,6 +77,7 @@
   status.sequence = update.sequence();
   status.health = static_cast<MemberHealth>(update.health());
   status.draining = update.draining();
+  status.reachesNoEngine = update.reaches_no_engine();
   status.tableVersion = TableVersion(update.table_version());
   if (!update.has_identity()) {
     return statement;
--- a/src/membership/member_status.h
+++ b/src/membership/member_status.h
@@ -24,7 +24,8 @@
   uint32_t sequence = 0;  ///< Raised by the member alone.
   MemberHealth health = MemberHealth::kAlive;
   bool draining = false;
-  TableVersion tableVersion;  ///< Last known in force there; never falls within an incarnation.
+  TableVersion tableVersion;     ///< Last known in force there; never falls in an incarnation.
+  bool reachesNoEngine = false;  ///< Stated by the member itself.
 };
 
 /// What does not change within one incarnation of a member.
--- a/src/membership/member_table.cpp
+++ b/src/membership/member_table.cpp
@@ -162,6 +162,13 @@
   noteChange();
 }
 
+void MemberTable::setSelfReachesNoEngine(bool reachesNone) {
+  MemberStatus& own = mutableSelf().status;
+  own.reachesNoEngine = reachesNone;
+  ++own.sequence;
+  noteChange();
+}
+
 void MemberTable::setSelfLeft() {
   MemberStatus& own = mutableSelf().status;
   ++own.sequence;
--- a/src/membership/member_table.h
+++ b/src/membership/member_table.h
@@ -60,6 +60,7 @@
 
   /// Changes this node's own state; its sequence grows.
   void setSelfDraining(bool draining);
+  void setSelfReachesNoEngine(bool reachesNone);
   void setSelfLeft();
   void setSelfTableVersion(TableVersion version);
 
--- a/src/membership/membership_role.cpp
+++ b/src/membership/membership_role.cpp
@@ -124,6 +124,16 @@
   publishIfChanged();
 }
 
+void MembershipRole::setReachesNoEngine(bool reachesNone) {
+  const RankedLock lock(mutex_);
+  if (table_.self().status.reachesNoEngine == reachesNone) {
+    return;
+  }
+  table_.setSelfReachesNoEngine(reachesNone);
+  updates_.add(table_.selfId(), false);
+  publishIfChanged();
+}
+
 void MembershipRole::leave(MessageSender& sender) {
   std::vector<OutgoingMessage> outbox;
   {
@@ -195,6 +205,7 @@
   heartbeat.set_incarnation(from.incarnation.value());
   heartbeat.set_sequence(message.sequence());
   heartbeat.set_draining(message.draining());
+  heartbeat.set_reaches_no_engine(message.reaches_no_engine());
   heartbeat.set_table_version(message.table_version());
   const std::optional<MemberStatement> statement = decodeStatement(heartbeat);
   if (!statement) {
--- a/src/membership/membership_role.h
+++ b/src/membership/membership_role.h
@@ -63,6 +63,8 @@
   void setLocalTableVersion(TableVersion version);
   /// Announces whether this node accepts new work.
   void setDraining(bool draining);
+  /// Announces whether this node is partitioned from all engines.
+  void setReachesNoEngine(bool reachesNone);
   /// Tells some members that this node stops now, and falls silent for good.
   void leave(MessageSender& sender);
 
--- a/src/membership/messenger.cpp
+++ b/src/membership/messenger.cpp
@@ -165,6 +165,7 @@
   const MemberStatus& own = table_.self().status;
   message.set_sequence(own.sequence);
   message.set_draining(own.draining);
+  message.set_reaches_no_engine(own.reachesNoEngine);
   message.set_table_version(own.tableVersion.value());
   if (versions_.newest() > own.tableVersion) {
     message.set_newest_version(versions_.newest().value());
--- a/src/membership/snapshot_builder.cpp
+++ b/src/membership/snapshot_builder.cpp
@@ -16,6 +16,7 @@
   member.linkMegabits = entry.identity.linkMegabits;
   member.state = stateOf(entry.status);
   member.tableVersion = entry.status.tableVersion;
+  member.reachesNoEngine = entry.status.reachesNoEngine;
   return member;
 }
 
--- a/src/peers/peer_plane.cpp
+++ b/src/peers/peer_plane.cpp
@@ -52,7 +52,7 @@
   settings.self.zone = options_.zone;
   settings.self.region = options_.region;
   settings.self.peerAddress = options_.listen;
-  settings.self.httpAddress = options_.listen;
+  settings.self.httpAddress = options_.callers;
   settings.self.linkMegabits = options_.linkMegabits;
   for (const SocketAddress& seed : options_.seeds) {
     settings.seeds.push_back(Seed{nodeIdOf(seed), seed});
@@ -116,6 +116,29 @@
   draining_ = true;
 }
 
+void PeerPlane::setReachesNoEngine(bool reachesNone) {
+  reachesNoEngine_ = reachesNone;
+}
+
+std::vector<gateway::PeerNode> PeerPlane::others() const {
+  std::vector<gateway::PeerNode> nodes;
+  const std::shared_ptr<IncarnationState> current = currentIncarnation();
+  if (current == nullptr) {
+    return nodes;
+  }
+  const std::shared_ptr<const MembershipSnapshot> members = current->membership->snapshot();
+  for (const Member& member : members->members) {
+    const bool isOther = member.life.node != members->self.node;
+    const bool listens =
+        member.httpAddress.port != 0 && !(member.httpAddress == member.peerAddress);
+    if (isOther && listens && member.state == MemberState::kAlive) {
+      nodes.push_back(gateway::PeerNode{member.life.node, member.httpAddress, member.zone.value(),
+                                        !member.reachesNoEngine});
+    }
+  }
+  return nodes;
+}
+
 size_t PeerPlane::memberCount() const {
   const std::shared_ptr<IncarnationState> current = currentIncarnation();
   return current == nullptr ? 1 : current->membership->snapshot()->members.size();
@@ -158,6 +181,7 @@
   if (draining_) {
     current->membership->setDraining(true);
   }
+  current->membership->setReachesNoEngine(reachesNoEngine_);
   current->membership->onTick(now, *current->transport);
   const auto snapshot = current->membership->snapshot();
   mirrorRole_.setMembers(snapshot);
--- a/src/peers/peer_plane.h
+++ b/src/peers/peer_plane.h
@@ -15,6 +15,7 @@
 #include "common/knobs.h"
 #include "common/message_sender.h"
 #include "common/metrics.h"
+#include "gateway/peer_choice.h"
 #include "membership/membership_role.h"
 #include "peers/limit_directory.h"
 #include "peers/load_directory.h"
@@ -26,7 +27,8 @@
 namespace fernmoor::peers {
 
 struct PeerOptions {
-  SocketAddress listen;  ///< Address of this node for other nodes, UDP and TCP.
+  SocketAddress listen;   ///< Address of this node for other nodes, UDP and TCP.
+  SocketAddress callers;  ///< Address of this node for callers' requests.
   ZoneId zone;
   RegionId region;
   std::vector<SocketAddress> seeds;  ///< Nodes to contact when joining; some may be down.
@@ -40,7 +42,7 @@
 NodeId nodeIdOf(const SocketAddress& address);
 
 /// Thread-safe.
-class PeerPlane : public MessageSender {
+class PeerPlane : public MessageSender, public gateway::PeerNodes {
  public:
   /// Binds the address. Throws Poco::Net::NetException if it is in use.
   PeerPlane(PeerOptions options, const Clock& clock, StateMirror& mirror, DesiredWeights& wanted,
@@ -52,12 +54,16 @@
   /// Notifies the other nodes that this one leaves, and joins the threads. Idempotent.
   void stop();
   void setDraining();
+  void setReachesNoEngine(bool reachesNone);
 
   MirrorRole& mirror() { return mirrorRole_; }
   PartDirectory& parts() { return parts_; }
   LoadDirectory& loads() { return loads_; }
   LimitDirectory& limits() { return limits_; }
   QuarantineDirectory& quarantine() { return quarantine_; }
+  /// @return the other nodes that are neither suspected nor draining and say where they listen for
+  ///         callers.
+  std::vector<gateway::PeerNode> others() const override;
   /// @return number of members that are not considered dead, including this node.
   size_t memberCount() const;
   MemberCounts memberCounts() const;
@@ -94,6 +100,7 @@
   std::shared_ptr<IncarnationState> incarnation_;
   std::atomic<bool> stopping_{false};
   std::atomic<bool> draining_{false};
+  std::atomic<bool> reachesNoEngine_{false};
   std::thread thread_;
 };
 
--- a/test/gateway/engine_reach_test.cpp
+++ b/test/gateway/engine_reach_test.cpp
@@ -41,12 +41,13 @@
   bool isCut = false;
   std::set<std::string> ended;
   std::vector<std::string> probed;
+  std::vector<bool> told;
   EngineReach reach{clock, backends,
                     [this](const BackendListing& engine) {
                       probed.push_back(engine.id);
                       return !isCut && ended.count(engine.id) == 0;
                     },
-                    1};
+                    [this](bool connectionsFail) { told.push_back(connectionsFail); }, 1};
 };
 
 }  // namespace
@@ -68,11 +69,13 @@
     world.isCut = false;
     world.pass(milliseconds(350));
     CHECK(world.reach.state() == ReachState::kReached);
+    CHECK(world.told == std::vector<bool>{true, false});
   }
   SUBCASE("or a request reaches one") {
     world.isCut = false;
     world.reach.noteConnected();
     CHECK(world.reach.state() == ReachState::kReached);
+    CHECK(world.told == std::vector<bool>{true, false});
   }
   SUBCASE("and a second partition is found as well") {
     world.isCut = false;
--- a/test/gateway/forwarder_world.h
+++ b/test/gateway/forwarder_world.h
@@ -340,6 +340,29 @@
   int waits = 0;
 };
 
+/// The other nodes that the test lists.
+class TestNodes : public PeerNodes {
+ public:
+  std::vector<PeerNode> others() const override { return listed; }
+
+  std::vector<PeerNode> listed;
+};
+
+/// A protocol between nodes for tests only: "Handed-On" is the number of earlier runs, and an
+/// answer with "Not-Run" is a rejection of the other node.
+class TestPeerProtocol : public TestProtocol {
+ public:
+  void addHeaders(const IncomingRequest& request, const SendPlan& plan, Duration timeLeft,
+                  Poco::Net::HTTPRequest& head) const override {
+    head.set("Handed-On", std::to_string(plan.earlierRuns));
+    head.set("Time-Left", std::to_string(timeLeft.count() / 1000));
+    head.set("Key", request.key);
+    if (!plan.resumeAfter.empty()) {
+      head.set("Resume-After", plan.resumeAfter);
+    }
+  }
+};
+
 /// Room for the answers of some requests at once.
 constexpr size_t kHeldBytes = 1 << 20;
 
@@ -360,11 +383,12 @@
             [this](const BackendListing& engine) {
               return connections.stillAnswers(incarnationHash(engine), engine.address, clock.now());
             },
-            1),
-        forwarder(
-            ForwarderServices{clock, table, backends, connections, budget, protocol, wanted, hints,
-                              loads, limits, quarantine, cutOffRuns, reach, metrics, heldBytes},
-            ForwarderOptions{"zone", std::chrono::seconds(5), 1, kSilence}) {
+            [](bool) {}, 1),
+        peers(nodes, peerProtocol, ConnectOptions{}, "zone", 1),
+        forwarder(ForwarderServices{clock, table, backends, connections, budget, protocol, wanted,
+                                    hints, loads, limits, quarantine, cutOffRuns, reach, peers,
+                                    metrics, heldBytes},
+                  ForwarderOptions{"zone", std::chrono::seconds(5), 1, kSilence}) {
     row.name = "row";
     row.maxAttempts = 2;
     row.repetition = Repetition::kOnce;
@@ -411,6 +435,9 @@
   TestQuarantine quarantine;
   CutOffRuns cutOffRuns;
   EngineReach reach;
+  TestNodes nodes;
+  TestPeerProtocol peerProtocol;
+  PeerPath peers;
   Metrics metrics;
   ByteBudget heldBytes{kHeldBytes};
   Forwarder forwarder;
--- a/test/membership/membership_role_test.cpp
+++ b/test/membership/membership_role_test.cpp
@@ -129,6 +129,26 @@
   CHECK(cluster.countHolding(9, MemberState::kAlive) == kNodes - 1);
 }
 
+TEST_CASE("all know within two seconds that a node reaches no engine, and that it does again") {
+  Joined joined(settingsOf(4));
+  MembershipCluster& cluster = joined.cluster;
+  const auto countKnowing = [&](bool reachesNone) {
+    int count = 0;
+    for (const Member& other : cluster.role(4).members()) {
+      const auto snapshot = cluster.role(other.life.node.value()).snapshot();
+      count += snapshot->find(NodeId(9))->reachesNoEngine == reachesNone ? 1 : 0;
+    }
+    return count;
+  };
+  cluster.role(9).setReachesNoEngine(true);
+  cluster.run(seconds(2));
+  CHECK(countKnowing(true) == kNodes);
+  CHECK(cluster.countHolding(9, MemberState::kAlive) == kNodes - 1);
+  cluster.role(9).setReachesNoEngine(false);
+  cluster.run(seconds(2));
+  CHECK(countKnowing(false) == kNodes);
+}
+
 TEST_CASE("a node that leaves is gone for all within two seconds, without suspicion") {
   Joined joined(settingsOf(5));
   MembershipCluster& cluster = joined.cluster;
--- a/test/platform/ingress_test.cpp
+++ b/test/platform/ingress_test.cpp
@@ -6,6 +6,7 @@
 #include <doctest/doctest.h>
 
 #include "platform/engine_protocol.h"
+#include "platform/peer_protocol.h"
 #include "test/gateway/forwarder_world.h"
 
 namespace fernmoor::platform {
@@ -43,10 +44,11 @@
         cutOffRuns(
             clock, backends, [](const std::string&) { return std::nullopt; }, quarantine),
         reach(
-            clock, backends, [](const BackendListing&) { return false; }, 1),
+            clock, backends, [](const BackendListing&) { return false; }, [](bool) {}, 1),
+        peers(nodes, peerProtocol, ConnectOptions{}, "z", 1),
         forwarder(gateway::ForwarderServices{clock, table, backends, connections, budget, protocol,
                                              wanted, hints, loads, limits, quarantine, cutOffRuns,
-                                             reach, metrics, heldBytes},
+                                             reach, peers, metrics, heldBytes},
                   gateway::ForwarderOptions{"z", std::chrono::seconds(4), 1}),
         work(gateway::StopTimes{}),
         ingress(IngressServices{clock, table, forwarder, work, shedding, heldBytes, pools, metrics,
@@ -117,6 +119,9 @@
   gateway::test::TestQuarantine quarantine;
   gateway::CutOffRuns cutOffRuns;
   gateway::EngineReach reach;
+  gateway::test::TestNodes nodes;
+  PeerProtocol peerProtocol;
+  gateway::PeerPath peers;
   Metrics metrics;
   gateway::ByteBudget heldBytes{kHeldBytes};
   LogBudget refusals{LogBudgetBounds{}};
@@ -160,6 +165,68 @@
   CHECK(sent.rfind("\r\n\r\nabc") != std::string::npos);
 }
 
+TEST_CASE("a mark that a request was handed on only restricts, whoever sets it") {
+  IngressWorld world;
+  const std::string marked = IngressWorld::head(
+      "Fernmoor-Handed-On: 1\r\nConnection: close\r\nContent-Length: 3\r\n\r\nabc");
+  SUBCASE("the engine does not see it") {
+    CHECK(statusOf(world.exchange(marked)) == "HTTP/1.1 200");
+    CHECK(world.engine.lastRequest().find("Handed-On") == std::string::npos);
+  }
+  SUBCASE("the key is checked all the same") {
+    const std::string forged = IngressWorld::head(
+        "Fernmoor-Handed-On: 0\r\nConnection: close\r\nContent-Length: 3\r\n\r\nabc", "/a/x", "no");
+    CHECK(statusOf(world.exchange(forged)) == "HTTP/1.1 401");
+  }
+  SUBCASE("the tenant's limit counts") {
+    world.exchange(marked);
+    CHECK(world.limits.counted > 0);
+  }
+  SUBCASE("odd values are no number of runs") {
+    for (const char* const odd : {"-1", "abc", "", "99999999999999999999"}) {
+      const std::string head = IngressWorld::head(std::string("Fernmoor-Handed-On: ") + odd +
+                                                  "\r\nConnection: close\r\nContent-Length: 3"
+                                                  "\r\n\r\nabc");
+      CHECK(statusOf(world.exchange(head)) == "HTTP/1.1 200");
+    }
+  }
+  SUBCASE("a node that reaches no engine rejects it at once, not run") {
+    world.reach.noteUnreached("i-1");
+    world.reach.step();
+    const std::string answer = world.exchange(marked);
+    CHECK(statusOf(answer) == "HTTP/1.1 503");
+    CHECK(answer.find("Retry-After: 0.02") != std::string::npos);
+    CHECK(world.engine.requests() == 0);
+  }
+}
+
+TEST_CASE("a request is handed to another node as its caller sent it") {
+  IngressWorld receiving;
+  IngressWorld partitioned;
+  partitioned.reach.noteUnreached("i-1");
+  partitioned.reach.step();
+  partitioned.nodes.listed.push_back(gateway::PeerNode{NodeId(2), receiving.address, "z", true});
+  const std::string answer = partitioned.exchange(IngressWorld::head(
+      "X-Model: m\r\nX-Prefix-Hash: a:1,b:2\r\nX-Deadline-Ms: 900\r\nX-Other: kept\r\n"
+      "Connection: close\r\nContent-Length: 3\r\n\r\nabc"));
+  CHECK(statusOf(answer) == "HTTP/1.1 200");
+  CHECK(answer.find("X-Server-Stamp: s1\r\n") != std::string::npos);
+  CHECK(answer.find("\r\n\r\ndone") != std::string::npos);
+  CHECK(partitioned.engine.requests() == 0);
+  const std::string sent = receiving.engine.lastRequest();
+  CHECK(sent.find("X-Request-Id: r1\r\n") != std::string::npos);
+  CHECK(sent.find("X-Tenant: sese\r\n") != std::string::npos);
+  CHECK(sent.find("X-Prefix-Hash: a:1,b:2\r\n") != std::string::npos);
+  CHECK(sent.find("X-Other: kept\r\n") != std::string::npos);
+  CHECK(sent.find("Api-Key") == std::string::npos);
+  CHECK(sent.find("Handed-On") == std::string::npos);
+  const size_t deadline = sent.find("X-Deadline-Ms: ");
+  REQUIRE(deadline != std::string::npos);
+  CHECK(std::strtol(sent.c_str() + deadline + 15, nullptr, 10) <= 900);
+  CHECK(partitioned.limits.counted == 0);
+  CHECK(receiving.limits.counted > 0);
+}
+
 TEST_CASE("a chunked body is forwarded completely") {
   IngressWorld world;
   const std::string answer =
