A node that reaches no engine does not lead the moves to new weights

Cause: the mover's leadership, and the ranks of those that may take it over, went by who lives and reads the store, not by who reaches engines; with four of five nodes partitioned the fifth may have no rank at all.

--- a/src/peers/mirror_role.cpp
+++ b/src/peers/mirror_role.cpp
@@ -144,7 +144,7 @@
   {
     const std::lock_guard<std::mutex> lock(mutex_);
     for (const Member& member : members_ == nullptr ? std::vector<Member>() : members_->members) {
-      if (member.state != MemberState::kSuspect) {
+      if (member.state != MemberState::kSuspect && !member.reachesNoEngine) {
         living.push_back(member.life.node);
       }
     }
--- a/src/peers/mirror_role.h
+++ b/src/peers/mirror_role.h
@@ -80,7 +80,7 @@
   ReadDuty duty(Time now) const;
   /// @return the rank of this node among those that stand in for the readers if these fail at a
   ///         task of a single node; nothing if it is not one of the first few. Draining nodes keep
-  ///         their rank for as long as they are alive.
+  ///         their rank for as long as they are alive; nodes that reach no engine have none.
   std::optional<size_t> standbyRank() const;
   /// Sends changes that are new to this node to the nodes that polled it recently.
   void announce(MirrorKind kind, uint64_t fromRevision, Time now, MessageSender& sender);
--- a/src/weights/weight_mover.cpp
+++ b/src/weights/weight_mover.cpp
@@ -284,7 +284,12 @@
   }
   ledger.holder.clear();
   const Result<LedgerOutcome> outcome = services_.store.write(ledger);
-  logInfo(isOk(outcome) ? "weights: handed over" : "weights: could not hand over leadership");
+  const bool isWritten = isOk(outcome) && std::holds_alternative<LedgerWritten>(valueOf(outcome));
+  if (isWritten) {
+    ledger.revision = std::get<LedgerWritten>(valueOf(outcome)).revision;
+    services_.view.take(ledger, services_.clock.now());
+  }
+  logInfo(isWritten ? "weights: handed over" : "weights: could not hand over leadership");
 }
 
 const char* WeightMover::descriptionOf(WaitReason why) {
--- a/src/weights/weight_mover.h
+++ b/src/weights/weight_mover.h
@@ -53,7 +53,7 @@
   /// @return whether this node is the leader, as far as it knows.
   bool isLeader() const { return services_.view.holder() == options_.node; }
   /// Clears the holder in the ledger so that another node can take over earlier. Call before this
-  /// node stops.
+  /// node stops, and while it does not reach the engines.
   void handOverLeadership();
 
  private:
--- a/test/peers/mirror_role_test.cpp
+++ b/test/peers/mirror_role_test.cpp
@@ -237,6 +237,25 @@
   }
 }
 
+TEST_CASE("nodes that reach no engine are not standby, and others take their ranks") {
+  RelayWorld world(7);
+  std::set<uint64_t> standby;
+  for (uint64_t id = 1; id <= 7; ++id) {
+    if (world.node(id).role.standbyRank()) {
+      standby.insert(id);
+    }
+  }
+  REQUIRE(standby.size() == 4);
+  world.setReachesNoEngine(standby);
+  size_t ranks = 0;
+  for (uint64_t id = 1; id <= 7; ++id) {
+    const bool hasRank = world.node(id).role.standbyRank().has_value();
+    CHECK(hasRank == (standby.count(id) == 0));
+    ranks += hasRank ? 1 : 0;
+  }
+  CHECK(ranks == 3);
+}
+
 TEST_CASE("in a large deployment") {
   RelayWorld world(300);
   const auto readersRead = [&] { world.readersRead(5, "five"); };
--- a/test/peers/relay_world.h
+++ b/test/peers/relay_world.h
@@ -89,6 +89,17 @@
     }
     node(id).role.setMembers(known);
   }
+  /// All nodes learn that these reach no engine.
+  void setReachesNoEngine(const std::set<uint64_t>& ids) {
+    for (auto& node : nodes_) {
+      auto known = std::make_shared<MembershipSnapshot>(*snapshot_);
+      known->self.node = NodeId(node.first);
+      for (Member& member : known->members) {
+        member.reachesNoEngine = ids.count(member.life.node.value()) > 0;
+      }
+      node.second.role.setMembers(known);
+    }
+  }
   Node& node(uint64_t id) { return nodes_.at(id); }
   std::vector<NodeId> readers() const { return relayTiers(*snapshot_).readers; }
   std::vector<NodeId> relays() const { return relayTiers(*snapshot_).relays; }
