Engines that say they are brittle get no more requests than they have room for

Cause: nothing read the statement; each node sent by its own view of the load, and what one engine rejected was retried at the next, whose rejections then exceeded N as well. Class: retry amplification without a bound on concurrency. Change: the statement is one more of those that all nodes hear. The node that counts an engine's load admits requests to it: places at most, less after a rejection (AIMD), none for the rest of a second after a quarter of N, and few at once while the count may be incomplete (AdmissionWindows). All requests to a brittle engine are counted, also those that ask nobody otherwise; rejections are reported with the end of the request; without an answer of that node nothing is sent. An engine that has not answered yet is as brittle as the others of its service. Where none has a place, callers are refused at once and come back spread out, as with limits.

--- a/src/backends/backend_set.cpp
+++ b/src/backends/backend_set.cpp
@@ -201,10 +201,15 @@
                                  : std::optional<BackendListing>(*found->second.listing);
 }
 
-std::string BackendSet::idOf(uint64_t incarnation) const {
+std::shared_ptr<const BackendListing> BackendSet::findIncarnation(uint64_t incarnation) const {
   const std::lock_guard<std::mutex> lock(mutex_);
   const auto found = byIncarnation_.find(incarnation);
-  return found == byIncarnation_.end() ? "" : found->second->first;
+  return found == byIncarnation_.end() ? nullptr : found->second->second.listing;
+}
+
+std::string BackendSet::idOf(uint64_t incarnation) const {
+  const std::shared_ptr<const BackendListing> listing = findIncarnation(incarnation);
+  return listing == nullptr ? "" : listing->id;
 }
 
 size_t BackendSet::size() const {
--- a/src/backends/backend_set.h
+++ b/src/backends/backend_set.h
@@ -115,6 +115,8 @@
                                          Random& random) const;
   /// @return the entry; nothing if the back end is not listed.
   std::optional<BackendListing> find(const std::string& id) const;
+  /// @return the entry of an incarnation; null if it is not listed.
+  std::shared_ptr<const BackendListing> findIncarnation(uint64_t incarnation) const;
   /// @return the id of an incarnation; empty if it is not listed.
   std::string idOf(uint64_t incarnation) const;
   size_t size() const;
--- a/src/common/metrics.cpp
+++ b/src/common/metrics.cpp
@@ -85,6 +85,9 @@
       limitedEngines_(&gauge(registry_, "fernmoor_limited_engines",
                              "Engines that state how many requests a second they take.")
                            .Add({})),
+      brittleEngines_(&gauge(registry_, "fernmoor_brittle_engines",
+                             "Engines that state they crash if they reject too many requests.")
+                           .Add({})),
       storeEra_(&gauge(registry_, "fernmoor_store_era",
                        "Rises whenever the operators' store came back from an old copy.")
                      .Add({})),
--- a/src/common/metrics.h
+++ b/src/common/metrics.h
@@ -116,6 +116,8 @@
   void setShortLimits(size_t count) { shortLimits_->Set(static_cast<double>(count)); }
   /// Engines that state how many requests they take.
   void setLimitedEngines(size_t count) { limitedEngines_->Set(static_cast<double>(count)); }
+  /// Engines that state they are brittle.
+  void setBrittleEngines(size_t count) { brittleEngines_->Set(static_cast<double>(count)); }
   /// Era of the operators' store: it rises whenever the store came back from an old copy.
   void setStoreEra(uint64_t era) { storeEra_->Set(static_cast<double>(era)); }
   /// Listed engines that say that they leave, and those that asked this node for rest.
@@ -178,6 +180,7 @@
   prometheus::Gauge* openStreams_;
   prometheus::Gauge* shortLimits_;
   prometheus::Gauge* limitedEngines_;
+  prometheus::Gauge* brittleEngines_;
   prometheus::Gauge* storeEra_;
   prometheus::Gauge* leavingEngines_;
   prometheus::Gauge* restingEngines_;
--- a/src/gateway/backend_protocol.h
+++ b/src/gateway/backend_protocol.h
@@ -25,23 +25,27 @@
   int earlierRuns = 0;          ///< Back ends that may have run the request before.
 };
 
-/// How the head of an answer states the limit of its back end, in requests per second from all
-/// nodes.
+/// How the head of an answer states a number that concerns all nodes: the limit of its back end, in
+/// requests per second, or the rejections per second that it survives.
 enum class LimitMention {
   kUntold,      ///< Nothing: another incarnation answered, or none is named where it is optional.
-  kNone,        ///< No limit applies.
-  kStated,      ///< The limit is AnswerFacts::limit.
-  kUnreadable,  ///< Not a decimal number; neither sets nor clears a limit.
+  kNone,        ///< There is no such number.
+  kStated,      ///< It is given.
+  kUnreadable,  ///< Not a number of the expected form; neither sets nor clears it.
 };
 
 /// Contents of the head of an answer.
 struct AnswerFacts {
   bool isOurs = false;              ///< It answers the request that was sent.
   bool didNotRun = false;           ///< The back end states that the request did not run.
+  bool lackedRoom = false;          ///< It did not run because the back end was full.
   bool isWrongIncarnation = false;  ///< Answered by another incarnation, or with other weights.
   uint64_t weightsVersion = 0;      ///< 0: not stated.
   LimitMention limitMention = LimitMention::kUntold;
-  double limit = 0;     ///< Requests per second, 0 or more.
+  double limit = 0;  ///< Requests per second, 0 or more.
+  /// Whether it states how many rejections per second it survives, and how many.
+  LimitMention brittlenessMention = LimitMention::kUntold;
+  double survivedRejections = 0;
   bool leaves = false;  ///< The back end announces that it is shutting down.
   Duration rest{0};     ///< Time for which it wants no request from this node; 0: none.
   bool hasUnreadableWithdrawal = false;  ///< Its shutdown notice or rest cannot be parsed.
--- a/src/gateway/engine_loads.h
+++ b/src/gateway/engine_loads.h
@@ -31,8 +31,9 @@
 struct LoadTicket {
   uint64_t engine = 0;  ///< Hash of its id.
   uint32_t id = 0;
-  bool isCounted = true;   ///< The end of the request must be reported.
-  bool hasPermit = false;  ///< The permit must be returned if the request is not sent.
+  bool isCounted = true;    ///< The end of the request must be reported.
+  bool hasPermit = false;   ///< The permit must be returned if the request is not sent.
+  bool lackedRoom = false;  ///< The engine rejected the request for want of room.
 };
 
 struct LoadAnswer {
@@ -43,7 +44,8 @@
   uint64_t pendingTokens = 0;
   double tokensPerSecond = 0;  ///< Recent rate of prompt tokens, cached ones included.
   bool isStalled = false;      ///< Prompts are waiting and none has been begun for far too long.
-  /// The engine states a limit, and no permit becomes available within longestPermitWait.
+  /// The engine states a limit, and no permit becomes available within longestPermitWait; or it is
+  /// brittle, and holds as many requests as it may.
   bool lacksPermit = false;
   Duration permitWait{0};  ///< Time until the request may be sent, or until the next permit.
   LoadTicket ticket;
@@ -80,7 +82,7 @@
   /// Processes a statement in the answer to a request of this node.
   virtual void noteStatement(const EngineStatement&) {}
   /// @return the time until a permit may become available, as far as this node knows; nothing if
-  ///         the engine states no limit.
+  ///         the engine neither states a limit nor is brittle.
   virtual std::optional<Duration> permitDue(uint64_t) const { return std::nullopt; }
   /// @return whether a request may be sent although the node that counts for the engine did not
   ///         answer.
--- a/src/gateway/pending_work.cpp
+++ b/src/gateway/pending_work.cpp
@@ -120,6 +120,21 @@
   return answer;
 }
 
+void PendingWork::add(uint64_t id, const PendingRequest& request, Time now) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  Entry entry;
+  entry.request = request;
+  entry.reservedAt = now;
+  entry.forgetAt = now + request.demand.forgetAfter;
+  entry.isRead = true;
+  engineOf(id, now).entries.push_back(entry);
+}
+
+size_t PendingWork::countOf(uint64_t id, Time now) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return engineOf(id, now).entries.size();
+}
+
 void PendingWork::promptRead(uint64_t id, uint64_t owner, uint32_t request, Time now) {
   const std::lock_guard<std::mutex> lock(mutex_);
   Engine& engine = engineOf(id, now);
--- a/src/gateway/pending_work.h
+++ b/src/gateway/pending_work.h
@@ -28,6 +28,10 @@
   /// engine is stalled.
   LoadAnswer reserve(uint64_t engine, const PendingRequest& request, const EngineRoom& room,
                      uint64_t bound, Time now);
+  /// Counts a request whatever is queued at the engine, without its prompt.
+  void add(uint64_t engine, const PendingRequest& request, Time now);
+  /// @return the number of requests that are counted at the engine.
+  size_t countOf(uint64_t engine, Time now);
   /// The engine began to answer the request.
   void promptRead(uint64_t engine, uint64_t owner, uint32_t id, Time now);
   void release(uint64_t engine, uint64_t owner, uint32_t id, Time now);
--- a/src/gateway/request_run.h
+++ b/src/gateway/request_run.h
@@ -112,7 +112,9 @@
   bool awaitPermit(const PlannedSend& planned);
   /// Counts a request that was sent under a permit.
   void recordPermitUse();
-  /// Records what the head of an answer states about its back end: limit, drain and rest.
+  /// @return the statement of a number in an answer that arrives now; nothing if it says nothing.
+  std::optional<LimitStatement> statementOf(LimitMention mention, double value, Time now) const;
+  /// Records what the head of an answer states about its back end: limit, brittleness, drain, rest.
   void noteStatement(const AnswerFacts& facts);
   void logUnreadableStatement(const AnswerFacts& facts, Time now);
   /// @param due time until an engine accepts a request.
--- a/src/gateway/request_run_permits.cpp
+++ b/src/gateway/request_run_permits.cpp
@@ -37,14 +37,28 @@
   return services_.backends.takesRequests(planned.send.backend, services_.clock.now());
 }
 
+std::optional<LimitStatement> RequestRun::statementOf(LimitMention mention, double value,
+                                                      Time now) const {
+  switch (mention) {
+    case LimitMention::kStated:
+      return LimitStatement{value, sentAt_, now};
+    case LimitMention::kNone:
+      return LimitStatement{std::nullopt, sentAt_, now};
+    case LimitMention::kUntold:
+    case LimitMention::kUnreadable:
+      break;
+  }
+  return std::nullopt;
+}
+
 void RequestRun::noteStatement(const AnswerFacts& facts) {
   const Time now = services_.clock.now();
   EngineStatement told;
   told.engine = incarnationHash(plan_.backend);
-  if (facts.limitMention == LimitMention::kStated) {
-    told.limit = LimitStatement{facts.limit, sentAt_, now};
-  } else if (facts.limitMention == LimitMention::kNone) {
-    told.limit = LimitStatement{std::nullopt, sentAt_, now};
+  told.limit = statementOf(facts.limitMention, facts.limit, now);
+  told.brittleness = statementOf(facts.brittlenessMention, facts.survivedRejections, now);
+  if (facts.lackedRoom && ticket_) {
+    ticket_->lackedRoom = true;
   }
   if (facts.leaves) {
     told.leavingSince = now;
@@ -56,7 +70,8 @@
   if (!told.isEmpty()) {
     services_.loads.noteStatement(told);
   }
-  if (facts.hasUnreadableWithdrawal || facts.limitMention == LimitMention::kUnreadable) {
+  if (facts.hasUnreadableWithdrawal || facts.limitMention == LimitMention::kUnreadable ||
+      facts.brittlenessMention == LimitMention::kUnreadable) {
     logUnreadableStatement(facts, now);
   }
 }
--- a/src/gateway/stated_limits.h
+++ b/src/gateway/stated_limits.h
@@ -29,10 +29,13 @@
 struct EngineStatement {
   uint64_t engine = 0;                  ///< Hash of its incarnation.
   std::optional<LimitStatement> limit;  ///< Nothing: unknown whether there is a limit.
-  std::optional<Time> leavingSince;     ///< When a node first received that it is leaving.
-  std::optional<Time> restsUntil;       ///< End of the rest that it requested from a node.
+  /// The rejections per second that it states it survives (it is brittle); ordered as limits are.
+  /// Nothing: unknown whether it is brittle.
+  std::optional<LimitStatement> brittleness;
+  std::optional<Time> leavingSince;  ///< When a node first received that it is leaving.
+  std::optional<Time> restsUntil;    ///< End of the rest that it requested from a node.
 
-  bool isEmpty() const { return !limit && !leavingSince && !restsUntil; }
+  bool isEmpty() const { return !limit && !brittleness && !leavingSince && !restsUntil; }
 };
 
 /// The effect of a statement.
--- a/src/peers/load_directory.cpp
+++ b/src/peers/load_directory.cpp
@@ -30,9 +30,19 @@
   proto::LoadRelease release;
   release.set_engine(ticket.engine);
   release.set_question_id(ticket.id);
+  release.set_lacked_room(ticket.lackedRoom);
   return release;
 }
 
+/// @return the answer to a request that may be sent after a wait that is too long for it.
+LoadAnswer lacksPermitFor(Duration wait) {
+  LoadAnswer answer;
+  answer.tokensPerSecond = 1.0;
+  answer.lacksPermit = true;
+  answer.permitWait = wait;
+  return answer;
+}
+
 /// @return the release of a request that was not sent.
 proto::LoadRelease makeUnsentRelease(const LoadTicket& ticket) {
   proto::LoadRelease release = makeRelease(ticket);
@@ -61,23 +71,47 @@
   return rendezvousOwner(engine, self_, members_.get());
 }
 
-double LoadDirectory::localPermitRate(double statedRate) const {
+double LoadDirectory::reachableShare() const {
   const std::lock_guard<std::mutex> lock(mutex_);
-  return gateway::permittedRate(statedRate) * reachableShare_;
+  return reachableShare_;
+}
+
+double LoadDirectory::localPermitRate(double statedRate) const {
+  return gateway::permittedRate(statedRate) * reachableShare();
 }
 
 LoadAnswer LoadDirectory::reserveLocally(uint64_t engine, const PendingRequest& request,
                                          const EngineRoom& room, uint64_t bound, Time now) {
+  const std::optional<double> survives = survivedRejections(engine, now);
+  return survives ? reserveAtBrittle(engine, request, room, bound, *survives, now)
+                  : count(engine, request, room, bound, false, now);
+}
+
+LoadAnswer LoadDirectory::reserveAtBrittle(uint64_t engine, const PendingRequest& request,
+                                           const EngineRoom& room, uint64_t bound, double survives,
+                                           Time now) {
+  const std::shared_ptr<const BackendListing> listing =
+      engines_ == nullptr ? nullptr : engines_->findIncarnation(engine);
+  const bool listsPlaces = listing != nullptr && listing->slots > 0;
+  const auto places = static_cast<double>(listsPlaces ? listing->slots : room.places);
+  const std::lock_guard<std::mutex> lock(brittleMutex_);
+  gateway::BrittleLoad load;
+  load.present = work_.countOf(engine, now);
+  load.places = static_cast<size_t>(places * reachableShare());
+  load.survivesPerSecond = survives;
+  const gateway::AdmissionOffer offer = windows_.admit(engine, load, now);
+  return offer.isAdmitted ? count(engine, request, room, bound, true, now)
+                          : lacksPermitFor(offer.wait);
+}
+
+LoadAnswer LoadDirectory::count(uint64_t engine, const PendingRequest& request,
+                                const EngineRoom& room, uint64_t bound, bool isBrittle, Time now) {
   PermitOffer permit;
   const std::optional<double> stated = limits_.rateOf(engine);
   if (stated) {
     permit = permits_.take(engine, localPermitRate(*stated), request.demand.longestPermitWait, now);
     if (!permit.isTaken) {
-      LoadAnswer answer;
-      answer.tokensPerSecond = 1.0;
-      answer.lacksPermit = true;
-      answer.permitWait = permit.wait;
-      return answer;
+      return lacksPermitFor(permit.wait);
     }
   }
   LoadAnswer answer;
@@ -87,12 +121,16 @@
     answer.isGranted = true;
     answer.tokensPerSecond = 1.0;
     answer.ticket = LoadTicket{engine, request.id, false, false};
+    if (isBrittle) {
+      work_.add(engine, request, now);
+      answer.ticket.isCounted = true;
+    }
   }
   if (permit.isTaken && !answer.isGranted) {
     permits_.giveBack(engine, now);
   }
-  answer.ticket.hasPermit = permit.isTaken && answer.isGranted;
-  answer.permitWait = answer.ticket.hasPermit ? permit.wait : Duration(0);
+  answer.ticket.hasPermit = (permit.isTaken || isBrittle) && answer.isGranted;
+  answer.permitWait = permit.isTaken && answer.isGranted ? permit.wait : Duration(0);
   return answer;
 }
 
@@ -142,6 +180,7 @@
   }
   if (answer && answer->lacksPermit) {
     limits_.noteWait(engine, clock_.now() + answer->permitWait);
+    brittle_.noteWait(engine, clock_.now() + answer->permitWait);
   }
   return answer;
 }
@@ -179,6 +218,10 @@
   if (release.permit_unused()) {
     permits_.giveBack(release.engine(), now);
   }
+  if (const auto survives = survivedRejections(release.engine(), now);
+      release.lacked_room() && survives) {
+    windows_.noteRejection(release.engine(), work_.countOf(release.engine(), now), *survives, now);
+  }
   if (release.still_runs()) {
     work_.promptRead(release.engine(), asker, release.question_id(), now);
   } else {
@@ -224,6 +267,7 @@
   answer.set_tokens_per_second(clampToUint32(static_cast<uint64_t>(reserved.tokensPerSecond)));
   answer.set_stalled(reserved.isStalled);
   answer.set_lacks_permit(reserved.lacksPermit);
+  answer.set_is_brittle(survivedRejections(question.engine(), now).has_value());
   // Rounded up, so that the request is neither sent nor asked for again before its permit is due.
   answer.set_permit_wait_milliseconds(toMilliseconds(reserved.permitWait + kMillisecondRoundUp));
   if (const EngineStatement known = statementOf(question.engine(), now); !known.isEmpty()) {
@@ -241,9 +285,9 @@
   received.isStalled = answer.stalled();
   received.lacksPermit = answer.lacks_permit();
   received.permitWait = std::chrono::milliseconds(answer.permit_wait_milliseconds());
-  const bool isLimited = answer.statement().is_limited();
-  received.ticket =
-      LoadTicket{answer.engine(), answer.question_id(), true, answer.granted() && isLimited};
+  const bool isBrittle = answer.is_brittle();
+  const bool hasPermit = answer.granted() && (answer.statement().is_limited() || isBrittle);
+  received.ticket = LoadTicket{answer.engine(), answer.question_id(), true, hasPermit};
   if (answer.has_statement()) {
     const Time now = clock_.now();
     applyStatement(decodeStatement(answer.statement(), now), from.node, now);
@@ -252,7 +296,7 @@
     const std::lock_guard<std::mutex> lock(mutex_);
     const auto question = questions_.find(answer.question_id());
     if (question != questions_.end()) {
-      received.ticket.isCounted = question->second.isCounted;
+      received.ticket.isCounted = question->second.isCounted || isBrittle;
       question->second.answer = received;
       answered_.notify_all();
       return;
--- a/src/peers/load_directory.h
+++ b/src/peers/load_directory.h
@@ -7,16 +7,20 @@
 /// is placed without knowing the engine's load.
 ///
 /// The owner also grants the permits of an engine that states a rate limit (see
-/// gateway/engine_permits.h), in the answer to the same question.
+/// gateway/engine_permits.h), in the answer to the same question, and admits requests to an engine
+/// that states it is brittle (see gateway/admission_window.h). Engines of a service are brittle
+/// together: one that has not answered yet, as after a crash, is taken for as brittle as the
+/// others.
 ///
-/// Statements that an engine makes in its responses (a rate limit, that it is leaving, or a pause
-/// that it asks for) concern all nodes. The node that receives one forwards it to the owner of the
-/// engine, and the owner broadcasts it; both repeat this while the statement is in force. Questions
-/// and answers carry statements too, and new members are sent all of them, so that the next owner
-/// of an engine knows its statements. Limits are stored here with their permits; leaving and pauses
-/// are stored in BackendSet, where the choice of an engine reads them.
+/// Statements that an engine makes in its responses (a rate limit, that it is brittle or leaving,
+/// or a pause that it asks for) concern all nodes. The node that receives one forwards it to the
+/// owner of the engine, and the owner broadcasts it; both repeat this while the statement is in
+/// force. Questions and answers carry statements too, and new members are sent all of them, so that
+/// the next owner of an engine knows its statements. Limits are stored here with their permits;
+/// leaving and pauses are stored in BackendSet, where the choice of an engine reads them.
 #pragma once
 
+#include <atomic>
 #include <condition_variable>
 #include <functional>
 #include <map>
@@ -29,6 +33,7 @@
 #include "common/log_budget.h"
 #include "common/role.h"
 #include "envelope.pb.h"
+#include "gateway/admission_window.h"
 #include "gateway/engine_permits.h"
 #include "gateway/pending_work.h"
 #include "gateway/stated_limits.h"
@@ -74,6 +79,8 @@
   size_t engineCount() const { return work_.size(); }
   /// @return number of engines known to state a limit.
   size_t limitedCount() const { return limits_.count(); }
+  /// @return number of engines that state they are brittle.
+  size_t brittleCount() const { return brittle_.count(); }
 
  private:
   /// Repetition schedule of a statement.
@@ -104,6 +111,24 @@
                                      const gateway::EngineRoom& room, uint64_t bound, Time now);
   proto::Envelope makeQuestion(uint32_t id, uint64_t engine, const gateway::EngineDemand& demand,
                                const gateway::EngineRoom& room, uint64_t bound) const;
+  /// Counts a request, and its permit if it has one.
+  gateway::LoadAnswer count(uint64_t engine, const gateway::PendingRequest& request,
+                            const gateway::EngineRoom& room, uint64_t bound, bool isBrittle,
+                            Time now);
+  /// Admits and counts a request at a brittle engine.
+  /// @param survives rejections per second that the engine survives.
+  gateway::LoadAnswer reserveAtBrittle(uint64_t engine, const gateway::PendingRequest& request,
+                                       const gateway::EngineRoom& room, uint64_t bound,
+                                       double survives, Time now);
+  /// @return the rejections per second that the engine survives, as it or another one of its
+  /// service
+  ///         states; nothing if it is not known to be brittle.
+  std::optional<double> survivedRejections(uint64_t engine, Time now) const;
+  /// Records whether the engines of a service are brittle, for those that have not answered yet.
+  void notePoolBrittleness(uint64_t engine, const gateway::LimitStatement& statement,
+                           gateway::LimitChange change);
+  /// @return the share of the known nodes that this node can reach.
+  double reachableShare() const;
   /// @return requests per second that this node permits under a stated limit.
   double localPermitRate(double statedRate) const;
   /// @return all statements of the engine that this node knows.
@@ -116,6 +141,8 @@
   bool applyStatement(const gateway::EngineStatement& statement, std::optional<NodeId> from,
                       Time now);
   bool applyLimit(const gateway::EngineStatement& statement, std::optional<NodeId> from, Time now);
+  bool applyBrittleness(const gateway::EngineStatement& statement, std::optional<NodeId> from,
+                        Time now);
   bool applyLeaving(const gateway::EngineStatement& statement, std::optional<NodeId> from,
                     Time now);
   bool applyRest(const gateway::EngineStatement& statement, std::optional<NodeId> from, Time now);
@@ -155,6 +182,10 @@
   gateway::PendingWork work_;
   gateway::StatedLimits limits_;
   gateway::EnginePermits permits_;
+  /// By engine, the rejections per second that it states it survives.
+  gateway::StatedLimits brittle_;
+  gateway::AdmissionWindows windows_;
+  std::mutex brittleMutex_;  ///< Held from the decision on an admission until it is counted.
   LogBudget changeLog_{kChangeLines};
   LogBudget permitLog_{kPermitLines};
   mutable std::mutex mutex_;
@@ -164,6 +195,9 @@
   uint32_t lastQuestion_ = 0;
   std::map<NodeId, Incarnation> askerIncarnations_;  ///< Incarnation in which each node last asked.
   double reachableShare_ = 1.0;
+  /// By pool, the newest statement of any of its engines that it is brittle.
+  std::map<std::string, gateway::LimitStatement> brittlePools_;
+  std::atomic<bool> knowsBrittlePools_{false};
   /// Of engines that this node owns, or from which it received the statement itself.
   std::map<uint64_t, Announcement> announcements_;
   Owners owners_;                               ///< Used on the thread that runs onTick().
--- a/src/peers/load_directory_statements.cpp
+++ b/src/peers/load_directory_statements.cpp
@@ -14,6 +14,7 @@
 
 using gateway::EngineStatement;
 using gateway::LimitChange;
+using gateway::LimitStatement;
 
 /// A statement is repeated after this interval, which then doubles up to the maximum.
 constexpr Duration kFirstRepeatInterval{300000};
@@ -21,6 +22,9 @@
 /// A statement that changes again within this time is sent with the next tick.
 constexpr Duration kMinRepeatInterval{100000};
 constexpr Duration kPermitLogInterval{4000000};
+/// An engine that has not answered yet counts as brittle for this long after another one of its
+/// service stated that it is: engines are back some seconds after a crash.
+constexpr Duration kBrittlePoolRetention{10000000};
 
 }  // namespace
 
@@ -32,10 +36,38 @@
 }
 
 std::optional<Duration> LoadDirectory::permitDue(uint64_t engine) const {
-  return limits_.permitDue(engine, clock_.now());
+  const Time now = clock_.now();
+  const std::optional<Duration> ofLimit = limits_.permitDue(engine, now);
+  if (!survivedRejections(engine, now)) {
+    return ofLimit;
+  }
+  const Duration ofWindow = brittle_.permitDue(engine, now).value_or(Duration(0));
+  return std::max(ofLimit.value_or(Duration(0)), ofWindow);
+}
+
+std::optional<double> LoadDirectory::survivedRejections(uint64_t engine, Time now) const {
+  if (const auto stated = brittle_.find(engine)) {
+    return stated->ratePerSecond;
+  }
+  if (!knowsBrittlePools_) {
+    return std::nullopt;  // The common case; avoids the locks on the request path.
+  }
+  const std::shared_ptr<const BackendListing> listing =
+      engines_ == nullptr ? nullptr : engines_->findIncarnation(engine);
+  if (listing == nullptr) {
+    return std::nullopt;
+  }
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const auto known = brittlePools_.find(listing->pool);
+  const bool holds =
+      known != brittlePools_.end() && now - known->second.cameAt <= kBrittlePoolRetention;
+  return holds ? known->second.ratePerSecond : std::nullopt;
 }
 
 bool LoadDirectory::mayGoUnasked(uint64_t engine) {
+  if (survivedRejections(engine, clock_.now())) {
+    return false;  // Nobody knows whether it has room.
+  }
   return limits_.takeUnasked(engine, otherNodes().size() + 1, clock_.now());
 }
 
@@ -47,6 +79,7 @@
   EngineStatement known;
   known.engine = engine;
   known.limit = limits_.find(engine);
+  known.brittleness = brittle_.find(engine);
   const std::optional<Withdrawal> withdrawal =
       engines_ == nullptr ? std::nullopt : engines_->withdrawal(engine, now);
   if (withdrawal) {
@@ -59,6 +92,8 @@
 
 std::vector<uint64_t> LoadDirectory::statedEngines(Time now) const {
   std::vector<uint64_t> engines = limits_.engines();
+  const std::vector<uint64_t> brittle = brittle_.engines();
+  engines.insert(engines.end(), brittle.begin(), brittle.end());
   if (engines_ != nullptr) {
     const std::vector<uint64_t> withdrawn = engines_->withdrawn(now);
     engines.insert(engines.end(), withdrawn.begin(), withdrawn.end());
@@ -71,9 +106,10 @@
 bool LoadDirectory::applyStatement(const EngineStatement& statement, std::optional<NodeId> from,
                                    Time now) {
   const bool limitChanged = applyLimit(statement, from, now);
+  const bool brittlenessChanged = applyBrittleness(statement, from, now);
   const bool leavingChanged = applyLeaving(statement, from, now);
   const bool restChanged = applyRest(statement, from, now);
-  return limitChanged || leavingChanged || restChanged;
+  return limitChanged || brittlenessChanged || leavingChanged || restChanged;
 }
 
 bool LoadDirectory::applyLimit(const EngineStatement& statement, std::optional<NodeId> from,
@@ -95,6 +131,45 @@
   return true;
 }
 
+bool LoadDirectory::applyBrittleness(const EngineStatement& statement, std::optional<NodeId> from,
+                                     Time now) {
+  if (!statement.brittleness) {
+    return false;
+  }
+  const LimitChange change = brittle_.note(statement.engine, *statement.brittleness);
+  notePoolBrittleness(statement.engine, *statement.brittleness, change);
+  if (change == LimitChange::kNone) {
+    return false;
+  }
+  const std::optional<double> survives = statement.brittleness->ratePerSecond;
+  logChange(survives ? "engine is brittle: it survives " + std::to_string(*survives) +
+                           " rejections a second"
+                     : "engine is no longer brittle",
+            statement.engine, from, now - statement.brittleness->cameAt, now);
+  return true;
+}
+
+void LoadDirectory::notePoolBrittleness(uint64_t engine, const LimitStatement& statement,
+                                        LimitChange change) {
+  const bool isStated = statement.ratePerSecond.has_value();
+  if (!isStated && change != LimitChange::kEnded) {
+    return;
+  }
+  const std::shared_ptr<const BackendListing> listing =
+      engines_ == nullptr ? nullptr : engines_->findIncarnation(engine);
+  if (listing == nullptr) {
+    return;
+  }
+  const std::lock_guard<std::mutex> lock(mutex_);
+  if (isStated) {
+    LimitStatement& known = brittlePools_[listing->pool];
+    known = statement.cameAt > known.cameAt ? statement : known;
+  } else {
+    brittlePools_.erase(listing->pool);
+  }
+  knowsBrittlePools_ = !brittlePools_.empty();
+}
+
 bool LoadDirectory::applyLeaving(const EngineStatement& statement, std::optional<NodeId> from,
                                  Time now) {
   const bool isNew = statement.leavingSince && engines_ != nullptr &&
@@ -292,8 +367,12 @@
 
 void LoadDirectory::onTick(Time now, MessageSender&) {
   announceDue(now);
-  limits_.forgetOld(
-      [this](uint64_t engine) { return engines_ == nullptr || !engineName(engine).empty(); }, now);
+  const auto isListed = [this](uint64_t engine) {
+    return engines_ == nullptr || !engineName(engine).empty();
+  };
+  limits_.forgetOld(isListed, now);
+  brittle_.forgetOld(isListed, now);
+  windows_.forgetUnused(now);
   if (engines_ != nullptr) {
     engines_->forgetOld(now);
   }
--- a/test/platform/engine_protocol_test.cpp
+++ b/test/platform/engine_protocol_test.cpp
@@ -46,6 +46,37 @@
   CHECK_FALSE(head.has("Last-Event-Id"));
 }
 
+TEST_CASE("an engine states how many rejections it survives, in all its answers") {
+  Sent sent;
+  const auto mention = [&](int status, const std::string& text) {
+    return sent.facts(status, {{"X-Request-Id", "r1"}, {"Server-Brittle", text}})
+        .brittlenessMention;
+  };
+  for (const char* const text : {"0", "8", "30", "8.0"}) {
+    CHECK(mention(200, text) == gateway::LimitMention::kStated);
+  }
+  CHECK(sent.facts(200, {{"X-Request-Id", "r1"}, {"Server-Brittle", "8"}}).survivedRejections == 8);
+  for (const char* const odd : {"abc", "-1", "+8", "", " ", "0x8", "inf", "1e400", "8,0"}) {
+    CHECK(mention(200, odd) == gateway::LimitMention::kUnreadable);
+  }
+  CHECK(mention(200, "99999999999999999999") == gateway::LimitMention::kStated);
+  Poco::Net::HTTPResponse twice;
+  twice.set("X-Request-Id", "r1");
+  twice.add("Server-Brittle", "8");
+  twice.add("Server-Brittle", "8");
+  CHECK(EngineProtocol().readAnswer(sent.request, twice).brittlenessMention ==
+        gateway::LimitMention::kUnreadable);
+  CHECK(sent.facts(200, {{"X-Request-Id", "r1"}}).brittlenessMention ==
+        gateway::LimitMention::kNone);
+  CHECK(sent.facts(503, {{"X-Request-Id", "r1"}, {"X-Not-Executed", "1"}}).brittlenessMention ==
+        gateway::LimitMention::kUntold);
+  CHECK(sent.facts(421, {{"X-Request-Id", "r1"}, {"Server-Brittle", "8"}}).brittlenessMention ==
+        gateway::LimitMention::kUntold);
+  CHECK(sent.facts(503, {{"X-Request-Id", "r1"}, {"X-Not-Executed", "1"}}).lackedRoom);
+  CHECK_FALSE(sent.facts(429, {{"X-Request-Id", "r1"}, {"X-Not-Executed", "1"}}).lackedRoom);
+  CHECK_FALSE(sent.facts(503, {{"X-Request-Id", "r1"}}).lackedRoom);
+}
+
 TEST_CASE("a cache scope is sent only together with the version of its weights") {
   Sent sent;
   sent.plan.cacheScope = "shared.v3";
