--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -13,15 +13,10 @@
 constexpr int kStatusOk = 200;
 /// A request with less time than this left before its deadline is not sent (5 ms).
 constexpr Duration kMinTimeToSend{5000};
-/// Time for which a back end is avoided after a failed connection attempt (1 s).
-constexpr Duration kUnreachableAvoidance{1000000};
 /// If the caller disconnects, a back end that was silent for less than this (300 ms) is assumed to
 /// be alive. It is half of the shortest silence after which a request leaves its back end. Each run
 /// that is kept beyond it costs a few probes.
 constexpr Duration kMinSilenceToKeepRun{300000};
-/// Data may have been sent this long before it is read (200 ms): 20 ms one way between regions,
-/// plus the wait for a thread on a busy machine.
-constexpr Duration kMaxReadDelay{200000};
 
 bool wasNotSent(AttemptStep step) {
   return step == AttemptStep::kNotSent || step == AttemptStep::kTooLate ||
@@ -198,71 +193,6 @@
   logEvent(level, isLateAnswer ? "request: delivered late" : phraseOf(outcome), fields);
 }
 
-quarantine::CrashedRun RequestRun::runUntilNow() const {
-  return quarantine::CrashedRun{incarnationHash(plan_.backend), sentAt_, services_.clock.now(),
-                                plan_.backend.startedAt != 0};
-}
-
-void RequestRun::recordCutOff() {
-  services_.cutOffRuns.note(fingerprint_, plan_.backend, runUntilNow());
-}
-
-void RequestRun::noteReach(const EngineAttempt& attempt, AttemptStep opened) {
-  unreached_ += opened == AttemptStep::kNotSent ? 1 : 0;
-  if (!attempt.triedNewConnection()) {
-    return;
-  }
-  if (opened == AttemptStep::kNotSent) {
-    services_.reach.noteUnreached(plan_.backend.id);
-  } else {
-    services_.reach.noteConnected();
-  }
-}
-
-void RequestRun::recordBackendAlive() {
-  if (currentPeer_) {
-    return;
-  }
-  services_.reach.noteHeard();
-  const Time sentByThen = std::max(sentAt_, services_.clock.now() - kMaxReadDelay);
-  services_.cutOffRuns.noteAlive(incarnationHash(plan_.backend), sentByThen);
-}
-
-/// A closed port right after the answer broke off shows that the back end crashed, unless the link
-/// of this node is lost: then it reaches no other back end either. The check cannot wait, because
-/// seconds later another process may listen there. An open port proves nothing yet.
-AttemptEnd RequestRun::classifyBreak() {
-  if (currentPeer_) {
-    return AttemptEnd::kBroken;
-  }
-  const BackendListing& backend = plan_.backend;
-  const quarantine::CrashedRun run = runUntilNow();
-  if (services_.connections.stillAnswers(run.incarnation, backend.address, run.endedAt)) {
-    services_.reach.noteConnected();
-    services_.cutOffRuns.note(fingerprint_, backend, run);
-    return AttemptEnd::kBroken;
-  }
-  if (!services_.reach.reachesAnotherThan(backend.id, run.endedAt)) {
-    services_.cutOffRuns.note(fingerprint_, backend, run);
-    return AttemptEnd::kNotReachable;
-  }
-  // A draining back end ends along with the requests that still run there; that is no crash.
-  if (services_.backends.isUsable(backend.id)) {
-    services_.quarantine.noteCrash(fingerprint_, run);
-  }
-  return AttemptEnd::kCrashed;
-}
-
-bool RequestRun::isQuarantined() {
-  services_.quarantine.awaitDecision(fingerprint_);
-  const std::optional<Duration> left = services_.quarantine.timeLeft(fingerprint_);
-  if (left && !mayHaveRun_) {
-    refuse(quarantinedError(*left));
-    logEnd(RequestOutcome::kQuarantined);
-  }
-  return left.has_value();
-}
-
 RequestRun::Next RequestRun::afterStep(AttemptStep step) {
   if (currentPeer_) {
     return afterPeerStep(step);
@@ -302,15 +232,6 @@
   return Next::kFinished;
 }
 
-void RequestRun::recordNotReached() {
-  if (services_.reach.state() != ReachState::kReached) {  // The engine is not to blame.
-    recordAttemptEnd(BackendVerdict::kNeutral, AttemptEnd::kNotReached);
-    return;
-  }
-  services_.backends.avoidUntil(plan_.backend.id, services_.clock.now() + kUnreachableAvoidance);
-  recordAttemptEnd(BackendVerdict::kFailed, AttemptEnd::kNotReached);
-}
-
 RequestRun::Next RequestRun::afterUnknownRun() {
   mayHaveRun_ = true;
   ++runs_;
