--- a/test/gateway/engine_reach_test.cpp
+++ b/test/gateway/engine_reach_test.cpp
@@ -126,6 +126,7 @@
     CHECK(world.probed.size() == 1);
   }
   CHECK(world.reach.state() == ReachState::kReached);
+  CHECK(world.told.empty());  // Nor did it for a moment.
 }
 
 TEST_CASE("a node that lost all engines of its list has none to ask") {
