era_mark_test compiles with clang

Cause: a const member without an initializer has no default constructor there; clang-tidy said so. Change: the clock is not const, as in the other worlds.

--- a/test/platform/era_mark_test.cpp
+++ b/test/platform/era_mark_test.cpp
@@ -40,7 +40,7 @@
   std::atomic<int> writes{0};
   std::atomic<bool> isTakenByAnother{false};
   std::atomic<bool> isDown{false};
-  const SystemClock clock;
+  SystemClock clock;
   ScriptedBackend backend{[this](Poco::Net::StreamSocket& socket, const std::string& request) {
     if (!isDown) {
       gateway::test::say(socket, answerTo(request));
