A request's log line names the software of its engines and the stream it takes up

Cause: nothing read the `version` of an engine's entry nor the id that a caller names when it takes a stream up, so that no log line could tell an engine of another software version from any other, nor a taken-up stream from a new one.

No decision reads them.

Measured: request_trail_test plays both phrases.

--- a/src/backends/backend_set.cpp
+++ b/src/backends/backend_set.cpp
@@ -316,6 +316,7 @@
   // belongs to a former one, whose drain mark does not apply.
   listing.isDraining = listing.isDraining && listing.startedAt == 0;
   listing.startedAt = startedAt;
+  listing.software.reset();
   for (HeldWeights& held : listing.weights) {
     held.version = 0;  // Was held by the former incarnation.
   }
--- a/src/backends/backend_set.h
+++ b/src/backends/backend_set.h
@@ -34,6 +34,9 @@
   std::string pool;
   SocketAddress address;
   std::string zone;
+  /// Version of its process's software, unrelated to that of its weights; empty: it states none,
+  /// nothing: unknown, as the entry is of an earlier process.
+  std::optional<std::string> software = std::string();
   int slots = 0;
   bool isDraining = false;
   std::vector<HeldWeights> weights;
--- a/src/gateway/incoming_request.h
+++ b/src/gateway/incoming_request.h
@@ -39,6 +39,7 @@
   uint64_t expectedAnswerTokens = 0;  ///< The caller's estimate; 0: unknown.
   std::vector<PromptPart> parts;
   std::string resumeAfter;    ///< Id of the last event the caller received; empty: none.
+  std::string resumedStream;  ///< Id of the request that received the first event; empty: none.
   bool cameFromPeer = false;  ///< Another node that reaches no engine handed it on.
   int earlierRuns = 0;        ///< Back ends that may have run it at that node.
 
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -41,7 +41,11 @@
       runs_(request.earlierRuns),
       isCounted_(request.cameFromPeer),
       lastEventId_(request.resumeAfter),
-      heldBytes_(services_.heldBytes) {}
+      heldBytes_(services_.heldBytes) {
+  if (!request_.resumeAfter.empty()) {
+    trail_.noteTakeUp(request_.resumedStream, request_.resumeAfter);
+  }
+}
 
 bool RequestRun::mayRunElsewhere() const {
   if (!mayHaveRun_) {
@@ -325,6 +329,7 @@
   sentAt_ = now;
   TrailEntry entry;
   entry.backend = plan_.backend.id;
+  entry.software = plan_.backend.software.value_or("");
   entry.inFlight = planned.inFlight;
   entry.pendingTokens = planned.pendingTokens;
   entry.weights = plan_.weightsVersion;
--- a/src/gateway/request_trail.cpp
+++ b/src/gateway/request_trail.cpp
@@ -40,6 +40,10 @@
   return std::to_string(time.count() / 1000) + " ms";
 }
 
+std::string softwareText(const TrailEntry& entry) {
+  return entry.software.empty() ? "" : "software " + entry.software + ", ";
+}
+
 std::string weightsText(const TrailEntry& entry) {
   if (entry.weights == 0) {
     return "";
@@ -64,6 +68,11 @@
 
 }  // namespace
 
+void RequestTrail::noteTakeUp(const std::string& stream, const std::string& after) {
+  takeUp_ =
+      "takes up stream " + (stream.empty() ? "without a name" : stream) + " after event " + after;
+}
+
 void RequestTrail::end(AttemptEnd end, Duration after) {
   if (!entries_.empty() && entries_.back().end == AttemptEnd::kUnderWay) {
     entries_.back().end = end;
@@ -84,10 +93,10 @@
 }
 
 std::string RequestTrail::text() const {
-  std::string text;
+  std::string text = takeUp_;
   for (const TrailEntry& entry : entries_) {
     text += text.empty() ? "" : "; ";
-    text += entry.backend + " (" + weightsText(entry) + std::to_string(entry.inFlight) +
+    text += entry.backend + " (" + softwareText(entry) + weightsText(entry) + std::to_string(entry.inFlight) +
             " running, " + std::to_string(entry.pendingTokens) + " tokens waiting" +
             expectationText(entry) + permitText(entry) + ") at " + milliseconds(entry.sentAfter) +
             " " + phraseOf(entry.end);
--- a/src/gateway/request_trail.h
+++ b/src/gateway/request_trail.h
@@ -33,6 +33,7 @@
 /// One attempt.
 struct TrailEntry {
   std::string backend;
+  std::string software;        ///< Version of the back end's software; empty: unknown.
   int inFlight = 0;            ///< Requests of this node there when it was chosen.
   uint64_t pendingTokens = 0;  ///< Prompt tokens not yet read there when it was chosen.
   uint64_t weights = 0;        ///< Version the back end was expected to hold; 0: none.
@@ -51,6 +52,10 @@
 /// Not thread-safe; owned by one request.
 class RequestTrail {
  public:
+  /// Records that the caller takes up a stream that began in an answer to an earlier request.
+  /// @param stream id of that request; empty: the caller did not name it.
+  /// @param after id of the last event that the caller has.
+  void noteTakeUp(const std::string& stream, const std::string& after);
   void begin(TrailEntry entry) { entries_.push_back(std::move(entry)); }
   /// Records the end of the last attempt; later calls for the same attempt are ignored.
   void end(AttemptEnd end, Duration after);
@@ -63,13 +68,15 @@
   void noteUnpermitted(Duration due) { permitDue_ = due; }
   bool isEmpty() const { return entries_.empty(); }
 
-  /// @return one phrase per attempt, e.g. "i-7f3 (weights 4, lowest 3, bound ends in 900 ms,
+  /// @return one phrase per attempt, behind one for a stream that is taken up, e.g. "takes up
+  ///         stream 9c41 after event 12; i-7f3 (software v1.2, weights 4, lowest 3, bound ends in 900 ms,
   ///         3 running, 5200 tokens waiting, first event expected in 210 ms) at 12 ms broke off
   ///         after 143 ms", joined by "; ".
   std::string text() const;
 
  private:
   std::vector<TrailEntry> entries_;
+  std::string takeUp_;
   std::optional<Duration> permitDue_;
 };
 
--- a/test/gateway/request_trail_test.cpp
+++ b/test/gateway/request_trail_test.cpp
@@ -46,6 +46,17 @@
         "e-1 (weights 3, lowest 4, 3 running, 5200 tokens waiting) at 12 ms was under way");
 }
 
+TEST_CASE("a trail names the software of each back end, and the stream that is taken up") {
+  RequestTrail trail;
+  trail.noteTakeUp("9c41", "12");
+  TrailEntry entry = sendTo("e-1", 12);
+  entry.software = "v1.2";
+  trail.begin(entry);
+  CHECK(trail.text() ==
+        "takes up stream 9c41 after event 12; e-1 (software v1.2, 3 running, 5200 tokens waiting) "
+        "at 12 ms was under way");
+}
+
 TEST_CASE("a trail contains the expected first event and the bound known at the send") {
   RequestTrail trail;
   TrailEntry entry = sendTo("e-1", 12);
