--- a/test/platform_soak/engines.py
+++ b/test/platform_soak/engines.py
@@ -16,6 +16,8 @@
 An engine may state in its responses how many requests per second it accepts from all gateways together; it
 accepts more than that, since the judge counts the arrivals. It may announce its shutdown in them, whatever its
 entry in the store says, and it may reject requests with a Retry-After.
+An engine runs some version of its software, which is named in its entry and in each event; it takes up any
+stream, whichever version began it. Its streams come in chunks, or end with their connection ("unframed").
 """
 import collections
 import http.server
@@ -66,6 +68,7 @@
         self.left = []  # dicts: life, at; when the store acknowledged an entry in state draining
         self.on_crash = None  # called with an engine that a request crashed
         self.ending = "closed"  # how an engine crashes that runs a poison request
+        self.lives = []  # dicts: service, software, at (start), end (None: it runs); one for each incarnation
         self.falls = []  # dicts: life, service, at, rejected (ids); engines that had to reject too much
         self.links = None  # partition.EngineLinks, if nodes can be partitioned from the engines
 
@@ -94,13 +97,18 @@
 class Engine:
     """One incarnation of an engine."""
 
-    def __init__(self, number, life, service, store, ledger, host, version, model, former_id=None):
+    def __init__(self, number, life, service, store, ledger, host, version, model, former_id=None,
+                 software="v1"):
         self.id = former_id or f"i-{number}-{life}"
         self.born = int(time.time() * 1000)
         self.crashed = False
         self.talks = threading.Event()  # Cleared while the engine sends nothing.
         self.talks.set()
         self.number, self.life, self.service, self.model = number, life, service, model
+        self.software = software
+        self.is_unframed = False  # Whether its streams have neither a length nor chunks.
+        self.lived = {"service": service, "software": software, "at": time.monotonic(), "end": None}
+        ledger.lives.append(self.lived)
         self.limit = None  # Text of the limit stated in responses; None: no limit is stated.
         self.leaves = False  # Whether responses announce the engine's shutdown.
         self.brittle = None  # Rejections in one second that it survives; None: it does not fall.
@@ -147,10 +155,12 @@
         models = [{"name": self.model, "version": self.version}] if self.model else []
         self.store.put("servers", self.id, {
             "service": self.service, "addr": self.address, "zone": "z", "slots": 16,
-            "state": self.state, "seq": self.orders + self.beats, "models": models, "born": self.born})
+            "state": self.state, "seq": self.orders + self.beats, "models": models, "born": self.born,
+            "version": self.software})
 
     def crash(self, keeps_entry=False):
         self.crashed = True
+        self.lived["end"] = self.lived["end"] or time.monotonic()
         if not keeps_entry:
             self.store.remove("servers", self.id)
         self.close_port()
@@ -517,21 +527,28 @@
         self.send(200, body, names)
 
     def stream(self, names, stamp):
+        is_unframed = self.engine.is_unframed
+        framing = ("Connection", "close") if is_unframed else ("Transfer-Encoding", "chunked")
         self.send_response(200)
-        for name, value in names + [("Content-Type", "text/event-stream"),
-                                    ("Transfer-Encoding", "chunked"), *self.statements(names)]:
+        for name, value in names + [("Content-Type", "text/event-stream"), framing, *self.statements(names)]:
             self.send_header(name, value)
         self.end_headers()
+        self.close_connection |= is_unframed
         first = int(self.headers.get("Last-Event-Id") or 0) + 1
         for number in range(first, EVENTS + 1):
-            event = f"id: {number}\ndata: {number} {stamp}\n\n".encode()
+            event = f"id: {number}\ndata: {number} {stamp} {self.engine.software}\n\n".encode()
+            begin, end = (b"", b"") if is_unframed else (b"%x\r\n" % len(event), b"\r\n")
             if self.engine.fault == "broken" and number == EVENTS // 2:
-                self.wfile.write(b"%x\r\n" % len(event) + event[:5])
-                self.drop()
+                self.wfile.write(begin + event[:5])
+                if is_unframed:
+                    self.connection.shutdown(socket.SHUT_WR)  # Ends in order, inside an event.
+                else:
+                    self.drop()
                 return
             self.engine.talks.wait()
             self.pass_link()
-            self.wfile.write(b"%x\r\n" % len(event) + event + b"\r\n")
+            self.wfile.write(begin + event + end)
             self.wfile.flush()
             time.sleep(self.engine.event_seconds)
-        self.wfile.write(b"0\r\n\r\n")
+        if not is_unframed:
+            self.wfile.write(b"0\r\n\r\n")
--- a/test/platform_soak/judge.py
+++ b/test/platform_soak/judge.py
@@ -25,6 +25,11 @@
 CUT_SHARE, CUT_FAILURES, CUT_FAILURE_SHARE = 2 / 3, 10, 1 / 50
 # Falls of brittle engines allowed in one such time, beside a share of their number.
 FALLS, FALL_SHARE = 2, 0.1
+# Streams that may have events of two software versions, and how often those that are taken up again must go on,
+# compared with new ones that begin.
+MIXED_STREAMS = 2
+EVENT_SPACES = 4  # In "id: 1\ndata: 1 SIGNATURE VERSION".
+TAKEN_UP, TAKEN_UP_SHARE = 12, 0.5
 
 
 def judge(calls, runs, orders, world):
@@ -37,7 +42,7 @@
         "TWICE": twice(calls, by_id),
         "REFUSED": refused(calls, by_id),
         "MIXED": mixed(calls, by_id),
-        "ORDER": order(calls),
+        "ORDER": order(calls) + two_versions(calls),
         "UNASKED": unasked(runs, asked, world),
         "ROUTE": route(runs, asked, world),
         "CONFIG": revoked(runs, asked, world) + behind(calls, world) + world["went_back"],
@@ -46,7 +51,7 @@
         "ONE": one(orders),
         "VERSION": version(runs, asked, world),
         "STRETCHED": stretched(world),
-        "LOST": lost(calls, by_id, world),
+        "LOST": lost(calls, by_id, world) + not_gone_on(calls, world),
         "BUDGET": budget(runs, asked, world),
         "BLAMED": blamed(calls, world),
         "MEMORY": memory(world),
@@ -100,13 +105,69 @@
                 faults.append(f"{call['id']} got an event that is none: {event[:60]!r}")
                 continue
             numbers.append(int(lines[0][4:]))
-        if numbers != list(range(1, len(numbers) + 1)):
-            faults.append(f"{call['id']} got events {numbers}")
-        if call["complete"] and len(numbers) != call["events"]:
+        first = call["after"] + 1
+        if numbers != list(range(first, first + len(numbers))):
+            faults.append(f"{call['id']} got events {numbers} after {call['after']}")
+        if call["complete"] and call["after"] + len(numbers) != call["events"]:
             faults.append(f"{call['id']} ended as complete after {numbers}")
     return faults
 
 
+def whole_events(call):
+    return call["body"].decode(errors="replace").split("\n\n")[:-1] if call["status"] == 200 else []
+
+
+def last_event(call):
+    """Returns the id of the last whole event that the caller has of the stream; 0: none."""
+    return call["after"] + len(whole_events(call))
+
+
+def software_of(call):
+    """Returns the software versions that wrote the events of an answer."""
+    return {event.rsplit(" ", 1)[1] for event in whole_events(call) if event.count(" ") == EVENT_SPACES}
+
+
+def two_versions(calls):
+    """Few streams have events of two software versions, in one answer or over a caller's tries."""
+    wrote, inside = collections.defaultdict(set), set()
+    for call in calls:
+        if call["kind"].startswith("stream"):
+            wrote[call["stream"]] |= software_of(call)
+            if len(software_of(call)) > 1:
+                inside.add(call["stream"])
+    mixed_streams = [stream for stream, found in wrote.items() if len(found) > 1]
+    if len(mixed_streams) <= MIXED_STREAMS:
+        return []
+    return [f"{len(mixed_streams)} of {len(wrote)} streams have events of two software versions, {len(inside)} of "
+            f"them inside one answer: {mixed_streams[:5]}"]
+
+
+def not_gone_on(calls, world):
+    """Streams that are taken up go on nearly as often as new ones begin."""
+    began = [call for call in calls if call["kind"] == "stream-again" and call["ended_at"] is not None
+             and in_touch(world, call["node"], call["sent_at"]) and not is_stopping(call, world)]
+    by_stream = {call["id"]: call for call in calls}
+    taken_up = [call for call in began if call["after"]
+                and serving(world, software_of(by_stream[call["stream"]]), call["sent_at"]) >= 2]
+    new = [call for call in began if not call["after"]]
+    if len(taken_up) < TAKEN_UP:
+        return []
+    share, share_of_new = went_on_share(taken_up), went_on_share(new)
+    if share >= TAKEN_UP_SHARE * share_of_new:
+        return []
+    return [f"of {len(taken_up)} streams that were taken up {share:.3f} went on, of new ones {share_of_new:.3f} began"]
+
+
+def went_on_share(calls):
+    return sum(last_event(call) > call["after"] or is_served(call) for call in calls) / max(1, len(calls))
+
+
+def serving(world, versions, moment):
+    """Returns the number of engines that ran one of these software versions at that moment."""
+    return sum(life["software"] in versions and life["at"] <= moment and (life["end"] is None or moment < life["end"])
+               for life in world["lives"])
+
+
 def unasked(runs, asked, world):
     faults = []
     for run in runs:
--- a/test/platform_soak/soak.py
+++ b/test/platform_soak/soak.py
@@ -6,7 +6,8 @@
 permanently. Engines state limits, change and clear them; engines announce their shutdown in responses,
 long before their entries in the store say so or without such entries, and are replaced; engines send
 Retry-After. With every other seed the store itself stays healthy, as the bound for new weights holds only
-then. With drills the store is restored from copies some seconds old, and operators and engines rewrite
+then. Callers take broken streams up at other nodes. With versions engines of two software versions serve side
+by side, and come back as the other one, also under their former id. With drills the store is restored from copies some seconds old, and operators and engines rewrite
 the lost objects. With cuts some nodes are partitioned from all engines, while callers and the other nodes
 still reach them; with brittle engines, those of a service fall if they must reject too much at once. With growth the operators' table repeatedly grows by a thousand rows or more, and single
 rows are changed while it spreads; nodes then have narrow links to each other and to the store. What
@@ -15,7 +16,7 @@
 
 usage: soak.py BUILD_FOLDER [--seed N] [--seconds S] [--nodes N] [--series N] [--poison N] [--growth N]
                [--slow N] [--silent N] [--limits N] [--leaves N] [--rests N] [--cuts N] [--brittle N]
-               [--drills N] [--beats N] [--callers N] [--narrow N] [--memory-mb N] [--binary GATEWAY]
+               [--versions N] [--drills N] [--beats N] [--callers N] [--narrow N] [--memory-mb N] [--binary GATEWAY]
 """
 import argparse
 import collections
@@ -88,6 +89,10 @@
 # Rejections in one second that a brittle engine survives, how long it is brittle, and the pauses between.
 BRITTLE_TEXTS, BRITTLE_SECONDS, BRITTLE_PAUSE_SECONDS = (4, 8, 15, 30), (6.0, 12.0), (1.0, 5.0)
 DRILL_PAUSE_SECONDS, SECOND_DRILL_CHANCE, GHOST_SECONDS = (2.0, 9.0), 0.25, 1.5
+# Software versions of engines, and the pauses between restarts of one as the other.
+SOFTWARE, VERSION_PAUSE_SECONDS = ("v1", "v2"), (0.3, 2.5)
+# How often a caller takes a stream up again, and the pause before.
+TAKE_UPS, TAKE_UP_PAUSE_SECONDS = 3, 0.05
 TABLE_LOOK_SECONDS = 0.2
 RECOVERY_SECONDS = 40
 LAST_POISON_NODES = 5
@@ -267,6 +272,9 @@
                       "named": [], "unstable": [], "all_killed": [],
                       "service_of": dict({kind: entry[2] for kind, entry in KINDS.items()}, row=PLAIN),
                       "added": {}, "went_back": [], "brittle": []}
+        self.versions_series = options.versions
+        # number of an engine -> the software version that it runs; those that are missing run the first one
+        self.software = {number: SOFTWARE[number % 2] for number in range(MODEL_ENGINES) if options.versions}
         self.brittle = {}  # service -> rejections in one second that its engines survive
         self.extra_routes = 0
         self.row_timeouts = {}  # number of an extra row -> its timeout in ms, if changed
@@ -313,7 +321,8 @@
         self.lives += 1
         model = MODEL if service == MODELS else None
         engine = standin.Engine(number, self.lives, service, self.store, self.seen, self.net + ".2",
-                                self.weights if model else 0, model, former_id)
+                                self.weights if model else 0, model, former_id,
+                                self.software.get(number, SOFTWARE[0]))
         if number % 2 == 1:  # Slow streams keep a stopping process alive for longer.
             engine.event_seconds = SLOW_EVENT_SECONDS
         engine.brittle = self.brittle.get(service)
@@ -351,20 +360,25 @@
 
     # Callers.
 
-    def call(self, kind, key, node, kept=None, repeated=None, patience=CALLER_SECONDS, row=None):
+    def call(self, kind, key, node, kept=None, repeated=None, patience=CALLER_SECONDS, row=None, takes_up=None):
         """Sends one request to a node, reads the response and records both. Returns the record.
         `kept`: the caller's persistent connection to the node; it stays open if the response is complete.
         `repeated`: the subject that determines path and body; without it both are unique to this request.
-        `row`: the path to request if it is that of an added row."""
+        `row`: the path to request if it is that of an added row.
+        `takes_up`: the record of the request whose stream is taken up after its last whole event."""
         number = self.random_id()
         subject = repeated or number
         body = f"body of {subject}".encode()
         path = row or KINDS[kind][0] + subject
+        if takes_up:
+            body, path = takes_up["sent_body"], takes_up["path"]
         call = {"id": number, "kind": kind, "key": key, "path": path, "method": "POST",
                 "sent_body": body, "sent_at": time.monotonic(), "status": None, "body": b"",
                 "complete": False, "stamp": None, "answered_id": None, "events": standin.EVENTS,
                 "node": node.number, "gave_up": False, "ended_at": None, "broken": "",
-                "connected": False, "sent_whole_at": None, "retry_after": None, "answered_at": None}
+                "connected": False, "sent_whole_at": None, "retry_after": None, "answered_at": None,
+                "stream": takes_up["stream"] if takes_up else number,
+                "after": judge.last_event(takes_up) if takes_up else 0}
         with self.calls_lock:
             self.calls.append(call)
         headers = {"Host": "h.example", "X-Request-Id": number, "X-Deadline-Ms": "4000",
@@ -373,6 +387,8 @@
             group = sum(number.encode()) % 5
             headers.update({"X-Model": MODEL, "X-Token-Count": "300,6",
                             "X-Prefix-Hash": f"aa:100,b{group}:150,{subject}:50"})
+        if takes_up:
+            headers.update({"Last-Event-Id": str(call["after"]), "Resumes": call["stream"]})
         connection = kept or http.client.HTTPConnection(node.host, node.ports["front"],
                                                         timeout=patience)
         try:
@@ -412,6 +428,19 @@
         except http.client.IncompleteRead as broken:
             call["body"] += broken.partial
 
+    def take_up(self, call, draw):
+        """Takes a broken stream up at random nodes until it is whole or a few tries have failed."""
+        for _ in range(TAKE_UPS):
+            is_broken = call["status"] == 200 and not call["complete"] and judge.last_event(call)
+            if not is_broken or call["gave_up"] or self.stopping.is_set():
+                return
+            begun = call
+            for _ in range(TAKE_UPS):
+                time.sleep(TAKE_UP_PAUSE_SECONDS)
+                call = self.call("stream-again", begun["key"], draw.choice(self.nodes), takes_up=begun)
+                if call["status"] == 200 and judge.last_event(call) > call["after"]:
+                    break
+
     def random_id(self):
         return f"{random.getrandbits(64):016x}"
 
@@ -428,8 +457,10 @@
             repeated = None
             if self.poison_series and draw.random() < REPEATED_SHARE:
                 repeated = f"subject-{draw.randrange(REPEATED_SUBJECTS)}"
-            self.call(draw.choice(list(KINDS)), draw.choice(list(self.rules["tenant_of"])), node,
-                      connection, repeated)
+            call = self.call(draw.choice(list(KINDS)), draw.choice(list(self.rules["tenant_of"])), node,
+                             connection, repeated)
+            if call["kind"] == "stream-again":
+                self.take_up(call, draw)
             if self.drill_series and draw.random() < ROW_CHANCE and self.rules["added"]:
                 newest = list(self.rules["added"])[-ROWS_ASKED:]
                 self.call(ROW, "k-open", node, row=f"/{draw.choice(newest)}/x")
@@ -841,6 +872,33 @@
             if kind == "servers" and name not in living:
                 self.store.remove(kind, name)
 
+    def comes_back_as_other(self, place, draw):
+        """Ends an engine at once; it comes back as the other software version, or as the same one."""
+        with self.engines_turn:
+            old = self.engines[place]
+            if old.crashed or old.service != MODELS:
+                return
+            keeps_id = draw.random() < 0.5
+            old.crash(keeps_entry=keeps_id)
+            if draw.random() < 0.6:
+                self.software[old.number] = SOFTWARE[old.software == SOFTWARE[0]]
+            time.sleep(draw.uniform(0.0, 0.6))
+            self.engines[place] = self.new_engine(old.number, old.service, old.id if keeps_id else None)
+
+    def keep_changing_versions(self, series, seconds):
+        """Separate series: engines end at once and come back, most of them as the other software version. For a
+        while half of them send streams without a length or chunks."""
+        draw = random.Random(f"{self.seed} versions {series}")
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            place = draw.randrange(MODEL_ENGINES)
+            self.comes_back_as_other(place, draw)
+            for engine in draw.sample(self.engines, len(self.engines) // 2):
+                engine.is_unframed = draw.random() < 0.5
+            print(f"{time.monotonic() - end + seconds:6.2f} v{series} engine {place} is back as "
+                  f"{self.engines[place].software}", flush=True)
+            time.sleep(draw.uniform(*VERSION_PAUSE_SECONDS))
+
     def keep_drilling(self, series, seconds):
         """Runs as a separate series, concurrently with all others."""
         draw = random.Random(f"{self.seed} drills {series}")
@@ -897,6 +955,8 @@
                    for number in range(self.cut_series)]
         series += [threading.Thread(target=self.keep_making_engines_brittle, args=(number, seconds))
                    for number in range(self.brittle_series)]
+        series += [threading.Thread(target=self.keep_changing_versions, args=(number, seconds))
+                   for number in range(self.versions_series)]
         series += [threading.Thread(target=self.keep_drilling, args=(number, seconds))
                    for number in range(self.drill_series)]
         try:
@@ -1007,7 +1067,7 @@
                      arrivals=self.seen.arrivals, limits=self.seen.limits, told=self.seen.told,
                      told_leaving=self.seen.told_leaving, told_rest=self.seen.told_rest,
                      left=self.seen.left, falls=self.seen.falls,
-                     cuts=self.links.cuts)
+                     cuts=self.links.cuts, lives=self.seen.lives)
         for name in ("struck", "killed", "exits", "stopping", "peak_bytes", "ended_itself"):
             rules[name] = {node.number: getattr(node, name) for node in self.nodes}
         rules["stretched"] = {node.number: node.bounds_stretched() for node in self.nodes}
@@ -1041,6 +1101,8 @@
                         help="series of nodes partitioned from all engines, beside the others")
     parser.add_argument("--brittle", type=int, default=0,
                         help="series of brittle engines, beside the others (one at most)")
+    parser.add_argument("--versions", type=int, default=0,
+                        help="series of engines that come back as another software version, beside the others")
     parser.add_argument("--drills", type=int, default=0,
                         help="series in which the store comes back from an old copy, beside the others")
     parser.add_argument("--beats", type=int, help="heartbeats of engines a second; 25 with drills, else none")
--- a/test/process/platform_soak_test.py
+++ b/test/process/platform_soak_test.py
@@ -21,6 +21,7 @@
          "peak_bytes": {0: 88e6}, "ended_itself": {0: []}, "stretched": {0: []},
          "arrivals": [], "limits": [], "told": [], "all_killed": [], "told_leaving": [],
          "told_rest": [], "left": [], "added": {}, "went_back": [], "cuts": [], "brittle": [], "falls": [], "stopping": {},
+         "lives": [],
          "crashes": [{"body": b"p", "engine": f"e{n}", "at": 100.0 + n} for n in range(5)]}
 
 
@@ -29,7 +30,7 @@
             "sent_body": b"x", "sent_at": 1.0, "status": 200, "body": b"answer e.r1" * 20,
             "complete": True, "stamp": "e.r1", "answered_id": "r1", "events": 2,
             "node": 0, "gave_up": False, "ended_at": 2.0, "broken": "", "connected": True,
-            "sent_whole_at": 1.0, "answered_at": 1.5}
+            "sent_whole_at": 1.0, "answered_at": 1.5, "after": 0, "stream": "r1"}
     made.update(changes)
     return made
 
@@ -57,6 +58,25 @@
            [run(id=f"r{n}", body=b"p", arrived=at) for n in range(count)], []
 
 
+def event(number, software):
+    return f"id: {number}\ndata: {number} e.r1 {software}\n\n".encode()
+
+
+def streams(count, body, **changes):
+    """Streams that broke off, each its caller's first try."""
+    return [call(kind="stream-again", id=f"s{n}", stream=f"s{n}", body=body, complete=False, events=6, **changes)
+            for n in range(count)]
+
+
+def take_ups(begun, body, **changes):
+    return [call(kind="stream-again", id=f"t{n}", stream=each["id"], after=1, body=body, complete=False, events=6,
+                 **changes) for n, each in enumerate(begun)]
+
+
+def lives(*versions):
+    return [{"service": "models", "software": software, "at": 0.0, "end": None} for software in versions]
+
+
 EVENT_1, EVENT_2 = b"id: 1\ndata: a\n\n", b"id: 2\ndata: b\n\n"
 FAULTS = [  # (rule, calls, runs, orders)
     ("TWICE", [call()], [run(), run()], []),
@@ -100,6 +120,25 @@
 ]
 
 
+def check_judge_of_versions():
+    """Streams of two software versions, and streams that are taken up and don't go on."""
+    def found(rule, calls, *versions):
+        return judge.judge(calls, [], [], dict(WORLD, lives=lives(*versions)))[rule]
+    inside, begun = event(1, "v1") + event(2, "v2"), streams(12, event(1, "v1"))
+    assert found("ORDER", streams(3, inside))
+    assert not found("ORDER", streams(2, inside))
+    assert found("ORDER", begun + take_ups(begun[:3], event(2, "v2")))
+    assert not found("ORDER", begun + take_ups(begun, event(2, "v1")))
+    refused = take_ups(begun, b"", status=503)
+    assert found("LOST", begun + refused, "v1", "v1")
+    assert not found("LOST", begun + refused[:11], "v1", "v1")
+    assert not found("LOST", begun + refused, "v1", "v2")  # Only one engine could go on.
+    half = take_ups(begun[:6], event(2, "v1")) + refused[6:]
+    assert not found("LOST", begun + half, "v1", "v1")
+    struck = take_ups(begun, b"", status=503, node=1, sent_at=105.5)
+    assert not found("LOST", begun + struck, "v1", "v1")
+
+
 def check_judge():
     sound = judge.judge([call()], [run()], [order(), order(at=2.0, fence=6)], WORLD)
     assert not any(sound.values()), f"the judge finds faults where there are none: {sound}"
@@ -125,6 +164,7 @@
     assert not judge.judge([], [], [], dict(WORLD, stretched={1: [106.5]}))["STRETCHED"]
     assert not judge.judge([], [], [], dict(WORLD, stretched={0: [50.0]},
                                             unstable=[(48.0, 49.5)]))["STRETCHED"]
+    check_judge_of_versions()
     for rule, calls, runs, orders in FAULTS:
         found = judge.judge(calls, runs, orders, WORLD)
         assert found[rule], f"{rule} does not find {calls} {runs} {orders}"
