The list of back ends proves at which software version a request can have begun

A node that has listed one version only since before a stream could begin knows that it began there.

Change: SoftwareHistory counts the listed back ends of each pool by software version, dates versions that went, and names the only one since a time; nothing where the whole list has not been known that long, or where a process is unknown (a later start under the same id). Its upkeep looks at versions, not at entries.

--- a/src/backends/backend_set.cpp
+++ b/src/backends/backend_set.cpp
@@ -48,13 +48,14 @@
   return 0;
 }
 
-void BackendSet::merge(Entries::iterator place, const BackendListing& listing) {
+void BackendSet::merge(Entries::iterator place, const BackendListing& listing, Time now) {
   Entry& entry = place->second;
   if (entry.listing && listing.startedAt != entry.listing->startedAt) {
     if (listing.startedAt < entry.listing->startedAt) {
       return;
     }
     byIncarnation_.erase(entry.incarnation);
+    software_.remove(*entry.listing);
     entry = Entry();
   }
   const uint64_t incarnation = incarnationHash(listing);
@@ -75,6 +76,10 @@
     const uint64_t known = entry.listing ? heldVersion(*entry.listing, held.model) : 0;
     held.version = std::max(held.version, known);
   }
+  if (entry.listing) {
+    software_.remove(*entry.listing);
+  }
+  entry.softwareSince = software_.add(*merged, now);
   entry.listing = std::move(merged);
   entry.incarnation = incarnation;
   entry.removedAt.reset();
@@ -83,6 +88,7 @@
 
 BackendSet::Entries::iterator BackendSet::erase(Entries::iterator entry) {
   byIncarnation_.erase(entry->second.incarnation);
+  software_.remove(*entry->second.listing);
   return entries_.erase(entry);
 }
 
@@ -99,17 +105,18 @@
   const std::lock_guard<std::mutex> lock(mutex_);
   std::set<std::string> kept;
   for (const BackendListing& listing : listings) {
-    merge(listing);
+    merge(listing, now);
     kept.insert(listing.id);
   }
   for (auto entry = entries_.begin(); entry != entries_.end();) {
     entry = kept.count(entry->first) == 0 ? erase(entry) : std::next(entry);
   }
+  software_.noteWhole(now);
 }
 
 void BackendSet::update(const BackendListing& listing, Time now) {
   const std::lock_guard<std::mutex> lock(mutex_);
-  merge(listing);
+  merge(listing, now);
 }
 
 void BackendSet::remove(const std::string& id) {
@@ -153,6 +160,7 @@
     view.isLeaving = stated.leavingSince.has_value();
     view.restsUntil = stated.restsUntil;
     view.incarnation = entry.incarnation;
+    view.softwareSince = entry.softwareSince;
     view.weightsVersion = heldVersion(*entry.listing, model);
     members.push_back(std::move(view));
   }
@@ -212,6 +220,11 @@
   return listing == nullptr ? "" : listing->id;
 }
 
+std::optional<std::string> BackendSet::soleSoftware(const std::string& pool, Time since) const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return software_.sole(pool, since);
+}
+
 size_t BackendSet::size() const {
   const std::lock_guard<std::mutex> lock(mutex_);
   return entries_.size();
@@ -322,7 +335,7 @@
   }
   const auto former = stated_.find(found->second.incarnation);
   const bool wasListed = former != stated_.end() && former->second.isListedAsLeaving;
-  merge(found, listing);
+  merge(found, listing, Time());  // Its software is unknown, so it does not matter since when.
   if (listing.isDraining) {
     stated_[found->second.incarnation].isListedAsLeaving = wasListed;
   }
@@ -445,6 +458,7 @@
 size_t BackendSet::forgetOld(Time now) {
   const std::lock_guard<std::mutex> lock(mutex_);
   size_t examined = removeDue(now);
+  software_.age(now);
   for (auto each = stated_.begin(); each != stated_.end();) {
     ++examined;
     Stated& stated = each->second;
--- a/src/backends/backend_set.h
+++ b/src/backends/backend_set.h
@@ -15,6 +15,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "backends/software_history.h"
 #include "common/random.h"
 #include "common/socket_address.h"
 #include "common/time.h"
@@ -61,6 +62,7 @@
   bool isLeaving = false;       ///< It stated that it is leaving, but may still be used briefly.
   Time restsUntil;              ///< It asked this node to send nothing before this time.
   uint64_t weightsVersion = 0;  ///< Of the requested model; 0: unknown.
+  Time softwareSince;           ///< When its pool's first entry with its software was listed.
 };
 
 /// What one incarnation of a back end stated about not accepting requests.
@@ -126,6 +128,10 @@
   /// @return whether the back end is listed and not draining.
   bool isUsable(const std::string& id) const;
 
+  /// @return the only software version at which a request can have begun in the pool since that
+  ///         time; see SoftwareHistory::sole().
+  std::optional<std::string> soleSoftware(const std::string& pool, Time since) const;
+
   /// Records that a request was sent to the back end.
   void started(const std::string& id, uint64_t promptTokens);
   /// Records that the back end has read the request's prompt.
@@ -170,6 +176,7 @@
   struct Entry {
     std::shared_ptr<const BackendListing> listing;  ///< Replaced, never changed.
     uint64_t incarnation = 0;
+    Time softwareSince;
     int inFlight = 0;
     uint64_t pendingTokens = 0;
     double failures = 0;  ///< Recent failures, decaying.
@@ -187,10 +194,10 @@
   template <class Rule>
   void setWeights(const std::string& id, const std::string& model, Rule rule);
   /// Applies a listing to the entry, which may be new. Call with the lock held.
-  void merge(Entries::iterator entry, const BackendListing& listing);
+  void merge(Entries::iterator entry, const BackendListing& listing, Time now);
   /// Adds the entry if it is missing. Call with the lock held.
-  void merge(const BackendListing& listing) {
-    merge(entries_.try_emplace(listing.id).first, listing);
+  void merge(const BackendListing& listing, Time now) {
+    merge(entries_.try_emplace(listing.id).first, listing, now);
   }
   /// Call with the lock held. @return the next entry.
   Entries::iterator erase(Entries::iterator entry);
@@ -217,6 +224,7 @@
   mutable std::mutex mutex_;
   Entries entries_;  ///< By id.
   std::unordered_map<uint64_t, Entries::iterator> byIncarnation_;
+  SoftwareHistory software_;
   std::optional<Time> nextRemovalAt_;  ///< No scheduled removal is due before; nothing: none is.
   std::unordered_map<uint64_t, Stated> stated_;  ///< By incarnation.
 };
