--- a/src/peers/peer_plane.cpp
+++ b/src/peers/peer_plane.cpp
@@ -39,6 +39,7 @@
       loads_(nodeIdOf(options_.listen), clock, *this, &backends),
       limits_(nodeIdOf(options_.listen), clock, *this, options_.knobs),
       quarantine_(nodeIdOf(options_.listen), clock, *this, quarantined),
+      streams_(nodeIdOf(options_.listen), clock, *this),
       incarnation_(makeIncarnation(static_cast<uint64_t>(clock.wallMicroseconds()))) {}
 
 PeerPlane::~PeerPlane() {
@@ -90,6 +91,8 @@
     limits_.onMessage(from, envelope, now, *current->transport);
   } else if (envelope.has_quarantine()) {
     quarantine_.onMessage(from, envelope, now, *current->transport);
+  } else if (envelope.has_stream_binding()) {
+    streams_.onMessage(from, envelope, now, *current->transport);
   }
 }
 
@@ -193,6 +196,8 @@
   loads_.onTick(now, *current->transport);
   quarantine_.setMembers(snapshot);
   quarantine_.onTick(now, *current->transport);
+  streams_.setMembers(snapshot);
+  streams_.onTick(now, *current->transport);
   mirrorRole_.onTick(now, *current->transport);
   const std::optional<Incarnation> newerIncarnation = current->membership->supersededBy();
   if (!newerIncarnation) {
--- a/src/peers/peer_plane.h
+++ b/src/peers/peer_plane.h
@@ -22,6 +22,7 @@
 #include "peers/mirror_role.h"
 #include "peers/part_directory.h"
 #include "peers/quarantine_directory.h"
+#include "peers/stream_directory.h"
 #include "wire/peer_transport.h"
 
 namespace fernmoor::peers {
@@ -61,6 +62,7 @@
   LoadDirectory& loads() { return loads_; }
   LimitDirectory& limits() { return limits_; }
   QuarantineDirectory& quarantine() { return quarantine_; }
+  StreamDirectory& streams() { return streams_; }
   /// @return the other nodes that are neither suspected nor draining and say where they listen for
   ///         callers.
   std::vector<gateway::PeerNode> others() const override;
@@ -96,6 +98,7 @@
   LoadDirectory loads_;
   LimitDirectory limits_;
   QuarantineDirectory quarantine_;
+  StreamDirectory streams_;
   mutable std::mutex mutex_;
   std::shared_ptr<IncarnationState> incarnation_;
   std::atomic<bool> stopping_{false};
