--- a/test/platform_soak/engines.py
+++ b/test/platform_soak/engines.py
@@ -13,6 +13,7 @@
 ("closes late"), or nothing is sent or reset until it is back ("silent").
 A brittle engine states in its responses how many requests it may reject in one second for want of room; it
 falls if it has to reject more, and lets only a few requests wait.
+So does each request whose prompt has a part, other than the last, that the ledger lists as poison.
 An engine may state in its responses how many requests per second it accepts from all gateways together; it
 accepts more than that, since the judge counts the arrivals. It may announce its shutdown in them, whatever its
 entry in the store says, and it may reject requests with a Retry-After.
@@ -59,7 +60,8 @@
         self.runs = []    # dicts
         self.orders = []  # dicts
         self.poison = set()  # bodies of requests that crash engines
-        self.crashes = []  # dicts: body, engine, at
+        self.poison_parts = set()  # parts of prompts that crash engines
+        self.crashes = []  # dicts: body, part (None: the request as a whole), engine, at
         self.arrivals = []  # dicts: id, life, at
         self.limits = []  # dicts: life, at, text; text None: the engine states no limit from then on
         self.told = []  # dicts: id, life, at, text; one for each response that states a limit
@@ -84,13 +86,13 @@
         with self.lock:
             entries.append(dict(entry, at=time.monotonic()))
 
-    def crash(self, body, engine):
+    def crash(self, body, engine, part=None):
         """Records a crash caused by a request. Returns whether it is the first crash of this incarnation."""
         with self.lock:
             if engine.crashed:
                 return False
             engine.crashed = True
-            self.crashes.append({"body": body, "engine": engine.id, "at": time.monotonic()})
+            self.crashes.append({"body": body, "part": part, "engine": engine.id, "at": time.monotonic()})
             return True
 
 
@@ -493,8 +495,9 @@
             "salt": self.headers.get("X-Cache-Salt"), "version": version,
             "resumed": self.headers.get("Last-Event-Id"), "fault": engine.fault})
         names.append(("X-Server-Stamp", stamp))
-        if body in engine.ledger.poison:
-            self.crash(body)
+        part = next((each for each in self.shared_parts() if each in engine.ledger.poison_parts), None)
+        if body in engine.ledger.poison or part:
+            self.crash(body, part)
         elif engine.fault == "lost":
             self.drop()
         elif engine.fault == "error":
@@ -504,12 +507,15 @@
         else:
             self.whole(names, stamp)
 
-    def crash(self, body):
+    def shared_parts(self):
+        return [part.split(":")[0] for part in self.headers.get("X-Prefix-Hash", "").split(",")][:-1]
+
+    def crash(self, body, part):
         """Crashes the engine while this request runs, which also ends its other requests."""
         time.sleep(POISON_SECONDS)
         engine = self.engine
         self.close_connection = True
-        if engine.ledger.crash(body, engine):
+        if engine.ledger.crash(body, engine, part):
             engine.crash_as(engine.ledger.ending)
             engine.ledger.on_crash(engine)
         engine.talks.wait()
--- a/test/platform_soak/judge.py
+++ b/test/platform_soak/judge.py
@@ -10,6 +10,9 @@
 VERSION_SECONDS = 8.0
 CONTACT_SECONDS = 3.0
 CRASHES, LATE_SENDS = 3, 3
+# Crashes after which a part of prompts must be known, and how often sound requests with the same first part must
+# begin from some time after it on, compared with before.
+PART_CRASHES, SOUND_SHARE, SOUND_REQUESTS = 5, 0.5, 20
 MEGABYTE = 1e6  # The users specify memory in decimal megabytes.
 # Tolerance around the exit of a stopping process, which may exit while a request reaches it.
 END_SECONDS = 0.2
@@ -51,8 +54,8 @@
         "ONE": one(orders),
         "VERSION": version(runs, asked, world),
         "STRETCHED": stretched(world),
-        "LOST": lost(calls, by_id, world) + not_gone_on(calls, world),
-        "BUDGET": budget(runs, asked, world),
+        "LOST": lost(calls, by_id, world) + not_gone_on(calls, world) + beside_parts(calls, world),
+        "BUDGET": budget(runs, asked, world) + by_parts(asked, world),
         "BLAMED": blamed(calls, world),
         "MEMORY": memory(world),
         "LIMIT": limit(asked, world) + fallen(asked, world),
@@ -344,7 +347,8 @@
     faults = []
     ends = collections.defaultdict(list)
     for crash in world["crashes"]:
-        ends[crash["body"]].append(crash["at"])
+        if crash["part"] is None:
+            ends[crash["body"]].append(crash["at"])
     for body, crashed in ends.items():
         if len(crashed) < CRASHES:
             continue
@@ -358,10 +362,56 @@
     return faults
 
 
+def crashes_of_parts(world):
+    found = collections.defaultdict(list)
+    for crash in world["crashes"]:
+        if crash["part"] is not None:
+            found[crash["part"]].append(crash["at"])
+    return {part: sorted(crashed) for part, crashed in found.items()}
+
+
+def by_parts(asked, world):
+    """Once requests with one part have crashed five engines and connected nodes have had time to learn of it, few
+    more of them reach engines."""
+    faults = []
+    for part, crashed in crashes_of_parts(world).items():
+        if len(crashed) < PART_CRASHES:
+            continue
+        limit = crashed[PART_CRASHES - 1] + CONTACT_SECONDS
+        late = [entry for entry in world["arrivals"] if entry["at"] > limit and entry["id"] in asked
+                and part in asked[entry["id"]]["parts"]
+                and calm_since(world, limit - CONTACT_SECONDS, entry["at"]) is not None
+                and in_touch(world, asked[entry["id"]]["node"], entry["at"])]
+        if len(late) > LATE_SENDS:
+            faults.append(f"requests with part {part} reached engines {len(late)} times later than "
+                          f"{CONTACT_SECONDS} s after its fifth crash; {len(crashed)} in all")
+    return faults
+
+
+def beside_parts(calls, world):
+    """While requests with a bad part still come, sound ones with the same first part begin about as often as before."""
+    faults, sound = [], [call for call in calls if call["parts"] and call["sent_body"] not in world["poison"]
+                         and not set(call["parts"]) & world["poison_parts"] and not call["after"]
+                         and call["ended_at"] is not None and call["key"] not in world["revoked"]
+                         and in_touch(world, call["node"], call["sent_at"]) and not is_stopping(call, world)]
+    for part, crashed in crashes_of_parts(world).items():
+        since = crashed[:PART_CRASHES][-1] + 2 * CONTACT_SECONDS
+        until = max(call["sent_at"] for call in calls if part in call["parts"])
+        calm = [call for call in sound if call["sent_at"] < crashed[0] - 1]
+        then = [call for call in sound if since < call["sent_at"] < until]
+        if min(len(calm), len(then)) < SOUND_REQUESTS:
+            continue
+        share, share_before = went_on_share(then), went_on_share(calm)
+        if share < SOUND_SHARE * share_before:
+            faults.append(f"beside part {part} {share:.3f} of {len(then)} sound requests began, before {share_before:.3f}")
+    return faults
+
+
 def blamed(calls, world):
     """No harmless request is rejected because of the crashes of another one."""
     return [f"{call['id']} was refused for crashes of another request" for call in calls
-            if b'"kind":"quarantined"' in call["body"] and call["sent_body"] not in world["poison"]]
+            if b'"kind":"quarantined"' in call["body"] and call["sent_body"] not in world["poison"]
+            and not set(call["parts"]) & world["poison_parts"]]
 
 
 def one(orders):
--- a/test/platform_soak/soak.py
+++ b/test/platform_soak/soak.py
@@ -16,7 +16,7 @@
 
 usage: soak.py BUILD_FOLDER [--seed N] [--seconds S] [--nodes N] [--series N] [--poison N] [--growth N]
                [--slow N] [--silent N] [--limits N] [--leaves N] [--rests N] [--cuts N] [--brittle N]
-               [--versions N] [--drills N] [--beats N] [--callers N] [--narrow N] [--memory-mb N] [--binary GATEWAY]
+               [--versions N] [--parts N] [--drills N] [--beats N] [--callers N] [--narrow N] [--memory-mb N] [--binary GATEWAY]
 """
 import argparse
 import collections
@@ -62,6 +62,8 @@
 # Pause of a poison request's caller after each attempt, and the duration of each series.
 POISON_PAUSE_SECONDS = 0.7
 POISON_SECONDS = (4.0, 9.0)
+# Pause of a caller between requests with a part that crashes engines, and the duration of each series of them.
+PART_PAUSE_SECONDS, PART_SECONDS = (0.2, 0.9), (6.0, 14.0)
 # Share of requests that are repeated: one body and path for each of a few subjects.
 REPEATED_SHARE, REPEATED_SUBJECTS = 0.2, 3
 CALLERS = 24
@@ -272,7 +274,7 @@
                       "named": [], "unstable": [], "all_killed": [],
                       "service_of": dict({kind: entry[2] for kind, entry in KINDS.items()}, row=PLAIN),
                       "added": {}, "went_back": [], "brittle": []}
-        self.versions_series = options.versions
+        self.versions_series, self.part_series = options.versions, options.parts
         # number of an engine -> the software version that it runs; those that are missing run the first one
         self.software = {number: SOFTWARE[number % 2] for number in range(MODEL_ENGINES) if options.versions}
         self.brittle = {}  # service -> rejections in one second that its engines survive
@@ -360,11 +362,13 @@
 
     # Callers.
 
-    def call(self, kind, key, node, kept=None, repeated=None, patience=CALLER_SECONDS, row=None, takes_up=None):
+    def call(self, kind, key, node, kept=None, repeated=None, patience=CALLER_SECONDS, row=None, takes_up=None,
+             parts=None):
         """Sends one request to a node, reads the response and records both. Returns the record.
         `kept`: the caller's persistent connection to the node; it stays open if the response is complete.
         `repeated`: the subject that determines path and body; without it both are unique to this request.
         `row`: the path to request if it is that of an added row.
+        `parts`: the shared parts of its prompt, with their tokens; drawn if not given.
         `takes_up`: the record of the request whose stream is taken up after its last whole event."""
         number = self.random_id()
         subject = repeated or number
@@ -378,15 +382,16 @@
                 "node": node.number, "gave_up": False, "ended_at": None, "broken": "",
                 "connected": False, "sent_whole_at": None, "retry_after": None, "answered_at": None,
                 "stream": takes_up["stream"] if takes_up else number,
-                "after": judge.last_event(takes_up) if takes_up else 0}
+                "after": judge.last_event(takes_up) if takes_up else 0, "parts": []}
         with self.calls_lock:
             self.calls.append(call)
         headers = {"Host": "h.example", "X-Request-Id": number, "X-Deadline-Ms": "4000",
                    "Api-Key": key}
         if kind != ROW and KINDS[kind][2] == MODELS:
-            group = sum(number.encode()) % 5
+            parts = parts or ["aa:100", f"b{sum(number.encode()) % 5}:150"]
+            call["parts"] = [part.split(":")[0] for part in parts]
             headers.update({"X-Model": MODEL, "X-Token-Count": "300,6",
-                            "X-Prefix-Hash": f"aa:100,b{group}:150,{subject}:50"})
+                            "X-Prefix-Hash": ",".join([*parts, f"{subject}:50"])})
         if takes_up:
             headers.update({"Last-Event-Id": str(call["after"]), "Resumes": call["stream"]})
         connection = kept or http.client.HTTPConnection(node.host, node.ports["front"],
@@ -482,6 +487,42 @@
                       patience=patience)
             time.sleep(POISON_PAUSE_SECONDS)
 
+    def new_poison_part(self):
+        """Returns a new part of prompts that crashes each engine that begins to run a request with it."""
+        part = f"bad{self.random_id()[:6]}"
+        with self.seen.lock:
+            self.seen.poison_parts = self.seen.poison_parts | {part}
+        return part
+
+    def keep_asking_with_part(self, part, is_first, seconds, draw):
+        """Runs a caller whose requests have this part of the prompt in common and nothing else of their own."""
+        end = time.monotonic() + seconds
+        while time.monotonic() < end and not self.stopping.is_set():
+            parts = [f"{part}:100", f"b{draw.randrange(5)}:150"] if is_first else ["aa:100", f"{part}:150"]
+            kind = draw.choice(("stream-once", "stream-again"))
+            self.call(kind, "k-open", draw.choice(self.nodes), parts=parts)
+            time.sleep(draw.uniform(*PART_PAUSE_SECONDS))
+
+    def part_crashes_engines(self, draw):
+        """Sends requests with one bad part, no two alike, from a few callers to any node."""
+        part, is_first, seconds = self.new_poison_part(), draw.random() < 0.3, draw.uniform(*PART_SECONDS)
+        callers = [threading.Thread(target=self.keep_asking_with_part, daemon=True,
+                                    args=(part, is_first, seconds, random.Random(draw.random())))
+                   for _ in range(draw.randint(1, 4))]
+        for caller in callers:
+            caller.start()
+        for caller in callers:
+            caller.join()
+
+    def keep_sending_bad_parts(self, series, seconds):
+        """Separate series: requests with a part that crashes engines."""
+        draw = random.Random(f"{self.seed} parts {series}")
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            print(f"{time.monotonic() - end + seconds:6.2f} q{series} a part crashes engines", flush=True)
+            self.part_crashes_engines(draw)
+            time.sleep(draw.uniform(0.0, 3.0))
+
     def table_grows(self, draw):
         """Adds a thousand rows or more to the operators' table and changes single rows while the new ones
         propagate. A table that would exceed MOST_TABLE_BYTES is first cut back."""
@@ -955,6 +996,8 @@
                    for number in range(self.cut_series)]
         series += [threading.Thread(target=self.keep_making_engines_brittle, args=(number, seconds))
                    for number in range(self.brittle_series)]
+        series += [threading.Thread(target=self.keep_sending_bad_parts, args=(number, seconds))
+                   for number in range(self.part_series)]
         series += [threading.Thread(target=self.keep_changing_versions, args=(number, seconds))
                    for number in range(self.versions_series)]
         series += [threading.Thread(target=self.keep_drilling, args=(number, seconds))
@@ -1064,6 +1107,7 @@
     def seen_by_judge(self):
         """Returns what the judge needs besides calls, runs and orders."""
         rules = dict(self.rules, crashes=self.seen.crashes, poison=self.seen.poison,
+                     poison_parts=self.seen.poison_parts,
                      arrivals=self.seen.arrivals, limits=self.seen.limits, told=self.seen.told,
                      told_leaving=self.seen.told_leaving, told_rest=self.seen.told_rest,
                      left=self.seen.left, falls=self.seen.falls,
@@ -1101,6 +1145,8 @@
                         help="series of nodes partitioned from all engines, beside the others")
     parser.add_argument("--brittle", type=int, default=0,
                         help="series of brittle engines, beside the others (one at most)")
+    parser.add_argument("--parts", type=int, default=0,
+                        help="series of requests with a part that crashes engines, beside the others")
     parser.add_argument("--versions", type=int, default=0,
                         help="series of engines that come back as another software version, beside the others")
     parser.add_argument("--drills", type=int, default=0,
--- /dev/null
+++ b/test/process/engine_parts_test.py
@@ -0,0 +1,97 @@
+#!/usr/bin/env python3
+"""A part of prompts that crashes engines is found by all nodes together, and sound requests are served meanwhile.
+
+The story: requests of one kind, no two alike but for one part of their prompts, crashed the engine that began to
+answer them; 49 ended within half a minute. The quarantine knew whole requests only, and each of these crashed one
+engine (docs/incidents/poison-parts.md).
+
+usage: engine_parts_test.py BUILD_FOLDER [NAME]
+"""
+import random
+import threading
+import time
+
+import scenarios
+from scenarios import judge  # Makes the soak's folder known.
+
+import soak
+
+NODES, CALLERS, BAD_CALLERS = 5, 20, 4
+AT_ONCE = 3
+BAD_SECONDS = 16.0
+SERVED_SHARE = 0.95
+
+
+class Scenario:
+    def __init__(self, build):
+        options = soak.parse([build, "--nodes", str(NODES), "--poison", "0"])
+        self.world = soak.World(options)
+        self.world.start_nodes(options)
+        print(f"logs in {self.world.folder}", flush=True)
+        self.world.wait_until_served()
+        self.draw = random.Random(7)
+        self.callers = [threading.Thread(target=self.world.keep_calling, args=(number,), daemon=True)
+                        for number in range(CALLERS)]
+        for caller in self.callers:
+            caller.start()
+        time.sleep(2 * judge.CONTACT_SECONDS)  # All gateways are in touch, and calm is on record.
+
+    def send_bad(self, is_first=False, seconds=BAD_SECONDS):
+        part = self.world.new_poison_part()
+        callers = [threading.Thread(target=self.world.keep_asking_with_part, daemon=True,
+                                    args=(part, is_first, seconds, random.Random(number)))
+                   for number in range(BAD_CALLERS)]
+        for caller in callers:
+            caller.start()
+        return callers
+
+    def end(self):
+        for part, crashed in judge.crashes_of_parts(self.world.seen_by_judge()).items():
+            print(f"part {part}: {len(crashed)} engines ended in {crashed[-1] - crashed[0]:.1f} s", flush=True)
+        scenarios.end_and_judge(self.world, self.callers)
+
+
+def join(threads):
+    for each in threads:
+        each.join()
+
+
+def a_middle_part(scenario):
+    join(scenario.send_bad())
+
+
+def the_first_part(scenario):
+    join(scenario.send_bad(is_first=True))
+
+
+def nodes_are_killed_meanwhile(scenario):
+    bad = scenario.send_bad(seconds=BAD_SECONDS + 6)
+    for _ in range(4):
+        time.sleep(judge.CONTACT_SECONDS)
+        scenario.world.node_killed(scenario.draw)
+    join(bad)
+
+
+def half_of_the_engines_die_at_once(scenario):
+    """Popular parts run at all of them, and none is blamed."""
+    world = scenario.world
+    for _ in range(3):
+        with world.engines_turn:
+            dying = world.engines[:soak.MODEL_ENGINES // 2]
+            for engine in dying:
+                engine.crash(keeps_entry=True)
+            time.sleep(0.5)
+            world.engines[:len(dying)] = [world.new_engine(old.number, old.service) for old in dying]
+        time.sleep(judge.CONTACT_SECONDS)
+    start = time.monotonic()
+    time.sleep(judge.CONTACT_SECONDS)
+    served = [call for call in world.calls if call["sent_at"] > start and call["ended_at"]]
+    share = sum(map(judge.is_served, served)) / len(served)
+    assert share >= SERVED_SHARE, f"{share:.3f} served after engines died"
+
+
+SCENARIOS = [a_middle_part, the_first_part, nodes_are_killed_meanwhile, half_of_the_engines_die_at_once]
+
+
+if __name__ == "__main__":
+    scenarios.play_all(Scenario, SCENARIOS, AT_ONCE)
--- a/test/process/platform_soak_test.py
+++ b/test/process/platform_soak_test.py
@@ -22,7 +22,8 @@
          "arrivals": [], "limits": [], "told": [], "all_killed": [], "told_leaving": [],
          "told_rest": [], "left": [], "added": {}, "went_back": [], "cuts": [], "brittle": [], "falls": [], "stopping": {},
          "lives": [],
-         "crashes": [{"body": b"p", "engine": f"e{n}", "at": 100.0 + n} for n in range(5)]}
+         "poison_parts": set(),
+         "crashes": [{"body": b"p", "part": None, "engine": f"e{n}", "at": 100.0 + n} for n in range(5)]}
 
 
 def call(**changes):
@@ -30,7 +31,8 @@
             "sent_body": b"x", "sent_at": 1.0, "status": 200, "body": b"answer e.r1" * 20,
             "complete": True, "stamp": "e.r1", "answered_id": "r1", "events": 2,
             "node": 0, "gave_up": False, "ended_at": 2.0, "broken": "", "connected": True,
-            "sent_whole_at": 1.0, "answered_at": 1.5, "after": 0, "stream": "r1"}
+            "sent_whole_at": 1.0, "answered_at": 1.5, "after": 0, "stream": "r1",
+            "parts": []}
     made.update(changes)
     return made
 
@@ -139,6 +141,31 @@
     assert not found("LOST", begun + struck, "v1", "v1")
 
 
+def part_faults(rule, late=0, at=107.5, crashes=5, sound=40, refused=0, **changes):
+    """What the judge says of requests with a part under which engines ended from 100 to 104 s on."""
+    calls = [call(id=f"b{n}", parts=["aa", "bad"], sent_at=120.0) for n in range(max(1, late))]
+    calls += [call(kind="stream-again", parts=["aa", "b1"], sent_at=90.0) for _ in range(sound)]
+    calls += [call(kind="stream-again", parts=["aa", "b1"], sent_at=115.0, status=503 if n < refused else 200)
+              for n in range(sound)]
+    crashed = [{"body": b"x", "part": "bad", "engine": f"e{n}", "at": 100.0 + n} for n in range(crashes)]
+    arrivals = [{"id": f"b{n}", "life": 1, "at": at} for n in range(late)]
+    world = dict(WORLD, crashes=crashed, arrivals=arrivals, poison_parts={"bad"}, revoked={}, struck={}, **changes)
+    return judge.judge(calls, [], [], world)[rule]
+
+
+def check_judge_of_parts():
+    assert part_faults("BUDGET", late=4) and not part_faults("BUDGET", late=3)
+    assert not part_faults("BUDGET", late=9, at=106.9), "within the time to learn of it"
+    assert not part_faults("BUDGET", late=9, crashes=4), "too few crashes"
+    assert not part_faults("BUDGET", late=9, unstable=[(105.0, 106.0)]), "the store was away"
+    assert part_faults("LOST", refused=21) and not part_faults("LOST", refused=20)
+    assert part_faults("LOST", refused=21, crashes=2), "counted from the last crash"
+    assert not part_faults("LOST", sound=19, refused=19), "too few requests"
+    bad = call(status=503, body=b'{"error":{"kind":"quarantined"}}', parts=["aa", "bad"])
+    assert not judge.judge([bad], [], [], dict(WORLD, poison_parts={"bad"}))["BLAMED"]
+    assert judge.judge([dict(bad, parts=["aa"])], [], [], dict(WORLD, poison_parts={"bad"}))["BLAMED"]
+
+
 def check_judge():
     sound = judge.judge([call()], [run()], [order(), order(at=2.0, fence=6)], WORLD)
     assert not any(sound.values()), f"the judge finds faults where there are none: {sound}"
@@ -297,6 +324,7 @@
     check_judge_of_tables()
     check_judge_of_cuts()
     check_judge_of_falls()
+    check_judge_of_parts()
     for seed in SEEDS:
         subprocess.run([sys.executable, str(SOAK / "soak.py"), sys.argv[1], "--seed", str(seed),
                         "--seconds", str(SECONDS), "--poison", "0"], check=True)
