--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -1,11 +1,13 @@
 #include "gateway/forwarder.h"
 
+#include <utility>
+
 #include "gateway/request_run.h"
 
 namespace fernmoor::gateway {
 
 Forwarder::Forwarder(ForwarderServices services, ForwarderOptions options)
-    : services_(services),
+    : services_(std::move(services)),
       options_(std::move(options)),
       planner_(PlannerServices{services_.clock, services_.backends, services_.wanted,
                                services_.parts, services_.loads},
--- a/src/quarantine/served_memory.h
+++ b/src/quarantine/served_memory.h
@@ -1,6 +1,6 @@
 /// @file
-/// Remembers when requests, and parts of prompts, were last served, in bounded memory: two generations, of which the older
-/// is dropped when the newer is full.
+/// Remembers when requests, and parts of prompts, were last served, in bounded memory: two
+/// generations, of which the older is dropped when the newer is full.
 #pragma once
 
 #include <cstdint>
