No verdict on a part of prompts without a control group

Cause: engines crashed while no node could prove a key, so that nothing was served which would have cleared the part. A part that all requests share stands at every crash, whatever caused it. Class: group testing without a control group; the blast radius of a false verdict on a part is everybody.

Change: fingerprints of parts bear a mark; a proposal on a part becomes a verdict only once its node has served a request with other parts since the first of its crashes (ControlGroup, the latest 64), and is dropped five seconds after its time if none comes. The scenarios of engine_versions_test and engine_parts_test run four at once, to stay within the time of a process test.

--- a/src/gateway/request_fingerprint.cpp
+++ b/src/gateway/request_fingerprint.cpp
@@ -14,8 +14,6 @@
   return XXH3_64bits_withSeed(text.data(), text.size(), seed);
 }
 
-/// Seed of the hashes of parts, so that no part has the fingerprint of a request by its text.
-constexpr uint64_t kPartSeed = 1;
 /// Parts of one prompt, from its beginning, that are watched.
 constexpr size_t kMaxWatchedParts = 64;
 
@@ -27,15 +25,14 @@
        {request.method, request.headers.get("Host", ""), request.target, request.body}) {
     hash = hashInto(hash, field);
   }
-  return std::max<uint64_t>(hash, 1);
+  return std::max<uint64_t>(hash & ~quarantine::kPartMark, 1);
 }
 
 Suspects suspectsOf(const IncomingRequest& request) {
   Suspects suspects(fingerprintOf(request));
   const size_t count = std::min(request.sharedPartCount(), kMaxWatchedParts);
   for (size_t index = 0; index < count; ++index) {
-    const uint64_t hash = hashInto(kPartSeed, request.parts[index].id);
-    suspects.parts.push_back(std::max<uint64_t>(hash, 1));
+    suspects.parts.push_back(hashInto(0, request.parts[index].id) | quarantine::kPartMark);
   }
   return suspects;
 }
--- a/src/peers/quarantine_directory.cpp
+++ b/src/peers/quarantine_directory.cpp
@@ -19,6 +19,8 @@
 /// Includes a tick, 100 ms, that the proposer needs to decide. A verdict that is lost is sent again
 /// later.
 constexpr Duration kHoldTime = kObjectionTime + Duration(100000);
+/// A proposal on a part of prompts waits this long for a request without it to be served.
+constexpr Duration kControlTime{5000000};
 /// After a crash, the node that ran the request holds it until the owners can have answered with a
 /// proposal: a round trip between regions, 40 ms.
 constexpr Duration kReportTime{50000};
@@ -302,6 +304,7 @@
 void QuarantineDirectory::noteServed(const Suspects& suspects) {
   const std::lock_guard<std::mutex> lock(mutex_);
   const Time now = clock_.now();
+  control_.note(suspects.parts, now);
   clearServed(suspects.request, now);
   for (const uint64_t part : suspects.parts) {
     clearServed(part, now);
@@ -434,12 +437,21 @@
   }
 }
 
+bool QuarantineDirectory::lacksControl(const Suspicion& suspicion) const {
+  return quarantine::isPart(suspicion.fingerprint) &&
+         !control_.wasServedWithout(suspicion.fingerprint, suspicion.since());
+}
+
 void QuarantineDirectory::decideDueProposals(Time now) {
   std::vector<Suspicion> due;
-  for (const auto& [fingerprint, proposal] : proposals_) {
-    if (now >= proposal.decideAt) {
-      due.push_back(proposal.suspicion);
+  for (auto proposal = proposals_.begin(); proposal != proposals_.end();) {
+    const bool isDue = now >= proposal->second.decideAt;
+    const bool waits = isDue && lacksControl(proposal->second.suspicion);
+    if (isDue && !waits) {
+      due.push_back(proposal->second.suspicion);
     }
+    const bool isOver = waits && now >= proposal->second.decideAt + kControlTime;
+    proposal = isOver ? proposals_.erase(proposal) : std::next(proposal);
   }
   for (const Suspicion& suspicion : due) {
     // Another verdict may have explained some of the crashes meanwhile. Requests that always come
--- a/src/peers/quarantine_directory.h
+++ b/src/peers/quarantine_directory.h
@@ -7,8 +7,9 @@
 /// their reports to the new owners. A node that suspects a request proposes to quarantine it. Nodes
 /// that know the request was served since its first crash object; two requests that were running at
 /// the same crashes wait for a further crash that tells them apart. Nodes hold the request
-/// meanwhile. A proposal without objection becomes a verdict, which is sent to all nodes, and the
-/// crashes that it explains no longer count against other requests.
+/// meanwhile. A proposal without objection becomes a verdict (on a
+/// part of prompts only if requests without it are served, see quarantine/control_group.h), which
+/// is sent to all nodes, and the crashes that it explains no longer count against other requests.
 ///
 /// Verdicts reach nodes that are partitioned off or not yet started through the operators' store
 /// and its mirror (quarantine/quarantine_table.h). Until a verdict is stored, each node that knows
@@ -29,6 +30,7 @@
 #include "gateway/request_quarantine.h"
 #include "membership/membership_snapshot.h"
 #include "peers/node_hash.h"
+#include "quarantine/control_group.h"
 #include "quarantine/crash_evidence.h"
 #include "quarantine/quarantine_table.h"
 #include "quarantine/served_memory.h"
@@ -102,8 +104,11 @@
   void sendUnstoredVerdicts(Time now, Outbox& outbox);
   void broadcast(const proto::Envelope& envelope, Outbox& outbox) const;
   void forgetOldProposals(Time now);
-  /// Turns proposals of this node into verdicts once the time for objections is over.
+  /// Turns proposals of this node into verdicts once the time for objections is over, and, for a
+  /// part of prompts, once requests without it are served.
   void decideDueProposals(Time now);
+  /// @return whether the suspect is a part, and no request without it was served here since.
+  bool lacksControl(const quarantine::Suspicion& suspicion) const;
   /// @return nodes that may own requests: those that are neither draining nor suspected; only this
   ///         one if there are none.
   std::vector<NodeId> ownerCandidates() const;
@@ -126,6 +131,7 @@
   std::shared_ptr<const MembershipSnapshot> members_;
   quarantine::CrashEvidence evidence_;
   quarantine::ServedMemory served_;
+  quarantine::ControlGroup control_;
   std::map<uint64_t, Proposal> proposals_;  ///< Of this node.
   std::map<uint64_t, Time> heldUntil_;      ///< Held requests, for which a verdict may arrive.
   std::atomic<bool> holdsAny_{false};       ///< `heldUntil_` isn't empty.
--- a/src/quarantine/crash_evidence.h
+++ b/src/quarantine/crash_evidence.h
@@ -16,6 +16,14 @@
 
 namespace fernmoor::quarantine {
 
+/// Set in the fingerprints of parts of prompts, and not in those of whole requests.
+inline constexpr uint64_t kPartMark = uint64_t{1} << 63U;
+
+/// @return whether a suspect is a part of prompts that many requests may share.
+inline bool isPart(uint64_t fingerprint) {
+  return (fingerprint & kPartMark) != 0;
+}
+
 /// A run of a request that ended because the process of its engine ended.
 struct CrashedRun {
   uint64_t incarnation = 0;  ///< Incarnation of the engine; the same value on all nodes.
--- a/test/peers/part_quarantine_test.cpp
+++ b/test/peers/part_quarantine_test.cpp
@@ -12,9 +12,9 @@
 using gateway::Suspects;
 using test::QuarantineWorld;
 
-constexpr uint64_t kBadPart = 77;
-constexpr uint64_t kPopularPart = 88;
-constexpr uint64_t kOtherPart = 99;
+constexpr uint64_t kBadPart = 77 | quarantine::kPartMark;
+constexpr uint64_t kPopularPart = 88 | quarantine::kPartMark;
+constexpr uint64_t kOtherPart = 99 | quarantine::kPartMark;
 constexpr uint64_t kFirstRequest = 1000;
 constexpr std::chrono::milliseconds kCrashInterval{600};
 constexpr std::chrono::milliseconds kRunTime{100};
@@ -110,12 +110,33 @@
   world.node(1).awaitDecision(Suspects(kFirstRequest, {kPopularPart, kOtherPart}));
 }
 
+TEST_CASE("a part that all requests share is not quarantined while nothing is served") {
+  PartWorld world(7);
+  for (uint64_t id = 1; id <= 7; ++id) {
+    world.crashWith(id, {kPopularPart});
+    world.pass(kCrashInterval);
+  }
+  CHECK(world.quarantinedAt(kPopularPart) == 0);
+  SUBCASE("and is refused as soon as others are served") {
+    world.serveEverywhere(kOtherPart);
+    world.pass(std::chrono::milliseconds(500));
+    CHECK(world.quarantinedAt(kPopularPart) == 7);
+  }
+  SUBCASE("nor later, without a further crash") {
+    world.pass(std::chrono::seconds(6));
+    world.serveEverywhere(kOtherPart);
+    world.pass(std::chrono::milliseconds(500));
+    CHECK(world.quarantinedAt(kPopularPart) == 0);
+  }
+}
+
 TEST_CASE("a part is not cleared by an answer without it") {
   PartWorld world(7);
   for (uint64_t id = 1; id <= 4; ++id) {
     world.crashWith(id, {kBadPart});
     world.pass(kCrashInterval);
     world.node(id).noteServed(Suspects(kFirstRequest));
+    world.node(id).noteServed(Suspects(kFirstRequest, {kOtherPart}));
   }
   CHECK(world.isRefusedEverywhere({kBadPart}));
 }
--- a/test/process/engine_parts_test.py
+++ b/test/process/engine_parts_test.py
@@ -17,7 +17,7 @@
 import soak
 
 NODES, CALLERS, BAD_CALLERS = 5, 20, 4
-AT_ONCE = 3
+AT_ONCE = 4
 BAD_SECONDS = 16.0
 SERVED_SHARE = 0.95
 
--- a/test/process/engine_versions_test.py
+++ b/test/process/engine_versions_test.py
@@ -19,7 +19,7 @@
 import soak
 
 NODES, CALLERS = 5, 40
-AT_ONCE = 3
+AT_ONCE = 4
 EVENT_SECONDS = 0.1
 STRIKES, STRIKE_PAUSE_SECONDS = 18, 0.4
 
