--- a/test/gateway/software_choice_test.cpp
+++ b/test/gateway/software_choice_test.cpp
@@ -80,6 +80,7 @@
 TEST_CASE("throughout a release nearly all streams begin where they can go on") {
   // Ten engines are replaced one at a time; the new one starts first.
   std::vector<BackendView> members;
+  members.reserve(11);
   for (int number = 0; number < 10; ++number) {
     members.push_back(member("old" + std::to_string(number), "v1"));
   }
