Soak: a rest is judged by the node that sent a request, not by the one that its caller asked

Engines now record the host that a request came from, for the rest that they state and for what arrives; platform_soak_test shows the judge a request that another node sent. No bound changed.

--- a/test/platform_soak/engines.py
+++ b/test/platform_soak/engines.py
@@ -74,11 +74,11 @@
         self.poison = set()  # bodies of requests that crash engines
         self.poison_parts = set()  # parts of prompts that crash engines
         self.crashes = []  # dicts: body, part (None: the request as a whole), engine, at
-        self.arrivals = []  # dicts: id, life, at
+        self.arrivals = []  # dicts: id, life, at, host (of the node that sent it)
         self.limits = []  # dicts: life, at, text; text None: the engine states no limit from then on
         self.told = []  # dicts: id, life, at, text; one for each response that states a limit
         self.told_leaving = []  # dicts: id, life, engine, at; one for each response that announces the shutdown
-        self.told_rest = []  # dicts: id, life, at, text; one for each response with a Retry-After
+        self.told_rest = []  # dicts: id, life, at, text, host; one for each response with a Retry-After
         self.left = []  # dicts: life, at; when the store acknowledged an entry in state draining
         self.on_crash = None  # called with an engine that a request crashed
         self.ending = "closed"  # how an engine crashes that runs a poison request
@@ -461,7 +461,7 @@
         engine.talks.wait()  # A silent engine begins no request.
         arrived = time.monotonic()
         request = self.headers.get("X-Request-Id", "")
-        engine.ledger.note(engine.ledger.arrivals, id=request, life=engine.life)
+        engine.ledger.note(engine.ledger.arrivals, id=request, life=engine.life, host=self.client_address[0])
         with engine.lock:  # Read once, as they may change during the checks below.
             version, orders = engine.version, engine.orders
         names = [("X-Request-Id", request), ("X-Weight-Versions", str(version))]
@@ -497,7 +497,8 @@
         asked = [] if rest is None else [("Retry-After", each) for each in rest.split("|")]
         if rest is not None:
             ledger = self.engine.ledger
-            ledger.note(ledger.told_rest, id=names[0][1], life=self.engine.life, text=rest)
+            ledger.note(ledger.told_rest, id=names[0][1], life=self.engine.life, text=rest,
+                        host=self.client_address[0])
         self.send(503, b"", names + [("X-Not-Executed", "1"), *asked])
 
     def run(self, body, arrived, version, names):
--- a/test/platform_soak/judge.py
+++ b/test/platform_soak/judge.py
@@ -542,19 +542,24 @@
     return faults
 
 
+def sender(entry, asked, world):
+    """Returns the node that sent a request to an engine: not the one that its caller asked, if that handed it on."""
+    return world["node_of"].get(entry.get("host"), asked[entry["id"]]["node"])
+
+
 def rest(asked, world):
     """Some time after an engine sent a node a Retry-After and until it ends, the engine gets at most a few requests
     from that node, unless a fault hit the node since."""
     arrivals = collections.defaultdict(list)
     for entry in world["arrivals"]:
         if entry["id"] in asked:
-            arrivals[(entry["life"], asked[entry["id"]]["node"])].append(entry["at"])
+            arrivals[(entry["life"], sender(entry, asked, world))].append(entry["at"])
     faults = []
     for entry in world["told_rest"]:
         seconds = stated_number(entry["text"])
         if seconds is None or entry["id"] not in asked:
             continue
-        node = asked[entry["id"]]["node"]
+        node = sender(entry, asked, world)
         late = [moment for moment in arrivals[(entry["life"], node)]
                 if entry["at"] + REST_TOLD_SECONDS < moment < entry["at"] + seconds]
         if len(late) > REST_SENDS and not was_struck_between(world, node, entry["at"], late[REST_SENDS]):
--- a/test/platform_soak/soak.py
+++ b/test/platform_soak/soak.py
@@ -1114,6 +1114,7 @@
                      cuts=self.links.cuts, lives=self.seen.lives)
         for name in ("struck", "killed", "exits", "stopping", "peak_bytes", "ended_itself"):
             rules[name] = {node.number: getattr(node, name) for node in self.nodes}
+        rules["node_of"] = {node.host: node.number for node in self.nodes}
         rules["stretched"] = {node.number: node.bounds_stretched() for node in self.nodes}
         rules["memory_bytes"] = {node.number: node.machine.memory_mb * judge.MEGABYTE
                                  for node in self.nodes}
--- a/test/process/platform_soak_test.py
+++ b/test/process/platform_soak_test.py
@@ -21,7 +21,7 @@
          "peak_bytes": {0: 88e6}, "ended_itself": {0: []}, "stretched": {0: []},
          "arrivals": [], "limits": [], "told": [], "all_killed": [], "told_leaving": [],
          "told_rest": [], "left": [], "added": {}, "went_back": [], "cuts": [], "brittle": [], "falls": [], "stopping": {},
-         "lives": [],
+         "lives": [], "node_of": {"127.0.0.9": 9},
          "poison_parts": set(),
          "crashes": [{"body": b"p", "part": None, "engine": f"e{n}", "at": 100.0 + n} for n in range(5)]}
 
@@ -253,9 +253,9 @@
     assert not arrivals_faults("DRAIN", 3.1, left=left, unstable=[(0.5, 1.5)]), "the store was away"
 
 
-def rest_faults(count, text="3", at=2.0, **world):
+def rest_faults(count, text="3", at=2.0, host=None, **world):
     calls = [call(id=f"r{n}") for n in range(count)] + [call(id="first")]
-    arrivals = [{"id": f"r{n}", "life": 1, "at": at} for n in range(count)]
+    arrivals = [{"id": f"r{n}", "life": 1, "at": at, "host": host} for n in range(count)]
     told = [{"id": "first", "life": 1, "at": 1.0, "text": text}]
     return judge.judge(calls, [], [], dict(WORLD, arrivals=arrivals, told_rest=told, **world))["REST"]
 
@@ -263,6 +263,7 @@
 def check_judge_of_rests():
     assert rest_faults(3) and not rest_faults(2)
     assert not rest_faults(3, at=1.4), "on their way"
+    assert not rest_faults(3, host="127.0.0.9"), "handed to another node, which sent them"
     assert not rest_faults(3, at=4.1), "its rest was over"
     assert rest_faults(3, text="3.2", at=4.1)
     assert not rest_faults(3, text="abc"), "no rest"
