A stream that begins where all run one version copies no list of members

membersToBegin copied the members twice for each new resumable stream, also where all run one version and it can leave nothing out. runSeveralVersions answers that without a copy; where it is false the choice was the same before. bindTakenUpStream calls bindTo instead of repeating it.

The gain in time is not measured, and no process test ran on it when this was written.

--- a/src/gateway/request_run_software.cpp
+++ b/src/gateway/request_run_software.cpp
@@ -52,8 +52,7 @@
     return false;
   }
   request_.pool = binding->pool;
-  isBound_ = true;
-  boundSoftware_ = binding->software;
+  bindTo(binding->software);
   return true;
 }
 
--- a/src/gateway/send_planner.cpp
+++ b/src/gateway/send_planner.cpp
@@ -121,7 +121,7 @@
 
 std::optional<BackendChoice> SendPlanner::chooseWhereItCanGoOn(
     const PlanInput& input, const std::vector<BackendView>& members, Time now, uint64_t& lowest) {
-  if (input.request.isResumable() && !input.software) {
+  if (input.request.isResumable() && !input.software && runSeveralVersions(members)) {
     const std::vector<BackendView> preferred = membersToBegin(members, now);
     if (preferred.size() < members.size()) {
       if (auto chosen = chooseBeforeWeightsBound(input, preferred, now, lowest)) {
--- a/src/gateway/software_choice.cpp
+++ b/src/gateway/software_choice.cpp
@@ -22,6 +22,12 @@
       members.end());
 }
 
+bool runSeveralVersions(const std::vector<BackendView>& members) {
+  return std::any_of(members.begin(), members.end(), [&](const BackendView& each) {
+    return each.listing->software != members.front().listing->software;
+  });
+}
+
 std::vector<BackendView> membersToBegin(const std::vector<BackendView>& members, Time now) {
   std::map<std::optional<std::string>, size_t> sound;
   for (const BackendView& each : members) {
--- a/src/gateway/software_choice.h
+++ b/src/gateway/software_choice.h
@@ -15,6 +15,10 @@
 /// Leaves only the members that run this version.
 void leaveOutOtherSoftware(std::vector<BackendView>& members, const std::string& software);
 
+/// @return whether the members run more than one version. Copies nothing, as it is asked for each
+///         stream that may be resumed.
+bool runSeveralVersions(const std::vector<BackendView>& members);
+
 /// @return the members at which a stream that may be resumed should begin: those whose version at
 ///         least one other sound member shares, so that the stream can go on if its engine crashes,
 ///         and of these, if there are any, those whose version has been listed for some seconds:
--- a/test/gateway/software_choice_test.cpp
+++ b/test/gateway/software_choice_test.cpp
@@ -42,6 +42,13 @@
   CHECK(idsOf(members) == "a");
 }
 
+TEST_CASE("members of one version need no choice among versions") {
+  CHECK_FALSE(runSeveralVersions({}));
+  CHECK_FALSE(runSeveralVersions({member("a", "v1"), member("b", "v1")}));
+  CHECK(runSeveralVersions({member("a", "v1"), member("b", "v1"), member("c", "v2")}));
+  CHECK(runSeveralVersions({member("a", "v1"), member("b", std::nullopt)}));
+}
+
 TEST_CASE("a stream begins at a version at which it can go on") {
   SUBCASE("the first engine of a new version gets none") {
     CHECK(idsOf(toBegin({member("a", "v1"), member("b", "v1"), member("c", "v2")})) == "ab");
