Queries to the owner of an engine carry shared parts, urgency, tenant and gap limit

The owner counted each prompt whole and knew nothing of who asks. The query now names the shared parts of the prompt, its urgency, tenant, the key of the request, the row's maximum gap and how long it may wait; the release carries how fast the stream's events came. Nothing decides by the new fields yet.

--- a/src/gateway/backend_choice.cpp
+++ b/src/gateway/backend_choice.cpp
@@ -6,6 +6,8 @@
 #include <utility>
 
 #include "common/rendezvous.h"
+#include "gateway/part_memory.h"
+#include "gateway/send_decisions.h"
 
 namespace fernmoor::gateway {
 
@@ -23,6 +25,10 @@
 /// Reservations expire this long (500 ms) after the deadline. The end of a request is normally
 /// reported within a few trips between nodes; the margin only covers lost messages.
 constexpr Duration kReservationMargin{500000};
+constexpr int kUrgenciesPerTenantPriority = 3;
+constexpr int kLeastUrgent = 9;
+/// Shared parts that a question to the owner of an engine names; prompts have two to four.
+constexpr size_t kMaxPartsPerQuestion = 8;
 /// Bound in tokens that counts a request however many tokens wait.
 constexpr uint64_t kNoBound = std::numeric_limits<uint64_t>::max();
 /// Load penalty for a back end in another zone, in requests.
@@ -64,6 +70,16 @@
   return request.parts[request.sharedPartCount() - 1].id;
 }
 
+/// @return a hash that is the same for the first attempt and a retry of a request.
+uint64_t requestKeyOf(const IncomingRequest& request) {
+  std::string text = request.tenant ? request.tenant->name : "";
+  text += "/" + request.row->name;
+  for (const PromptPart& part : request.parts) {
+    text += "/" + part.id;
+  }
+  return request.parts.empty() ? 0 : stableHash(text);
+}
+
 double meanInFlight(const Candidates& candidates) {
   double sum = 0;
   for (const BackendView* candidate : candidates) {
@@ -132,7 +148,7 @@
 }
 
 EngineDemand permitDemand(const IncomingRequest& request, Time now, Duration longestWait) {
-  EngineDemand demand = demandOf(request, now);
+  EngineDemand demand = demandOf(request, 0, now);
   demand.longestPermitWait = longestWait;
   demand.isCounted = false;
   return demand;
@@ -160,11 +176,33 @@
 
 }  // namespace
 
-EngineDemand demandOf(const IncomingRequest& request, Time now) {
+int urgencyOf(const IncomingRequest& request) {
+  const int ofTenant = request.tenant ? request.tenant->priority : 0;
+  return std::clamp(ofTenant * kUrgenciesPerTenantPriority + request.row->priority, 0,
+                    kLeastUrgent);
+}
+
+EngineDemand demandOf(const IncomingRequest& request, uint64_t weightsVersion, Time now) {
   EngineDemand demand;
   demand.promptTokens = request.promptTokens;
   demand.memoryTokens = request.promptTokens + request.expectedAnswerTokens;
   demand.forgetAfter = std::max(Duration(0), request.deadline - now) + kReservationMargin;
+  demand.urgency = urgencyOf(request);
+  demand.tenant = request.tenant ? stableHash(request.tenant->name) : 0;
+  demand.requestKey = requestKeyOf(request);
+  demand.longestPause = request.row->longestPause;
+  demand.longestWait = longestQueueWait(request, now);
+  if (request.row->usesPrefixes) {
+    const std::string scope = cacheScopeOf(request, weightsVersion);
+    const size_t count = std::min(request.sharedPartCount(), kMaxPartsPerQuestion);
+    for (size_t index = 0; index < count; ++index) {
+      const PromptPart& part = request.parts[index];
+      demand.sharedParts.push_back(
+          SharedPart{partKeyOf(scope, part.id),
+                     static_cast<uint32_t>(std::min<uint64_t>(
+                         part.tokens, std::numeric_limits<uint32_t>::max()))});
+    }
+  }
   return demand;
 }
 
@@ -174,7 +212,6 @@
   const Candidates homes =
       firstHomes(request, permittingNow(usableCandidates(candidates, context), loads));
   const uint64_t shared = sharedTokensOf(request);
-  const EngineDemand demand = demandOf(request, context.now);
   // A wait no longer than reading the request's own prompt is not worth another query.
   const uint64_t shortWait = std::max(shared, request.promptTokens);
   std::optional<BusyHome> best;
@@ -188,7 +225,8 @@
     }
     const uint64_t bound = best ? std::min(shortWait, best->cost - tokensToFetch) : shortWait;
     const std::optional<LoadAnswer> answer =
-        loads.reserve(home.incarnation, demand, context.room, bound);
+        loads.reserve(home.incarnation, demandOf(request, home.weightsVersion, context.now),
+                      context.room, bound);
     const bool isUnanswered = !answer && loads.permitDue(home.incarnation);
     if (isUnanswered || (answer && (answer->isStalled || answer->lacksPermit))) {
       continue;
@@ -218,7 +256,10 @@
   // Reserve there without a bound, so that load beyond the bound is counted, too.
   const std::optional<LoadAnswer> counted =
       best->choice.expected
-          ? loads.reserve(best->choice.backend.incarnation, demand, context.room, kNoBound)
+          ? loads.reserve(
+                best->choice.backend.incarnation,
+                demandOf(request, best->choice.backend.weightsVersion, context.now), context.room,
+                kNoBound)
           : std::nullopt;
   if (counted && counted->isGranted) {
     best->choice.ticket = counted->ticket;
--- a/src/gateway/backend_choice.h
+++ b/src/gateway/backend_choice.h
@@ -76,8 +76,12 @@
 std::optional<Duration> soonestTaker(const std::vector<BackendView>& candidates,
                                      const EngineLoads& loads, Time now);
 
+/// @return 0 (the most urgent) to 9; the priority of the tenant counts before that of the row.
+int urgencyOf(const IncomingRequest& request);
+
+/// @param weightsVersion of the engine; it holds no parts that were read with other weights.
 /// @return the load of the request on an engine, and when its reservation expires.
-EngineDemand demandOf(const IncomingRequest& request, Time now);
+EngineDemand demandOf(const IncomingRequest& request, uint64_t weightsVersion, Time now);
 
 /// @return the scope under which engines cache a request's parts: requests of an isolated tenant
 ///         share them with no other tenant, and nothing is shared across weights versions.
--- a/src/gateway/engine_loads.h
+++ b/src/gateway/engine_loads.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <vector>
 
 #include "common/time.h"
 #include "gateway/stated_limits.h"
@@ -18,6 +19,12 @@
   uint64_t memoryTokens = 0;  ///< Tokens of prompts, answers and cached parts.
 };
 
+/// A part of a prompt that other requests may share.
+struct SharedPart {
+  uint64_t key = 0;  ///< Includes the scope under which engines cache it, and the weights version.
+  uint32_t tokens = 0;
+};
+
 /// The resources that a request needs at an engine.
 struct EngineDemand {
   uint64_t promptTokens = 0;
@@ -25,6 +32,19 @@
   Duration forgetAfter{3000000};  ///< Then its release is assumed to be lost.
   Duration longestPermitWait{0};  ///< Longest wait for a permit if the engine states a limit.
   bool isCounted = true;          ///< False: it needs only a permit.
+  std::vector<SharedPart> sharedParts;  ///< From the beginning of its prompt; may be incomplete.
+  std::optional<int> urgency;           ///< 0 is the most urgent; nothing: unknown.
+  uint64_t tenant = 0;                  ///< Hash of the tenant's name; 0: none.
+  uint64_t requestKey = 0;   ///< The same for the first attempt and a retry; 0: unknown.
+  Duration longestPause{0};  ///< Longest time between events for which it is in time; 0: any.
+  Duration longestWait{0};   ///< For which it may wait before its prompt is read.
+};
+
+/// How fast the events of a stream arrived, measured by the node that relayed it.
+struct StreamPace {
+  uint32_t events = 0;       ///< After the first one; 0: not measured.
+  Duration stepping{0};      ///< From the first event to the last one.
+  Duration longestPause{0};  ///< Between two events.
 };
 
 /// A request that is counted at an engine until it is released or forgotten.
@@ -34,6 +54,7 @@
   bool isCounted = true;    ///< The end of the request must be reported.
   bool hasPermit = false;   ///< The permit must be returned if the request is not sent.
   bool lackedRoom = false;  ///< The engine rejected the request for want of room.
+  StreamPace pace;          ///< Set before the end of the request is reported.
 };
 
 struct LoadAnswer {
@@ -48,6 +69,8 @@
   /// brittle, and holds as many requests as it may.
   bool lacksPermit = false;
   Duration permitWait{0};  ///< Time until the request may be sent, or until the next permit.
+  uint64_t readingTokens = 0;  ///< Of the request's prompt, what the engine still has to read.
+  Duration returnAfter{0};  ///< If refused: from when room is reserved for its retry; 0: none is.
   LoadTicket ticket;
 
   /// @return the expected time until the engine begins to read a new request's prompt.
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -159,7 +159,9 @@
 }
 
 bool RequestRun::isLate(Time now) const {
-  return firstEventAt_.value_or(now) - request_.arrivedAt > request_.row->target;
+  const Duration mostPause = request_.row->longestPause;
+  const bool pausedTooLong = mostPause > Duration(0) && longestPause_ > mostPause;
+  return pausedTooLong || firstEventAt_.value_or(now) - request_.arrivedAt > request_.row->target;
 }
 
 /// Logs requests that were delivered in time at debug level only, and one line for each other
@@ -335,6 +337,7 @@
   promptCounted_ = true;
   staysWithEngine_ = false;
   isAttemptChecked_ = false;
+  pace_ = StreamPace{};
   sentAt_ = now;
   TrailEntry entry;
   entry.backend = plan_.backend.id;
--- a/src/gateway/request_run.h
+++ b/src/gateway/request_run.h
@@ -195,6 +195,7 @@
   std::optional<Time> firstEventAt_;
   Time lastEventAt_;
   Duration longestPause_{};
+  StreamPace pace_;  ///< Of the stream at the current back end.
   RequestTrail trail_;
   std::optional<LoadTicket> ticket_;  ///< Set while the request is queued or running at its engine.
 };
--- a/src/gateway/request_run_permits.cpp
+++ b/src/gateway/request_run_permits.cpp
@@ -11,6 +11,7 @@
 
 void RequestRun::releaseTicket() {
   if (ticket_) {
+    ticket_->pace = pace_;
     forwarder_.planner_.release(*ticket_);
     ticket_.reset();
   }
--- a/src/gateway/request_run_relay.cpp
+++ b/src/gateway/request_run_relay.cpp
@@ -113,6 +113,11 @@
   }
   if (firstEventAt_) {
     longestPause_ = std::max(longestPause_, now - lastEventAt_);
+    if (lastEventAt_ >= sentAt_) {
+      ++pace_.events;
+      pace_.stepping += now - lastEventAt_;
+      pace_.longestPause = std::max(pace_.longestPause, now - lastEventAt_);
+    }
     metrics_.observeTokenInterval(now - lastEventAt_);
   } else {
     firstEventAt_ = now;
--- a/src/gateway/send_decisions.cpp
+++ b/src/gateway/send_decisions.cpp
@@ -27,6 +27,11 @@
 
 }  // namespace
 
+Duration longestQueueWait(const IncomingRequest& request, Time now) {
+  const Duration waited = now - request.arrivedAt;
+  return std::max(Duration(0), request.row->target * kMaxQueueWaitPercent / 100 - waited);
+}
+
 bool canBeInTime(const IncomingRequest& request, const ExpectedTimes& expected, Time now) {
   const Duration waited = now - request.arrivedAt;
   return waited + expected.wait <= request.row->target * kMaxQueueWaitPercent / 100;
--- a/src/gateway/send_decisions.h
+++ b/src/gateway/send_decisions.h
@@ -16,6 +16,10 @@
 ///         expected times. One that can't would only delay others that can.
 bool canBeInTime(const IncomingRequest& request, const ExpectedTimes& expected, Time now);
 
+/// @return how long a request that was not sent yet may wait before its prompt is read, so that it
+///         can meet its target.
+Duration longestQueueWait(const IncomingRequest& request, Time now);
+
 /// @param urgency 0 is the most urgent; each step halves the wait, so that more urgent requests
 ///        find shorter queues.
 /// @param mayBeRefused the request was not sent yet, so the wait must leave time to meet its
--- a/src/gateway/send_planner.cpp
+++ b/src/gateway/send_planner.cpp
@@ -14,8 +14,6 @@
 
 namespace {
 
-constexpr int kUrgenciesPerTenantPriority = 3;
-constexpr int kLeastUrgent = 9;
 /// One request in this many waits for a permit as long as the most urgent ones do, so that no row
 /// is starved.
 constexpr uint64_t kStarvationGuardInterval = 8;
@@ -55,12 +53,6 @@
   return std::nullopt;
 }
 
-int urgencyOf(const IncomingRequest& request) {
-  const int ofTenant = request.tenant ? request.tenant->priority : 0;
-  return std::clamp(ofTenant * kUrgenciesPerTenantPriority + request.row->priority, 0,
-                    kLeastUrgent);
-}
-
 }  // namespace
 
 SendPlanner::SendPlanner(PlannerServices services, std::string zone, uint64_t randomSeed)
--- a/src/gateway/traffic_table.h
+++ b/src/gateway/traffic_table.h
@@ -44,6 +44,7 @@
   bool usesPrefixes = false;  ///< Engines that have cached a prefix of the prompt are preferred.
   Duration timeout{30000000};
   Duration target{1000000};
+  Duration longestPause{0};  ///< Between two events of an answer that is in time; 0: any.
   int maxAttempts = 1;  ///< Maximum number of back ends that may run one request.
   int priority = 0;     ///< 0 is the highest.
 };
--- a/src/peers/load_directory.cpp
+++ b/src/peers/load_directory.cpp
@@ -31,9 +31,34 @@
   release.set_engine(ticket.engine);
   release.set_question_id(ticket.id);
   release.set_lacked_room(ticket.lackedRoom);
+  release.set_events(ticket.pace.events);
+  release.set_stepping_milliseconds(toMilliseconds(ticket.pace.stepping));
+  release.set_longest_pause_milliseconds(toMilliseconds(ticket.pace.longestPause));
   return release;
 }
 
+EngineDemand decodeDemand(const proto::LoadQuestion& question) {
+  EngineDemand demand;
+  demand.promptTokens = question.tokens();
+  demand.memoryTokens = question.memory_tokens();
+  demand.forgetAfter = std::chrono::milliseconds(question.forget_after_milliseconds());
+  demand.longestPermitWait = std::chrono::milliseconds(question.longest_permit_wait_milliseconds());
+  demand.isCounted = !question.only_permit();
+  const int parts = std::min(question.shared_parts_size(), question.shared_tokens_size());
+  for (int index = 0; index < parts; ++index) {
+    demand.sharedParts.push_back(
+        gateway::SharedPart{question.shared_parts(index), question.shared_tokens(index)});
+  }
+  if (question.urgency() > 0) {
+    demand.urgency = static_cast<int>(question.urgency()) - 1;
+  }
+  demand.tenant = question.tenant();
+  demand.requestKey = question.request_key();
+  demand.longestPause = std::chrono::milliseconds(question.longest_pause_milliseconds());
+  demand.longestWait = std::chrono::milliseconds(question.longest_wait_milliseconds());
+  return demand;
+}
+
 /// @return the answer to a request that may be sent after a wait that is too long for it.
 LoadAnswer lacksPermitFor(Duration wait) {
   LoadAnswer answer;
@@ -149,6 +174,15 @@
   question.set_forget_after_milliseconds(toMilliseconds(demand.forgetAfter));
   question.set_longest_permit_wait_milliseconds(toMilliseconds(demand.longestPermitWait));
   question.set_only_permit(!demand.isCounted);
+  for (const gateway::SharedPart& part : demand.sharedParts) {
+    question.add_shared_parts(part.key);
+    question.add_shared_tokens(part.tokens);
+  }
+  question.set_urgency(demand.urgency ? static_cast<uint32_t>(*demand.urgency) + 1 : 0);
+  question.set_tenant(demand.tenant);
+  question.set_request_key(demand.requestKey);
+  question.set_longest_pause_milliseconds(toMilliseconds(demand.longestPause));
+  question.set_longest_wait_milliseconds(toMilliseconds(demand.longestWait));
   const Time now = clock_.now();
   if (const EngineStatement known = statementOf(engine, now); !known.isEmpty()) {
     encodeStatement(known, now, *question.mutable_statement());
@@ -244,12 +278,7 @@
 void LoadDirectory::onQuestion(NodeLife from, const proto::LoadQuestion& question, Time now,
                                MessageSender& sender) {
   forgetPreviousIncarnation(from);
-  EngineDemand demand;
-  demand.promptTokens = question.tokens();
-  demand.memoryTokens = question.memory_tokens();
-  demand.forgetAfter = std::chrono::milliseconds(question.forget_after_milliseconds());
-  demand.longestPermitWait = std::chrono::milliseconds(question.longest_permit_wait_milliseconds());
-  demand.isCounted = !question.only_permit();
+  const EngineDemand demand = decodeDemand(question);
   if (question.has_statement() &&
       applyStatement(decodeStatement(question.statement(), now), from.node, now)) {
     announce(question.engine(), now);
@@ -270,6 +299,8 @@
   answer.set_is_brittle(survivedRejections(question.engine(), now).has_value());
   // Rounded up, so that the request is neither sent nor asked for again before its permit is due.
   answer.set_permit_wait_milliseconds(toMilliseconds(reserved.permitWait + kMillisecondRoundUp));
+  answer.set_reading_tokens(clampToUint32(reserved.readingTokens));
+  answer.set_return_after_milliseconds(toMilliseconds(reserved.returnAfter + kMillisecondRoundUp));
   if (const EngineStatement known = statementOf(question.engine(), now); !known.isEmpty()) {
     encodeStatement(known, now, *answer.mutable_statement());
   }
@@ -285,6 +316,8 @@
   received.isStalled = answer.stalled();
   received.lacksPermit = answer.lacks_permit();
   received.permitWait = std::chrono::milliseconds(answer.permit_wait_milliseconds());
+  received.readingTokens = answer.reading_tokens();
+  received.returnAfter = std::chrono::milliseconds(answer.return_after_milliseconds());
   const bool isBrittle = answer.is_brittle();
   const bool hasPermit = answer.granted() && (answer.statement().is_limited() || isBrittle);
   received.ticket = LoadTicket{answer.engine(), answer.question_id(), true, hasPermit};
