A zone that is cut off blames no request and no part of prompts

Cause: a run that broke off at a closed port counted as a crash of its engine if this node reached any other engine. A node outside a cut zone reaches those of all other zones, and a node inside it those of its own. Change: another engine of the same zone must be reached, in classifyBreak() and for refused ports and lapsed entries in CutOffRuns. A verdict on a part waits while more engines crashed without it than with it.

--- a/src/backends/backend_set.cpp
+++ b/src/backends/backend_set.cpp
@@ -179,12 +179,14 @@
 
 std::vector<BackendListing> BackendSet::drawUsable(size_t count,
                                                    const std::set<std::string>& leftOut,
-                                                   Random& random) const {
+                                                   Random& random,
+                                                   const std::optional<std::string>& zone) const {
   const std::lock_guard<std::mutex> lock(mutex_);
   std::vector<const BackendListing*> drawn;  // Reservoir sampling.
   size_t seen = 0;
   for (const auto& [id, entry] : entries_) {
-    if (entry.listing->isDraining || leftOut.count(id) > 0) {
+    const bool isElsewhere = zone && entry.listing->zone != *zone;
+    if (entry.listing->isDraining || isElsewhere || leftOut.count(id) > 0) {
       continue;
     }
     ++seen;
--- a/src/backends/backend_set.h
+++ b/src/backends/backend_set.h
@@ -115,9 +115,11 @@
   std::vector<BackendListing> all() const;
   /// Draws different back ends that are not draining, each with the same probability.
   /// @param leftOut ids that are not drawn.
+  /// @param zone the only zone to draw from; nothing: all zones.
   /// @return `count` of them, or all if there are fewer.
   std::vector<BackendListing> drawUsable(size_t count, const std::set<std::string>& leftOut,
-                                         Random& random) const;
+                                         Random& random,
+                                         const std::optional<std::string>& zone = {}) const;
   /// @return the entry; nothing if the back end is not listed.
   std::optional<BackendListing> find(const std::string& id) const;
   /// @return the entry of an incarnation; null if it is not listed.
--- a/src/gateway/cut_off_runs.cpp
+++ b/src/gateway/cut_off_runs.cpp
@@ -35,8 +35,7 @@
     return;
   }
   const std::lock_guard<std::mutex> lock(mutex_);
-  runs_.push_back(CutOffRun{suspects, backend.id, backend.startedAt, backend.address, run,
-                            run.endedAt + kStep});
+  runs_.push_back(CutOffRun{suspects, backend, run, run.endedAt + kStep});
   if (runs_.size() > kMaxRuns) {
     runs_.pop_front();
   }
@@ -61,35 +60,38 @@
   return runs_.size();
 }
 
+/// If a zone is cut off, the entries of its back ends may lapse although they run.
 CutOffRuns::ProcessFate CutOffRuns::fateByList(const CutOffRun& cut) const {
-  const std::optional<BackendListing> listed = backends_.find(cut.backend);
+  const std::optional<BackendListing> listed = backends_.find(cut.backend.id);
   if (!listed) {
-    return ProcessFate::kEnded;
+    return reach_.isZoneCutOff(cut.backend, clock_.now()) ? ProcessFate::kUnknown
+                                                          : ProcessFate::kEnded;
   }
-  if (cut.startedAt != 0 && listed->startedAt > cut.startedAt) {
+  if (cut.backend.startedAt != 0 && listed->startedAt > cut.backend.startedAt) {
     return ProcessFate::kEnded;
   }
   return listed->isDraining ? ProcessFate::kDraining : ProcessFate::kUnknown;
 }
 
 /// An unreachable port is no evidence, because the network path to it may be down. A refused
-/// connection is none if this node reaches no other back end: a lost link may look the same.
+/// connection is none if this node reaches no other back end in the zone: a lost link may look the
+/// same.
 CutOffRuns::ProcessFate CutOffRuns::fateByProbe(const CutOffRun& cut) const {
   const Time probedAt = clock_.now();
-  const PortState port = lookAtPort(cut.address, kPortProbeTimeout);
+  const PortState port = lookAtPort(cut.backend.address, kPortProbeTimeout);
   if (port != PortState::kTakesConnections) {
     const bool hasEnded =
-        port == PortState::kRefuses && reach_.reachesAnotherThan(cut.backend, probedAt);
+        port == PortState::kRefuses && reach_.reachesNeighbourOf(cut.backend, probedAt);
     return hasEnded ? ProcessFate::kEnded : ProcessFate::kUnknown;
   }
   if (clock_.now() - cut.run.endedAt < kShutdownOutputTime) {
     return ProcessFate::kUnknown;
   }
-  const std::optional<int64_t> startedAt = askStart_(cut.backend);
+  const std::optional<int64_t> startedAt = askStart_(cut.backend.id);
   if (!startedAt) {
     return ProcessFate::kUnknown;  // No answer; the list or the next probe will show.
   }
-  const bool isAnother = cut.startedAt != 0 && *startedAt > cut.startedAt;
+  const bool isAnother = cut.backend.startedAt != 0 && *startedAt > cut.backend.startedAt;
   return isAnother ? ProcessFate::kEnded : ProcessFate::kAlive;
 }
 
--- a/src/gateway/cut_off_runs.h
+++ b/src/gateway/cut_off_runs.h
@@ -3,8 +3,9 @@
 /// may have ended. A single probe at that moment is not enough: an ending process may close its
 /// port after its connections, and a hung one closes nothing. A run is kept until there is
 /// evidence: the back end has a later start time, was removed from the list or refuses connections
-/// while another one takes them (it ended), or the same process reports its state or answers a
-/// request (it is alive). A run for which no evidence arrives in time is not counted as a crash.
+/// while another one in its zone takes them (it ended), or the same process reports its state or
+/// answers a request (it is alive). A run for which no evidence arrives in time is not counted as a
+/// crash.
 #pragma once
 
 #include <atomic>
@@ -62,9 +63,7 @@
  private:
   struct CutOffRun {
     Suspects suspects{0};
-    std::string backend;
-    int64_t startedAt = 0;  ///< Start of its back end, in Unix ms; 0: not stated.
-    SocketAddress address;
+    BackendListing backend;  ///< As listed when the run was sent.
     quarantine::CrashedRun run;
     Time nextProbeAt;
   };
--- a/src/gateway/engine_reach.cpp
+++ b/src/gateway/engine_reach.cpp
@@ -13,6 +13,12 @@
 /// Interval between probes while no engine is reached (250 ms): service resumes that soon, and each
 /// probe costs one connection attempt.
 constexpr Duration kProbeInterval{250000};
+/// Engines of a zone that are probed before the link to the zone is taken for lost. More than
+/// kWitnesses: several engines of one zone may have crashed within seconds, and are listed still.
+constexpr size_t kZoneWitnesses = 6;
+/// A zone found unreachable is not probed again for this long (250 ms): many runs break off at once
+/// when a zone is cut off.
+constexpr Duration kZoneCheckLifetime{250000};
 
 }  // namespace
 
@@ -102,14 +108,13 @@
   return !newConnectionsFail_ && reachesAnyBut({engine}, kWitnesses);
 }
 
-bool EngineReach::reachesAnyBut(const std::set<std::string>& leftOut, size_t count) {
-  uint64_t seed = 0;
-  {
-    const std::lock_guard<std::mutex> lock(mutex_);
-    seed = random_.next();
-  }
-  Random random(seed);
-  for (const BackendListing& witness : backends_.drawUsable(count, leftOut, random)) {
+Random EngineReach::drawRandom() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return Random(random_.next());
+}
+
+bool EngineReach::reachesAnyOf(const std::vector<BackendListing>& engines) {
+  for (const BackendListing& witness : engines) {
     if (probe_(witness)) {
       noteConnected();
       return true;
@@ -119,6 +124,35 @@
   return false;
 }
 
+bool EngineReach::reachesAnyBut(const std::set<std::string>& leftOut, size_t count) {
+  Random random = drawRandom();
+  return reachesAnyOf(backends_.drawUsable(count, leftOut, random));
+}
+
+bool EngineReach::reachesNeighbourOf(const BackendListing& engine, Time since) {
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const auto known = zoneChecks_.find(engine.zone);
+    if (known != zoneChecks_.end()) {
+      const ZoneCheck& check = known->second;
+      const bool isRecent = clock_.now() - check.at < kZoneCheckLifetime;
+      if (check.isReached ? check.at >= since : isRecent) {
+        return check.isReached;
+      }
+    }
+  }
+  Random random = drawRandom();
+  const std::vector<BackendListing> neighbours =
+      backends_.drawUsable(kZoneWitnesses, {engine.id}, random, engine.zone);
+  if (neighbours.empty()) {
+    return reachesAnotherThan(engine.id, since);
+  }
+  const bool isReached = reachesAnyOf(neighbours);
+  const std::lock_guard<std::mutex> lock(mutex_);
+  zoneChecks_[engine.zone] = ZoneCheck{clock_.now(), isReached};
+  return isReached;
+}
+
 void EngineReach::waitForWork() {
   std::unique_lock<std::mutex> lock(mutex_);
   failed_.wait(lock, [this] { return hasFailures_.load(); });
--- a/src/gateway/engine_reach.h
+++ b/src/gateway/engine_reach.h
@@ -10,6 +10,7 @@
 #include <atomic>
 #include <condition_variable>
 #include <functional>
+#include <map>
 #include <mutex>
 #include <set>
 #include <string>
@@ -80,6 +81,16 @@
   /// the probes of a few engines at most.
   /// @param engine the one in question, which does not count.
   bool reachesAnotherThan(const std::string& engine, Time since);
+  /// Finds out whether this node reaches another engine in the zone of this one. If a zone is cut
+  /// off, all engines there live on and all links to them break, while those to engines in other
+  /// zones work. Without another engine in the zone, any other engine counts. Blocks for the probes
+  /// of a few engines at most.
+  /// @param engine the one in question, which does not count.
+  bool reachesNeighbourOf(const BackendListing& engine, Time since);
+  /// As reachesNeighbourOf(). @return whether this node reaches engines, but none in that zone.
+  bool isZoneCutOff(const BackendListing& engine, Time since) {
+    return !reachesNeighbourOf(engine, since) && reachesAnotherThan(engine.id, since);
+  }
 
   /// Blocks until there is something to check.
   void waitForWork();
@@ -92,10 +103,20 @@
   static constexpr Duration kHeardWindow{1000000};
 
  private:
+  /// Result of the latest check of a zone.
+  struct ZoneCheck {
+    Time at;
+    bool isReached = false;
+  };
+
   ReachEvidence evidence() const;
+  /// @return a generator for one draw of engines.
+  Random drawRandom();
   /// Probes up to `count` engines that accept requests, other than those left out.
   /// @return whether one of them took the connection; false also if there is none to probe.
   bool reachesAnyBut(const std::set<std::string>& leftOut, size_t count);
+  /// Probes the engines in turn until one takes the connection.
+  bool reachesAnyOf(const std::vector<BackendListing>& engines);
   void declareLost();
 
   const Clock& clock_;
@@ -112,7 +133,8 @@
   Time lastFailure_;
   Time lostAt_;
   Time nextProbeAt_;
-  Random random_;  ///< Guarded by `mutex_`.
+  std::map<std::string, ZoneCheck> zoneChecks_;  ///< By zone.
+  Random random_;                                ///< Guarded by `mutex_`.
 };
 
 }  // namespace fernmoor::gateway
--- a/src/gateway/request_run_evidence.cpp
+++ b/src/gateway/request_run_evidence.cpp
@@ -58,8 +58,9 @@
 }
 
 /// A closed port right after the answer broke off shows that the back end crashed, unless the link
-/// of this node is lost: then it reaches no other back end either. The check cannot wait, because
-/// seconds later another process may listen there. An open port proves nothing yet.
+/// between this node and the back end's zone is lost: then it reaches no other back end there
+/// either. The check cannot wait, because seconds later another process may listen there. An open
+/// port proves nothing yet.
 AttemptEnd RequestRun::classifyBreak() {
   if (currentPeer_) {
     return AttemptEnd::kBroken;
@@ -71,7 +72,7 @@
     services_.cutOffRuns.note(suspects_, backend, run);
     return AttemptEnd::kBroken;
   }
-  if (!services_.reach.reachesAnotherThan(backend.id, run.endedAt)) {
+  if (!services_.reach.reachesNeighbourOf(backend, run.endedAt)) {
     services_.cutOffRuns.note(suspects_, backend, run);
     return AttemptEnd::kNotReachable;
   }
--- a/src/peers/quarantine_directory.cpp
+++ b/src/peers/quarantine_directory.cpp
@@ -282,6 +282,7 @@
   std::map<NodeId, proto::Envelope> reports;
   {
     const std::lock_guard<std::mutex> lock(mutex_);
+    control_.noteCrash(suspects.parts, run);
     countOwn(suspects.request, run, now, outbox, reports);
     for (const uint64_t part : suspects.parts) {
       countOwn(part, run, now, outbox, reports);
@@ -438,8 +439,11 @@
 }
 
 bool QuarantineDirectory::lacksControl(const Suspicion& suspicion) const {
-  return quarantine::isPart(suspicion.fingerprint) &&
-         !control_.wasServedWithout(suspicion.fingerprint, suspicion.since());
+  if (!quarantine::isPart(suspicion.fingerprint)) {
+    return false;
+  }
+  return !control_.wasServedWithout(suspicion.fingerprint, suspicion.since()) ||
+         control_.crashesWithout(suspicion) > suspicion.runs.size();
 }
 
 void QuarantineDirectory::decideDueProposals(Time now) {
--- a/src/peers/quarantine_directory.h
+++ b/src/peers/quarantine_directory.h
@@ -8,8 +8,9 @@
 /// that know the request was served since its first crash object; two requests that were running at
 /// the same crashes wait for a further crash that tells them apart. Nodes hold the request
 /// meanwhile. A proposal without objection becomes a verdict (on a
-/// part of prompts only if requests without it are served, see quarantine/control_group.h), which
-/// is sent to all nodes, and the crashes that it explains no longer count against other requests.
+/// part of prompts only if requests without it are served and it was running at most of the
+/// crashes, see quarantine/control_group.h), which is sent to all nodes, and the crashes that it
+/// explains no longer count against other requests.
 ///
 /// Verdicts reach nodes that are partitioned off or not yet started through the operators' store
 /// and its mirror (quarantine/quarantine_table.h). Until a verdict is stored, each node that knows
@@ -107,7 +108,8 @@
   /// Turns proposals of this node into verdicts once the time for objections is over, and, for a
   /// part of prompts, once requests without it are served.
   void decideDueProposals(Time now);
-  /// @return whether the suspect is a part, and no request without it was served here since.
+  /// @return whether the suspect is a part, and no request without it was served here since, or
+  ///         more engines crashed without it than with it.
   bool lacksControl(const quarantine::Suspicion& suspicion) const;
   /// @return nodes that may own requests: those that are neither draining nor suspected; only this
   ///         one if there are none.
--- a/test/gateway/engine_reach_test.cpp
+++ b/test/gateway/engine_reach_test.cpp
@@ -161,4 +161,50 @@
   }
 }
 
+TEST_CASE("a zone that is cut off is told from the crash of one of its engines") {
+  ReachWorld world;
+  std::set<std::string> farEngines;
+  for (int number = 0; number < 8; ++number) {
+    BackendListing listing;
+    listing.id = "far" + std::to_string(number);
+    listing.pool = "pool";
+    listing.zone = "far";
+    farEngines.insert(listing.id);
+    world.backends.update(listing, world.clock.now());
+  }
+  const BackendListing engine = *world.backends.find("far0");
+  const Time broke = world.clock.now();
+  SUBCASE("the zone is cut off: none of its engines is reached, others are") {
+    world.ended = farEngines;
+    world.reach.noteHeard();  // By an engine of another zone.
+    CHECK_FALSE(world.reach.reachesNeighbourOf(engine, broke));
+    CHECK(world.reach.isZoneCutOff(engine, broke));
+    CHECK(world.probed.size() == 6);
+    CHECK_FALSE(world.reach.reachesNeighbourOf(*world.backends.find("far1"), broke));
+    CHECK(world.probed.size() == 6);  // Not probed again for the other runs that broke off.
+    world.ended.clear();
+    world.clock.advanceTo(world.clock.now() + milliseconds(250));
+    CHECK(world.reach.reachesNeighbourOf(engine, broke));
+  }
+  SUBCASE("the engine crashed, and several others of its zone") {
+    world.ended = {"far0", "far1", "far2", "far3", "far4"};
+    CHECK(world.reach.reachesNeighbourOf(engine, broke));
+    CHECK_FALSE(world.reach.isZoneCutOff(engine, broke));
+  }
+  SUBCASE("an earlier check that reached the zone proves nothing about a later break") {
+    CHECK(world.reach.reachesNeighbourOf(engine, broke));
+    world.ended = farEngines;
+    world.clock.advanceTo(world.clock.now() + milliseconds(1));
+    CHECK_FALSE(world.reach.reachesNeighbourOf(engine, world.clock.now()));
+  }
+  SUBCASE("an engine alone in its zone is compared with those of other zones") {
+    BackendListing alone;
+    alone.id = "alone";
+    alone.pool = "pool";
+    alone.zone = "third";
+    world.backends.update(alone, world.clock.now());
+    CHECK(world.reach.reachesNeighbourOf(alone, broke));
+  }
+}
+
 }  // namespace fernmoor::gateway
--- a/test/gateway/forwarder_quarantine_test.cpp
+++ b/test/gateway/forwarder_quarantine_test.cpp
@@ -95,6 +95,38 @@
   CHECK(world.cutOffRuns.size() == 1);  // Later evidence may show that the back end ended.
 }
 
+TEST_CASE("a run in a zone that is cut off is no crash, though this node reaches other zones") {
+  ForwarderWorld world;
+  addOfOtherPool(world);
+  BackendListing neighbour;
+  neighbour.id = "neighbour";
+  neighbour.pool = "other pool";
+  neighbour.zone = "far";
+  neighbour.address = SocketAddress{"127.0.0.1", 1};
+  world.backends.update(neighbour, world.clock.now());
+  addCrashing(world, "a");
+  BackendListing listing = *world.backends.find("a");
+  listing.zone = "far";
+  world.backends.update(listing, world.clock.now());
+  SUBCASE("no engine of the zone is reached") {
+    world.serve();
+    CHECK(world.quarantine.crashes.empty());
+    CHECK(world.cutOffRuns.size() == 1);  // Later evidence may show that the back end ended.
+  }
+  SUBCASE("its entry lapses meanwhile") {
+    world.serve();
+    world.backends.remove("a");
+    world.cutOffRuns.step();
+    CHECK(world.quarantine.crashes.empty());
+  }
+  SUBCASE("another engine of the zone is reached: it is a crash") {
+    neighbour.address = world.witness->address();
+    world.backends.update(neighbour, world.clock.now());
+    world.serve();
+    CHECK(world.quarantine.crashes.size() == 1);
+  }
+}
+
 TEST_CASE("a crash is recorded only if the back end's process ended unannounced") {
   ForwarderWorld world;
   addOfOtherPool(world);
--- a/test/peers/part_quarantine_test.cpp
+++ b/test/peers/part_quarantine_test.cpp
@@ -101,6 +101,26 @@
   CHECK(world.quarantinedAt(kOtherPart) == 0);
 }
 
+TEST_CASE("a part that ran at less than half of the engines that crashed is not blamed") {
+  PartWorld world(7);
+  // Engines end one after the other, and most of them did not run the popular part.
+  for (uint64_t id = 1; id <= 5; ++id) {
+    world.crashWith(id, {kPopularPart});
+    for (uint64_t other = 0; other < 2; ++other) {
+      for (uint64_t at = 1; at <= 7; ++at) {
+        world.node(at).noteCrash(
+            Suspects(kFirstRequest * 2 + id, {kOtherPart + id}),
+            quarantine::CrashedRun{1000 + id * 2 + other, world.clock.now() - kRunTime,
+                                   world.clock.now()});
+      }
+    }
+    world.pass(kCrashInterval);
+    world.serveEverywhere(kOtherPart + 10);  // The control group.
+  }
+  world.pass(std::chrono::seconds(6));
+  CHECK(world.quarantinedAt(kPopularPart) == 0);
+}
+
 TEST_CASE("a crash holds nobody who shares a popular part") {
   PartWorld world(7);
   world.node(1).noteServed(Suspects(kFirstRequest, {kPopularPart}));
--- a/test/platform_soak/engine_link.cc
+++ b/test/platform_soak/engine_link.cc
@@ -4,7 +4,8 @@
 /// partitioned the node from all engines. FERNMOOR_ENGINE_LINK holds
 /// "ENGINES' ADDRESS,NODE'S ADDRESS,STATE FILE,REFUSING PORT,HANGING PORT"; without it nothing
 /// changes. The first byte of the state file says what becomes of new connections: 'r' they are
-/// refused, 'h' they hang, anything else: they succeed.
+/// refused, 'h' they hang, anything else: they succeed. Ports that follow it, each after a comma,
+/// name the only engines that this concerns.
 #include <arpa/inet.h>
 #include <dlfcn.h>
 #include <fcntl.h>
@@ -14,6 +15,7 @@
 
 #include <cstdio>
 #include <cstdlib>
+#include <cstring>
 
 namespace {
 
@@ -49,9 +51,22 @@
   return getsockopt(socket, SOL_SOCKET, SO_TYPE, &type, &size) == 0 && type == SOCK_STREAM;
 }
 
-char stateOf(const EngineLink& link) {
-  char state = 0;
-  return pread(link.state, &state, 1, 0) == 1 ? state : '\0';
+/// @return the state of new connections to the engine at that port.
+char stateOf(const EngineLink& link, unsigned port) {
+  char text[512] = "";
+  const ssize_t size = pread(link.state, text, sizeof(text) - 1, 0);
+  if (size <= 0) {
+    return '\0';
+  }
+  if (size == 1) {
+    return text[0];
+  }
+  for (const char* at = std::strchr(text, ','); at != nullptr; at = std::strchr(at + 1, ',')) {
+    if (std::strtoul(at + 1, nullptr, 10) == port) {
+      return text[0];
+    }
+  }
+  return '\0';
 }
 
 }  // namespace
@@ -74,7 +89,7 @@
   if (bind(socket, reinterpret_cast<const sockaddr*>(&own), sizeof(own)) != 0) {
     return -1;
   }
-  const char state = stateOf(link);
+  const char state = stateOf(link, ntohs(target.sin_port));
   if (state == 'r' || state == 'h') {
     target.sin_port =
         htons(static_cast<uint16_t>(state == 'r' ? link.refusingPort : link.hangingPort));
--- a/test/platform_soak/engines.py
+++ b/test/platform_soak/engines.py
@@ -112,14 +112,14 @@
     """One incarnation of an engine."""
 
     def __init__(self, number, life, service, store, ledger, host, version, model, former_id=None,
-                 software="v1"):
+                 software="v1", zone="z"):
         self.id = former_id or f"i-{number}-{life}"
         self.born = int(time.time() * 1000)
         self.crashed = False
         self.talks = threading.Event()  # Cleared while the engine sends nothing.
         self.talks.set()
         self.number, self.life, self.service, self.model = number, life, service, model
-        self.software = software
+        self.software, self.zone = software, zone
         self.is_unframed = False  # Whether its streams have neither a length nor chunks.
         self.lived = {"service": service, "software": software, "at": time.monotonic(), "end": None}
         ledger.lives.append(self.lived)
@@ -168,7 +168,7 @@
     def register(self):
         models = [{"name": self.model, "version": self.version}] if self.model else []
         self.store.put("servers", self.id, {
-            "service": self.service, "addr": self.address, "zone": "z", "slots": 16,
+            "service": self.service, "addr": self.address, "zone": self.zone, "slots": 16,
             "state": self.state, "seq": self.orders + self.beats, "models": models, "born": self.born,
             "version": self.software})
 
--- a/test/platform_soak/partition.py
+++ b/test/platform_soak/partition.py
@@ -1,6 +1,7 @@
 """Partitions nodes of a soak from all engines, while callers, the store and the other nodes still reach them.
 New connections are refused or hang (engine_link.cc); open ones are reset, live on, or hang: the engine then
-neither gets nor sends anything until the link is back. A node's kernel would give up a hanging connection with
+neither gets nor sends anything until the link is back. Or cuts a zone off: nodes lose their links to the engines
+of one zone, which live on, by resets. A node's kernel would give up a hanging connection with
 unacknowledged bytes; loopback acknowledges them, so the engine resets it after that time instead.
 """
 import pathlib
@@ -82,6 +83,20 @@
                 held = self.held[host]
                 self.state_file(number).write_bytes(NEW_CONNECTIONS[held[-1]["way"]] if held else OPEN)
 
+    def cut_zone(self, nodes, zone, engines):
+        """Resets the connections of these nodes to the engines of the zone, and refuses new ones until heal_zone().
+        The nodes must not be partitioned otherwise meanwhile."""
+        lost = [engine for engine in engines if engine.zone == zone]
+        ports = [engine.address.rpartition(":")[2] for engine in lost]
+        for node in nodes:
+            self.state_file(node.number).write_text(",".join([NEW_CONNECTIONS[RESET].decode(), *ports]))
+        for engine in lost:
+            engine.reset_connections([node.host for node in nodes])
+
+    def heal_zone(self, nodes):
+        for node in nodes:
+            self.state_file(node.number).write_bytes(OPEN)
+
     def pass_link(self, host):
         """Blocks while the link to the node hangs. Raises CutOff where its connection was given up meanwhile."""
         start = time.monotonic()
--- a/test/platform_soak/soak.py
+++ b/test/platform_soak/soak.py
@@ -68,6 +68,7 @@
 REPEATED_SHARE, REPEATED_SUBJECTS = 0.2, 3
 CALLERS = 24
 MODEL_ENGINES, PLAIN_ENGINES = 10, 3
+ZONES = ("z", "y")  # Of engines; all nodes are in the first one.
 # A slow engine reads the 300 tokens of a call in 0.03 to 0.9 s; a hanging one begins no request.
 SLOWNESS, SLOW_SECONDS, HANG_SECONDS = (5, 150), (0.5, 4.0), (0.3, 3.0)
 SILENCE_PAUSE_SECONDS = (2.0, 9.0)
@@ -284,6 +285,7 @@
         self.store.put("versions", MODEL, {"model": MODEL, "version": 1})
         self.drill_series, self.beats = options.drills, options.beats
         self.links = self.seen.links = partition.EngineLinks(self.folder, self.net + ".2")
+        self.zones = ZONES[:options.zones]
         self.engines = [self.new_engine(number, MODELS) for number in range(MODEL_ENGINES)]
         self.engines += [self.new_engine(MODEL_ENGINES + number, PLAIN)
                          for number in range(PLAIN_ENGINES)]
@@ -324,7 +326,7 @@
         model = MODEL if service == MODELS else None
         engine = standin.Engine(number, self.lives, service, self.store, self.seen, self.net + ".2",
                                 self.weights if model else 0, model, former_id,
-                                self.software.get(number, SOFTWARE[0]))
+                                self.software.get(number, SOFTWARE[0]), self.zones[number % len(self.zones)])
         if number % 2 == 1:  # Slow streams keep a stopping process alive for longer.
             engine.event_seconds = SLOW_EVENT_SECONDS
         engine.brittle = self.brittle.get(service)
@@ -773,6 +775,12 @@
         time.sleep(seconds)
         self.links.heal(entry)
 
+    def cut_zone_off(self, nodes, zone, seconds):
+        """The nodes lose their links to the engines of a zone, which run on, for so long."""
+        self.links.cut_zone(nodes, zone, self.engines)
+        time.sleep(seconds)
+        self.links.heal_zone(nodes)
+
     def keep_cutting_nodes_off(self, series, seconds):
         """Separate series: some nodes, at times all but one, are partitioned from all engines."""
         draw = random.Random(f"{self.seed} cuts {series}")
@@ -1154,6 +1162,8 @@
                         help="series in which the store comes back from an old copy, beside the others")
     parser.add_argument("--beats", type=int, help="heartbeats of engines a second; 25 with drills, else none")
     parser.add_argument("--callers", type=int, default=CALLERS)
+    parser.add_argument("--zones", type=int, default=1, choices=range(1, len(ZONES) + 1),
+                        help="zones that the engines are in")
     parser.add_argument("--narrow", type=int,
                         help="nodes with narrow links; all with growth, else none")
     parser.add_argument("--memory-mb", type=int, default=MEMORY_MB, help="limit of each gateway")
--- a/test/process/engine_parts_test.py
+++ b/test/process/engine_parts_test.py
@@ -18,13 +18,14 @@
 
 NODES, CALLERS, BAD_CALLERS = 5, 20, 4
 AT_ONCE = 4
+CUTS, CUT_SECONDS, CUT_PAUSE_SECONDS = 3, 6.0, 1.5
 BAD_SECONDS = 16.0
 SERVED_SHARE = 0.95
 
 
 class Scenario:
     def __init__(self, build):
-        options = soak.parse([build, "--nodes", str(NODES), "--poison", "0"])
+        options = soak.parse([build, "--nodes", str(NODES), "--poison", "0", "--zones", "2"])
         self.world = soak.World(options)
         self.world.start_nodes(options)
         print(f"logs in {self.world.folder}", flush=True)
@@ -90,7 +91,44 @@
     assert share >= SERVED_SHARE, f"{share:.3f} served after engines died"
 
 
-SCENARIOS = [a_middle_part, the_first_part, nodes_are_killed_meanwhile, half_of_the_engines_die_at_once]
+def cut_zones_off(scenario):
+    """Three of five nodes lose their links to a zone of live engines, again and again. Returns the time after it."""
+    world = scenario.world
+    for _ in range(CUTS):
+        world.cut_zone_off(world.nodes[:3], soak.ZONES[1], CUT_SECONDS)
+        time.sleep(CUT_PAUSE_SECONDS)
+    return time.monotonic()
+
+
+def assert_served_since(world, start):
+    calls = [call for call in world.calls if call["sent_at"] > start and call["ended_at"]]
+    share = sum(map(judge.is_served, calls)) / len(calls)
+    assert share >= SERVED_SHARE, f"{share:.3f} served after the zone is back"
+
+
+def quarantined(world):
+    return [name for kind, name in world.store.objects if kind == "quarantine"]
+
+
+def a_zone_of_live_engines_is_cut_off(scenario):
+    """Popular parts run at all of them: no engine ended, so nothing is quarantined."""
+    start = cut_zones_off(scenario)
+    time.sleep(judge.CONTACT_SECONDS)
+    assert not quarantined(scenario.world), f"quarantined: {quarantined(scenario.world)}"
+    assert_served_since(scenario.world, start)
+
+
+def a_bad_part_beside_a_zone_that_is_cut_off(scenario):
+    """The bad part is found in time, by the judge's rules, and no sound one."""
+    bad = scenario.send_bad(seconds=CUTS * (CUT_SECONDS + CUT_PAUSE_SECONDS))
+    start = cut_zones_off(scenario)
+    join(bad)
+    time.sleep(judge.CONTACT_SECONDS)
+    assert_served_since(scenario.world, start + judge.CONTACT_SECONDS)
+
+
+SCENARIOS = [a_middle_part, the_first_part, nodes_are_killed_meanwhile, half_of_the_engines_die_at_once,
+             a_zone_of_live_engines_is_cut_off, a_bad_part_beside_a_zone_that_is_cut_off]
 
 
 if __name__ == "__main__":
