Short streams and long prompts use different engines of a pool

Reading a long prompt delays all streams of its engine.

KindSeparation computes, from the requests that this node sent to a pool, which rows are long and how many engines the short rows need. The first k engines of the pool's rendezvous order serve the short rows, the others the long ones; the choice of a home uses the other side only if no engine of the own side is usable or has room in time. There is no separation without a maximum gap, with too little capacity or with few observations.

--- a/src/gateway/backend_choice.cpp
+++ b/src/gateway/backend_choice.cpp
@@ -20,6 +20,8 @@
 constexpr double kBoundedLoadSlack = 4;
 /// Each query costs a round trip to another node.
 constexpr size_t kMaxHomesQueried = 3;
+/// Homes queried on the other side, after those of the request's own side.
+constexpr size_t kMaxOtherHomesQueried = 2;
 /// Candidate homes, with spares for stalled ones: a quarter of the engines may have stopped.
 constexpr size_t kMaxHomes = 6;
 /// Reservations expire this long (500 ms) after the deadline. The end of a request is normally
@@ -168,12 +170,111 @@
   return choice;
 }
 
-/// The best home so far among those that were queried and are too busy.
-struct BusyHome {
+/// A home that was queried.
+struct FoundHome {
   BackendChoice choice;
-  uint64_t cost = 0;  ///< Tokens to read or transfer there before the request's own.
+  uint64_t cost = 0;     ///< Tokens to read or transfer there before the request's own.
+  bool accepts = false;  ///< The queue there is short enough to ask no other home.
 };
 
+/// The candidates of the request's own side, and the others.
+struct Sides {
+  Candidates own;
+  Candidates other;
+};
+
+/// An engine whose slots are all taken by requests of this node has no room, so it is left to the
+/// choice among the other side.
+Sides divide(Candidates usable, const ChoiceContext& context) {
+  if (!context.side) {
+    return Sides{std::move(usable), {}};
+  }
+  Sides sides;
+  for (const BackendView* each : usable) {
+    const bool isFull =
+        context.room.places > 0 && each->inFlight >= static_cast<int64_t>(context.room.places);
+    const bool isOwn = !isFull && context.side->contains(each->incarnation);
+    (isOwn ? sides.own : sides.other).push_back(each);
+  }
+  return sides;
+}
+
+/// A search for a home among some candidates.
+struct HomeSearch {
+  const IncomingRequest& request;
+  const ChoiceContext& context;
+  EngineLoads& loads;
+  uint64_t shared;     ///< Tokens in the shared parts.
+  bool isOfOtherSide;  ///< No candidate is the request's home: all fetch its shared parts.
+  size_t maxQueries;
+
+  std::optional<FoundHome> run(const Candidates& homes) const;
+};
+
+std::optional<FoundHome> HomeSearch::run(const Candidates& homes) const {
+  // A wait no longer than reading the request's own prompt is not worth another query.
+  const uint64_t shortWait = std::max(shared, request.promptTokens);
+  std::optional<FoundHome> best;
+  size_t asked = 0;
+  for (size_t index = 0; index < homes.size() && asked < maxQueries; ++index) {
+    const BackendView& home = *homes[index];
+    // All homes but the first must fetch the shared parts from elsewhere.
+    const uint64_t tokensToFetch = index == 0 && !isOfOtherSide ? 0 : shared;
+    if (best && best->cost <= tokensToFetch) {
+      break;
+    }
+    const uint64_t bound = best ? std::min(shortWait, best->cost - tokensToFetch) : shortWait;
+    const std::optional<LoadAnswer> answer = loads.reserve(
+        home.incarnation, demandOf(request, home.weightsVersion, context.now), context.room, bound);
+    const bool isUnanswered = !answer && loads.permitDue(home.incarnation);
+    if (isUnanswered || (answer && (answer->isStalled || answer->lacksPermit))) {
+      continue;
+    }
+    ++asked;
+    BackendChoice choice = choiceWithoutReservation(home);
+    if (answer) {
+      choice.pendingTokens = answer->pendingTokens;
+      choice.readingTokens = answer->readingTokens;
+      const Duration wait = answer->expectedWait();
+      choice.expected = ExpectedTimes{wait, wait + answer->expectedReading(request.promptTokens)};
+    }
+    if (answer && answer->isGranted) {
+      choice.ticket = answer->ticket;
+    }
+    const uint64_t cost = choice.pendingTokens + tokensToFetch;
+    if (choice.ticket || (!answer && home.pendingTokens < bound)) {
+      return FoundHome{choice, cost, true};
+    }
+    if (!best || cost < best->cost) {
+      best = FoundHome{choice, cost, false};
+    }
+  }
+  return best;
+}
+
+/// @return whether the request would wait too long at that home to be in time.
+bool lacksRoom(const FoundHome& home, const IncomingRequest& request, Time now) {
+  return !home.accepts && home.choice.expected &&
+         home.choice.expected->wait > longestQueueWait(request, now);
+}
+
+/// Searches the request's own side and, if no home there is usable or has room, the other one.
+std::optional<FoundHome> findHome(const IncomingRequest& request,
+                                  const std::vector<BackendView>& candidates,
+                                  const ChoiceContext& context, EngineLoads& loads) {
+  const Sides sides = divide(permittingNow(usableCandidates(candidates, context), loads), context);
+  HomeSearch search{request, context, loads, sharedTokensOf(request), false, kMaxHomesQueried};
+  const std::optional<FoundHome> own = search.run(firstHomes(request, sides.own));
+  if (sides.other.empty() || (own && !lacksRoom(*own, request, context.now))) {
+    return own;
+  }
+  search.isOfOtherSide = true;
+  search.maxQueries = kMaxOtherHomesQueried;
+  const std::optional<FoundHome> other = search.run(firstHomes(request, sides.other));
+  const bool isOtherBetter = other && (!own || other->accepts || other->cost < own->cost);
+  return isOtherBetter ? other : own;
+}
+
 }  // namespace
 
 int urgencyOf(const IncomingRequest& request) {
@@ -197,10 +298,9 @@
     const size_t count = std::min(request.sharedPartCount(), kMaxPartsPerQuestion);
     for (size_t index = 0; index < count; ++index) {
       const PromptPart& part = request.parts[index];
-      demand.sharedParts.push_back(
-          SharedPart{partKeyOf(scope, part.id),
-                     static_cast<uint32_t>(std::min<uint64_t>(
-                         part.tokens, std::numeric_limits<uint32_t>::max()))});
+      demand.sharedParts.push_back(SharedPart{
+          partKeyOf(scope, part.id), static_cast<uint32_t>(std::min<uint64_t>(
+                                         part.tokens, std::numeric_limits<uint32_t>::max()))});
     }
   }
   return demand;
@@ -209,57 +309,19 @@
 std::optional<BackendChoice> chooseHome(const IncomingRequest& request,
                                         const std::vector<BackendView>& candidates,
                                         const ChoiceContext& context, EngineLoads& loads) {
-  const Candidates homes =
-      firstHomes(request, permittingNow(usableCandidates(candidates, context), loads));
-  const uint64_t shared = sharedTokensOf(request);
-  // A wait no longer than reading the request's own prompt is not worth another query.
-  const uint64_t shortWait = std::max(shared, request.promptTokens);
-  std::optional<BusyHome> best;
-  size_t asked = 0;
-  for (size_t index = 0; index < homes.size() && asked < kMaxHomesQueried; ++index) {
-    const BackendView& home = *homes[index];
-    // All homes but the first must fetch the shared parts from elsewhere.
-    const uint64_t tokensToFetch = index == 0 ? 0 : shared;
-    if (best && best->cost <= tokensToFetch) {
-      break;
-    }
-    const uint64_t bound = best ? std::min(shortWait, best->cost - tokensToFetch) : shortWait;
-    const std::optional<LoadAnswer> answer =
-        loads.reserve(home.incarnation, demandOf(request, home.weightsVersion, context.now),
-                      context.room, bound);
-    const bool isUnanswered = !answer && loads.permitDue(home.incarnation);
-    if (isUnanswered || (answer && (answer->isStalled || answer->lacksPermit))) {
-      continue;
-    }
-    ++asked;
-    BackendChoice choice;
-    choice.backend = home;
-    choice.pendingTokens = answer ? answer->pendingTokens : home.pendingTokens;
-    if (answer) {
-      const Duration wait = answer->expectedWait();
-      choice.expected = ExpectedTimes{wait, wait + answer->expectedReading(request.promptTokens)};
-    }
-    if (answer && answer->isGranted) {
-      choice.ticket = answer->ticket;
-    }
-    if (choice.ticket || (!answer && home.pendingTokens < bound)) {
-      return choice;
-    }
-    const uint64_t cost = choice.pendingTokens + tokensToFetch;
-    if (!best || cost < best->cost) {
-      best = BusyHome{choice, cost};
-    }
-  }
+  std::optional<FoundHome> best = findHome(request, candidates, context, loads);
   if (!best) {
     return std::nullopt;
   }
+  if (best->accepts) {
+    return best->choice;
+  }
   // Reserve there without a bound, so that load beyond the bound is counted, too.
   const std::optional<LoadAnswer> counted =
       best->choice.expected
-          ? loads.reserve(
-                best->choice.backend.incarnation,
-                demandOf(request, best->choice.backend.weightsVersion, context.now), context.room,
-                kNoBound)
+          ? loads.reserve(best->choice.backend.incarnation,
+                          demandOf(request, best->choice.backend.weightsVersion, context.now),
+                          context.room, kNoBound)
           : std::nullopt;
   if (counted && counted->isGranted) {
     best->choice.ticket = counted->ticket;
--- a/src/gateway/backend_choice.h
+++ b/src/gateway/backend_choice.h
@@ -15,6 +15,7 @@
 #include "common/random.h"
 #include "gateway/engine_loads.h"
 #include "gateway/incoming_request.h"
+#include "gateway/kind_separation.h"
 
 namespace fernmoor::gateway {
 
@@ -24,6 +25,8 @@
   std::set<std::string> tried;  ///< Ids of back ends that this request was sent to.
   EngineRoom room;              ///< Capacity of each engine of the pool.
   Time now;
+  /// The engines that serve requests of this kind; nothing: all.
+  std::optional<EngineSide> side = std::nullopt;
 };
 
 /// Expected times of a request at an engine.
@@ -37,6 +40,7 @@
   BackendView backend;
   Duration permitWait{0};                 ///< Time to wait before the request is sent.
   uint64_t pendingTokens = 0;             ///< Of all nodes if the load is known, else of this one.
+  uint64_t readingTokens = 0;             ///< Of its prompt, to be read there; 0: unknown.
   std::optional<LoadTicket> ticket;       ///< To be released when the request ends.
   std::optional<ExpectedTimes> expected;  ///< Set if the load is known.
 };
@@ -45,9 +49,11 @@
 /// request's own prompt: the queued prompts of all nodes and, at any engine but the home, the
 /// transfer of the shared parts. Queries the nodes that track the load for all nodes, home by home,
 /// until the wait is no longer than reading the request's own prompt. Stalled engines are skipped,
-/// and so are those that have reached the limit they state. Candidates that were tried or are
-/// resting are excluded; avoided ones are used only if all are avoided, and leaving ones only if no
-/// other is left. Blocks on answers of other nodes.
+/// and so are those that have reached the limit they state. If long and short prompts are
+/// separated, an engine of the other side is used only if none of the request's own side is usable
+/// or has room for it in time. Candidates that were tried or are resting are excluded; avoided ones
+/// are used only if all are avoided, and leaving ones only if no other is left. Blocks on answers
+/// of other nodes.
 /// @return std::nullopt for a request without shared parts, or if no candidate is left.
 std::optional<BackendChoice> chooseHome(const IncomingRequest& request,
                                         const std::vector<BackendView>& candidates,
--- a/src/gateway/engine_loads.h
+++ b/src/gateway/engine_loads.h
@@ -4,6 +4,7 @@
 /// implementation that counts the requests of all nodes.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <vector>
@@ -97,6 +98,8 @@
   virtual void promptRead(const LoadTicket& ticket) = 0;
   /// The request left the engine.
   virtual void release(const LoadTicket& ticket) = 0;
+  /// @return the number of nodes that send requests to engines, this one included.
+  virtual size_t nodeCount() const { return 1; }
 
   // Statements of engines; the default implementations assume that there are none.
 
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -132,6 +132,9 @@
   uncountPrompt();
   releaseTicket();
   services_.backends.ended(plan_.backend.id, verdict, now);
+  if (!currentPeer_) {
+    forwarder_.planner_.noteEnded(request_);
+  }
   const bool isWhole = end == AttemptEnd::kServed || end == AttemptEnd::kFailed;
   if (isWhole && !currentPeer_) {  // Another node records itself what its engines survived.
     // The back end survived the request, and with a success also what it wrote on the parts.
@@ -333,6 +336,10 @@
   beginDeadline_.start(request_.model, plan_.weightsVersion,
                        request_.row->isStream && !currentPeer_);
   services_.backends.started(plan_.backend.id, request_.promptTokens);
+  tokensToRead_ = planned.tokensToRead;
+  if (!currentPeer_) {
+    forwarder_.planner_.noteSent(request_, tokensToRead_);
+  }
   attemptOpen_ = true;
   promptCounted_ = true;
   staysWithEngine_ = false;
--- a/src/gateway/request_run.h
+++ b/src/gateway/request_run.h
@@ -192,6 +192,7 @@
   std::optional<BufferedAnswer> bufferedAnswer_;
   HeldBytes heldBytes_;  ///< Memory charged for `bufferedAnswer_`, or for the answer being read.
   Time sentAt_;          ///< Start of the latest send.
+  uint64_t tokensToRead_ = 0;  ///< Of the prompt, by the latest plan.
   std::optional<Time> firstEventAt_;
   Time lastEventAt_;
   Duration longestPause_{};
--- a/src/gateway/request_run_relay.cpp
+++ b/src/gateway/request_run_relay.cpp
@@ -123,6 +123,7 @@
     firstEventAt_ = now;
     metrics_.observeFirstToken(now - request_.arrivedAt);
     if (!currentPeer_) {
+      forwarder_.planner_.noteFirstEvent(request_, tokensToRead_, now - sentAt_);
       forwarder_.planner_.notePartsRead(request_, plan_, now - sentAt_);
     }
   }
--- a/src/gateway/send_planner.cpp
+++ b/src/gateway/send_planner.cpp
@@ -53,6 +53,12 @@
   return std::nullopt;
 }
 
+/// @return the capacity of each engine of the request's pool.
+EngineRoom roomOf(const IncomingRequest& request) {
+  const Pool* const pool = request.table->findPool(request.pool);
+  return pool == nullptr ? EngineRoom{} : pool->room;
+}
+
 }  // namespace
 
 SendPlanner::SendPlanner(PlannerServices services, std::string zone, uint64_t randomSeed)
@@ -60,10 +66,9 @@
 
 std::optional<BackendChoice> SendPlanner::choose(const PlanInput& input,
                                                  std::vector<BackendView> members, uint64_t lowest,
-                                                 Time now) {
+                                                 const std::optional<EngineSide>& side, Time now) {
   leaveOutOldWeights(members, lowest);
-  const Pool* const pool = input.request.table->findPool(input.request.pool);
-  const ChoiceContext context{zone_, input.tried, pool == nullptr ? EngineRoom{} : pool->room, now};
+  const ChoiceContext context{zone_, input.tried, roomOf(input.request), now, side};
   std::optional<BackendChoice> chosen =
       chooseHome(input.request, members, context, services_.loads);
   if (!chosen) {
@@ -77,6 +82,12 @@
   return chosen;
 }
 
+std::optional<EngineSide> SendPlanner::sideOf(const IncomingRequest& request,
+                                              const std::vector<BackendView>& members, Time now) {
+  return kindSides_.sideOf(request, members, roomOf(request).places, services_.loads.nodeCount(),
+                           now);
+}
+
 uint64_t SendPlanner::drawSeed() {
   const std::lock_guard<std::mutex> lock(randomMutex_);
   return random_.next();
@@ -91,8 +102,9 @@
     const PlanInput& input, const std::vector<BackendView>& members, Time now, uint64_t& lowest) {
   const std::string& model = input.request.model;
   lowest = services_.wanted.lowestServing(model, now);
+  const std::optional<EngineSide> side = sideOf(input.request, members, now);
   while (true) {
-    std::optional<BackendChoice> chosen = choose(input, members, lowest, now);
+    std::optional<BackendChoice> chosen = choose(input, members, lowest, side, now);
     if (!chosen) {
       return chosen;
     }
@@ -165,6 +177,7 @@
   planned.pendingTokens = chosen->pendingTokens;
   planned.ticket = chosen->ticket;
   planned.expected = chosen->expected;
+  planned.tokensToRead = chosen->readingTokens > 0 ? chosen->readingTokens : request.promptTokens;
   planned.isTooLate = input.mayBeRefused && planned.expected &&
                       !canBeInTime(request, *planned.expected, services_.clock.now());
   if (planned.isTooLate) {
@@ -182,6 +195,19 @@
   return planned;
 }
 
+void SendPlanner::noteSent(const IncomingRequest& request, uint64_t tokensToRead) {
+  kindSides_.noteSent(request, tokensToRead, services_.clock.now());
+}
+
+void SendPlanner::noteFirstEvent(const IncomingRequest& request, uint64_t tokensToRead,
+                                 Duration took) {
+  kindSides_.noteFirstEvent(request, tokensToRead, took, services_.clock.now());
+}
+
+void SendPlanner::noteEnded(const IncomingRequest& request) {
+  kindSides_.noteEnded(request, services_.clock.now());
+}
+
 void SendPlanner::notePartsRead(const IncomingRequest& request, const SendPlan& plan,
                                 Duration took) {
   experience_.note(plan.transfer.source, request.promptTokens, took, services_.clock.now());
--- a/src/gateway/send_planner.h
+++ b/src/gateway/send_planner.h
@@ -16,6 +16,7 @@
 #include "gateway/backend_protocol.h"
 #include "gateway/engine_loads.h"
 #include "gateway/incoming_request.h"
+#include "gateway/kind_sides.h"
 #include "gateway/part_memory.h"
 #include "gateway/source_experience.h"
 
@@ -45,6 +46,7 @@
   SendPlan send;
   int inFlight = 0;                       ///< Requests of this node at the back end.
   uint64_t pendingTokens = 0;             ///< Of all nodes if `ticket` is set, else of this one.
+  uint64_t tokensToRead = 0;              ///< Of its prompt; all if it is not known.
   uint64_t lowestWeights = 0;             ///< Lowest acceptable version; 0: any.
   std::optional<LoadTicket> ticket;       ///< To be released when the request ends.
   std::optional<ExpectedTimes> expected;  ///< If known.
@@ -70,14 +72,26 @@
   void release(const LoadTicket& ticket) { services_.loads.release(ticket); }
   /// Returns the ticket of a request that was not sent.
   void giveBack(const LoadTicket& ticket) { services_.loads.giveBack(ticket); }
+  /// Records that a request was sent to an engine, that its first event arrived, and that it left
+  /// the engine.
+  /// @param tokensToRead as planned.
+  /// @param took time from the send to the first event.
+  void noteSent(const IncomingRequest& request, uint64_t tokensToRead);
+  void noteFirstEvent(const IncomingRequest& request, uint64_t tokensToRead, Duration took);
+  void noteEnded(const IncomingRequest& request);
   /// Records at which engine the request's shared parts were read.
   /// @param took time from the send to the first event.
   void notePartsRead(const IncomingRequest& request, const SendPlan& plan, Duration took);
 
  private:
   /// @param lowest lowest weights version that the back end may hold.
+  /// @param side the engines that serve requests of this kind; nothing: all.
   std::optional<BackendChoice> choose(const PlanInput& input, std::vector<BackendView> members,
-                                      uint64_t lowest, Time now);
+                                      uint64_t lowest, const std::optional<EngineSide>& side,
+                                      Time now);
+  /// @return the engines that serve requests of this kind; nothing: all.
+  std::optional<EngineSide> sideOf(const IncomingRequest& request,
+                                   const std::vector<BackendView>& members, Time now);
   uint64_t drawSeed();
   /// @return how long the request may wait for a permit.
   Duration maxPermitWait(const PlanInput& input, Time now);
@@ -102,6 +116,7 @@
   PlannerServices services_;
   std::string zone_;
   SourceExperience experience_;
+  KindSides kindSides_;
   std::mutex randomMutex_;
   Random random_;
 };
--- a/src/peers/load_directory.cpp
+++ b/src/peers/load_directory.cpp
@@ -96,6 +96,11 @@
   return rendezvousOwner(engine, self_, members_.get());
 }
 
+size_t LoadDirectory::nodeCount() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return members_ == nullptr ? 1 : std::max<size_t>(1, members_->members.size());
+}
+
 double LoadDirectory::reachableShare() const {
   const std::lock_guard<std::mutex> lock(mutex_);
   return reachableShare_;
--- a/src/peers/load_directory.h
+++ b/src/peers/load_directory.h
@@ -66,6 +66,7 @@
                                              uint64_t bound) override;
   void promptRead(const gateway::LoadTicket& ticket) override;
   void release(const gateway::LoadTicket& ticket) override;
+  size_t nodeCount() const override;
   void giveBack(const gateway::LoadTicket& ticket) override;
   void noteStatement(const gateway::EngineStatement& statement) override;
   std::optional<Duration> permitDue(uint64_t engine) const override;
--- a/test/gateway/backend_choice_test.cpp
+++ b/test/gateway/backend_choice_test.cpp
@@ -4,6 +4,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <map>
 #include <memory>
 
@@ -248,4 +249,98 @@
   CHECK(leftOf({0, 0}, 0) == 2);
 }
 
+namespace {
+
+/// Twelve engines of which four serve the rows with short prompts.
+struct DividedPool {
+  DividedPool() {
+    std::vector<uint64_t> incarnations;
+    for (const BackendView& each : candidates) {
+      incarnations.push_back(each.incarnation);
+    }
+    side = EngineSide{1, leastWeightOfFirst(1, incarnations, 4), true};
+  }
+
+  bool isOnOwnSide(const BackendView& engine) const { return side.contains(engine.incarnation); }
+  std::optional<BackendChoice> choose(const Prompt& prompt, EngineLoads& loads) const {
+    const ChoiceContext context{"near", {}, EngineRoom{32, 0}, {}, side};
+    return chooseHome(prompt.request, candidates, context, loads);
+  }
+
+  std::vector<BackendView> candidates = engines(12);
+  EngineSide side;
+};
+
+}  // namespace
+
+// Guards against requests of one kind at the engines of the other, and against homes that change
+// within a side: their cached parts would be lost.
+TEST_CASE("requests stay on their side, and homes there are the best ones of the whole order") {
+  DividedPool pool;
+  SilentLoads loads;
+  for (const bool isShort : {true, false}) {
+    pool.side.isShort = isShort;
+    for (int subject = 0; subject < 50; ++subject) {
+      const Prompt prompt(std::to_string(subject));
+      const BackendView home = pool.choose(prompt, loads)->backend;
+      CHECK(pool.isOnOwnSide(home));
+      const std::string undivided = chosen(prompt.request, pool.candidates);
+      CHECK((home.listing->id == undivided ||
+             !pool.isOnOwnSide(*std::find_if(
+                 pool.candidates.begin(), pool.candidates.end(),
+                 [&](const BackendView& each) { return each.listing->id == undivided; }))));
+    }
+  }
+}
+
+// Guards against requests that are refused or lost while the other side could serve them, and
+// against short queues that push long prompts among the short streams.
+TEST_CASE("a side that is dead or full is not insisted upon, a busy one is") {
+  DividedPool pool;
+  Prompt prompt("subject");
+  prompt.request.promptTokens = 9200;
+  prompt.row.target = std::chrono::milliseconds(1500);
+  const auto setOwn = [&](auto change) {
+    for (BackendView& each : pool.candidates) {
+      if (pool.isOnOwnSide(each)) {
+        change(each);
+      }
+    }
+  };
+  SilentLoads unknown;
+  CountingLoads known;
+
+  SUBCASE("avoided engines") {
+    setOwn([](BackendView& each) { each.isAvoided = true; });
+    CHECK_FALSE(pool.isOnOwnSide(pool.choose(prompt, unknown)->backend));
+  }
+  SUBCASE("stalled engines") {
+    setOwn([&](const BackendView& each) { known.stalled.insert(each.incarnation); });
+    CHECK_FALSE(pool.isOnOwnSide(pool.choose(prompt, known)->backend));
+  }
+  SUBCASE("engines whose slots this node's requests fill") {
+    setOwn([](BackendView& each) { each.inFlight = 32; });
+    CHECK_FALSE(pool.isOnOwnSide(pool.choose(prompt, unknown)->backend));
+  }
+  SUBCASE("engines with a queue for which the request would be late") {  // 24,000 tokens: 600 ms.
+    setOwn([&](const BackendView& each) { known.pending[each.incarnation] = 25000; });
+    const auto choice = pool.choose(prompt, known);
+    CHECK_FALSE(pool.isOnOwnSide(choice->backend));
+    CHECK(choice->ticket);
+    CHECK(known.questions <= 5);
+  }
+  SUBCASE("engines with a queue for which the request is still in time") {
+    setOwn([&](const BackendView& each) { known.pending[each.incarnation] = 20000; });
+    const auto choice = pool.choose(prompt, known);
+    CHECK(pool.isOnOwnSide(choice->backend));
+    CHECK(choice->ticket);
+  }
+  SUBCASE("unless the other side is fuller") {
+    for (const BackendView& each : pool.candidates) {
+      known.pending[each.incarnation] = pool.isOnOwnSide(each) ? 25000 : 50000;
+    }
+    CHECK(pool.isOnOwnSide(pool.choose(prompt, known)->backend));
+  }
+}
+
 }  // namespace fernmoor::gateway
