A request that its own side refuses is tried at the other side

A refusal of the owner for want of room at the home with the shortest queue ended the search. The other side is now tried before such a choice is returned.

The play of the separation let an engine's unread prompt time fall below zero, and the owner's answer then stood for an endless queue, so that homes were passed over.

--- a/src/gateway/backend_choice.cpp
+++ b/src/gateway/backend_choice.cpp
@@ -258,21 +258,25 @@
          home.choice.expected->wait > longestQueueWait(request, now);
 }
 
-/// Searches the request's own side and, if no home there is usable or has room, the other one.
-std::optional<FoundHome> findHome(const IncomingRequest& request,
-                                  const std::vector<BackendView>& candidates,
-                                  const ChoiceContext& context, EngineLoads& loads) {
-  const Sides sides = divide(permittingNow(usableCandidates(candidates, context), loads), context);
-  HomeSearch search{request, context, loads, sharedTokensOf(request), false, kMaxHomesQueried};
-  const std::optional<FoundHome> own = search.run(firstHomes(request, sides.own));
-  if (sides.other.empty() || (own && !lacksRoom(*own, request, context.now))) {
-    return own;
+/// Counts the request at the home.
+/// @return nothing if the home permits no request.
+std::optional<BackendChoice> settleAt(const FoundHome& home, const IncomingRequest& request,
+                                      const ChoiceContext& context, EngineLoads& loads) {
+  BackendChoice choice = home.choice;
+  if (home.accepts) {
+    return choice;
   }
-  search.isOfOtherSide = true;
-  search.maxQueries = kMaxOtherHomesQueried;
-  const std::optional<FoundHome> other = search.run(firstHomes(request, sides.other));
-  const bool isOtherBetter = other && (!own || other->accepts || other->cost < own->cost);
-  return isOtherBetter ? other : own;
+  // Reserve there without a bound, so that load beyond the bound is counted, too.
+  const std::optional<LoadAnswer> counted =
+      choice.expected ? loads.reserve(choice.backend.incarnation,
+                                      demandOf(request, choice.backend.weightsVersion, context.now),
+                                      context.room, kNoBound)
+                      : std::nullopt;
+  if (counted && counted->isGranted) {
+    choice.ticket = counted->ticket;
+  }
+  const bool isPermitted = choice.ticket || !loads.permitDue(choice.backend.incarnation);
+  return isPermitted ? std::optional(choice) : std::nullopt;
 }
 
 }  // namespace
@@ -309,26 +313,29 @@
 std::optional<BackendChoice> chooseHome(const IncomingRequest& request,
                                         const std::vector<BackendView>& candidates,
                                         const ChoiceContext& context, EngineLoads& loads) {
-  std::optional<FoundHome> best = findHome(request, candidates, context, loads);
-  if (!best) {
-    return std::nullopt;
-  }
-  if (best->accepts) {
-    return best->choice;
+  const Sides sides = divide(permittingNow(usableCandidates(candidates, context), loads), context);
+  HomeSearch search{request, context, loads, sharedTokensOf(request), false, kMaxHomesQueried};
+  const std::optional<FoundHome> own = search.run(firstHomes(request, sides.own));
+  const bool hasOtherSide = !sides.other.empty();
+  std::optional<BackendChoice> settled;
+  bool isRefused = false;
+  if (own && !(hasOtherSide && lacksRoom(*own, request, context.now))) {
+    settled = settleAt(*own, request, context, loads);
+    isRefused = !settled || (settled->expected && !settled->ticket);
+    if (!isRefused || !hasOtherSide) {
+      return settled;
+    }
   }
-  // Reserve there without a bound, so that load beyond the bound is counted, too.
-  const std::optional<LoadAnswer> counted =
-      best->choice.expected
-          ? loads.reserve(best->choice.backend.incarnation,
-                          demandOf(request, best->choice.backend.weightsVersion, context.now),
-                          context.room, kNoBound)
-          : std::nullopt;
-  if (counted && counted->isGranted) {
-    best->choice.ticket = counted->ticket;
+  search.isOfOtherSide = true;
+  search.maxQueries = kMaxOtherHomesQueried;
+  const std::optional<FoundHome> other = search.run(firstHomes(request, sides.other));
+  if (other && (!own || isRefused || other->accepts || other->cost < own->cost)) {
+    const std::optional<BackendChoice> there = settleAt(*other, request, context, loads);
+    if (there && (!settled || there->ticket || !there->expected)) {
+      return there;
+    }
   }
-  const bool isPermitted =
-      best->choice.ticket || !loads.permitDue(best->choice.backend.incarnation);
-  return isPermitted ? std::optional(best->choice) : std::nullopt;
+  return settled || !own ? settled : settleAt(*own, request, context, loads);
 }
 
 std::optional<BackendChoice> chooseLeastLoaded(const IncomingRequest& request,
--- a/test/gateway/backend_choice_test.cpp
+++ b/test/gateway/backend_choice_test.cpp
@@ -59,7 +59,7 @@
     answer.tokensPerSecond = 40000;
     answer.pendingTokens = pending[engine];
     answer.isStalled = stalled.count(engine) > 0;
-    answer.isGranted = answer.pendingTokens < bound && !answer.isStalled;
+    answer.isGranted = answer.pendingTokens < bound && !answer.isStalled && full.count(engine) == 0;
     answer.ticket = LoadTicket{engine, questions};
     pending[engine] += answer.isGranted ? demand.promptTokens : 0;
     return answer;
@@ -69,6 +69,7 @@
 
   std::map<uint64_t, uint64_t> pending;
   std::set<uint64_t> stalled;  ///< Engines that make no progress.
+  std::set<uint64_t> full;     ///< Engines at which no request is counted.
   uint32_t questions = 0;
 };
 
@@ -322,6 +323,12 @@
     setOwn([](BackendView& each) { each.inFlight = 32; });
     CHECK_FALSE(pool.isOnOwnSide(pool.choose(prompt, unknown)->backend));
   }
+  SUBCASE("engines whose owners count no further request") {
+    setOwn([&](const BackendView& each) { known.full.insert(each.incarnation); });
+    const auto choice = pool.choose(prompt, known);
+    CHECK_FALSE(pool.isOnOwnSide(choice->backend));
+    CHECK(choice->ticket);
+  }
   SUBCASE("engines with a queue for which the request would be late") {  // 24,000 tokens: 600 ms.
     setOwn([&](const BackendView& each) { known.pending[each.incarnation] = 25000; });
     const auto choice = pool.choose(prompt, known);
--- a/test/gateway/kind_separation_test.cpp
+++ b/test/gateway/kind_separation_test.cpp
@@ -274,7 +274,7 @@
 
   void advance(PlayedEngines::Engine& engine) {
     if (engine.unread > Duration(0)) {
-      engine.unread -= kTick;
+      engine.unread = std::max(Duration(0), engine.unread - kTick);
       return;
     }
     constexpr Duration kEventInterval = milliseconds(30);
