Late answers are counted by their cause

An answer with a too long gap was logged as late like one that began late, and neither was counted. fernmoor_late_answers_total{cause} counts each late answer once, by class: first_event if the target was missed, else pause. The log line carries late_cause.

--- a/src/common/log.cpp
+++ b/src/common/log.cpp
@@ -107,6 +107,7 @@
   if (fields.longestPause) {
     writer.number("longest_pause_ms", std::to_string(toMilliseconds(*fields.longestPause)));
   }
+  writer.text("late_cause", fields.lateCause);
   if (fields.tableAge) {
     writer.number("table_age_ms", std::to_string(toMilliseconds(*fields.tableAge)));
   }
--- a/src/common/log.h
+++ b/src/common/log.h
@@ -29,6 +29,7 @@
   std::optional<Duration> elapsed;       ///< Written as elapsed_ms.
   std::optional<Duration> firstEvent;    ///< Until a stream's first event; first_event_ms.
   std::optional<Duration> longestPause;  ///< Between two of its events; longest_pause_ms.
+  std::string lateCause;                 ///< Why an answer was late; late_cause.
   std::optional<Duration> tableAge;      ///< Age of the proof of the rows; table_age_ms.
   std::optional<int> sends;              ///< Back ends that a request was sent to.
   std::string attempts;                  ///< What became of each of these sends.
--- a/src/common/metrics.cpp
+++ b/src/common/metrics.cpp
@@ -38,6 +38,10 @@
 
 }  // namespace
 
+const char* toString(LateCause cause) {
+  return cause == LateCause::kFirstEvent ? "first_event" : "pause";
+}
+
 void ClassMetrics::countRefusal(ErrorKind kind) {
   refusals_[static_cast<size_t>(kind)]->Increment();
 }
@@ -216,6 +220,13 @@
     withKind["kind"] = toString(static_cast<ErrorKind>(kind));
     made->refusals_[kind] = &refusals.Add(withKind);
   }
+  auto& late = counter(registry_, "fernmoor_late_answers_total",
+                       "Delivered answers that missed the target or the maximum gap of their row.");
+  for (size_t cause = 0; cause < ClassMetrics::kLateCauses; ++cause) {
+    prometheus::Labels withCause = labels;
+    withCause["cause"] = toString(static_cast<LateCause>(cause));
+    made->late_[cause] = &late.Add(withCause);
+  }
   return made;
 }
 
--- a/src/common/metrics.h
+++ b/src/common/metrics.h
@@ -33,6 +33,15 @@
   }
 };
 
+/// Why a delivered answer is late.
+enum class LateCause {
+  kFirstEvent,  ///< Its first event, or the whole of an answer without events, missed the target.
+  kPause,       ///< Its first event was in time, but the time between two events was too long.
+};
+
+/// @return the name in metrics and log lines.
+const char* toString(LateCause cause);
+
 /// Sums of a class since the program started; the difference of two gives rates.
 struct ClassTotals {
   MetricClass requestClass;
@@ -57,6 +66,8 @@
   void countRefusal(ErrorKind kind);
   /// A further attempt was made for a request.
   void countRetry() { retries_->Increment(); }
+  /// An answer was delivered late; each is counted once.
+  void countLateAnswer(LateCause cause) { late_[static_cast<size_t>(cause)]->Increment(); }
   /// From arrival to the first byte of the answer passed on.
   void observeFirstToken(Duration time) { firstToken_->Observe(toSeconds(time)); }
   void observeTokenInterval(Duration time) { tokenInterval_->Observe(toSeconds(time)); }
@@ -84,6 +95,8 @@
   prometheus::Histogram* queueTime_ = nullptr;
   static constexpr size_t kErrorKinds = static_cast<size_t>(ErrorKind::kInternal) + 1;
   std::array<prometheus::Counter*, kErrorKinds> refusals_{};
+  static constexpr size_t kLateCauses = static_cast<size_t>(LateCause::kPause) + 1;
+  std::array<prometheus::Counter*, kLateCauses> late_{};
 };
 
 /// Number of members in each state, as this node sees them.
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -161,16 +161,24 @@
   }
 }
 
-bool RequestRun::isLate(Time now) const {
+std::optional<LateCause> RequestRun::lateCause(Time now) const {
+  if (firstEventAt_.value_or(now) - request_.arrivedAt > request_.row->target) {
+    return LateCause::kFirstEvent;
+  }
   const Duration mostPause = request_.row->longestPause;
   const bool pausedTooLong = mostPause > Duration(0) && longestPause_ > mostPause;
-  return pausedTooLong || firstEventAt_.value_or(now) - request_.arrivedAt > request_.row->target;
+  return pausedTooLong ? std::optional(LateCause::kPause) : std::nullopt;
 }
 
 /// Logs requests that were delivered in time at debug level only, and one line for each other
 /// request, within a log budget.
 void RequestRun::logEnd(RequestOutcome outcome) {
-  const bool wentWell = outcome == RequestOutcome::kDelivered && !isLate(services_.clock.now());
+  const std::optional<LateCause> late =
+      outcome == RequestOutcome::kDelivered ? lateCause(services_.clock.now()) : std::nullopt;
+  if (late) {
+    metrics_.countLateAnswer(*late);
+  }
+  const bool wentWell = outcome == RequestOutcome::kDelivered && !late;
   logLine(outcome, wentWell ? LogLevel::kDebug : LogLevel::kInfo);
 }
 
@@ -202,6 +210,9 @@
     fields.longestPause = longestPause_;
   }
   const bool isLateAnswer = outcome == RequestOutcome::kDelivered && !wentWell;
+  if (const auto late = isLateAnswer ? lateCause(now) : std::nullopt) {
+    fields.lateCause = toString(*late);
+  }
   logEvent(level, isLateAnswer ? "request: delivered late" : phraseOf(outcome), fields);
 }
 
--- a/src/gateway/request_run.h
+++ b/src/gateway/request_run.h
@@ -148,7 +148,8 @@
   void refuse(const Error& error);
   void rejectUnverifiedKey();
   bool isKeyVerified() const;
-  bool isLate(Time now) const;
+  /// @return why an answer that is delivered now is late; nothing: it is in time.
+  std::optional<LateCause> lateCause(Time now) const;
   /// Counts and logs the request if its back end starts it now with weights that should have been
   /// replaced by now.
   void reportOldWeights();
--- a/test/common/log_test.cpp
+++ b/test/common/log_test.cpp
@@ -17,6 +17,7 @@
   fields.attempt = AttemptId("r1/2");
   fields.error = ErrorKind::kTimeout;
   fields.elapsed = Duration(1500);
+  fields.lateCause = "pause";
   return fields;
 }
 
@@ -32,6 +33,7 @@
   CHECK(object->getValue<std::string>("error") == "timeout");
   CHECK(object->getValue<double>("elapsed_ms") == doctest::Approx(1.5));
   CHECK(object->getValue<std::string>("tenant") == sampleFields().tenant.value());
+  CHECK(object->getValue<std::string>("late_cause") == "pause");
   CHECK_FALSE(object->has("engine"));
 }
 
--- a/test/common/metrics_test.cpp
+++ b/test/common/metrics_test.cpp
@@ -22,6 +22,7 @@
   alerts.countRefusal(ErrorKind::kRateLimited);
   alerts.countPrefixBlocks(3, 4);
   alerts.observeFirstToken(Duration(30000));
+  alerts.countLateAnswer(LateCause::kPause);
   metrics.setTableVersion(TableVersion(7));
   metrics.setMembers({3, 1, 0, 0});
   metrics.countControlSent(120);
@@ -29,6 +30,12 @@
                 "fernmoor_refusals_total{kind=\"rate_limited\",service=\"alerts\",tenant=\"ward\"}"
                 " 1"));
   CHECK(hasLine(metrics, "fernmoor_prefix_blocks_hit_total{service=\"alerts\",tenant=\"ward\"} 3"));
+  CHECK(
+      hasLine(metrics,
+              "fernmoor_late_answers_total{cause=\"pause\",service=\"alerts\",tenant=\"ward\"} 1"));
+  CHECK(hasLine(metrics,
+                "fernmoor_late_answers_total{cause=\"first_event\",service=\"alerts\","
+                "tenant=\"ward\"} 0"));
   CHECK(hasLine(metrics, "fernmoor_table_version 7"));
   CHECK(hasLine(metrics, "fernmoor_members{state=\"suspect\"} 1"));
   CHECK(hasLine(metrics, "fernmoor_control_bytes_total{direction=\"sent\"} 120"));
--- a/test/gateway/forwarder_test.cpp
+++ b/test/gateway/forwarder_test.cpp
@@ -463,4 +463,49 @@
   CHECK(firstTokens == 1);
 }
 
+namespace {
+
+/// Serves a stream of two events with these times before them, against limits of 2 s each.
+/// @return the late answers counted by cause: first event, pause.
+std::pair<int, int> lateAnswersOf(Duration beforeFirst, Duration beforeSecond) {
+  ForwarderWorld world;
+  world.row.isStream = true;
+  world.row.target = std::chrono::seconds(2);
+  world.row.longestPause = std::chrono::seconds(2);
+  std::atomic<bool> hasFirst{false};
+  world.caller.onBody = [&] { hasFirst = true; };
+  world.add("a", [&](Poco::Net::StreamSocket& socket, const std::string&) {
+    world.clock.leap = beforeFirst;
+    say(socket, streamHead() + chunk(event(1)));
+    while (!hasFirst) {
+      std::this_thread::yield();
+    }
+    world.clock.leap = beforeFirst + beforeSecond;
+    say(socket, chunk(event(2)) + "0\r\n\r\n");
+    return true;
+  });
+  world.serve();
+  CHECK(world.caller.body == event(1) + event(2));
+  const std::string metrics = world.metrics.serialize();
+  const auto counted = [&](const std::string& cause) {
+    const std::string line =
+        "fernmoor_late_answers_total{cause=\"" + cause + "\",service=\"pool\",tenant=\"\"} ";
+    const size_t at = metrics.find(line);
+    return at == std::string::npos ? -1 : std::atoi(metrics.c_str() + at + line.size());
+  };
+  return {counted("first_event"), counted("pause")};
+}
+
+}  // namespace
+
+// Guards against late answers that are not counted, counted twice or under the wrong cause.
+TEST_CASE("an answer that is delivered late is counted once, by its cause") {
+  constexpr Duration kNone{0};
+  constexpr Duration kTooLong = std::chrono::seconds(3);
+  CHECK(lateAnswersOf(kNone, kNone) == std::pair(0, 0));
+  CHECK(lateAnswersOf(kTooLong, kNone) == std::pair(1, 0));
+  CHECK(lateAnswersOf(kNone, kTooLong) == std::pair(0, 1));
+  CHECK(lateAnswersOf(kTooLong, kTooLong) == std::pair(1, 0));
+}
+
 }  // namespace fernmoor::gateway
