--- a/src/gateway/request_run.h
+++ b/src/gateway/request_run.h
@@ -148,7 +148,8 @@
   void refuse(const Error& error);
   void rejectUnverifiedKey();
   bool isKeyVerified() const;
-  bool isLate(Time now) const;
+  /// @return why an answer that is delivered now is late; nothing: it is in time.
+  std::optional<LateCause> lateCause(Time now) const;
   /// Counts and logs the request if its back end starts it now with weights that should have been
   /// replaced by now.
   void reportOldWeights();
@@ -192,6 +193,7 @@
   std::optional<BufferedAnswer> bufferedAnswer_;
   HeldBytes heldBytes_;  ///< Memory charged for `bufferedAnswer_`, or for the answer being read.
   Time sentAt_;          ///< Start of the latest send.
+  uint64_t tokensToRead_ = 0;  ///< Of the prompt, by the latest plan.
   std::optional<Time> firstEventAt_;
   Time lastEventAt_;
   Duration longestPause_{};
