The owner of an engine counts what its requests really occupy and read

Cause: every prompt was counted whole. An engine looked full with a few long prompts that share parts, the speed mixed cached tokens with those that were read, and a short prompt at an idle engine made it look slow. A rejection for lack of capacity was used only for brittle engines. Change: PendingWork uses EngineOccupancy where the capacity of an engine is known and its requests have shared parts. Waits come from missing places, memory and unread tokens; the speed is measured in tokens that had to be read, without a fixed time per request, and fades. A new engine is assumed to be as fast as the fastest observed one of the same capacity. A rejection makes an engine count as full for 200 ms, or until it begins a request that was sent later. LoadAnswer::readingTokens is set, and the expected time to the first event uses it.

--- a/src/gateway/backend_choice.cpp
+++ b/src/gateway/backend_choice.cpp
@@ -237,7 +237,9 @@
     choice.pendingTokens = answer ? answer->pendingTokens : home.pendingTokens;
     if (answer) {
       const Duration wait = answer->expectedWait();
-      choice.expected = ExpectedTimes{wait, wait + answer->expectedReading(request.promptTokens)};
+      const uint64_t toRead =
+          answer->readingTokens > 0 ? answer->readingTokens : request.promptTokens;
+      choice.expected = ExpectedTimes{wait, wait + answer->expectedReading(toRead)};
     }
     if (answer && answer->isGranted) {
       choice.ticket = answer->ticket;
--- a/src/gateway/engine_loads.h
+++ b/src/gateway/engine_loads.h
@@ -63,13 +63,15 @@
   /// still to be read and the wait for batch places or memory, converted to the tokens that the
   /// engine reads in that time.
   uint64_t pendingTokens = 0;
-  double tokensPerSecond = 0;  ///< Recent rate of prompt tokens, cached ones included.
-  bool isStalled = false;      ///< Prompts are waiting and none has been begun for far too long.
+  /// Recent rate of prompt tokens. Cached ones are included only if the engine's requests have no
+  /// shared parts.
+  double tokensPerSecond = 0;
+  bool isStalled = false;  ///< Prompts are waiting and none has been begun for far too long.
   /// The engine states a limit, and no permit becomes available within longestPermitWait; or it is
   /// brittle, and holds as many requests as it may.
   bool lacksPermit = false;
   Duration permitWait{0};  ///< Time until the request may be sent, or until the next permit.
-  uint64_t readingTokens = 0;  ///< Of the request's prompt, what the engine still has to read.
+  uint64_t readingTokens = 0;  ///< Of the prompt, what the engine still has to read; 0: unknown.
   Duration returnAfter{0};  ///< If refused: from when room is reserved for its retry; 0: none is.
   LoadTicket ticket;
 
--- a/src/gateway/pending_work.cpp
+++ b/src/gateway/pending_work.cpp
@@ -9,7 +9,8 @@
 /// About ten requests per second end at a busy engine, so this averages over about fifty.
 constexpr Duration kObservedHalfLife{4000000};
 /// Assumed observations of a new engine, in tokens and seconds. Engines of our users read 38 to 57
-/// tokens per millisecond, and a third of most prompts is cached.
+/// tokens per millisecond, and a third of most prompts is cached. Without the cached tokens, the
+/// slowest of them still reads 38 tokens per millisecond.
 constexpr double kAssumedTokens = 20000;
 constexpr double kAssumedReadingSeconds = 0.5;
 constexpr double kAssumedRequests = 2;
@@ -21,11 +22,34 @@
 /// Unused engines and their observations are removed after this time.
 constexpr Duration kUnusedAfter{20000000};
 constexpr Duration kSweepInterval{5000000};
+/// Part of the time to the first event that does not depend on the prompt: the messages, and a step
+/// of 4 to 5 ms that the engine ends first. Short prompts at an idle engine would make it look
+/// slow.
+constexpr Duration kFixedTimeToFirstEvent{10000};
+/// An owner learns which parts an engine holds in this time. Meanwhile, a part that it has not seen
+/// before is often cached, so that the time of its prompt does not tell the speed.
+constexpr Duration kPartsLearningTime{2000000};
+/// An engine's speed is assumed of others if it was observed for at least this time.
+constexpr double kMinObservedSeconds = 0.1;
+constexpr Duration kAssumptionInterval{1000000};
+/// An engine that rejected a request for lack of capacity counts as full for this time. About ten
+/// requests per second end at a busy engine, so two have probably ended by then.
+constexpr Duration kFullAfterRejection{200000};
 
 }  // namespace
 
-double PendingWork::Engine::tokensPerSecond() const {
-  return (reading.amount + kAssumedTokens) / (reading.seconds + kAssumedReadingSeconds);
+uint64_t PendingWork::Standing::pendingTokens() const {
+  const double seconds = std::max({secondsUntilPlace, secondsUntilMemory, secondsAfterRejection});
+  return std::max(missing.unreadTokens, static_cast<uint64_t>(seconds * tokensPerSecond));
+}
+
+double PendingWork::Engine::tokensPerSecond(Time now) const {
+  if (!occupancy.knowsParts()) {
+    return (reading.amount + kAssumedTokens) / (reading.seconds + kAssumedReadingSeconds);
+  }
+  const DecayingQuotient recent = reading.fadedTo(now, kObservedHalfLife);
+  return (recent.amount + assumedTokensPerSecond * kAssumedReadingSeconds) /
+         (recent.seconds + kAssumedReadingSeconds);
 }
 
 double PendingWork::Engine::secondsPerRequest() const {
@@ -33,46 +57,77 @@
          (residence.amount + kAssumedRequests);
 }
 
-uint64_t PendingWork::Engine::waitingTokens() const {
-  uint64_t tokens = 0;
+bool PendingWork::Engine::isStalled(Time now) const {
   for (const Entry& entry : entries) {
-    tokens += entry.isRead ? 0 : entry.request.demand.promptTokens;
+    if (entry.isRead) {
+      continue;
+    }
+    // Entries are in order of arrival, so this one has waited longest.
+    const Duration expected = fromSeconds(static_cast<double>(entry.tokensAtStart) /
+                                          tokensPerSecond(now) * kStalledFactor);
+    return reading.at < entry.reservedAt &&
+           now - entry.reservedAt > std::max(kStalledAfter, expected);
   }
-  return tokens;
+  return false;
 }
 
-double PendingWork::Engine::secondsUntilCapacity(const EngineDemand& demand,
-                                                 const EngineRoom& room) const {
+PendingWork::Standing PendingWork::Engine::standingFor(const EngineDemand& demand, Time now) const {
+  const EngineRoom& capacity = occupancy.capacity();
+  Standing standing;
+  standing.missing = occupancy.missingRoom(demand);
+  standing.tokensPerSecond = tokensPerSecond(now);
+  standing.readingTokens = occupancy.readingTokens(demand);
   const double residenceSeconds = secondsPerRequest();
-  double seconds = 0;
-  if (room.places > 0 && entries.size() >= room.places) {
-    const auto ends = static_cast<double>(entries.size() - room.places + 1);
-    seconds = ends * residenceSeconds / room.places;
+  if (!standing.missing.hasPlace()) {
+    standing.secondsUntilPlace =
+        static_cast<double>(standing.missing.places) * residenceSeconds / capacity.places;
   }
-  uint64_t memory = demand.memoryTokens;
-  for (const Entry& entry : entries) {
-    memory += entry.request.demand.memoryTokens;
+  if (!standing.missing.hasMemory()) {
+    standing.secondsUntilMemory = static_cast<double>(standing.missing.memoryTokens) /
+                                  static_cast<double>(capacity.memoryTokens) * residenceSeconds;
   }
-  if (room.memoryTokens > 0 && memory > room.memoryTokens) {
-    const auto missing = static_cast<double>(memory - room.memoryTokens);
-    const auto whole = static_cast<double>(room.memoryTokens);
-    seconds = std::max(seconds, missing / whole * residenceSeconds);
+  standing.secondsAfterRejection = toSeconds(std::max(Duration(0), fullUntil - now));
+  standing.isStalled = isStalled(now);
+  return standing;
+}
+
+void PendingWork::Engine::count(const PendingRequest& request, const Standing& standing, Time now) {
+  const bool knewParts = occupancy.knowsParts();
+  Entry entry;
+  entry.request = request;
+  entry.reservedAt = now;
+  entry.forgetAt = now + request.demand.forgetAfter;
+  entry.tokensAtStart = standing.missing.unreadTokens + standing.readingTokens;
+  entry.occupant = occupancy.add(request.demand);
+  if (occupancy.knowsParts()) {
+    partsKnownSince = knewParts ? partsKnownSince : now;
+    const bool isLearning = now - partsKnownSince < kPartsLearningTime;
+    entry.isMeasured = standing.missing.hasPlace() && standing.missing.hasMemory() &&
+                       !(isLearning && occupancy.unreadPartTokens() > 0);
   }
-  return seconds;
+  entries.push_back(std::move(entry));
 }
 
-bool PendingWork::Engine::isStalled(Time now) const {
+template <class Predicate>
+void PendingWork::Engine::removeIf(Predicate predicate) {
   for (const Entry& entry : entries) {
-    if (entry.isRead) {
-      continue;
+    if (predicate(entry)) {
+      occupancy.remove(entry.occupant);
     }
-    // Entries are in order of arrival, so this one has waited longest.
-    const Duration expected =
-        fromSeconds(static_cast<double>(entry.tokensAtStart) / tokensPerSecond() * kStalledFactor);
-    return reading.at < entry.reservedAt &&
-           now - entry.reservedAt > std::max(kStalledAfter, expected);
   }
-  return false;
+  entries.erase(std::remove_if(entries.begin(), entries.end(), predicate), entries.end());
+}
+
+PendingWork::Entry* PendingWork::Engine::find(uint64_t owner, uint32_t id) {
+  const auto entry = std::find_if(entries.begin(), entries.end(), [&](const Entry& each) {
+    return each.request.owner == owner && each.request.id == id;
+  });
+  return entry == entries.end() ? nullptr : &*entry;
+}
+
+void PendingWork::Engine::markRead(Entry& entry) {
+  entry.isRead = true;
+  occupancy.promptRead(entry.occupant);
 }
 
 void PendingWork::forgetUnused(Time now) {
@@ -90,44 +145,79 @@
   forgetUnused(now);
   Engine& engine = engines_[id];
   engine.usedAt = now;
-  std::vector<Entry>& entries = engine.entries;
-  entries.erase(std::remove_if(entries.begin(), entries.end(),
-                               [&](const Entry& entry) { return now >= entry.forgetAt; }),
-                entries.end());
+  engine.removeIf([&](const Entry& entry) { return now >= entry.forgetAt; });
   return engine;
 }
 
-LoadAnswer PendingWork::reserve(uint64_t id, const PendingRequest& request, const EngineRoom& room,
+void PendingWork::assumeSpeed(uint64_t id, Engine& engine, Time now) {
+  if (engine.assumedTokensPerSecond > 0 && now - engine.assumedAt < kAssumptionInterval) {
+    return;
+  }
+  const EngineRoom& capacity = engine.occupancy.capacity();
+  double fastest = 0;
+  for (const auto& [otherId, other] : engines_) {
+    const EngineRoom& otherCapacity = other.occupancy.capacity();
+    const bool isAlike = otherCapacity.places == capacity.places &&
+                         otherCapacity.memoryTokens == capacity.memoryTokens;
+    if (otherId == id || !isAlike || !other.occupancy.knowsParts()) {
+      continue;
+    }
+    const DecayingQuotient recent = other.reading.fadedTo(now, kObservedHalfLife);
+    if (recent.seconds >= kMinObservedSeconds) {
+      fastest = std::max(
+          fastest, (recent.amount + kAssumedTokens) / (recent.seconds + kAssumedReadingSeconds));
+    }
+  }
+  engine.assumedTokensPerSecond = fastest > 0 ? fastest : kAssumedTokens / kAssumedReadingSeconds;
+  engine.assumedAt = now;
+}
+
+void PendingWork::countRefusal(const Standing& standing) {
+  const double readingSeconds =
+      std::max(static_cast<double>(standing.missing.unreadTokens) / standing.tokensPerSecond,
+               standing.secondsAfterRejection);
+  const bool isForPlace = standing.secondsUntilPlace >= standing.secondsUntilMemory;
+  if (std::max(standing.secondsUntilPlace, standing.secondsUntilMemory) <= readingSeconds) {
+    ++refusals_.reading;
+  } else {
+    ++(isForPlace ? refusals_.places : refusals_.memory);
+  }
+}
+
+LoadAnswer PendingWork::reserve(uint64_t id, const PendingRequest& asked, const EngineRoom& room,
                                 uint64_t bound, Time now) {
+  PendingRequest request = asked;
+  if (room.places == 0 || room.memoryTokens == 0) {
+    request.demand.sharedParts.clear();  // Cached parts can't be predicted for this engine.
+  }
   const std::lock_guard<std::mutex> lock(mutex_);
   Engine& engine = engineOf(id, now);
-  const uint64_t waiting = engine.waitingTokens();
+  engine.occupancy.setCapacity(room);
+  assumeSpeed(id, engine, now);
+  const Standing standing = engine.standingFor(request.demand, now);
   LoadAnswer answer;
   answer.ticket = LoadTicket{id, request.id};
-  answer.tokensPerSecond = engine.tokensPerSecond();
-  const double forRoom = engine.secondsUntilCapacity(request.demand, room) * answer.tokensPerSecond;
-  answer.pendingTokens = std::max(waiting, static_cast<uint64_t>(forRoom));
-  answer.isStalled = engine.isStalled(now);
+  answer.tokensPerSecond = standing.tokensPerSecond;
+  answer.readingTokens = standing.readingTokens;
+  answer.pendingTokens = standing.pendingTokens();
+  answer.isStalled = standing.isStalled;
   answer.isGranted = answer.pendingTokens < bound && !answer.isStalled;
   if (answer.isGranted) {
-    Entry entry;
-    entry.request = request;
-    entry.reservedAt = now;
-    entry.forgetAt = now + request.demand.forgetAfter;
-    entry.tokensAtStart = waiting + request.demand.promptTokens;
-    engine.entries.push_back(entry);
+    engine.count(request, standing, now);
+  } else {
+    countRefusal(standing);
   }
   return answer;
 }
 
-void PendingWork::add(uint64_t id, const PendingRequest& request, Time now) {
+void PendingWork::add(uint64_t id, const PendingRequest& added, Time now) {
+  PendingRequest request = added;
+  request.demand.promptTokens = 0;
+  request.demand.sharedParts.clear();
   const std::lock_guard<std::mutex> lock(mutex_);
-  Entry entry;
-  entry.request = request;
-  entry.reservedAt = now;
-  entry.forgetAt = now + request.demand.forgetAfter;
-  entry.isRead = true;
-  engineOf(id, now).entries.push_back(entry);
+  Engine& engine = engineOf(id, now);
+  engine.count(request, Standing{}, now);
+  engine.markRead(engine.entries.back());
 }
 
 size_t PendingWork::countOf(uint64_t id, Time now) {
@@ -138,38 +228,53 @@
 void PendingWork::promptRead(uint64_t id, uint64_t owner, uint32_t request, Time now) {
   const std::lock_guard<std::mutex> lock(mutex_);
   Engine& engine = engineOf(id, now);
-  for (Entry& entry : engine.entries) {
-    if (entry.request.owner == owner && entry.request.id == request && !entry.isRead) {
-      entry.isRead = true;
-      engine.reading.add(static_cast<double>(entry.tokensAtStart),
-                         toSeconds(now - entry.reservedAt), now, kObservedHalfLife);
-      return;
-    }
+  Entry* const entry = engine.find(owner, request);
+  if (entry == nullptr || entry->isRead) {
+    return;
+  }
+  engine.markRead(*entry);
+  if (entry->reservedAt > engine.rejectedAt) {
+    engine.fullUntil = std::min(engine.fullUntil, now);
+  }
+  Duration took = now - entry->reservedAt;
+  if (engine.occupancy.knowsParts()) {
+    took = std::max(took - kFixedTimeToFirstEvent, took / 2);
+  }
+  if (entry->isMeasured) {
+    engine.reading.add(static_cast<double>(entry->tokensAtStart), toSeconds(took), now,
+                       kObservedHalfLife);
+  } else {
+    engine.reading.add(0, 0, now, kObservedHalfLife);  // The engine is not stalled.
   }
 }
 
 void PendingWork::release(uint64_t id, uint64_t owner, uint32_t request, Time now) {
   const std::lock_guard<std::mutex> lock(mutex_);
   Engine& engine = engineOf(id, now);
-  const auto entry = std::find_if(
-      engine.entries.begin(), engine.entries.end(),
-      [&](const Entry& each) { return each.request.owner == owner && each.request.id == request; });
-  if (entry == engine.entries.end()) {
+  const Entry* const entry = engine.find(owner, request);
+  if (entry == nullptr) {
     return;
   }
   if (entry->isRead) {
     engine.residence.add(1.0, toSeconds(now - entry->reservedAt), now, kObservedHalfLife);
   }
-  engine.entries.erase(entry);
+  engine.removeIf(
+      [&](const Entry& each) { return each.request.owner == owner && each.request.id == request; });
+}
+
+void PendingWork::noteRejection(uint64_t id, Time now) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  Engine& engine = engineOf(id, now);
+  if (engine.occupancy.knowsParts()) {
+    engine.rejectedAt = now;
+    engine.fullUntil = now + kFullAfterRejection;
+  }
 }
 
 void PendingWork::forgetOwner(uint64_t owner) {
   const std::lock_guard<std::mutex> lock(mutex_);
   for (auto& engine : engines_) {
-    std::vector<Entry>& entries = engine.second.entries;
-    entries.erase(std::remove_if(entries.begin(), entries.end(),
-                                 [&](const Entry& entry) { return entry.request.owner == owner; }),
-                  entries.end());
+    engine.second.removeIf([&](const Entry& entry) { return entry.request.owner == owner; });
   }
 }
 
@@ -180,4 +285,9 @@
                     [](const auto& engine) { return !engine.second.entries.empty(); }));
 }
 
+RoomRefusals PendingWork::refusals() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return refusals_;
+}
+
 }  // namespace fernmoor::gateway
--- a/src/gateway/pending_work.h
+++ b/src/gateway/pending_work.h
@@ -2,6 +2,9 @@
 /// The bookkeeping behind EngineLoads: the requests that wait and run at each engine, the engine's
 /// throughput, and the expected wait of a new request. A request whose end is not reported expires,
 /// so that a lost message or a failed node does not make an engine look full.
+///
+/// The speed of an engine whose requests have shared parts is measured in prompt tokens that it had
+/// to read, without the cached ones. Otherwise it is measured in tokens of whole prompts.
 #pragma once
 
 #include <cstdint>
@@ -11,6 +14,7 @@
 
 #include "common/decay.h"
 #include "gateway/engine_loads.h"
+#include "gateway/engine_occupancy.h"
 
 namespace fernmoor::gateway {
 
@@ -21,6 +25,13 @@
   EngineDemand demand;
 };
 
+/// Requests that were not granted, by the resource that they would have waited longest for.
+struct RoomRefusals {
+  uint64_t places = 0;
+  uint64_t memory = 0;
+  uint64_t reading = 0;  ///< Includes the time for which a rejection marks the engine as full.
+};
+
 /// Thread-safe.
 class PendingWork {
  public:
@@ -35,38 +46,74 @@
   /// The engine began to answer the request.
   void promptRead(uint64_t engine, uint64_t owner, uint32_t id, Time now);
   void release(uint64_t engine, uint64_t owner, uint32_t id, Time now);
+  /// The engine rejected a request for lack of capacity although it was expected to have room: it
+  /// counts as full for a short time, or until it begins to answer a request sent later.
+  void noteRejection(uint64_t engine, Time now);
   /// Removes all requests of a node that was restarted or is gone.
   void forgetOwner(uint64_t owner);
   /// @return the number of engines with counted requests.
   size_t size() const;
+  RoomRefusals refusals() const;
 
  private:
   struct Entry {
     PendingRequest request;
+    Occupant occupant;
     Time reservedAt;
     Time forgetAt;
-    uint64_t tokensAtStart = 0;  ///< Prompt tokens waiting when it was added, its own included.
+    uint64_t tokensAtStart = 0;  ///< Prompt tokens to be read when it was added, its own included.
     bool isRead = false;
+    bool isMeasured = true;  ///< The time to its first event tells how fast the engine reads.
+  };
+
+  /// What a new request finds at an engine.
+  struct Standing {
+    MissingRoom missing;
+    double tokensPerSecond = 0;
+    uint64_t readingTokens = 0;        ///< Of the request's prompt.
+    double secondsUntilPlace = 0;      ///< 0 if there is one.
+    double secondsUntilMemory = 0;     ///< 0 if there is enough.
+    double secondsAfterRejection = 0;  ///< For which the engine still counts as full.
+    bool isStalled = false;
+
+    /// @return the queue ahead of the request in prompt tokens: see LoadAnswer.
+    uint64_t pendingTokens() const;
   };
 
   struct Engine {
-    std::vector<Entry> entries;
+    std::vector<Entry> entries;  ///< In order of arrival.
+    EngineOccupancy occupancy;
     DecayingQuotient reading;    ///< Prompt tokens, and the time to the first event.
     DecayingQuotient residence;  ///< Requests, and the time from their reservation to their end.
+    double assumedTokensPerSecond = 0;  ///< Until the engine's own speed is observed.
+    Time assumedAt;                     ///< When that was last computed.
+    Time partsKnownSince;               ///< The first request with shared parts.
+    Time rejectedAt;
+    Time fullUntil;
     Time usedAt;
 
-    double tokensPerSecond() const;
+    double tokensPerSecond(Time now) const;
     double secondsPerRequest() const;
-    uint64_t waitingTokens() const;
-    double secondsUntilCapacity(const EngineDemand& demand, const EngineRoom& room) const;
     bool isStalled(Time now) const;
+    Standing standingFor(const EngineDemand& demand, Time now) const;
+    void count(const PendingRequest& request, const Standing& standing, Time now);
+    /// Removes the entries for which the predicate holds.
+    template <class Predicate>
+    void removeIf(Predicate predicate);
+    Entry* find(uint64_t owner, uint32_t id);
+    void markRead(Entry& entry);
   };
 
   Engine& engineOf(uint64_t engine, Time now);
+  /// Updates what is assumed of an engine before its own speed is observed: the speed of the
+  /// fastest observed engine with the same stated capacity.
+  void assumeSpeed(uint64_t id, Engine& engine, Time now);
+  void countRefusal(const Standing& standing);
   void forgetUnused(Time now);
 
   mutable std::mutex mutex_;
   std::unordered_map<uint64_t, Engine> engines_;
+  RoomRefusals refusals_;
   Time sweptAt_;
 };
 
--- a/src/peers/load_directory.cpp
+++ b/src/peers/load_directory.cpp
@@ -256,6 +256,9 @@
       release.lacked_room() && survives) {
     windows_.noteRejection(release.engine(), work_.countOf(release.engine(), now), *survives, now);
   }
+  if (release.lacked_room()) {
+    work_.noteRejection(release.engine(), now);
+  }
   if (release.still_runs()) {
     work_.promptRead(release.engine(), asker, release.question_id(), now);
   } else {
--- a/test/gateway/pending_work_test.cpp
+++ b/test/gateway/pending_work_test.cpp
@@ -16,6 +16,29 @@
   return PendingRequest{owner, id, EngineDemand{tokens, tokens, std::chrono::seconds(3)}};
 }
 
+constexpr EngineRoom kKnownRoom{32, 95466};
+constexpr uint64_t kNoBound = 1000000;
+
+/// A long prompt of 9,190 tokens, of which 6,300 are shared, and an answer of 9 tokens.
+PendingRequest sharingRequest(uint32_t id, uint64_t subject) {
+  PendingRequest request = requestOf(1, id, 9190);
+  request.demand.memoryTokens = 9199;
+  request.demand.sharedParts = {SharedPart{1, 2500}, SharedPart{subject, 3800}};
+  return request;
+}
+
+/// Serves long prompts one after another at an engine that reads 40.8 tokens per millisecond.
+void serveLongPrompts(PendingWork& work, uint64_t engine, int count, Time& now,
+                      Duration perPrompt = Duration(81000)) {
+  for (int served = 0; served < count; ++served) {
+    work.reserve(engine, sharingRequest(1, 2), kKnownRoom, kNoBound, now);
+    now += perPrompt;
+    work.promptRead(engine, 1, 1, now);
+    work.release(engine, 1, 1, now + Duration(45000));
+    now += Duration(100000);
+  }
+}
+
 }  // namespace
 
 TEST_CASE("requests are granted at an engine until its pending tokens exceed the bound") {
@@ -123,4 +146,133 @@
   }
 }
 
+// Guards against prompts that are refused at nearly idle engines, because cached parts count as
+// still to be read and the memory of shared parts is counted with each request.
+TEST_CASE("cached and shared parts neither wait for reading nor for memory") {
+  PendingWork work;
+  Time now = kStart;
+  CHECK(work.reserve(7, sharingRequest(1, 2), kKnownRoom, kBound, now).readingTokens == 9190);
+  work.promptRead(7, 1, 1, now + Duration(225000));
+  for (uint32_t id = 2; id <= 24; ++id) {
+    now += Duration(300000);
+    const LoadAnswer answer = work.reserve(7, sharingRequest(id, 2), kKnownRoom, kBound, now);
+    CHECK(answer.pendingTokens == 0);
+    CHECK(answer.readingTokens == 2890);
+    work.promptRead(7, 1, id, now + Duration(81000));
+  }
+}
+
+// Guards against an engine that looks idle while it thrashes: its parts are evicted and read again.
+TEST_CASE("parts that do not fit an engine's memory are counted as still to be read") {
+  PendingWork work;
+  const EngineRoom small{32, 12000};
+  for (uint32_t id = 1; id <= 6; ++id) {
+    const Time now = kStart + Duration(500000) * id;
+    const LoadAnswer answer = work.reserve(7, sharingRequest(id, 2 + id % 3), small, kBound, now);
+    CHECK(answer.readingTokens >= 3800 + 2890);
+    work.promptRead(7, 1, id, now + Duration(200000));
+    work.release(7, 1, id, now + Duration(250000));
+  }
+}
+
+// Guards against waits that are estimated too short because cached tokens count as read.
+TEST_CASE("the speed of an engine is measured in tokens that it had to read") {
+  PendingWork work;
+  Time now = kStart;
+  serveLongPrompts(work, 7, 40, now);
+  const LoadAnswer answer = work.reserve(7, sharingRequest(1, 2), kKnownRoom, kBound, now);
+  CHECK(answer.tokensPerSecond > 36000);
+  CHECK(answer.tokensPerSecond < 45000);
+}
+
+// Guards against an engine that looks fast to a new owner, which does not know what it has cached.
+TEST_CASE("parts that a new owner has not seen yet do not raise the measured speed") {
+  PendingWork work;
+  Time now = kStart;
+  for (uint32_t id = 1; id <= 10; ++id) {
+    work.reserve(7, sharingRequest(id, 1 + id), kKnownRoom, kNoBound, now);
+    now += Duration(81000);
+    work.promptRead(7, 1, id, now);
+    work.release(7, 1, id, now);
+  }
+  const LoadAnswer answer = work.reserve(7, sharingRequest(11, 2), kKnownRoom, kBound, now);
+  CHECK(answer.tokensPerSecond < 45000);
+}
+
+// Guards against an idle engine that looks slow, because messages and steps outweigh the reading of
+// short prompts, or because of what was observed long ago.
+TEST_CASE("short prompts and old observations do not make an idle engine look slow") {
+  PendingWork work;
+  Time now = kStart;
+  const auto speed = [&] {
+    const LoadAnswer answer = work.reserve(7, sharingRequest(99, 2), kKnownRoom, kNoBound, now);
+    work.release(7, 1, 99, now);
+    return answer.tokensPerSecond;
+  };
+  SUBCASE("short prompts") {
+    serveLongPrompts(work, 7, 1, now);
+    for (uint32_t id = 1; id <= 50; ++id) {
+      work.reserve(7, requestOf(1, id, 628), kKnownRoom, kNoBound, now);
+      now += Duration(25000);
+      work.promptRead(7, 1, id, now);
+      work.release(7, 1, id, now);
+    }
+    CHECK(speed() > 38000);
+  }
+  SUBCASE("old observations") {
+    serveLongPrompts(work, 7, 20, now, Duration(400000));
+    CHECK(speed() < 20000);
+    now += Duration(19000000);
+    CHECK(speed() > 30000);
+  }
+}
+
+// Guards against a new engine that gets no requests because it looks slower than the others, or too
+// many because it looks faster.
+TEST_CASE("a new engine is assumed to be as fast as the fastest observed one of its kind") {
+  PendingWork work;
+  Time now = kStart;
+  serveLongPrompts(work, 7, 30, now, Duration(31000));
+  const double observed =
+      work.reserve(7, sharingRequest(1, 2), kKnownRoom, kNoBound, now).tokensPerSecond;
+  CHECK(observed > 60000);
+  const auto speedOfNew = [&](uint64_t engine, const EngineRoom& room) {
+    work.reserve(engine, sharingRequest(1, 2), room, kNoBound, now);
+    return work.reserve(engine, sharingRequest(2, 2), room, kNoBound, now).tokensPerSecond;
+  };
+  CHECK(speedOfNew(8, kKnownRoom) == doctest::Approx(observed).epsilon(0.05));
+  CHECK(speedOfNew(9, EngineRoom{6, 20000}) == 40000);
+}
+
+// Guards against requests that are sent on and on to an engine that rejects them.
+TEST_CASE("an engine that rejected a request for lack of capacity counts as full for a while") {
+  PendingWork work;
+  Time now = kStart;
+  serveLongPrompts(work, 7, 1, now);
+  work.reserve(7, sharingRequest(1, 2), kKnownRoom, kBound, now);
+  work.noteRejection(7, now);
+  work.release(7, 1, 1, now);
+  const LoadAnswer refused = work.reserve(7, requestOf(1, 2, 800), kKnownRoom, 800, now);
+  CHECK_FALSE(refused.isGranted);
+  CHECK(refused.expectedWait() > Duration(190000));
+  CHECK(work.refusals().reading == 1);
+  SUBCASE("until that time is over") {
+    now += Duration(200000);
+    CHECK(work.reserve(7, sharingRequest(3, 2), kKnownRoom, kBound, now).pendingTokens == 0);
+  }
+  SUBCASE("until it begins a request that was sent later") {
+    now += Duration(1000);
+    work.reserve(7, sharingRequest(3, 2), kKnownRoom, kNoBound, now);
+    now += Duration(80000);
+    work.promptRead(7, 1, 3, now);
+    CHECK(work.reserve(7, sharingRequest(4, 2), kKnownRoom, kBound, now).pendingTokens == 0);
+  }
+  SUBCASE("but not if its requests have no shared parts") {
+    work.reserve(8, requestOf(1, 1, 800), kKnownRoom, kBound, now);
+    work.noteRejection(8, now);
+    work.release(8, 1, 1, now);
+    CHECK(work.reserve(8, requestOf(1, 2, 800), kKnownRoom, kBound, now).pendingTokens == 0);
+  }
+}
+
 }  // namespace fernmoor::gateway
--- a/test/peers/load_directory_test.cpp
+++ b/test/peers/load_directory_test.cpp
@@ -104,4 +104,24 @@
   CHECK(world.messages == before + 1);
 }
 
+// Guards against shared parts or an engine's rejection that only the node that sent the request
+// takes into account.
+TEST_CASE("cached parts and rejections of an engine are known to all nodes") {
+  LoadWorld world(7);
+  gateway::EngineDemand demand = demandOf(9190);
+  demand.sharedParts = {gateway::SharedPart{1, 2500}, gateway::SharedPart{2, 3800}};
+  const gateway::EngineRoom room{32, 95466};
+  for (uint64_t engine = 1000; engine < 1050; ++engine) {
+    const LoadAnswer first = *world.node(1).reserve(engine, demand, room, kBound);
+    CHECK(first.readingTokens == 9190);
+    world.node(1).promptRead(first.ticket);
+    world.node(1).release(first.ticket);
+    LoadAnswer second = *world.node(2).reserve(engine, demand, room, kBound);
+    CHECK(second.readingTokens == 2890);
+    second.ticket.lackedRoom = true;
+    world.node(2).release(second.ticket);
+    CHECK_FALSE(world.node(3).reserve(engine, demandOf(800), room, 800)->isGranted);
+  }
+}
+
 }  // namespace fernmoor::peers
