A new owner of an engine is told of the open requests there

Cause: when the owner of an engine changes, the new one begins with no counts and takes a full engine for an empty one until the old requests have ended. Requests of a dead node were counted until their deadline. Change: each node keeps its counted requests and, when their engine has another owner or the owner was restarted, sends them to it (LoadRenewal), at most every 500 ms and eight to a message. The owner counts them without a decision, and only once. The end of such a request is reported to its former owners too, as one that was only suspected still counts it. Owners drop the requests of a node that membership reports dead or restarted. Renewals, dropped requests and refused reservations are logged within budgets.

--- a/src/gateway/pending_work.cpp
+++ b/src/gateway/pending_work.cpp
@@ -36,6 +36,22 @@
 /// requests per second end at a busy engine, so two have probably ended by then.
 constexpr Duration kFullAfterRejection{200000};
 
+/// @return the request without its shared parts if the cached ones can't be predicted, because the
+///         capacity of its engine is unknown.
+PendingRequest predictablePart(PendingRequest request, const EngineRoom& room) {
+  if (room.places == 0 || room.memoryTokens == 0) {
+    request.demand.sharedParts.clear();
+  }
+  return request;
+}
+
+/// @return the request without its prompt.
+PendingRequest withoutPrompt(PendingRequest request) {
+  request.demand.promptTokens = 0;
+  request.demand.sharedParts.clear();
+  return request;
+}
+
 }  // namespace
 
 uint64_t PendingWork::Standing::pendingTokens() const {
@@ -186,10 +202,7 @@
 
 LoadAnswer PendingWork::reserve(uint64_t id, const PendingRequest& asked, const EngineRoom& room,
                                 uint64_t bound, Time now) {
-  PendingRequest request = asked;
-  if (room.places == 0 || room.memoryTokens == 0) {
-    request.demand.sharedParts.clear();  // Cached parts can't be predicted for this engine.
-  }
+  const PendingRequest request = predictablePart(asked, room);
   const std::lock_guard<std::mutex> lock(mutex_);
   Engine& engine = engineOf(id, now);
   engine.occupancy.setCapacity(room);
@@ -210,16 +223,37 @@
   return answer;
 }
 
-void PendingWork::add(uint64_t id, const PendingRequest& added, Time now) {
-  PendingRequest request = added;
-  request.demand.promptTokens = 0;
-  request.demand.sharedParts.clear();
+void PendingWork::add(uint64_t id, const PendingRequest& request, Time now) {
   const std::lock_guard<std::mutex> lock(mutex_);
   Engine& engine = engineOf(id, now);
-  engine.count(request, Standing{}, now);
+  engine.count(withoutPrompt(request), Standing{}, now);
   engine.markRead(engine.entries.back());
 }
 
+void PendingWork::renew(uint64_t id, const PendingRequest& request, const EngineRoom& room,
+                        bool isRead, Time now) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  Engine& engine = engineOf(id, now);
+  Entry* entry = engine.find(request.owner, request.id);
+  if (entry == nullptr) {
+    const bool hasPrompt = request.demand.isCounted;
+    const PendingRequest counted =
+        hasPrompt ? predictablePart(request, room) : withoutPrompt(request);
+    if (hasPrompt) {
+      engine.occupancy.setCapacity(room);
+    }
+    assumeSpeed(id, engine, now);
+    engine.count(counted, engine.standingFor(counted.demand, now), now);
+    entry = &engine.entries.back();
+    entry->isMeasured = false;
+    entry->isRenewed = true;
+    isRead = isRead || !hasPrompt;
+  }
+  if (isRead && !entry->isRead) {
+    engine.markRead(*entry);
+  }
+}
+
 size_t PendingWork::countOf(uint64_t id, Time now) {
   const std::lock_guard<std::mutex> lock(mutex_);
   return engineOf(id, now).entries.size();
@@ -255,7 +289,7 @@
   if (entry == nullptr) {
     return;
   }
-  if (entry->isRead) {
+  if (entry->isRead && !entry->isRenewed) {
     engine.residence.add(1.0, toSeconds(now - entry->reservedAt), now, kObservedHalfLife);
   }
   engine.removeIf(
@@ -271,11 +305,15 @@
   }
 }
 
-void PendingWork::forgetOwner(uint64_t owner) {
+size_t PendingWork::forgetOwner(uint64_t owner) {
   const std::lock_guard<std::mutex> lock(mutex_);
+  size_t count = 0;
   for (auto& engine : engines_) {
+    const size_t before = engine.second.entries.size();
     engine.second.removeIf([&](const Entry& entry) { return entry.request.owner == owner; });
+    count += before - engine.second.entries.size();
   }
+  return count;
 }
 
 size_t PendingWork::size() const {
--- a/src/gateway/pending_work.h
+++ b/src/gateway/pending_work.h
@@ -41,6 +41,10 @@
                      uint64_t bound, Time now);
   /// Counts a request whatever is queued at the engine, without its prompt.
   void add(uint64_t engine, const PendingRequest& request, Time now);
+  /// Counts a request that the engine got before this node counted for it, without a decision. One
+  /// that is counted already is only marked as read if it was.
+  void renew(uint64_t engine, const PendingRequest& request, const EngineRoom& room, bool isRead,
+             Time now);
   /// @return the number of requests that are counted at the engine.
   size_t countOf(uint64_t engine, Time now);
   /// The engine began to answer the request.
@@ -49,8 +53,8 @@
   /// The engine rejected a request for lack of capacity although it was expected to have room: it
   /// counts as full for a short time, or until it begins to answer a request sent later.
   void noteRejection(uint64_t engine, Time now);
-  /// Removes all requests of a node that was restarted or is gone.
-  void forgetOwner(uint64_t owner);
+  /// Removes all requests of a node that was restarted or is gone. @return their number.
+  size_t forgetOwner(uint64_t owner);
   /// @return the number of engines with counted requests.
   size_t size() const;
   RoomRefusals refusals() const;
@@ -64,6 +68,7 @@
     uint64_t tokensAtStart = 0;  ///< Prompt tokens to be read when it was added, its own included.
     bool isRead = false;
     bool isMeasured = true;  ///< The time to its first event tells how fast the engine reads.
+    bool isRenewed = false;  ///< It was sent to the engine before it was counted here.
   };
 
   /// What a new request finds at an engine.
--- a/src/peers/load_directory.cpp
+++ b/src/peers/load_directory.cpp
@@ -1,10 +1,10 @@
 #include "peers/load_directory.h"
 
 #include <algorithm>
-#include <limits>
 
 #include "peers/answer_timeout.h"
 #include "peers/engine_statement_codec.h"
+#include "peers/load_demand_codec.h"
 #include "peers/message_time.h"
 #include "peers/node_hash.h"
 
@@ -22,10 +22,6 @@
 
 constexpr Duration kMillisecondRoundUp{999};
 
-uint32_t clampToUint32(uint64_t tokens) {
-  return static_cast<uint32_t>(std::min<uint64_t>(tokens, std::numeric_limits<uint32_t>::max()));
-}
-
 proto::LoadRelease makeRelease(const LoadTicket& ticket) {
   proto::LoadRelease release;
   release.set_engine(ticket.engine);
@@ -37,28 +33,6 @@
   return release;
 }
 
-EngineDemand decodeDemand(const proto::LoadQuestion& question) {
-  EngineDemand demand;
-  demand.promptTokens = question.tokens();
-  demand.memoryTokens = question.memory_tokens();
-  demand.forgetAfter = std::chrono::milliseconds(question.forget_after_milliseconds());
-  demand.longestPermitWait = std::chrono::milliseconds(question.longest_permit_wait_milliseconds());
-  demand.isCounted = !question.only_permit();
-  const int parts = std::min(question.shared_parts_size(), question.shared_tokens_size());
-  for (int index = 0; index < parts; ++index) {
-    demand.sharedParts.push_back(
-        gateway::SharedPart{question.shared_parts(index), question.shared_tokens(index)});
-  }
-  if (question.urgency() > 0) {
-    demand.urgency = static_cast<int>(question.urgency()) - 1;
-  }
-  demand.tenant = question.tenant();
-  demand.requestKey = question.request_key();
-  demand.longestPause = std::chrono::milliseconds(question.longest_pause_milliseconds());
-  demand.longestWait = std::chrono::milliseconds(question.longest_wait_milliseconds());
-  return demand;
-}
-
 /// @return the answer to a request that may be sent after a wait that is too long for it.
 LoadAnswer lacksPermitFor(Duration wait) {
   LoadAnswer answer;
@@ -88,6 +62,7 @@
 
 void LoadDirectory::setMembers(std::shared_ptr<const MembershipSnapshot> members) {
   const std::lock_guard<std::mutex> lock(mutex_);
+  mustRenew_ = mustRenew_ || members != members_;
   members_ = std::move(members);
 }
 
@@ -164,25 +139,8 @@
                                             uint64_t bound) const {
   proto::Envelope envelope;
   proto::LoadQuestion& question = *envelope.mutable_load()->mutable_question();
-  question.set_question_id(id);
-  question.set_engine(engine);
-  question.set_tokens(clampToUint32(demand.promptTokens));
+  encodeDemand(id, engine, demand, room, question);
   question.set_bound(clampToUint32(bound));
-  question.set_memory_tokens(clampToUint32(demand.memoryTokens));
-  question.set_engine_places(room.places);
-  question.set_engine_memory_tokens(clampToUint32(room.memoryTokens));
-  question.set_forget_after_milliseconds(toMilliseconds(demand.forgetAfter));
-  question.set_longest_permit_wait_milliseconds(toMilliseconds(demand.longestPermitWait));
-  question.set_only_permit(!demand.isCounted);
-  for (const gateway::SharedPart& part : demand.sharedParts) {
-    question.add_shared_parts(part.key);
-    question.add_shared_tokens(part.tokens);
-  }
-  question.set_urgency(demand.urgency ? static_cast<uint32_t>(*demand.urgency) + 1 : 0);
-  question.set_tenant(demand.tenant);
-  question.set_request_key(demand.requestKey);
-  question.set_longest_pause_milliseconds(toMilliseconds(demand.longestPause));
-  question.set_longest_wait_milliseconds(toMilliseconds(demand.longestWait));
   const Time now = clock_.now();
   if (const EngineStatement known = statementOf(engine, now); !known.isEmpty()) {
     encodeStatement(known, now, *question.mutable_statement());
@@ -192,15 +150,17 @@
 
 std::optional<LoadAnswer> LoadDirectory::reserve(uint64_t engine, const EngineDemand& demand,
                                                  const EngineRoom& room, uint64_t bound) {
-  const NodeId owner = ownerOf(engine);
+  NodeLife ownerLife;
   uint32_t id = 0;
   {
     const std::lock_guard<std::mutex> lock(mutex_);
+    ownerLife = ownerLifeOf(engine);
     id = ++lastQuestion_;
-    if (owner != self_) {
+    if (ownerLife.node != self_) {
       questions_[id].isCounted = demand.isCounted;
     }
   }
+  const NodeId owner = ownerLife.node;
   std::optional<LoadAnswer> answer;
   if (owner == self_) {
     const PendingRequest request{self_.value(), id, demand};
@@ -216,11 +176,14 @@
     limits_.noteWait(engine, clock_.now() + answer->permitWait);
     brittle_.noteWait(engine, clock_.now() + answer->permitWait);
   }
+  if (answer && answer->isGranted && answer->ticket.isCounted) {
+    const Time forgetAt = clock_.now() + demand.forgetAfter;
+    noteOpen(id, OpenRequest{engine, demand, room, forgetAt, false, ownerLife, {}});
+  }
   return answer;
 }
 
-void LoadDirectory::sendRelease(const proto::LoadRelease& release) {
-  const NodeId owner = ownerOf(release.engine());
+void LoadDirectory::sendRelease(const proto::LoadRelease& release, NodeId owner) {
   if (owner == self_) {
     applyRelease(self_.value(), release, clock_.now());
     return;
@@ -233,18 +196,26 @@
 void LoadDirectory::promptRead(const LoadTicket& ticket) {
   proto::LoadRelease release = makeRelease(ticket);
   release.set_still_runs(true);
-  sendRelease(release);
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (const auto open = open_.find(ticket.id); open != open_.end()) {
+      open->second.isRead = true;
+    }
+  }
+  sendRelease(release, ownerOf(ticket.engine));
 }
 
 void LoadDirectory::release(const LoadTicket& ticket) {
   if (ticket.isCounted) {
-    sendRelease(makeRelease(ticket));
+    const NodeId owner = closeRequest(ticket);
+    sendRelease(makeRelease(ticket), owner);
   }
 }
 
 void LoadDirectory::giveBack(const LoadTicket& ticket) {
   if (ticket.isCounted || ticket.hasPermit) {
-    sendRelease(makeUnsentRelease(ticket));
+    const NodeId owner = closeRequest(ticket);
+    sendRelease(makeUnsentRelease(ticket), owner);
   }
 }
 
@@ -275,7 +246,7 @@
     }
     known.first->second = from.incarnation;
   }
-  work_.forgetOwner(from.node.value());
+  forgetRequestsOf(from.node, clock_.now());
 }
 
 void LoadDirectory::onQuestion(NodeLife from, const proto::LoadQuestion& question, Time now,
@@ -357,6 +328,8 @@
     applyRelease(from.node.value(), message.release(), now);
   } else if (message.has_statements()) {
     onStatements(from, message.statements(), now);
+  } else if (message.has_renewal()) {
+    onRenewal(from, message.renewal(), now);
   }
 }
 
--- a/src/peers/load_directory.h
+++ b/src/peers/load_directory.h
@@ -6,6 +6,10 @@
 /// whatever the number of nodes. If the answer is missing, the request loses a few milliseconds and
 /// is placed without knowing the engine's load.
 ///
+/// When the owner of an engine changes, each node reports its open requests there to the new owner,
+/// which counts them without a decision (see load_directory_renewals.cpp). Requests of a node that
+/// is dead or was restarted are dropped.
+///
 /// The owner also grants the permits of an engine that states a rate limit (see
 /// gateway/engine_permits.h), in the answer to the same question, and admits requests to an engine
 /// that states it is brittle (see gateway/admission_window.h). Engines of a service are brittle
@@ -81,6 +85,11 @@
   size_t limitedCount() const { return limits_.count(); }
   /// @return number of engines that state they are brittle.
   size_t brittleCount() const { return brittle_.count(); }
+  /// @return number of open requests that this node reported to new owners of engines, itself
+  ///         included, since the start.
+  uint64_t renewedCount() const { return renewedCount_; }
+  /// @return reservations that this node refused for want of room at engines, since the start.
+  gateway::RoomRefusals roomRefusals() const { return work_.refusals(); }
 
  private:
   /// Repetition schedule of a statement.
@@ -88,6 +97,23 @@
     Time lastSentAt;
     Duration interval{0};  ///< Until the next repetition; grows.
   };
+  /// A request of this node that is counted at the owner of its engine.
+  struct OpenRequest {
+    uint64_t engine = 0;
+    gateway::EngineDemand demand;
+    gateway::EngineRoom room;
+    Time forgetAt;
+    bool isRead = false;
+    NodeLife owner;                    ///< The owner that counts it.
+    std::vector<NodeId> formerOwners;  ///< They may still count it, and may own the engine again.
+  };
+  using Renewals = std::map<NodeId, std::map<uint32_t, OpenRequest>>;  ///< By new owner and id.
+
+  struct MemberChanges {
+    std::vector<NodeId> added;    ///< In an incarnation that was not present before.
+    std::vector<NodeId> removed;  ///< Gone, or present in another incarnation.
+  };
+
   /// A question that is not answered yet.
   struct Question {
     bool isCounted = true;
@@ -104,6 +130,8 @@
 
   NodeId ownerOf(uint64_t engine) const;
   bool isOwner(uint64_t engine) const { return ownerOf(engine) == self_; }
+  /// As ownerOf(), with the incarnation; call with `mutex_` held.
+  NodeLife ownerLifeOf(uint64_t engine) const;
   /// @return the id of a listed engine; empty if it isn't listed.
   std::string engineName(uint64_t engine) const;
   /// Reserves load for a request at an engine that this node owns, and grants its permit.
@@ -154,12 +182,13 @@
   /// Call on the thread that runs onTick().
   const Owners& owners(Time now);
   /// Repeats the statements that are due, and sends new members the statements that they need.
-  void announceDue(Time now);
+  /// @param added new members.
+  void announceDue(const std::vector<NodeId>& added, Time now);
   /// Sends a new member the statements of all engines that this node owns, and of those that the
   /// new member owns from now on.
   void sendStatementsTo(NodeId node, const Owners& known, Time now);
-  /// @return members in an incarnation that was not present at the last call.
-  std::vector<NodeId> newMembers();
+  /// @return the changes of the members since the last call.
+  MemberChanges memberChanges();
   /// Logs a change of the statements of an engine, within a budget.
   void logChange(const std::string& change, uint64_t engine, std::optional<NodeId> from,
                  Duration age, Time now);
@@ -167,9 +196,27 @@
   std::vector<NodeId> otherNodes() const;
   /// Notifies the owner of the engine that the prompt of a request was read, that the request
   /// ended, or that it was not sent.
-  void sendRelease(const proto::LoadRelease& release);
+  void sendRelease(const proto::LoadRelease& release, NodeId owner);
   void applyRelease(uint64_t asker, const proto::LoadRelease& release, Time now);
   void forgetPreviousIncarnation(NodeLife from);
+  /// Stops counting the requests of a node, and logs it.
+  void forgetRequestsOf(NodeId node, Time now);
+  /// Stops counting the requests of nodes that are gone, and of previous incarnations.
+  void forgetRemoved(const std::vector<NodeId>& removed, Time now);
+  /// Stores a request that the owner of its engine counts, until its end.
+  void noteOpen(uint32_t id, OpenRequest request);
+  /// Removes a request of this node that has ended, also at the nodes that owned its engine before.
+  /// @return the owner of its engine, which is not notified yet.
+  NodeId closeRequest(const gateway::LoadTicket& ticket);
+  /// Notifies a node that a request of this node has ended.
+  void releaseAt(NodeId node, uint64_t engine, uint32_t id);
+  /// Reports the open requests whose engines have new owners to these.
+  void renewOpenRequests(Time now);
+  /// @return the open requests to report; each counts as reported from now on.
+  Renewals takeRenewals(Time now);
+  void sendRenewals(NodeId owner, const std::map<uint32_t, OpenRequest>& requests, Time now);
+  void onRenewal(NodeLife from, const proto::LoadRenewal& renewal, Time now);
+  void logRefusals(Time now);
   void onQuestion(NodeLife from, const proto::LoadQuestion& question, Time now,
                   MessageSender& sender);
   void onAnswer(NodeLife from, const proto::LoadAnswer& answer, MessageSender& sender);
@@ -188,12 +235,18 @@
   std::mutex brittleMutex_;  ///< Held from the decision on an admission until it is counted.
   LogBudget changeLog_{kChangeLines};
   LogBudget permitLog_{kPermitLines};
+  LogBudget renewalLog_{kChangeLines};
+  LogBudget refusalLog_{kPermitLines};
   mutable std::mutex mutex_;
   std::condition_variable answered_;
   std::shared_ptr<const MembershipSnapshot> members_;
   std::map<uint32_t, Question> questions_;
   uint32_t lastQuestion_ = 0;
   std::map<NodeId, Incarnation> askerIncarnations_;  ///< Incarnation in which each node last asked.
+  std::map<uint32_t, OpenRequest> open_;             ///< By id.
+  bool mustRenew_ = false;                           ///< The owner of an engine may have changed.
+  Time nextRenewalAt_;
+  std::atomic<uint64_t> renewedCount_{0};
   double reachableShare_ = 1.0;
   /// By pool, the newest statement of any of its engines that it is brittle.
   std::map<std::string, gateway::LimitStatement> brittlePools_;
@@ -205,6 +258,8 @@
   std::shared_ptr<const MembershipSnapshot>
       knownSnapshot_;  ///< Snapshot that `knownMembers_` was built from.
   Time permitsLoggedAt_;
+  Time refusalsLoggedAt_;
+  gateway::RoomRefusals loggedRefusals_;
 };
 
 }  // namespace fernmoor::peers
--- a/src/peers/load_directory_statements.cpp
+++ b/src/peers/load_directory_statements.cpp
@@ -274,26 +274,32 @@
   }
 }
 
-std::vector<NodeId> LoadDirectory::newMembers() {
+LoadDirectory::MemberChanges LoadDirectory::memberChanges() {
   const std::lock_guard<std::mutex> lock(mutex_);
   if (members_ == knownSnapshot_) {
     return {};
   }
   knownSnapshot_ = members_;
   std::map<NodeId, Incarnation> present;
-  std::vector<NodeId> found;
+  MemberChanges changes;
   if (members_ != nullptr) {
     for (const Member& member : members_->members) {
       const auto known = knownMembers_.find(member.life.node);
       present[member.life.node] = member.life.incarnation;
       const bool isKnown = known != knownMembers_.end() && known->second == member.life.incarnation;
       if (!isKnown && member.life.node != self_) {
-        found.push_back(member.life.node);
+        changes.added.push_back(member.life.node);
       }
     }
   }
+  for (const auto& [node, incarnation] : knownMembers_) {
+    const auto now = present.find(node);
+    if (node != self_ && (now == present.end() || now->second != incarnation)) {
+      changes.removed.push_back(node);
+    }
+  }
   knownMembers_ = std::move(present);
-  return found;
+  return changes;
 }
 
 const LoadDirectory::Owners& LoadDirectory::owners(Time now) {
@@ -312,8 +318,7 @@
   return owners_;
 }
 
-void LoadDirectory::announceDue(Time now) {
-  const std::vector<NodeId> added = newMembers();
+void LoadDirectory::announceDue(const std::vector<NodeId>& added, Time now) {
   const Owners& known = owners(now);
   if (known.engines.empty()) {
     return;
@@ -366,7 +371,10 @@
 }
 
 void LoadDirectory::onTick(Time now, MessageSender&) {
-  announceDue(now);
+  const MemberChanges changes = memberChanges();
+  forgetRemoved(changes.removed, now);
+  renewOpenRequests(now);
+  announceDue(changes.added, now);
   const auto isListed = [this](uint64_t engine) {
     return engines_ == nullptr || !engineName(engine).empty();
   };
@@ -378,6 +386,7 @@
   }
   permits_.forgetUnused(now);
   logPermits(now);
+  logRefusals(now);
 }
 
 }  // namespace fernmoor::peers
--- a/test/peers/directory_world.h
+++ b/test/peers/directory_world.h
@@ -2,6 +2,7 @@
 /// Test fixture with the directories of several nodes, whose messages are delivered synchronously.
 #pragma once
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <set>
@@ -73,6 +74,29 @@
       node.second->setMembers(members_);
     }
   }
+  /// Removes a member from the snapshots of all nodes, as one that is dead.
+  void removeMember(uint64_t id) {
+    members_ = std::make_shared<MembershipSnapshot>(*members_);
+    auto& members = members_->members;
+    members.erase(std::remove_if(members.begin(), members.end(),
+                                 [&](const Member& each) { return each.life.node == NodeId(id); }),
+                  members.end());
+    for (auto& node : nodes_) {
+      node.second->setMembers(members_);
+    }
+  }
+  /// Changes the incarnation of a member in the snapshots of all nodes.
+  void setIncarnation(uint64_t id, Incarnation incarnation) {
+    members_ = std::make_shared<MembershipSnapshot>(*members_);
+    for (Member& member : members_->members) {
+      if (member.life.node == NodeId(id)) {
+        member.life.incarnation = incarnation;
+      }
+    }
+    for (auto& node : nodes_) {
+      node.second->setMembers(members_);
+    }
+  }
   /// Partitions these nodes off from the others, but not from each other.
   void cut(const std::set<uint64_t>& nodes) { cutOff_ = nodes; }
   MessageSender& sender(NodeId id) { return *senders_.at(id); }
--- a/test/peers/load_directory_test.cpp
+++ b/test/peers/load_directory_test.cpp
@@ -4,6 +4,9 @@
 
 #include <doctest/doctest.h>
 
+#include <utility>
+#include <vector>
+
 #include "test/peers/directory_world.h"
 
 namespace fernmoor::peers {
@@ -29,8 +32,53 @@
     }
     return sum;
   }
+  /// Lets all nodes tick for that long.
+  void pass(Duration time) {
+    for (Duration passed{0}; passed < time; passed += kTick) {
+      clock.advanceTo(clock.now() + kTick);
+      for (uint64_t id = 1; id <= size(); ++id) {
+        node(id).onTick(clock.now(), sender(NodeId(id)));
+      }
+    }
+  }
+  uint64_t totalRenewedCount() {
+    uint64_t sum = 0;
+    for (uint64_t id = 1; id <= size(); ++id) {
+      sum += node(id).renewedCount();
+    }
+    return sum;
+  }
+
+ private:
+  static constexpr Duration kTick{100000};
 };
 
+constexpr uint64_t kEngines = 50;
+
+/// Every node but the given one opens a request at every engine.
+std::vector<std::pair<uint64_t, gateway::LoadTicket>> openEverywhere(LoadWorld& world,
+                                                                     uint64_t except) {
+  std::vector<std::pair<uint64_t, gateway::LoadTicket>> tickets;
+  for (uint64_t engine = 1; engine <= kEngines; ++engine) {
+    for (uint64_t id = 1; id <= world.size(); ++id) {
+      if (id != except) {
+        tickets.emplace_back(id,
+                             world.node(id).reserve(engine, demandOf(100), kRoom, kBound)->ticket);
+      }
+    }
+  }
+  return tickets;
+}
+
+/// Checks the tokens that wait at every engine, as a node is told by its owner.
+void checkWaiting(LoadWorld& world, uint64_t asker, uint64_t tokens) {
+  for (uint64_t engine = 1; engine <= kEngines; ++engine) {
+    const LoadAnswer answer = *world.node(asker).reserve(engine, demandOf(1), kRoom, kBound);
+    CHECK(answer.pendingTokens == tokens);
+    world.node(asker).release(answer.ticket);
+  }
+}
+
 }  // namespace
 
 TEST_CASE("the load of an engine is the sum over all nodes") {
@@ -124,4 +172,105 @@
   }
 }
 
+// Guards against engines that look empty for seconds after the node that counted for them left.
+TEST_CASE("open requests are reported once to the new owners of their engines within a second") {
+  LoadWorld world(7);
+  openEverywhere(world, 7);
+  checkWaiting(world, 1, 600);
+  world.setState(7, MemberState::kSuspect);
+  const int before = world.messages;
+  world.pass(std::chrono::milliseconds(900));
+  const uint64_t renewed = world.totalRenewedCount();
+  CHECK(renewed > 0);
+  CHECK(renewed % 6 == 0);  // All six requests at each engine that the node owned.
+  CHECK(world.messages - before <= static_cast<int>(renewed));
+  checkWaiting(world, 1, 600);
+  world.pass(std::chrono::milliseconds(900));
+  CHECK(world.totalRenewedCount() == renewed);
+}
+
+// Guards against renewals that are larger than a datagram, and that then need a TCP connection.
+TEST_CASE("renewals are sent in bounded messages") {
+  LoadWorld world(2);
+  gateway::EngineDemand demand = demandOf(9190);
+  demand.sharedParts.assign(3, gateway::SharedPart{UINT64_MAX, 3800});
+  demand.tenant = demand.requestKey = UINT64_MAX;
+  for (uint64_t engine = 1; engine <= 100; ++engine) {
+    world.node(1).reserve(engine * (UINT64_MAX / 101), demand, {32, 95466}, kBound);
+  }
+  world.setState(2, MemberState::kSuspect);  // All engines are node 1's.
+  world.pass(std::chrono::seconds(1));
+  world.setState(2, MemberState::kAlive);
+  const int messages = world.messages;
+  const size_t bytes = world.messageBytes;
+  world.pass(std::chrono::seconds(1));
+  CHECK(world.messages - messages >= 5);
+  CHECK((world.messageBytes - bytes) / static_cast<size_t>(world.messages - messages) <= 1100);
+}
+
+// Guards against requests that ended while another node owned their engine, and that the first
+// owner counts until their deadline after it was suspected for a moment.
+TEST_CASE("a request that ends after a change of the owner is released at the former owner, too") {
+  LoadWorld world(7);
+  const auto tickets = openEverywhere(world, 7);
+  world.setState(7, MemberState::kSuspect);
+  world.pass(std::chrono::seconds(1));
+  for (const auto& [id, ticket] : tickets) {
+    world.node(id).release(ticket);
+  }
+  world.setState(7, MemberState::kAlive);
+  world.pass(std::chrono::seconds(1));
+  checkWaiting(world, 1, 0);
+  CHECK(world.totalEngineCount() == 0);
+}
+
+// Guards against a request that is counted twice when an engine returns to its former owner.
+TEST_CASE("an owner that is told of a request again does not count it twice") {
+  LoadWorld world(7);
+  openEverywhere(world, 7);
+  world.setState(7, MemberState::kSuspect);
+  world.pass(std::chrono::seconds(1));
+  world.setState(7, MemberState::kAlive);
+  world.pass(std::chrono::seconds(1));
+  checkWaiting(world, 1, 600);
+}
+
+// Guards against prompts that the engine has read and that the new owner counts as unread.
+TEST_CASE("a new owner knows which prompts were read, and that the requests still run") {
+  LoadWorld world(7);
+  for (const auto& [id, ticket] : openEverywhere(world, 7)) {
+    world.node(id).promptRead(ticket);
+  }
+  world.setState(7, MemberState::kSuspect);
+  world.pass(std::chrono::seconds(1));
+  checkWaiting(world, 1, 0);
+  const gateway::EngineRoom full{6, 100000};
+  for (uint64_t engine = 1; engine <= kEngines; ++engine) {
+    CHECK(world.node(1).reserve(engine, demandOf(1), full, kBound)->pendingTokens > 0);
+  }
+}
+
+// Guards against requests of a dead node that occupy engines until their deadline.
+TEST_CASE("owners drop the requests of a node that is dead") {
+  LoadWorld world(7);
+  openEverywhere(world, 0);
+  world.pass(std::chrono::milliseconds(100));
+  checkWaiting(world, 1, 700);
+  world.removeMember(7);
+  world.pass(std::chrono::seconds(1));
+  checkWaiting(world, 1, 600);
+}
+
+// Guards against an owner that knows no requests after its restart, and against its own requests
+// before the restart that other owners go on counting.
+TEST_CASE("after the restart of a node its counts are rebuilt and its requests are dropped") {
+  LoadWorld world(7);
+  openEverywhere(world, 0);
+  world.pass(std::chrono::milliseconds(100));
+  world.restart(7);
+  world.setIncarnation(7, Incarnation(2));
+  world.pass(std::chrono::seconds(1));
+  checkWaiting(world, 1, 600);
+}
+
 }  // namespace fernmoor::peers
