--- a/src/gateway/backend_choice.cpp
+++ b/src/gateway/backend_choice.cpp
@@ -236,7 +236,9 @@
       choice.pendingTokens = answer->pendingTokens;
       choice.readingTokens = answer->readingTokens;
       const Duration wait = answer->expectedWait();
-      choice.expected = ExpectedTimes{wait, wait + answer->expectedReading(request.promptTokens)};
+      const uint64_t toRead =
+          answer->readingTokens > 0 ? answer->readingTokens : request.promptTokens;
+      choice.expected = ExpectedTimes{wait, wait + answer->expectedReading(toRead)};
     }
     if (answer && answer->isGranted) {
       choice.ticket = answer->ticket;
