--- a/src/common/metrics.cpp
+++ b/src/common/metrics.cpp
@@ -136,6 +136,14 @@
                           "Requests that waited at an engine and were taken back near the end of "
                           "a bound of new weights.")
                       .Add({})),
+      slowCallers_(&counter(registry_, "fernmoor_slow_callers_total",
+                            "Requests that were cancelled because their callers did not read the "
+                            "answers.")
+                        .Add({})),
+      slowCallerBytes_(&gauge(registry_, "fernmoor_slow_caller_bytes",
+                              "Bytes of answers that are kept because their callers have not taken "
+                              "them yet.")
+                            .Add({})),
       platformAvailable_(&gauge(registry_, "fernmoor_platform_available",
                                 "1 if the last call to the platform succeeded, else 0.")
                               .Add({})),
--- a/src/common/metrics.h
+++ b/src/common/metrics.h
@@ -145,6 +145,10 @@
   void countOldWeights() { oldWeights_->Increment(); }
   /// A request that waited at its engine was taken back near the end of a bound of new weights.
   void countTakenBack() { takenBack_->Increment(); }
+  /// A request was cancelled because its caller did not read the answer.
+  void countSlowCaller() { slowCallers_->Increment(); }
+  /// @param change of the number of bytes that are kept for callers that have not taken them.
+  void addSlowCallerBytes(double change) { slowCallerBytes_->Increment(change); }
   /// Engines that hold older weights than are wanted.
   void setEnginesBehind(size_t count) { enginesBehind_->Set(static_cast<double>(count)); }
   /// Whether the last call to the platform succeeded.
@@ -198,6 +202,8 @@
   prometheus::Gauge* enginesBehind_;
   prometheus::Counter* oldWeights_;
   prometheus::Counter* takenBack_;
+  prometheus::Counter* slowCallers_;
+  prometheus::Gauge* slowCallerBytes_;
   prometheus::Gauge* platformAvailable_;
   prometheus::Gauge* peerQueue_;
   prometheus::Gauge* tableText_;
--- a/src/gateway/byte_budget.h
+++ b/src/gateway/byte_budget.h
@@ -21,6 +21,8 @@
   /// @return whether that many more bytes would fit now; reserves nothing.
   bool hasRoom(size_t bytes) const;
   size_t held() const { return held_; }
+  /// @return false if the budget is unlimited.
+  bool isMoreThanHalfUsed() const { return mostBytes_ != 0 && held_ > mostBytes_ / 2; }
 
  private:
   const size_t mostBytes_;
--- a/src/gateway/caller_channel.h
+++ b/src/gateway/caller_channel.h
@@ -10,6 +10,7 @@
 #include <string_view>
 
 #include "common/error.h"
+#include "gateway/caller_buffer.h"
 #include "http/byte_connection.h"
 
 namespace fernmoor::gateway {
@@ -29,7 +30,8 @@
 class CallerChannel {
  public:
   virtual ~CallerChannel() = default;
-  /// @return false if the caller has disconnected; sendBody() and finish() do the same.
+  /// @return false if the caller has disconnected or was given up; sendBody() and finish() do the
+  ///         same. None of them waits for the caller if there is a buffer().
   virtual bool sendHead(const AnswerHead& head) = 0;
   virtual bool sendBody(std::string_view bytes) = 0;
   /// Ends the answer as complete.
@@ -40,6 +42,8 @@
   virtual void refuse(const Error& error) = 0;
   /// @return the caller's connection, used to detect a disconnect.
   virtual ByteConnection& connection() = 0;
+  /// @return what the caller has not taken yet; null if this channel keeps nothing.
+  virtual CallerBuffer* buffer() { return nullptr; }
 };
 
 }  // namespace fernmoor::gateway
--- a/src/http/byte_connection.cpp
+++ b/src/http/byte_connection.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <limits>
 #include <memory>
 
 namespace fernmoor {
@@ -16,6 +17,9 @@
 namespace {
 
 constexpr int kKeepAliveProbes = 2;
+/// Repetitions in a row after which a missing acknowledgement is not just late: three take at least
+/// 1.4 s.
+constexpr int kRepeatsOfLostBytes = 3;
 constexpr short kClosedEvents = POLLRDHUP | POLLHUP | POLLERR;
 
 int toPollMilliseconds(Duration timeout) {
@@ -39,34 +43,54 @@
   return ::poll(&entry, 1, 0) != 0;
 }
 
+short ByteConnection::watchedEvents() const {
+  return pendingOutput_ == nullptr ? POLLRDHUP : POLLRDHUP | POLLOUT;
+}
+
+bool ByteConnection::handleWatched(short events) {
+  if ((events & kClosedEvents) != 0) {
+    return true;
+  }
+  return (events & POLLOUT) != 0 && !pendingOutput_->flush();
+}
+
 bool ByteConnection::closedByPeer() {
   return leftWithin(Duration(0));
 }
 
 bool ByteConnection::leftWithin(Duration time) {
-  pollfd entry{socket().impl()->sockfd(), POLLRDHUP, 0};
-  const int milliseconds = static_cast<int>((time.count() + 999) / 1000);
-  return ::poll(&entry, 1, milliseconds) > 0 && (entry.revents & kClosedEvents) != 0;
+  pollfd entry{socket().impl()->sockfd(), watchedEvents(), 0};
+  if (::poll(&entry, 1, toPollMilliseconds(time)) <= 0) {
+    return false;
+  }
+  return handleWatched(entry.revents);
 }
 
 WaitOutcome ByteConnection::waitReadable(Duration timeout, ByteConnection* other) {
   if (hasBufferedBytes()) {
     return WaitOutcome::kReadable;
   }
-  pollfd entries[2] = {{socket().impl()->sockfd(), POLLIN, 0}, {-1, POLLRDHUP, 0}};
-  nfds_t count = 1;
-  if (other != nullptr) {
-    entries[1].fd = other->socket().impl()->sockfd();
-    count = 2;
-  }
-  const int ready = ::poll(entries, count, toPollMilliseconds(timeout));
-  if (ready <= 0) {
-    return WaitOutcome::kTimeout;
-  }
-  if (count == 2 && (entries[1].revents & kClosedEvents) != 0) {
-    return WaitOutcome::kOtherClosed;
+  const auto end = std::chrono::steady_clock::now() + timeout;
+  Duration left = timeout;
+  while (true) {
+    pollfd entries[2] = {{socket().impl()->sockfd(), POLLIN, 0}, {-1, 0, 0}};
+    if (other != nullptr) {
+      entries[1] = {other->socket().impl()->sockfd(), other->watchedEvents(), 0};
+    }
+    if (::poll(entries, other == nullptr ? 1 : 2, toPollMilliseconds(left)) <= 0) {
+      return WaitOutcome::kTimeout;
+    }
+    if (other != nullptr && other->handleWatched(entries[1].revents)) {
+      return WaitOutcome::kOtherClosed;
+    }
+    if (entries[0].revents != 0) {
+      return WaitOutcome::kReadable;
+    }
+    left = std::chrono::duration_cast<Duration>(end - std::chrono::steady_clock::now());
+    if (left <= Duration(0)) {
+      return WaitOutcome::kTimeout;
+    }
   }
-  return entries[0].revents != 0 ? WaitOutcome::kReadable : WaitOutcome::kTimeout;
 }
 
 ReadOutcome ByteConnection::readSome(char* buffer, size_t capacity, size_t& count) {
@@ -122,6 +146,27 @@
   }
 }
 
+void ByteConnection::setSilenceTimeout(Duration timeout) {
+  const auto milliseconds =
+      static_cast<int>(std::min<int64_t>(timeout.count() / 1000, std::numeric_limits<int>::max()));
+  ::setsockopt(socket().impl()->sockfd(), IPPROTO_TCP, TCP_USER_TIMEOUT, &milliseconds,
+               sizeof(milliseconds));
+}
+
+void ByteConnection::setMaxUnsentBytes(int bytes) {
+  ::setsockopt(socket().impl()->sockfd(), IPPROTO_TCP, TCP_NOTSENT_LOWAT, &bytes, sizeof(bytes));
+}
+
+bool ByteConnection::isUnacknowledgedFor(Duration time) {
+  tcp_info info{};
+  socklen_t size = sizeof(info);
+  if (::getsockopt(socket().impl()->sockfd(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0) {
+    return false;
+  }
+  return info.tcpi_unacked > 0 && info.tcpi_retransmits >= kRepeatsOfLostBytes &&
+         info.tcpi_last_ack_recv >= time.count() / 1000;
+}
+
 void guardAgainstSilence(Poco::Net::StreamSocket& socket, Duration silence) {
   const int milliseconds = static_cast<int>(silence.count() / 1000);
   const int seconds = std::max(1, milliseconds / 1000);
--- a/src/http/byte_connection.h
+++ b/src/http/byte_connection.h
@@ -29,6 +29,14 @@
   kBroken  ///< Reset, timed out or failed: what was read so far is not known to be whole.
 };
 
+/// Bytes that wait until the peer of a connection takes them.
+class PendingOutput {
+ public:
+  virtual ~PendingOutput() = default;
+  /// Writes what the connection accepts, without blocking. @return false if it is broken.
+  virtual bool flush() = 0;
+};
+
 /// Not thread-safe. Closes its socket when it is destroyed.
 class ByteConnection : public Poco::Net::HTTPSession {
  public:
@@ -48,7 +56,7 @@
   bool socketReadable();
   /// Waits for bytes of this connection.
   /// @param other closed by its peer while we wait: ends the wait; null: none. Bytes that arrive
-  ///        there are left alone.
+  ///        there are left alone. Its pending output is written meanwhile.
   WaitOutcome waitReadable(Duration timeout, ByteConnection* other);
 
   /// Reads at most `capacity` bytes; blocks up to the time set by setIoTimeout().
@@ -61,11 +69,29 @@
   void reset();
   /// @return whether the peer has closed or reset its side.
   bool closedByPeer();
-  /// Waits for so long, or until the peer closes or resets its side.
-  /// @return whether it did.
+  /// Waits for so long, or until the peer closes or resets its side. If there is pending output, it
+  /// is written, and the wait ends when some could be.
+  /// @return whether the peer closed or reset its side.
   bool leftWithin(Duration time);
+  /// Sets what is written while another connection or the end of this one is waited for; null:
+  /// nothing.
+  void setPendingOutput(PendingOutput* output) { pendingOutput_ = output; }
+  /// @return the events to poll for at a connection that is watched while another one is used.
+  short watchedEvents() const;
+  /// Handles the events that poll() returned: writes pending output if there is room.
+  /// @return whether the peer closed or reset its side, or the connection is broken.
+  bool handleWatched(short events);
+  /// Sets after which time without acknowledgement or room at the peer the system closes the
+  /// connection.
+  void setSilenceTimeout(Duration timeout);
+  /// Limits the bytes that the system holds unsent, beside those in flight.
+  void setMaxUnsentBytes(int bytes);
+  /// @return whether sent bytes were not acknowledged for that long although they were repeated. A
+  ///         peer that acknowledges but has no room for more is not meant.
+  bool isUnacknowledgedFor(Duration time);
 
  private:
+  PendingOutput* pendingOutput_ = nullptr;
   int64_t peerStartedAt_ = 0;
 };
 
