Engines no longer wait for slow callers, nor callers for engines that read nothing

Cause: the relay blocked in writes to a slow caller, and its engine cut the unread answer off, which counted as a crash of the engine. A request body that its engine read slowly was abandoned by its total time, although it made progress. The engine's connection is given back before the rest is delivered, which may last until the request's deadline. A caller that is given up is reset and its request cancelled at the engine; the log line is "request: ended, its caller does not read the answer". * The system holds at most 64 KB unsent for a caller, and does not close the connection of a caller without room before the deadline. Callers that acknowledge nothing for 4 s count as disconnected, as before. * Long answers that are no streams are read ahead by at most 128 KB, as no buffer can hold them; their callers are given up after 4 s without progress. * A send ends if it makes no progress for the silence limit. It counts as not sent if no byte was accepted. * An answer that breaks off after this node or its caller read nothing for 1 s is a cut-off: neutral for the engine's health if the engine still accepts connections, and resumed elsewhere only if the caller reads. * A caller that leaves in the middle of a long answer no longer counts as a failure of its engine.

--- a/src/gateway/engine_attempt.cpp
+++ b/src/gateway/engine_attempt.cpp
@@ -29,6 +29,12 @@
 constexpr Duration kDefaultKeepAlive{3000000};
 /// Longest wait for the rest of a header or chunk that has begun to arrive (3 s).
 constexpr Duration kPartialMessageTimeout{3000000};
+/// Back ends cut off an answer that stays unread for some seconds. One that was unread for 1 s may
+/// be cut off for that reason, as the network's buffers may have been full before.
+constexpr Duration kMinUnreadTime{1000000};
+/// Time (5 s) after an answer was left unread during which its end is ascribed to that: what was
+/// sent before the cut-off is read first.
+constexpr Duration kUnreadMemory{5000000};
 
 /// @return how long the back end keeps the connection open by its headers; 0: it closes it.
 Duration statedKeepAlive(const Poco::Net::HTTPResponse& head) {
@@ -67,25 +73,35 @@
   return out.str();
 }
 
-AttemptStep EngineAttempt::writeAll(std::string_view bytes, CallerChannel& caller, Time deadline) {
+AttemptStep EngineAttempt::writeAll(std::string_view bytes, CallerChannel& caller,
+                                    const SendLimits& limits) {
   const int engine = connection_->socket().impl()->sockfd();
+  Time progressAt = clock_.now();
   while (!bytes.empty()) {
     const ssize_t sent = ::send(engine, bytes.data(), bytes.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
     if (sent > 0) {
       bytes.remove_prefix(static_cast<size_t>(sent));
+      hasSentBytes_ = true;
+      progressAt = clock_.now();
       continue;
     }
     if (sent < 0 && errno != EAGAIN && errno != EINTR) {
       return AttemptStep::kBroken;
     }
-    pollfd entries[2] = {{engine, POLLOUT | POLLIN, 0},
-                         {caller.connection().socket().impl()->sockfd(), POLLRDHUP, 0}};
-    const Duration left = deadline - clock_.now();
+    const Time now = clock_.now();
+    const bool mayStall = hasSentBytes_ && limits.mayStallOnceBegun;
+    const Duration stallLeft = mayStall ? Duration::max() : limits.mostStall - (now - progressAt);
+    const Duration left = std::min(limits.deadline - now, stallLeft);
     if (left.count() <= 0) {
-      return AttemptStep::kSilent;
+      const AttemptStep unsent =
+          stallLeft.count() <= 0 ? AttemptStep::kNotSent : AttemptStep::kTooLate;
+      return hasSentBytes_ ? AttemptStep::kSilent : unsent;
     }
-    ::poll(entries, 2, static_cast<int>(left.count() / 1000 + 1));
-    if (entries[1].revents != 0) {
+    ByteConnection& watched = caller.connection();
+    pollfd entries[2] = {{engine, POLLOUT | POLLIN, 0},
+                         {watched.socket().impl()->sockfd(), watched.watchedEvents(), 0}};
+    ::poll(entries, 2, static_cast<int>(std::min(left, kLongestWaitPiece).count() / 1000 + 1));
+    if (watched.handleWatched(entries[1].revents)) {
       return AttemptStep::kCallerGone;
     }
     // The back end answered before it received the whole request: read the answer. `requestSent_`
@@ -98,16 +114,16 @@
   return AttemptStep::kDone;
 }
 
-AttemptStep EngineAttempt::writeRequest(CallerChannel& caller, Time deadline) {
+AttemptStep EngineAttempt::writeRequest(CallerChannel& caller, const SendLimits& limits) {
   std::string head = headText();
   if (request_.body.size() <= kMaxCombinedBodyBytes) {
-    return writeAll(head.append(request_.body), caller, deadline);
+    return writeAll(head.append(request_.body), caller, limits);
   }
   requestSent_ = false;
-  const AttemptStep step = writeAll(head, caller, deadline);
+  const AttemptStep step = writeAll(head, caller, limits);
   // The request is incomplete until its body is sent, even if the engine has answered already.
   const bool isTaken = std::exchange(requestSent_, false);
-  return step == AttemptStep::kDone && isTaken ? writeAll(request_.body, caller, deadline) : step;
+  return step == AttemptStep::kDone && isTaken ? writeAll(request_.body, caller, limits) : step;
 }
 
 AttemptStep EngineAttempt::open(Time deadline, ConnectionUse use) {
@@ -129,8 +145,8 @@
   return AttemptStep::kDone;
 }
 
-AttemptStep EngineAttempt::send(CallerChannel& caller, Time deadline) {
-  const AttemptStep step = writeRequest(caller, deadline);
+AttemptStep EngineAttempt::send(CallerChannel& caller, const SendLimits& limits) {
+  const AttemptStep step = writeRequest(caller, limits);
   // An answer may be readable after a failed send, e.g. a rejection before the body was received.
   return step == AttemptStep::kBroken && connection_->socketReadable() ? AttemptStep::kDone : step;
 }
@@ -177,6 +193,7 @@
     return AttemptStep::kBroken;
   }
   body_.emplace(*connection_, shape_);
+  readAt_ = clock_.now();
   return AttemptStep::kDone;
 }
 
@@ -185,9 +202,10 @@
   if (body_->complete()) {
     return AttemptStep::kDone;
   }
-  const Duration left = std::max(Duration(0), deadline - clock_.now());
-  const WaitOutcome waited =
-      connection_->waitReadable(std::min(left, kLongestWaitPiece), &caller.connection());
+  const Time start = clock_.now();
+  const Duration piece = std::min(std::max(Duration(0), deadline - start), kLongestWaitPiece);
+  const WaitOutcome waited = connection_->waitReadable(piece, &caller.connection());
+  noteWait(start, piece);
   if (waited == WaitOutcome::kOtherClosed) {
     return AttemptStep::kCallerGone;
   }
@@ -201,6 +219,20 @@
   return progress == BodyProgress::kBroken ? AttemptStep::kBroken : AttemptStep::kDone;
 }
 
+void EngineAttempt::noteWait(Time start, Duration longestWait) {
+  const Time now = clock_.now();
+  // A wait takes longer than asked for if the process was suspended.
+  const Duration unread = std::max(start - readAt_.value_or(start), now - start - longestWait);
+  if (unread >= kMinUnreadTime) {
+    leftUnreadAt_ = now;
+  }
+  readAt_ = now;
+}
+
+bool EngineAttempt::wasLeftUnread() const {
+  return leftUnreadAt_ && clock_.now() - *leftUnreadAt_ < kUnreadMemory;
+}
+
 void EngineAttempt::keepConnection() {
   const bool fit = connection_ != nullptr && requestSent_ && bodyComplete() &&
                    shape_.framing != BodyFraming::kUntilClose;
--- a/src/gateway/engine_attempt.h
+++ b/src/gateway/engine_attempt.h
@@ -33,6 +33,13 @@
   bool mayOpen = true;   ///< A new one.
 };
 
+/// Time limits of a send.
+struct SendLimits {
+  Time deadline;
+  Duration mostStall = Duration::max();  ///< Longest time without progress.
+  bool mayStallOnceBegun = true;         ///< `mostStall` applies only until a byte was accepted.
+};
+
 /// Not thread-safe. Closes its connection on destruction unless keepConnection() was called.
 class EngineAttempt {
  public:
@@ -43,7 +50,9 @@
   AttemptStep open(Time deadline, ConnectionUse use = {});
   /// Sends the request on the open connection.
   /// @param caller watched for a disconnect while the back end accepts no bytes.
-  AttemptStep send(CallerChannel& caller, Time deadline);
+  /// @return kNotSent or kTooLate if a limit passed before the connection accepted a byte, kSilent
+  ///         if one passed later.
+  AttemptStep send(CallerChannel& caller, const SendLimits& limits);
   /// Waits for the final head of the answer, skipping interim (1xx) ones.
   AttemptStep awaitHead(CallerChannel& caller, Time deadline);
   /// Reads the available part of the body. Waits for data for one piece of the wait at most, and no
@@ -56,6 +65,9 @@
   /// @return whether open() tried to open a connection, with or without success; false if it took
   ///         an idle one or was not to open one.
   bool triedNewConnection() const { return triedNewConnection_; }
+  /// @return whether this node recently left readable parts of the answer unread for so long that
+  ///         the back end may have cut it off for that reason.
+  bool wasLeftUnread() const;
   bool bodyComplete() const { return body_ && body_->complete(); }
   const Poco::Net::HTTPResponse& head() const { return head_; }
   const AnswerFacts& facts() const { return facts_; }
@@ -68,8 +80,11 @@
 
  private:
   std::string headText() const;
-  AttemptStep writeRequest(CallerChannel& caller, Time deadline);
-  AttemptStep writeAll(std::string_view bytes, CallerChannel& caller, Time deadline);
+  AttemptStep writeRequest(CallerChannel& caller, const SendLimits& limits);
+  AttemptStep writeAll(std::string_view bytes, CallerChannel& caller, const SendLimits& limits);
+  /// Records how long the answer may have been unread when a wait for it ends.
+  /// @param start of the wait.
+  void noteWait(Time start, Duration longestWait);
   bool parseHead(const std::string& text);
 
   const IncomingRequest& request_;
@@ -80,6 +95,9 @@
   std::unique_ptr<ByteConnection> connection_;
   bool triedNewConnection_ = false;
   bool requestSent_ = false;
+  bool hasSentBytes_ = false;
+  std::optional<Time> readAt_;        ///< End of the latest step that read the answer.
+  std::optional<Time> leftUnreadAt_;  ///< When it was last found unread for long.
   Poco::Net::HTTPResponse head_;
   AnswerFacts facts_;
   BodyShape shape_;
--- a/src/gateway/outcome_log.cpp
+++ b/src/gateway/outcome_log.cpp
@@ -15,6 +15,8 @@
       return "request: delivered";
     case RequestOutcome::kCallerLeft:
       return "request: the caller left";
+    case RequestOutcome::kNotRead:
+      return "request: ended, its caller does not read the answer";
     case RequestOutcome::kBrokenOff:
       return "request: broken off, its engine failed and it may not go on elsewhere";
     case RequestOutcome::kEngineFailed:
@@ -38,11 +40,12 @@
 }
 
 OutcomeLog::OutcomeLog()
-    : budgets_{
-          LogBudget(kOutcomeLogBudget), LogBudget(kOutcomeLogBudget), LogBudget(kOutcomeLogBudget),
-          LogBudget(kOutcomeLogBudget), LogBudget(kOutcomeLogBudget), LogBudget(kOutcomeLogBudget),
-          LogBudget(kOutcomeLogBudget), LogBudget(kOutcomeLogBudget), LogBudget(kOutcomeLogBudget),
-          LogBudget(kOutcomeLogBudget), LogBudget(kOutcomeLogBudget)} {}
+    : budgets_{LogBudget(kOutcomeLogBudget), LogBudget(kOutcomeLogBudget),
+               LogBudget(kOutcomeLogBudget), LogBudget(kOutcomeLogBudget),
+               LogBudget(kOutcomeLogBudget), LogBudget(kOutcomeLogBudget),
+               LogBudget(kOutcomeLogBudget), LogBudget(kOutcomeLogBudget),
+               LogBudget(kOutcomeLogBudget), LogBudget(kOutcomeLogBudget),
+               LogBudget(kOutcomeLogBudget), LogBudget(kOutcomeLogBudget)} {}
 
 std::optional<uint64_t> OutcomeLog::take(RequestOutcome outcome, bool wentWell, Time now) {
   if (wentWell) {
--- a/src/gateway/outcome_log.h
+++ b/src/gateway/outcome_log.h
@@ -13,6 +13,7 @@
 enum class RequestOutcome {
   kDelivered,      ///< A complete answer of a back end.
   kCallerLeft,     ///< The caller disconnected before the end.
+  kNotRead,        ///< The caller did not read the answer and was given up.
   kBrokenOff,      ///< The answer had begun, its back end failed, and no other one may continue.
   kEngineFailed,   ///< The error answer of its back end was forwarded.
   kNoWholeAnswer,  ///< It may have run; no complete answer arrived.
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -45,6 +45,9 @@
   if (!request_.resumeAfter.empty()) {
     trail_.noteTakeUp(request_.resumedStream, request_.resumeAfter);
   }
+  if (CallerBuffer* buffer = caller_.buffer()) {
+    buffer->setDeadline(request_.deadline + kAnswerGrace);
+  }
 }
 
 bool RequestRun::mayRunElsewhere() const {
@@ -101,6 +104,9 @@
     if (step != AttemptStep::kSilent || beginDeadline_.isOver(now)) {
       return step;
     }
+    if (!callerMayGoOn()) {
+      return AttemptStep::kCallerGone;
+    }
     if (now < leaveAt) {
       continue;
     }
@@ -113,7 +119,7 @@
 
 AttemptStep RequestRun::readStream(EngineAttempt& attempt, std::string& bytes) {
   const Time leaveAt = stepDeadline();
-  const AttemptStep step = attempt.readBody(caller_, nextCheck(leaveAt), bytes);
+  const AttemptStep step = readBody(attempt, nextCheck(leaveAt), bytes);
   const Time now = services_.clock.now();
   if (step != AttemptStep::kSilent || beginDeadline_.isOver(now)) {
     return step;
@@ -121,7 +127,7 @@
   if (now < leaveAt) {
     return AttemptStep::kDone;  // Only the periodic check was due.
   }
-  return keepsWaitingForSilentEngine() ? attempt.readBody(caller_, stepDeadline(), bytes) : step;
+  return keepsWaitingForSilentEngine() ? readBody(attempt, stepDeadline(), bytes) : step;
 }
 
 void RequestRun::recordAttemptEnd(BackendVerdict verdict, AttemptEnd end) {
@@ -212,7 +218,7 @@
       if (services_.clock.now() - std::max(sentAt_, lastEventAt_) >= kMinSilenceToKeepRun) {
         recordCutOff();
       }
-      recordAttemptEnd(BackendVerdict::kNeutral, AttemptEnd::kCallerLeft);
+      recordAttemptEnd(BackendVerdict::kNeutral, endByCaller());
       return Next::kFinished;
     case AttemptStep::kNotSent:
       recordNotReached();
@@ -224,8 +230,7 @@
       recordAttemptEnd(BackendVerdict::kNeutral, AttemptEnd::kUnwanted);
       return Next::kTryAnother;
     case AttemptStep::kBroken:
-      recordAttemptEnd(BackendVerdict::kFailed, classifyBreak());
-      return afterUnknownRun();
+      return afterBreak();
     case AttemptStep::kSilent:
       recordCutOff();
       if (beginDeadline_.isOver(services_.clock.now())) {
@@ -306,7 +311,12 @@
     step = AttemptStep::kUnwanted;
   }
   if (step == AttemptStep::kDone) {
-    step = attempt.send(caller_, sentBy);
+    const Time end = request_.deadline + kAnswerGrace;
+    const Duration silence =
+        silenceLimit(request_, expectedFirstEvent_, forwarder_.options_.silenceBeforeSecondSend);
+    step =
+        attempt.send(caller_, SendLimits{std::min(end, beginDeadline_.withdrawAt().value_or(end)),
+                                         silence, !mayAbandonEngine()});
   }
   if (wasNotSent(step)) {
     giveBackTicket();
@@ -337,6 +347,7 @@
   promptCounted_ = true;
   staysWithEngine_ = false;
   isAttemptChecked_ = false;
+  wasLeftUnread_ = false;
   pace_ = StreamPace{};
   sentAt_ = now;
   TrailEntry entry;
@@ -412,7 +423,11 @@
   }
   if (bufferedAnswer_) {  // Deliver the back end's own error answer if no attempt did better.
     deliverBuffered();
-    logEnd(RequestOutcome::kEngineFailed);
+    if (callerGone_) {
+      endWithoutCaller();
+    } else {
+      logEnd(RequestOutcome::kEngineFailed);
+    }
     return;
   }
   if (peerRefusal_ && !mayHaveRun_) {
@@ -430,6 +445,24 @@
   logEnd(mayHaveRun_ ? RequestOutcome::kNoWholeAnswer : RequestOutcome::kNoBackend);
 }
 
+bool RequestRun::isCallerGivenUp() {
+  const CallerBuffer* buffer = caller_.buffer();
+  return buffer != nullptr && buffer->isGivenUp();
+}
+
+AttemptEnd RequestRun::endByCaller() {
+  return isCallerGivenUp() ? AttemptEnd::kNotRead : AttemptEnd::kCallerLeft;
+}
+
+void RequestRun::endWithoutCaller() {
+  const bool isGivenUp = isCallerGivenUp();
+  caller_.breakOff();
+  if (isGivenUp) {
+    services_.metrics.countSlowCaller();
+  }
+  logEnd(isGivenUp ? RequestOutcome::kNotRead : RequestOutcome::kCallerLeft);
+}
+
 bool RequestRun::passesLimit() {
   if (!request_.tenant) {
     return true;
@@ -497,8 +530,7 @@
   if (next == Next::kGiveUp) {
     giveUp();
   } else if (callerGone_) {
-    caller_.breakOff();
-    logEnd(RequestOutcome::kCallerLeft);
+    endWithoutCaller();
   } else {
     logEnd(RequestOutcome::kDelivered);
   }
--- a/src/gateway/request_run.h
+++ b/src/gateway/request_run.h
@@ -69,6 +69,28 @@
   Next relayStream(EngineAttempt& attempt);
   Next relayUnbuffered(EngineAttempt& attempt, std::string body);
   bool forwardEvents(EventSplitter& events);
+  /// Reads a part of the answer, as EngineAttempt::readBody().
+  AttemptStep readBody(EngineAttempt& attempt, Time deadline, std::string& bytes);
+  /// Sends a long part of an answer in pieces, so that at most one is also held by the caller's
+  /// buffer. The parameter and the result are as those of awaitCaller().
+  bool sendInPieces(std::string_view bytes, bool engineWaits);
+  /// Waits until the caller has taken all but so many bytes of the answer.
+  /// @param engineWaits nothing is read from the engine meanwhile: a caller that takes nothing for
+  ///        kUnresponsiveCallerTimeout is given up.
+  /// @return false if the caller has disconnected or was given up.
+  bool awaitCaller(size_t mostLeft, bool engineWaits);
+  /// @return false if the caller has disconnected or was given up.
+  bool callerMayGoOn();
+  /// @return false if the caller has taken nothing for some time although there is something.
+  bool callerReads();
+  bool isCallerGivenUp();
+  AttemptEnd endByCaller();
+  /// Ends a request whose caller has disconnected or was given up.
+  void endWithoutCaller();
+  /// Ends an attempt whose answer broke off.
+  Next afterBreak();
+  /// @return whether the engine still runs and cut the answer off because it was not read.
+  bool isCutOffUnread();
   /// @return whether the incomplete event at the end of the stream fits the size limit and the
   ///         memory budget.
   bool mayBuffer(const EventSplitter& events);
@@ -182,7 +204,8 @@
   std::optional<std::string> boundSoftware_;  ///< If bound: the version; nothing: not known.
   bool isAttemptChecked_ = false;             ///< bindStream() accepted the current back end.
   std::string lastEventId_;                   ///< Id of the last event that was sent to the caller.
-  bool callerGone_ = false;
+  bool callerGone_ = false;                   ///< It has disconnected or was given up.
+  bool wasLeftUnread_ = false;                ///< See EngineAttempt::wasLeftUnread().
   bool retryCharged_ = false;  ///< The budget was charged before the back end was chosen.
   std::optional<Duration> expectedFirstEvent_;  ///< Counted from the latest send, if known.
   std::optional<Duration> unpermittedFor_;      ///< Set if no engine had a permit: see PlannedSend.
--- a/src/gateway/request_run_evidence.cpp
+++ b/src/gateway/request_run_evidence.cpp
@@ -82,6 +82,33 @@
   return AttemptEnd::kCrashed;
 }
 
+bool RequestRun::isCutOffUnread() {
+  if (currentPeer_ || (!wasLeftUnread_ && callerReads())) {
+    return false;
+  }
+  if (!services_.connections.stillAnswers(incarnationHash(plan_.backend), plan_.backend.address,
+                                          services_.clock.now())) {
+    return false;
+  }
+  services_.reach.noteConnected();
+  return true;
+}
+
+RequestRun::Next RequestRun::afterBreak() {
+  if (!isCutOffUnread()) {
+    recordAttemptEnd(BackendVerdict::kFailed, classifyBreak());
+    return afterUnknownRun();
+  }
+  recordAttemptEnd(BackendVerdict::kNeutral, AttemptEnd::kCutOff);
+  if (callerReads()) {
+    return afterUnknownRun();
+  }
+  // Another engine would work for a caller that does not fetch the answer.
+  caller_.buffer()->giveUp();
+  callerGone_ = true;
+  return Next::kFinished;
+}
+
 bool RequestRun::isQuarantined() {
   services_.quarantine.awaitDecision(suspects_);
   const std::optional<Duration> left = services_.quarantine.timeLeft(suspects_);
--- a/src/gateway/request_run_peer.cpp
+++ b/src/gateway/request_run_peer.cpp
@@ -67,7 +67,7 @@
   AttemptStep step = attempt.open(request_.deadline);
   if (step == AttemptStep::kDone) {
     ++sends_;
-    step = attempt.send(caller_, request_.deadline);
+    step = attempt.send(caller_, SendLimits{request_.deadline});
   }
   if (step == AttemptStep::kDone) {
     step = awaitHead(attempt);
@@ -104,7 +104,7 @@
 RequestRun::Next RequestRun::afterPeerStep(AttemptStep step) {
   if (step == AttemptStep::kCallerGone) {
     callerGone_ = true;
-    recordAttemptEnd(BackendVerdict::kNeutral, AttemptEnd::kCallerLeft);
+    recordAttemptEnd(BackendVerdict::kNeutral, endByCaller());
     return Next::kFinished;
   }
   services_.peers.avoid(*currentPeer_, services_.clock.now());
--- a/src/gateway/request_run_relay.cpp
+++ b/src/gateway/request_run_relay.cpp
@@ -20,6 +20,13 @@
 /// Incomplete events up to about the size of one read are not charged to the memory budget: each
 /// stream may buffer one.
 constexpr size_t kUncountedEventBytes = 16U << 10U;
+/// A buffered answer is sent in pieces of this size, each of which the caller's buffer may copy.
+constexpr size_t kPieceBytes = 64U << 10U;
+/// An answer that is relayed unbuffered may be of any length: it is read from the engine only while
+/// the caller has less than this left to take.
+constexpr size_t kMaxReadAheadBytes = CallerBuffer::kMaxBytes / 2;
+/// A caller that has taken nothing for this long (1 s) is not reading.
+constexpr Duration kMinStall{1000000};
 
 }  // namespace
 
@@ -30,7 +37,7 @@
   std::string body;
   std::string bytes;
   while (!attempt.bodyComplete()) {
-    const AttemptStep step = attempt.readBody(caller_, request_.deadline + kAnswerGrace, bytes);
+    const AttemptStep step = readBody(attempt, request_.deadline + kAnswerGrace, bytes);
     if (step != AttemptStep::kDone) {
       return afterStep(step);
     }
@@ -67,7 +74,51 @@
   metrics_.observeFirstToken(services_.clock.now() - request_.arrivedAt);
   headSent_ = true;
   callerGone_ = !caller_.sendHead(bufferedAnswer_->head) ||
-                !caller_.sendBody(bufferedAnswer_->body) || !caller_.finish();
+                !sendInPieces(bufferedAnswer_->body, false) || !caller_.finish() ||
+                !awaitCaller(0, false);
+}
+
+AttemptStep RequestRun::readBody(EngineAttempt& attempt, Time deadline, std::string& bytes) {
+  const AttemptStep step = attempt.readBody(caller_, deadline, bytes);
+  wasLeftUnread_ = attempt.wasLeftUnread();
+  return step;
+}
+
+bool RequestRun::sendInPieces(std::string_view bytes, bool engineWaits) {
+  while (!bytes.empty()) {
+    const std::string_view piece = bytes.substr(0, kPieceBytes);
+    if (!awaitCaller(0, engineWaits) || !caller_.sendBody(piece)) {
+      return false;
+    }
+    bytes.remove_prefix(piece.size());
+  }
+  return true;
+}
+
+bool RequestRun::awaitCaller(size_t mostLeft, bool engineWaits) {
+  CallerBuffer* buffer = caller_.buffer();
+  while (buffer != nullptr && buffer->size() > mostLeft) {
+    const Duration left = request_.deadline + kAnswerGrace - services_.clock.now();
+    const bool stalls = engineWaits && buffer->stalledFor() >= kUnresponsiveCallerTimeout;
+    if (left <= Duration(0) || stalls) {
+      buffer->giveUp();
+      return false;
+    }
+    if (!buffer->flushWithin(std::min(left, kLongestWaitPiece)) || !buffer->mayGoOn()) {
+      return false;
+    }
+  }
+  return true;
+}
+
+bool RequestRun::callerMayGoOn() {
+  CallerBuffer* buffer = caller_.buffer();
+  return buffer == nullptr || buffer->mayGoOn();
+}
+
+bool RequestRun::callerReads() {
+  const CallerBuffer* buffer = caller_.buffer();
+  return buffer == nullptr || buffer->stalledFor() < kMinStall;
 }
 
 RequestRun::Next RequestRun::relayUnbuffered(EngineAttempt& attempt, std::string body) {
@@ -78,18 +129,28 @@
   headSent_ = true;
   mayHaveRun_ = true;
   ++runs_;
-  bool sent = caller_.sendHead(head) && caller_.sendBody(body);
+  bool sent = caller_.sendHead(head) && sendInPieces(body, true);
+  body = std::string();
+  heldBytes_.clear();
   while (sent && !attempt.bodyComplete()) {
-    const AttemptStep step = attempt.readBody(caller_, request_.deadline + kAnswerGrace, body);
+    if (!awaitCaller(kMaxReadAheadBytes, true)) {
+      return afterStep(AttemptStep::kCallerGone);
+    }
+    const AttemptStep step = readBody(attempt, request_.deadline + kAnswerGrace, body);
+    if (step == AttemptStep::kCallerGone) {
+      return afterStep(step);
+    }
     if (step != AttemptStep::kDone) {
-      recordAttemptEnd(BackendVerdict::kFailed, classifyBreak());
-      return Next::kGiveUp;
+      return afterBreak() == Next::kFinished ? Next::kFinished : Next::kGiveUp;
     }
-    sent = body.empty() || caller_.sendBody(body);
+    sent = callerMayGoOn() && (body.empty() || caller_.sendBody(body));
+  }
+  if (!sent) {
+    return afterStep(AttemptStep::kCallerGone);
   }
   recordAttemptEnd(BackendVerdict::kServed, AttemptEnd::kServed);
-  callerGone_ = !sent || !caller_.finish();
   attempt.keepConnection();
+  callerGone_ = !caller_.finish() || !awaitCaller(0, false);
   return Next::kFinished;
 }
 
@@ -157,6 +218,9 @@
     if (step != AttemptStep::kDone) {
       return afterStep(step);
     }
+    if (!callerMayGoOn()) {
+      return afterStep(AttemptStep::kCallerGone);
+    }
     if (bytes.empty()) {
       continue;
     }
@@ -180,7 +244,7 @@
   }
   recordAttemptEnd(BackendVerdict::kServed, AttemptEnd::kServed);
   attempt.keepConnection();
-  callerGone_ = !sendStreamHead(attempt) || !caller_.finish();
+  callerGone_ = !sendStreamHead(attempt) || !caller_.finish() || !awaitCaller(0, false);
   return Next::kFinished;
 }
 
--- a/src/gateway/request_trail.cpp
+++ b/src/gateway/request_trail.cpp
@@ -34,6 +34,10 @@
       return "had not begun it near the end of the bound and was left";
     case AttemptEnd::kCallerLeft:
       return "was left, as the caller left";
+    case AttemptEnd::kNotRead:
+      return "was left, as the caller does not read the answer";
+    case AttemptEnd::kCutOff:
+      return "broke off while its answer was unread";
   }
   return "";
 }
--- a/src/gateway/request_trail.h
+++ b/src/gateway/request_trail.h
@@ -29,6 +29,8 @@
   kOtherSoftware,  ///< It may run other software than the stream is bound to.
   kWithdrawn,      ///< Not begun shortly before newer weights became mandatory.
   kCallerLeft,     ///< The caller disconnected.
+  kNotRead,        ///< The caller did not read the answer.
+  kCutOff,         ///< As kBroken, at an answer that this node or its caller had left unread.
 };
 
 /// One attempt.
--- a/test/gateway/engine_attempt_test.cpp
+++ b/test/gateway/engine_attempt_test.cpp
@@ -1,9 +1,10 @@
 /// @file
 /// Tests of src/gateway/engine_attempt.h: time limits are evaluated at the send, not when it was
-/// planned.
+/// planned, and a send may take as long as it makes progress.
 #include "gateway/engine_attempt.h"
 
 #include <doctest/doctest.h>
+#include <sys/socket.h>
 
 #include "test/gateway/forwarder_world.h"
 
@@ -22,7 +23,7 @@
     EngineAttempt attempt(made, plan, protocol, connections, clock);
     const AttemptStep opened = attempt.open(made.deadline);
     const AttemptStep sent =
-        opened == AttemptStep::kDone ? attempt.send(caller, made.deadline) : opened;
+        opened == AttemptStep::kDone ? attempt.send(caller, SendLimits{made.deadline}) : opened;
     return sent == AttemptStep::kDone ? attempt.awaitHead(caller, made.deadline) : sent;
   }
 
@@ -51,4 +52,67 @@
   CHECK(world.backend.requests() == 0);
 }
 
+namespace {
+
+constexpr size_t kLongBodyBytes = 16U << 20U;
+constexpr Duration kMostStall{200000};
+
+/// An engine that reads requests only when the test does.
+struct UnreadWorld : PlannedWorld {
+  UnreadWorld() : listener(Poco::Net::SocketAddress("127.0.0.1", 0)) {
+    plan.backend.address = SocketAddress{"127.0.0.1", listener.address().port()};
+    made.body = std::string(kLongBodyBytes, 'b');
+  }
+  AttemptStep sendTo(bool mayStallOnceBegun) {
+    EngineAttempt attempt(made, plan, protocol, connections, clock);
+    REQUIRE(attempt.open(made.deadline) == AttemptStep::kDone);
+    return attempt.send(caller, SendLimits{made.deadline, kMostStall, mayStallOnceBegun});
+  }
+
+  Poco::Net::ServerSocket listener;
+};
+
+}  // namespace
+
+TEST_CASE("a send that makes no progress ends, and its outcome is unknown if a part was sent") {
+  // Guards against a caller that waits for an engine that never reads its request.
+  UnreadWorld world;
+  const Time start = world.clock.now();
+  CHECK(world.sendTo(false) == AttemptStep::kSilent);
+  CHECK(world.clock.now() - start < std::chrono::seconds(5));
+}
+
+TEST_CASE("a request of which the engine takes nothing was not sent") {
+  // Guards against requests that may run once and are given up although no byte was accepted.
+  UnreadWorld world;
+  auto connection = world.connections.open(world.plan.backend.address);
+  const std::string filler(1U << 20U, 'f');
+  const int socket = connection->socket().impl()->sockfd();
+  while (::send(socket, filler.data(), filler.size(), MSG_DONTWAIT) > 0 ||
+         ::send(socket, filler.data(), 1, MSG_DONTWAIT) > 0) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+  world.connections.giveBack(incarnationHash(world.plan.backend), std::move(connection),
+                             std::chrono::seconds(60), world.clock.now());
+  CHECK(world.sendTo(true) == AttemptStep::kNotSent);
+}
+
+TEST_CASE("a send that takes longer than the limit but makes progress goes on") {
+  // Guards against engines on slow links that are left in the middle of long bodies.
+  UnreadWorld world;
+  std::thread reader([&] {
+    Poco::Net::StreamSocket engine = world.listener.acceptConnection();
+    std::vector<char> bytes(1U << 20U);
+    size_t got = 0;
+    while (got < kLongBodyBytes) {
+      got += static_cast<size_t>(engine.receiveBytes(bytes.data(), static_cast<int>(bytes.size())));
+      std::this_thread::sleep_for(std::chrono::milliseconds(40));
+    }
+  });
+  const Time start = world.clock.now();
+  CHECK(world.sendTo(false) == AttemptStep::kDone);
+  CHECK(world.clock.now() - start > kMostStall);
+  reader.join();
+}
+
 }  // namespace fernmoor::gateway
