--- a/test/platform_soak/engines.py
+++ b/test/platform_soak/engines.py
@@ -19,6 +19,8 @@
 entry in the store says, and it may reject requests with a Retry-After.
 An engine runs some version of its software, which is named in its entry and in each event; it takes up any
 stream, whichever version began it. Its streams come in chunks, or end with their connection ("unframed").
+A request may ask for longer events (X-Padding). An engine cuts off an answer that stays unread for some seconds, by a
+reset, and records it.
 """
 import collections
 import ctypes
@@ -42,6 +44,9 @@
 POISON_SECONDS = 0.08
 BACK_SECONDS = 2.0
 BRITTLE_WAITING = 4  # Requests that wait at a brittle engine at most.
+# An answer that takes up no more bytes for so long is cut off. The system holds few bytes of it, so that an unread one
+# is noticed.
+UNREAD_SECONDS, SEND_BUFFER_BYTES = 3.0, 16384
 POLL_SECONDS = 0.05  # A crash closes the port within this time.
 # An engine that "closes late" closes its port this long after its connections were reset.
 PORT_SECONDS = 0.15
@@ -84,6 +89,8 @@
         self.ending = "closed"  # how an engine crashes that runs a poison request
         self.lives = []  # dicts: service, software, at (start), end (None: it runs); one for each incarnation
         self.falls = []  # dicts: life, service, at, rejected (ids); engines that had to reject too much
+        self.cut_off = []  # dicts: id, life, at; answers that were cut off because they stayed unread
+        self.longest_write = 0.0  # The longest time, in seconds, that an engine waited until a part of an answer was taken.
         self.links = None  # partition.EngineLinks, if nodes can be partitioned from the engines
 
     def run(self, entry):
@@ -336,6 +343,7 @@
 
     def setup(self):
         super().setup()
+        self.connection.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
         with self.engine.lock:
             self.engine.sockets.add(self.connection)
 
@@ -369,6 +377,26 @@
             reset(self.connection)
             raise
 
+    def write(self, data):
+        """Sends a part of an answer. Cuts the answer off and raises OSError if it stays unread for too long."""
+        ledger, rest = self.engine.ledger, memoryview(data)
+        poll = select.poll()
+        poll.register(self.connection, select.POLLOUT)
+        while rest:
+            start = time.monotonic()
+            is_taken = poll.poll(UNREAD_SECONDS * 1000)
+            with ledger.lock:
+                ledger.longest_write = max(ledger.longest_write, time.monotonic() - start)
+            if not is_taken:
+                ledger.note(ledger.cut_off, id=self.headers.get("X-Request-Id", ""), life=self.engine.life)
+                self.close_connection = True
+                reset(self.connection)
+                raise OSError("an answer stayed unread")
+            try:
+                rest = rest[self.connection.send(rest, socket.MSG_DONTWAIT):]
+            except BlockingIOError:
+                pass
+
     def send(self, status, body=b"", headers=()):
         self.engine.talks.wait()
         self.pass_link()
@@ -377,7 +405,7 @@
             self.send_header(name, value)
         self.send_header("Content-Length", str(len(body)))
         self.end_headers()
-        self.wfile.write(body)
+        self.write(body)
 
     def statements(self, headers):
         """Returns the headers in which the response to a request states the engine's limit and shutdown."""
@@ -558,8 +586,9 @@
         self.end_headers()
         self.close_connection |= is_unframed
         first = int(self.headers.get("Last-Event-Id") or 0) + 1
+        padded = stamp + "-" * int(self.headers.get("X-Padding", "0"))
         for number in range(first, EVENTS + 1):
-            event = f"id: {number}\ndata: {number} {stamp} {self.engine.software}\n\n".encode()
+            event = f"id: {number}\ndata: {number} {padded} {self.engine.software}\n\n".encode()
             begin, end = (b"", b"") if is_unframed else (b"%x\r\n" % len(event), b"\r\n")
             if self.engine.fault == "broken" and number == EVENTS // 2:
                 self.wfile.write(begin + event[:5])
@@ -570,8 +599,7 @@
                 return
             self.engine.talks.wait()
             self.pass_link()
-            self.wfile.write(begin + event + end)
-            self.wfile.flush()
+            self.write(begin + event + end)
             time.sleep(self.engine.event_seconds)
         if not is_unframed:
             self.wfile.write(b"0\r\n\r\n")
--- a/test/platform_soak/soak.py
+++ b/test/platform_soak/soak.py
@@ -363,12 +363,13 @@
     # Callers.
 
     def call(self, kind, key, node, kept=None, repeated=None, patience=CALLER_SECONDS, row=None, takes_up=None,
-             parts=None):
+             parts=None, more_headers=None, read=None):
         """Sends one request to a node, reads the response and records both. Returns the record.
         `kept`: the caller's persistent connection to the node; it stays open if the response is complete.
         `repeated`: the subject that determines path and body; without it both are unique to this request.
         `row`: the path to request if it is that of an added row.
         `parts`: the shared parts of its prompt, with their tokens; drawn if not given.
+        `read`: reads the response into the record instead of World.read.
         `takes_up`: the record of the request whose stream is taken up after its last whole event."""
         number = self.random_id()
         subject = repeated or number
@@ -386,7 +387,7 @@
         with self.calls_lock:
             self.calls.append(call)
         headers = {"Host": "h.example", "X-Request-Id": number, "X-Deadline-Ms": "4000",
-                   "Api-Key": key}
+                   "Api-Key": key, **(more_headers or {})}
         if kind != ROW and KINDS[kind][2] == MODELS:
             parts = parts or ["aa:100", f"b{sum(number.encode()) % 5}:150"]
             call["parts"] = [part.split(":")[0] for part in parts]
@@ -408,7 +409,7 @@
             call["stamp"] = answer.headers.get("X-Server-Stamp")
             call["answered_id"] = answer.headers.get("X-Request-Id")
             call["retry_after"] = answer.headers.get("Retry-After")
-            self.read(answer, call)
+            (read or self.read)(answer, call)
         except TimeoutError:
             call["gave_up"] = True
         except (OSError, http.client.HTTPException) as broken:
