Requests that would wait are sent, served late or refused by what their caller gains

Cause: a request that was not sent yet was refused if it would wait longer than 40 % of its target, whatever its deadline. A refused caller returns once and met the same limit; its second refusal was its last answer while the engine had time.

Change: decideWait() replaces the limit where the pool states slots and KV capacity. The limit stays for requests that can be retried in time. A request that is late in any case is sent with urgency 9 if the owner of the engine, asked again with that urgency, grants it; a request that cannot be served before its deadline is refused at once. A retry that the owner grants from its reservation (new field from_reservation of LoadAnswer) is sent. Retry-After is the reserved time if there is one, and at most a third of the time left. The log line of a refused or late request names the reason. The expected reading time uses the tokens still to be read, if the owner states them. Pools without stated capacity, and owners of the previous release, which do not account for capacity, keep the previous rule for late requests.

--- a/src/gateway/backend_choice.cpp
+++ b/src/gateway/backend_choice.cpp
@@ -26,7 +26,6 @@
 /// reported within a few trips between nodes; the margin only covers lost messages.
 constexpr Duration kReservationMargin{500000};
 constexpr int kUrgenciesPerTenantPriority = 3;
-constexpr int kLeastUrgent = 9;
 /// Shared parts that a question to the owner of an engine names; prompts have two to four.
 constexpr size_t kMaxPartsPerQuestion = 8;
 /// Bound in tokens that counts a request however many tokens wait.
@@ -168,6 +167,18 @@
   return choice;
 }
 
+/// @return what the node that counts for an engine said of the request. Nodes of a release that
+///         does not account for capacity never name tokens that are still to be read.
+RoomClaim claimOf(const LoadAnswer& answer) {
+  if (answer.isGranted && answer.isFromReservation) {
+    return RoomClaim::kReserved;
+  }
+  if (answer.readingTokens == 0 && answer.returnAfter == Duration(0)) {
+    return RoomClaim::kUnknown;
+  }
+  return answer.isGranted ? RoomClaim::kGranted : RoomClaim::kTurnedAway;
+}
+
 /// The best home so far among those that were queried and are too busy.
 struct BusyHome {
   BackendChoice choice;
@@ -197,10 +208,9 @@
     const size_t count = std::min(request.sharedPartCount(), kMaxPartsPerQuestion);
     for (size_t index = 0; index < count; ++index) {
       const PromptPart& part = request.parts[index];
-      demand.sharedParts.push_back(
-          SharedPart{partKeyOf(scope, part.id),
-                     static_cast<uint32_t>(std::min<uint64_t>(
-                         part.tokens, std::numeric_limits<uint32_t>::max()))});
+      demand.sharedParts.push_back(SharedPart{
+          partKeyOf(scope, part.id), static_cast<uint32_t>(std::min<uint64_t>(
+                                         part.tokens, std::numeric_limits<uint32_t>::max()))});
     }
   }
   return demand;
@@ -215,6 +225,7 @@
   // A wait no longer than reading the request's own prompt is not worth another query.
   const uint64_t shortWait = std::max(shared, request.promptTokens);
   std::optional<BusyHome> best;
+  Duration returnAfter{0};
   size_t asked = 0;
   for (size_t index = 0; index < homes.size() && asked < kMaxHomesQueried; ++index) {
     const BackendView& home = *homes[index];
@@ -224,9 +235,8 @@
       break;
     }
     const uint64_t bound = best ? std::min(shortWait, best->cost - tokensToFetch) : shortWait;
-    const std::optional<LoadAnswer> answer =
-        loads.reserve(home.incarnation, demandOf(request, home.weightsVersion, context.now),
-                      context.room, bound);
+    const std::optional<LoadAnswer> answer = loads.reserve(
+        home.incarnation, demandOf(request, home.weightsVersion, context.now), context.room, bound);
     const bool isUnanswered = !answer && loads.permitDue(home.incarnation);
     if (isUnanswered || (answer && (answer->isStalled || answer->lacksPermit))) {
       continue;
@@ -237,10 +247,16 @@
     choice.pendingTokens = answer ? answer->pendingTokens : home.pendingTokens;
     if (answer) {
       const Duration wait = answer->expectedWait();
-      choice.expected = ExpectedTimes{wait, wait + answer->expectedReading(request.promptTokens)};
+      const uint64_t toRead =
+          answer->readingTokens > 0 ? answer->readingTokens : request.promptTokens;
+      choice.expected = ExpectedTimes{wait, wait + answer->expectedReading(toRead)};
     }
     if (answer && answer->isGranted) {
       choice.ticket = answer->ticket;
+      choice.claim = claimOf(*answer);
+    }
+    if (answer && index == 0) {
+      returnAfter = answer->returnAfter;
     }
     if (choice.ticket || (!answer && home.pendingTokens < bound)) {
       return choice;
@@ -256,19 +272,32 @@
   // Reserve there without a bound, so that load beyond the bound is counted, too.
   const std::optional<LoadAnswer> counted =
       best->choice.expected
-          ? loads.reserve(
-                best->choice.backend.incarnation,
-                demandOf(request, best->choice.backend.weightsVersion, context.now), context.room,
-                kNoBound)
+          ? loads.reserve(best->choice.backend.incarnation,
+                          demandOf(request, best->choice.backend.weightsVersion, context.now),
+                          context.room, kNoBound)
           : std::nullopt;
+  if (counted) {
+    best->choice.claim = claimOf(*counted);
+    returnAfter = counted->returnAfter > Duration(0) ? counted->returnAfter : returnAfter;
+  }
   if (counted && counted->isGranted) {
     best->choice.ticket = counted->ticket;
   }
+  best->choice.returnAfter = returnAfter;
   const bool isPermitted =
       best->choice.ticket || !loads.permitDue(best->choice.backend.incarnation);
   return isPermitted ? std::optional(best->choice) : std::nullopt;
 }
 
+std::optional<LoadAnswer> reserveAsLeastUrgent(const IncomingRequest& request,
+                                               const BackendView& backend,
+                                               const ChoiceContext& context, EngineLoads& loads) {
+  EngineDemand demand = demandOf(request, backend.weightsVersion, context.now);
+  demand.urgency = kLeastUrgent;
+  demand.longestWait = std::max(Duration(0), request.deadline - context.now);
+  return loads.reserve(backend.incarnation, demand, context.room, kNoBound);
+}
+
 std::optional<BackendChoice> chooseLeastLoaded(const IncomingRequest& request,
                                                const std::vector<BackendView>& candidates,
                                                const ChoiceContext& context, EngineLoads& loads,
--- a/src/gateway/backend_choice.h
+++ b/src/gateway/backend_choice.h
@@ -15,6 +15,7 @@
 #include "common/random.h"
 #include "gateway/engine_loads.h"
 #include "gateway/incoming_request.h"
+#include "gateway/wait_policy.h"
 
 namespace fernmoor::gateway {
 
@@ -26,11 +27,8 @@
   Time now;
 };
 
-/// Expected times of a request at an engine.
-struct ExpectedTimes {
-  Duration wait{0};        ///< From now until reading of its prompt starts.
-  Duration firstEvent{0};  ///< From now.
-};
+/// The urgency of requests that are served only with capacity that no other request needs.
+inline constexpr int kLeastUrgent = 9;
 
 /// A choice and the known load of the back end.
 struct BackendChoice {
@@ -39,6 +37,8 @@
   uint64_t pendingTokens = 0;             ///< Of all nodes if the load is known, else of this one.
   std::optional<LoadTicket> ticket;       ///< To be released when the request ends.
   std::optional<ExpectedTimes> expected;  ///< Set if the load is known.
+  RoomClaim claim = RoomClaim::kUnknown;  ///< What is known of the engine's capacity for it.
+  Duration returnAfter{0};  ///< From when capacity is reserved for its retry; 0: none is.
 };
 
 /// Chooses, for a request with shared parts, the engine that first finishes the work ahead of the
@@ -70,6 +70,13 @@
                                                  const ChoiceContext& context, EngineLoads& loads,
                                                  Duration longestWait);
 
+/// Counts a request whose answer will be late at an engine, as the least urgent and with all of its
+/// remaining time to wait. Blocks on the answer of another node.
+/// @return std::nullopt if that node did not answer.
+std::optional<LoadAnswer> reserveAsLeastUrgent(const IncomingRequest& request,
+                                               const BackendView& backend,
+                                               const ChoiceContext& context, EngineLoads& loads);
+
 /// @return the known time until a candidate may accept a request, if stated limits and rests are
 ///         the reason why none was chosen; std::nullopt if a candidate neither rests nor states a
 ///         limit, or if all are leaving.
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -272,8 +272,9 @@
     trail_.noteUnpermitted(*unpermittedFor_);
     return Next::kGiveUp;
   }
-  if (planned && planned->isTooLate) {
-    tooLongFirstEvent_ = planned->expected->firstEvent;
+  if (planned && planned->verdict.isRefused()) {
+    waitRefusal_ = planned->verdict;
+    trail_.noteRefusal(planned->verdict, planned->expected->firstEvent);
     giveBackTicket();
     return Next::kGiveUp;
   }
@@ -348,6 +349,7 @@
   entry.lowestWeights = planned.lowestWeights;
   entry.expectedFirstEvent = expectedFirstEvent_;
   entry.permitWait = planned.permitWait;
+  entry.isSentLate = planned.verdict.decision == WaitDecision::kSendLate;
   if (const auto end = services_.wanted.boundEnd(request_.model, plan_.weightsVersion)) {
     entry.boundLeft = *end - now;
   }
@@ -425,8 +427,15 @@
     rejectWithoutPermit(*unpermittedFor_);
     return;
   }
-  const bool isLate = services_.clock.now() + kMinTimeToSend >= request_.deadline;
-  refuse(givenUpError(GivenUp{mayHaveRun_, isLate, tooLongFirstEvent_}));
+  const Duration timeLeft = request_.deadline - services_.clock.now();
+  GivenUp state;
+  state.mayHaveRun = mayHaveRun_;
+  state.isLate = timeLeft <= kMinTimeToSend;
+  state.timeLeft = timeLeft;
+  if (waitRefusal_) {
+    state.returnAfter = waitRefusal_->returnAfter;
+  }
+  refuse(givenUpError(state));
   logEnd(mayHaveRun_ ? RequestOutcome::kNoWholeAnswer : RequestOutcome::kNoBackend);
 }
 
--- a/src/gateway/request_run.h
+++ b/src/gateway/request_run.h
@@ -186,8 +186,7 @@
   bool retryCharged_ = false;  ///< The budget was charged before the back end was chosen.
   std::optional<Duration> expectedFirstEvent_;  ///< Counted from the latest send, if known.
   std::optional<Duration> unpermittedFor_;      ///< Set if no engine had a permit: see PlannedSend.
-  std::optional<Duration> tooLongFirstEvent_;   ///< Expected time to the first event that was too
-                                                ///< long to send the request.
+  std::optional<WaitVerdict> waitRefusal_;      ///< Set if it was not sent because of the wait.
   bool staysWithEngine_ = false;  ///< Wait for the current engine however long it is silent.
   std::optional<BufferedAnswer> bufferedAnswer_;
   HeldBytes heldBytes_;  ///< Memory charged for `bufferedAnswer_`, or for the answer being read.
--- a/src/gateway/request_trail.cpp
+++ b/src/gateway/request_trail.cpp
@@ -68,6 +68,10 @@
              : "";
 }
 
+std::string urgencyText(const TrailEntry& entry) {
+  return entry.isSentLate ? ", sent as the least urgent as it would be late" : "";
+}
+
 }  // namespace
 
 void RequestTrail::noteTakeUp(const std::string& stream, const std::string& after) {
@@ -94,14 +98,22 @@
   }
 }
 
+void RequestTrail::noteRefusal(const WaitVerdict& verdict, Duration firstEvent) {
+  const bool isHopeless = verdict.decision == WaitDecision::kRefuseHopeless;
+  refusal_ = std::string("not sent, ") +
+             (isHopeless ? "can't be served before its deadline" : "would wait too long") +
+             ": first event expected in " + milliseconds(firstEvent) + ", told to return after " +
+             milliseconds(verdict.returnAfter);
+}
+
 std::string RequestTrail::text() const {
   std::string text = takeUp_;
   for (const TrailEntry& entry : entries_) {
     text += text.empty() ? "" : "; ";
     text += entry.backend + " (" + softwareText(entry) + weightsText(entry) +
             std::to_string(entry.inFlight) + " running, " + std::to_string(entry.pendingTokens) +
-            " tokens waiting" + expectationText(entry) + permitText(entry) + ") at " +
-            milliseconds(entry.sentAfter) + " " + phraseOf(entry.end);
+            " tokens waiting" + expectationText(entry) + urgencyText(entry) + permitText(entry) +
+            ") at " + milliseconds(entry.sentAfter) + " " + phraseOf(entry.end);
     if (entry.status != 0) {
       text += " with " + std::to_string(entry.status);
     }
@@ -116,6 +128,9 @@
     text += std::string(text.empty() ? "" : "; ") + "all at their limits or at rest for " +
             milliseconds(*permitDue_);
   }
+  if (!refusal_.empty()) {
+    text += (text.empty() ? "" : "; ") + refusal_;
+  }
   return text;
 }
 
--- a/src/gateway/request_trail.h
+++ b/src/gateway/request_trail.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "common/time.h"
+#include "gateway/wait_policy.h"
 
 namespace fernmoor::gateway {
 
@@ -42,9 +43,10 @@
   std::optional<Duration> expectedFirstEvent;  ///< Counted from the send, if known.
   /// Time from the send until no request may begin on `weights`; empty: no newer version is named.
   std::optional<Duration> boundLeft;
-  Duration permitWait{};  ///< Wait before the send because the back end states a rate limit.
-  Duration sentAfter{};   ///< Time of the send, counted from the request's arrival.
-  Duration endedAfter{};  ///< Time of the end, counted from the request's arrival.
+  bool isSentLate = false;  ///< Sent as the least urgent, as its answer was expected late.
+  Duration permitWait{};    ///< Wait before the send because the back end states a rate limit.
+  Duration sentAfter{};     ///< Time of the send, counted from the request's arrival.
+  Duration endedAfter{};    ///< Time of the end, counted from the request's arrival.
   AttemptEnd end = AttemptEnd::kUnderWay;
   int status = 0;   ///< HTTP status of a back end that rejected it; 0: not recorded.
   Duration rest{};  ///< Time for which the back end asked for no further requests.
@@ -67,6 +69,9 @@
   /// Records that all back ends had reached the limits they state, or were resting.
   /// @param due time until one of them accepts a request.
   void noteUnpermitted(Duration due) { permitDue_ = due; }
+  /// Records that the request was not sent because of the wait at the chosen back end.
+  /// @param firstEvent expected time to the first event there.
+  void noteRefusal(const WaitVerdict& verdict, Duration firstEvent);
   bool isEmpty() const { return entries_.empty(); }
 
   /// @return one phrase per attempt, behind one for a stream that is taken up, e.g. "takes up
@@ -79,6 +84,7 @@
   std::vector<TrailEntry> entries_;
   std::string takeUp_;
   std::optional<Duration> permitDue_;
+  std::string refusal_;
 };
 
 }  // namespace fernmoor::gateway
--- a/src/gateway/send_decisions.cpp
+++ b/src/gateway/send_decisions.cpp
@@ -6,10 +6,6 @@
 
 namespace {
 
-/// Share of its target (in percent) for which a request may wait before its prompt is read; the
-/// rest is left for reading the prompt and for errors of the estimate. The estimated reading time
-/// is not counted against the target, since large prompts would never be served then.
-constexpr int kMaxQueueWaitPercent = 40;
 /// A silent engine is abandoned after this many times the expected time to the first event.
 /// Estimates are off by a factor of two on busy engines, and reading a prompt a second time adds to
 /// their load.
@@ -17,7 +13,6 @@
 constexpr Duration kMinSilenceLimit{600000};
 /// A request without an estimate leaves a silent back end after its total time divided by this.
 constexpr int kSilenceLimitDivisor = 2;
-constexpr Duration kMinRetryAfterBusy{250000};
 /// How long the most urgent requests wait for a permit of an engine at its limit (300 ms).
 constexpr Duration kMaxPermitWait{300000};
 /// Engines are silent for about a second at times.
@@ -29,20 +24,19 @@
 
 Duration longestQueueWait(const IncomingRequest& request, Time now) {
   const Duration waited = now - request.arrivedAt;
-  return std::max(Duration(0), request.row->target * kMaxQueueWaitPercent / 100 - waited);
+  return std::max(Duration(0), maxQueueWait(request.row->target) - waited);
 }
 
 bool canBeInTime(const IncomingRequest& request, const ExpectedTimes& expected, Time now) {
   const Duration waited = now - request.arrivedAt;
-  return waited + expected.wait <= request.row->target * kMaxQueueWaitPercent / 100;
+  return waited + expected.wait <= maxQueueWait(request.row->target);
 }
 
 Duration longestPermitWait(const IncomingRequest& request, int urgency, bool mayBeRefused,
                            Time now) {
   const Duration ofUrgency = kMaxPermitWait / (int64_t{1} << urgency);
-  const Duration inTime =
-      mayBeRefused ? request.arrivedAt + request.row->target * kMaxQueueWaitPercent / 100 - now
-                   : request.deadline - now;
+  const Duration inTime = mayBeRefused ? request.arrivedAt + maxQueueWait(request.row->target) - now
+                                       : request.deadline - now;
   return std::max(Duration(0), std::min(ofUrgency, inTime));
 }
 
@@ -60,10 +54,14 @@
                  "no whole answer came from the back end; ask for the outcome before retrying.",
                  RunState::kUnknown, std::nullopt};
   }
+  Duration retryAfter = request.returnAfter.value_or(
+      returnWhenBusy(request.expectedFirstEvent.value_or(Duration(0))));
+  if (request.timeLeft) {
+    retryAfter = boundedReturn(retryAfter, *request.timeLeft);
+  }
   return Error{ErrorKind::kOverloaded,
                "no back end could take the request; come back after the time given.",
-               RunState::kNotRun,
-               std::max(kMinRetryAfterBusy, request.expectedFirstEvent.value_or(Duration(0)) / 2)};
+               RunState::kNotRun, retryAfter};
 }
 
 Error unpermittedError(Duration retryAfter) {
--- a/src/gateway/send_decisions.h
+++ b/src/gateway/send_decisions.h
@@ -7,11 +7,12 @@
 
 #include "common/error.h"
 #include "common/time.h"
-#include "gateway/backend_choice.h"
 #include "gateway/incoming_request.h"
+#include "gateway/wait_policy.h"
 
 namespace fernmoor::gateway {
 
+/// Used for pools whose capacity is not stated; decideWait() decides for the others.
 /// @return whether a request that was not sent yet can meet its target at a back end with these
 ///         expected times. One that can't would only delay others that can.
 bool canBeInTime(const IncomingRequest& request, const ExpectedTimes& expected, Time now);
@@ -41,7 +42,9 @@
   bool mayHaveRun = false;
   bool isLate = false;  ///< Its deadline has passed.
   /// Expected time to its first event, if it was not sent because that is too long.
-  std::optional<Duration> expectedFirstEvent;
+  std::optional<Duration> expectedFirstEvent = std::nullopt;
+  std::optional<Duration> returnAfter = std::nullopt;  ///< As decided by decideWait().
+  std::optional<Duration> timeLeft = std::nullopt;     ///< Until its deadline; nothing: ample.
 };
 
 /// @return the error for its caller. Only for a request that has not run it states so and includes
--- a/src/gateway/send_planner.cpp
+++ b/src/gateway/send_planner.cpp
@@ -146,6 +146,53 @@
   plan.transfer = planTransfer(hints, holders, experience_.isStoreSlow(now), now);
 }
 
+WaitVerdict SendPlanner::decide(const PlanInput& input, const BackendChoice& chosen,
+                                PlannedSend& planned) {
+  const IncomingRequest& request = input.request;
+  const Time now = services_.clock.now();
+  WaitInput wait;
+  wait.target = request.row->target;
+  wait.timeout = request.row->timeout;
+  wait.waited = now - request.arrivedAt;
+  wait.left = request.deadline - now;
+  wait.mayBeRefused = input.mayBeRefused;
+  wait.expected = chosen.expected;
+  wait.claim = chosen.claim;
+  if (chosen.returnAfter > Duration(0)) {
+    wait.reservedIn = chosen.returnAfter;
+  }
+  const Pool* const pool = request.table->findPool(request.pool);
+  if (pool == nullptr || pool->room.places == 0 || pool->room.memoryTokens == 0) {
+    if (!input.mayBeRefused || !chosen.expected || canBeInTime(request, *chosen.expected, now)) {
+      return WaitVerdict{};
+    }
+    const Duration returnAfter = returnWhenBusy(chosen.expected->firstEvent);
+    return WaitVerdict{WaitDecision::kRefuse, boundedReturn(returnAfter, wait.left)};
+  }
+  // Whether there is spare capacity is asked only if the decision depends on it.
+  wait.hasSpareCapacity = chosen.claim != RoomClaim::kUnknown;
+  WaitVerdict verdict = decideWait(wait);
+  if (verdict.decision != WaitDecision::kSendLate) {
+    return verdict;
+  }
+  if (planned.ticket) {
+    giveBack(*planned.ticket);
+    planned.ticket.reset();
+  }
+  const ChoiceContext context{zone_, input.tried, pool->room, now};
+  const auto answer = reserveAsLeastUrgent(request, chosen.backend, context, services_.loads);
+  if (answer && answer->isGranted) {
+    planned.ticket = answer->ticket;
+    planned.permitWait = answer->permitWait;
+    return verdict;
+  }
+  wait.hasSpareCapacity = false;
+  if (answer && answer->returnAfter > Duration(0)) {
+    wait.reservedIn = answer->returnAfter;
+  }
+  return decideWait(wait);
+}
+
 std::optional<PlannedSend> SendPlanner::plan(const PlanInput& input) {
   const IncomingRequest& request = input.request;
   const Time now = services_.clock.now();
@@ -165,16 +212,16 @@
   planned.pendingTokens = chosen->pendingTokens;
   planned.ticket = chosen->ticket;
   planned.expected = chosen->expected;
-  planned.isTooLate = input.mayBeRefused && planned.expected &&
-                      !canBeInTime(request, *planned.expected, services_.clock.now());
-  if (planned.isTooLate) {
+  planned.verdict = decide(input, *chosen, planned);
+  if (planned.verdict.isRefused()) {
     return planned;  // Its cached parts need not be looked up.
   }
   SendPlan& plan = planned.send;
   plan.backend = *chosen->backend.listing;
   plan.weightsVersion = chosen->backend.weightsVersion;
   plan.resumeAfter = input.resumeAfter;
-  plan.urgency = urgencyOf(request);
+  plan.urgency =
+      planned.verdict.decision == WaitDecision::kSendLate ? kLeastUrgent : urgencyOf(request);
   if (plan.weightsVersion != 0 && request.row->usesPrefixes) {
     plan.cacheScope = cacheScopeOf(request, plan.weightsVersion);
     planCache(input, members, now, plan);
--- a/src/gateway/send_planner.h
+++ b/src/gateway/send_planner.h
@@ -48,7 +48,7 @@
   uint64_t lowestWeights = 0;             ///< Lowest acceptable version; 0: any.
   std::optional<LoadTicket> ticket;       ///< To be released when the request ends.
   std::optional<ExpectedTimes> expected;  ///< If known.
-  bool isTooLate = false;                 ///< It can't meet its target: reject it, don't send it.
+  WaitVerdict verdict;                    ///< `send` is not set if it refuses the request.
   Duration permitWait{0};                 ///< Time to wait before it is sent.
   /// Set if all back ends have reached the limits they state, or are resting: the time until one
   /// accepts a request.
@@ -78,6 +78,9 @@
   /// @param lowest lowest weights version that the back end may hold.
   std::optional<BackendChoice> choose(const PlanInput& input, std::vector<BackendView> members,
                                       uint64_t lowest, Time now);
+  /// Decides whether a request is sent to the chosen back end now. Counts it there anew if it is
+  /// sent as the least urgent.
+  WaitVerdict decide(const PlanInput& input, const BackendChoice& chosen, PlannedSend& planned);
   uint64_t drawSeed();
   /// @return how long the request may wait for a permit.
   Duration maxPermitWait(const PlanInput& input, Time now);
--- a/src/peers/load_directory.cpp
+++ b/src/peers/load_directory.cpp
@@ -301,6 +301,7 @@
   answer.set_permit_wait_milliseconds(toMilliseconds(reserved.permitWait + kMillisecondRoundUp));
   answer.set_reading_tokens(clampToUint32(reserved.readingTokens));
   answer.set_return_after_milliseconds(toMilliseconds(reserved.returnAfter + kMillisecondRoundUp));
+  answer.set_from_reservation(reserved.isFromReservation);
   if (const EngineStatement known = statementOf(question.engine(), now); !known.isEmpty()) {
     encodeStatement(known, now, *answer.mutable_statement());
   }
@@ -318,6 +319,7 @@
   received.permitWait = std::chrono::milliseconds(answer.permit_wait_milliseconds());
   received.readingTokens = answer.reading_tokens();
   received.returnAfter = std::chrono::milliseconds(answer.return_after_milliseconds());
+  received.isFromReservation = answer.from_reservation();
   const bool isBrittle = answer.is_brittle();
   const bool hasPermit = answer.granted() && (answer.statement().is_limited() || isBrittle);
   received.ticket = LoadTicket{answer.engine(), answer.question_id(), true, hasPermit};
--- a/test/gateway/request_trail_test.cpp
+++ b/test/gateway/request_trail_test.cpp
@@ -69,6 +69,21 @@
         "event expected in 210 ms) at 12 ms was under way");
 }
 
+// Guards against log lines that do not say why a request was refused or its answer late.
+TEST_CASE("a trail names the reason of a refusal and of a late answer") {
+  RequestTrail refused;
+  refused.noteRefusal(WaitVerdict{WaitDecision::kRefuse, std::chrono::milliseconds(450)},
+                      std::chrono::milliseconds(900));
+  CHECK(refused.text() ==
+        "not sent, would wait too long: first event expected in 900 ms, told to return after 450 "
+        "ms");
+  RequestTrail late;
+  TrailEntry entry = sendTo("e-1", 12);
+  entry.isSentLate = true;
+  late.begin(entry);
+  CHECK(late.text().find("sent as the least urgent as it would be late") != std::string::npos);
+}
+
 TEST_CASE("only the first end of an attempt is recorded") {
   RequestTrail trail;
   trail.end(AttemptEnd::kServed, Duration(0));
