--- a/src/gateway/backend_choice.cpp
+++ b/src/gateway/backend_choice.cpp
@@ -28,7 +28,6 @@
 /// reported within a few trips between nodes; the margin only covers lost messages.
 constexpr Duration kReservationMargin{500000};
 constexpr int kUrgenciesPerTenantPriority = 3;
-constexpr int kLeastUrgent = 9;
 /// Shared parts that a question to the owner of an engine names; prompts have two to four.
 constexpr size_t kMaxPartsPerQuestion = 8;
 /// Bound in tokens that counts a request however many tokens wait.
@@ -170,6 +169,18 @@
   return choice;
 }
 
+/// @return what the node that counts for an engine said of the request. Nodes of a release that
+///         does not account for capacity never name tokens that are still to be read.
+RoomClaim claimOf(const LoadAnswer& answer) {
+  if (answer.isGranted && answer.isFromReservation) {
+    return RoomClaim::kReserved;
+  }
+  if (answer.readingTokens == 0 && answer.returnAfter == Duration(0)) {
+    return RoomClaim::kUnknown;
+  }
+  return answer.isGranted ? RoomClaim::kGranted : RoomClaim::kTurnedAway;
+}
+
 /// A home that was queried.
 struct FoundHome {
   BackendChoice choice;
@@ -215,6 +226,7 @@
   // A wait no longer than reading the request's own prompt is not worth another query.
   const uint64_t shortWait = std::max(shared, request.promptTokens);
   std::optional<FoundHome> best;
+  Duration returnAfter{0};
   size_t asked = 0;
   for (size_t index = 0; index < homes.size() && asked < maxQueries; ++index) {
     const BackendView& home = *homes[index];
@@ -242,7 +254,12 @@
     }
     if (answer && answer->isGranted) {
       choice.ticket = answer->ticket;
+      choice.claim = claimOf(*answer);
     }
+    if (answer && index == 0) {
+      returnAfter = answer->returnAfter;  // Retries look for their reservation at the first home.
+    }
+    choice.returnAfter = returnAfter;
     const uint64_t cost = choice.pendingTokens + tokensToFetch;
     if (choice.ticket || (!answer && home.pendingTokens < bound)) {
       return FoundHome{choice, cost, true};
@@ -274,6 +291,11 @@
                                       demandOf(request, choice.backend.weightsVersion, context.now),
                                       context.room, kNoBound)
                       : std::nullopt;
+  if (counted) {
+    choice.claim = claimOf(*counted);
+    const bool isReserved = counted->returnAfter > Duration(0);
+    choice.returnAfter = isReserved ? counted->returnAfter : choice.returnAfter;
+  }
   if (counted && counted->isGranted) {
     choice.ticket = counted->ticket;
   }
@@ -340,6 +362,15 @@
   return settled || !own ? settled : settleAt(*own, request, context, loads);
 }
 
+std::optional<LoadAnswer> reserveAsLeastUrgent(const IncomingRequest& request,
+                                               const BackendView& backend,
+                                               const ChoiceContext& context, EngineLoads& loads) {
+  EngineDemand demand = demandOf(request, backend.weightsVersion, context.now);
+  demand.urgency = kLeastUrgent;
+  demand.longestWait = std::max(Duration(0), request.deadline - context.now);
+  return loads.reserve(backend.incarnation, demand, context.room, kNoBound);
+}
+
 std::optional<BackendChoice> chooseLeastLoaded(const IncomingRequest& request,
                                                const std::vector<BackendView>& candidates,
                                                const ChoiceContext& context, EngineLoads& loads,
--- a/src/gateway/send_planner.h
+++ b/src/gateway/send_planner.h
@@ -50,7 +50,7 @@
   uint64_t lowestWeights = 0;             ///< Lowest acceptable version; 0: any.
   std::optional<LoadTicket> ticket;       ///< To be released when the request ends.
   std::optional<ExpectedTimes> expected;  ///< If known.
-  bool isTooLate = false;                 ///< It can't meet its target: reject it, don't send it.
+  WaitVerdict verdict;                    ///< `send` is not set if it refuses the request.
   Duration permitWait{0};                 ///< Time to wait before it is sent.
   /// Set if all back ends have reached the limits they state, or are resting: the time until one
   /// accepts a request.
@@ -92,6 +92,9 @@
   /// @return the engines that serve requests of this kind; nothing: all.
   std::optional<EngineSide> sideOf(const IncomingRequest& request,
                                    const std::vector<BackendView>& members, Time now);
+  /// Decides whether a request is sent to the chosen back end now. Counts it there anew if it is
+  /// sent as the least urgent.
+  WaitVerdict decide(const PlanInput& input, const BackendChoice& chosen, PlannedSend& planned);
   uint64_t drawSeed();
   /// @return how long the request may wait for a permit.
   Duration maxPermitWait(const PlanInput& input, Time now);
