--- a/src/peers/load_directory.cpp
+++ b/src/peers/load_directory.cpp
@@ -151,9 +151,11 @@
 std::optional<LoadAnswer> LoadDirectory::reserve(uint64_t engine, const EngineDemand& demand,
                                                  const EngineRoom& room, uint64_t bound) {
   NodeLife ownerLife;
+  std::shared_ptr<const MembershipSnapshot> members;
   uint32_t id = 0;
   {
     const std::lock_guard<std::mutex> lock(mutex_);
+    members = members_;
     ownerLife = ownerLifeOf(engine);
     id = ++lastQuestion_;
     if (ownerLife.node != self_) {
@@ -178,7 +180,7 @@
   }
   if (answer && answer->isGranted && answer->ticket.isCounted) {
     const Time forgetAt = clock_.now() + demand.forgetAfter;
-    noteOpen(id, OpenRequest{engine, demand, room, forgetAt, false, ownerLife, {}});
+    noteOpen(id, OpenRequest{engine, demand, room, forgetAt, false, ownerLife, {}}, members.get());
   }
   return answer;
 }
--- a/src/peers/load_directory.h
+++ b/src/peers/load_directory.h
@@ -204,7 +204,8 @@
   /// Stops counting the requests of nodes that are gone, and of previous incarnations.
   void forgetRemoved(const std::vector<NodeId>& removed, Time now);
   /// Stores a request that the owner of its engine counts, until its end.
-  void noteOpen(uint32_t id, OpenRequest request);
+  /// @param askedMembers members of which the owner was chosen.
+  void noteOpen(uint32_t id, OpenRequest request, const MembershipSnapshot* askedMembers);
   /// Removes a request of this node that has ended, also at the nodes that owned its engine before.
   /// @return the owner of its engine, which is not notified yet.
   NodeId closeRequest(const gateway::LoadTicket& ticket);
--- a/src/peers/load_directory_renewals.cpp
+++ b/src/peers/load_directory_renewals.cpp
@@ -30,10 +30,10 @@
   return owner;
 }
 
-void LoadDirectory::noteOpen(uint32_t id, OpenRequest request) {
+void LoadDirectory::noteOpen(uint32_t id, OpenRequest request,
+                             const MembershipSnapshot* askedMembers) {
   const std::lock_guard<std::mutex> lock(mutex_);
-  // The owner may have changed since it was asked.
-  mustRenew_ = mustRenew_ || ownerLifeOf(request.engine) != request.owner;
+  mustRenew_ = mustRenew_ || members_.get() != askedMembers;  // The owner may have changed.
   open_[id] = std::move(request);
 }
 
