--- a/test/gateway/backend_choice_test.cpp
+++ b/test/gateway/backend_choice_test.cpp
@@ -57,6 +57,7 @@
     LoadAnswer answer;
     answer.tokensPerSecond = 40000;
     answer.pendingTokens = pending[engine];
+    answer.readingTokens = reading;
     answer.isStalled = stalled.count(engine) > 0;
     answer.isGranted = answer.pendingTokens < bound && !answer.isStalled;
     answer.ticket = LoadTicket{engine, questions};
@@ -68,6 +69,7 @@
 
   std::map<uint64_t, uint64_t> pending;
   std::set<uint64_t> stalled;  ///< Engines that make no progress.
+  uint64_t reading = 0;        ///< Tokens of each prompt that are not cached; 0: unknown.
   uint32_t questions = 0;
 };
 
@@ -162,6 +164,10 @@
     loads.pending[home] = 0;
     CHECK((choose().expected->firstEvent == std::chrono::milliseconds(230)));
   }
+  SUBCASE("and the cached parts of its prompt are not expected to be read again") {
+    loads.reading = 2900;  // Guards against prompts that are refused for reading the engine skips.
+    CHECK((choose().expected->firstEvent == Duration(72500)));
+  }
   SUBCASE("if the wait is longer at all engines") {
     for (const BackendView& each : candidates) {
       loads.pending[stableHash(each.listing->id)] = 30000;
