Calls to small application pools go to the emptier of two engines

With more nodes than slots in a pool, each node has less than one slot there, and its own count says nothing about the requests of the others: engines that reject when full were chosen as often as empty ones.

In a pool without models whose engines list fewer slots than there are nodes, the choice asks the owners of two random engines, takes the one with fewer requests of all nodes and releases the other; the own zone breaks ties. LoadAnswer carries the number of requests present. If an owner does not say it, the own count decides as before.

A call takes two questions with their answers and two releases.

--- a/src/gateway/backend_choice.cpp
+++ b/src/gateway/backend_choice.cpp
@@ -279,6 +279,69 @@
   return isPermitted ? std::optional(choice) : std::nullopt;
 }
 
+/// @return whether the candidates list fewer slots than there are nodes, so that each node has less
+///         than one slot and can't see from its own requests whether an engine has a free one.
+bool haveFewerSlotsThanNodes(const Candidates& usable, const EngineLoads& loads) {
+  const size_t nodes = loads.nodeCount();
+  size_t slots = 0;
+  for (const BackendView* each : usable) {
+    slots += static_cast<size_t>(std::max(0, each->listing->slots));
+    if (each->listing->slots <= 0 || slots >= nodes) {
+      return false;
+    }
+  }
+  return true;
+}
+
+/// Counts the request at the candidate.
+/// @return nothing if the owner doesn't say how many requests are there; it is not counted then.
+std::optional<LoadAnswer> countAt(const IncomingRequest& request, const BackendView& candidate,
+                                  const ChoiceContext& context, EngineLoads& loads) {
+  // Without the room, the owner does not refuse the request for want of it.
+  std::optional<LoadAnswer> answer = loads.reserve(
+      candidate.incarnation, demandOf(request, 0, context.now), EngineRoom{}, kNoBound);
+  if (!answer || !answer->isGranted) {
+    return std::nullopt;
+  }
+  if (!answer->presentRequests) {
+    loads.giveBack(answer->ticket);
+    return std::nullopt;
+  }
+  return answer;
+}
+
+/// Asks the owners of two random candidates how many requests of all nodes are there.
+/// @return the candidate with fewer, where the request is counted; nothing if an owner doesn't say.
+std::optional<BackendChoice> chooseOfTwo(const IncomingRequest& request, const Candidates& usable,
+                                         const ChoiceContext& context, EngineLoads& loads,
+                                         Random& random) {
+  const size_t drawn = random.below(usable.size());
+  const size_t other = (drawn + 1 + random.below(usable.size() - 1)) % usable.size();
+  const BackendView* first = usable[drawn];
+  const BackendView* second = usable[other];
+  if (loads.permitDue(first->incarnation) || loads.permitDue(second->incarnation)) {
+    return std::nullopt;  // Their owners decide when the request is sent.
+  }
+  if (first->listing->zone != context.zone) {  // On a tie, the first one is chosen.
+    std::swap(first, second);
+  }
+  std::optional<LoadAnswer> atFirst = countAt(request, *first, context, loads);
+  if (!atFirst) {
+    return std::nullopt;
+  }
+  std::optional<LoadAnswer> atSecond = countAt(request, *second, context, loads);
+  if (!atSecond) {
+    loads.giveBack(atFirst->ticket);
+    return std::nullopt;
+  }
+  if (*atSecond->presentRequests < *atFirst->presentRequests) {
+    std::swap(first, second);
+    std::swap(atFirst, atSecond);
+  }
+  loads.giveBack(atSecond->ticket);
+  return reservedChoice(*first, *atFirst);
+}
+
 }  // namespace
 
 int urgencyOf(const IncomingRequest& request) {
@@ -313,6 +376,9 @@
 std::optional<BackendChoice> chooseHome(const IncomingRequest& request,
                                         const std::vector<BackendView>& candidates,
                                         const ChoiceContext& context, EngineLoads& loads) {
+  if (!affinityPart(request)) {
+    return std::nullopt;
+  }
   const Sides sides = divide(permittingNow(usableCandidates(candidates, context), loads), context);
   HomeSearch search{request, context, loads, sharedTokensOf(request), false, kMaxHomesQueried};
   const std::optional<FoundHome> own = search.run(firstHomes(request, sides.own));
@@ -343,6 +409,11 @@
                                                const ChoiceContext& context, EngineLoads& loads,
                                                Random& random) {
   Candidates usable = permittingNow(usableCandidates(candidates, context), loads);
+  if (!context.servesModels && usable.size() > 1 && haveFewerSlotsThanNodes(usable, loads)) {
+    if (auto choice = chooseOfTwo(request, usable, context, loads, random)) {
+      return choice;
+    }
+  }
   const EngineDemand demand = permitDemand(request, context.now, Duration(0));
   for (size_t asked = 0; !usable.empty();) {
     const BackendView& best = *leastLoaded(usable, context.zone, random);
--- a/src/gateway/backend_choice.h
+++ b/src/gateway/backend_choice.h
@@ -27,6 +27,7 @@
   Time now;
   /// The engines that serve requests of this kind; nothing: all.
   std::optional<EngineSide> side = std::nullopt;
+  bool servesModels = true;  ///< The pool's engines are language-model servers.
 };
 
 /// Expected times of a request at an engine.
@@ -60,8 +61,10 @@
                                         const ChoiceContext& context, EngineLoads& loads);
 
 /// Chooses by the number of this node's running requests, with a penalty for other zones, among the
-/// candidates that accept a request now. Blocks on answers of other nodes if candidates state
-/// limits.
+/// candidates that accept a request now. In a pool without models whose engines list fewer slots
+/// than there are nodes, this node's own count says little: two candidates are drawn at random, and
+/// the one with fewer requests of all nodes is chosen (power of two choices, Mitzenmacher, 2001).
+/// Blocks on answers of other nodes in such pools, and if candidates state limits.
 /// @return std::nullopt if no candidate is left.
 std::optional<BackendChoice> chooseLeastLoaded(const IncomingRequest& request,
                                                const std::vector<BackendView>& candidates,
--- a/src/gateway/engine_loads.h
+++ b/src/gateway/engine_loads.h
@@ -29,14 +29,14 @@
 /// The resources that a request needs at an engine.
 struct EngineDemand {
   uint64_t promptTokens = 0;
-  uint64_t memoryTokens = 0;      ///< Prompt and expected answer.
-  Duration forgetAfter{3000000};  ///< Then its release is assumed to be lost.
-  Duration longestPermitWait{0};  ///< Longest wait for a permit if the engine states a limit.
-  bool isCounted = true;          ///< False: it needs only a permit.
+  uint64_t memoryTokens = 0;            ///< Prompt and expected answer.
+  Duration forgetAfter{3000000};        ///< Then its release is assumed to be lost.
+  Duration longestPermitWait{0};        ///< Longest wait for a permit if the engine states a limit.
+  bool isCounted = true;                ///< False: it needs only a permit.
   std::vector<SharedPart> sharedParts;  ///< From the beginning of its prompt; may be incomplete.
   std::optional<int> urgency;           ///< 0 is the most urgent; nothing: unknown.
   uint64_t tenant = 0;                  ///< Hash of the tenant's name; 0: none.
-  uint64_t requestKey = 0;   ///< The same for the first attempt and a retry; 0: unknown.
+  uint64_t requestKey = 0;              ///< The same for the first attempt and a retry; 0: unknown.
   Duration longestPause{0};  ///< Longest time between events for which it is in time; 0: any.
   Duration longestWait{0};   ///< For which it may wait before its prompt is read.
 };
@@ -69,9 +69,11 @@
   /// The engine states a limit, and no permit becomes available within longestPermitWait; or it is
   /// brittle, and holds as many requests as it may.
   bool lacksPermit = false;
-  Duration permitWait{0};  ///< Time until the request may be sent, or until the next permit.
+  Duration permitWait{0};      ///< Time until the request may be sent, or until the next permit.
   uint64_t readingTokens = 0;  ///< Of the request's prompt, what the engine still has to read.
   Duration returnAfter{0};  ///< If refused: from when room is reserved for its retry; 0: none is.
+  /// Requests of all nodes there before this one; nothing: unknown.
+  std::optional<uint32_t> presentRequests = std::nullopt;
   LoadTicket ticket;
 
   /// @return the expected time until the engine begins to read a new request's prompt.
--- a/src/gateway/pending_work.cpp
+++ b/src/gateway/pending_work.cpp
@@ -108,6 +108,7 @@
   const double forRoom = engine.secondsUntilCapacity(request.demand, room) * answer.tokensPerSecond;
   answer.pendingTokens = std::max(waiting, static_cast<uint64_t>(forRoom));
   answer.isStalled = engine.isStalled(now);
+  answer.presentRequests = static_cast<uint32_t>(engine.entries.size());
   answer.isGranted = answer.pendingTokens < bound && !answer.isStalled;
   if (answer.isGranted) {
     Entry entry;
@@ -115,6 +116,8 @@
     entry.reservedAt = now;
     entry.forgetAt = now + request.demand.forgetAfter;
     entry.tokensAtStart = waiting + request.demand.promptTokens;
+    // Without a prompt, nothing is read, and a long call is no sign of a stalled engine.
+    entry.isRead = request.demand.promptTokens == 0;
     engine.entries.push_back(entry);
   }
   return answer;
--- a/src/gateway/send_planner.cpp
+++ b/src/gateway/send_planner.cpp
@@ -68,7 +68,9 @@
                                                  std::vector<BackendView> members, uint64_t lowest,
                                                  const std::optional<EngineSide>& side, Time now) {
   leaveOutOldWeights(members, lowest);
-  const ChoiceContext context{zone_, input.tried, roomOf(input.request), now, side};
+  const Pool* const pool = input.request.table->findPool(input.request.pool);
+  ChoiceContext context{zone_, input.tried, roomOf(input.request), now, side};
+  context.servesModels = pool == nullptr || pool->servesModels;
   std::optional<BackendChoice> chosen =
       chooseHome(input.request, members, context, services_.loads);
   if (!chosen) {
--- a/src/peers/load_directory.cpp
+++ b/src/peers/load_directory.cpp
@@ -305,6 +305,7 @@
   // Rounded up, so that the request is neither sent nor asked for again before its permit is due.
   answer.set_permit_wait_milliseconds(toMilliseconds(reserved.permitWait + kMillisecondRoundUp));
   answer.set_reading_tokens(clampToUint32(reserved.readingTokens));
+  answer.set_present_requests(reserved.presentRequests ? *reserved.presentRequests + 1 : 0);
   answer.set_return_after_milliseconds(toMilliseconds(reserved.returnAfter + kMillisecondRoundUp));
   if (const EngineStatement known = statementOf(question.engine(), now); !known.isEmpty()) {
     encodeStatement(known, now, *answer.mutable_statement());
@@ -323,6 +324,9 @@
   received.permitWait = std::chrono::milliseconds(answer.permit_wait_milliseconds());
   received.readingTokens = answer.reading_tokens();
   received.returnAfter = std::chrono::milliseconds(answer.return_after_milliseconds());
+  if (answer.present_requests() > 0) {
+    received.presentRequests = answer.present_requests() - 1;
+  }
   const bool isBrittle = answer.is_brittle();
   const bool hasPermit = answer.granted() && (answer.statement().is_limited() || isBrittle);
   received.ticket = LoadTicket{answer.engine(), answer.question_id(), true, hasPermit};
--- a/test/gateway/backend_choice_test.cpp
+++ b/test/gateway/backend_choice_test.cpp
@@ -350,4 +350,118 @@
   }
 }
 
+namespace {
+
+/// Counts the requests of all nodes at each engine, as the owners do.
+class PresentLoads : public EngineLoads {
+ public:
+  std::optional<LoadAnswer> reserve(uint64_t engine, const EngineDemand&, const EngineRoom&,
+                                    uint64_t) override {
+    ++questions;
+    if (silent.count(engine) > 0) {
+      return std::nullopt;
+    }
+    LoadAnswer answer;
+    answer.isGranted = true;
+    answer.tokensPerSecond = 1;
+    if (tellsPresent) {
+      answer.presentRequests = present[engine];
+    }
+    ++present[engine];
+    answer.ticket = LoadTicket{engine, questions, true, false, false, {}};
+    return answer;
+  }
+  void promptRead(const LoadTicket&) override {}
+  void release(const LoadTicket& ticket) override { --present[ticket.engine]; }
+  size_t nodeCount() const override { return nodes; }
+
+  size_t nodes = 73;
+  bool tellsPresent = true;
+  std::set<uint64_t> silent;  ///< Engines whose owners do not answer.
+  std::map<uint64_t, uint32_t> present;
+  uint32_t questions = 0;
+};
+
+/// Calls to three application engines of six slots each.
+struct ApplicationPool {
+  ApplicationPool() {
+    request.row = &row;
+    listSlots(6);
+  }
+  void listSlots(int slots) {
+    for (BackendView& each : candidates) {
+      BackendListing listing = *each.listing;
+      listing.slots = slots;
+      each.listing = std::make_shared<BackendListing>(listing);
+    }
+  }
+  std::optional<BackendChoice> choose() {
+    const ChoiceContext context{"near", {}, {}, {}, std::nullopt, servesModels};
+    return chooseLeastLoaded(request, candidates, context, loads, random);
+  }
+
+  Row row;
+  IncomingRequest request;
+  std::vector<BackendView> candidates = engines(3);
+  PresentLoads loads;
+  Random random{1};
+  bool servesModels = false;
+};
+
+}  // namespace
+
+// Guards against engines that reject calls because every node counts only its own.
+TEST_CASE("with fewer slots than nodes, calls go to the emptier of two random engines") {
+  ApplicationPool pool;
+  std::map<std::string, int> calls;
+  for (int call = 0; call < 15; ++call) {  // Fifteen nodes, each with one call and 18 slots in all.
+    const auto choice = pool.choose();
+    REQUIRE(choice);
+    CHECK(choice->ticket);
+    ++calls[choice->backend.listing->id];
+  }
+  for (const BackendView& each : pool.candidates) {
+    CHECK(pool.loads.present[each.incarnation] ==
+          static_cast<uint32_t>(calls[each.listing->id]));  // The other one was released.
+    CHECK(calls[each.listing->id] <= 6);
+  }
+  CHECK(pool.loads.questions == 30);
+}
+
+// Guards against questions where they are not called for, and against calls that fail or stay
+// counted if an owner does not answer.
+TEST_CASE("this node's own count decides where the owners' counts are not needed or not known") {
+  ApplicationPool pool;
+  SUBCASE("the pool has as many slots as there are nodes") {
+    pool.loads.nodes = 18;
+  }
+  SUBCASE("the engines list no slots") {
+    pool.listSlots(0);
+  }
+  SUBCASE("the engines serve models") {
+    pool.servesModels = true;
+  }
+  SUBCASE("the owners do not answer") {
+    for (const BackendView& each : pool.candidates) {
+      pool.loads.silent.insert(each.incarnation);
+    }
+  }
+  SUBCASE("one owner does not answer") {
+    pool.candidates.pop_back();
+    pool.loads.silent.insert(pool.candidates[1].incarnation);
+  }
+  SUBCASE("the owners run the previous release") {
+    pool.loads.tellsPresent = false;
+  }
+  pool.candidates[0].inFlight = 5;
+  const auto choice = pool.choose();
+  REQUIRE(choice);
+  CHECK(choice->backend.listing->id != "e0");
+  CHECK_FALSE(choice->ticket);
+  CHECK(pool.loads.questions <= 2);
+  for (const auto& [engine, present] : pool.loads.present) {
+    CHECK(present == 0);
+  }
+}
+
 }  // namespace fernmoor::gateway
--- a/test/gateway/pending_work_test.cpp
+++ b/test/gateway/pending_work_test.cpp
@@ -123,4 +123,16 @@
   }
 }
 
+// Guards against application engines that look stalled because no prompt of theirs is ever read.
+TEST_CASE("requests without a prompt are counted as present, and never stall an engine") {
+  PendingWork work;
+  const Time later = kStart + std::chrono::seconds(2);
+  CHECK(work.reserve(7, requestOf(1, 1, 0), kNoRoomKnown, kBound, kStart).presentRequests == 0U);
+  CHECK(work.reserve(7, requestOf(2, 1, 0), kNoRoomKnown, kBound, later).presentRequests == 1U);
+  const LoadAnswer third = work.reserve(7, requestOf(3, 1, 0), kNoRoomKnown, kBound, later);
+  CHECK(third.presentRequests == 2U);
+  CHECK(third.isGranted);
+  CHECK_FALSE(third.isStalled);
+}
+
 }  // namespace fernmoor::gateway
--- a/test/peers/load_directory_test.cpp
+++ b/test/peers/load_directory_test.cpp
@@ -42,6 +42,17 @@
   }
 }
 
+// Guards against a count of present requests that is lost between nodes, or read as zero.
+TEST_CASE("the requests of all nodes at an engine are told to each of them") {
+  LoadWorld world(7);
+  for (uint64_t engine = 1000; engine < 1050; ++engine) {
+    CHECK(world.node(1).reserve(engine, demandOf(0), kRoom, kBound)->presentRequests == 0U);
+    CHECK(world.node(2).reserve(engine, demandOf(0), kRoom, kBound)->presentRequests == 1U);
+    CHECK(world.node(3).reserve(engine, demandOf(0), kRoom, kBound)->presentRequests == 2U);
+  }
+  CHECK(world.node(1).nodeCount() == 7);
+}
+
 TEST_CASE("a released request no longer counts as load, whichever node sent it") {
   LoadWorld world(7);
   for (uint64_t engine = 1000; engine < 1050; ++engine) {
