--- a/src/gateway/backend_choice.cpp
+++ b/src/gateway/backend_choice.cpp
@@ -396,7 +396,7 @@
   search.maxQueries = kMaxOtherHomesQueried;
   const std::optional<FoundHome> other = search.run(firstHomes(request, sides.other));
   if (other && (!own || isRefused || other->accepts || other->cost < own->cost)) {
-    const std::optional<BackendChoice> there = settleAt(*other, request, context, loads);
+    std::optional<BackendChoice> there = settleAt(*other, request, context, loads);
     if (there && (!settled || there->ticket || !there->expected)) {
       return there;
     }
--- a/test/gateway/kind_separation_test.cpp
+++ b/test/gateway/kind_separation_test.cpp
@@ -176,6 +176,7 @@
 // eight engines it could leave one side empty.
 TEST_CASE("the first engines of a pool's order are the same everywhere, and as many as wanted") {
   std::vector<uint64_t> engines;
+  engines.reserve(60);
   for (int index = 0; index < 60; ++index) {
     engines.push_back(stableHash("e" + std::to_string(index)));
   }
