--- a/src/gateway/engine_loads.h
+++ b/src/gateway/engine_loads.h
@@ -75,6 +75,8 @@
   uint64_t readingTokens = 0;  ///< Of the prompt, what the engine still has to read; 0: unknown.
   Duration returnAfter{0};  ///< If refused: from when room is reserved for its retry; 0: none is.
   bool isFromReservation = false;  ///< If granted: by the room that was reserved for this retry.
+  /// Requests of all nodes there before this one; nothing: unknown.
+  std::optional<uint32_t> presentRequests = std::nullopt;
   LoadTicket ticket;
 
   /// @return the expected time until the engine begins to read a new request's prompt.
--- a/src/gateway/pending_work.cpp
+++ b/src/gateway/pending_work.cpp
@@ -115,6 +115,8 @@
   entry.forgetAt = now + request.demand.forgetAfter;
   entry.tokensAtStart = standing.missing.unreadTokens + standing.readingTokens;
   entry.occupant = occupancy.add(request.demand);
+  // Without a prompt, nothing is read, and a long call is no sign of a stalled engine.
+  entry.isRead = request.demand.promptTokens == 0;
   if (occupancy.knowsParts()) {
     partsKnownSince = knewParts ? partsKnownSince : now;
     const bool isLearning = now - partsKnownSince < kPartsLearningTime;
@@ -214,6 +216,7 @@
   answer.readingTokens = standing.readingTokens;
   answer.pendingTokens = standing.pendingTokens();
   answer.isStalled = standing.isStalled;
+  answer.presentRequests = static_cast<uint32_t>(engine.entries.size());
   answer.isGranted = answer.pendingTokens < bound && !answer.isStalled;
   if (answer.isGranted) {
     engine.count(request, standing, now);
