The owner of an engine decides by order, shares, reservations and gaps

Plugs RoomSharing, ReturnReservations, EnginePace and ReadingModel into PendingWork. Resources that are used up stay a wait that the node weighs; only the reserve for more urgent requests and a tenant's share refuse.

--- a/src/gateway/backend_choice.cpp
+++ b/src/gateway/backend_choice.cpp
@@ -171,14 +171,14 @@
 
 /// @return what the node that counts for an engine said of the request. Nodes of a release that
 ///         does not account for capacity never name tokens that are still to be read.
-RoomClaim claimOf(const LoadAnswer& answer) {
+ClaimState claimOf(const LoadAnswer& answer) {
   if (answer.isGranted && answer.isFromReservation) {
-    return RoomClaim::kReserved;
+    return ClaimState::kReserved;
   }
   if (answer.readingTokens == 0 && answer.returnAfter == Duration(0)) {
-    return RoomClaim::kUnknown;
+    return ClaimState::kUnknown;
   }
-  return answer.isGranted ? RoomClaim::kGranted : RoomClaim::kTurnedAway;
+  return answer.isGranted ? ClaimState::kGranted : ClaimState::kTurnedAway;
 }
 
 /// A home that was queried.
--- a/src/gateway/backend_choice.h
+++ b/src/gateway/backend_choice.h
@@ -42,7 +42,7 @@
   uint64_t readingTokens = 0;             ///< Of its prompt, to be read there; 0: unknown.
   std::optional<LoadTicket> ticket;       ///< To be released when the request ends.
   std::optional<ExpectedTimes> expected;  ///< Set if the load is known.
-  RoomClaim claim = RoomClaim::kUnknown;  ///< What is known of the engine's capacity for it.
+  ClaimState claim = ClaimState::kUnknown;  ///< What is known of the engine's capacity for it.
   Duration returnAfter{0};  ///< From when capacity is reserved for its retry; 0: none is.
 };
 
--- a/src/gateway/engine_loads.h
+++ b/src/gateway/engine_loads.h
@@ -72,6 +72,7 @@
   /// brittle, and holds as many requests as it may.
   bool lacksPermit = false;
   Duration permitWait{0};      ///< Time until the request may be sent, or until the next permit.
+  Duration firstEventBase{0};  ///< Part of the time to the first event without reading.
   uint64_t readingTokens = 0;  ///< Of the prompt, what the engine still has to read; 0: unknown.
   Duration returnAfter{0};  ///< If refused: from when room is reserved for its retry; 0: none is.
   bool isFromReservation = false;  ///< If granted: by the room that was reserved for this retry.
@@ -83,9 +84,10 @@
   Duration expectedWait() const {
     return fromSeconds(static_cast<double>(pendingTokens) / tokensPerSecond);
   }
-  /// @return the expected time to read a prompt of that length.
+  /// @return the expected time from when it begins to read a prompt of that length until its first
+  ///         event.
   Duration expectedReading(uint64_t promptTokens) const {
-    return fromSeconds(static_cast<double>(promptTokens) / tokensPerSecond);
+    return firstEventBase + fromSeconds(static_cast<double>(promptTokens) / tokensPerSecond);
   }
 };
 
--- a/src/gateway/kind_separation.cpp
+++ b/src/gateway/kind_separation.cpp
@@ -22,11 +22,16 @@
 constexpr double kMinRequestsOfRow = 2;
 /// Fewer engines are not worth dividing: each side would lose too much of its choice.
 constexpr size_t kMinEngines = 8;
-/// A row is long if its mean prompt takes this part of the shortest maximum gap or more to read.
-constexpr double kLongPromptShare = 1.0 / 3;
+/// A row is long if its mean prompt takes this part of the shortest maximum gap or more to read: a
+/// few of them in a row then exceed it.
+constexpr double kLongPromptShare = 1.0 / 6;
 /// Short rows are given enough engines to fill this part of the slots there. The rest absorbs
 /// variations of the demand.
-constexpr double kSlotUse = 0.5;
+constexpr double kSlotUse = 0.4;
+/// The engines for short rows are a multiple of this part of all, so that most nodes agree on the
+/// border although each sees only its own few requests. Engines near a border that nodes disagree
+/// on serve both kinds.
+constexpr size_t kBorderSteps = 8;
 /// Largest part of the engines for short rows.
 constexpr double kMaxShortEngines = 0.6;
 /// Largest part of the time of the other engines that reading the long prompts may take.
@@ -169,8 +174,10 @@
   if (!needed.hasLong || !needed.hasShort || needed.requests < fewest) {
     return std::nullopt;
   }
-  const auto wanted = static_cast<size_t>(
-      std::max(1.0, std::ceil(needed.shortSlots / (capacity.slotsPerEngine * kSlotUse))));
+  const double slots = capacity.slotsPerEngine * kSlotUse;
+  const double step = static_cast<double>(capacity.usableEngines) / kBorderSteps;
+  const double steps = std::max(1.0, std::ceil(needed.shortSlots / slots / step));
+  const auto wanted = static_cast<size_t>(std::ceil(steps * step));
   if (!isEnough(wanted, needed, capacity.usableEngines)) {
     return std::nullopt;
   }
--- a/src/gateway/kind_separation.h
+++ b/src/gateway/kind_separation.h
@@ -2,7 +2,7 @@
 /// Keeps streams with a maximum gap and short prompts apart from long prompts. Reading a long
 /// prompt delays all streams of its engine, so the first k engines of an order that all nodes share
 /// serve the rows with short prompts, and the others the rows with long ones. A row is long if its
-/// mean prompt takes a third of the shortest maximum gap of the pool's rows or more to read.
+/// mean prompt takes a sixth of the shortest maximum gap of the pool's rows or more to read.
 #pragma once
 
 #include <cstddef>
--- a/src/gateway/pending_work.cpp
+++ b/src/gateway/pending_work.cpp
@@ -1,6 +1,7 @@
 #include "gateway/pending_work.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace fernmoor::gateway {
 
@@ -22,10 +23,13 @@
 /// Unused engines and their observations are removed after this time.
 constexpr Duration kUnusedAfter{20000000};
 constexpr Duration kSweepInterval{5000000};
-/// Part of the time to the first event that does not depend on the prompt: the messages, and a step
-/// of 4 to 5 ms that the engine ends first. Short prompts at an idle engine would make it look
-/// slow.
-constexpr Duration kFixedTimeToFirstEvent{10000};
+/// A bound from which on a question is about any queue: the node has no other engine to ask.
+constexpr uint64_t kAnyQueue = std::numeric_limits<uint32_t>::max();
+/// A retry that is granted from its reservation finds the room that was kept for it.
+constexpr Duration kMinReturnAfter{20000};
+constexpr int kMaxReturnDivisorOfTime = 3;
+/// Time after its deadline for which a request is counted, see EngineDemand::forgetAfter.
+constexpr Duration kForgetMargin{500000};
 /// An owner learns which parts an engine holds in this time. Meanwhile, a part that it has not seen
 /// before is often cached, so that the time of its prompt does not tell the speed.
 constexpr Duration kPartsLearningTime{2000000};
@@ -63,9 +67,22 @@
   if (!occupancy.knowsParts()) {
     return (reading.amount + kAssumedTokens) / (reading.seconds + kAssumedReadingSeconds);
   }
-  const DecayingQuotient recent = reading.fadedTo(now, kObservedHalfLife);
-  return (recent.amount + assumedTokensPerSecond * kAssumedReadingSeconds) /
-         (recent.seconds + kAssumedReadingSeconds);
+  return readingLine(now).tokensPerSecond;
+}
+
+ReadingLine PendingWork::Engine::readingLine(Time now) const {
+  return readingModel.line(assumedTokensPerSecond, now);
+}
+
+Duration PendingWork::Engine::shortestPause() const {
+  Duration shortest{0};
+  for (const Entry& entry : entries) {
+    const Duration pause = entry.request.demand.longestPause;
+    if (entry.isRead && pause > Duration(0) && (shortest == Duration(0) || pause < shortest)) {
+      shortest = pause;
+    }
+  }
+  return shortest;
 }
 
 double PendingWork::Engine::secondsPerRequest() const {
@@ -79,19 +96,24 @@
       continue;
     }
     // Entries are in order of arrival, so this one has waited longest.
-    const Duration expected = fromSeconds(static_cast<double>(entry.tokensAtStart) /
-                                          tokensPerSecond(now) * kStalledFactor);
+    const ReadingLine line =
+        occupancy.knowsParts() ? readingLine(now) : ReadingLine{Duration(0), tokensPerSecond(now)};
+    const double seconds =
+        toSeconds(line.base) + static_cast<double>(entry.tokensAtStart) / line.tokensPerSecond;
+    const Duration expected = fromSeconds(seconds * kStalledFactor);
     return reading.at < entry.reservedAt &&
            now - entry.reservedAt > std::max(kStalledAfter, expected);
   }
   return false;
 }
 
-PendingWork::Standing PendingWork::Engine::standingFor(const EngineDemand& demand, Time now) const {
+PendingWork::Standing PendingWork::Engine::standingFor(const EngineDemand& demand, Time now) {
   const EngineRoom& capacity = occupancy.capacity();
   Standing standing;
   standing.missing = occupancy.missingRoom(demand);
   standing.tokensPerSecond = tokensPerSecond(now);
+  standing.reading = occupancy.knowsParts() ? readingLine(now)
+                                            : ReadingLine{Duration(0), standing.tokensPerSecond};
   standing.readingTokens = occupancy.readingTokens(demand);
   const double residenceSeconds = secondsPerRequest();
   if (!standing.missing.hasPlace()) {
@@ -104,9 +126,61 @@
   }
   standing.secondsAfterRejection = toSeconds(std::max(Duration(0), fullUntil - now));
   standing.isStalled = isStalled(now);
+  standing.mostReadingTokens = pace.maxReadingTokens(shortestPause(), standing.missing.unreadTokens,
+                                                     standing.readingTokens, now);
+  decideOrder(demand, standing, now);
   return standing;
 }
 
+void PendingWork::Engine::decideOrder(const EngineDemand& demand, Standing& standing, Time now) {
+  const EngineRoom& room = occupancy.capacity();
+  if (room.places == 0 || room.memoryTokens == 0) {
+    return;
+  }
+  standing.claim.urgency = demand.urgency;
+  standing.claim.tenant = demand.tenant;
+  standing.claim.amounts = RoomAmounts{1, static_cast<double>(occupancy.addedMemoryTokens(demand)),
+                                       static_cast<double>(standing.readingTokens)};
+  const RoomAmounts held = returns.held(now);
+  EngineState engine;
+  engine.capacity.places = std::max(1.0, room.places - held.places);
+  engine.capacity.memoryTokens =
+      std::max(1.0, static_cast<double>(room.memoryTokens) - held.memoryTokens);
+  // As much may be read before its own prompt as its wait limit allows.
+  engine.capacity.readingTokens = toSeconds(demand.longestWait) * standing.tokensPerSecond +
+                                  standing.claim.amounts.readingTokens;
+  engine.used = RoomAmounts{static_cast<double>(occupancy.present()),
+                            static_cast<double>(occupancy.occupiedTokens()),
+                            static_cast<double>(occupancy.unreadTokens())};
+  const std::optional<RoomRefusal> refusal = sharing.refusalOf(standing.claim, engine, now);
+  const bool isOrder = refusal == RoomRefusal::kShare || refusal == RoomRefusal::kUrgency;
+  // A resource that is used up is a wait, which the node weighs.
+  (isOrder ? standing.orderRefusal : standing.roomRefusal) = refusal;
+}
+
+Duration PendingWork::Engine::reserveReturn(const EngineDemand& demand, const Standing& standing,
+                                            Time now) {
+  const EngineRoom& room = occupancy.capacity();
+  if (demand.requestKey == 0 || room.places == 0) {
+    return Duration(0);
+  }
+  const double perSecond = 1 / secondsPerRequest();
+  ReservableRoom whole;
+  whole.whole =
+      RoomAmounts{static_cast<double>(room.places), static_cast<double>(room.memoryTokens), 0};
+  whole.freedPerSecond =
+      RoomAmounts{room.places * perSecond, static_cast<double>(room.memoryTokens) * perSecond,
+                  standing.tokensPerSecond};
+  const Duration wait =
+      fromSeconds(static_cast<double>(standing.pendingTokens()) / standing.tokensPerSecond);
+  const Duration left = std::max(Duration(0), demand.forgetAfter - kForgetMargin);
+  const ReturnWindow window{now + std::max(kMinReturnAfter, wait),
+                            now + left / kMaxReturnDivisorOfTime};
+  const std::optional<Time> at =
+      returns.reserve(demand.requestKey, standing.claim.amounts, whole, window, now);
+  return at ? std::max(kMinReturnAfter, *at - now) : Duration(0);
+}
+
 void PendingWork::Engine::count(const PendingRequest& request, const Standing& standing, Time now) {
   const bool knewParts = occupancy.knowsParts();
   Entry entry;
@@ -115,6 +189,8 @@
   entry.forgetAt = now + request.demand.forgetAfter;
   entry.tokensAtStart = standing.missing.unreadTokens + standing.readingTokens;
   entry.occupant = occupancy.add(request.demand);
+  entry.claim = standing.claim;
+  sharing.noteStart(entry.claim, now);
   // Without a prompt, nothing is read, and a long call is no sign of a stalled engine.
   entry.isRead = request.demand.promptTokens == 0;
   if (occupancy.knowsParts()) {
@@ -127,10 +203,11 @@
 }
 
 template <class Predicate>
-void PendingWork::Engine::removeIf(Predicate predicate) {
+void PendingWork::Engine::removeIf(Predicate predicate, Time now) {
   for (const Entry& entry : entries) {
     if (predicate(entry)) {
       occupancy.remove(entry.occupant);
+      sharing.noteEnd(entry.claim, entry.isRead, now);
     }
   }
   entries.erase(std::remove_if(entries.begin(), entries.end(), predicate), entries.end());
@@ -143,7 +220,10 @@
   return entry == entries.end() ? nullptr : &*entry;
 }
 
-void PendingWork::Engine::markRead(Entry& entry) {
+void PendingWork::Engine::markRead(Entry& entry, Time now) {
+  if (!entry.isRead) {
+    sharing.notePromptRead(entry.claim, now);
+  }
   entry.isRead = true;
   occupancy.promptRead(entry.occupant);
 }
@@ -155,6 +235,9 @@
   sweptAt_ = now;
   for (auto engine = engines_.begin(); engine != engines_.end();) {
     const bool isUnused = now - engine->second.usedAt > kUnusedAfter;
+    if (isUnused) {
+      returnsOfForgotten_ += engine->second.returns.counts();
+    }
     engine = isUnused ? engines_.erase(engine) : std::next(engine);
   }
 }
@@ -163,7 +246,7 @@
   forgetUnused(now);
   Engine& engine = engines_[id];
   engine.usedAt = now;
-  engine.removeIf([&](const Entry& entry) { return now >= entry.forgetAt; });
+  engine.removeIf([&](const Entry& entry) { return now >= entry.forgetAt; }, now);
   return engine;
 }
 
@@ -180,10 +263,8 @@
     if (otherId == id || !isAlike || !other.occupancy.knowsParts()) {
       continue;
     }
-    const DecayingQuotient recent = other.reading.fadedTo(now, kObservedHalfLife);
-    if (recent.seconds >= kMinObservedSeconds) {
-      fastest = std::max(
-          fastest, (recent.amount + kAssumedTokens) / (recent.seconds + kAssumedReadingSeconds));
+    if (other.reading.fadedTo(now, kObservedHalfLife).seconds >= kMinObservedSeconds) {
+      fastest = std::max(fastest, other.readingLine(now).tokensPerSecond);
     }
   }
   engine.assumedTokensPerSecond = fastest > 0 ? fastest : kAssumedTokens / kAssumedReadingSeconds;
@@ -191,6 +272,10 @@
 }
 
 void PendingWork::countRefusal(const Standing& standing) {
+  if (standing.orderRefusal) {
+    ++(*standing.orderRefusal == RoomRefusal::kShare ? refusals_.share : refusals_.urgency);
+    return;
+  }
   const double readingSeconds =
       std::max(static_cast<double>(standing.missing.unreadTokens) / standing.tokensPerSecond,
                standing.secondsAfterRejection);
@@ -209,19 +294,33 @@
   Engine& engine = engineOf(id, now);
   engine.occupancy.setCapacity(room);
   assumeSpeed(id, engine, now);
+  const bool isReturn = engine.returns.claim(request.demand.requestKey, now);
   const Standing standing = engine.standingFor(request.demand, now);
   LoadAnswer answer;
   answer.ticket = LoadTicket{id, request.id};
   answer.tokensPerSecond = standing.tokensPerSecond;
+  answer.firstEventBase = standing.reading.base;
   answer.readingTokens = standing.readingTokens;
   answer.pendingTokens = standing.pendingTokens();
   answer.isStalled = standing.isStalled;
   answer.presentRequests = static_cast<uint32_t>(engine.entries.size());
-  answer.isGranted = answer.pendingTokens < bound && !answer.isStalled;
+  const bool isLastQuestion = bound >= kAnyQueue;
+  const bool keepsGaps =
+      standing.missing.unreadTokens + standing.readingTokens <= standing.mostReadingTokens;
+  const bool isAdmitted =
+      answer.pendingTokens < bound && !standing.orderRefusal && (keepsGaps || isLastQuestion);
+  answer.isGranted = (isAdmitted || isReturn) && !answer.isStalled;
+  answer.isFromReservation = answer.isGranted && isReturn;
   if (answer.isGranted) {
+    engine.returns.cancel(request.demand.requestKey);
     engine.count(request, standing, now);
-  } else {
-    countRefusal(standing);
+    return answer;
+  }
+  countRefusal(standing);
+  if (isLastQuestion) {
+    const auto reason = standing.orderRefusal ? standing.orderRefusal : standing.roomRefusal;
+    engine.sharing.noteRefusal(standing.claim, reason.value_or(RoomRefusal::kReading), now);
+    answer.returnAfter = engine.reserveReturn(request.demand, standing, now);
   }
   return answer;
 }
@@ -230,7 +329,7 @@
   const std::lock_guard<std::mutex> lock(mutex_);
   Engine& engine = engineOf(id, now);
   engine.count(withoutPrompt(request), Standing{}, now);
-  engine.markRead(engine.entries.back());
+  engine.markRead(engine.entries.back(), now);
 }
 
 void PendingWork::renew(uint64_t id, const PendingRequest& request, const EngineRoom& room,
@@ -253,7 +352,7 @@
     isRead = isRead || !hasPrompt;
   }
   if (isRead && !entry->isRead) {
-    engine.markRead(*entry);
+    engine.markRead(*entry, now);
   }
 }
 
@@ -269,13 +368,15 @@
   if (entry == nullptr || entry->isRead) {
     return;
   }
-  engine.markRead(*entry);
+  engine.markRead(*entry, now);
   if (entry->reservedAt > engine.rejectedAt) {
     engine.fullUntil = std::min(engine.fullUntil, now);
   }
-  Duration took = now - entry->reservedAt;
-  if (engine.occupancy.knowsParts()) {
-    took = std::max(took - kFixedTimeToFirstEvent, took / 2);
+  const Duration took = now - entry->reservedAt;
+  if (entry->isMeasured && engine.occupancy.knowsParts()) {
+    engine.readingModel.note(static_cast<double>(entry->tokensAtStart), took, now);
+    const Duration reading = std::max(Duration(0), took - engine.readingLine(now).base);
+    engine.pace.noteReading(entry->tokensAtStart, reading, PaceReference{}, now);
   }
   if (entry->isMeasured) {
     engine.reading.add(static_cast<double>(entry->tokensAtStart), toSeconds(took), now,
@@ -285,18 +386,23 @@
   }
 }
 
-void PendingWork::release(uint64_t id, uint64_t owner, uint32_t request, Time now) {
+void PendingWork::release(uint64_t id, uint64_t owner, uint32_t request, Time now,
+                          const StreamPace& pace) {
   const std::lock_guard<std::mutex> lock(mutex_);
   Engine& engine = engineOf(id, now);
   const Entry* const entry = engine.find(owner, request);
   if (entry == nullptr) {
     return;
   }
+  if (pace.events > 0) {
+    engine.pace.noteStream(pace, PaceReference{}, now);
+  }
   if (entry->isRead && !entry->isRenewed) {
     engine.residence.add(1.0, toSeconds(now - entry->reservedAt), now, kObservedHalfLife);
   }
   engine.removeIf(
-      [&](const Entry& each) { return each.request.owner == owner && each.request.id == request; });
+      [&](const Entry& each) { return each.request.owner == owner && each.request.id == request; },
+      now);
 }
 
 void PendingWork::noteRejection(uint64_t id, Time now) {
@@ -308,12 +414,12 @@
   }
 }
 
-size_t PendingWork::forgetOwner(uint64_t owner) {
+size_t PendingWork::forgetOwner(uint64_t owner, Time now) {
   const std::lock_guard<std::mutex> lock(mutex_);
   size_t count = 0;
   for (auto& engine : engines_) {
     const size_t before = engine.second.entries.size();
-    engine.second.removeIf([&](const Entry& entry) { return entry.request.owner == owner; });
+    engine.second.removeIf([&](const Entry& entry) { return entry.request.owner == owner; }, now);
     count += before - engine.second.entries.size();
   }
   return count;
@@ -331,4 +437,13 @@
   return refusals_;
 }
 
+ReturnCounts PendingWork::returns() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  ReturnCounts sum = returnsOfForgotten_;
+  for (const auto& engine : engines_) {
+    sum += engine.second.returns.counts();
+  }
+  return sum;
+}
+
 }  // namespace fernmoor::gateway
--- a/src/gateway/pending_work.h
+++ b/src/gateway/pending_work.h
@@ -5,6 +5,11 @@
 ///
 /// The speed of an engine whose requests have shared parts is measured in prompt tokens that it had
 /// to read, without the cached ones. Otherwise it is measured in tokens of whole prompts.
+///
+/// Where the capacity of an engine and the urgency of a request are known, less urgent requests
+/// leave a reserve for more urgent ones and tenants get fair shares (RoomSharing), and room is kept
+/// for callers that were refused (ReturnReservations). Prompts are read only as fast as the streams
+/// that run there keep their maximum gap (EnginePace), unless no engine can take the prompt.
 #pragma once
 
 #include <cstdint>
@@ -15,6 +20,10 @@
 #include "common/decay.h"
 #include "gateway/engine_loads.h"
 #include "gateway/engine_occupancy.h"
+#include "gateway/engine_pace.h"
+#include "gateway/reading_model.h"
+#include "gateway/return_reservations.h"
+#include "gateway/room_sharing.h"
 
 namespace fernmoor::gateway {
 
@@ -30,6 +39,8 @@
   uint64_t places = 0;
   uint64_t memory = 0;
   uint64_t reading = 0;  ///< Includes the time for which a rejection marks the engine as full.
+  uint64_t share = 0;    ///< Its tenant has more than its fair share.
+  uint64_t urgency = 0;  ///< The room is kept for more urgent requests.
 };
 
 /// Thread-safe.
@@ -49,20 +60,25 @@
   size_t countOf(uint64_t engine, Time now);
   /// The engine began to answer the request.
   void promptRead(uint64_t engine, uint64_t owner, uint32_t id, Time now);
-  void release(uint64_t engine, uint64_t owner, uint32_t id, Time now);
+  /// @param pace of the events of its stream, if it was measured.
+  void release(uint64_t engine, uint64_t owner, uint32_t id, Time now,
+               const StreamPace& pace = StreamPace{});
   /// The engine rejected a request for lack of capacity although it was expected to have room: it
   /// counts as full for a short time, or until it begins to answer a request sent later.
   void noteRejection(uint64_t engine, Time now);
   /// Removes all requests of a node that was restarted or is gone. @return their number.
-  size_t forgetOwner(uint64_t owner);
+  size_t forgetOwner(uint64_t owner, Time now);
   /// @return the number of engines with counted requests.
   size_t size() const;
   RoomRefusals refusals() const;
+  /// @return what became of the reservations for retries, over all engines.
+  ReturnCounts returns() const;
 
  private:
   struct Entry {
     PendingRequest request;
     Occupant occupant;
+    RoomClaim claim;
     Time reservedAt;
     Time forgetAt;
     uint64_t tokensAtStart = 0;  ///< Prompt tokens to be read when it was added, its own included.
@@ -74,12 +90,17 @@
   /// What a new request finds at an engine.
   struct Standing {
     MissingRoom missing;
+    ReadingLine reading;  ///< Expected time to the first event.
     double tokensPerSecond = 0;
     uint64_t readingTokens = 0;        ///< Of the request's prompt.
+    uint64_t mostReadingTokens = 0;    ///< That keep the gaps of the streams there.
     double secondsUntilPlace = 0;      ///< 0 if there is one.
     double secondsUntilMemory = 0;     ///< 0 if there is enough.
     double secondsAfterRejection = 0;  ///< For which the engine still counts as full.
     bool isStalled = false;
+    RoomClaim claim;                          ///< What the request would add.
+    std::optional<RoomRefusal> orderRefusal;  ///< Set if others go first.
+    std::optional<RoomRefusal> roomRefusal;   ///< Set if a resource is used up.
 
     /// @return the queue ahead of the request in prompt tokens: see LoadAnswer.
     uint64_t pendingTokens() const;
@@ -88,6 +109,10 @@
   struct Engine {
     std::vector<Entry> entries;  ///< In order of arrival.
     EngineOccupancy occupancy;
+    RoomSharing sharing;
+    ReturnReservations returns;
+    EnginePace pace;
+    ReadingModel readingModel;
     DecayingQuotient reading;    ///< Prompt tokens, and the time to the first event.
     DecayingQuotient residence;  ///< Requests, and the time from their reservation to their end.
     double assumedTokensPerSecond = 0;  ///< Until the engine's own speed is observed.
@@ -98,15 +123,22 @@
     Time usedAt;
 
     double tokensPerSecond(Time now) const;
+    ReadingLine readingLine(Time now) const;
+    /// @return the shortest maximum gap of the streams that run there; 0: none has one.
+    Duration shortestPause() const;
     double secondsPerRequest() const;
     bool isStalled(Time now) const;
-    Standing standingFor(const EngineDemand& demand, Time now) const;
+    Standing standingFor(const EngineDemand& demand, Time now);
+    /// Decides whether others go first.
+    void decideOrder(const EngineDemand& demand, Standing& standing, Time now);
+    /// Reserves room for the retry of a request that is refused. @return 0 if there is none.
+    Duration reserveReturn(const EngineDemand& demand, const Standing& standing, Time now);
     void count(const PendingRequest& request, const Standing& standing, Time now);
     /// Removes the entries for which the predicate holds.
     template <class Predicate>
-    void removeIf(Predicate predicate);
+    void removeIf(Predicate predicate, Time now);
     Entry* find(uint64_t owner, uint32_t id);
-    void markRead(Entry& entry);
+    void markRead(Entry& entry, Time now);
   };
 
   Engine& engineOf(uint64_t engine, Time now);
@@ -119,6 +151,7 @@
   mutable std::mutex mutex_;
   std::unordered_map<uint64_t, Engine> engines_;
   RoomRefusals refusals_;
+  ReturnCounts returnsOfForgotten_;  ///< Of engines that were removed.
   Time sweptAt_;
 };
 
--- a/src/gateway/reading_model.cpp
+++ b/src/gateway/reading_model.cpp
@@ -11,13 +11,11 @@
 /// Long enough for some ten prompts at a busy engine, short enough to follow an engine that is slow
 /// for a second or two.
 constexpr Duration kHalfLife{2000000};
-/// Assumed observations of an idle engine: engines of our users read 38 to 82 tokens per
-/// millisecond, and a first event takes some 100 ms besides. They keep the slope sensible where all
-/// observed prompts are about equally long.
-constexpr double kAssumedTokensPerSecond = 45000;
-constexpr double kAssumedBaseSeconds = 0.1;
+/// Assumed observations of an idle engine. They keep the slope sensible where all observed prompts
+/// are about equally long.
+constexpr double kAssumedBaseSeconds = 0.02;
 constexpr double kAssumedTokens[] = {500, 10000};
-constexpr double kAssumedWeight = 1.0;
+constexpr double kAssumedWeight = 0.3;
 /// Bounds of the fitted rate: beyond them a fit is an artefact of few observations.
 constexpr double kMinTokensPerSecond = 4000;
 constexpr double kMaxTokensPerSecond = 400000;
@@ -48,19 +46,22 @@
   at_ = now;
 }
 
-ReadingLine ReadingModel::line(Time now) const {
+ReadingLine ReadingModel::line(double assumedTokensPerSecond, Time now) const {
   Sums sums = sums_;
   sums.fade(decayOver(now - at_, kHalfLife));
   for (const double tokens : kAssumedTokens) {
-    sums.add(tokens, kAssumedBaseSeconds + tokens / kAssumedTokensPerSecond, kAssumedWeight);
+    sums.add(tokens, kAssumedBaseSeconds + tokens / assumedTokensPerSecond, kAssumedWeight);
   }
   const double meanX = sums.x / sums.weight;
   const double meanY = sums.y / sums.weight;
   const double variance = sums.xx / sums.weight - meanX * meanX;
   const double covariance = sums.xy / sums.weight - meanX * meanY;
   const double fitted = covariance / variance;  // Above 0, as the assumed prompts differ in length.
-  const double secondsPerUnit = std::clamp(fitted, kTokensPerUnit / kMaxTokensPerSecond,
-                                           kTokensPerUnit / kMinTokensPerSecond);
+  // A base below 0 is none: the line then goes through the origin.
+  const bool hasBase = meanY - fitted * meanX >= 0;
+  const double secondsPerUnit =
+      std::clamp(hasBase ? fitted : sums.xy / sums.xx, kTokensPerUnit / kMaxTokensPerSecond,
+                 kTokensPerUnit / kMinTokensPerSecond);
   ReadingLine line;
   line.tokensPerSecond = kTokensPerUnit / secondsPerUnit;
   line.base = fromSeconds(std::max(0.0, meanY - secondsPerUnit * meanX));
--- a/src/gateway/reading_model.h
+++ b/src/gateway/reading_model.h
@@ -23,9 +23,9 @@
   /// @param tokens that had to be read from its reservation on, those ahead of it included.
   /// @param took time from its reservation to the first event.
   void note(double tokens, Duration took, Time now);
-  /// @return the line for now. Without observations it is that of an idle engine at an assumed
-  ///         speed.
-  ReadingLine line(Time now) const;
+  /// @param assumedTokensPerSecond the speed of an idle engine while there are few observations.
+  /// @return the line for now.
+  ReadingLine line(double assumedTokensPerSecond, Time now) const;
   /// @return when a prompt was recorded last.
   Time lastAt() const { return at_; }
 
--- a/src/gateway/return_reservations.cpp
+++ b/src/gateway/return_reservations.cpp
@@ -21,13 +21,13 @@
 
 /// @return how long the engine takes to free that much for returning callers.
 Duration refillTime(const RoomAmounts& need, const RoomAmounts& perSecond) {
-  return fromSeconds(std::max({secondsToFree(need.slots, perSecond.slots),
+  return fromSeconds(std::max({secondsToFree(need.places, perSecond.places),
                                secondsToFree(need.memoryTokens, perSecond.memoryTokens),
                                secondsToFree(need.readingTokens, perSecond.readingTokens)}));
 }
 
 void add(RoomAmounts& sum, const RoomAmounts& amounts) {
-  sum.slots += amounts.slots;
+  sum.places += amounts.places;
   sum.memoryTokens += amounts.memoryTokens;
   sum.readingTokens += amounts.readingTokens;
 }
@@ -37,7 +37,7 @@
 }
 
 bool isWithinShare(const RoomAmounts& reserved, const RoomAmounts& whole) {
-  return isWithinShare(reserved.slots, whole.slots) &&
+  return isWithinShare(reserved.places, whole.places) &&
          isWithinShare(reserved.memoryTokens, whole.memoryTokens) &&
          isWithinShare(reserved.readingTokens, whole.readingTokens);
 }
--- a/src/gateway/return_reservations.h
+++ b/src/gateway/return_reservations.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "common/time.h"
+#include "gateway/room_amounts.h"
 
 namespace fernmoor::gateway {
 
@@ -19,13 +20,6 @@
 inline constexpr int kReservedDivisor = 4;
 inline constexpr size_t kMaxReservations = 64;
 
-/// Amounts of the capacity of an engine, or of what it frees in a second.
-struct RoomAmounts {
-  double slots = 0;
-  double memoryTokens = 0;
-  double readingTokens = 0;  ///< Prompt tokens still to be read.
-};
-
 /// What reservations at an engine depend on. Zero in a field: unknown; it is then not limited.
 struct ReservableRoom {
   RoomAmounts whole;           ///< Its capacity.
@@ -36,6 +30,13 @@
   uint64_t served = 0;   ///< Retries that claimed their reservation.
   uint64_t refused = 0;  ///< Refused requests for which nothing could be reserved.
   uint64_t expired = 0;  ///< Reservations that were not claimed in time.
+
+  ReturnCounts& operator+=(const ReturnCounts& other) {
+    served += other.served;
+    refused += other.refused;
+    expired += other.expired;
+    return *this;
+  }
 };
 
 /// A time in which a caller may be told to return.
--- a/src/gateway/room_sharing.h
+++ b/src/gateway/room_sharing.h
@@ -14,16 +14,10 @@
 #include <unordered_map>
 
 #include "common/time.h"
+#include "gateway/room_amounts.h"
 
 namespace fernmoor::gateway {
 
-/// Amounts of the three resources of an engine.
-struct RoomAmounts {
-  double places = 0;
-  double memoryTokens = 0;
-  double readingTokens = 0;  ///< Prompt tokens that are still to be read.
-};
-
 /// What one request takes.
 struct RoomClaim {
   std::optional<int> urgency;  ///< 0 to 9, 0 is the most urgent; nothing: unknown.
--- a/src/gateway/send_planner.cpp
+++ b/src/gateway/send_planner.cpp
@@ -184,7 +184,7 @@
     return WaitVerdict{WaitDecision::kRefuse, boundedReturn(returnAfter, wait.left)};
   }
   // Whether there is spare capacity is asked only if the decision depends on it.
-  wait.hasSpareCapacity = chosen.claim != RoomClaim::kUnknown;
+  wait.hasSpareCapacity = chosen.claim != ClaimState::kUnknown;
   WaitVerdict verdict = decideWait(wait);
   if (verdict.decision != WaitDecision::kSendLate) {
     return verdict;
--- a/src/gateway/wait_policy.cpp
+++ b/src/gateway/wait_policy.cpp
@@ -74,10 +74,10 @@
   if (wait + reading / kReadingErrorFactor > input.left) {
     return WaitVerdict{WaitDecision::kRefuseHopeless, onReturn.after};
   }
-  if (input.claim == RoomClaim::kReserved) {
+  if (input.claim == ClaimState::kReserved) {
     return WaitVerdict{};
   }
-  if (input.claim != RoomClaim::kTurnedAway) {
+  if (input.claim != ClaimState::kTurnedAway) {
     const bool waitsBriefly = input.waited + wait <= maxQueueWait(input.target);
     const bool meetsTarget = usedOf(input) + input.expected->firstEvent <= input.target;
     if (waitsBriefly || (meetsTarget && (startsAtOnce || !onReturn.meetsTarget))) {
--- a/src/gateway/wait_policy.h
+++ b/src/gateway/wait_policy.h
@@ -29,7 +29,7 @@
 };
 
 /// What the node that counts for the chosen engine said of the request.
-enum class RoomClaim {
+enum class ClaimState {
   kUnknown,     ///< Nothing about capacity: its release does not account for it.
   kGranted,     ///< The request is counted.
   kTurnedAway,  ///< No capacity for it within its wait limit, at its urgency.
@@ -49,7 +49,7 @@
   Duration left{0};          ///< Until its deadline.
   bool mayBeRefused = true;  ///< It was not sent yet and takes up no stream.
   std::optional<ExpectedTimes> expected;  ///< At the chosen engine; nothing: unknown.
-  RoomClaim claim = RoomClaim::kUnknown;
+  ClaimState claim = ClaimState::kUnknown;
   /// The engine has capacity for it, as the least urgent, that no other request needs.
   bool hasSpareCapacity = false;
   /// Time until capacity that is reserved for its retry is free; nothing: none is reserved.
--- a/src/peers/load_directory.cpp
+++ b/src/peers/load_directory.cpp
@@ -33,6 +33,14 @@
   return release;
 }
 
+gateway::StreamPace decodePace(const proto::LoadRelease& release) {
+  gateway::StreamPace pace;
+  pace.events = release.events();
+  pace.stepping = std::chrono::milliseconds(release.stepping_milliseconds());
+  pace.longestPause = std::chrono::milliseconds(release.longest_pause_milliseconds());
+  return pace;
+}
+
 /// @return the answer to a request that may be sent after a wait that is too long for it.
 LoadAnswer lacksPermitFor(Duration wait) {
   LoadAnswer answer;
@@ -240,7 +248,7 @@
   if (release.still_runs()) {
     work_.promptRead(release.engine(), asker, release.question_id(), now);
   } else {
-    work_.release(release.engine(), asker, release.question_id(), now);
+    work_.release(release.engine(), asker, release.question_id(), now, decodePace(release));
   }
 }
 
@@ -280,6 +288,7 @@
   answer.set_is_brittle(survivedRejections(question.engine(), now).has_value());
   // Rounded up, so that the request is neither sent nor asked for again before its permit is due.
   answer.set_permit_wait_milliseconds(toMilliseconds(reserved.permitWait + kMillisecondRoundUp));
+  answer.set_first_event_base_milliseconds(toMilliseconds(reserved.firstEventBase));
   answer.set_reading_tokens(clampToUint32(reserved.readingTokens));
   answer.set_present_requests(reserved.presentRequests ? *reserved.presentRequests + 1 : 0);
   answer.set_return_after_milliseconds(toMilliseconds(reserved.returnAfter + kMillisecondRoundUp));
@@ -302,6 +311,7 @@
   received.readingTokens = answer.reading_tokens();
   received.returnAfter = std::chrono::milliseconds(answer.return_after_milliseconds());
   received.isFromReservation = answer.from_reservation();
+  received.firstEventBase = std::chrono::milliseconds(answer.first_event_base_milliseconds());
   if (answer.present_requests() > 0) {
     received.presentRequests = answer.present_requests() - 1;
   }
--- a/src/peers/load_directory_renewals.cpp
+++ b/src/peers/load_directory_renewals.cpp
@@ -173,7 +173,7 @@
 }
 
 void LoadDirectory::forgetRequestsOf(NodeId node, Time now) {
-  const size_t count = work_.forgetOwner(node.value());
+  const size_t count = work_.forgetOwner(node.value(), now);
   if (count == 0) {
     return;
   }
--- a/test/gateway/return_reservations_test.cpp
+++ b/test/gateway/return_reservations_test.cpp
@@ -16,7 +16,7 @@
 
 constexpr Time kStart{std::chrono::seconds(100)};
 constexpr Duration kStep{1000};
-/// 32 slots, each used for 3.2 s, so that ten become free in a second.
+/// 32 places, each used for 3.2 s, so that ten become free in a second.
 constexpr int kSlots = 32;
 constexpr Duration kResidence{3200000};
 const ReservableRoom kRoom{{kSlots, 96000, 40000}, {10, 0, 0}};
@@ -65,7 +65,7 @@
       const double free = kSlots - static_cast<double>(ends.size() + returned.size());
       if (isRetry && reservations.claim(caller, now)) {
         returned.emplace_back(caller, now);
-      } else if (free - reservations.held(now).slots >= 1) {
+      } else if (free - reservations.held(now).places >= 1) {
         serve(caller);
         ++(isRetry ? outcome.others : outcome.firstAttempts);
       } else if (isRetry) {
@@ -111,10 +111,10 @@
   ReturnReservations reservations;
   const Time from = kStart + milliseconds(300);
   REQUIRE((reservations.reserve(7, kNeed, kRoom, windowFrom(from), kStart) == from));
-  CHECK(reservations.held(from - kStep).slots == 0);
-  CHECK(reservations.held(from).slots == 1);
+  CHECK(reservations.held(from - kStep).places == 0);
+  CHECK(reservations.held(from).places == 1);
   CHECK(reservations.held(from + milliseconds(499)).memoryTokens == 1000);
-  CHECK(reservations.held(from + milliseconds(500)).slots == 0);
+  CHECK(reservations.held(from + milliseconds(500)).places == 0);
   CHECK_FALSE(reservations.claim(7, from + milliseconds(500)));
   CHECK(reservations.counts().expired == 1);
   CHECK(reservations.size(from + milliseconds(500)) == 0);
@@ -130,7 +130,7 @@
   CHECK_FALSE(reservations.claim(8, from));
   CHECK(reservations.claim(7, from));
   CHECK_FALSE(reservations.claim(7, from));
-  CHECK(reservations.held(from).slots == 0);
+  CHECK(reservations.held(from).places == 0);
   SUBCASE("a first attempt that is served after all needs none") {
     reservations.reserve(9, kNeed, kRoom, windowFrom(from), kStart);
     reservations.cancel(9);
@@ -159,17 +159,17 @@
     RoomAmounts most;
     for (Time now = kStart; now < kStart + std::chrono::minutes(1); now += milliseconds(10)) {
       const RoomAmounts held = reservations.held(now);
-      most = RoomAmounts{std::max(most.slots, held.slots),
+      most = RoomAmounts{std::max(most.places, held.places),
                          std::max(most.memoryTokens, held.memoryTokens),
                          std::max(most.readingTokens, held.readingTokens)};
     }
     return std::make_pair(most, times.size());
   };
   const auto spread = mostHeld(kNeed, kRoom);
-  CHECK(spread.second == kMaxReservations);  // One at a time, as the engine frees slots.
-  CHECK(spread.first.slots <= 3);
+  CHECK(spread.second == kMaxReservations);  // One at a time, as the engine frees places.
+  CHECK(spread.first.places <= 3);
   const RoomAmounts fast{1000, 0, 0};
-  CHECK(mostHeld(kNeed, ReservableRoom{{kSlots, 0, 0}, fast}).first.slots == 8);
+  CHECK(mostHeld(kNeed, ReservableRoom{{kSlots, 0, 0}, fast}).first.places == 8);
   CHECK(mostHeld(kNeed, ReservableRoom{{0, 20000, 0}, fast}).first.memoryTokens == 5000);
   CHECK(mostHeld(kNeed, ReservableRoom{{0, 0, 12000}, fast}).first.readingTokens == 2400);
   SUBCASE("none for a request above the share, or whose caller returns before its time") {
--- a/test/gateway/wait_policy_test.cpp
+++ b/test/gateway/wait_policy_test.cpp
@@ -27,7 +27,7 @@
   input.timeout = milliseconds(left);
   input.left = milliseconds(left);
   input.expected = ExpectedTimes{milliseconds(wait), milliseconds(wait + 300)};
-  input.claim = RoomClaim::kGranted;
+  input.claim = ClaimState::kGranted;
   return input;
 }
 
@@ -64,13 +64,13 @@
   }
   SUBCASE("a retry with a reservation waits as long as its deadline allows") {
     WaitInput retry = inputOf(4000);
-    retry.claim = RoomClaim::kReserved;
+    retry.claim = ClaimState::kReserved;
     CHECK((decisionOf(retry) == WaitDecision::kSend));
   }
   SUBCASE("without an estimate, or once sent, a request is never refused") {
     WaitInput sent = inputOf(9000);
     sent.mayBeRefused = false;
-    sent.claim = RoomClaim::kTurnedAway;
+    sent.claim = ClaimState::kTurnedAway;
     CHECK((decisionOf(sent) == WaitDecision::kSend));
     WaitInput unknown = inputOf(0);
     unknown.expected.reset();
@@ -80,8 +80,8 @@
 
 // Guards against work on requests whose answers nobody waits for any more.
 TEST_CASE("a request that cannot be served before its deadline is refused at once") {
-  for (const RoomClaim claim :
-       {RoomClaim::kGranted, RoomClaim::kReserved, RoomClaim::kTurnedAway}) {
+  for (const ClaimState claim :
+       {ClaimState::kGranted, ClaimState::kReserved, ClaimState::kTurnedAway}) {
     WaitInput input = inputOf(4900);
     input.hasSpareCapacity = true;
     input.claim = claim;
@@ -93,7 +93,7 @@
 // Guards against return times after which a caller has no time left to be served.
 TEST_CASE("a caller is told the time of its reservation, and at most a third of what it has left") {
   WaitInput input = inputOf(100, 3000);
-  input.claim = RoomClaim::kTurnedAway;
+  input.claim = ClaimState::kTurnedAway;
   input.reservedIn = milliseconds(720);
   const WaitVerdict refused = decideWait(input);
   CHECK((refused.decision == WaitDecision::kRefuse));
