Metrics of refused reservations and of renewed requests

Change: fernmoor_engine_room_refusals_total{reason="places|memory|reading"} counts the reservations that a node refused as the owner of an engine, and fernmoor_renewed_requests_total the open requests that it reported to new owners.

--- a/src/common/metrics.cpp
+++ b/src/common/metrics.cpp
@@ -36,6 +36,15 @@
   return prometheus::BuildHistogram().Name(name).Help(help).Register(registry);
 }
 
+prometheus::Family<prometheus::Counter>& roomRefusals(prometheus::Registry& registry) {
+  return counter(registry, "fernmoor_engine_room_refusals_total",
+                 "Reservations at engines that their owner refused, by what was short.");
+}
+
+void setCounter(prometheus::Counter& counter, uint64_t total) {
+  counter.Increment(static_cast<double>(total) - counter.Value());
+}
+
 }  // namespace
 
 void ClassMetrics::countRefusal(ErrorKind kind) {
@@ -116,6 +125,12 @@
       takeUpsRefused_(&counter(registry_, "fernmoor_streams_not_taken_up_total",
                                "Streams refused, as the version that began them is unknown.")
                            .Add({})),
+      renewed_(&counter(registry_, "fernmoor_renewed_requests_total",
+                        "Open requests that were reported to new owners of their engines.")
+                    .Add({})),
+      refusedForPlaces_(&roomRefusals(registry_).Add({{"reason", "places"}})),
+      refusedForMemory_(&roomRefusals(registry_).Add({{"reason", "memory"}})),
+      refusedForReading_(&roomRefusals(registry_).Add({{"reason", "reading"}})),
       permitted_(&counter(registry_, "fernmoor_permitted_sends_total",
                           "Requests sent to engines that state a limit, within it.")
                       .Add({})),
@@ -166,8 +181,18 @@
 }
 
 void Metrics::setControlBytes(uint64_t sent, uint64_t received) {
-  controlSent_->Increment(static_cast<double>(sent) - controlSent_->Value());
-  controlReceived_->Increment(static_cast<double>(received) - controlReceived_->Value());
+  setCounter(*controlSent_, sent);
+  setCounter(*controlReceived_, received);
+}
+
+void Metrics::setRenewedRequests(uint64_t count) {
+  setCounter(*renewed_, count);
+}
+
+void Metrics::setRoomRefusals(uint64_t places, uint64_t memory, uint64_t reading) {
+  setCounter(*refusedForPlaces_, places);
+  setCounter(*refusedForMemory_, memory);
+  setCounter(*refusedForReading_, reading);
 }
 
 ClassMetrics& Metrics::of(const ServiceId& service, const TenantId& tenant) {
--- a/src/common/metrics.h
+++ b/src/common/metrics.h
@@ -118,6 +118,10 @@
   void setLimitedEngines(size_t count) { limitedEngines_->Set(static_cast<double>(count)); }
   /// Engines that state they are brittle.
   void setBrittleEngines(size_t count) { brittleEngines_->Set(static_cast<double>(count)); }
+  /// Sums since the program started: open requests of this node that were reported to new owners of
+  /// their engines, and reservations refused by this node, by the reason.
+  void setRenewedRequests(uint64_t count);
+  void setRoomRefusals(uint64_t places, uint64_t memory, uint64_t reading);
   /// Era of the operators' store: it rises whenever the store came back from an old copy.
   void setStoreEra(uint64_t era) { storeEra_->Set(static_cast<double>(era)); }
   /// Listed engines that say that they leave, and those that asked this node for rest.
@@ -192,6 +196,10 @@
   prometheus::Counter* fromPeers_;
   prometheus::Counter* takenUp_;
   prometheus::Counter* takeUpsRefused_;
+  prometheus::Counter* renewed_;
+  prometheus::Counter* refusedForPlaces_;
+  prometheus::Counter* refusedForMemory_;
+  prometheus::Counter* refusedForReading_;
   prometheus::Counter* permitted_;
   prometheus::Counter* unpermitted_;
   prometheus::Gauge* quarantined_;
