--- a/src/common/metrics.cpp
+++ b/src/common/metrics.cpp
@@ -41,6 +41,11 @@
                  "Reservations at engines that their owner refused, by what was short.");
 }
 
+prometheus::Family<prometheus::Counter>& returns(prometheus::Registry& registry) {
+  return counter(registry, "fernmoor_returns_total",
+                 "Reservations for retries of refused requests, by what became of them.");
+}
+
 void setCounter(prometheus::Counter& counter, uint64_t total) {
   counter.Increment(static_cast<double>(total) - counter.Value());
 }
@@ -135,6 +140,11 @@
       refusedForPlaces_(&roomRefusals(registry_).Add({{"reason", "places"}})),
       refusedForMemory_(&roomRefusals(registry_).Add({{"reason", "memory"}})),
       refusedForReading_(&roomRefusals(registry_).Add({{"reason", "reading"}})),
+      refusedForShare_(&roomRefusals(registry_).Add({{"reason", "share"}})),
+      refusedForUrgency_(&roomRefusals(registry_).Add({{"reason", "urgency"}})),
+      returnsServed_(&returns(registry_).Add({{"result", "served"}})),
+      returnsRefused_(&returns(registry_).Add({{"result", "refused"}})),
+      returnsExpired_(&returns(registry_).Add({{"result", "expired"}})),
       permitted_(&counter(registry_, "fernmoor_permitted_sends_total",
                           "Requests sent to engines that state a limit, within it.")
                       .Add({})),
@@ -207,6 +217,17 @@
   setCounter(*refusedForReading_, reading);
 }
 
+void Metrics::setOrderRefusals(uint64_t share, uint64_t urgency) {
+  setCounter(*refusedForShare_, share);
+  setCounter(*refusedForUrgency_, urgency);
+}
+
+void Metrics::setReturns(uint64_t served, uint64_t refused, uint64_t expired) {
+  setCounter(*returnsServed_, served);
+  setCounter(*returnsRefused_, refused);
+  setCounter(*returnsExpired_, expired);
+}
+
 ClassMetrics& Metrics::of(const ServiceId& service, const TenantId& tenant) {
   const std::lock_guard<RankedMutex> lock(mutex_);
   MetricClass requestClass{service, tenant};
--- a/src/common/metrics.h
+++ b/src/common/metrics.h
@@ -135,6 +135,10 @@
   /// their engines, and reservations refused by this node, by the reason.
   void setRenewedRequests(uint64_t count);
   void setRoomRefusals(uint64_t places, uint64_t memory, uint64_t reading);
+  /// Reservations that owners refused because others go first.
+  void setOrderRefusals(uint64_t share, uint64_t urgency);
+  /// What became of reservations for the retries of refused requests.
+  void setReturns(uint64_t served, uint64_t refused, uint64_t expired);
   /// Era of the operators' store: it rises whenever the store came back from an old copy.
   void setStoreEra(uint64_t era) { storeEra_->Set(static_cast<double>(era)); }
   /// Listed engines that say that they leave, and those that asked this node for rest.
@@ -217,6 +221,11 @@
   prometheus::Counter* refusedForPlaces_;
   prometheus::Counter* refusedForMemory_;
   prometheus::Counter* refusedForReading_;
+  prometheus::Counter* refusedForShare_;
+  prometheus::Counter* refusedForUrgency_;
+  prometheus::Counter* returnsServed_;
+  prometheus::Counter* returnsRefused_;
+  prometheus::Counter* returnsExpired_;
   prometheus::Counter* permitted_;
   prometheus::Counter* unpermitted_;
   prometheus::Gauge* quarantined_;
--- a/src/peers/load_directory.h
+++ b/src/peers/load_directory.h
@@ -91,6 +91,7 @@
   uint64_t renewedCount() const { return renewedCount_; }
   /// @return reservations that this node refused for want of room at engines, since the start.
   gateway::RoomRefusals roomRefusals() const { return work_.refusals(); }
+  gateway::ReturnCounts returnCounts() const { return work_.returns(); }
 
  private:
   /// Repetition schedule of a statement.
--- a/src/peers/load_directory_renewals.cpp
+++ b/src/peers/load_directory_renewals.cpp
@@ -218,7 +218,9 @@
   const uint64_t places = all.places - logged.places;
   const uint64_t memory = all.memory - logged.memory;
   const uint64_t reading = all.reading - logged.reading;
-  if (places + memory + reading == 0) {
+  const uint64_t share = all.share - logged.share;
+  const uint64_t urgency = all.urgency - logged.urgency;
+  if (places + memory + reading + share + urgency == 0) {
     return;
   }
   if (const std::optional<uint64_t> leftOut = refusalLog_.take(now)) {
@@ -226,7 +228,9 @@
     fields.leftOut = *leftOut;
     logInfo("engine load: in the last 4 s, reservations were refused for want of places (" +
                 std::to_string(places) + "), memory (" + std::to_string(memory) +
-                ") and reading (" + std::to_string(reading) + ")",
+                ") and reading (" + std::to_string(reading) + "), for a tenant's fair share (" +
+                std::to_string(share) + ") and for more urgent requests (" +
+                std::to_string(urgency) + ")",
             fields);
   }
 }
--- a/test/gateway/pending_work_test.cpp
+++ b/test/gateway/pending_work_test.cpp
@@ -77,7 +77,7 @@
   PendingWork work;
   work.reserve(7, requestOf(1, 1, 9000), kNoRoomKnown, kBound, kStart);
   work.reserve(7, requestOf(2, 1, 4000), kNoRoomKnown, kBound, kStart);
-  work.forgetOwner(1);
+  work.forgetOwner(1, kStart);
   CHECK(work.reserve(7, requestOf(3, 1, 1), kNoRoomKnown, kBound, kStart).pendingTokens == 4000);
 }
 
