--- a/test/platform_soak/engines.py
+++ b/test/platform_soak/engines.py
@@ -90,7 +90,7 @@
         self.lives = []  # dicts: service, software, at (start), end (None: it runs); one for each incarnation
         self.falls = []  # dicts: life, service, at, rejected (ids); engines that had to reject too much
         self.cut_off = []  # dicts: id, life, at; answers that were cut off because they stayed unread
-        self.longest_write = 0.0  # The longest time, in seconds, that an engine waited until a part of an answer was taken.
+        self.longest_write = 0.0  # Longest time in seconds that an engine waited until a part of an answer was taken.
         self.links = None  # partition.EngineLinks, if nodes can be partitioned from the engines
 
     def run(self, entry):
--- a/test/process/slow_readers_test.py
+++ b/test/process/slow_readers_test.py
@@ -163,11 +163,14 @@
     assert all(any(line.get("message") == ENDED for line in lines_of(node)) for node in world.nodes), "no log line"
     # Callers that read are served as before.
     slow = {call["id"] for group in (idle, greedy, late, trickling) for call in group.calls}
+
     def others(first, last):
         return [call for call in scenario.calls_between(first, last) if call["id"] not in slow]
+
     share, usual = scenario.served_share(others(start, end - 1)), scenario.middle_time(others(before, start))
     meanwhile = scenario.middle_time(others(start, end - 1))
-    print(f"others: served {share:.3f}, {usual * 1000:.0f} ms before and {meanwhile * 1000:.0f} ms meanwhile", flush=True)
+    print(f"others: served {share:.3f}, {usual * 1000:.0f} ms before and {meanwhile * 1000:.0f} ms meanwhile",
+          flush=True)
     assert share >= 0.99, f"{share:.3f} of the others served"
     assert meanwhile <= 2 * usual + 0.1, f"{meanwhile:.3f} s for the others, {usual:.3f} s before"
     assert not world.seen.crashes, "an engine crashed"
