The border between short and long rows follows the stated speeds and all listed engines

The speeds that owners state are used, whole prompts decide which rows are long, and engines that are avoided for a moment keep their side.

--- a/src/gateway/backend_choice.cpp
+++ b/src/gateway/backend_choice.cpp
@@ -247,6 +247,7 @@
     if (answer) {
       choice.pendingTokens = answer->pendingTokens;
       choice.readingTokens = answer->readingTokens;
+      choice.tokensPerSecond = answer->readingTokens > 0 ? answer->tokensPerSecond : 0;
       const Duration wait = answer->expectedWait();
       const uint64_t toRead =
           answer->readingTokens > 0 ? answer->readingTokens : request.promptTokens;
--- a/src/gateway/backend_choice.h
+++ b/src/gateway/backend_choice.h
@@ -40,6 +40,7 @@
   Duration permitWait{0};                 ///< Time to wait before the request is sent.
   uint64_t pendingTokens = 0;             ///< Of all nodes if the load is known, else of this one.
   uint64_t readingTokens = 0;             ///< Of its prompt, to be read there; 0: unknown.
+  double tokensPerSecond = 0;             ///< At which it is read there; 0: unknown.
   std::optional<LoadTicket> ticket;       ///< To be released when the request ends.
   std::optional<ExpectedTimes> expected;  ///< Set if the load is known.
   ClaimState claim = ClaimState::kUnknown;  ///< What is known of the engine's capacity for it.
--- a/src/gateway/kind_separation.cpp
+++ b/src/gateway/kind_separation.cpp
@@ -51,6 +51,9 @@
   const double left = decayOver(now - at, kObservationHalfLife);
   requests *= left;
   tokens *= left;
+  wholeTokens *= left;
+  statedTokens *= left;
+  statedSeconds *= left;
   firstEventTokens *= left;
   firstEventSeconds *= left;
   // The integral of the decay from `at` to `now`.
@@ -59,8 +62,8 @@
   at = now;
 }
 
-void KindSeparation::noteSent(const std::string& row, Duration longestPause, uint64_t tokens,
-                              Time now) {
+void KindSeparation::noteSent(const std::string& row, Duration longestPause,
+                              const SentPrompt& prompt, Time now) {
   if (!isObserving_) {
     isObserving_ = true;
     observedTo_ = now;
@@ -70,7 +73,13 @@
   use.longestPause = longestPause;
   ++use.running;
   ++use.requests;
-  use.tokens += static_cast<double>(tokens);
+  const auto toRead = static_cast<double>(prompt.toRead);
+  use.tokens += toRead;
+  use.wholeTokens += static_cast<double>(prompt.whole);
+  if (prompt.tokensPerSecond > 0) {
+    use.statedTokens += toRead;
+    use.statedSeconds += toRead / prompt.tokensPerSecond;
+  }
 }
 
 void KindSeparation::noteFirstEvent(const std::string& row, uint64_t tokens, Duration took,
@@ -106,9 +115,19 @@
   }
 }
 
-/// The first event of a short prompt takes much longer than reading it, as it also waits for the
-/// engine's other work. The row with the most tokens for its time is the closest to the real speed.
+/// The speed that the owners of engines state. Without it: the first event of a short prompt takes
+/// much longer than reading it, as it also waits for the engine's other work. The row with the most
+/// tokens for its time is the closest to the real speed.
 double KindSeparation::tokensPerSecond() const {
+  double tokens = 0;
+  double seconds = 0;
+  for (const auto& [row, use] : rows_) {
+    tokens += use.statedTokens;
+    seconds += use.statedSeconds;
+  }
+  if (seconds > 0) {
+    return tokens / seconds;
+  }
   double most = 0;
   for (const auto& [row, use] : rows_) {
     if (use.requests >= kMinRequestsOfRow && use.firstEventSeconds > 0) {
@@ -131,7 +150,8 @@
     if (shortest == Duration(0) || tokensPerSecond == 0) {
       use.isLong.reset();
     } else if (use.requests >= kMinRequestsOfRow || !use.isLong) {
-      const double reading = use.tokens / use.requests / tokensPerSecond;
+      // Whole prompts, so that a row does not change its kind with what is cached.
+      const double reading = use.wholeTokens / use.requests / tokensPerSecond;
       use.isLong = reading >= bound * (use.isLong.value_or(false) ? 1 - kHysteresis : 1);
     }
   }
--- a/src/gateway/kind_separation.h
+++ b/src/gateway/kind_separation.h
@@ -24,14 +24,20 @@
   size_t liveNodes = 1;  ///< Nodes that send requests to the pool, this one included.
 };
 
+/// A prompt that was sent to an engine.
+struct SentPrompt {
+  uint64_t toRead = 0;         ///< Tokens that the engine has to read; if unknown, all of them.
+  uint64_t whole = 0;          ///< Tokens, cached ones included.
+  double tokensPerSecond = 0;  ///< Speed of its engine; 0: unknown.
+};
+
 /// The rule for one pool, from the requests that this node sent to its engines. Nodes may come to
 /// different results: an engine near the border then serves both kinds. Not thread-safe.
 class KindSeparation {
  public:
   /// A request of the row was sent to an engine.
   /// @param longestPause the row's maximum gap; 0: none.
-  /// @param tokens of its prompt that the engine has to read; if unknown, all of them.
-  void noteSent(const std::string& row, Duration longestPause, uint64_t tokens, Time now);
+  void noteSent(const std::string& row, Duration longestPause, const SentPrompt& prompt, Time now);
   /// @param took time from the send to the first event.
   void noteFirstEvent(const std::string& row, uint64_t tokens, Duration took, Time now);
   /// The request left its engine.
@@ -52,7 +58,10 @@
     Duration longestPause{0};
     int running = 0;
     double requests = 0;
-    double tokens = 0;
+    double tokens = 0;            ///< To be read.
+    double wholeTokens = 0;       ///< Cached ones included.
+    double statedTokens = 0;      ///< Of the prompts whose engine's speed was known.
+    double statedSeconds = 0;     ///< That these take to read.
     double runningSeconds = 0;    ///< Running requests, integrated over time.
     double firstEventTokens = 0;  ///< Of the requests whose first event arrived.
     double firstEventSeconds = 0;
--- a/src/gateway/kind_sides.cpp
+++ b/src/gateway/kind_sides.cpp
@@ -16,9 +16,11 @@
 void KindSides::update(const std::string& pool, PoolSides& sides,
                        const std::vector<BackendView>& members, PoolCapacity capacity, Time now) {
   sides.updatedAt = now;
+  // Engines that are avoided for a moment, as while they load weights, keep their side: otherwise
+  // the border moves with each of them, and streams meet the long prompts that run there.
   std::vector<uint64_t> usable;
   for (const BackendView& each : members) {
-    if (!each.isAvoided && !each.isLeaving && each.restsUntil <= now) {
+    if (!each.isLeaving) {
       usable.push_back(each.incarnation);
     }
   }
@@ -60,9 +62,9 @@
   return EngineSide{stableHash(request.pool), sides.leastWeight, !*isLong};
 }
 
-void KindSides::noteSent(const IncomingRequest& request, uint64_t tokens, Time now) {
+void KindSides::noteSent(const IncomingRequest& request, const SentPrompt& prompt, Time now) {
   const std::lock_guard<std::mutex> lock(mutex_);
-  pools_[request.pool].separation.noteSent(request.row->name, request.row->longestPause, tokens,
+  pools_[request.pool].separation.noteSent(request.row->name, request.row->longestPause, prompt,
                                            now);
 }
 
--- a/src/gateway/kind_sides.h
+++ b/src/gateway/kind_sides.h
@@ -26,8 +26,7 @@
                                    const std::vector<BackendView>& members, uint32_t slotsPerEngine,
                                    size_t liveNodes, Time now);
   /// The request was sent to an engine.
-  /// @param tokens of its prompt that the engine has to read; if unknown, all of them.
-  void noteSent(const IncomingRequest& request, uint64_t tokens, Time now);
+  void noteSent(const IncomingRequest& request, const SentPrompt& prompt, Time now);
   /// @param took time from the send to the first event.
   void noteFirstEvent(const IncomingRequest& request, uint64_t tokens, Duration took, Time now);
   /// The request left its engine.
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -358,9 +358,9 @@
   beginDeadline_.start(request_.model, plan_.weightsVersion,
                        request_.row->isStream && !currentPeer_);
   services_.backends.started(plan_.backend.id, request_.promptTokens);
-  tokensToRead_ = planned.tokensToRead;
+  tokensToRead_ = planned.prompt.toRead;
   if (!currentPeer_) {
-    forwarder_.planner_.noteSent(request_, tokensToRead_);
+    forwarder_.planner_.noteSent(request_, planned.prompt);
   }
   attemptOpen_ = true;
   promptCounted_ = true;
--- a/src/gateway/send_planner.cpp
+++ b/src/gateway/send_planner.cpp
@@ -226,7 +226,9 @@
   planned.pendingTokens = chosen->pendingTokens;
   planned.ticket = chosen->ticket;
   planned.expected = chosen->expected;
-  planned.tokensToRead = chosen->readingTokens > 0 ? chosen->readingTokens : request.promptTokens;
+  planned.prompt.toRead = chosen->readingTokens > 0 ? chosen->readingTokens : request.promptTokens;
+  planned.prompt.whole = request.promptTokens;
+  planned.prompt.tokensPerSecond = chosen->tokensPerSecond;
   planned.verdict = decide(input, *chosen, planned);
   if (planned.verdict.isRefused()) {
     return planned;  // Its cached parts need not be looked up.
@@ -244,8 +246,8 @@
   return planned;
 }
 
-void SendPlanner::noteSent(const IncomingRequest& request, uint64_t tokensToRead) {
-  kindSides_.noteSent(request, tokensToRead, services_.clock.now());
+void SendPlanner::noteSent(const IncomingRequest& request, const SentPrompt& prompt) {
+  kindSides_.noteSent(request, prompt, services_.clock.now());
 }
 
 void SendPlanner::noteFirstEvent(const IncomingRequest& request, uint64_t tokensToRead,
--- a/src/gateway/send_planner.h
+++ b/src/gateway/send_planner.h
@@ -44,9 +44,9 @@
 /// A plan and the load by which its back end was chosen.
 struct PlannedSend {
   SendPlan send;
-  int inFlight = 0;                       ///< Requests of this node at the back end.
-  uint64_t pendingTokens = 0;             ///< Of all nodes if `ticket` is set, else of this one.
-  uint64_t tokensToRead = 0;              ///< Of its prompt; all if it is not known.
+  int inFlight = 0;            ///< Requests of this node at the back end.
+  uint64_t pendingTokens = 0;  ///< Of all nodes if `ticket` is set, else of this one.
+  SentPrompt prompt;
   uint64_t lowestWeights = 0;             ///< Lowest acceptable version; 0: any.
   std::optional<LoadTicket> ticket;       ///< To be released when the request ends.
   std::optional<ExpectedTimes> expected;  ///< If known.
@@ -74,9 +74,9 @@
   void giveBack(const LoadTicket& ticket) { services_.loads.giveBack(ticket); }
   /// Records that a request was sent to an engine, that its first event arrived, and that it left
   /// the engine.
-  /// @param tokensToRead as planned.
+  /// @param prompt, tokensToRead as planned.
   /// @param took time from the send to the first event.
-  void noteSent(const IncomingRequest& request, uint64_t tokensToRead);
+  void noteSent(const IncomingRequest& request, const SentPrompt& prompt);
   void noteFirstEvent(const IncomingRequest& request, uint64_t tokensToRead, Duration took);
   void noteEnded(const IncomingRequest& request);
   /// Records at which engine the request's shared parts were read.
--- a/test/gateway/kind_separation_test.cpp
+++ b/test/gateway/kind_separation_test.cpp
@@ -51,7 +51,7 @@
       }
       for (const RowTraffic& row : rows) {
         if (random.chance(row.perSecond * toSeconds(kStep))) {
-          rule.noteSent(row.name, row.longestPause, row.tokens, now);
+          rule.noteSent(row.name, row.longestPause, SentPrompt{row.tokens, row.tokens}, now);
           rule.noteFirstEvent(row.name, row.tokens, row.firstEvent, now);
           ends.emplace(now + row.residence, row.name);
         }
@@ -269,7 +269,7 @@
     PlayedEngines::Engine& engine = loads.engines[choice->backend.incarnation];
     const double reading = static_cast<double>(request.promptTokens) / 70000;
     engine.unread += fromSeconds(reading);
-    sides.noteSent(request, request.promptTokens, now);
+    sides.noteSent(request, SentPrompt{request.promptTokens, request.promptTokens}, now);
     sides.noteFirstEvent(request, request.promptTokens, engine.unread, now);
     engine.streams.push_back({request, stepping, now + engine.unread, Duration(0)});
   }
