Late answers get spare room only, and memory that is used up refuses

Requests that will be late were admitted wherever no reserve was touched. They now need an engine where nothing waits and less than half of places and memory is in use; a request whose memory does not fit is refused instead of waiting at the engine, which would preempt others for it.

--- a/src/gateway/backend_choice.cpp
+++ b/src/gateway/backend_choice.cpp
@@ -434,6 +434,7 @@
                                                const ChoiceContext& context, EngineLoads& loads) {
   EngineDemand demand = demandOf(request, backend.weightsVersion, context.now);
   demand.urgency = kLeastUrgent;
+  demand.onlySpare = true;
   demand.longestWait = std::max(Duration(0), request.deadline - context.now);
   return loads.reserve(backend.incarnation, demand, context.room, kNoBound);
 }
--- a/src/gateway/pending_work.cpp
+++ b/src/gateway/pending_work.cpp
@@ -23,6 +23,9 @@
 /// Unused engines and their observations are removed after this time.
 constexpr Duration kUnusedAfter{20000000};
 constexpr Duration kSweepInterval{5000000};
+/// An engine has spare room, for answers that are late anyway, up to this part of its places and
+/// memory. Beyond it such requests slow down those that can still be in time.
+constexpr double kSpareShare = 0.5;
 /// A bound from which on a question is about any queue: the node has no other engine to ask.
 constexpr uint64_t kAnyQueue = std::numeric_limits<uint32_t>::max();
 /// A retry that is granted from its reservation finds the room that was kept for it.
@@ -152,9 +155,17 @@
   engine.used = RoomAmounts{static_cast<double>(occupancy.present()),
                             static_cast<double>(occupancy.occupiedTokens()),
                             static_cast<double>(occupancy.unreadTokens())};
+  standing.hasSpareRoom =
+      standing.missing.unreadTokens == 0 &&
+      engine.used.places + held.places < room.places * kSpareShare &&
+      engine.used.memoryTokens + held.memoryTokens + standing.claim.amounts.memoryTokens <
+          static_cast<double>(room.memoryTokens) * kSpareShare;
   const std::optional<RoomRefusal> refusal = sharing.refusalOf(standing.claim, engine, now);
-  const bool isOrder = refusal == RoomRefusal::kShare || refusal == RoomRefusal::kUrgency;
-  // A resource that is used up is a wait, which the node weighs.
+  const bool isMemory = refusal == RoomRefusal::kMemory && occupancy.present() > 0;
+  const bool isOrder =
+      refusal == RoomRefusal::kShare || refusal == RoomRefusal::kUrgency || isMemory;
+  // Places and reading that are used up are a wait, which the node weighs. An engine whose memory
+  // is used up preempts requests that run, and reads their prompts again.
   (isOrder ? standing.orderRefusal : standing.roomRefusal) = refusal;
 }
 
@@ -273,7 +284,10 @@
 
 void PendingWork::countRefusal(const Standing& standing) {
   if (standing.orderRefusal) {
-    ++(*standing.orderRefusal == RoomRefusal::kShare ? refusals_.share : refusals_.urgency);
+    const RoomRefusal reason = *standing.orderRefusal;
+    ++(reason == RoomRefusal::kMemory  ? refusals_.memory
+       : reason == RoomRefusal::kShare ? refusals_.share
+                                       : refusals_.urgency);
     return;
   }
   const double readingSeconds =
@@ -307,8 +321,9 @@
   const bool isLastQuestion = bound >= kAnyQueue;
   const bool keepsGaps =
       standing.missing.unreadTokens + standing.readingTokens <= standing.mostReadingTokens;
-  const bool isAdmitted =
-      answer.pendingTokens < bound && !standing.orderRefusal && (keepsGaps || isLastQuestion);
+  const bool isAdmitted = answer.pendingTokens < bound && !standing.orderRefusal &&
+                          (keepsGaps || isLastQuestion) &&
+                          (!request.demand.onlySpare || standing.hasSpareRoom);
   answer.isGranted = (isAdmitted || isReturn) && !answer.isStalled;
   answer.isFromReservation = answer.isGranted && isReturn;
   if (answer.isGranted) {
--- a/src/gateway/pending_work.h
+++ b/src/gateway/pending_work.h
@@ -99,9 +99,11 @@
     double secondsAfterRejection = 0;  ///< For which the engine still counts as full.
     bool isStalled = false;
     RoomClaim claim;                          ///< What the request would add.
-    std::optional<RoomRefusal> orderRefusal;  ///< Set if others go first.
+    std::optional<RoomRefusal> orderRefusal;  ///< Set if others go first, or for want of memory.
     std::optional<RoomRefusal> roomRefusal;   ///< Set if a resource is used up.
 
+    /// Whether nobody else needs the room: nothing waits, and less than half of it is in use.
+    bool hasSpareRoom = false;
     /// @return the queue ahead of the request in prompt tokens: see LoadAnswer.
     uint64_t pendingTokens() const;
   };
--- a/test/gateway/pending_work_test.cpp
+++ b/test/gateway/pending_work_test.cpp
@@ -289,4 +289,50 @@
   CHECK_FALSE(third.isStalled);
 }
 
+// Guards against answers that are late anyway and make those late that can still be in time.
+TEST_CASE("a request that will be late gets only room that nobody else needs") {
+  PendingWork work;
+  const EngineRoom room{8, 95466};
+  PendingRequest late = sharingRequest(50, 2);
+  late.demand.urgency = 9;
+  late.demand.onlySpare = true;
+  for (uint32_t id = 1; id <= 3; ++id) {
+    work.reserve(7, sharingRequest(id, 2), room, kNoBound, kStart);
+    work.promptRead(7, 1, id, kStart + Duration(100000));
+  }
+  const Time now = kStart + Duration(200000);
+  SUBCASE("at an engine that is less than half full") {
+    CHECK(work.reserve(7, late, room, UINT32_MAX, now).isGranted);
+  }
+  SUBCASE("not at one where prompts wait") {
+    work.reserve(7, sharingRequest(4, 2), room, kNoBound, now);
+    CHECK_FALSE(work.reserve(7, late, room, UINT32_MAX, now).isGranted);
+  }
+  SUBCASE("not at one that is half full") {
+    work.reserve(7, sharingRequest(4, 2), room, kNoBound, now);
+    work.promptRead(7, 1, 4, now);
+    CHECK_FALSE(work.reserve(7, late, room, UINT32_MAX, now).isGranted);
+    CHECK(work.reserve(7, sharingRequest(5, 2), room, UINT32_MAX, now).isGranted);
+  }
+}
+
+// Guards against engines that preempt running requests because they were sent more than fits.
+TEST_CASE("a request whose memory does not fit is refused, and told when to return") {
+  PendingWork work;
+  const EngineRoom room{32, 20000};
+  PendingRequest first = sharingRequest(1, 2);
+  PendingRequest second = sharingRequest(2, 3);
+  PendingRequest third = sharingRequest(3, 4);
+  for (PendingRequest* each : {&first, &second, &third}) {
+    each->demand.urgency = 1;
+    each->demand.requestKey = each->id;
+    each->demand.forgetAfter = std::chrono::seconds(5);
+  }
+  CHECK(work.reserve(7, first, room, UINT32_MAX, kStart).isGranted);
+  CHECK(work.reserve(7, second, room, UINT32_MAX, kStart).isGranted);
+  const LoadAnswer answer = work.reserve(7, third, room, UINT32_MAX, kStart);
+  CHECK_FALSE(answer.isGranted);
+  CHECK(work.refusals().memory == 1);
+}
+
 }  // namespace fernmoor::gateway
