--- a/src/gateway/engine_loads.h
+++ b/src/gateway/engine_loads.h
@@ -57,7 +57,7 @@
   bool isCounted = true;    ///< The end of the request must be reported.
   bool hasPermit = false;   ///< The permit must be returned if the request is not sent.
   bool lackedRoom = false;  ///< The engine rejected the request for want of room.
-  StreamPace pace;          ///< Set before the end of the request is reported.
+  StreamPace pace{};        ///< Set before the end of the request is reported.
 };
 
 struct LoadAnswer {
--- a/src/gateway/pending_work.cpp
+++ b/src/gateway/pending_work.cpp
@@ -149,9 +149,9 @@
   engine.capacity.places = std::max(1.0, room.places - held.places);
   engine.capacity.memoryTokens =
       std::max(1.0, static_cast<double>(room.memoryTokens) - held.memoryTokens);
-  // As much may be read before its own prompt as its wait limit allows.
-  engine.capacity.readingTokens = toSeconds(demand.longestWait) * standing.tokensPerSecond +
-                                  standing.claim.amounts.readingTokens;
+  // Reading has no reserve: a prompt occupies it for a fraction of a second, and its wait is
+  // weighed by the node. Reserves for it refused prompts at engines that were nearly idle.
+  engine.capacity.readingTokens = 0;
   engine.used = RoomAmounts{static_cast<double>(occupancy.present()),
                             static_cast<double>(occupancy.occupiedTokens()),
                             static_cast<double>(occupancy.unreadTokens())};
--- a/test/gateway/engine_pace_test.cpp
+++ b/test/gateway/engine_pace_test.cpp
@@ -36,8 +36,9 @@
     if (chance() < 5.3 * toSeconds(kTick)) {
       const uint64_t tokens = chance() < 0.27 ? 2890 : 628;
       const double noise = 0.8 + 0.6 * chance();
-      pace.noteReading(tokens, fromSeconds(tokens / kTokensPerSecond * noise * factor(now)), pool,
-                       now);
+      pace.noteReading(
+          tokens, fromSeconds(static_cast<double>(tokens) / kTokensPerSecond * noise * factor(now)),
+          pool, now);
     }
   }
   bool isSlow(Time now) const { return slowFactor_ > 1 && phase(now) < 0.6; }
@@ -51,7 +52,7 @@
 
  private:
   double factor(Time now) const { return isSlow(now) ? slowFactor_ : 1; }
-  double chance() { return random_() / 4294967296.0; }
+  double chance() { return static_cast<double>(random_()) / 4294967296.0; }
   StreamPace streamEndingAt(Time end, uint32_t events) {
     StreamPace stream{events, Duration(0), Duration(0)};
     for (uint32_t event = 0; event < events; ++event) {
--- a/test/gateway/room_sharing_test.cpp
+++ b/test/gateway/room_sharing_test.cpp
@@ -57,7 +57,8 @@
       for (Stream& stream : streams) {
         const bool isOn = now >= at(stream.from) && now < at(stream.until);
         for (int draw = 0; isOn && draw < kDrawsPerStep; ++draw) {
-          if (random_() < stream.perSecond * toSeconds(kStep) / kDrawsPerStep * 4294967296.0) {
+          if (static_cast<double>(random_()) <
+              stream.perSecond * toSeconds(kStep) / kDrawsPerStep * 4294967296.0) {
             ++stream.asked;
             ask(stream, true);
           }
