--- a/src/common/metrics.cpp
+++ b/src/common/metrics.cpp
@@ -36,8 +36,26 @@
   return prometheus::BuildHistogram().Name(name).Help(help).Register(registry);
 }
 
+prometheus::Family<prometheus::Counter>& roomRefusals(prometheus::Registry& registry) {
+  return counter(registry, "fernmoor_engine_room_refusals_total",
+                 "Reservations at engines that their owner refused, by what was short.");
+}
+
+prometheus::Family<prometheus::Counter>& returns(prometheus::Registry& registry) {
+  return counter(registry, "fernmoor_returns_total",
+                 "Reservations for retries of refused requests, by what became of them.");
+}
+
+void setCounter(prometheus::Counter& counter, uint64_t total) {
+  counter.Increment(static_cast<double>(total) - counter.Value());
+}
+
 }  // namespace
 
+const char* toString(LateCause cause) {
+  return cause == LateCause::kFirstEvent ? "first_event" : "pause";
+}
+
 void ClassMetrics::countRefusal(ErrorKind kind) {
   refusals_[static_cast<size_t>(kind)]->Increment();
 }
@@ -116,6 +134,17 @@
       takeUpsRefused_(&counter(registry_, "fernmoor_streams_not_taken_up_total",
                                "Streams refused, as the version that began them is unknown.")
                            .Add({})),
+      renewed_(&counter(registry_, "fernmoor_renewed_requests_total",
+                        "Open requests that were reported to new owners of their engines.")
+                    .Add({})),
+      refusedForPlaces_(&roomRefusals(registry_).Add({{"reason", "places"}})),
+      refusedForMemory_(&roomRefusals(registry_).Add({{"reason", "memory"}})),
+      refusedForReading_(&roomRefusals(registry_).Add({{"reason", "reading"}})),
+      refusedForShare_(&roomRefusals(registry_).Add({{"reason", "share"}})),
+      refusedForUrgency_(&roomRefusals(registry_).Add({{"reason", "urgency"}})),
+      returnsServed_(&returns(registry_).Add({{"result", "served"}})),
+      returnsRefused_(&returns(registry_).Add({{"result", "refused"}})),
+      returnsExpired_(&returns(registry_).Add({{"result", "expired"}})),
       permitted_(&counter(registry_, "fernmoor_permitted_sends_total",
                           "Requests sent to engines that state a limit, within it.")
                       .Add({})),
@@ -136,6 +165,14 @@
                           "Requests that waited at an engine and were taken back near the end of "
                           "a bound of new weights.")
                       .Add({})),
+      slowCallers_(&counter(registry_, "fernmoor_slow_callers_total",
+                            "Requests that were cancelled because their callers did not read the "
+                            "answers.")
+                        .Add({})),
+      slowCallerBytes_(&gauge(registry_, "fernmoor_slow_caller_bytes",
+                              "Bytes of answers that are kept because their callers have not taken "
+                              "them yet.")
+                            .Add({})),
       platformAvailable_(&gauge(registry_, "fernmoor_platform_available",
                                 "1 if the last call to the platform succeeded, else 0.")
                               .Add({})),
@@ -166,8 +203,29 @@
 }
 
 void Metrics::setControlBytes(uint64_t sent, uint64_t received) {
-  controlSent_->Increment(static_cast<double>(sent) - controlSent_->Value());
-  controlReceived_->Increment(static_cast<double>(received) - controlReceived_->Value());
+  setCounter(*controlSent_, sent);
+  setCounter(*controlReceived_, received);
+}
+
+void Metrics::setRenewedRequests(uint64_t count) {
+  setCounter(*renewed_, count);
+}
+
+void Metrics::setRoomRefusals(uint64_t places, uint64_t memory, uint64_t reading) {
+  setCounter(*refusedForPlaces_, places);
+  setCounter(*refusedForMemory_, memory);
+  setCounter(*refusedForReading_, reading);
+}
+
+void Metrics::setOrderRefusals(uint64_t share, uint64_t urgency) {
+  setCounter(*refusedForShare_, share);
+  setCounter(*refusedForUrgency_, urgency);
+}
+
+void Metrics::setReturns(uint64_t served, uint64_t refused, uint64_t expired) {
+  setCounter(*returnsServed_, served);
+  setCounter(*returnsRefused_, refused);
+  setCounter(*returnsExpired_, expired);
 }
 
 ClassMetrics& Metrics::of(const ServiceId& service, const TenantId& tenant) {
@@ -216,6 +274,13 @@
     withKind["kind"] = toString(static_cast<ErrorKind>(kind));
     made->refusals_[kind] = &refusals.Add(withKind);
   }
+  auto& late = counter(registry_, "fernmoor_late_answers_total",
+                       "Delivered answers that missed the target or the maximum gap of their row.");
+  for (size_t cause = 0; cause < ClassMetrics::kLateCauses; ++cause) {
+    prometheus::Labels withCause = labels;
+    withCause["cause"] = toString(static_cast<LateCause>(cause));
+    made->late_[cause] = &late.Add(withCause);
+  }
   return made;
 }
 
--- a/src/common/metrics.h
+++ b/src/common/metrics.h
@@ -33,6 +33,15 @@
   }
 };
 
+/// Why a delivered answer is late.
+enum class LateCause {
+  kFirstEvent,  ///< Its first event, or the whole of an answer without events, missed the target.
+  kPause,       ///< Its first event was in time, but the time between two events was too long.
+};
+
+/// @return the name in metrics and log lines.
+const char* toString(LateCause cause);
+
 /// Sums of a class since the program started; the difference of two gives rates.
 struct ClassTotals {
   MetricClass requestClass;
@@ -57,6 +66,8 @@
   void countRefusal(ErrorKind kind);
   /// A further attempt was made for a request.
   void countRetry() { retries_->Increment(); }
+  /// An answer was delivered late; each is counted once.
+  void countLateAnswer(LateCause cause) { late_[static_cast<size_t>(cause)]->Increment(); }
   /// From arrival to the first byte of the answer passed on.
   void observeFirstToken(Duration time) { firstToken_->Observe(toSeconds(time)); }
   void observeTokenInterval(Duration time) { tokenInterval_->Observe(toSeconds(time)); }
@@ -84,6 +95,8 @@
   prometheus::Histogram* queueTime_ = nullptr;
   static constexpr size_t kErrorKinds = static_cast<size_t>(ErrorKind::kInternal) + 1;
   std::array<prometheus::Counter*, kErrorKinds> refusals_{};
+  static constexpr size_t kLateCauses = static_cast<size_t>(LateCause::kPause) + 1;
+  std::array<prometheus::Counter*, kLateCauses> late_{};
 };
 
 /// Number of members in each state, as this node sees them.
@@ -118,6 +131,14 @@
   void setLimitedEngines(size_t count) { limitedEngines_->Set(static_cast<double>(count)); }
   /// Engines that state they are brittle.
   void setBrittleEngines(size_t count) { brittleEngines_->Set(static_cast<double>(count)); }
+  /// Sums since the program started: open requests of this node that were reported to new owners of
+  /// their engines, and reservations refused by this node, by the reason.
+  void setRenewedRequests(uint64_t count);
+  void setRoomRefusals(uint64_t places, uint64_t memory, uint64_t reading);
+  /// Reservations that owners refused because others go first.
+  void setOrderRefusals(uint64_t share, uint64_t urgency);
+  /// What became of reservations for the retries of refused requests.
+  void setReturns(uint64_t served, uint64_t refused, uint64_t expired);
   /// Era of the operators' store: it rises whenever the store came back from an old copy.
   void setStoreEra(uint64_t era) { storeEra_->Set(static_cast<double>(era)); }
   /// Listed engines that say that they leave, and those that asked this node for rest.
@@ -145,6 +166,10 @@
   void countOldWeights() { oldWeights_->Increment(); }
   /// A request that waited at its engine was taken back near the end of a bound of new weights.
   void countTakenBack() { takenBack_->Increment(); }
+  /// A request was cancelled because its caller did not read the answer.
+  void countSlowCaller() { slowCallers_->Increment(); }
+  /// @param change of the number of bytes that are kept for callers that have not taken them.
+  void addSlowCallerBytes(double change) { slowCallerBytes_->Increment(change); }
   /// Engines that hold older weights than are wanted.
   void setEnginesBehind(size_t count) { enginesBehind_->Set(static_cast<double>(count)); }
   /// Whether the last call to the platform succeeded.
@@ -192,12 +217,23 @@
   prometheus::Counter* fromPeers_;
   prometheus::Counter* takenUp_;
   prometheus::Counter* takeUpsRefused_;
+  prometheus::Counter* renewed_;
+  prometheus::Counter* refusedForPlaces_;
+  prometheus::Counter* refusedForMemory_;
+  prometheus::Counter* refusedForReading_;
+  prometheus::Counter* refusedForShare_;
+  prometheus::Counter* refusedForUrgency_;
+  prometheus::Counter* returnsServed_;
+  prometheus::Counter* returnsRefused_;
+  prometheus::Counter* returnsExpired_;
   prometheus::Counter* permitted_;
   prometheus::Counter* unpermitted_;
   prometheus::Gauge* quarantined_;
   prometheus::Gauge* enginesBehind_;
   prometheus::Counter* oldWeights_;
   prometheus::Counter* takenBack_;
+  prometheus::Counter* slowCallers_;
+  prometheus::Gauge* slowCallerBytes_;
   prometheus::Gauge* platformAvailable_;
   prometheus::Gauge* peerQueue_;
   prometheus::Gauge* tableText_;
--- a/src/gateway/backend_choice.cpp
+++ b/src/gateway/backend_choice.cpp
@@ -6,6 +6,8 @@
 #include <utility>
 
 #include "common/rendezvous.h"
+#include "gateway/part_memory.h"
+#include "gateway/send_decisions.h"
 
 namespace fernmoor::gateway {
 
@@ -18,11 +20,16 @@
 constexpr double kBoundedLoadSlack = 4;
 /// Each query costs a round trip to another node.
 constexpr size_t kMaxHomesQueried = 3;
+/// Homes queried on the other side, after those of the request's own side.
+constexpr size_t kMaxOtherHomesQueried = 2;
 /// Candidate homes, with spares for stalled ones: a quarter of the engines may have stopped.
 constexpr size_t kMaxHomes = 6;
 /// Reservations expire this long (500 ms) after the deadline. The end of a request is normally
 /// reported within a few trips between nodes; the margin only covers lost messages.
 constexpr Duration kReservationMargin{500000};
+constexpr int kUrgenciesPerTenantPriority = 3;
+/// Shared parts that a question to the owner of an engine names; prompts have two to four.
+constexpr size_t kMaxPartsPerQuestion = 8;
 /// Bound in tokens that counts a request however many tokens wait.
 constexpr uint64_t kNoBound = std::numeric_limits<uint64_t>::max();
 /// Load penalty for a back end in another zone, in requests.
@@ -64,6 +71,16 @@
   return request.parts[request.sharedPartCount() - 1].id;
 }
 
+/// @return a hash that is the same for the first attempt and a retry of a request.
+uint64_t requestKeyOf(const IncomingRequest& request) {
+  std::string text = request.tenant ? request.tenant->name : "";
+  text += "/" + request.row->name;
+  for (const PromptPart& part : request.parts) {
+    text += "/" + part.id;
+  }
+  return request.parts.empty() ? 0 : stableHash(text);
+}
+
 double meanInFlight(const Candidates& candidates) {
   double sum = 0;
   for (const BackendView* candidate : candidates) {
@@ -132,7 +149,7 @@
 }
 
 EngineDemand permitDemand(const IncomingRequest& request, Time now, Duration longestWait) {
-  EngineDemand demand = demandOf(request, now);
+  EngineDemand demand = demandOf(request, 0, now);
   demand.longestPermitWait = longestWait;
   demand.isCounted = false;
   return demand;
@@ -152,80 +169,274 @@
   return choice;
 }
 
-/// The best home so far among those that were queried and are too busy.
-struct BusyHome {
+/// @return what the node that counts for an engine said of the request. Nodes of a release that
+///         does not account for capacity never name tokens that are still to be read.
+ClaimState claimOf(const LoadAnswer& answer) {
+  if (answer.isGranted && answer.isFromReservation) {
+    return ClaimState::kReserved;
+  }
+  if (answer.readingTokens == 0 && answer.returnAfter == Duration(0)) {
+    return ClaimState::kUnknown;
+  }
+  return answer.isGranted ? ClaimState::kGranted : ClaimState::kTurnedAway;
+}
+
+/// A home that was queried.
+struct FoundHome {
   BackendChoice choice;
-  uint64_t cost = 0;  ///< Tokens to read or transfer there before the request's own.
+  uint64_t cost = 0;     ///< Tokens to read or transfer there before the request's own.
+  bool accepts = false;  ///< The queue there is short enough to ask no other home.
 };
 
-}  // namespace
+/// The candidates of the request's own side, and the others.
+struct Sides {
+  Candidates own;
+  Candidates other;
+};
 
-EngineDemand demandOf(const IncomingRequest& request, Time now) {
-  EngineDemand demand;
-  demand.promptTokens = request.promptTokens;
-  demand.memoryTokens = request.promptTokens + request.expectedAnswerTokens;
-  demand.forgetAfter = std::max(Duration(0), request.deadline - now) + kReservationMargin;
-  return demand;
+/// An engine whose slots are all taken by requests of this node has no room, so it is left to the
+/// choice among the other side.
+Sides divide(Candidates usable, const ChoiceContext& context) {
+  if (!context.side) {
+    return Sides{std::move(usable), {}};
+  }
+  Sides sides;
+  for (const BackendView* each : usable) {
+    const bool isFull =
+        context.room.places > 0 && each->inFlight >= static_cast<int64_t>(context.room.places);
+    const bool isOwn = !isFull && context.side->contains(each->incarnation);
+    (isOwn ? sides.own : sides.other).push_back(each);
+  }
+  return sides;
 }
 
-std::optional<BackendChoice> chooseHome(const IncomingRequest& request,
-                                        const std::vector<BackendView>& candidates,
-                                        const ChoiceContext& context, EngineLoads& loads) {
-  const Candidates homes =
-      firstHomes(request, permittingNow(usableCandidates(candidates, context), loads));
-  const uint64_t shared = sharedTokensOf(request);
-  const EngineDemand demand = demandOf(request, context.now);
+/// A search for a home among some candidates.
+struct HomeSearch {
+  const IncomingRequest& request;
+  const ChoiceContext& context;
+  EngineLoads& loads;
+  uint64_t shared;     ///< Tokens in the shared parts.
+  bool isOfOtherSide;  ///< No candidate is the request's home: all fetch its shared parts.
+  size_t maxQueries;
+
+  std::optional<FoundHome> run(const Candidates& homes) const;
+};
+
+std::optional<FoundHome> HomeSearch::run(const Candidates& homes) const {
   // A wait no longer than reading the request's own prompt is not worth another query.
   const uint64_t shortWait = std::max(shared, request.promptTokens);
-  std::optional<BusyHome> best;
+  std::optional<FoundHome> best;
+  Duration returnAfter{0};
   size_t asked = 0;
-  for (size_t index = 0; index < homes.size() && asked < kMaxHomesQueried; ++index) {
+  for (size_t index = 0; index < homes.size() && asked < maxQueries; ++index) {
     const BackendView& home = *homes[index];
     // All homes but the first must fetch the shared parts from elsewhere.
-    const uint64_t tokensToFetch = index == 0 ? 0 : shared;
+    const uint64_t tokensToFetch = index == 0 && !isOfOtherSide ? 0 : shared;
     if (best && best->cost <= tokensToFetch) {
       break;
     }
     const uint64_t bound = best ? std::min(shortWait, best->cost - tokensToFetch) : shortWait;
-    const std::optional<LoadAnswer> answer =
-        loads.reserve(home.incarnation, demand, context.room, bound);
+    const std::optional<LoadAnswer> answer = loads.reserve(
+        home.incarnation, demandOf(request, home.weightsVersion, context.now), context.room, bound);
     const bool isUnanswered = !answer && loads.permitDue(home.incarnation);
     if (isUnanswered || (answer && (answer->isStalled || answer->lacksPermit))) {
       continue;
     }
     ++asked;
-    BackendChoice choice;
-    choice.backend = home;
-    choice.pendingTokens = answer ? answer->pendingTokens : home.pendingTokens;
+    BackendChoice choice = choiceWithoutReservation(home);
     if (answer) {
+      choice.pendingTokens = answer->pendingTokens;
+      choice.readingTokens = answer->readingTokens;
+      choice.tokensPerSecond = answer->readingTokens > 0 ? answer->tokensPerSecond : 0;
       const Duration wait = answer->expectedWait();
-      choice.expected = ExpectedTimes{wait, wait + answer->expectedReading(request.promptTokens)};
+      const uint64_t toRead =
+          answer->readingTokens > 0 ? answer->readingTokens : request.promptTokens;
+      choice.expected = ExpectedTimes{wait, wait + answer->expectedReading(toRead)};
     }
     if (answer && answer->isGranted) {
       choice.ticket = answer->ticket;
+      choice.claim = claimOf(*answer);
     }
-    if (choice.ticket || (!answer && home.pendingTokens < bound)) {
-      return choice;
+    if (answer && index == 0) {
+      returnAfter = answer->returnAfter;  // Retries look for their reservation at the first home.
     }
+    choice.returnAfter = returnAfter;
     const uint64_t cost = choice.pendingTokens + tokensToFetch;
+    if (choice.ticket || (!answer && home.pendingTokens < bound)) {
+      return FoundHome{choice, cost, true};
+    }
     if (!best || cost < best->cost) {
-      best = BusyHome{choice, cost};
+      best = FoundHome{choice, cost, false};
     }
   }
-  if (!best) {
-    return std::nullopt;
+  return best;
+}
+
+/// @return whether the request would wait too long at that home to be in time.
+bool lacksRoom(const FoundHome& home, const IncomingRequest& request, Time now) {
+  return !home.accepts && home.choice.expected &&
+         home.choice.expected->wait > longestQueueWait(request, now);
+}
+
+/// Counts the request at the home.
+/// @return nothing if the home permits no request.
+std::optional<BackendChoice> settleAt(const FoundHome& home, const IncomingRequest& request,
+                                      const ChoiceContext& context, EngineLoads& loads) {
+  BackendChoice choice = home.choice;
+  if (home.accepts) {
+    return choice;
   }
   // Reserve there without a bound, so that load beyond the bound is counted, too.
   const std::optional<LoadAnswer> counted =
-      best->choice.expected
-          ? loads.reserve(best->choice.backend.incarnation, demand, context.room, kNoBound)
-          : std::nullopt;
+      choice.expected ? loads.reserve(choice.backend.incarnation,
+                                      demandOf(request, choice.backend.weightsVersion, context.now),
+                                      context.room, kNoBound)
+                      : std::nullopt;
+  if (counted) {
+    choice.claim = claimOf(*counted);
+    const bool isReserved = counted->returnAfter > Duration(0);
+    choice.returnAfter = isReserved ? counted->returnAfter : choice.returnAfter;
+  }
   if (counted && counted->isGranted) {
-    best->choice.ticket = counted->ticket;
+    choice.ticket = counted->ticket;
+  }
+  const bool isPermitted = choice.ticket || !loads.permitDue(choice.backend.incarnation);
+  return isPermitted ? std::optional(choice) : std::nullopt;
+}
+
+/// @return whether the candidates list fewer slots than there are nodes, so that each node has less
+///         than one slot and can't see from its own requests whether an engine has a free one.
+bool haveFewerSlotsThanNodes(const Candidates& usable, const EngineLoads& loads) {
+  const size_t nodes = loads.nodeCount();
+  size_t slots = 0;
+  for (const BackendView* each : usable) {
+    slots += static_cast<size_t>(std::max(0, each->listing->slots));
+    if (each->listing->slots <= 0 || slots >= nodes) {
+      return false;
+    }
   }
-  const bool isPermitted =
-      best->choice.ticket || !loads.permitDue(best->choice.backend.incarnation);
-  return isPermitted ? std::optional(best->choice) : std::nullopt;
+  return true;
+}
+
+/// Counts the request at the candidate.
+/// @return nothing if the owner doesn't say how many requests are there; it is not counted then.
+std::optional<LoadAnswer> countAt(const IncomingRequest& request, const BackendView& candidate,
+                                  const ChoiceContext& context, EngineLoads& loads) {
+  // Without the room, the owner does not refuse the request for want of it.
+  std::optional<LoadAnswer> answer = loads.reserve(
+      candidate.incarnation, demandOf(request, 0, context.now), EngineRoom{}, kNoBound);
+  if (!answer || !answer->isGranted) {
+    return std::nullopt;
+  }
+  if (!answer->presentRequests) {
+    loads.giveBack(answer->ticket);
+    return std::nullopt;
+  }
+  return answer;
+}
+
+/// Asks the owners of two random candidates how many requests of all nodes are there.
+/// @return the candidate with fewer, where the request is counted; nothing if an owner doesn't say.
+std::optional<BackendChoice> chooseOfTwo(const IncomingRequest& request, const Candidates& usable,
+                                         const ChoiceContext& context, EngineLoads& loads,
+                                         Random& random) {
+  const size_t drawn = random.below(usable.size());
+  const size_t other = (drawn + 1 + random.below(usable.size() - 1)) % usable.size();
+  const BackendView* first = usable[drawn];
+  const BackendView* second = usable[other];
+  if (loads.permitDue(first->incarnation) || loads.permitDue(second->incarnation)) {
+    return std::nullopt;  // Their owners decide when the request is sent.
+  }
+  if (first->listing->zone != context.zone) {  // On a tie, the first one is chosen.
+    std::swap(first, second);
+  }
+  std::optional<LoadAnswer> atFirst = countAt(request, *first, context, loads);
+  if (!atFirst) {
+    return std::nullopt;
+  }
+  std::optional<LoadAnswer> atSecond = countAt(request, *second, context, loads);
+  if (!atSecond) {
+    loads.giveBack(atFirst->ticket);
+    return std::nullopt;
+  }
+  if (*atSecond->presentRequests < *atFirst->presentRequests) {
+    std::swap(first, second);
+    std::swap(atFirst, atSecond);
+  }
+  loads.giveBack(atSecond->ticket);
+  return reservedChoice(*first, *atFirst);
+}
+
+}  // namespace
+
+int urgencyOf(const IncomingRequest& request) {
+  const int ofTenant = request.tenant ? request.tenant->priority : 0;
+  return std::clamp(ofTenant * kUrgenciesPerTenantPriority + request.row->priority, 0,
+                    kLeastUrgent);
+}
+
+EngineDemand demandOf(const IncomingRequest& request, uint64_t weightsVersion, Time now) {
+  EngineDemand demand;
+  demand.promptTokens = request.promptTokens;
+  demand.memoryTokens = request.promptTokens + request.expectedAnswerTokens;
+  demand.forgetAfter = std::max(Duration(0), request.deadline - now) + kReservationMargin;
+  demand.urgency = urgencyOf(request);
+  demand.tenant = request.tenant ? stableHash(request.tenant->name) : 0;
+  demand.requestKey = requestKeyOf(request);
+  demand.longestPause = request.row->longestPause;
+  demand.longestWait = longestQueueWait(request, now);
+  if (request.row->usesPrefixes) {
+    const std::string scope = cacheScopeOf(request, weightsVersion);
+    const size_t count = std::min(request.sharedPartCount(), kMaxPartsPerQuestion);
+    for (size_t index = 0; index < count; ++index) {
+      const PromptPart& part = request.parts[index];
+      demand.sharedParts.push_back(SharedPart{
+          partKeyOf(scope, part.id), static_cast<uint32_t>(std::min<uint64_t>(
+                                         part.tokens, std::numeric_limits<uint32_t>::max()))});
+    }
+  }
+  return demand;
+}
+
+std::optional<BackendChoice> chooseHome(const IncomingRequest& request,
+                                        const std::vector<BackendView>& candidates,
+                                        const ChoiceContext& context, EngineLoads& loads) {
+  if (!affinityPart(request)) {
+    return std::nullopt;
+  }
+  const Sides sides = divide(permittingNow(usableCandidates(candidates, context), loads), context);
+  HomeSearch search{request, context, loads, sharedTokensOf(request), false, kMaxHomesQueried};
+  const std::optional<FoundHome> own = search.run(firstHomes(request, sides.own));
+  const bool hasOtherSide = !sides.other.empty();
+  std::optional<BackendChoice> settled;
+  bool isRefused = false;
+  if (own && !(hasOtherSide && lacksRoom(*own, request, context.now))) {
+    settled = settleAt(*own, request, context, loads);
+    isRefused = !settled || (settled->expected && !settled->ticket);
+    if (!isRefused || !hasOtherSide) {
+      return settled;
+    }
+  }
+  search.isOfOtherSide = true;
+  search.maxQueries = kMaxOtherHomesQueried;
+  const std::optional<FoundHome> other = search.run(firstHomes(request, sides.other));
+  if (other && (!own || isRefused || other->accepts || other->cost < own->cost)) {
+    std::optional<BackendChoice> there = settleAt(*other, request, context, loads);
+    if (there && (!settled || there->ticket || !there->expected)) {
+      return there;
+    }
+  }
+  return settled || !own ? settled : settleAt(*own, request, context, loads);
+}
+
+std::optional<LoadAnswer> reserveAsLeastUrgent(const IncomingRequest& request,
+                                               const BackendView& backend,
+                                               const ChoiceContext& context, EngineLoads& loads) {
+  EngineDemand demand = demandOf(request, backend.weightsVersion, context.now);
+  demand.urgency = kLeastUrgent;
+  demand.onlySpare = true;
+  demand.longestWait = std::max(Duration(0), request.deadline - context.now);
+  return loads.reserve(backend.incarnation, demand, context.room, kNoBound);
 }
 
 std::optional<BackendChoice> chooseLeastLoaded(const IncomingRequest& request,
@@ -233,6 +444,11 @@
                                                const ChoiceContext& context, EngineLoads& loads,
                                                Random& random) {
   Candidates usable = permittingNow(usableCandidates(candidates, context), loads);
+  if (!context.servesModels && usable.size() > 1 && haveFewerSlotsThanNodes(usable, loads)) {
+    if (auto choice = chooseOfTwo(request, usable, context, loads, random)) {
+      return choice;
+    }
+  }
   const EngineDemand demand = permitDemand(request, context.now, Duration(0));
   for (size_t asked = 0; !usable.empty();) {
     const BackendView& best = *leastLoaded(usable, context.zone, random);
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -45,6 +45,9 @@
   if (!request_.resumeAfter.empty()) {
     trail_.noteTakeUp(request_.resumedStream, request_.resumeAfter);
   }
+  if (CallerBuffer* buffer = caller_.buffer()) {
+    buffer->setDeadline(request_.deadline + kAnswerGrace);
+  }
 }
 
 bool RequestRun::mayRunElsewhere() const {
@@ -101,6 +104,9 @@
     if (step != AttemptStep::kSilent || beginDeadline_.isOver(now)) {
       return step;
     }
+    if (!callerMayGoOn()) {
+      return AttemptStep::kCallerGone;
+    }
     if (now < leaveAt) {
       continue;
     }
@@ -113,7 +119,7 @@
 
 AttemptStep RequestRun::readStream(EngineAttempt& attempt, std::string& bytes) {
   const Time leaveAt = stepDeadline();
-  const AttemptStep step = attempt.readBody(caller_, nextCheck(leaveAt), bytes);
+  const AttemptStep step = readBody(attempt, nextCheck(leaveAt), bytes);
   const Time now = services_.clock.now();
   if (step != AttemptStep::kSilent || beginDeadline_.isOver(now)) {
     return step;
@@ -121,7 +127,7 @@
   if (now < leaveAt) {
     return AttemptStep::kDone;  // Only the periodic check was due.
   }
-  return keepsWaitingForSilentEngine() ? attempt.readBody(caller_, stepDeadline(), bytes) : step;
+  return keepsWaitingForSilentEngine() ? readBody(attempt, stepDeadline(), bytes) : step;
 }
 
 void RequestRun::recordAttemptEnd(BackendVerdict verdict, AttemptEnd end) {
@@ -132,6 +138,9 @@
   uncountPrompt();
   releaseTicket();
   services_.backends.ended(plan_.backend.id, verdict, now);
+  if (!currentPeer_) {
+    forwarder_.planner_.noteEnded(request_);
+  }
   const bool isWhole = end == AttemptEnd::kServed || end == AttemptEnd::kFailed;
   if (isWhole && !currentPeer_) {  // Another node records itself what its engines survived.
     // The back end survived the request, and with a success also what it wrote on the parts.
@@ -158,14 +167,24 @@
   }
 }
 
-bool RequestRun::isLate(Time now) const {
-  return firstEventAt_.value_or(now) - request_.arrivedAt > request_.row->target;
+std::optional<LateCause> RequestRun::lateCause(Time now) const {
+  if (firstEventAt_.value_or(now) - request_.arrivedAt > request_.row->target) {
+    return LateCause::kFirstEvent;
+  }
+  const Duration mostPause = request_.row->longestPause;
+  const bool pausedTooLong = mostPause > Duration(0) && longestPause_ > mostPause;
+  return pausedTooLong ? std::optional(LateCause::kPause) : std::nullopt;
 }
 
 /// Logs requests that were delivered in time at debug level only, and one line for each other
 /// request, within a log budget.
 void RequestRun::logEnd(RequestOutcome outcome) {
-  const bool wentWell = outcome == RequestOutcome::kDelivered && !isLate(services_.clock.now());
+  const std::optional<LateCause> late =
+      outcome == RequestOutcome::kDelivered ? lateCause(services_.clock.now()) : std::nullopt;
+  if (late) {
+    metrics_.countLateAnswer(*late);
+  }
+  const bool wentWell = outcome == RequestOutcome::kDelivered && !late;
   logLine(outcome, wentWell ? LogLevel::kDebug : LogLevel::kInfo);
 }
 
@@ -197,6 +216,9 @@
     fields.longestPause = longestPause_;
   }
   const bool isLateAnswer = outcome == RequestOutcome::kDelivered && !wentWell;
+  if (const auto late = isLateAnswer ? lateCause(now) : std::nullopt) {
+    fields.lateCause = toString(*late);
+  }
   logEvent(level, isLateAnswer ? "request: delivered late" : phraseOf(outcome), fields);
 }
 
@@ -210,7 +232,7 @@
       if (services_.clock.now() - std::max(sentAt_, lastEventAt_) >= kMinSilenceToKeepRun) {
         recordCutOff();
       }
-      recordAttemptEnd(BackendVerdict::kNeutral, AttemptEnd::kCallerLeft);
+      recordAttemptEnd(BackendVerdict::kNeutral, endByCaller());
       return Next::kFinished;
     case AttemptStep::kNotSent:
       recordNotReached();
@@ -222,8 +244,7 @@
       recordAttemptEnd(BackendVerdict::kNeutral, AttemptEnd::kUnwanted);
       return Next::kTryAnother;
     case AttemptStep::kBroken:
-      recordAttemptEnd(BackendVerdict::kFailed, classifyBreak());
-      return afterUnknownRun();
+      return afterBreak();
     case AttemptStep::kSilent:
       recordCutOff();
       if (beginDeadline_.isOver(services_.clock.now())) {
@@ -270,8 +291,9 @@
     trail_.noteUnpermitted(*unpermittedFor_);
     return Next::kGiveUp;
   }
-  if (planned && planned->isTooLate) {
-    tooLongFirstEvent_ = planned->expected->firstEvent;
+  if (planned && planned->verdict.isRefused()) {
+    waitRefusal_ = planned->verdict;
+    trail_.noteRefusal(planned->verdict, planned->expected->firstEvent);
     giveBackTicket();
     return Next::kGiveUp;
   }
@@ -304,7 +326,12 @@
     step = AttemptStep::kUnwanted;
   }
   if (step == AttemptStep::kDone) {
-    step = attempt.send(caller_, sentBy);
+    const Time end = request_.deadline + kAnswerGrace;
+    const Duration silence =
+        silenceLimit(request_, expectedFirstEvent_, forwarder_.options_.silenceBeforeSecondSend);
+    step =
+        attempt.send(caller_, SendLimits{std::min(end, beginDeadline_.withdrawAt().value_or(end)),
+                                         silence, !mayAbandonEngine()});
   }
   if (wasNotSent(step)) {
     giveBackTicket();
@@ -331,10 +358,16 @@
   beginDeadline_.start(request_.model, plan_.weightsVersion,
                        request_.row->isStream && !currentPeer_);
   services_.backends.started(plan_.backend.id, request_.promptTokens);
+  tokensToRead_ = planned.prompt.toRead;
+  if (!currentPeer_) {
+    forwarder_.planner_.noteSent(request_, planned.prompt);
+  }
   attemptOpen_ = true;
   promptCounted_ = true;
   staysWithEngine_ = false;
   isAttemptChecked_ = false;
+  wasLeftUnread_ = false;
+  pace_ = StreamPace{};
   sentAt_ = now;
   TrailEntry entry;
   entry.backend = plan_.backend.id;
@@ -345,6 +378,7 @@
   entry.lowestWeights = planned.lowestWeights;
   entry.expectedFirstEvent = expectedFirstEvent_;
   entry.permitWait = planned.permitWait;
+  entry.isSentLate = planned.verdict.decision == WaitDecision::kSendLate;
   if (const auto end = services_.wanted.boundEnd(request_.model, plan_.weightsVersion)) {
     entry.boundLeft = *end - now;
   }
@@ -409,7 +443,11 @@
   }
   if (bufferedAnswer_) {  // Deliver the back end's own error answer if no attempt did better.
     deliverBuffered();
-    logEnd(RequestOutcome::kEngineFailed);
+    if (callerGone_) {
+      endWithoutCaller();
+    } else {
+      logEnd(RequestOutcome::kEngineFailed);
+    }
     return;
   }
   if (peerRefusal_ && !mayHaveRun_) {
@@ -422,11 +460,36 @@
     rejectWithoutPermit(*unpermittedFor_);
     return;
   }
-  const bool isLate = services_.clock.now() + kMinTimeToSend >= request_.deadline;
-  refuse(givenUpError(GivenUp{mayHaveRun_, isLate, tooLongFirstEvent_}));
+  const Duration timeLeft = request_.deadline - services_.clock.now();
+  GivenUp state;
+  state.mayHaveRun = mayHaveRun_;
+  state.isLate = timeLeft <= kMinTimeToSend;
+  state.timeLeft = timeLeft;
+  if (waitRefusal_) {
+    state.returnAfter = waitRefusal_->returnAfter;
+  }
+  refuse(givenUpError(state));
   logEnd(mayHaveRun_ ? RequestOutcome::kNoWholeAnswer : RequestOutcome::kNoBackend);
 }
 
+bool RequestRun::isCallerGivenUp() {
+  const CallerBuffer* buffer = caller_.buffer();
+  return buffer != nullptr && buffer->isGivenUp();
+}
+
+AttemptEnd RequestRun::endByCaller() {
+  return isCallerGivenUp() ? AttemptEnd::kNotRead : AttemptEnd::kCallerLeft;
+}
+
+void RequestRun::endWithoutCaller() {
+  const bool isGivenUp = isCallerGivenUp();
+  caller_.breakOff();
+  if (isGivenUp) {
+    services_.metrics.countSlowCaller();
+  }
+  logEnd(isGivenUp ? RequestOutcome::kNotRead : RequestOutcome::kCallerLeft);
+}
+
 bool RequestRun::passesLimit() {
   if (!request_.tenant) {
     return true;
@@ -494,8 +557,7 @@
   if (next == Next::kGiveUp) {
     giveUp();
   } else if (callerGone_) {
-    caller_.breakOff();
-    logEnd(RequestOutcome::kCallerLeft);
+    endWithoutCaller();
   } else {
     logEnd(RequestOutcome::kDelivered);
   }
--- a/src/gateway/send_decisions.h
+++ b/src/gateway/send_decisions.h
@@ -7,15 +7,20 @@
 
 #include "common/error.h"
 #include "common/time.h"
-#include "gateway/backend_choice.h"
 #include "gateway/incoming_request.h"
+#include "gateway/wait_policy.h"
 
 namespace fernmoor::gateway {
 
+/// Used for pools whose capacity is not stated; decideWait() decides for the others.
 /// @return whether a request that was not sent yet can meet its target at a back end with these
 ///         expected times. One that can't would only delay others that can.
 bool canBeInTime(const IncomingRequest& request, const ExpectedTimes& expected, Time now);
 
+/// @return how long a request that was not sent yet may wait before its prompt is read, so that it
+///         can meet its target.
+Duration longestQueueWait(const IncomingRequest& request, Time now);
+
 /// @param urgency 0 is the most urgent; each step halves the wait, so that more urgent requests
 ///        find shorter queues.
 /// @param mayBeRefused the request was not sent yet, so the wait must leave time to meet its
@@ -37,7 +42,9 @@
   bool mayHaveRun = false;
   bool isLate = false;  ///< Its deadline has passed.
   /// Expected time to its first event, if it was not sent because that is too long.
-  std::optional<Duration> expectedFirstEvent;
+  std::optional<Duration> expectedFirstEvent = std::nullopt;
+  std::optional<Duration> returnAfter = std::nullopt;  ///< As decided by decideWait().
+  std::optional<Duration> timeLeft = std::nullopt;     ///< Until its deadline; nothing: ample.
 };
 
 /// @return the error for its caller. Only for a request that has not run it states so and includes
--- a/src/gateway/send_planner.cpp
+++ b/src/gateway/send_planner.cpp
@@ -14,8 +14,6 @@
 
 namespace {
 
-constexpr int kUrgenciesPerTenantPriority = 3;
-constexpr int kLeastUrgent = 9;
 /// One request in this many waits for a permit as long as the most urgent ones do, so that no row
 /// is starved.
 constexpr uint64_t kStarvationGuardInterval = 8;
@@ -55,10 +53,10 @@
   return std::nullopt;
 }
 
-int urgencyOf(const IncomingRequest& request) {
-  const int ofTenant = request.tenant ? request.tenant->priority : 0;
-  return std::clamp(ofTenant * kUrgenciesPerTenantPriority + request.row->priority, 0,
-                    kLeastUrgent);
+/// @return the capacity of each engine of the request's pool.
+EngineRoom roomOf(const IncomingRequest& request) {
+  const Pool* const pool = request.table->findPool(request.pool);
+  return pool == nullptr ? EngineRoom{} : pool->room;
 }
 
 }  // namespace
@@ -68,10 +66,11 @@
 
 std::optional<BackendChoice> SendPlanner::choose(const PlanInput& input,
                                                  std::vector<BackendView> members, uint64_t lowest,
-                                                 Time now) {
+                                                 const std::optional<EngineSide>& side, Time now) {
   leaveOutOldWeights(members, lowest);
   const Pool* const pool = input.request.table->findPool(input.request.pool);
-  const ChoiceContext context{zone_, input.tried, pool == nullptr ? EngineRoom{} : pool->room, now};
+  ChoiceContext context{zone_, input.tried, roomOf(input.request), now, side};
+  context.servesModels = pool == nullptr || pool->servesModels;
   std::optional<BackendChoice> chosen =
       chooseHome(input.request, members, context, services_.loads);
   if (!chosen) {
@@ -85,6 +84,12 @@
   return chosen;
 }
 
+std::optional<EngineSide> SendPlanner::sideOf(const IncomingRequest& request,
+                                              const std::vector<BackendView>& members, Time now) {
+  return kindSides_.sideOf(request, members, roomOf(request).places, services_.loads.nodeCount(),
+                           now);
+}
+
 uint64_t SendPlanner::drawSeed() {
   const std::lock_guard<std::mutex> lock(randomMutex_);
   return random_.next();
@@ -99,8 +104,9 @@
     const PlanInput& input, const std::vector<BackendView>& members, Time now, uint64_t& lowest) {
   const std::string& model = input.request.model;
   lowest = services_.wanted.lowestServing(model, now);
+  const std::optional<EngineSide> side = sideOf(input.request, members, now);
   while (true) {
-    std::optional<BackendChoice> chosen = choose(input, members, lowest, now);
+    std::optional<BackendChoice> chosen = choose(input, members, lowest, side, now);
     if (!chosen) {
       return chosen;
     }
@@ -154,6 +160,53 @@
   plan.transfer = planTransfer(hints, holders, experience_.isStoreSlow(now), now);
 }
 
+WaitVerdict SendPlanner::decide(const PlanInput& input, const BackendChoice& chosen,
+                                PlannedSend& planned) {
+  const IncomingRequest& request = input.request;
+  const Time now = services_.clock.now();
+  WaitInput wait;
+  wait.target = request.row->target;
+  wait.timeout = request.row->timeout;
+  wait.waited = now - request.arrivedAt;
+  wait.left = request.deadline - now;
+  wait.mayBeRefused = input.mayBeRefused;
+  wait.expected = chosen.expected;
+  wait.claim = chosen.claim;
+  if (chosen.returnAfter > Duration(0)) {
+    wait.reservedIn = chosen.returnAfter;
+  }
+  const Pool* const pool = request.table->findPool(request.pool);
+  if (pool == nullptr || pool->room.places == 0 || pool->room.memoryTokens == 0) {
+    if (!input.mayBeRefused || !chosen.expected || canBeInTime(request, *chosen.expected, now)) {
+      return WaitVerdict{};
+    }
+    const Duration returnAfter = returnWhenBusy(chosen.expected->firstEvent);
+    return WaitVerdict{WaitDecision::kRefuse, boundedReturn(returnAfter, wait.left)};
+  }
+  // Whether there is spare capacity is asked only if the decision depends on it.
+  wait.hasSpareCapacity = chosen.claim != ClaimState::kUnknown;
+  WaitVerdict verdict = decideWait(wait);
+  if (verdict.decision != WaitDecision::kSendLate) {
+    return verdict;
+  }
+  if (planned.ticket) {
+    giveBack(*planned.ticket);
+    planned.ticket.reset();
+  }
+  const ChoiceContext context{zone_, input.tried, pool->room, now};
+  const auto answer = reserveAsLeastUrgent(request, chosen.backend, context, services_.loads);
+  if (answer && answer->isGranted) {
+    planned.ticket = answer->ticket;
+    planned.permitWait = answer->permitWait;
+    return verdict;
+  }
+  wait.hasSpareCapacity = false;
+  if (answer && answer->returnAfter > Duration(0)) {
+    wait.reservedIn = answer->returnAfter;
+  }
+  return decideWait(wait);
+}
+
 std::optional<PlannedSend> SendPlanner::plan(const PlanInput& input) {
   const IncomingRequest& request = input.request;
   const Time now = services_.clock.now();
@@ -173,16 +226,19 @@
   planned.pendingTokens = chosen->pendingTokens;
   planned.ticket = chosen->ticket;
   planned.expected = chosen->expected;
-  planned.isTooLate = input.mayBeRefused && planned.expected &&
-                      !canBeInTime(request, *planned.expected, services_.clock.now());
-  if (planned.isTooLate) {
+  planned.prompt.toRead = chosen->readingTokens > 0 ? chosen->readingTokens : request.promptTokens;
+  planned.prompt.whole = request.promptTokens;
+  planned.prompt.tokensPerSecond = chosen->tokensPerSecond;
+  planned.verdict = decide(input, *chosen, planned);
+  if (planned.verdict.isRefused()) {
     return planned;  // Its cached parts need not be looked up.
   }
   SendPlan& plan = planned.send;
   plan.backend = *chosen->backend.listing;
   plan.weightsVersion = chosen->backend.weightsVersion;
   plan.resumeAfter = input.resumeAfter;
-  plan.urgency = urgencyOf(request);
+  plan.urgency =
+      planned.verdict.decision == WaitDecision::kSendLate ? kLeastUrgent : urgencyOf(request);
   if (plan.weightsVersion != 0 && request.row->usesPrefixes) {
     plan.cacheScope = cacheScopeOf(request, plan.weightsVersion);
     planCache(input, members, now, plan);
@@ -190,6 +246,19 @@
   return planned;
 }
 
+void SendPlanner::noteSent(const IncomingRequest& request, const SentPrompt& prompt) {
+  kindSides_.noteSent(request, prompt, services_.clock.now());
+}
+
+void SendPlanner::noteFirstEvent(const IncomingRequest& request, uint64_t tokensToRead,
+                                 Duration took) {
+  kindSides_.noteFirstEvent(request, tokensToRead, took, services_.clock.now());
+}
+
+void SendPlanner::noteEnded(const IncomingRequest& request) {
+  kindSides_.noteEnded(request, services_.clock.now());
+}
+
 void SendPlanner::notePartsRead(const IncomingRequest& request, const SendPlan& plan,
                                 Duration took) {
   experience_.note(plan.transfer.source, request.promptTokens, took, services_.clock.now());
--- a/src/gateway/send_planner.h
+++ b/src/gateway/send_planner.h
@@ -16,6 +16,7 @@
 #include "gateway/backend_protocol.h"
 #include "gateway/engine_loads.h"
 #include "gateway/incoming_request.h"
+#include "gateway/kind_sides.h"
 #include "gateway/part_memory.h"
 #include "gateway/source_experience.h"
 
@@ -43,12 +44,13 @@
 /// A plan and the load by which its back end was chosen.
 struct PlannedSend {
   SendPlan send;
-  int inFlight = 0;                       ///< Requests of this node at the back end.
-  uint64_t pendingTokens = 0;             ///< Of all nodes if `ticket` is set, else of this one.
+  int inFlight = 0;            ///< Requests of this node at the back end.
+  uint64_t pendingTokens = 0;  ///< Of all nodes if `ticket` is set, else of this one.
+  SentPrompt prompt;
   uint64_t lowestWeights = 0;             ///< Lowest acceptable version; 0: any.
   std::optional<LoadTicket> ticket;       ///< To be released when the request ends.
   std::optional<ExpectedTimes> expected;  ///< If known.
-  bool isTooLate = false;                 ///< It can't meet its target: reject it, don't send it.
+  WaitVerdict verdict;                    ///< `send` is not set if it refuses the request.
   Duration permitWait{0};                 ///< Time to wait before it is sent.
   /// Set if all back ends have reached the limits they state, or are resting: the time until one
   /// accepts a request.
@@ -70,14 +72,29 @@
   void release(const LoadTicket& ticket) { services_.loads.release(ticket); }
   /// Returns the ticket of a request that was not sent.
   void giveBack(const LoadTicket& ticket) { services_.loads.giveBack(ticket); }
+  /// Records that a request was sent to an engine, that its first event arrived, and that it left
+  /// the engine.
+  /// @param prompt, tokensToRead as planned.
+  /// @param took time from the send to the first event.
+  void noteSent(const IncomingRequest& request, const SentPrompt& prompt);
+  void noteFirstEvent(const IncomingRequest& request, uint64_t tokensToRead, Duration took);
+  void noteEnded(const IncomingRequest& request);
   /// Records at which engine the request's shared parts were read.
   /// @param took time from the send to the first event.
   void notePartsRead(const IncomingRequest& request, const SendPlan& plan, Duration took);
 
  private:
   /// @param lowest lowest weights version that the back end may hold.
+  /// @param side the engines that serve requests of this kind; nothing: all.
   std::optional<BackendChoice> choose(const PlanInput& input, std::vector<BackendView> members,
-                                      uint64_t lowest, Time now);
+                                      uint64_t lowest, const std::optional<EngineSide>& side,
+                                      Time now);
+  /// @return the engines that serve requests of this kind; nothing: all.
+  std::optional<EngineSide> sideOf(const IncomingRequest& request,
+                                   const std::vector<BackendView>& members, Time now);
+  /// Decides whether a request is sent to the chosen back end now. Counts it there anew if it is
+  /// sent as the least urgent.
+  WaitVerdict decide(const PlanInput& input, const BackendChoice& chosen, PlannedSend& planned);
   uint64_t drawSeed();
   /// @return how long the request may wait for a permit.
   Duration maxPermitWait(const PlanInput& input, Time now);
@@ -102,6 +119,7 @@
   PlannerServices services_;
   std::string zone_;
   SourceExperience experience_;
+  KindSides kindSides_;
   std::mutex randomMutex_;
   Random random_;
 };
--- a/src/peers/load_directory.cpp
+++ b/src/peers/load_directory.cpp
@@ -1,10 +1,10 @@
 #include "peers/load_directory.h"
 
 #include <algorithm>
-#include <limits>
 
 #include "peers/answer_timeout.h"
 #include "peers/engine_statement_codec.h"
+#include "peers/load_demand_codec.h"
 #include "peers/message_time.h"
 #include "peers/node_hash.h"
 
@@ -22,18 +22,25 @@
 
 constexpr Duration kMillisecondRoundUp{999};
 
-uint32_t clampToUint32(uint64_t tokens) {
-  return static_cast<uint32_t>(std::min<uint64_t>(tokens, std::numeric_limits<uint32_t>::max()));
-}
-
 proto::LoadRelease makeRelease(const LoadTicket& ticket) {
   proto::LoadRelease release;
   release.set_engine(ticket.engine);
   release.set_question_id(ticket.id);
   release.set_lacked_room(ticket.lackedRoom);
+  release.set_events(ticket.pace.events);
+  release.set_stepping_milliseconds(toMilliseconds(ticket.pace.stepping));
+  release.set_longest_pause_milliseconds(toMilliseconds(ticket.pace.longestPause));
   return release;
 }
 
+gateway::StreamPace decodePace(const proto::LoadRelease& release) {
+  gateway::StreamPace pace;
+  pace.events = release.events();
+  pace.stepping = std::chrono::milliseconds(release.stepping_milliseconds());
+  pace.longestPause = std::chrono::milliseconds(release.longest_pause_milliseconds());
+  return pace;
+}
+
 /// @return the answer to a request that may be sent after a wait that is too long for it.
 LoadAnswer lacksPermitFor(Duration wait) {
   LoadAnswer answer;
@@ -63,6 +70,7 @@
 
 void LoadDirectory::setMembers(std::shared_ptr<const MembershipSnapshot> members) {
   const std::lock_guard<std::mutex> lock(mutex_);
+  mustRenew_ = mustRenew_ || members != members_;
   members_ = std::move(members);
 }
 
@@ -71,6 +79,11 @@
   return rendezvousOwner(engine, self_, members_.get());
 }
 
+size_t LoadDirectory::nodeCount() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return members_ == nullptr ? 1 : std::max<size_t>(1, members_->members.size());
+}
+
 double LoadDirectory::reachableShare() const {
   const std::lock_guard<std::mutex> lock(mutex_);
   return reachableShare_;
@@ -139,16 +152,8 @@
                                             uint64_t bound) const {
   proto::Envelope envelope;
   proto::LoadQuestion& question = *envelope.mutable_load()->mutable_question();
-  question.set_question_id(id);
-  question.set_engine(engine);
-  question.set_tokens(clampToUint32(demand.promptTokens));
+  encodeDemand(id, engine, demand, room, question);
   question.set_bound(clampToUint32(bound));
-  question.set_memory_tokens(clampToUint32(demand.memoryTokens));
-  question.set_engine_places(room.places);
-  question.set_engine_memory_tokens(clampToUint32(room.memoryTokens));
-  question.set_forget_after_milliseconds(toMilliseconds(demand.forgetAfter));
-  question.set_longest_permit_wait_milliseconds(toMilliseconds(demand.longestPermitWait));
-  question.set_only_permit(!demand.isCounted);
   const Time now = clock_.now();
   if (const EngineStatement known = statementOf(engine, now); !known.isEmpty()) {
     encodeStatement(known, now, *question.mutable_statement());
@@ -158,15 +163,19 @@
 
 std::optional<LoadAnswer> LoadDirectory::reserve(uint64_t engine, const EngineDemand& demand,
                                                  const EngineRoom& room, uint64_t bound) {
-  const NodeId owner = ownerOf(engine);
+  NodeLife ownerLife;
+  std::shared_ptr<const MembershipSnapshot> members;
   uint32_t id = 0;
   {
     const std::lock_guard<std::mutex> lock(mutex_);
+    members = members_;
+    ownerLife = ownerLifeOf(engine);
     id = ++lastQuestion_;
-    if (owner != self_) {
+    if (ownerLife.node != self_) {
       questions_[id].isCounted = demand.isCounted;
     }
   }
+  const NodeId owner = ownerLife.node;
   std::optional<LoadAnswer> answer;
   if (owner == self_) {
     const PendingRequest request{self_.value(), id, demand};
@@ -182,11 +191,14 @@
     limits_.noteWait(engine, clock_.now() + answer->permitWait);
     brittle_.noteWait(engine, clock_.now() + answer->permitWait);
   }
+  if (answer && answer->isGranted && answer->ticket.isCounted) {
+    const Time forgetAt = clock_.now() + demand.forgetAfter;
+    noteOpen(id, OpenRequest{engine, demand, room, forgetAt, false, ownerLife, {}}, members.get());
+  }
   return answer;
 }
 
-void LoadDirectory::sendRelease(const proto::LoadRelease& release) {
-  const NodeId owner = ownerOf(release.engine());
+void LoadDirectory::sendRelease(const proto::LoadRelease& release, NodeId owner) {
   if (owner == self_) {
     applyRelease(self_.value(), release, clock_.now());
     return;
@@ -199,18 +211,26 @@
 void LoadDirectory::promptRead(const LoadTicket& ticket) {
   proto::LoadRelease release = makeRelease(ticket);
   release.set_still_runs(true);
-  sendRelease(release);
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (const auto open = open_.find(ticket.id); open != open_.end()) {
+      open->second.isRead = true;
+    }
+  }
+  sendRelease(release, ownerOf(ticket.engine));
 }
 
 void LoadDirectory::release(const LoadTicket& ticket) {
   if (ticket.isCounted) {
-    sendRelease(makeRelease(ticket));
+    const NodeId owner = closeRequest(ticket);
+    sendRelease(makeRelease(ticket), owner);
   }
 }
 
 void LoadDirectory::giveBack(const LoadTicket& ticket) {
   if (ticket.isCounted || ticket.hasPermit) {
-    sendRelease(makeUnsentRelease(ticket));
+    const NodeId owner = closeRequest(ticket);
+    sendRelease(makeUnsentRelease(ticket), owner);
   }
 }
 
@@ -222,10 +242,13 @@
       release.lacked_room() && survives) {
     windows_.noteRejection(release.engine(), work_.countOf(release.engine(), now), *survives, now);
   }
+  if (release.lacked_room()) {
+    work_.noteRejection(release.engine(), now);
+  }
   if (release.still_runs()) {
     work_.promptRead(release.engine(), asker, release.question_id(), now);
   } else {
-    work_.release(release.engine(), asker, release.question_id(), now);
+    work_.release(release.engine(), asker, release.question_id(), now, decodePace(release));
   }
 }
 
@@ -238,18 +261,13 @@
     }
     known.first->second = from.incarnation;
   }
-  work_.forgetOwner(from.node.value());
+  forgetRequestsOf(from.node, clock_.now());
 }
 
 void LoadDirectory::onQuestion(NodeLife from, const proto::LoadQuestion& question, Time now,
                                MessageSender& sender) {
   forgetPreviousIncarnation(from);
-  EngineDemand demand;
-  demand.promptTokens = question.tokens();
-  demand.memoryTokens = question.memory_tokens();
-  demand.forgetAfter = std::chrono::milliseconds(question.forget_after_milliseconds());
-  demand.longestPermitWait = std::chrono::milliseconds(question.longest_permit_wait_milliseconds());
-  demand.isCounted = !question.only_permit();
+  const EngineDemand demand = decodeDemand(question);
   if (question.has_statement() &&
       applyStatement(decodeStatement(question.statement(), now), from.node, now)) {
     announce(question.engine(), now);
@@ -270,6 +288,11 @@
   answer.set_is_brittle(survivedRejections(question.engine(), now).has_value());
   // Rounded up, so that the request is neither sent nor asked for again before its permit is due.
   answer.set_permit_wait_milliseconds(toMilliseconds(reserved.permitWait + kMillisecondRoundUp));
+  answer.set_first_event_base_milliseconds(toMilliseconds(reserved.firstEventBase));
+  answer.set_reading_tokens(clampToUint32(reserved.readingTokens));
+  answer.set_present_requests(reserved.presentRequests ? *reserved.presentRequests + 1 : 0);
+  answer.set_return_after_milliseconds(toMilliseconds(reserved.returnAfter + kMillisecondRoundUp));
+  answer.set_from_reservation(reserved.isFromReservation);
   if (const EngineStatement known = statementOf(question.engine(), now); !known.isEmpty()) {
     encodeStatement(known, now, *answer.mutable_statement());
   }
@@ -285,6 +308,13 @@
   received.isStalled = answer.stalled();
   received.lacksPermit = answer.lacks_permit();
   received.permitWait = std::chrono::milliseconds(answer.permit_wait_milliseconds());
+  received.readingTokens = answer.reading_tokens();
+  received.returnAfter = std::chrono::milliseconds(answer.return_after_milliseconds());
+  received.isFromReservation = answer.from_reservation();
+  received.firstEventBase = std::chrono::milliseconds(answer.first_event_base_milliseconds());
+  if (answer.present_requests() > 0) {
+    received.presentRequests = answer.present_requests() - 1;
+  }
   const bool isBrittle = answer.is_brittle();
   const bool hasPermit = answer.granted() && (answer.statement().is_limited() || isBrittle);
   received.ticket = LoadTicket{answer.engine(), answer.question_id(), true, hasPermit};
@@ -321,6 +351,8 @@
     applyRelease(from.node.value(), message.release(), now);
   } else if (message.has_statements()) {
     onStatements(from, message.statements(), now);
+  } else if (message.has_renewal()) {
+    onRenewal(from, message.renewal(), now);
   }
 }
 
--- a/test/gateway/backend_choice_test.cpp
+++ b/test/gateway/backend_choice_test.cpp
@@ -4,6 +4,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <map>
 #include <memory>
 
@@ -57,8 +58,9 @@
     LoadAnswer answer;
     answer.tokensPerSecond = 40000;
     answer.pendingTokens = pending[engine];
+    answer.readingTokens = reading;
     answer.isStalled = stalled.count(engine) > 0;
-    answer.isGranted = answer.pendingTokens < bound && !answer.isStalled;
+    answer.isGranted = answer.pendingTokens < bound && !answer.isStalled && full.count(engine) == 0;
     answer.ticket = LoadTicket{engine, questions};
     pending[engine] += answer.isGranted ? demand.promptTokens : 0;
     return answer;
@@ -68,6 +70,8 @@
 
   std::map<uint64_t, uint64_t> pending;
   std::set<uint64_t> stalled;  ///< Engines that make no progress.
+  std::set<uint64_t> full;     ///< Engines at which no request is counted.
+  uint64_t reading = 0;        ///< Tokens of each prompt that are not cached; 0: unknown.
   uint32_t questions = 0;
 };
 
@@ -162,6 +166,10 @@
     loads.pending[home] = 0;
     CHECK((choose().expected->firstEvent == std::chrono::milliseconds(230)));
   }
+  SUBCASE("and the cached parts of its prompt are not expected to be read again") {
+    loads.reading = 2900;  // Guards against prompts that are refused for reading the engine skips.
+    CHECK((choose().expected->firstEvent == Duration(72500)));
+  }
   SUBCASE("if the wait is longer at all engines") {
     for (const BackendView& each : candidates) {
       loads.pending[stableHash(each.listing->id)] = 30000;
@@ -248,4 +256,218 @@
   CHECK(leftOf({0, 0}, 0) == 2);
 }
 
+namespace {
+
+/// Twelve engines of which four serve the rows with short prompts.
+struct DividedPool {
+  DividedPool() {
+    std::vector<uint64_t> incarnations;
+    for (const BackendView& each : candidates) {
+      incarnations.push_back(each.incarnation);
+    }
+    side = EngineSide{1, leastWeightOfFirst(1, incarnations, 4), true};
+  }
+
+  bool isOnOwnSide(const BackendView& engine) const { return side.contains(engine.incarnation); }
+  std::optional<BackendChoice> choose(const Prompt& prompt, EngineLoads& loads) const {
+    const ChoiceContext context{"near", {}, EngineRoom{32, 0}, {}, side};
+    return chooseHome(prompt.request, candidates, context, loads);
+  }
+
+  std::vector<BackendView> candidates = engines(12);
+  EngineSide side;
+};
+
+}  // namespace
+
+// Guards against requests of one kind at the engines of the other, and against homes that change
+// within a side: their cached parts would be lost.
+TEST_CASE("requests stay on their side, and homes there are the best ones of the whole order") {
+  DividedPool pool;
+  SilentLoads loads;
+  for (const bool isShort : {true, false}) {
+    pool.side.isShort = isShort;
+    for (int subject = 0; subject < 50; ++subject) {
+      const Prompt prompt(std::to_string(subject));
+      const BackendView home = pool.choose(prompt, loads)->backend;
+      CHECK(pool.isOnOwnSide(home));
+      const std::string undivided = chosen(prompt.request, pool.candidates);
+      CHECK((home.listing->id == undivided ||
+             !pool.isOnOwnSide(*std::find_if(
+                 pool.candidates.begin(), pool.candidates.end(),
+                 [&](const BackendView& each) { return each.listing->id == undivided; }))));
+    }
+  }
+}
+
+// Guards against requests that are refused or lost while the other side could serve them, and
+// against short queues that push long prompts among the short streams.
+TEST_CASE("a side that is dead or full is not insisted upon, a busy one is") {
+  DividedPool pool;
+  Prompt prompt("subject");
+  prompt.request.promptTokens = 9200;
+  prompt.row.target = std::chrono::milliseconds(1500);
+  const auto setOwn = [&](auto change) {
+    for (BackendView& each : pool.candidates) {
+      if (pool.isOnOwnSide(each)) {
+        change(each);
+      }
+    }
+  };
+  SilentLoads unknown;
+  CountingLoads known;
+
+  SUBCASE("avoided engines") {
+    setOwn([](BackendView& each) { each.isAvoided = true; });
+    CHECK_FALSE(pool.isOnOwnSide(pool.choose(prompt, unknown)->backend));
+  }
+  SUBCASE("stalled engines") {
+    setOwn([&](const BackendView& each) { known.stalled.insert(each.incarnation); });
+    CHECK_FALSE(pool.isOnOwnSide(pool.choose(prompt, known)->backend));
+  }
+  SUBCASE("engines whose slots this node's requests fill") {
+    setOwn([](BackendView& each) { each.inFlight = 32; });
+    CHECK_FALSE(pool.isOnOwnSide(pool.choose(prompt, unknown)->backend));
+  }
+  SUBCASE("engines whose owners count no further request") {
+    setOwn([&](const BackendView& each) { known.full.insert(each.incarnation); });
+    const auto choice = pool.choose(prompt, known);
+    CHECK_FALSE(pool.isOnOwnSide(choice->backend));
+    CHECK(choice->ticket);
+  }
+  SUBCASE("engines with a queue for which the request would be late") {  // 24,000 tokens: 600 ms.
+    setOwn([&](const BackendView& each) { known.pending[each.incarnation] = 25000; });
+    const auto choice = pool.choose(prompt, known);
+    CHECK_FALSE(pool.isOnOwnSide(choice->backend));
+    CHECK(choice->ticket);
+    CHECK(known.questions <= 5);
+  }
+  SUBCASE("engines with a queue for which the request is still in time") {
+    setOwn([&](const BackendView& each) { known.pending[each.incarnation] = 20000; });
+    const auto choice = pool.choose(prompt, known);
+    CHECK(pool.isOnOwnSide(choice->backend));
+    CHECK(choice->ticket);
+  }
+  SUBCASE("unless the other side is fuller") {
+    for (const BackendView& each : pool.candidates) {
+      known.pending[each.incarnation] = pool.isOnOwnSide(each) ? 25000 : 50000;
+    }
+    CHECK(pool.isOnOwnSide(pool.choose(prompt, known)->backend));
+  }
+}
+
+namespace {
+
+/// Counts the requests of all nodes at each engine, as the owners do.
+class PresentLoads : public EngineLoads {
+ public:
+  std::optional<LoadAnswer> reserve(uint64_t engine, const EngineDemand&, const EngineRoom&,
+                                    uint64_t) override {
+    ++questions;
+    if (silent.count(engine) > 0) {
+      return std::nullopt;
+    }
+    LoadAnswer answer;
+    answer.isGranted = true;
+    answer.tokensPerSecond = 1;
+    if (tellsPresent) {
+      answer.presentRequests = present[engine];
+    }
+    ++present[engine];
+    answer.ticket = LoadTicket{engine, questions, true, false, false, {}};
+    return answer;
+  }
+  void promptRead(const LoadTicket&) override {}
+  void release(const LoadTicket& ticket) override { --present[ticket.engine]; }
+  size_t nodeCount() const override { return nodes; }
+
+  size_t nodes = 73;
+  bool tellsPresent = true;
+  std::set<uint64_t> silent;  ///< Engines whose owners do not answer.
+  std::map<uint64_t, uint32_t> present;
+  uint32_t questions = 0;
+};
+
+/// Calls to three application engines of six slots each.
+struct ApplicationPool {
+  ApplicationPool() {
+    request.row = &row;
+    listSlots(6);
+  }
+  void listSlots(int slots) {
+    for (BackendView& each : candidates) {
+      BackendListing listing = *each.listing;
+      listing.slots = slots;
+      each.listing = std::make_shared<BackendListing>(listing);
+    }
+  }
+  std::optional<BackendChoice> choose() {
+    const ChoiceContext context{"near", {}, {}, {}, std::nullopt, servesModels};
+    return chooseLeastLoaded(request, candidates, context, loads, random);
+  }
+
+  Row row;
+  IncomingRequest request;
+  std::vector<BackendView> candidates = engines(3);
+  PresentLoads loads;
+  Random random{1};
+  bool servesModels = false;
+};
+
+}  // namespace
+
+// Guards against engines that reject calls because every node counts only its own.
+TEST_CASE("with fewer slots than nodes, calls go to the emptier of two random engines") {
+  ApplicationPool pool;
+  std::map<std::string, int> calls;
+  for (int call = 0; call < 15; ++call) {  // Fifteen nodes, each with one call and 18 slots in all.
+    const auto choice = pool.choose();
+    REQUIRE(choice);
+    CHECK(choice->ticket);
+    ++calls[choice->backend.listing->id];
+  }
+  for (const BackendView& each : pool.candidates) {
+    CHECK(pool.loads.present[each.incarnation] ==
+          static_cast<uint32_t>(calls[each.listing->id]));  // The other one was released.
+    CHECK(calls[each.listing->id] <= 6);
+  }
+  CHECK(pool.loads.questions == 30);
+}
+
+// Guards against questions where they are not called for, and against calls that fail or stay
+// counted if an owner does not answer.
+TEST_CASE("this node's own count decides where the owners' counts are not needed or not known") {
+  ApplicationPool pool;
+  SUBCASE("the pool has as many slots as there are nodes") {
+    pool.loads.nodes = 18;
+  }
+  SUBCASE("the engines list no slots") {
+    pool.listSlots(0);
+  }
+  SUBCASE("the engines serve models") {
+    pool.servesModels = true;
+  }
+  SUBCASE("the owners do not answer") {
+    for (const BackendView& each : pool.candidates) {
+      pool.loads.silent.insert(each.incarnation);
+    }
+  }
+  SUBCASE("one owner does not answer") {
+    pool.candidates.pop_back();
+    pool.loads.silent.insert(pool.candidates[1].incarnation);
+  }
+  SUBCASE("the owners run the previous release") {
+    pool.loads.tellsPresent = false;
+  }
+  pool.candidates[0].inFlight = 5;
+  const auto choice = pool.choose();
+  REQUIRE(choice);
+  CHECK(choice->backend.listing->id != "e0");
+  CHECK_FALSE(choice->ticket);
+  CHECK(pool.loads.questions <= 2);
+  for (const auto& [engine, present] : pool.loads.present) {
+    CHECK(present == 0);
+  }
+}
+
 }  // namespace fernmoor::gateway
