--- a/src/gateway/pending_work.cpp
+++ b/src/gateway/pending_work.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <limits>
 
+#include "gateway/wait_policy.h"
+
 namespace fernmoor::gateway {
 
 namespace {
@@ -28,9 +30,6 @@
 constexpr double kSpareShare = 0.5;
 /// A bound from which on a question is about any queue: the node has no other engine to ask.
 constexpr uint64_t kAnyQueue = std::numeric_limits<uint32_t>::max();
-/// A retry that is granted from its reservation finds the room that was kept for it.
-constexpr Duration kMinReturnAfter{20000};
-constexpr int kMaxReturnDivisorOfTime = 3;
 /// Time after its deadline for which a request is counted, see EngineDemand::forgetAfter.
 constexpr Duration kForgetMargin{500000};
 /// An owner learns which parts an engine holds in this time. Meanwhile, a part that it has not seen
@@ -185,11 +184,10 @@
   const Duration wait =
       fromSeconds(static_cast<double>(standing.pendingTokens()) / standing.tokensPerSecond);
   const Duration left = std::max(Duration(0), demand.forgetAfter - kForgetMargin);
-  const ReturnWindow window{now + std::max(kMinReturnAfter, wait),
-                            now + left / kMaxReturnDivisorOfTime};
+  const ReturnWindow window{now + std::max(kMinReturn, wait), now + left / kMaxReturnDivisor};
   const std::optional<Time> at =
       returns.reserve(demand.requestKey, standing.claim.amounts, whole, window, now);
-  return at ? std::max(kMinReturnAfter, *at - now) : Duration(0);
+  return at ? std::max(kMinReturn, *at - now) : Duration(0);
 }
 
 void PendingWork::Engine::count(const PendingRequest& request, const Standing& standing, Time now) {
