Load plays against the decisions at the owners of engines

The decisions of PendingWork were tested one by one. The first case loses the owner of each engine in the middle of a load: the counts of its successor equal the requests at the engine, a second report changes nothing, and nothing is held after the end.

--- /dev/null
+++ b/test/gateway/pending_work_load_test.cpp
@@ -0,0 +1,64 @@
+/// @file
+/// Tests of the decisions at the owners of engines (src/gateway/pending_work.h) under load, in
+/// virtual time: see load_play.h. The figures are those of the deployment `cffrc` in
+/// docs/design/HARD-LOAD.md.
+#include <doctest/doctest.h>
+
+#include "load_play.h"
+
+namespace fernmoor::gateway {
+
+namespace {
+
+constexpr size_t kEngines = 60;
+constexpr double kLongPerSecond = 86.5;
+constexpr double kShortPerSecond = 236;
+
+Duration seconds(double count) {
+  return fromSeconds(count);
+}
+
+}  // namespace
+
+// Guards against counts of a new owner that miss requests, contain them twice, or keep what has
+// ended.
+TEST_CASE("load: the counts are right after an owner is lost") {
+  LoadPlay play(8,
+                {{longKind(), kLongPerSecond * 0.2, unequalTenants()},
+                 {shortKind(), kShortPerSecond * 0.2, unequalTenants()}},
+                3);
+  play.run(seconds(5));
+  for (size_t engine = 0; engine < play.engineCount(); ++engine) {
+    play.loseOwner(engine, seconds(0.5));
+    if (engine % 2 == 0) {
+      play.run(seconds(5 + 0.1 * static_cast<double>(engine)));
+      play.loseOwner(engine, seconds(0.3));  // Its successor is lost, too.
+    }
+  }
+  play.run(seconds(7));
+  size_t present = 0;
+  for (size_t engine = 0; engine < play.engineCount(); ++engine) {
+    play.renew(engine);  // They are reported again, and counted already.
+  }
+  for (size_t engine = 0; engine < play.engineCount(); ++engine) {
+    CHECK(play.owner(engine).countOf(engine + 1, play.now()) == play.engine(engine).present());
+    present += play.engine(engine).present();
+  }
+  CHECK(present > 0);
+  play.run(seconds(9));
+  play.finish();
+  CHECK(play.mostHeldTokens() <= kEngineRoom.memoryTokens);
+  for (size_t engine = 0; engine < play.engineCount(); ++engine) {
+    CHECK(play.owner(engine).countOf(engine + 1, play.now()) == 0);
+    EngineDemand whole;
+    whole.promptTokens = kEngineRoom.memoryTokens;
+    whole.memoryTokens = kEngineRoom.memoryTokens;
+    whole.urgency = 9;
+    const LoadAnswer answer = play.owner(engine).reserve(
+        engine + 1, PendingRequest{2, 1, whole}, kEngineRoom, UINT32_MAX, play.now() + seconds(5));
+    CHECK(answer.isGranted);
+    CHECK(answer.pendingTokens == 0);
+  }
+}
+
+}  // namespace fernmoor::gateway
