Requests for spare room are no demand, and order counts as a wait

The new case demands all.

Cause: a request that will be late is asked again as the least urgent, for spare room only. Its refusal was counted as demand of that urgency, which kept an eighth of the engine free that such a request may not take, and refused urgent ones for it. And an engine that refused a request because others go first stated a queue of 0: the node took it for the one with the shortest wait, and was refused there although another home had room.

Change: refusals of such questions are not counted as demand. The wait stated with a refusal for order is at least the shortest return time.

--- a/src/gateway/pending_work.cpp
+++ b/src/gateway/pending_work.cpp
@@ -61,7 +61,11 @@
 }  // namespace
 
 uint64_t PendingWork::Standing::pendingTokens() const {
-  const double seconds = std::max({secondsUntilPlace, secondsUntilMemory, secondsAfterRejection});
+  // A request that others precede returns no sooner. Otherwise its node would take this engine for
+  // the one with the shortest wait, and the request would be refused although others have room.
+  const double secondsUntilReturn = orderRefusal ? toSeconds(kMinReturnWhenBusy) : 0;
+  const double seconds =
+      std::max({secondsUntilPlace, secondsUntilMemory, secondsAfterRejection, secondsUntilReturn});
   return std::max(missing.unreadTokens, static_cast<uint64_t>(seconds * tokensPerSecond));
 }
 
@@ -337,7 +341,9 @@
   countRefusal(standing);
   if (isLastQuestion) {
     const auto reason = standing.orderRefusal ? standing.orderRefusal : standing.roomRefusal;
-    engine.sharing.noteRefusal(standing.claim, reason.value_or(RoomRefusal::kReading), now);
+    if (!request.demand.onlySpare) {
+      engine.sharing.noteRefusal(standing.claim, reason.value_or(RoomRefusal::kReading), now);
+    }
     answer.returnAfter = engine.reserveReturn(request.demand, standing, now);
   }
   return answer;
--- a/test/gateway/pending_work_load_test.cpp
+++ b/test/gateway/pending_work_load_test.cpp
@@ -43,6 +43,26 @@
   }
 }
 
+// Guards against reservations that do not serve the caller who returns to them, and against those
+// that overrun an engine's memory.
+TEST_CASE("load: refused callers return once, and those with a reservation are served") {
+  for (const uint32_t seed : {1, 2, 3}) {
+    CAPTURE(seed);
+    LoadPlay play(16,
+                  {{longKind(), kLongPerSecond * 0.7, unequalTenants()},
+                   {shortKind(), kShortPerSecond * 0.7, unequalTenants()}},
+                  seed);
+    play.run(seconds(15));
+    play.finish();
+    for (const size_t kind : {0, 1}) {
+      const Served& served = play.ofKind(kind);
+      CHECK(served.reservedRetries > 0);
+      CHECK(served.servedReserved == served.reservedRetries);
+    }
+    CHECK(play.mostHeldTokens() <= kEngineRoom.memoryTokens);
+  }
+}
+
 // Guards against counts of a new owner that miss requests, contain them twice, or keep what has
 // ended.
 TEST_CASE("load: the counts are right after an owner is lost") {
