--- a/src/gateway/pending_work.cpp
+++ b/src/gateway/pending_work.cpp
@@ -41,6 +41,9 @@
 /// An engine that rejected a request for lack of capacity counts as full for this time. About ten
 /// requests per second end at a busy engine, so two have probably ended by then.
 constexpr Duration kFullAfterRejection{200000};
+/// A request that has to wait and whose node then finds the wait too long is released within this
+/// time. It was not sent.
+constexpr Duration kGivenBackWithin{20000};
 
 /// @return the request without its shared parts if the cached ones can't be predicted, because the
 ///         capacity of its engine is unknown.
@@ -61,7 +64,11 @@
 }  // namespace
 
 uint64_t PendingWork::Standing::pendingTokens() const {
-  const double seconds = std::max({secondsUntilPlace, secondsUntilMemory, secondsAfterRejection});
+  // A request that others precede returns no sooner. Otherwise its node would take this engine for
+  // the one with the shortest wait, and the request would be refused although others have room.
+  const double secondsUntilReturn = orderRefusal ? toSeconds(kMinReturnWhenBusy) : 0;
+  const double seconds =
+      std::max({secondsUntilPlace, secondsUntilMemory, secondsAfterRejection, secondsUntilReturn});
   return std::max(missing.unreadTokens, static_cast<uint64_t>(seconds * tokensPerSecond));
 }
 
@@ -109,6 +116,19 @@
   return false;
 }
 
+uint64_t PendingWork::Engine::tokensReadOfFirst(const ReadingLine& line, Time now) const {
+  const auto first = std::find_if(entries.begin(), entries.end(),
+                                  [](const Entry& entry) { return !entry.isRead; });
+  if (first == entries.end() || !occupancy.knowsParts()) {
+    return 0;
+  }
+  const Duration since = now - std::max(first->reservedAt, reading.at) - line.base;
+  const double read = std::max(0.0, toSeconds(since) * line.tokensPerSecond);
+  // Until its first event, at least a token is left.
+  const uint64_t most = std::min(first->readingTokens, occupancy.unreadTokens());
+  return std::min(static_cast<uint64_t>(read), most > 0 ? most - 1 : 0);
+}
+
 PendingWork::Standing PendingWork::Engine::standingFor(const EngineDemand& demand, Time now) {
   const EngineRoom& capacity = occupancy.capacity();
   Standing standing;
@@ -117,6 +137,7 @@
   standing.reading = occupancy.knowsParts() ? readingLine(now)
                                             : ReadingLine{Duration(0), standing.tokensPerSecond};
   standing.readingTokens = occupancy.readingTokens(demand);
+  standing.missing.unreadTokens -= tokensReadOfFirst(standing.reading, now);
   const double residenceSeconds = secondsPerRequest();
   if (!standing.missing.hasPlace()) {
     standing.secondsUntilPlace =
@@ -143,7 +164,7 @@
   standing.claim.tenant = demand.tenant;
   standing.claim.amounts = RoomAmounts{1, static_cast<double>(occupancy.addedMemoryTokens(demand)),
                                        static_cast<double>(standing.readingTokens)};
-  const RoomAmounts held = returns.held(now);
+  const RoomAmounts held = returns.held(now, demand.requestKey);
   EngineState engine;
   engine.capacity.places = std::max(1.0, room.places - held.places);
   engine.capacity.memoryTokens =
@@ -171,7 +192,9 @@
 Duration PendingWork::Engine::reserveReturn(const EngineDemand& demand, const Standing& standing,
                                             Time now) {
   const EngineRoom& room = occupancy.capacity();
-  if (demand.requestKey == 0 || room.places == 0) {
+  // A tenant above its share would otherwise get by its retries what its first attempts may not.
+  const bool isAboveShare = standing.orderRefusal == RoomRefusal::kShare;
+  if (demand.requestKey == 0 || room.places == 0 || isAboveShare) {
     return Duration(0);
   }
   const double perSecond = 1 / secondsPerRequest();
@@ -196,12 +219,19 @@
   entry.request = request;
   entry.reservedAt = now;
   entry.forgetAt = now + request.demand.forgetAfter;
+  entry.readingTokens = standing.readingTokens;
   entry.tokensAtStart = standing.missing.unreadTokens + standing.readingTokens;
   entry.occupant = occupancy.add(request.demand);
   entry.claim = standing.claim;
+  if (!request.demand.onlySpare && (standing.roomRefusal || standing.missing.unreadTokens > 0)) {
+    entry.awaited = standing.roomRefusal.value_or(RoomRefusal::kReading);
+  }
   sharing.noteStart(entry.claim, now);
   // Without a prompt, nothing is read, and a long call is no sign of a stalled engine.
   entry.isRead = request.demand.promptTokens == 0;
+  if (entry.isRead) {
+    sharing.notePromptRead(entry.claim, now);
+  }
   if (occupancy.knowsParts()) {
     partsKnownSince = knewParts ? partsKnownSince : now;
     const bool isLearning = now - partsKnownSince < kPartsLearningTime;
@@ -306,7 +336,7 @@
   Engine& engine = engineOf(id, now);
   engine.occupancy.setCapacity(room);
   assumeSpeed(id, engine, now);
-  const bool isReturn = engine.returns.claim(request.demand.requestKey, now);
+  const bool isReturn = engine.returns.isDue(request.demand.requestKey, now);
   const Standing standing = engine.standingFor(request.demand, now);
   LoadAnswer answer;
   answer.ticket = LoadTicket{id, request.id};
@@ -322,17 +352,24 @@
   const bool isAdmitted = answer.pendingTokens < bound && !standing.orderRefusal &&
                           (keepsGaps || isLastQuestion) &&
                           (!request.demand.onlySpare || standing.hasSpareRoom);
-  answer.isGranted = (isAdmitted || isReturn) && !answer.isStalled;
+  // The reservation is for what the request lacked when it was refused: since then, parts that it
+  // shares may have left the memory, and others may hold what was to become free.
+  const bool isCovered = isReturn && standing.missing.hasMemory();
+  answer.isGranted = (isAdmitted || isCovered) && !answer.isStalled;
   answer.isFromReservation = answer.isGranted && isReturn;
   if (answer.isGranted) {
-    engine.returns.cancel(request.demand.requestKey);
+    if (!engine.returns.claim(request.demand.requestKey, now)) {
+      engine.returns.cancel(request.demand.requestKey);
+    }
     engine.count(request, standing, now);
     return answer;
   }
   countRefusal(standing);
   if (isLastQuestion) {
     const auto reason = standing.orderRefusal ? standing.orderRefusal : standing.roomRefusal;
-    engine.sharing.noteRefusal(standing.claim, reason.value_or(RoomRefusal::kReading), now);
+    if (!request.demand.onlySpare) {
+      engine.sharing.noteRefusal(standing.claim, reason.value_or(RoomRefusal::kReading), now);
+    }
     answer.returnAfter = engine.reserveReturn(request.demand, standing, now);
   }
   return answer;
@@ -413,9 +450,16 @@
   if (entry->isRead && !entry->isRenewed) {
     engine.residence.add(1.0, toSeconds(now - entry->reservedAt), now, kObservedHalfLife);
   }
+  const bool isGivenBack =
+      entry->awaited && !entry->isRead && now - entry->reservedAt <= kGivenBackWithin;
+  const RoomRefusal awaited = entry->awaited.value_or(RoomRefusal::kReading);
+  const RoomClaim claim = entry->claim;
   engine.removeIf(
       [&](const Entry& each) { return each.request.owner == owner && each.request.id == request; },
       now);
+  if (isGivenBack) {
+    engine.sharing.noteGivenBack(claim, awaited, now);
+  }
 }
 
 void PendingWork::noteRejection(uint64_t id, Time now) {
