Benchmarks of what a request costs at the owner of its engine and at its node

The cost of the parts for heavy load was "not measured in all" in CAPACITY.md. `fernmoor-bench slopes requests` measures PendingWork with 64 requests present, 512 known parts and 64 reservations, the codec, the way of a question through two LoadDirectories, the choice of the side of a pool, and the delivery of an event.

--- a/programs/fernmoor-bench/slopes_command.cpp
+++ b/programs/fernmoor-bench/slopes_command.cpp
@@ -24,7 +24,7 @@
     {"membership", measureMembership}, {"table", measureTableMemory},
     {"spread", measureTableSpread},    {"admission", measureAdmission},
     {"claims", measureClaims},         {"wire", measureWire},
-    {"gateway", measureGateway},
+    {"gateway", measureGateway},       {"requests", measureRequestPath},
 };
 
 bool isWanted(const Part& part, const Arguments& names) {
--- a/src/bench/slope.cpp
+++ b/src/bench/slope.cpp
@@ -96,4 +96,12 @@
   return seconds / static_cast<double>(calls);
 }
 
+double secondsPerCall(const std::function<std::function<void()>()>& prepare, int64_t calls) {
+  double seconds = timeCalls(prepare(), calls);
+  for (int trial = 1; trial < kTrials; ++trial) {
+    seconds = std::min(seconds, timeCalls(prepare(), calls));
+  }
+  return seconds / static_cast<double>(calls);
+}
+
 }  // namespace fernmoor::bench
--- a/src/bench/slope.h
+++ b/src/bench/slope.h
@@ -3,6 +3,7 @@
 /// line says at the size of the target.
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <string>
 #include <vector>
@@ -36,4 +37,9 @@
 /// the machine does only ever adds.
 double secondsPerCall(const std::function<void()>& action);
 
+/// As above, for an action on a state that changes or ends with the calls.
+/// @param prepare makes the state anew for each trial, and returns the action.
+/// @param calls of each trial.
+double secondsPerCall(const std::function<std::function<void()>()>& prepare, int64_t calls);
+
 }  // namespace fernmoor::bench
--- a/src/bench/slopes.h
+++ b/src/bench/slopes.h
@@ -32,5 +32,8 @@
 /// A gateway before the operators' store: choice, upkeep, copy of the list and moves by back ends,
 /// duties by nodes.
 std::vector<Slope> measureGateway();
+/// A request at the owner of its engine by tenants, the messages to it by shared parts, the side of
+/// its pool by engines, and its events by bytes.
+std::vector<Slope> measureRequestPath();
 
 }  // namespace fernmoor::bench
--- a/src/bench/target_sizes.h
+++ b/src/bench/target_sizes.h
@@ -19,6 +19,9 @@
 constexpr double kFailuresPerDay = 19;
 constexpr double kSecondsPerDay = 86400;
 
+/// Tenants that one engine's owner tracks at most.
+constexpr double kTenantsOfEngine = 256;
+
 /// Gateways before one operators' store, and the back ends that it lists.
 constexpr double kGateways = 985;
 constexpr double kListedBackends = 9998;
