--- a/src/peers/load_directory.cpp
+++ b/src/peers/load_directory.cpp
@@ -70,13 +70,16 @@
 
 void LoadDirectory::setMembers(std::shared_ptr<const MembershipSnapshot> members) {
   const std::lock_guard<std::mutex> lock(mutex_);
-  mustRenew_ = mustRenew_ || members != members_;
+  if (members != members_) {
+    mustRenew_ = true;
+    ownerLives_.clear();
+  }
   members_ = std::move(members);
 }
 
 NodeId LoadDirectory::ownerOf(uint64_t engine) const {
   const std::lock_guard<std::mutex> lock(mutex_);
-  return rendezvousOwner(engine, self_, members_.get());
+  return ownerLifeOf(engine).node;
 }
 
 size_t LoadDirectory::nodeCount() const {
--- a/src/peers/load_directory.h
+++ b/src/peers/load_directory.h
@@ -31,6 +31,7 @@
 #include <memory>
 #include <mutex>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "backends/backend_set.h"
@@ -132,7 +133,8 @@
 
   NodeId ownerOf(uint64_t engine) const;
   bool isOwner(uint64_t engine) const { return ownerOf(engine) == self_; }
-  /// As ownerOf(), with the incarnation; call with `mutex_` held.
+  /// As ownerOf(), with the incarnation; call with `mutex_` held. Looked up among all members once
+  /// for each engine and snapshot of the members.
   NodeLife ownerLifeOf(uint64_t engine) const;
   /// @return the id of a listed engine; empty if it isn't listed.
   std::string engineName(uint64_t engine) const;
@@ -243,6 +245,7 @@
   mutable std::mutex mutex_;
   std::condition_variable answered_;
   std::shared_ptr<const MembershipSnapshot> members_;
+  mutable std::unordered_map<uint64_t, NodeLife> ownerLives_;  ///< By engine, under `members_`.
   std::map<uint32_t, Question> questions_;
   uint32_t lastQuestion_ = 0;
   std::map<NodeId, Incarnation> askerIncarnations_;  ///< Incarnation in which each node last asked.
--- a/src/peers/load_directory_renewals.cpp
+++ b/src/peers/load_directory_renewals.cpp
@@ -18,15 +18,25 @@
 /// A request takes about 100 bytes, and a datagram 1,200.
 constexpr int kMaxRequestsPerMessage = 8;
 constexpr Duration kRefusalLogInterval{4000000};
+/// Engines whose owners are remembered, some 40 bytes each. Incarnations that have ended add to the
+/// listed ones until the members change.
+constexpr size_t kMaxKnownOwners = 32768;
 
 }  // namespace
 
 NodeLife LoadDirectory::ownerLifeOf(uint64_t engine) const {
+  if (const auto known = ownerLives_.find(engine); known != ownerLives_.end()) {
+    return known->second;
+  }
+  if (ownerLives_.size() >= kMaxKnownOwners) {
+    ownerLives_.clear();
+  }
   NodeLife owner;
   owner.node = rendezvousOwner(engine, self_, members_.get());
   if (const Member* const member = members_ == nullptr ? nullptr : members_->find(owner.node)) {
     owner.incarnation = member->life.incarnation;
   }
+  ownerLives_[engine] = owner;
   return owner;
 }
 
@@ -54,7 +64,7 @@
   std::vector<NodeId> others;
   {
     const std::lock_guard<std::mutex> lock(mutex_);
-    owner = rendezvousOwner(ticket.engine, self_, members_.get());
+    owner = ownerLifeOf(ticket.engine).node;
     const auto open = open_.find(ticket.id);
     if (open == open_.end()) {
       return owner;
@@ -87,12 +97,8 @@
   }
   mustRenew_ = false;
   nextRenewalAt_ = now + kRenewalInterval;
-  std::map<uint64_t, NodeLife> owners;  // By engine; each lookup iterates over all members.
   for (auto& [id, request] : open_) {
-    const auto known = owners.find(request.engine);
-    const NodeLife owner = known == owners.end()
-                               ? owners[request.engine] = ownerLifeOf(request.engine)
-                               : known->second;
+    const NodeLife owner = ownerLifeOf(request.engine);
     if (owner != request.owner) {
       std::vector<NodeId>& formers = request.formerOwners;
       if (owner.node != request.owner.node) {
