Shares are computed only for a tenant with requests at the engine

Cause: a tenant without use is below its share in any case, but the demand of all tenants was summed up for it, with two exponentials for each: 19.4 us for a request while 256 tenants wait. Change: the use is looked at first, and the fading count is computed once.

--- a/src/gateway/room_sharing.cpp
+++ b/src/gateway/room_sharing.cpp
@@ -94,7 +94,12 @@
 }
 
 double RoomSharing::Refused::demandOf(double RoomAmounts::*resource, Time now) const {
-  return isWaiting(now) ? std::max(last.*resource, expected.*resource * countAt(now) / count) : 0;
+  if (now >= until) {
+    return 0;
+  }
+  const double counted = countAt(now);
+  return counted < kMinRefusals ? 0
+                                : std::max(last.*resource, expected.*resource * counted / count);
 }
 
 void RoomSharing::Refused::add(const RoomClaim& claim, const RoomAmounts& expectedUse, Time now) {
@@ -219,12 +224,16 @@
 
 bool RoomSharing::isAboveShare(size_t resource, const View& view) const {
   const auto amount = kResources[resource].amount;
+  const auto own = tenants_.find(view.claim.tenant);
+  const double ownUse = own == tenants_.end() ? 0 : own->second.use.*amount;
+  if (ownUse <= 0) {
+    return false;
+  }
   const double claimed = view.claim.amounts.*amount;
   std::vector<double> demands{claimed};
   std::vector<const Tenant*> waiting{nullptr};
   double total = claimed;
   double use = 0;
-  double ownUse = 0;
   for (const auto& [key, tenant] : tenants_) {
     const bool isOwn = key == view.claim.tenant;
     // Demand of less urgent kinds does not refuse a more urgent request.
@@ -234,7 +243,6 @@
     use += tenant.use.*amount;
     total += demand;
     if (isOwn) {
-      ownUse = tenant.use.*amount;
       demands[0] += demand;
     } else if (demand > 0) {
       demands.push_back(demand);
@@ -244,7 +252,7 @@
   // Requests without a tenant occupy the rest of what is used.
   const double free = view.engine.capacity.*amount - view.engine.used.*amount;
   const double capacity = std::max(0.0, free + use);
-  if (ownUse <= 0 || total <= capacity + kRounding) {
+  if (total <= capacity + kRounding) {
     return false;
   }
   const std::vector<double> shares = maxMinShares(demands, capacity);
