Comments of PendingWork, EnginePace and RoomSharing say what a name does not

Some only restated a name or said that something is measured. The file comment of EnginePace left out the engine's own mean, with which it is compared today.

--- a/src/gateway/engine_pace.h
+++ b/src/gateway/engine_pace.h
@@ -1,9 +1,9 @@
 /// @file
-/// How fast an engine is now, compared with its pool, and how many prompt tokens it may read while
-/// streams with a limit on their pauses run there.
+/// How fast an engine is now, compared with its pool or with its own long-term mean, and how many
+/// prompt tokens it may read while streams with a limit on their pauses run there.
 ///
-/// The load it answers: engines that are slow for 0.6 s at a time, which estimates over several
-/// seconds do not show, and prompts that delay the events of running streams.
+/// Engines are slow for 0.6 s at a time, which estimates over several seconds do not show, and
+/// prompts delay the events of running streams.
 #pragma once
 
 #include <cstddef>
@@ -16,7 +16,7 @@
 
 namespace fernmoor::gateway {
 
-/// Usual times at present, in seconds; 0 where unknown.
+/// Recent times of a whole pool, in seconds; 0 where unknown.
 struct PaceReference {
   double perEvent = 0;
   double perLongestPause = 0;
@@ -28,7 +28,7 @@
   bool isOutlier = false;  ///< It is clearly slower than usual.
 };
 
-/// Speed of one engine. Not thread-safe.
+/// Not thread-safe; one for each engine.
 class EnginePace {
  public:
   static constexpr uint64_t kUnboundedReading = std::numeric_limits<uint64_t>::max();
@@ -57,7 +57,7 @@
  private:
   friend PaceReference medianPace(const std::vector<const EnginePace*>& pool, Time now);
 
-  /// Sums that fade alike.
+  /// Sums that decay with the same half-life, so that their quotients are recent means.
   struct Sums {
     double units = 0;
     double seconds = 0;
@@ -69,7 +69,7 @@
     double secondsPerUnit() const { return units > 0 ? seconds / units : 0; }
   };
 
-  /// One kind of measurement.
+  /// Recent and long-term time of an event, a longest pause or a prompt token.
   struct Measure {
     Sums recent;
     Sums usual;
--- a/src/gateway/pending_work.cpp
+++ b/src/gateway/pending_work.cpp
@@ -28,14 +28,14 @@
 /// An engine has spare room, for answers that are late anyway, up to this part of its places and
 /// memory. Beyond it such requests slow down those that can still be in time.
 constexpr double kSpareShare = 0.5;
-/// A bound from which on a question is about any queue: the node has no other engine to ask.
+/// From this bound on, a question accepts any queue: the node has no other engine to ask.
 constexpr uint64_t kAnyQueue = std::numeric_limits<uint32_t>::max();
 /// Time after its deadline for which a request is counted, see EngineDemand::forgetAfter.
 constexpr Duration kForgetMargin{500000};
 /// An owner learns which parts an engine holds in this time. Meanwhile, a part that it has not seen
 /// before is often cached, so that the time of its prompt does not tell the speed.
 constexpr Duration kPartsLearningTime{2000000};
-/// An engine's speed is assumed of others if it was observed for at least this time.
+/// Other engines are assumed to be as fast as one that was observed for at least this time.
 constexpr double kMinObservedSeconds = 0.1;
 constexpr Duration kAssumptionInterval{1000000};
 /// An engine that rejected a request for lack of capacity counts as full for this time. About ten
--- a/src/gateway/pending_work.h
+++ b/src/gateway/pending_work.h
@@ -1,10 +1,10 @@
 /// @file
-/// The bookkeeping behind EngineLoads: the requests that wait and run at each engine, the engine's
-/// throughput, and the expected wait of a new request. A request whose end is not reported expires,
+/// Counts the requests that wait and run at each engine for EngineLoads, and estimates the engine's
+/// throughput and the expected wait of a new request. A request whose end is not reported expires,
 /// so that a lost message or a failed node does not make an engine look full.
 ///
-/// The speed of an engine whose requests have shared parts is measured in prompt tokens that it had
-/// to read, without the cached ones. Otherwise it is measured in tokens of whole prompts.
+/// The speed of an engine whose requests have shared parts is in prompt tokens that it had to read,
+/// without the cached ones. Otherwise it is in tokens of whole prompts.
 ///
 /// Where the capacity of an engine and the urgency of a request are known, less urgent requests
 /// leave a reserve for more urgent ones and tenants get fair shares (RoomSharing), and room is kept
@@ -60,7 +60,7 @@
   size_t countOf(uint64_t engine, Time now);
   /// The engine began to answer the request.
   void promptRead(uint64_t engine, uint64_t owner, uint32_t id, Time now);
-  /// @param pace of the events of its stream, if it was measured.
+  /// @param pace of the events of its stream; not used without events.
   void release(uint64_t engine, uint64_t owner, uint32_t id, Time now,
                const StreamPace& pace = StreamPace{});
   /// The engine rejected a request for lack of capacity although it was expected to have room: it
--- a/src/gateway/room_sharing.h
+++ b/src/gateway/room_sharing.h
@@ -2,8 +2,8 @@
 /// Which request goes first where an engine is short of capacity: less urgent requests leave a
 /// reserve for the more urgent ones that are expected, and tenants get max-min fair shares.
 ///
-/// The load it answers: a burst of long, less urgent prompts that fills the engines, while short
-/// urgent ones keep arriving, and a large tenant beside many small ones.
+/// Otherwise a burst of long, less urgent prompts fills the engines while short urgent ones keep
+/// arriving, and a large tenant takes the places that many small ones wait for.
 #pragma once
 
 #include <array>
--- a/src/peers/load_directory_renewals.cpp
+++ b/src/peers/load_directory_renewals.cpp
@@ -18,7 +18,7 @@
 /// A request takes about 100 bytes, and a datagram 1,200.
 constexpr int kMaxRequestsPerMessage = 8;
 constexpr Duration kRefusalLogInterval{4000000};
-/// Engines whose owners are remembered, some 40 bytes each. Incarnations that have ended add to the
+/// Engines whose owners are remembered, some 60 bytes each. Incarnations that have ended add to the
 /// listed ones until the members change.
 constexpr size_t kMaxKnownOwners = 32768;
 
