The benchmark's waiting tenants are refused by a wait that they don't accept

The merge of the load plays no longer counts a refused question for spare room as demand, so that the benchmark's tenants did not wait, and its own test failed. Their requests now wait for a prompt and are released unsent, which counts as refused.

--- a/src/bench/owner_load.cpp
+++ b/src/bench/owner_load.cpp
@@ -87,13 +87,18 @@
   }
 }
 
+/// A request that would wait for another prompt and is released unsent counts as refused.
 void OwnerLoad::refuseTenants(const OwnerLoadSizes& sizes) {
+  const gateway::PendingRequest first = makeRequest(0);
+  work_.reserve(kEngine, first, room_, kNoBound, step());
   for (uint64_t tenant = 1; tenant <= sizes.tenants; ++tenant) {
     gateway::PendingRequest request = makeRequest(tenant);
-    request.demand.onlySpare = true;
     request.demand.requestKey = 0;
     work_.reserve(kEngine, request, room_, kNoBound, step());
+    work_.release(kEngine, kNode, request.id, step());
   }
+  work_.promptRead(kEngine, kNode, first.id, step());
+  work_.release(kEngine, kNode, first.id, step());
 }
 
 gateway::LoadAnswer OwnerLoad::serve() {
