A gateway closes its listener and its callers' connections before it exits

Cause: the gateway kept its listener open until _exit(). Requests that came after the decision to exit stayed in the backlog, or on idle connections that no thread read any more, and were reset when the exit closed the sockets, 1 to 120 ms after "stopped" was logged (load 16 to 36). Change: before the exit the thread that accepts connections takes what the backlog holds and closes the listener when it is empty, so that later connections are refused. First requests on new connections are answered (503, not run) for up to 0.3 s, then idle connections are closed, and the process exits when none is open, after one second at most.

--- a/test/platform/ingress_test.cpp
+++ b/test/platform/ingress_test.cpp
@@ -3,6 +3,7 @@
 /// what is forwarded to engines, and what callers receive.
 #include "platform/ingress.h"
 
+#include <Poco/Net/NetException.h>
 #include <doctest/doctest.h>
 
 #include "platform/engine_protocol.h"
@@ -42,7 +43,9 @@
 /// The complete request path over loopback.
 class IngressWorld {
  public:
-  explicit IngressWorld(Duration tableAge = Duration(0))
+  enum class Start { kNow, kLater };
+
+  explicit IngressWorld(Duration tableAge = Duration(0), Start start = Start::kNow)
       : wanted(WeightBounds{}),
         engine(answerAsEngine),
         connections(ConnectOptions{}),
@@ -86,19 +89,29 @@
     listing.address = engine.address();
     listing.software = "v9";
     backends.update(listing, clock.now());
-    ingress.start();
+    if (start == Start::kNow) {
+      ingress.start();
+    }
   }
   ~IngressWorld() { ingress.stopAccepting(); }
 
   /// Sends bytes on a new connection and returns everything received until the node closes it.
   /// @param endsHere the caller half-closes the connection after sending.
   std::string exchange(const std::string& bytes, bool endsHere = false) {
-    Poco::Net::StreamSocket socket;
-    socket.connect(Poco::Net::SocketAddress(address.host, address.port));
+    Poco::Net::StreamSocket socket = connect();
     say(socket, bytes);
     if (endsHere) {
       socket.shutdownSend();
     }
+    return readAll(socket);
+  }
+  Poco::Net::StreamSocket connect() const {
+    Poco::Net::StreamSocket socket;
+    socket.connect(Poco::Net::SocketAddress(address.host, address.port));
+    return socket;
+  }
+  /// @return everything received until the node closes the connection.
+  static std::string readAll(Poco::Net::StreamSocket& socket) {
     std::string all;
     char buffer[4096];
     int count = 0;
@@ -444,4 +457,44 @@
   CHECK(world.engine.requests() == 1);
 }
 
+TEST_CASE("an ingress that closes answers the connections in its backlog with a 503") {
+  IngressWorld world(Duration(0), IngressWorld::Start::kLater);
+  world.work.stop(world.clock.now() - std::chrono::seconds(4));
+  std::vector<Poco::Net::StreamSocket> callers;
+  for (int number = 0; number < 5; ++number) {
+    callers.push_back(world.connect());
+    say(callers.back(), IngressWorld::head("Content-Length: 2\r\n\r\nab"));
+  }
+  world.ingress.start();
+  CHECK(world.ingress.close(world.clock.now() + std::chrono::seconds(5)));
+  for (Poco::Net::StreamSocket& caller : callers) {
+    const std::string answer = IngressWorld::readAll(caller);
+    CHECK(statusOf(answer) == "HTTP/1.1 503");
+    CHECK(answer.find("\"kind\":\"draining\"") != std::string::npos);
+    CHECK(answer.find("\"run\":\"not_run\"") != std::string::npos);
+  }
+  CHECK_THROWS_AS(world.connect(), Poco::Net::ConnectionRefusedException);
+}
+
+TEST_CASE("an ingress that closes waits for first requests and ends idle connections") {
+  IngressWorld world;
+  Poco::Net::StreamSocket idle = world.connect();
+  say(idle, IngressWorld::head("\r\n"));
+  char buffer[4096];
+  CHECK(idle.receiveBytes(buffer, sizeof(buffer)) > 0);
+  Poco::Net::StreamSocket silent = world.connect();
+  Poco::Net::StreamSocket late = world.connect();
+  world.work.stop(world.clock.now() - std::chrono::seconds(4));
+  bool hasClosed = false;
+  std::thread closing(
+      [&] { hasClosed = world.ingress.close(world.clock.now() + std::chrono::seconds(5)); });
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  say(late, IngressWorld::head("\r\n"));
+  CHECK(statusOf(IngressWorld::readAll(late)) == "HTTP/1.1 503");
+  closing.join();
+  CHECK(hasClosed);
+  CHECK(IngressWorld::readAll(idle).empty());
+  CHECK(IngressWorld::readAll(silent).empty());
+}
+
 }  // namespace fernmoor::platform
