Tenants above their share leave room for the others, also by their retries

Cause: shares are divided only among tenants that were refused, and an owner rarely refused: it counts a request that has to wait, and the node gives it back if it waits too long. Where memory was used up, a refusal was for memory also if the tenant was above its share; it then got reservations for its retries, which are granted before others. And a tenant above its share took the last room before the first refusal of a small one, so that each request of a small one was refused once.

Change: a request that had to wait and is released unsent within 20 ms counts as refused; a refusal is made good when a prompt was read, not when a request is counted. Where memory is short, the share is looked at first, and there is no reservation for the retry of a tenant above it. Where room is short, a tenant above its share leaves free what one request of another as urgent tenant takes that asked within the last second.

--- a/src/gateway/pending_work.cpp
+++ b/src/gateway/pending_work.cpp
@@ -41,6 +41,9 @@
 /// An engine that rejected a request for lack of capacity counts as full for this time. About ten
 /// requests per second end at a busy engine, so two have probably ended by then.
 constexpr Duration kFullAfterRejection{200000};
+/// A request that has to wait and whose node then finds the wait too long is released within this
+/// time. It was not sent.
+constexpr Duration kGivenBackWithin{20000};
 
 /// @return the request without its shared parts if the cached ones can't be predicted, because the
 ///         capacity of its engine is unknown.
@@ -189,7 +192,9 @@
 Duration PendingWork::Engine::reserveReturn(const EngineDemand& demand, const Standing& standing,
                                             Time now) {
   const EngineRoom& room = occupancy.capacity();
-  if (demand.requestKey == 0 || room.places == 0) {
+  // A tenant above its share would otherwise get by its retries what its first attempts may not.
+  const bool isAboveShare = standing.orderRefusal == RoomRefusal::kShare;
+  if (demand.requestKey == 0 || room.places == 0 || isAboveShare) {
     return Duration(0);
   }
   const double perSecond = 1 / secondsPerRequest();
@@ -218,9 +223,15 @@
   entry.tokensAtStart = standing.missing.unreadTokens + standing.readingTokens;
   entry.occupant = occupancy.add(request.demand);
   entry.claim = standing.claim;
+  if (!request.demand.onlySpare && (standing.roomRefusal || standing.missing.unreadTokens > 0)) {
+    entry.awaited = standing.roomRefusal.value_or(RoomRefusal::kReading);
+  }
   sharing.noteStart(entry.claim, now);
   // Without a prompt, nothing is read, and a long call is no sign of a stalled engine.
   entry.isRead = request.demand.promptTokens == 0;
+  if (entry.isRead) {
+    sharing.notePromptRead(entry.claim, now);
+  }
   if (occupancy.knowsParts()) {
     partsKnownSince = knewParts ? partsKnownSince : now;
     const bool isLearning = now - partsKnownSince < kPartsLearningTime;
@@ -439,9 +450,16 @@
   if (entry->isRead && !entry->isRenewed) {
     engine.residence.add(1.0, toSeconds(now - entry->reservedAt), now, kObservedHalfLife);
   }
+  const bool isGivenBack =
+      entry->awaited && !entry->isRead && now - entry->reservedAt <= kGivenBackWithin;
+  const RoomRefusal awaited = entry->awaited.value_or(RoomRefusal::kReading);
+  const RoomClaim claim = entry->claim;
   engine.removeIf(
       [&](const Entry& each) { return each.request.owner == owner && each.request.id == request; },
       now);
+  if (isGivenBack) {
+    engine.sharing.noteGivenBack(claim, awaited, now);
+  }
 }
 
 void PendingWork::noteRejection(uint64_t id, Time now) {
--- a/src/gateway/pending_work.h
+++ b/src/gateway/pending_work.h
@@ -14,6 +14,7 @@
 
 #include <cstdint>
 #include <mutex>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -83,6 +84,7 @@
     Time forgetAt;
     uint64_t readingTokens = 0;  ///< Of its own prompt.
     uint64_t tokensAtStart = 0;  ///< Prompt tokens to be read when it was added, its own included.
+    std::optional<RoomRefusal> awaited;  ///< What it has to wait for, if anything.
     bool isRead = false;
     bool isMeasured = true;  ///< The time to its first event tells how fast the engine reads.
     bool isRenewed = false;  ///< It was sent to the engine before it was counted here.
--- a/src/gateway/room_sharing.cpp
+++ b/src/gateway/room_sharing.cpp
@@ -37,6 +37,10 @@
 /// A reserve smaller than this part of a claim is dropped, a larger one is rounded up to whole
 /// claims: room for a part of a request is of no use.
 constexpr double kMinPartOfClaim = 1.0 / 16;
+/// A tenant that asked for room at the engine within this time (1 s) is expected to ask again.
+/// Where room is short, tenants above their share leave free what one of its requests takes:
+/// otherwise each of its requests would be refused at least once.
+constexpr Duration kActiveTime{1000000};
 /// Longest assumed time for which a request occupies a resource (3 s).
 constexpr double kMaxOccupiedSeconds = 3;
 /// Tolerance for rounding in sums of amounts that are whole numbers.
@@ -134,6 +138,11 @@
   return faded;
 }
 
+void RoomSharing::Tenant::noteClaim(const RoomClaim& claim) {
+  lastClaim = claim.amounts;
+  lastUrgency = *claim.urgency;
+}
+
 double RoomSharing::leftAt(Time now) const {
   return now > at_ ? decayOver(now - at_, kUseHalfLife) : 1;
 }
@@ -226,6 +235,7 @@
   double total = claimed;
   double use = 0;
   double ownUse = 0;
+  double oneOfOthers = 0;
   for (const auto& [key, tenant] : tenants_) {
     const bool isOwn = key == view.claim.tenant;
     // Demand of less urgent kinds does not refuse a more urgent request.
@@ -241,11 +251,15 @@
       demands.push_back(demand);
       waiting.push_back(refused > 0 ? &tenant : nullptr);
     }
+    const bool isAsUrgent = tenant.lastUrgency <= *view.claim.urgency;
+    if (!isOwn && isAsUrgent && view.now - tenant.usedAt < kActiveTime) {
+      oneOfOthers = std::max(oneOfOthers, tenant.lastClaim.*amount);
+    }
   }
   // Requests without a tenant occupy the rest of what is used.
   const double free = view.engine.capacity.*amount - view.engine.used.*amount;
   const double capacity = std::max(0.0, free + use);
-  if (ownUse <= 0 || total <= capacity + kRounding) {
+  if (ownUse <= 0 || total + oneOfOthers <= capacity + kRounding) {
     return false;
   }
   const std::vector<double> shares = maxMinShares(demands, capacity);
@@ -263,6 +277,7 @@
       owed += one * std::max(waiting[index]->use.*amount > 0 ? 0.0 : 1.0, whole);
     }
   }
+  owed = std::max(owed, oneOfOthers);
   return owed > 0 && claimed + owed > free + kRounding;
 }
 
@@ -283,7 +298,8 @@
   const View view{claim, engine, now, leftAt(now), floorPart(now)};
   const bool maySharesBind = claim.tenant != 0 && now < tenantsWaitUntil_;
   if (lacks(kMemoryIndex)) {
-    return RoomRefusal::kMemory;
+    return maySharesBind && isAboveShare(kMemoryIndex, view) ? RoomRefusal::kShare
+                                                             : RoomRefusal::kMemory;
   }
   for (size_t resource = 0; resource < kResources.size(); ++resource) {
     if (isConcerned(resource) && !leavesReserves(resource, view)) {
@@ -328,9 +344,10 @@
     urgency.lastClaim = claim.amounts;
   }
   if (reason != RoomRefusal::kUrgency && claim.tenant != 0) {
-    Refused& refused = tenantOf(claim.tenant, now).refused;
-    refused.add(claim, expected, now);
-    tenantsWaitUntil_ = std::max(tenantsWaitUntil_, refused.until);
+    Tenant& tenant = tenantOf(claim.tenant, now);
+    tenant.refused.add(claim, expected, now);
+    tenant.noteClaim(claim);
+    tenantsWaitUntil_ = std::max(tenantsWaitUntil_, tenant.refused.until);
   }
 }
 
@@ -353,11 +370,10 @@
   }
   fadeTo(now);
   if (claim.tenant != 0) {
-    tenantOf(claim.tenant, now).refused.removeOne(now);
+    tenantOf(claim.tenant, now).noteClaim(claim);
   }
   addUse(claim, claim.amounts, 1);
   Urgency& urgency = urgencies_[*index];
-  urgency.refused.removeOne(now);
   urgency.lastClaim = claim.amounts;
   for (size_t resource = 0; resource < kResources.size(); ++resource) {
     urgency.levels[resource].started += claim.amounts.*kResources[resource].amount;
@@ -365,10 +381,28 @@
 }
 
 void RoomSharing::notePromptRead(const RoomClaim& claim, Time now) {
-  if (indexOf(claim.urgency)) {
-    fadeTo(now);
-    addUse(claim, RoomAmounts{0, 0, claim.amounts.readingTokens}, -1);
+  const auto index = indexOf(claim.urgency);
+  if (!index) {
+    return;
+  }
+  fadeTo(now);
+  addUse(claim, RoomAmounts{0, 0, claim.amounts.readingTokens}, -1);
+  urgencies_[*index].refused.removeOne(now);
+  if (const auto tenant = tenants_.find(claim.tenant); tenant != tenants_.end()) {
+    tenant->second.refused.removeOne(now);
+  }
+}
+
+void RoomSharing::noteGivenBack(const RoomClaim& claim, RoomRefusal reason, Time now) {
+  const auto index = indexOf(claim.urgency);
+  if (!index) {
+    return;
+  }
+  for (size_t resource = 0; resource < kResources.size(); ++resource) {
+    double& started = urgencies_[*index].levels[resource].started;
+    started = std::max(0.0, started - claim.amounts.*kResources[resource].amount);
   }
+  noteRefusal(claim, reason, now);
 }
 
 void RoomSharing::noteEnd(const RoomClaim& claim, bool isRead, Time now) {
--- a/src/gateway/room_sharing.h
+++ b/src/gateway/room_sharing.h
@@ -51,11 +51,14 @@
   /// Counts a refusal as demand; it fades.
   void noteRefusal(const RoomClaim& claim, RoomRefusal reason, Time now);
   void noteStart(const RoomClaim& claim, Time now);
-  /// The prompt was read: its reading tokens are free.
+  /// The prompt was read: its reading tokens are free, and one refusal has been made good.
   void notePromptRead(const RoomClaim& claim, Time now);
   /// The request left the engine.
   /// @param isRead whether notePromptRead was called for it.
   void noteEnd(const RoomClaim& claim, bool isRead, Time now);
+  /// A request that ended was not sent, because it would have waited too long: it counts as refused.
+  /// @param reason what it would have waited for.
+  void noteGivenBack(const RoomClaim& claim, RoomRefusal reason, Time now);
   /// @return the number of tenants that are tracked.
   size_t tenants() const { return tenants_.size(); }
 
@@ -96,7 +99,11 @@
   struct Tenant {
     RoomAmounts use;
     Refused refused;
-    Time usedAt;
+    RoomAmounts lastClaim;
+    int lastUrgency = 0;
+    Time usedAt;  ///< When it last asked for room.
+
+    void noteClaim(const RoomClaim& claim);
   };
 
   /// What one decision needs several times.
--- a/test/gateway/pending_work_load_test.cpp
+++ b/test/gateway/pending_work_load_test.cpp
@@ -46,6 +46,44 @@
   }
 }
 
+namespace {
+
+/// Twelve engines, small tenants that use a fifth of them, and one that may ask for much more.
+LoadPlay playTenants(const PlayedKind& kind, double largePerSecond, double smallPerSecond) {
+  std::vector<double> small(kTenants, 1.0 / (kTenants - 1));
+  small[0] = 0;
+  std::vector<double> large(kTenants, 0.0);
+  large[0] = 1;
+  LoadPlay play(12, {{kind, smallPerSecond, small}, {kind, largePerSecond, large, seconds(3)}}, 5);
+  play.run(seconds(18));
+  play.finish();
+  CHECK(play.mostHeldTokens() <= kEngineRoom.memoryTokens);
+  return play;
+}
+
+void checkTenants(const PlayedKind& kind, double largePerSecond, double smallPerSecond) {
+  const LoadPlay without = playTenants(kind, 0, smallPerSecond);
+  const LoadPlay with = playTenants(kind, largePerSecond, smallPerSecond);
+  const LoadPlay alone = playTenants(kind, largePerSecond, 0);
+  // What the large tenant has begun keeps its room until it ends, so that a few are refused twice.
+  CHECK(with.ofKind(0).part() >= without.ofKind(0).part() - 0.05);
+  CHECK(alone.ofKind(1).served >= with.ofKind(1).served);
+  CHECK(alone.refusals().share == 0);
+}
+
+}  // namespace
+
+// Guards against a tenant that takes the slots of others, and against room that stays unused while
+// small tenants are idle.
+TEST_CASE("load: a tenant that asks for far too many short prompts beside small ones") {
+  checkTenants(shortKind(), 800, 45);  // Twelve engines read 780 a second.
+}
+
+// Guards against a tenant that takes the memory of others, also by its retries.
+TEST_CASE("load: a tenant that asks for far too many long prompts beside small ones") {
+  checkTenants(longKind(), 400, 30);  // Twelve engines read 169 a second if all parts are cached.
+}
+
 // Guards against reservations that do not serve the caller who returns to them, and against those
 // that overrun an engine's memory.
 TEST_CASE("load: refused callers return once, and those with a reservation are served") {
