Engine pace: no comparison with the median of the pool

Cause: medianPace() had no caller. An owner has one or two engines and cannot compare a pool, and PendingWork always passed an empty reference.

Change: medianPace(), PaceReference and what only they used are removed; an engine is compared with its own long-term mean, as before. The test of slow spells plays a second seed instead of the pool with the same bounds; the checks of the removed median of few and of slow pools went with it.

--- a/src/gateway/engine_pace.cpp
+++ b/src/gateway/engine_pace.cpp
@@ -14,11 +14,6 @@
 constexpr Duration kUsualHalfLife{60000000};
 /// Observations after which the long-term mean is used.
 constexpr double kMinUsual = 8;
-/// An engine is part of the median if it has this much recent evidence: one observation in the last
-/// half-life.
-constexpr double kMinRecent = 0.5;
-/// Engines from which a median is taken. Of two, it would be one of them.
-constexpr size_t kMinPool = 3;
 /// A time above this multiple of the usual one counts as this multiple: a single stream may have
 /// stalled for another reason than its engine.
 constexpr double kMaxRatio = 3;
@@ -41,15 +36,6 @@
 /// slower than the mean, and for the way to the caller.
 constexpr double kPlannedPausePart = 0.8;
 
-double medianOf(std::vector<double>& values) {
-  if (values.size() < kMinPool) {
-    return 0;
-  }
-  const auto middle = values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
-  std::nth_element(values.begin(), middle, values.end());
-  return *middle;
-}
-
 }  // namespace
 
 EnginePace::Sums EnginePace::Sums::fadedTo(Time now, Duration halfLife) const {
@@ -68,11 +54,6 @@
   return usual.observations >= kMinUsual ? usual.secondsPerUnit() : 0;
 }
 
-double EnginePace::Measure::recentSeconds(Time now) const {
-  const Sums faded = recent.fadedTo(now, kRecentHalfLife);
-  return faded.observations >= kMinRecent ? faded.secondsPerUnit() : 0;
-}
-
 double EnginePace::Measure::presentSeconds(Time now) const {
   if (usual.units <= 0) {
     return 0;
@@ -83,24 +64,21 @@
 }
 
 /// @return the time as a multiple of the usual one; 0: unknown.
-double EnginePace::Measure::add(double units, double seconds, double poolSeconds, Time now) {
-  const double reference = poolSeconds > 0 ? poolSeconds : usualSeconds();
-  const double expected = reference * units;
+double EnginePace::Measure::add(double units, double seconds, Time now) {
+  const double expected = usualSeconds() * units;
   const double counted = expected > 0 ? std::min(seconds, expected * kMaxRatio) : seconds;
   recent.add(units, counted, now, kRecentHalfLife);
-  const double own = usualSeconds() * units;
-  usual.add(units, own > 0 ? std::min(counted, own * kMaxUsualRatio) : counted, now,
+  usual.add(units, expected > 0 ? std::min(counted, expected * kMaxUsualRatio) : counted, now,
             kUsualHalfLife);
   return expected > 0 ? counted / expected : 0;
 }
 
-void EnginePace::noteStream(const StreamPace& stream, const PaceReference& pool, Time now) {
+void EnginePace::noteStream(const StreamPace& stream, Time now) {
   if (stream.events == 0 || stream.stepping <= Duration(0)) {
     return;
   }
-  const double ratio = events_.add(stream.events, toSeconds(stream.stepping), pool.perEvent, now);
-  const double pauseRatio =
-      pauses_.add(1, toSeconds(stream.longestPause), pool.perLongestPause, now);
+  const double ratio = events_.add(stream.events, toSeconds(stream.stepping), now);
+  const double pauseRatio = pauses_.add(1, toSeconds(stream.longestPause), now);
   // The mean over a long stream hides a slow spell at its end, which the longest pause may show. If
   // it shows none either, that is little evidence of the contrary.
   const double worst = std::max(ratio, pauseRatio);
@@ -108,12 +86,11 @@
   noteRatio(ratio, worst, worst < kSuspectRatio ? weight : 1, now);
 }
 
-void EnginePace::noteReading(uint64_t tokens, Duration time, const PaceReference& pool, Time now) {
+void EnginePace::noteReading(uint64_t tokens, Duration time, Time now) {
   if (tokens == 0 || time <= Duration(0)) {
     return;
   }
-  const double ratio =
-      reading_.add(static_cast<double>(tokens), toSeconds(time), pool.perToken, now);
+  const double ratio = reading_.add(static_cast<double>(tokens), toSeconds(time), now);
   noteRatio(ratio, ratio, 1, now);
 }
 
@@ -175,19 +152,4 @@
   return std::max(least, static_cast<uint64_t>(std::min(bound, 1e15)));
 }
 
-PaceReference medianPace(const std::vector<const EnginePace*>& pool, Time now) {
-  const auto median = [&](EnginePace::Measure EnginePace::*measure) {
-    std::vector<double> values;
-    for (const EnginePace* engine : pool) {
-      const double seconds = (engine->*measure).recentSeconds(now);
-      if (seconds > 0) {
-        values.push_back(seconds);
-      }
-    }
-    return medianOf(values);
-  };
-  return PaceReference{median(&EnginePace::events_), median(&EnginePace::pauses_),
-                       median(&EnginePace::reading_)};
-}
-
 }  // namespace fernmoor::gateway
--- a/src/gateway/engine_pace.h
+++ b/src/gateway/engine_pace.h
@@ -1,6 +1,6 @@
 /// @file
-/// How fast an engine is now, compared with its pool, and how many prompt tokens it may read while
-/// streams with a limit on their pauses run there.
+/// How fast an engine is now, compared with its own long-term mean, and how many prompt tokens it
+/// may read while streams with a limit on their pauses run there.
 ///
 /// The load it answers: engines that are slow for 0.6 s at a time, which estimates over several
 /// seconds do not show, and prompts that delay the events of running streams.
@@ -9,20 +9,12 @@
 #include <cstddef>
 #include <cstdint>
 #include <limits>
-#include <vector>
 
 #include "common/time.h"
 #include "gateway/engine_loads.h"
 
 namespace fernmoor::gateway {
 
-/// Usual times at present, in seconds; 0 where unknown.
-struct PaceReference {
-  double perEvent = 0;
-  double perLongestPause = 0;
-  double perToken = 0;
-};
-
 struct PaceStanding {
   double slowness = 1;     ///< Present times as a multiple of the usual ones; at least 1.
   bool isOutlier = false;  ///< It is clearly slower than usual.
@@ -34,12 +26,10 @@
   static constexpr uint64_t kUnboundedReading = std::numeric_limits<uint64_t>::max();
 
   /// A stream ended.
-  /// @param pool median of the pool, from medianPace; where it is unknown, the engine is compared
-  ///        with its own long-term mean.
-  void noteStream(const StreamPace& stream, const PaceReference& pool, Time now);
+  void noteStream(const StreamPace& stream, Time now);
   /// Prompts were read.
   /// @param tokens that the engine read in that time, those of prompts ahead included.
-  void noteReading(uint64_t tokens, Duration time, const PaceReference& pool, Time now);
+  void noteReading(uint64_t tokens, Duration time, Time now);
 
   PaceStanding standing(Time now) const;
   /// @return the present time for an event of a stream; 0: unknown.
@@ -55,8 +45,6 @@
                             Time now) const;
 
  private:
-  friend PaceReference medianPace(const std::vector<const EnginePace*>& pool, Time now);
-
   /// Sums that fade alike.
   struct Sums {
     double units = 0;
@@ -76,8 +64,7 @@
 
     double usualSeconds() const;
     double presentSeconds(Time now) const;
-    double recentSeconds(Time now) const;
-    double add(double units, double seconds, double poolSeconds, Time now);
+    double add(double units, double seconds, Time now);
   };
 
   void noteRatio(double ratio, double worst, double weight, Time now);
@@ -92,7 +79,4 @@
   Time suspectedAt_;
 };
 
-/// @return the medians of the recent times of engines; 0 where fewer than three were observed.
-PaceReference medianPace(const std::vector<const EnginePace*>& pool, Time now);
-
 }  // namespace fernmoor::gateway
--- a/src/gateway/pending_work.cpp
+++ b/src/gateway/pending_work.cpp
@@ -426,7 +426,7 @@
   if (entry->isMeasured && engine.occupancy.knowsParts()) {
     engine.readingModel.note(static_cast<double>(entry->tokensAtStart), took, now);
     const Duration reading = std::max(Duration(0), took - engine.readingLine(now).base);
-    engine.pace.noteReading(entry->tokensAtStart, reading, PaceReference{}, now);
+    engine.pace.noteReading(entry->tokensAtStart, reading, now);
   }
   if (entry->isMeasured) {
     engine.reading.add(static_cast<double>(entry->tokensAtStart), toSeconds(took), now,
@@ -445,7 +445,7 @@
     return;
   }
   if (pace.events > 0) {
-    engine.pace.noteStream(pace, PaceReference{}, now);
+    engine.pace.noteStream(pace, now);
   }
   if (entry->isRead && !entry->isRenewed) {
     engine.residence.add(1.0, toSeconds(now - entry->reservedAt), now, kObservedHalfLife);
--- a/test/gateway/engine_pace_test.cpp
+++ b/test/gateway/engine_pace_test.cpp
@@ -26,19 +26,19 @@
  public:
   Observed(uint32_t seed, double slowFactor) : random_(seed), slowFactor_(slowFactor) {}
 
-  void tick(Time now, const PaceReference& pool) {
+  void tick(Time now) {
     if (chance() < 3.9 * toSeconds(kTick)) {
-      pace.noteStream(streamEndingAt(now, 48), pool, now);
+      pace.noteStream(streamEndingAt(now, 48), now);
     }
     if (chance() < 1.44 * toSeconds(kTick)) {
-      pace.noteStream(streamEndingAt(now, 8), pool, now);
+      pace.noteStream(streamEndingAt(now, 8), now);
     }
     if (chance() < 5.3 * toSeconds(kTick)) {
       const uint64_t tokens = chance() < 0.27 ? 2890 : 628;
       const double noise = 0.8 + 0.6 * chance();
       pace.noteReading(
           tokens, fromSeconds(static_cast<double>(tokens) / kTokensPerSecond * noise * factor(now)),
-          pool, now);
+          now);
     }
   }
   bool isSlow(Time now) const { return slowFactor_ > 1 && phase(now) < 0.6; }
@@ -77,16 +77,11 @@
   int falseTicks = 0;
 };
 
-Verdicts watch(Observed& engine, std::vector<Observed> others, double seconds) {
+Verdicts watch(Observed& engine, double seconds) {
   Verdicts verdicts;
   bool isSeen = false;
   for (Time now = kStart; now < at(seconds); now += kTick) {
-    std::vector<const EnginePace*> pool{&engine.pace};
-    for (Observed& other : others) {
-      other.tick(now, PaceReference());
-      pool.push_back(&other.pace);
-    }
-    engine.tick(now, medianPace(pool, now));
+    engine.tick(now);
     const PaceStanding standing = engine.pace.standing(now);
     if (now < at(20)) {
       continue;
@@ -109,8 +104,8 @@
   EnginePace pace;
   for (int count = 0; count < 20; ++count) {
     const Time now = at(count * 0.2);
-    pace.noteStream({48, fromSeconds(48 * kEventSeconds), fromSeconds(0.05)}, {}, now);
-    pace.noteReading(4080, fromSeconds(0.1), {}, now);
+    pace.noteStream({48, fromSeconds(48 * kEventSeconds), fromSeconds(0.05)}, now);
+    pace.noteReading(4080, fromSeconds(0.1), now);
   }
   return pace;
 }
@@ -119,15 +114,10 @@
 
 // Guards against observation 5 of HARD-LOAD.md: an engine is slow for 0.6 s at a time, and
 // estimates with a half-life of 4 s did not show it; and against alarms by the usual variation.
-TEST_CASE(
-    "engine_pace: a slow spell of 0.6 s is seen within it, by an owner of one engine or more") {
-  for (const uint32_t others : {0, 4}) {
-    std::vector<Observed> pool;
-    for (uint32_t index = 0; index < others; ++index) {
-      pool.emplace_back(100 + index, 1);
-    }
-    Observed engine(7, 2.5);
-    const Verdicts verdicts = watch(engine, pool, 1200);
+TEST_CASE("engine_pace: a slow spell of 0.6 s is seen within it") {
+  for (const uint32_t seed : {7, 8}) {
+    Observed engine(seed, 2.5);
+    const Verdicts verdicts = watch(engine, 1200);
     // One spell in six contains fewer than two prompts, which may leave too little evidence.
     CHECK(verdicts.seen >= verdicts.spells * 0.85);
     CHECK(verdicts.slowness / verdicts.seen >= 1.8);
@@ -141,7 +131,7 @@
   EnginePace pace = usualEngine();
   CHECK(pace.standing(at(4)).slowness < 1.01);
   for (int count = 0; count < 20; ++count) {
-    pace.noteReading(4080, fromSeconds(0.25), {}, at(4 + count * 0.05));
+    pace.noteReading(4080, fromSeconds(0.25), at(4 + count * 0.05));
   }
   CHECK(pace.standing(at(5)).isOutlier);
   CHECK(pace.standing(at(5)).slowness > 2);
@@ -152,34 +142,18 @@
   CHECK(pace.tokensPerSecond(at(15)) > 30000);
 }
 
-// Guards against verdicts without evidence: a single stalled stream, a new engine, a measurement
-// that is missing, a pool that is slow as a whole, and a median of two.
+// Guards against verdicts without evidence: a single stalled stream, a new engine, and a
+// measurement that is missing.
 TEST_CASE("engine_pace: no outlier without evidence") {
   EnginePace pace = usualEngine();
-  pace.noteStream({48, fromSeconds(20), fromSeconds(18)}, {}, at(4));
+  pace.noteStream({48, fromSeconds(20), fromSeconds(18)}, at(4));
   CHECK_FALSE(pace.standing(at(4)).isOutlier);
   EnginePace unknown;
-  unknown.noteStream({0, Duration(0), Duration(0)}, {}, at(0));
-  unknown.noteReading(0, Duration(0), {}, at(0));
-  unknown.noteReading(100, fromSeconds(1), {}, at(0));
+  unknown.noteStream({0, Duration(0), Duration(0)}, at(0));
+  unknown.noteReading(0, Duration(0), at(0));
+  unknown.noteReading(100, fromSeconds(1), at(0));
   CHECK(unknown.standing(at(0)).slowness == 1);
   CHECK(unknown.secondsPerEvent(at(0)) == 0);
-
-  std::vector<EnginePace> engines(4, usualEngine());
-  std::vector<const EnginePace*> pool;
-  for (EnginePace& engine : engines) {
-    for (int count = 0; count < 10; ++count) {
-      engine.noteReading(4080, fromSeconds(0.25), {}, at(4 + count * 0.1));
-    }
-    CHECK((medianPace(pool, at(5)).perToken > 0) == (pool.size() >= 3));
-    pool.push_back(&engine);
-  }
-  EnginePace& last = engines[3];
-  CHECK(last.standing(at(5)).isOutlier);
-  for (int count = 0; count < 5; ++count) {
-    last.noteReading(4080, fromSeconds(0.25), medianPace(pool, at(5)), at(5 + count * 0.1));
-  }
-  CHECK_FALSE(last.standing(at(5.5)).isOutlier);
 }
 
 // Guards against streams that miss their gap limit because prompts are read beside them, at the
@@ -190,8 +164,8 @@
       EnginePace pace = usualEngine();
       for (int count = 0; count < 10; ++count) {
         pace.noteStream({8, fromSeconds(8 * kEventSeconds * factor), fromSeconds(0.05 * factor)},
-                        {}, at(4 + count * 0.05));
-        pace.noteReading(4080, fromSeconds(0.1 * factor), {}, at(4 + count * 0.05));
+                        at(4 + count * 0.05));
+        pace.noteReading(4080, fromSeconds(0.1 * factor), at(4 + count * 0.05));
       }
       const uint64_t bound = pace.maxReadingTokens(fromSeconds(limit), 1, 1000, at(4.5));
       // An event of six steps, each with a chunk as long as there are tokens to read.
