--- a/src/common/metrics.cpp
+++ b/src/common/metrics.cpp
@@ -169,6 +169,10 @@
                             "Requests that were cancelled because their callers did not read the "
                             "answers.")
                         .Add({})),
+      closedUnread_(&counter(registry_, "fernmoor_closed_unread_total",
+                             "Caller connections closed with their request unread, as the node "
+                             "was overloaded.")
+                         .Add({})),
       slowCallerBytes_(&gauge(registry_, "fernmoor_slow_caller_bytes",
                               "Bytes of answers that are kept because their callers have not taken "
                               "them yet.")
--- a/src/common/metrics.h
+++ b/src/common/metrics.h
@@ -168,6 +168,8 @@
   void countTakenBack() { takenBack_->Increment(); }
   /// A request was cancelled because its caller did not read the answer.
   void countSlowCaller() { slowCallers_->Increment(); }
+  /// A caller connection was closed with its request unread, for overload.
+  void countClosedUnread() { closedUnread_->Increment(); }
   /// @param change of the number of bytes that are kept for callers that have not taken them.
   void addSlowCallerBytes(double change) { slowCallerBytes_->Increment(change); }
   /// Engines that hold older weights than are wanted.
@@ -233,6 +235,7 @@
   prometheus::Counter* oldWeights_;
   prometheus::Counter* takenBack_;
   prometheus::Counter* slowCallers_;
+  prometheus::Counter* closedUnread_;
   prometheus::Gauge* slowCallerBytes_;
   prometheus::Gauge* platformAvailable_;
   prometheus::Gauge* peerQueue_;
--- a/test/process/connection_herd_test.py
+++ b/test/process/connection_herd_test.py
@@ -32,6 +32,7 @@
 HERD_CHANCE = 0.85
 # Calls begin to count some seconds after the start, when connections to engines are open.
 WARM_SECONDS, CALM_SECONDS, HERD_SECONDS = 5, 8, 10
+REST_SECONDS = 5  # From the end of the herd until no connection may be closed unread.
 ADAPT_SECONDS = 5  # Time that the rule leaves to the nodes: `contact-ms`.
 MOST_CALLS = 1200
 DEADLINE_SECONDS = 2.0
@@ -116,7 +117,11 @@
         url = f"http://{node.host}:{node.ports['metrics']}/metrics"
         with urllib.request.urlopen(url, timeout=20) as answer:
             found = re.search(r"^fernmoor_closed_unread_total\S* (\S+)$", answer.read().decode(), re.MULTILINE)
-            return float(found.group(1)) if found else 0.0
+            assert found, f"node {number} does not tell how many connections it closed unread"
+            return float(found.group(1))
+
+    def all_closed_unread(self):
+        return [self.closed_unread(number) for number in range(NODES)]
 
     def assert_unread_did_not_run(self):
         """What a caller sends anew as unread was neither begun nor sent to an engine."""
@@ -138,12 +143,21 @@
     start = time.monotonic()
     herd.send(HERD_SECONDS, HERD_RATE, HERD_CHANCE)
     end = time.monotonic()
+    herd.send(REST_SECONDS, CALM_RATE, 0.0)
+    closed = herd.all_closed_unread()
+    after = time.monotonic()
+    herd.send(CALM_SECONDS, CALM_RATE, 0.0)
+    closed_later = herd.all_closed_unread()
     herd.pool.shutdown()
     before = herd.served_between(calm, start)
     herd.served_between(start, start + ADAPT_SECONDS)
     within = herd.served_between(start + ADAPT_SECONDS, end)
+    again = herd.served_between(after, time.monotonic())
     assert before >= CALM_SERVED_SHARE, f"{before:.3f} served before the herd: this shows nothing"
     assert within >= HERD_SERVED_SHARE * before, f"{within:.3f} served in the herd, {before:.3f} before"
+    assert closed[0] > 0, "the node in the herd told of no connection that it closed unread"
+    assert again >= CALM_SERVED_SHARE, f"{again:.3f} served after the herd"
+    assert closed_later == closed, f"connections were closed unread after the herd: {closed}, {closed_later}"
 
 
 def a_short_burst_closes_nothing(herd):
@@ -153,7 +167,7 @@
         herd.send(0.3, HERD_RATE, HERD_CHANCE)
         herd.send(1.5, CALM_RATE, 0.0)
     herd.pool.shutdown()
-    closed = [herd.closed_unread(number) for number in range(NODES)]
+    closed = herd.all_closed_unread()
     assert not any(closed), f"{closed} connections were closed unread"
 
 
