--- a/test/process/connection_herd_test.py
+++ b/test/process/connection_herd_test.py
@@ -16,8 +16,8 @@
 import re
 import subprocess
 import sys
-import threading
 import time
+import typing
 import urllib.request
 
 import scenarios
@@ -26,9 +26,6 @@
 import soak
 
 NODES = 5
-# 0.4 ms of processor time a request, and some for the other nodes: 70 requests a second at most.
-SHARE_OF_CORE = 0.03
-CALM_RATE, HERD_RATE = 80, 200  # New connections a second, of all callers together.
 HERD_CHANCE = 0.85
 # Calls begin to count some seconds after the start, when connections to engines are open.
 WARM_SECONDS, CALM_SECONDS, HERD_SECONDS = 5, 8, 10
@@ -37,10 +34,22 @@
 MOST_CALLS = 1200
 DEADLINE_SECONDS = 2.0
 TRIES = 4  # Of one request, at different nodes.
-KINDS = ("once", "again")
 CALM_SERVED_SHARE, HERD_SERVED_SHARE = 0.95, 0.75
 
 
+class Load(typing.NamedTuple):
+    kinds: tuple
+    share_of_core: float  # Of each node.
+    calm_rate: float  # New connections a second, of all callers together.
+    herd_rate: float
+
+
+# A request takes 0.4 ms of processor time, a stream about 2 ms, and each node some for the others. One node can
+# serve 70 requests or 20 streams a second.
+CALLS = Load(("once", "again"), 0.03, 80, 200)
+STREAMS = Load(("stream-once", "stream-again"), 0.05, 25, 70)
+
+
 class Request:
     """One request of a caller: its tries until one was read, or all were refused or closed unread."""
 
@@ -58,19 +67,23 @@
         self.world.start_nodes(options)
         print(f"logs in {self.world.folder}, load {os.getloadavg()[0]:.1f}", flush=True)
         self.world.wait_until_served()
-        self.quota = self.hold_to_quota()
+        self.quota, self.load = None, CALLS
         self.draw = random.Random(11)
         self.requests = []
         self.pool = concurrent.futures.ThreadPoolExecutor(MOST_CALLS)
 
-    def hold_to_quota(self):
-        command = [sys.executable, str(pathlib.Path(soak.__file__).parent / "cpu_quota.py"), str(SHARE_OF_CORE)]
-        return subprocess.Popen(command + [str(node.process.pid) for node in self.world.nodes], stdin=subprocess.PIPE)
+    def begin(self, load):
+        """Holds the nodes to their shares of a core, and lets them serve for some seconds."""
+        self.load = load
+        command = [sys.executable, str(pathlib.Path(soak.__file__).parent / "cpu_quota.py"), str(load.share_of_core)]
+        pids = [str(node.process.pid) for node in self.world.nodes]
+        self.quota = subprocess.Popen(command + pids, stdin=subprocess.PIPE)
+        self.send(WARM_SECONDS, load.calm_rate, 0.0)
 
     def call(self, request):
         """Sends a request, to another node each time that it is refused or closed unread."""
         for _ in range(TRIES):
-            call = self.world.call(self.draw.choice(KINDS), "k-open", self.world.nodes[request.nodes[-1]],
+            call = self.world.call(self.draw.choice(self.load.kinds), "k-open", self.world.nodes[request.nodes[-1]],
                                    patience=DEADLINE_SECONDS,
                                    more_headers={"X-Deadline-Ms": str(int(DEADLINE_SECONDS * 1000))})
             if call["status"] is not None or call["gave_up"]:
@@ -136,17 +149,17 @@
         self.quota.wait()
 
 
-def most_connections_go_to_one_node(herd):
-    herd.send(WARM_SECONDS, CALM_RATE, 0.0)
+def assert_served_in_herd(herd, load):
+    herd.begin(load)
     calm = time.monotonic()
-    herd.send(CALM_SECONDS, CALM_RATE, 0.0)
+    herd.send(CALM_SECONDS, load.calm_rate, 0.0)
     start = time.monotonic()
-    herd.send(HERD_SECONDS, HERD_RATE, HERD_CHANCE)
+    herd.send(HERD_SECONDS, load.herd_rate, HERD_CHANCE)
     end = time.monotonic()
-    herd.send(REST_SECONDS, CALM_RATE, 0.0)
+    herd.send(REST_SECONDS, load.calm_rate, 0.0)
     closed = herd.all_closed_unread()
     after = time.monotonic()
-    herd.send(CALM_SECONDS, CALM_RATE, 0.0)
+    herd.send(CALM_SECONDS, load.calm_rate, 0.0)
     closed_later = herd.all_closed_unread()
     herd.pool.shutdown()
     before = herd.served_between(calm, start)
@@ -160,18 +173,27 @@
     assert closed_later == closed, f"connections were closed unread after the herd: {closed}, {closed_later}"
 
 
+def most_connections_go_to_one_node(herd):
+    assert_served_in_herd(herd, CALLS)
+
+
+def most_streams_go_to_one_node(herd):
+    """Streams go on using the node's processor after they are read."""
+    assert_served_in_herd(herd, STREAMS)
+
+
 def a_short_burst_closes_nothing(herd):
     """A node that serves a burst in time closes no connection, and neither does a calm one."""
-    herd.send(WARM_SECONDS, CALM_RATE, 0.0)
+    herd.begin(CALLS)
     for _ in range(4):
-        herd.send(0.3, HERD_RATE, HERD_CHANCE)
-        herd.send(1.5, CALM_RATE, 0.0)
+        herd.send(0.3, CALLS.herd_rate, HERD_CHANCE)
+        herd.send(1.5, CALLS.calm_rate, 0.0)
     herd.pool.shutdown()
     closed = herd.all_closed_unread()
     assert not any(closed), f"{closed} connections were closed unread"
 
 
-SCENARIOS = [most_connections_go_to_one_node, a_short_burst_closes_nothing]
+SCENARIOS = [most_connections_go_to_one_node, most_streams_go_to_one_node, a_short_burst_closes_nothing]
 
 
 if __name__ == "__main__":
