--- a/src/gateway/room_sharing.h
+++ b/src/gateway/room_sharing.h
@@ -56,7 +56,8 @@
   /// The request left the engine.
   /// @param isRead whether notePromptRead was called for it.
   void noteEnd(const RoomClaim& claim, bool isRead, Time now);
-  /// A request that ended was not sent, because it would have waited too long: it counts as refused.
+  /// A request that ended was not sent, because it would have waited too long: it counts as
+  /// refused.
   /// @param reason what it would have waited for.
   void noteGivenBack(const RoomClaim& claim, RoomRefusal reason, Time now);
   /// @return the number of tenants that are tracked.
