Verdicts on requests weigh crashes without them, lost witnesses and parts

Change: - While no fewer engines crashed without a request than with it, since its first run began, another crash is required, up to five. - An objection reaches all nodes, which drop their evidence and object themselves from then on. - If a member was lost or restarted since the first run, another crash is required, up to five. - Parts need four crashes. - A request that was at all crashes of a proposed part is proposed instead, and the part waits for another crash.

--- a/src/peers/quarantine_directory.cpp
+++ b/src/peers/quarantine_directory.cpp
@@ -88,12 +88,29 @@
   return envelope;
 }
 
-LogFields fingerprintField(uint64_t fingerprint) {
+/// The fields name each run by its engine's incarnation, and by when it began and ended.
+LogFields suspicionFields(const Suspicion& suspicion, Time now) {
   LogFields fields;
-  fields.fingerprint = fingerprint;
+  fields.fingerprint = suspicion.fingerprint;
+  for (const CrashedRun& run : suspicion.runs) {
+    fields.attempts += (fields.attempts.empty() ? "" : "; ") + std::to_string(run.incarnation) +
+                       " " + std::to_string(toMilliseconds(now - run.beganAt)) + " to " +
+                       std::to_string(toMilliseconds(now - run.endedAt)) + " ms ago";
+  }
   return fields;
 }
 
+/// @return whether a node of `before` is gone in `after`, or has restarted.
+bool hasLostMembers(const MembershipSnapshot* before, const MembershipSnapshot* after) {
+  if (before == nullptr || after == nullptr) {
+    return false;
+  }
+  return std::any_of(before->members.begin(), before->members.end(), [&](const Member& member) {
+    return std::none_of(after->members.begin(), after->members.end(),
+                        [&](const Member& each) { return each.life == member.life; });
+  });
+}
+
 }  // namespace
 
 QuarantineDirectory::QuarantineDirectory(NodeId self, const Clock& clock, MessageSender& sender,
@@ -102,6 +119,9 @@
 
 void QuarantineDirectory::setMembers(std::shared_ptr<const MembershipSnapshot> members) {
   const std::lock_guard<std::mutex> lock(mutex_);
+  if (hasLostMembers(members_.get(), members.get())) {
+    memberLostAt_ = clock_.now();
+  }
   members_ = std::move(members);
   std::vector<NodeId> candidates = ownerCandidates();
   if (candidates != ownerCandidates_) {
@@ -192,7 +212,7 @@
     logWarning(
         "quarantine: a request, or part of prompts, crashed several engines and is not sent any "
         "more",
-        fingerprintField(suspicion.fingerprint));
+        suspicionFields(suspicion, now));
   }
   evidence_.explain(suspicion.fingerprint, suspicion.runs);
   evidence_.explain(suspicion.fingerprint, evidence_.runsOf(suspicion.fingerprint));
@@ -205,7 +225,7 @@
   for (auto proposal = proposals_.begin(); proposal != proposals_.end();) {
     const Suspicion& own = proposal->second.suspicion;
     const bool isRival = own.fingerprint != other.fingerprint && own.sharesCrashWith(other) &&
-                         other.runs.size() >= own.runs.size();
+                         other.runs.size() >= own.runs.size() && !own.explainsPart(other);
     const bool isWithdrawn = isRival && evidence_.requireOneMoreCrash(own.fingerprint);
     if (isWithdrawn) {
       endHold(own.fingerprint);
@@ -230,7 +250,25 @@
     evidence_.clear(suspicion.fingerprint);
     return;
   }
-  logInfo("quarantine: proposed", fingerprintField(suspicion.fingerprint));
+  // A node that was lost can't object any more if it served the request.
+  if (memberLostAt_ > suspicion.since() && evidence_.requireOneMoreCrash(suspicion.fingerprint)) {
+    return;
+  }
+  if (const std::optional<Suspicion> whole = evidence_.explanationOf(suspicion)) {
+    announce(*whole, now, outbox);
+    if (evidence_.requireOneMoreCrash(suspicion.fingerprint)) {
+      return;
+    }
+  }
+  announce(std::move(suspicion), now, outbox);
+}
+
+void QuarantineDirectory::announce(Suspicion suspicion, Time now, Outbox& outbox) {
+  if (proposals_.count(suspicion.fingerprint) > 0 ||
+      served_.wasServedAfter(suspicion.fingerprint, suspicion.since())) {
+    return;
+  }
+  logInfo("quarantine: proposed", suspicionFields(suspicion, now));
   proto::Envelope envelope;
   encodeSuspicion(suspicion, now, *envelope.mutable_quarantine()->mutable_proposal());
   broadcast(envelope, outbox);
@@ -283,6 +321,7 @@
   {
     const std::lock_guard<std::mutex> lock(mutex_);
     control_.noteCrash(suspects.parts, run);
+    evidence_.noteEnd(run);
     countOwn(suspects.request, run, now, outbox, reports);
     for (const uint64_t part : suspects.parts) {
       countOwn(part, run, now, outbox, reports);
@@ -389,6 +428,26 @@
   withdrawRivalProposals(suspicion);
   forgetOldProposals(now);
   recentProposals_.push_back(RecentProposal{suspicion, now});
+  // A verdict on the part would explain the crashes of a request that is not quarantined, and that
+  // goes on with other parts.
+  if (std::optional<Suspicion> whole = evidence_.explanationOf(suspicion)) {
+    announce(std::move(*whole), now, outbox);
+  }
+}
+
+void QuarantineDirectory::onObjection(const proto::QuarantineObjection& objection, Outbox& outbox) {
+  // A report of the crash that led to the proposal may still be on its way.
+  served_.note(objection.fingerprint(), clock_.now());
+  evidence_.clear(objection.fingerprint());
+  endHold(objection.fingerprint());
+  if (proposals_.erase(objection.fingerprint()) == 0) {
+    return;
+  }
+  // Otherwise other nodes would hand the evidence to new owners after the nodes that object have
+  // been restarted and remember nothing served.
+  proto::Envelope envelope;
+  *envelope.mutable_quarantine()->mutable_objection() = objection;
+  broadcast(envelope, outbox);
 }
 
 void QuarantineDirectory::onVerdict(const proto::QuarantineVerdict& verdict, Time now) {
@@ -409,9 +468,7 @@
     } else if (message.has_proposal()) {
       onProposal(from.node, message.proposal(), now, outbox);
     } else if (message.has_objection()) {
-      evidence_.clear(message.objection().fingerprint());
-      proposals_.erase(message.objection().fingerprint());
-      endHold(message.objection().fingerprint());
+      onObjection(message.objection(), outbox);
     } else if (message.has_verdict()) {
       onVerdict(message.verdict(), now);
     }
@@ -446,6 +503,15 @@
          control_.crashesWithout(suspicion) > suspicion.runs.size();
 }
 
+bool QuarantineDirectory::explainsRecentPart(const Suspicion& suspicion) const {
+  const bool isHeldAgainst =
+      evidence_.runsOf(suspicion.fingerprint).size() >= suspicion.runs.size();
+  return isHeldAgainst && std::any_of(recentProposals_.begin(), recentProposals_.end(),
+                                      [&](const RecentProposal& each) {
+                                        return suspicion.explainsPart(each.suspicion);
+                                      });
+}
+
 void QuarantineDirectory::decideDueProposals(Time now) {
   std::vector<Suspicion> due;
   for (auto proposal = proposals_.begin(); proposal != proposals_.end();) {
@@ -461,7 +527,8 @@
     // Another verdict may have explained some of the crashes meanwhile. Requests that always come
     // together can't explain each other's crashes.
     const bool stands = suspicion.runs.size() >= quarantine::CrashEvidence::kMaxCrashesNeeded ||
-                        evidence_.suspicionOf(suspicion.fingerprint).has_value();
+                        evidence_.suspicionOf(suspicion.fingerprint).has_value() ||
+                        explainsRecentPart(suspicion);
     proposals_.erase(suspicion.fingerprint);
     endHold(suspicion.fingerprint);
     if (stands) {
--- a/src/peers/quarantine_directory.h
+++ b/src/peers/quarantine_directory.h
@@ -5,12 +5,13 @@
 /// owner nodes of that request, chosen by rendezvous hashing over the nodes that are not draining,
 /// and also counted by the reporting node itself. When the members change, all nodes hand over
 /// their reports to the new owners. A node that suspects a request proposes to quarantine it. Nodes
-/// that know the request was served since its first crash object; two requests that were running at
-/// the same crashes wait for a further crash that tells them apart. Nodes hold the request
-/// meanwhile. A proposal without objection becomes a verdict (on a
-/// part of prompts only if requests without it are served and it was running at most of the
-/// crashes, see quarantine/control_group.h), which is sent to all nodes, and the crashes that it
-/// explains no longer count against other requests.
+/// that know the request was served since its first crash object, and the proposer tells all nodes,
+/// which drop their evidence; if a node that could have objected was lost or restarted since, one
+/// more crash is required, up to five in all. Two requests that were running at the same crashes
+/// wait for a further crash that tells them apart. Nodes hold the request meanwhile. A proposal
+/// without objection becomes a verdict (on a part of prompts only if requests without it are served
+/// and it was running at most of the crashes, see quarantine/control_group.h), which is sent to all
+/// nodes, and the crashes that it explains no longer count against other requests.
 ///
 /// Verdicts reach nodes that are partitioned off or not yet started through the operators' store
 /// and its mirror (quarantine/quarantine_table.h). Until a verdict is stored, each node that knows
@@ -97,6 +98,11 @@
   void clearServed(uint64_t fingerprint, Time now);
   void awaitDecision(uint64_t fingerprint, std::unique_lock<std::mutex>& lock);
   void propose(quarantine::Suspicion suspicion, Time now, Outbox& outbox);
+  /// Sends a proposal to all nodes, unless there is one of this node already.
+  void announce(quarantine::Suspicion suspicion, Time now, Outbox& outbox);
+  /// @return whether the whole request was running at all crashes for which a part was proposed
+  ///         lately, and these are still held against it.
+  bool explainsRecentPart(const quarantine::Suspicion& suspicion) const;
   /// Withdraws proposals of this node whose crashes do not tell them apart from the other
   /// suspicion.
   void withdrawRivalProposals(const quarantine::Suspicion& other);
@@ -123,6 +129,9 @@
 
   void onReport(const quarantine::Suspicion& report, Time now, Outbox& outbox);
   void onProposal(NodeId from, const proto::QuarantineProposal& proposal, Time now, Outbox& outbox);
+  /// Drops what is held against a request that was served. A node that proposed to quarantine it
+  /// tells all others.
+  void onObjection(const proto::QuarantineObjection& objection, Outbox& outbox);
   void onVerdict(const proto::QuarantineVerdict& verdict, Time now);
 
   const NodeId self_;
@@ -131,6 +140,7 @@
   quarantine::QuarantineTable& table_;
   mutable std::mutex mutex_;
   std::shared_ptr<const MembershipSnapshot> members_;
+  Time memberLostAt_;  ///< When a member was last gone or restarted.
   quarantine::CrashEvidence evidence_;
   quarantine::ServedMemory served_;
   quarantine::ControlGroup control_;
--- a/src/quarantine/crash_evidence.cpp
+++ b/src/quarantine/crash_evidence.cpp
@@ -12,12 +12,16 @@
 /// request must not be sent any more; two would suspect the victims of other requests too often
 /// (test/quarantine).
 constexpr size_t kMinCrashes = 3;
+/// A popular part is at most crashes, and the requirements allow five for parts.
+constexpr size_t kMinCrashesOfPart = 4;
 /// The evidence against a request is dropped if its next crash comes later than this.
 constexpr Duration kEvidenceLifetime{std::chrono::minutes(10)};
 /// About 150 bytes each, 0.3 MB in total. A crash adds as many as were running at the engine, at
 /// most 48 in the known deployments.
 constexpr size_t kMaxSuspects = 2048;
 constexpr size_t kMaxExplained = 512;
+/// More engines than crash during the time that a suspicion takes.
+constexpr size_t kMaxEnds = 256;
 /// Runs cut off within this time ended with the same crash if the start of the process is unknown.
 /// Engines take longer to restart, and the reports of one crash arrive faster.
 constexpr Duration kSameCrashWindow{1200000};
@@ -74,12 +78,43 @@
   });
 }
 
+bool Suspicion::explainsPart(const Suspicion& part) const {
+  const auto wasAt = [&](const CrashedRun& run) {
+    return std::any_of(runs.begin(), runs.end(),
+                       [&](const CrashedRun& each) { return isSameCrash(run, each); });
+  };
+  return isPart(part.fingerprint) && !isPart(fingerprint) && runs.size() >= kMinCrashes &&
+         std::all_of(part.runs.begin(), part.runs.end(), wasAt);
+}
+
 bool CrashEvidence::isExplained(uint64_t fingerprint, const CrashedRun& run) const {
   return std::any_of(explained_.begin(), explained_.end(), [&](const Explained& each) {
     return each.by != fingerprint && isSameCrash(each.run, run);
   });
 }
 
+void CrashEvidence::noteEnd(const CrashedRun& run) {
+  const bool isKnown = std::any_of(ends_.begin(), ends_.end(),
+                                   [&](const CrashedRun& each) { return isSameCrash(each, run); });
+  if (isKnown || isExplained(0, run)) {
+    return;
+  }
+  if (ends_.size() >= kMaxEnds) {
+    ends_.pop_front();
+  }
+  ends_.push_back(run);
+}
+
+size_t CrashEvidence::crashesWithout(const Suspicion& suspicion) const {
+  const Time since = suspicion.since();
+  const auto isWithout = [&](const CrashedRun& end) {
+    return end.endedAt > since &&
+           std::none_of(suspicion.runs.begin(), suspicion.runs.end(),
+                        [&](const CrashedRun& run) { return isSameCrash(run, end); });
+  };
+  return static_cast<size_t>(std::count_if(ends_.begin(), ends_.end(), isWithout));
+}
+
 void CrashEvidence::makeRoom(Time now) {
   for (auto suspect = suspects_.begin(); suspect != suspects_.end();) {
     suspect = now - suspect->second.lastAt > kEvidenceLifetime ? suspects_.erase(suspect)
@@ -101,10 +136,11 @@
   if (isExplained(fingerprint, run)) {
     return std::nullopt;
   }
+  noteEnd(run);
   if (suspects_.count(fingerprint) == 0 && suspects_.size() >= kMaxSuspects) {
     makeRoom(now);
   }
-  const Suspect fresh{{}, kMinCrashes, now};
+  const Suspect fresh{{}, isPart(fingerprint) ? kMinCrashesOfPart : kMinCrashes, now};
   Suspect& suspect = suspects_.try_emplace(fingerprint, fresh).first->second;
   if (now - suspect.lastAt > kEvidenceLifetime) {
     suspect = fresh;
@@ -124,7 +160,21 @@
       !implicatesRequest(found->second.runs)) {
     return std::nullopt;
   }
-  return Suspicion{fingerprint, found->second.runs};
+  Suspicion suspicion{fingerprint, found->second.runs};
+  // The control group of a part is that of the caller.
+  const bool isWeak = !isPart(fingerprint) && suspicion.runs.size() < kMaxCrashesNeeded &&
+                      crashesWithout(suspicion) >= suspicion.runs.size();
+  return isWeak ? std::nullopt : std::optional(std::move(suspicion));
+}
+
+std::optional<Suspicion> CrashEvidence::explanationOf(const Suspicion& part) const {
+  for (const auto& [fingerprint, suspect] : suspects_) {
+    Suspicion whole{fingerprint, suspect.runs};
+    if (suspect.runs.size() >= part.runs.size() && whole.explainsPart(part)) {
+      return whole;
+    }
+  }
+  return std::nullopt;
 }
 
 std::vector<CrashedRun> CrashEvidence::runsOf(uint64_t fingerprint) const {
@@ -162,6 +212,7 @@
     return std::any_of(runs.begin(), runs.end(),
                        [&](const CrashedRun& each) { return isSameCrash(each, run); });
   };
+  ends_.erase(std::remove_if(ends_.begin(), ends_.end(), isExplainedNow), ends_.end());
   for (auto suspect = suspects_.begin(); suspect != suspects_.end();) {
     std::vector<CrashedRun>& held = suspect->second.runs;
     if (suspect->first != by) {
--- a/src/quarantine/crash_evidence.h
+++ b/src/quarantine/crash_evidence.h
@@ -2,8 +2,10 @@
 /// Finds the requests that crash engines. Every request that runs at an engine when it crashes
 /// could be the cause, and most of them are not. A request is therefore suspected only if several
 /// engines crashed while running it, each run beginning after the previous crash or the crashes
-/// lying some seconds apart, and if no other request explains these crashes. The caller checks
-/// whether the request was served meanwhile; see peers/quarantine_directory.h.
+/// lying some seconds apart, and if no other request explains these crashes. While no fewer engines
+/// crashed without it than with it, something else ends engines, and further crashes are required,
+/// up to five: a long stream meets three such crashes by chance. The caller checks whether the
+/// request was served meanwhile; see peers/quarantine_directory.h.
 #pragma once
 
 #include <cstdint>
@@ -48,6 +50,9 @@
   Time since() const;
   /// @return whether both have a crash in common.
   bool sharesCrashWith(const Suspicion& other) const;
+  /// @return whether this is a whole request that was running at all crashes of a part: it explains
+  ///         them better, as many other requests share the part.
+  bool explainsPart(const Suspicion& part) const;
 };
 
 /// Not thread-safe. Memory is bounded; a flood of requests with one crash each does not evict those
@@ -58,10 +63,14 @@
   /// requests that always come together are both suspected after this number of crashes.
   static constexpr size_t kMaxCrashesNeeded = 5;
 
+  /// Records that an engine crashed, whichever requests it ran.
+  void noteEnd(const CrashedRun& run);
   /// Records a run. @return the suspicion against the request, if there is one now.
   std::optional<Suspicion> note(uint64_t fingerprint, const CrashedRun& run, Time now);
   /// @return the suspicion against the request, if there is one.
   std::optional<Suspicion> suspicionOf(uint64_t fingerprint) const;
+  /// @return a whole request that explains the crashes of the part, if there is one.
+  std::optional<Suspicion> explanationOf(const Suspicion& part) const;
   /// @return the runs that are held against the request.
   std::vector<CrashedRun> runsOf(uint64_t fingerprint) const;
   /// Drops everything held against the request, as it was served or is quarantined.
@@ -88,10 +97,14 @@
   };
 
   bool isExplained(uint64_t fingerprint, const CrashedRun& run) const;
+  /// @return the number of unexplained crashes since the first run of the suspicion began at which
+  ///         the request is not known to have been running.
+  size_t crashesWithout(const Suspicion& suspicion) const;
   void makeRoom(Time now);
 
   std::map<uint64_t, Suspect> suspects_;
   std::deque<Explained> explained_;
+  std::deque<CrashedRun> ends_;  ///< One run of each crash that is not explained, the oldest first.
 };
 
 }  // namespace fernmoor::quarantine
--- a/test/peers/false_blame_test.cpp
+++ b/test/peers/false_blame_test.cpp
@@ -41,6 +41,16 @@
 /// engine for up to 3.4 s.
 constexpr DetectionDelay kUnresponsiveEngines{Duration(1500000), Duration(3400000)};
 
+/// Streams, and crashes of engines that no request causes.
+struct Conditions {
+  Duration streamTime = kStreamTime;
+  int tries = kTries;
+  double endsPerStep = 0;  ///< Mean number of engines that end in each kStep.
+};
+/// As in the soak with two software versions: an engine ends about every 700 ms, and callers take
+/// up streams of slow engines several times.
+constexpr Conditions kEnginesEndByThemselves{Duration(3000000), 6, 0.014};
+
 struct Run {
   uint64_t fingerprint = 0;
   uint64_t node = 0;
@@ -54,8 +64,8 @@
 /// interrupted by a crash.
 class Simulation {
  public:
-  explicit Simulation(uint64_t seed, DetectionDelay detectionDelay = {})
-      : world_(kNodes), random_(seed), detectionDelay_(detectionDelay) {}
+  explicit Simulation(uint64_t seed, DetectionDelay detectionDelay = {}, Conditions conditions = {})
+      : world_(kNodes), random_(seed), detectionDelay_(detectionDelay), conditions_(conditions) {}
 
   void run() {
     const Time end = world_.clock.now() + kSimulatedTime;
@@ -64,8 +74,8 @@
       world_.clock.advanceTo(world_.clock.now() + kStep);
       const Time now = world_.clock.now();
       if (random_.chance(kStreamsBegun / 2)) {
-        begin(++lastStream_, kStreamTime, 1);
-        begin(++lastStream_, kStreamTime, 1);
+        begin(++lastStream_, conditions_.streamTime, 1);
+        begin(++lastStream_, conditions_.streamTime, 1);
       }
       begin(kPoisons + 1 + random_.below(kLookups), kLookupTime, 1);
       for (uint64_t poison = 1; poison <= kPoisons; ++poison) {
@@ -74,6 +84,9 @@
           poisonAt[poison] = now + kPoisonTime + kPoisonInterval;
         }
       }
+      if (conditions_.endsPerStep > 0 && random_.chance(conditions_.endsPerStep)) {
+        endEngine(random_.below(kEngines), now);
+      }
       endRuns(now);
       reportEnds(now);
       for (uint64_t node = 1; node <= kNodes; ++node) {
@@ -118,16 +131,16 @@
       if (run.fingerprint > kPoisons) {
         world_.node(run.node).noteServed(run.fingerprint);
       } else if (now >= unavailableUntil_[run.engine]) {
-        endEngine(run, now);
+        runs_.push_back(run);  // It ends with its engine.
+        endEngine(run.engine, now);
       }
     }
   }
-  void endEngine(const Run& poison, Time now) {
-    unavailableUntil_[poison.engine] = now + kEngineUnavailable;
-    std::vector<Run> runsOnEngine{poison};
+  void endEngine(uint64_t engine, Time now) {
+    unavailableUntil_[engine] = now + kEngineUnavailable;
     const auto split = std::partition(runs_.begin(), runs_.end(),
-                                      [&](const Run& run) { return run.engine != poison.engine; });
-    runsOnEngine.insert(runsOnEngine.end(), split, runs_.end());
+                                      [&](const Run& run) { return run.engine != engine; });
+    std::vector<Run> runsOnEngine(split, runs_.end());
     runs_.erase(split, runs_.end());
     // Nodes report the crash in any order.
     for (size_t index = runsOnEngine.size(); index > 1; --index) {
@@ -156,8 +169,8 @@
       }
       if (now >= each.cutAt && !each.isCut) {
         each.isCut = true;
-        if (each.run.fingerprint >= kFirstStream && each.run.attempt < kTries) {
-          begin(each.run.fingerprint, kStreamTime, each.run.attempt + 1);
+        if (each.run.fingerprint >= kFirstStream && each.run.attempt < conditions_.tries) {
+          begin(each.run.fingerprint, conditions_.streamTime, each.run.attempt + 1);
         }
       }
       if (now < each.reportedAt) {
@@ -177,6 +190,7 @@
   test::QuarantineWorld world_;
   Random random_;
   const DetectionDelay detectionDelay_;
+  const Conditions conditions_;
   std::vector<InterruptedRun> pendingEnds_;
   std::array<Time, kEngines> unavailableUntil_{};
   std::vector<Run> runs_;
@@ -219,4 +233,24 @@
                   << " of these requests quarantined");
 }
 
+/// A stream that meets five crashes in a row can't be told from one that causes them.
+TEST_CASE(
+    "a stream that meets several crashes of engines that end by themselves is rarely blamed") {
+  size_t falselyQuarantined = 0;
+  size_t victims = 0;
+  for (uint64_t seed = 1; seed <= 60; ++seed) {
+    Simulation simulation(seed, {}, kEnginesEndByThemselves);
+    simulation.run();
+    CHECK(simulation.allPoisonsQuarantined());
+    falselyQuarantined += simulation.falselyQuarantined();
+    victims += simulation.victims;
+  }
+  CHECK(victims > 3000);
+  // Before crashes without the request were counted, one in 570 was blamed.
+  constexpr size_t kVictimsPerBlame = 2000;
+  CHECK(falselyQuarantined * kVictimsPerBlame <= victims);
+  MESSAGE(victims << " runs of harmless requests interrupted, " << falselyQuarantined
+                  << " of these requests quarantined");
+}
+
 }  // namespace fernmoor::peers
--- a/test/peers/part_quarantine_test.cpp
+++ b/test/peers/part_quarantine_test.cpp
@@ -150,6 +150,41 @@
   }
 }
 
+TEST_CASE("three crashes bring no verdict on a part: a popular one is at most crashes") {
+  PartWorld world(7);
+  for (uint64_t id = 1; id <= 3; ++id) {
+    world.crashWith(id, {kPopularPart});
+    world.pass(kCrashInterval);
+    world.serveEverywhere(kOtherPart);
+  }
+  world.pass(kCrashInterval);
+  CHECK(world.quarantinedAt(kPopularPart) == 0);
+  world.crashWith(4, {kPopularPart});
+  world.pass(kCrashInterval);
+  CHECK(world.quarantinedAt(kPopularPart) == 7);
+}
+
+TEST_CASE(
+    "a request that was at all crashes of a popular part is quarantined instead of the part") {
+  constexpr uint64_t kPoison = 55;
+  constexpr uint64_t kFirstOther = 100;
+  PartWorld world(7);
+  for (uint64_t crash = 1; crash <= 4; ++crash) {
+    // As many engines crash without it, so that it is not proposed before the part is.
+    for (uint64_t id = 1; id <= 7; ++id) {
+      world.crash(kFirstOther + crash, {{id, kFirstOther + crash * 10 + id}});
+    }
+    world.node(crash).noteCrash(
+        Suspects(kPoison, {kPopularPart}),
+        quarantine::CrashedRun{crash, world.clock.now() - kRunTime, world.clock.now()});
+    world.pass(kCrashInterval);
+    world.serveEverywhere(kOtherPart);
+  }
+  world.pass(kCrashInterval);
+  CHECK(world.quarantinedAt(kPopularPart) == 0);
+  CHECK(world.quarantinedAt(kPoison) == 7);
+}
+
 TEST_CASE("a part is not cleared by an answer without it") {
   PartWorld world(7);
   for (uint64_t id = 1; id <= 4; ++id) {
--- a/test/peers/quarantine_directory_test.cpp
+++ b/test/peers/quarantine_directory_test.cpp
@@ -15,8 +15,20 @@
 
 constexpr uint64_t kPoison = 77;
 constexpr uint64_t kVictim = 88;
+constexpr uint64_t kFirstOther = 1000;
 
 constexpr std::chrono::milliseconds kCrashInterval{800};
+constexpr std::chrono::milliseconds kShortInterval{300};
+
+/// Crashes engines that ran neither kPoison nor kVictim, but a request of its own at each node.
+void crashOthers(QuarantineWorld& world, uint64_t firstEngine, uint64_t count) {
+  for (uint64_t engine = firstEngine; engine < firstEngine + count; ++engine) {
+    for (uint64_t id = 1; id <= world.size(); ++id) {
+      world.crash(engine, {{id, kFirstOther + engine * world.size() + id}});
+    }
+    world.pass(kShortInterval);
+  }
+}
 
 }  // namespace
 
@@ -140,6 +152,50 @@
   CHECK(world.quarantinedAt(kVictim) == 0);
 }
 
+TEST_CASE("what a node objected with is known to all, also once that node has been restarted") {
+  QuarantineWorld world(7);
+  for (uint64_t engine = 1; engine <= 3; ++engine) {
+    world.node(5).noteServed(kVictim);
+    world.pass(kCrashInterval);
+    world.crash(engine, {{engine, kVictim}});
+  }
+  world.pass(kCrashInterval);
+  world.restart(5);
+  // The nodes that ran the request hand over what they hold against it.
+  world.setState(7, MemberState::kDraining);
+  world.pass(std::chrono::milliseconds(600));
+  world.setState(7, MemberState::kAlive);
+  world.pass(kCrashInterval);
+  for (uint64_t engine = 4; engine <= 5; ++engine) {
+    world.crash(engine, {{engine, kVictim}});
+    world.pass(kCrashInterval);
+  }
+  CHECK(world.quarantinedAt(kVictim) == 0);
+}
+
+TEST_CASE("crashes before the loss of a node, which may have served the request, count for less") {
+  QuarantineWorld world(7);
+  world.crash(1, {{1, kVictim}});
+  world.pass(kCrashInterval);
+  world.node(5).noteServed(kVictim);
+  SUBCASE("a node that has restarted") {
+    world.restart(5);
+    world.setIncarnation(5, Incarnation(2));
+  }
+  SUBCASE("a node that is gone") {
+    world.restart(5);
+    world.removeMember(5);
+  }
+  for (uint64_t engine = 2; engine <= 4; ++engine) {
+    world.crash(engine, {{engine, kVictim}});
+    world.pass(kCrashInterval);
+  }
+  CHECK(world.quarantinedAt(kVictim) == 0);
+  world.crash(6, {{6, kVictim}});
+  world.pass(kCrashInterval);
+  CHECK(world.quarantinedAt(kVictim) >= 6);
+}
+
 TEST_CASE("of two requests with the same crashes, the one that causes the next is quarantined") {
   QuarantineWorld world(7);
   for (uint64_t engine = 1; engine <= 3; ++engine) {
@@ -162,6 +218,29 @@
   }
 }
 
+TEST_CASE("a request that ran at few of the engines that crashed meanwhile is not quarantined") {
+  QuarantineWorld world(7);
+  for (uint64_t crash = 1; crash <= 4; ++crash) {
+    world.crash(crash, {{crash, kVictim}});
+    world.pass(kShortInterval);
+    crashOthers(world, 100 + crash * 10, 2);
+  }
+  CHECK(world.quarantinedAt(kVictim) == 0);
+}
+
+TEST_CASE(
+    "a request that crashes engines is found after five crashes, whatever else crashes some") {
+  QuarantineWorld world(7);
+  uint64_t crashes = 0;
+  while (world.quarantinedAt(kPoison) < world.size() && crashes < 10) {
+    ++crashes;
+    world.crash(crashes, {{crashes % 7 + 1, kPoison}, {(crashes + 1) % 7 + 1, kVictim + crashes}});
+    world.pass(kShortInterval);
+    crashOthers(world, 100 + crashes * 10, 3);
+  }
+  CHECK(crashes <= 5);
+}
+
 TEST_CASE("two requests that are always sent together are both quarantined eventually") {
   QuarantineWorld world(7);
   for (uint64_t engine = 1; engine <= 5; ++engine) {
--- a/test/quarantine/crash_evidence_test.cpp
+++ b/test/quarantine/crash_evidence_test.cpp
@@ -119,6 +119,27 @@
   CHECK_FALSE(evidence.requireOneMoreCrash(kPoison));
 }
 
+TEST_CASE("while no fewer engines crash without a request than with it, five crashes are needed") {
+  CrashEvidence evidence;
+  for (uint64_t engine = 1; engine <= 4; ++engine) {
+    const auto began = static_cast<int64_t>(engine) * 1000;
+    evidence.noteEnd(runAt(100 + engine, began, began + 50));
+    CHECK_FALSE(evidence.note(kVictim, runAt(engine, began, began + 100), at(began + 100)));
+  }
+  SUBCASE("five crashes") {
+    CHECK(evidence.note(kVictim, runAt(5, 5000, 5100), at(5100)));
+  }
+  SUBCASE("crashes that another request explains don't count") {
+    evidence.explain(kPoison, {runAt(101, 1000, 1050)});
+    CHECK(evidence.suspicionOf(kVictim));
+  }
+  SUBCASE("crashes before its first run don't count") {
+    evidence.noteEnd(runAt(200, 0, 500));
+    evidence.explain(kPoison, {runAt(101, 1000, 1050)});
+    CHECK(evidence.suspicionOf(kVictim));
+  }
+}
+
 TEST_CASE("evidence expires and is bounded in number") {
   CrashEvidence evidence;
   evidence.note(kPoison, runAt(1, 0, 100), at(100));
