engine_parts_test judges requests of a stretch that is never empty

Seen once in a play of all scenarios beside two soaks: in a_bad_part_beside_a_zone_that_is_cut_off no request was sent in the time that is judged (division by zero). The scenario ended three seconds after the zone was back, and judges requests from three seconds after it on. It now waits for as long again, and judges more requests than before. The new wait has not been played.

--- a/test/process/engine_parts_test.py
+++ b/test/process/engine_parts_test.py
@@ -123,7 +123,7 @@
     bad = scenario.send_bad(seconds=CUTS * (CUT_SECONDS + CUT_PAUSE_SECONDS))
     start = cut_zones_off(scenario)
     join(bad)
-    time.sleep(judge.CONTACT_SECONDS)
+    time.sleep(2 * judge.CONTACT_SECONDS)  # As long again, so that requests are sent in the time that is judged.
     assert_served_since(scenario.world, start + judge.CONTACT_SECONDS)
 
 
