A request's demand is computed once for all engines with the same weights

Each question of the search for a home, and the one that settles it, hashed tenant, row and all part ids anew.

--- a/src/gateway/home_choice.cpp
+++ b/src/gateway/home_choice.cpp
@@ -112,11 +112,33 @@
   return sides;
 }
 
+/// The request's demand at engines. It hashes the ids of all parts, so it is computed once for all
+/// engines that hold the same weights.
+class DemandByWeights {
+ public:
+  DemandByWeights(const IncomingRequest& request, Time now) : request_(request), now_(now) {}
+
+  const EngineDemand& at(const BackendView& engine) {
+    if (!demand_ || engine.weightsVersion != weightsVersion_) {
+      weightsVersion_ = engine.weightsVersion;
+      demand_ = demandOf(request_, weightsVersion_, now_);
+    }
+    return *demand_;
+  }
+
+ private:
+  const IncomingRequest& request_;
+  Time now_;
+  uint64_t weightsVersion_ = 0;
+  std::optional<EngineDemand> demand_;
+};
+
 /// A search for a home among some candidates.
 struct HomeSearch {
   const IncomingRequest& request;
   const ChoiceContext& context;
   EngineLoads& loads;
+  DemandByWeights& demand;
   uint64_t shared;     ///< Tokens in the shared parts.
   bool isOfOtherSide;  ///< No candidate is the request's home: all fetch its shared parts.
   size_t maxQueries;
@@ -138,8 +160,8 @@
       break;
     }
     const uint64_t bound = best ? std::min(shortWait, best->cost - tokensToFetch) : shortWait;
-    const std::optional<LoadAnswer> answer = loads.reserve(
-        home.incarnation, demandOf(request, home.weightsVersion, context.now), context.room, bound);
+    const std::optional<LoadAnswer> answer =
+        loads.reserve(home.incarnation, demand.at(home), context.room, bound);
     const bool isUnanswered = !answer && loads.permitDue(home.incarnation);
     if (isUnanswered || (answer && (answer->isStalled || answer->lacksPermit))) {
       continue;
@@ -182,18 +204,17 @@
 
 /// Counts the request at the home.
 /// @return nothing if the home permits no request.
-std::optional<BackendChoice> settleAt(const FoundHome& home, const IncomingRequest& request,
-                                      const ChoiceContext& context, EngineLoads& loads) {
+std::optional<BackendChoice> settleAt(const FoundHome& home, DemandByWeights& demand,
+                                      const EngineRoom& room, EngineLoads& loads) {
   BackendChoice choice = home.choice;
   if (home.accepts) {
     return choice;
   }
   // Reserve there without a bound, so that load beyond the bound is counted, too.
   const std::optional<LoadAnswer> counted =
-      choice.expected ? loads.reserve(choice.backend.incarnation,
-                                      demandOf(request, choice.backend.weightsVersion, context.now),
-                                      context.room, kNoBound)
-                      : std::nullopt;
+      choice.expected
+          ? loads.reserve(choice.backend.incarnation, demand.at(choice.backend), room, kNoBound)
+          : std::nullopt;
   if (counted) {
     choice.claim = claimOf(*counted);
     const bool isReserved = counted->returnAfter > Duration(0);
@@ -215,13 +236,15 @@
     return std::nullopt;
   }
   const Sides sides = divide(permittingNow(usableCandidates(candidates, context), loads), context);
-  HomeSearch search{request, context, loads, sharedTokensOf(request), false, kMaxHomesQueried};
+  DemandByWeights demand(request, context.now);
+  HomeSearch search{request, context,         loads, demand, sharedTokensOf(request),
+                    false,   kMaxHomesQueried};
   const std::optional<FoundHome> own = search.run(firstHomes(request, sides.own));
   const bool hasOtherSide = !sides.other.empty();
   std::optional<BackendChoice> settled;
   bool isRefused = false;
   if (own && !(hasOtherSide && lacksRoom(*own, request, context.now))) {
-    settled = settleAt(*own, request, context, loads);
+    settled = settleAt(*own, demand, context.room, loads);
     isRefused = !settled || (settled->expected && !settled->ticket);
     if (!isRefused || !hasOtherSide) {
       return settled;
@@ -231,12 +254,12 @@
   search.maxQueries = kMaxOtherHomesQueried;
   const std::optional<FoundHome> other = search.run(firstHomes(request, sides.other));
   if (other && (!own || isRefused || other->accepts || other->cost < own->cost)) {
-    std::optional<BackendChoice> there = settleAt(*other, request, context, loads);
+    std::optional<BackendChoice> there = settleAt(*other, demand, context.room, loads);
     if (there && (!settled || there->ticket || !there->expected)) {
       return there;
     }
   }
-  return settled || !own ? settled : settleAt(*own, request, context, loads);
+  return settled || !own ? settled : settleAt(*own, demand, context.room, loads);
 }
 
 }  // namespace fernmoor::gateway
