--- a/src/bench/request_path_slope.cpp
+++ b/src/bench/request_path_slope.cpp
@@ -79,7 +79,6 @@
   demand.tenant = 0x9e3779b97f4a7c15U;
   demand.requestKey = 0xbf58476d1ce4e5b9U;
   demand.longestPause = std::chrono::milliseconds(600);
-  demand.longestWait = std::chrono::milliseconds(600);
   for (size_t part = 0; part < parts; ++part) {
     demand.sharedParts.push_back(gateway::SharedPart{demand.tenant * (part + 1), 3150});
   }
--- a/src/gateway/backend_choice.cpp
+++ b/src/gateway/backend_choice.cpp
@@ -141,7 +141,6 @@
   demand.tenant = request.tenant ? stableHash(request.tenant->name) : 0;
   demand.requestKey = requestKeyOf(request);
   demand.longestPause = request.row->longestPause;
-  demand.longestWait = longestQueueWait(request, now);
   if (request.row->usesPrefixes) {
     const std::string scope = cacheScopeOf(request, weightsVersion);
     const size_t count = std::min(request.sharedPartCount(), kMaxPartsPerQuestion);
@@ -161,7 +160,6 @@
   EngineDemand demand = demandOf(request, backend.weightsVersion, context.now);
   demand.urgency = kLeastUrgent;
   demand.onlySpare = true;
-  demand.longestWait = std::max(Duration(0), request.deadline - context.now);
   return loads.reserve(backend.incarnation, demand, context.room, kNoBound);
 }
 
--- a/src/gateway/engine_loads.h
+++ b/src/gateway/engine_loads.h
@@ -38,7 +38,6 @@
   uint64_t tenant = 0;                  ///< Hash of the tenant's name; 0: none.
   uint64_t requestKey = 0;              ///< The same for the first attempt and a retry; 0: unknown.
   Duration longestPause{0};  ///< Longest time between events for which it is in time; 0: any.
-  Duration longestWait{0};   ///< For which it may wait before its prompt is read.
   bool onlySpare =
       false;  ///< It will be late: it is counted only where nobody else needs the room.
 };
--- a/src/gateway/reading_model.h
+++ b/src/gateway/reading_model.h
@@ -26,8 +26,6 @@
   /// @param assumedTokensPerSecond the speed of an idle engine while there are few observations.
   /// @return the line for now.
   ReadingLine line(double assumedTokensPerSecond, Time now) const;
-  /// @return when a prompt was recorded last.
-  Time lastAt() const { return at_; }
 
  private:
   /// Weighted sums of observations (x: thousands of tokens, y: seconds).
--- a/src/peers/load_demand_codec.cpp
+++ b/src/peers/load_demand_codec.cpp
@@ -26,7 +26,6 @@
   question.set_tenant(demand.tenant);
   question.set_request_key(demand.requestKey);
   question.set_longest_pause_milliseconds(toMilliseconds(demand.longestPause));
-  question.set_longest_wait_milliseconds(toMilliseconds(demand.longestWait));
   question.set_only_spare(demand.onlySpare);
 }
 
@@ -48,7 +47,6 @@
   demand.tenant = question.tenant();
   demand.requestKey = question.request_key();
   demand.longestPause = std::chrono::milliseconds(question.longest_pause_milliseconds());
-  demand.longestWait = std::chrono::milliseconds(question.longest_wait_milliseconds());
   demand.onlySpare = question.only_spare();
   return demand;
 }
--- a/test/gateway/load_play.cpp
+++ b/test/gateway/load_play.cpp
@@ -394,7 +394,6 @@
   demand.tenant = caller.tenant + 1;
   demand.requestKey = caller.key;
   demand.longestPause = kLongestPause;
-  demand.longestWait = std::max(Duration(0), maxQueueWait(kind.target) - (now_ - caller.attemptAt));
   return demand;
 }
 
@@ -473,7 +472,6 @@
     EngineDemand demand = demandOf(caller);
     demand.urgency = kLeastUrgent;
     demand.onlySpare = true;
-    demand.longestWait = wait.left;
     const LoadAnswer late = ask(home.engine, demand, kNoBound);
     if (late.isGranted) {
       home.answer = late;
