--- a/src/peers/quarantine_directory.cpp
+++ b/src/peers/quarantine_directory.cpp
@@ -4,6 +4,7 @@
 
 #include "common/log.h"
 #include "peers/message_time.h"
+#include "peers/quarantine_codec.h"
 
 namespace fernmoor::peers {
 
@@ -48,46 +49,6 @@
 constexpr size_t kStoreWriters = 4;
 constexpr Duration kStoreWriterDelay{700000};
 
-void encodeRun(const CrashedRun& run, Time now, proto::CrashedRun& out) {
-  out.set_incarnation(run.incarnation);
-  out.set_began_age_milliseconds(toMilliseconds(now - run.beganAt));
-  out.set_ended_age_milliseconds(toMilliseconds(now - run.endedAt));
-  out.set_start_known(run.startKnown);
-}
-
-CrashedRun decodeRun(const proto::CrashedRun& run, Time now) {
-  return CrashedRun{
-      run.incarnation(), now - std::chrono::milliseconds(run.began_age_milliseconds()),
-      now - std::chrono::milliseconds(run.ended_age_milliseconds()), run.start_known()};
-}
-
-/// @tparam Message a proposal, a verdict or a report.
-template <class Message>
-Suspicion decodeSuspicion(const Message& message, Time now) {
-  Suspicion suspicion;
-  suspicion.fingerprint = message.fingerprint();
-  for (const proto::CrashedRun& run : message.runs()) {
-    suspicion.runs.push_back(decodeRun(run, now));
-  }
-  return suspicion;
-}
-
-template <class Message>
-void encodeSuspicion(const Suspicion& suspicion, Time now, Message& message) {
-  message.set_fingerprint(suspicion.fingerprint);
-  for (const CrashedRun& run : suspicion.runs) {
-    encodeRun(run, now, *message.add_runs());
-  }
-}
-
-proto::Envelope makeVerdict(const Suspicion& suspicion, Time since, Time now) {
-  proto::Envelope envelope;
-  proto::QuarantineVerdict& verdict = *envelope.mutable_quarantine()->mutable_verdict();
-  encodeSuspicion(suspicion, now, verdict);
-  verdict.set_age_milliseconds(toMilliseconds(now - since));
-  return envelope;
-}
-
 /// The fields name each run by its engine's incarnation, and by when it began and ended.
 LogFields suspicionFields(const Suspicion& suspicion, Time now) {
   LogFields fields;
@@ -140,52 +101,6 @@
   return nodes.empty() ? std::vector<NodeId>{self_} : nodes;
 }
 
-void QuarantineDirectory::hold(uint64_t fingerprint, Time until) {
-  Time& held = heldUntil_[fingerprint];
-  held = std::max(held, until);
-  holdsAny_ = true;
-}
-
-void QuarantineDirectory::forgetHolds(Time now) {
-  for (auto held = heldUntil_.begin(); held != heldUntil_.end();) {
-    held = now >= held->second ? heldUntil_.erase(held) : std::next(held);
-  }
-  holdsAny_ = !heldUntil_.empty();
-}
-
-void QuarantineDirectory::endHold(uint64_t fingerprint) {
-  heldUntil_.erase(fingerprint);
-  holdsAny_ = !heldUntil_.empty();
-  holdEnded_.notify_all();
-}
-
-bool QuarantineDirectory::isHeldAt(uint64_t fingerprint, Time now) const {
-  const auto held = heldUntil_.find(fingerprint);
-  return held != heldUntil_.end() && now < held->second;
-}
-
-bool QuarantineDirectory::isHeld(uint64_t fingerprint) const {
-  const std::lock_guard<std::mutex> lock(mutex_);
-  return isHeldAt(fingerprint, clock_.now());
-}
-
-void QuarantineDirectory::awaitDecision(const Suspects& suspects) {
-  if (!holdsAny_) {
-    return;  // The usual case; avoids taking a lock on the request path.
-  }
-  std::unique_lock<std::mutex> lock(mutex_);
-  awaitDecision(suspects.request, lock);
-  for (const uint64_t part : suspects.parts) {
-    awaitDecision(part, lock);
-  }
-}
-
-void QuarantineDirectory::awaitDecision(uint64_t fingerprint, std::unique_lock<std::mutex>& lock) {
-  for (Time now = clock_.now(); isHeldAt(fingerprint, now); now = clock_.now()) {
-    holdEnded_.wait_for(lock, heldUntil_.at(fingerprint) - now);
-  }
-}
-
 std::optional<Duration> QuarantineDirectory::timeLeft(const Suspects& suspects) {
   const Time now = clock_.now();
   std::optional<Duration> longest = table_.timeLeft(suspects.request, now);
--- a/src/peers/quarantine_directory.h
+++ b/src/peers/quarantine_directory.h
@@ -11,7 +11,7 @@
 /// wait for a further crash that tells them apart. Nodes hold the request meanwhile. A proposal
 /// without objection becomes a verdict (on a part of prompts only if requests without it are served
 /// and it was running at most of the crashes, see quarantine/control_group.h), which is sent to all
-/// nodes, and the crashes that it explains no longer count against other requests.
+/// nodes, and the crashes that it explains are not counted against other requests.
 ///
 /// Verdicts reach nodes that are partitioned off or not yet started through the operators' store
 /// and its mirror (quarantine/quarantine_table.h). Until a verdict is stored, each node that knows
