--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -11,8 +11,6 @@
 namespace {
 
 constexpr int kStatusOk = 200;
-/// A request with less time than this left before its deadline is not sent (5 ms).
-constexpr Duration kMinTimeToSend{5000};
 /// If the caller disconnects, a back end that was silent for less than this (300 ms) is assumed to
 /// be alive. It is half of the shortest silence after which a request leaves its back end. Each run
 /// that is kept beyond it costs a few probes.
@@ -167,61 +165,6 @@
   }
 }
 
-std::optional<LateCause> RequestRun::lateCause(Time now) const {
-  if (firstEventAt_.value_or(now) - request_.arrivedAt > request_.row->target) {
-    return LateCause::kFirstEvent;
-  }
-  const Duration mostPause = request_.row->longestPause;
-  const bool pausedTooLong = mostPause > Duration(0) && longestPause_ > mostPause;
-  return pausedTooLong ? std::optional(LateCause::kPause) : std::nullopt;
-}
-
-/// Logs requests that were delivered in time at debug level only, and one line for each other
-/// request, within a log budget.
-void RequestRun::logEnd(RequestOutcome outcome) {
-  const std::optional<LateCause> late =
-      outcome == RequestOutcome::kDelivered ? lateCause(services_.clock.now()) : std::nullopt;
-  if (late) {
-    metrics_.countLateAnswer(*late);
-  }
-  const bool wentWell = outcome == RequestOutcome::kDelivered && !late;
-  logLine(outcome, wentWell ? LogLevel::kDebug : LogLevel::kInfo);
-}
-
-/// @param level kDebug for requests that were delivered in time.
-void RequestRun::logLine(RequestOutcome outcome, LogLevel level) {
-  const Time now = services_.clock.now();
-  const bool wentWell = level == LogLevel::kDebug;
-  if (!logEnabled(level)) {
-    return;
-  }
-  const std::optional<uint64_t> leftOut = forwarder_.outcomeLog_.take(outcome, wentWell, now);
-  if (!leftOut) {
-    return;
-  }
-  LogFields fields;
-  fields.request = RequestId(request_.id);
-  fields.tenant = TenantId(request_.tenant ? request_.tenant->name : "");
-  fields.service = ServiceId(request_.pool);
-  fields.engine = EngineId(plan_.backend.id);
-  fields.elapsed = now - request_.arrivedAt;
-  fields.sends = sends_;
-  fields.attempts = trail_.text();
-  fields.fingerprint = suspects_.request;
-  fields.parts = suspects_.parts;
-  fields.leftOut = *leftOut;
-  fields.tableAge = now - services_.table.view().confirmedAt;
-  if (firstEventAt_) {
-    fields.firstEvent = *firstEventAt_ - request_.arrivedAt;
-    fields.longestPause = longestPause_;
-  }
-  const bool isLateAnswer = outcome == RequestOutcome::kDelivered && !wentWell;
-  if (const auto late = isLateAnswer ? lateCause(now) : std::nullopt) {
-    fields.lateCause = toString(*late);
-  }
-  logEvent(level, isLateAnswer ? "request: delivered late" : phraseOf(outcome), fields);
-}
-
 RequestRun::Next RequestRun::afterStep(AttemptStep step) {
   if (currentPeer_) {
     return afterPeerStep(step);
@@ -397,15 +340,6 @@
   }
 }
 
-void RequestRun::reportOldWeights() {
-  const uint64_t due = services_.wanted.dueVersion(request_.model, services_.clock.now());
-  if (answeredWeights_ == 0 || answeredWeights_ >= due) {
-    return;
-  }
-  services_.metrics.countOldWeights();
-  logLine(RequestOutcome::kOldWeights, LogLevel::kWarning);
-}
-
 RequestRun::Next RequestRun::takeAnswer(EngineAttempt& attempt) {
   if (currentPeer_) {
     return takePeerAnswer(attempt);
@@ -435,61 +369,6 @@
   return relayBuffered(attempt);
 }
 
-void RequestRun::giveUp() {
-  if (headSent_) {
-    caller_.breakOff();
-    logEnd(RequestOutcome::kBrokenOff);
-    return;
-  }
-  if (bufferedAnswer_) {  // Deliver the back end's own error answer if no attempt did better.
-    deliverBuffered();
-    if (callerGone_) {
-      endWithoutCaller();
-    } else {
-      logEnd(RequestOutcome::kEngineFailed);
-    }
-    return;
-  }
-  if (peerRefusal_ && !mayHaveRun_) {
-    bufferedAnswer_ = std::move(peerRefusal_);
-    deliverBuffered();
-    logEnd(RequestOutcome::kNoBackend);
-    return;
-  }
-  if (unpermittedFor_ && !mayHaveRun_) {
-    rejectWithoutPermit(*unpermittedFor_);
-    return;
-  }
-  const Duration timeLeft = request_.deadline - services_.clock.now();
-  GivenUp state;
-  state.mayHaveRun = mayHaveRun_;
-  state.isLate = timeLeft <= kMinTimeToSend;
-  state.timeLeft = timeLeft;
-  if (waitRefusal_) {
-    state.returnAfter = waitRefusal_->returnAfter;
-  }
-  refuse(givenUpError(state));
-  logEnd(mayHaveRun_ ? RequestOutcome::kNoWholeAnswer : RequestOutcome::kNoBackend);
-}
-
-bool RequestRun::isCallerGivenUp() {
-  const CallerBuffer* buffer = caller_.buffer();
-  return buffer != nullptr && buffer->isGivenUp();
-}
-
-AttemptEnd RequestRun::endByCaller() {
-  return isCallerGivenUp() ? AttemptEnd::kNotRead : AttemptEnd::kCallerLeft;
-}
-
-void RequestRun::endWithoutCaller() {
-  const bool isGivenUp = isCallerGivenUp();
-  caller_.breakOff();
-  if (isGivenUp) {
-    services_.metrics.countSlowCaller();
-  }
-  logEnd(isGivenUp ? RequestOutcome::kNotRead : RequestOutcome::kCallerLeft);
-}
-
 bool RequestRun::passesLimit() {
   if (!request_.tenant) {
     return true;
@@ -504,19 +383,6 @@
   return true;
 }
 
-void RequestRun::refuse(const Error& error) {
-  if (countsAgainstLimit_ && error.runState == RunState::kNotRun) {
-    services_.limits.giveBack(*request_.tenant, limitCostOf(request_));
-  }
-  metrics_.countRefusal(error.kind);
-  caller_.refuse(error);
-}
-
-void RequestRun::rejectUnverifiedKey() {
-  refuse(unverifiedKeyError(mayHaveRun_));
-  logEnd(RequestOutcome::kUnverifiedKey);
-}
-
 bool RequestRun::isKeyVerified() const {
   return services_.table.view().isFresh(services_.clock.now(), forwarder_.options_.keyFreshness);
 }
--- a/src/gateway/request_run.h
+++ b/src/gateway/request_run.h
@@ -176,7 +176,11 @@
   /// replaced by now.
   void reportOldWeights();
   void logEnd(RequestOutcome outcome);
-  void logLine(RequestOutcome outcome, LogLevel level);
+  /// @param level kDebug for requests that were delivered in time.
+  /// @param late why an answer that was delivered is late; nothing: it is in time, or was not
+  ///        delivered.
+  void logLine(RequestOutcome outcome, LogLevel level,
+               std::optional<LateCause> late = std::nullopt);
 
   Forwarder& forwarder_;
   ForwarderServices& services_;
--- a/src/gateway/send_decisions.h
+++ b/src/gateway/send_decisions.h
@@ -12,6 +12,9 @@
 
 namespace fernmoor::gateway {
 
+/// A request with less time than this left before its deadline is not sent (5 ms).
+inline constexpr Duration kMinTimeToSend{5000};
+
 /// Used for pools whose capacity is not stated; decideWait() decides for the others.
 /// @return whether a request that was not sent yet can meet its target at a back end with these
 ///         expected times. One that can't would only delay others that can.
@@ -40,7 +43,7 @@
 /// State of a request for which no further back end may be tried.
 struct GivenUp {
   bool mayHaveRun = false;
-  bool isLate = false;  ///< Its deadline has passed.
+  bool isLate = false;                                 ///< Its deadline has passed.
   /// Expected time to its first event, if it was not sent because that is too long.
   std::optional<Duration> expectedFirstEvent = std::nullopt;
   std::optional<Duration> returnAfter = std::nullopt;  ///< As decided by decideWait().
