A node that becomes an engine's owner forgets its own requests when they were due

Cause: a renewal to another node carries the time that is left until the request is forgotten, one to the node itself carried the whole time anew. A request whose end was lost was counted for up to twice as long.

--- a/src/peers/load_directory_renewals.cpp
+++ b/src/peers/load_directory_renewals.cpp
@@ -2,6 +2,7 @@
 /// Changes of the owners of engines in the load directory: reports the open requests of this node
 /// to new owners, and drops the requests of nodes that are gone.
 #include <algorithm>
+#include <utility>
 
 #include "common/log.h"
 #include "peers/load_demand_codec.h"
@@ -146,15 +147,15 @@
                                  Time now) {
   proto::Envelope envelope;
   for (const auto& [id, request] : requests) {
+    gateway::EngineDemand demand = request.demand;
+    demand.forgetAfter = request.forgetAt - now;
     if (owner == self_) {
-      const gateway::PendingRequest pending{self_.value(), id, request.demand};
+      const gateway::PendingRequest pending{self_.value(), id, std::move(demand)};
       work_.renew(request.engine, pending, request.room, request.isRead, now);
       continue;
     }
     proto::LoadRenewal& renewal = *envelope.mutable_load()->mutable_renewal();
     proto::OpenRequest& open = *renewal.add_requests();
-    gateway::EngineDemand demand = request.demand;
-    demand.forgetAfter = request.forgetAt - now;
     encodeDemand(id, request.engine, demand, request.room, *open.mutable_question());
     open.set_is_read(request.isRead);
     if (renewal.requests_size() >= kMaxRequestsPerMessage) {
--- a/test/peers/load_directory_test.cpp
+++ b/test/peers/load_directory_test.cpp
@@ -200,6 +200,19 @@
   CHECK(world.totalRenewedCount() == renewed);
 }
 
+// Guards against requests that a node which becomes the owner counts from anew.
+TEST_CASE("open requests that were reported to a new owner are forgotten when they were due") {
+  LoadWorld world(7);
+  openEverywhere(world, 7);
+  world.pass(std::chrono::seconds(2));
+  world.setState(7, MemberState::kSuspect);
+  world.pass(std::chrono::milliseconds(900));
+  CHECK(world.totalRenewedCount() > 0);
+  checkWaiting(world, 1, 600);
+  world.pass(std::chrono::milliseconds(200));
+  checkWaiting(world, 1, 0);
+}
+
 // Guards against renewals that are larger than a datagram, and that then need a TCP connection.
 TEST_CASE("renewals are sent in bounded messages") {
   LoadWorld world(2);
