--- a/src/bench/gateway_slope.cpp
+++ b/src/bench/gateway_slope.cpp
@@ -122,7 +122,7 @@
   Slope memory = makeSlope("backends-memory", "heap of the set of back ends", "bytes",
                            "BackendSet (src/backends/backend_set.cpp)");
   Slope choice = makeSlope("backend-choice-time", "processor time of choosing one back end", "us",
-                           "BackendSet::membersOf, chooseHome (src/gateway/backend_choice.cpp)");
+                           "BackendSet::membersOf, chooseHome (src/gateway/home_choice.cpp)");
   Slope upkeep = makeSlope("backends-upkeep-time",
                            "processor time of one periodic upkeep in which nothing is due", "us",
                            "BackendSet::forgetOld, ten times a second");
--- a/src/gateway/send_decisions.h
+++ b/src/gateway/send_decisions.h
@@ -43,7 +43,7 @@
 /// State of a request for which no further back end may be tried.
 struct GivenUp {
   bool mayHaveRun = false;
-  bool isLate = false;                                 ///< Its deadline has passed.
+  bool isLate = false;  ///< Its deadline has passed.
   /// Expected time to its first event, if it was not sent because that is too long.
   std::optional<Duration> expectedFirstEvent = std::nullopt;
   std::optional<Duration> returnAfter = std::nullopt;  ///< As decided by decideWait().
--- a/test/gateway/forwarder_kinds_test.cpp
+++ b/test/gateway/forwarder_kinds_test.cpp
@@ -1,6 +1,6 @@
 /// @file
-/// Tests of src/gateway/forwarder.h over loopback: late answers by their cause, and engines for long
-/// and short prompts.
+/// Tests of src/gateway/forwarder.h over loopback: late answers by their cause, and engines for
+/// long and short prompts.
 #include <doctest/doctest.h>
 
 #include <atomic>
