Retry budget: metrics and a log line tell what it allows, grants and refuses

Operators could not tell what a node's retry budget did: fernmoor_retries_total counts sends alone, and a refused retry looked like any other end of a request, so the hypotheses of the incident could not be told apart. New: fernmoor_retry_budget_left, fernmoor_retry_budget_total by result, and one line a second for each service while retries are asked for, with the counts since the process started. The decisions are unchanged.

--- a/src/common/metrics.cpp
+++ b/src/common/metrics.cpp
@@ -191,7 +191,11 @@
                      .Add({})),
       shedding_(&gauge(registry_, "fernmoor_shedding_for_memory",
                        "1 while new requests are refused for want of memory.")
-                     .Add({})) {
+                     .Add({})),
+      retryBudgetLeft_(&gauge(registry_, "fernmoor_retry_budget_left",
+                              "Retries that the budget of the service allows this node now.")),
+      retryBudget_(&counter(registry_, "fernmoor_retry_budget_total",
+                            "Retries that the budget of the service granted or refused.")) {
   auto& control = counter(registry_, "fernmoor_control_bytes_total",
                           "Bytes between nodes and of engines' events and load reports.");
   controlSent_ = &control.Add({{"direction", "sent"}});
@@ -232,6 +236,14 @@
   setCounter(*returnsExpired_, expired);
 }
 
+void Metrics::setRetryBudget(const ServiceId& service, double left, uint64_t granted,
+                             uint64_t refused) {
+  const std::string& name = service.value();
+  retryBudgetLeft_->Add({{"service", name}}).Set(left);
+  setCounter(retryBudget_->Add({{"service", name}, {"result", "granted"}}), granted);
+  setCounter(retryBudget_->Add({{"service", name}, {"result", "refused"}}), refused);
+}
+
 ClassMetrics& Metrics::of(const ServiceId& service, const TenantId& tenant) {
   const std::lock_guard<RankedMutex> lock(mutex_);
   MetricClass requestClass{service, tenant};
--- a/src/common/metrics.h
+++ b/src/common/metrics.h
@@ -139,6 +139,9 @@
   void setOrderRefusals(uint64_t share, uint64_t urgency);
   /// What became of reservations for the retries of refused requests.
   void setReturns(uint64_t served, uint64_t refused, uint64_t expired);
+  /// Budget of a service for retries at this node: what it allows now, and what it granted and
+  /// refused since the program started.
+  void setRetryBudget(const ServiceId& service, double left, uint64_t granted, uint64_t refused);
   /// Era of the operators' store: it rises whenever the store came back from an old copy.
   void setStoreEra(uint64_t era) { storeEra_->Set(static_cast<double>(era)); }
   /// Listed engines that say that they leave, and those that asked this node for rest.
@@ -244,6 +247,8 @@
   prometheus::Gauge* shedding_;
   prometheus::Counter* controlSent_;
   prometheus::Counter* controlReceived_;
+  prometheus::Family<prometheus::Gauge>* retryBudgetLeft_;
+  prometheus::Family<prometheus::Counter>* retryBudget_;
   mutable RankedMutex mutex_{LockRank::kMetrics};
   std::map<MetricClass, std::unique_ptr<ClassMetrics>> classes_;
 };
--- a/src/gateway/second_send_budget.h
+++ b/src/gateway/second_send_budget.h
@@ -4,10 +4,12 @@
 /// nodes then stays within the bound that the operator sets for the whole deployment.
 #pragma once
 
+#include <cstdint>
 #include <deque>
 #include <map>
 #include <mutex>
 #include <string>
+#include <vector>
 
 #include "common/time.h"
 
@@ -20,6 +22,14 @@
   double allowance = 1.0;     ///< Retries allowed to this node beyond the ratio.
 };
 
+/// The budget of one service at this node, for metrics.
+struct RetryBudgetState {
+  std::string service;
+  double left = 0;       ///< Retries that are allowed now.
+  uint64_t granted = 0;  ///< Retries since the program started.
+  uint64_t refused = 0;  ///< Retries that were not allowed, since the program started.
+};
+
 /// Thread-safe.
 class SecondSendBudget {
  public:
@@ -29,16 +39,26 @@
   void setAllowance(double allowance);
   /// Counts a request's first send to the pool.
   void countRequest(const std::string& pool, Time now);
-  /// Counts a retry if the budget allows it.
+  /// Counts a retry if the budget allows it. While retries are asked for, logs one line a second.
   /// @return whether it does.
   bool trySecondSend(const std::string& pool, Time now);
+  /// @return the budgets of all services that got requests.
+  std::vector<RetryBudgetState> states(Time now);
 
  private:
   struct Window {
     std::deque<Time> requests;
     std::deque<Time> secondSends;
+    uint64_t granted = 0;
+    uint64_t refused = 0;
+    uint64_t loggedGranted = 0;  ///< Granted and refused when the latest line was logged.
+    uint64_t loggedRefused = 0;
+    Time loggedAt;
   };
   void dropExpired(std::deque<Time>& times, Time now) const;
+  /// @return the retries allowed now.
+  double left(Window& window, Time now) const;
+  void logUse(const std::string& pool, Window& window, Time now) const;
 
   SecondSendBounds bounds_;
   std::mutex mutex_;
--- a/test/docs/operations_page_test.cpp
+++ b/test/docs/operations_page_test.cpp
@@ -45,6 +45,7 @@
   Metrics metrics;
   metrics.of(ServiceId("s"), TenantId("t"));
   metrics.setMembers({});
+  metrics.setRetryBudget(ServiceId("s"), 0, 0, 0);
   std::set<std::string> names;
   const std::string text = metrics.serialize();
   const std::regex typeLine("# TYPE (\\w+) ");
