--- a/test/platform_soak/engines.py
+++ b/test/platform_soak/engines.py
@@ -26,6 +26,7 @@
 import ctypes
 import http.server
 import json
+import random
 import select
 import socket
 import struct
@@ -79,7 +80,7 @@
         self.poison = set()  # bodies of requests that crash engines
         self.poison_parts = set()  # parts of prompts that crash engines
         self.crashes = []  # dicts: body, part (None: the request as a whole), engine, at
-        self.arrivals = []  # dicts: id, life, at, host (of the node that sent it)
+        self.arrivals = []  # dicts: id, life, service, at, host (of the node that sent it)
         self.limits = []  # dicts: life, at, text; text None: the engine states no limit from then on
         self.told = []  # dicts: id, life, at, text; one for each response that states a limit
         self.told_leaving = []  # dicts: id, life, engine, at; one for each response that announces the shutdown
@@ -143,6 +144,8 @@
         self.store, self.ledger = store, ledger
         self.version, self.orders, self.fence, self.busy = version, 0, 0, False
         self.fault = None
+        self.rejected_share = 0.0  # Of the requests, although it has room.
+        self.draw = random.Random(life)
         self.event_seconds = EVENT_SECONDS
         self.answer_seconds = 0.0  # How long a request that is no stream occupies its slot.
         self.lock = threading.Lock()
@@ -496,7 +499,8 @@
         engine.talks.wait()  # A silent engine begins no request.
         arrived = time.monotonic()
         request = self.headers.get("X-Request-Id", "")
-        engine.ledger.note(engine.ledger.arrivals, id=request, life=engine.life, host=self.client_address[0])
+        engine.ledger.note(engine.ledger.arrivals, id=request, life=engine.life, service=engine.service,
+                           host=self.client_address[0])
         with engine.lock:  # Read once, as they may change during the checks below.
             version, orders = engine.version, engine.orders
         names = [("X-Request-Id", request), ("X-Weight-Versions", str(version))]
@@ -512,7 +516,8 @@
             self.turn_away(names)
             engine.note_rejection(request)
             return
-        if engine.fault == "busy" or not engine.take_slot(self.has_left):
+        is_busy = engine.fault == "busy" or engine.draw.random() < engine.rejected_share
+        if is_busy or not engine.take_slot(self.has_left):
             self.turn_away(names)
             return
         try:
--- a/test/platform_soak/judge.py
+++ b/test/platform_soak/judge.py
@@ -1,6 +1,7 @@
 """Checks what callers and engines recorded during a soak against the users' rules that can be judged
 without timing other than the bounds they state. Each check returns a list of violations.
 """
+import bisect
 import collections
 import math
 import re
@@ -26,6 +27,8 @@
 REST_TOLD_SECONDS, REST_SENDS = 0.5, 2
 # First tries at partitioned nodes: the least share of what the others serve, and the failures allowed beside it.
 CUT_SHARE, CUT_FAILURES, CUT_FAILURE_SHARE = 2 / 3, 10, 1 / 50
+# Retries of all nodes in a window: a share of the requests that callers sent, and what is allowed beside it.
+RETRY_WINDOW_SECONDS, RETRY_RATIO, RETRY_SLACK = 10.0, 0.2, 54
 # Falls of brittle engines allowed in one such time, beside a share of their number.
 FALLS, FALL_SHARE = 2, 0.1
 # Streams that may have events of two software versions, and how often those that are taken up again must go on,
@@ -55,7 +58,7 @@
         "VERSION": version(runs, asked, world),
         "STRETCHED": stretched(world),
         "LOST": lost(calls, by_id, world) + not_gone_on(calls, world) + beside_parts(calls, world),
-        "BUDGET": budget(runs, asked, world) + by_parts(asked, world),
+        "BUDGET": budget(runs, asked, world) + by_parts(asked, world) + retries_beyond(calls, world),
         "BLAMED": blamed(calls, world),
         "MEMORY": memory(world),
         "LIMIT": limit(asked, world) + fallen(asked, world),
@@ -401,6 +404,36 @@
     return faults
 
 
+def retries_beyond(calls, world):
+    """In no window do engines of a service get more arrivals beyond the first of their requests than allowed, summed
+    over all nodes and their lives."""
+    return [f"{service}: {most} retries in {RETRY_WINDOW_SECONDS} s from {start:.2f} on, allowed {allowed:.1f}"
+            for service, (most, start, allowed) in worst_windows(calls, world).items() if most > allowed]
+
+
+def worst_windows(calls, world):
+    """Returns {service: worst_window()} of the services whose engines got retries."""
+    retries, seen = collections.defaultdict(list), set()
+    for entry in sorted(world["arrivals"], key=lambda entry: entry["at"]):
+        if entry["id"] in seen:
+            retries[entry["service"]].append(entry["at"])
+        seen.add(entry["id"])
+    return {service: worst_window(times, sorted(call["sent_at"] for call in calls
+                                                if world["service_of"].get(call["kind"]) == service))
+            for service, times in retries.items()}
+
+
+def worst_window(retries, sent):
+    """Returns (retries, start, allowed) of the window whose retries come nearest to what is allowed, or exceed it most."""
+    def count(times, start):
+        return bisect.bisect_left(times, start + RETRY_WINDOW_SECONDS) - bisect.bisect_left(times, start)
+    windows = []
+    for start in retries:
+        requests = max(count(sent, start - back * RETRY_WINDOW_SECONDS) for back in (0, 0.5, 1))
+        windows.append((count(retries, start), start, RETRY_RATIO * requests + RETRY_SLACK))
+    return max(windows, key=lambda window: window[0] - window[2])
+
+
 def beside_parts(calls, world):
     """While requests with a bad part still come, sound ones with the same first part begin about as often as before."""
     faults, sound = [], [call for call in calls if call["parts"] and call["sent_body"] not in world["poison"]
--- a/test/platform_soak/soak.py
+++ b/test/platform_soak/soak.py
@@ -70,6 +70,8 @@
 MODEL_ENGINES, PLAIN_ENGINES = 10, 3
 ZONES = ("z", "y")  # Of engines; all nodes are in the first one.
 # A slow engine reads the 300 tokens of a call in 0.03 to 0.9 s; a hanging one begins no request.
+REJECTED_SHARES, REJECT_SECONDS = (0.95, 0.95, 0.6, 0.3), (2.0, 12.0)
+CALLER_PAUSE_SECONDS = 0.01  # Between two requests of a caller.
 SLOWNESS, SLOW_SECONDS, HANG_SECONDS = (5, 150), (0.5, 4.0), (0.3, 3.0)
 SILENCE_PAUSE_SECONDS = (2.0, 9.0)
 # Limits that engines state, and how often one changes before it is cleared.
@@ -293,6 +295,8 @@
         self.is_over = threading.Event()  # Set when processes are no longer watched or restarted.
         self.seed, self.series = options.seed, options.series
         self.growth_series = options.growth
+        self.reject_series = options.rejects
+        self.pause_seconds = CALLER_PAUSE_SECONDS
         self.slow_series, self.silent_series = options.slow, options.silent
         self.limit_series, self.caller_count = options.limits, options.callers
         self.leave_series, self.rest_series = options.leaves, options.rests
@@ -472,7 +476,7 @@
             if self.drill_series and draw.random() < ROW_CHANCE and self.rules["added"]:
                 newest = list(self.rules["added"])[-ROWS_ASKED:]
                 self.call(ROW, "k-open", node, row=f"/{draw.choice(newest)}/x")
-            time.sleep(0.01)
+            time.sleep(self.pause_seconds)
 
     def new_poison(self, kind):
         """Returns a new request that crashes each engine that begins to run it."""
@@ -696,6 +700,25 @@
                 engine.go_on()
             time.sleep(draw.uniform(0.0, 2.0))
 
+    def keep_rejecting(self, series, seconds):
+        """Separate series: all engines reject most requests for a while, or some of them do."""
+        draw = random.Random(f"{self.seed} rejects {series}")
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            share, count = draw.choice(REJECTED_SHARES), draw.choice((1.0, 1.0, 0.5))
+            some = draw.sample(self.engines, max(1, int(count * len(self.engines))))
+            print(f"{time.monotonic() - end + seconds:6.2f} t{series} {len(some)} engines reject {share} of their "
+                  "requests", flush=True)
+            self.reject(some, share)
+            time.sleep(draw.uniform(*REJECT_SECONDS))
+            self.reject(self.engines, 0.0)
+            time.sleep(draw.uniform(0.0, 2.0))
+
+    @staticmethod
+    def reject(engines, share):
+        for engine in engines:
+            engine.rejected_share = share
+
     def keep_limiting_engines(self, series, seconds):
         """Separate series: some engines, or all, state limits, change them, send invalid values in between, and
         clear them."""
@@ -993,6 +1016,8 @@
                    for number in range(self.growth_series)]
         series += [threading.Thread(target=self.keep_slowing_engines, args=(number, seconds))
                    for number in range(self.slow_series)]
+        series += [threading.Thread(target=self.keep_rejecting, args=(number, seconds))
+                   for number in range(self.reject_series)]
         series += [threading.Thread(target=self.keep_silencing_connections, args=(number, seconds))
                    for number in range(self.silent_series)]
         series += [threading.Thread(target=self.keep_limiting_engines, args=(number, seconds))
@@ -1143,6 +1168,8 @@
                         help="series of growths of the operators' table, beside the others")
     parser.add_argument("--slow", type=int, default=1,
                         help="series of engines that read slowly or hang, beside the others")
+    parser.add_argument("--rejects", type=int, default=0,
+                        help="series of engines that reject most requests, beside the others")
     parser.add_argument("--silent", type=int, default=1,
                         help="series of connections to the store that go silent, beside the others")
     parser.add_argument("--limits", type=int, default=1,
--- a/test/process/engine_limit_test.py
+++ b/test/process/engine_limit_test.py
@@ -29,8 +29,8 @@
 
 
 class Scenario:
-    def __init__(self, build):
-        options = soak.parse([build, "--nodes", str(NODES), "--poison", "0"])
+    def __init__(self, build, nodes=NODES, callers=CALLERS):
+        options = soak.parse([build, "--nodes", str(nodes), "--poison", "0"])
         self.world = soak.World(options)
         self.world.start_nodes(options)
         print(f"logs in {self.world.folder}", flush=True)
@@ -38,7 +38,7 @@
         for engine in self.world.engines:  # Callers that wait for slow streams would ask for little.
             engine.event_seconds = soak.standin.EVENT_SECONDS
         self.callers = [threading.Thread(target=self.world.keep_calling, args=(number,), daemon=True)
-                        for number in range(CALLERS)]
+                        for number in range(callers)]
         for caller in self.callers:
             caller.start()
         time.sleep(judge.CONTACT_SECONDS)  # All gateways are in touch when the story begins.
