--- a/test/process/platform_soak_test.py
+++ b/test/process/platform_soak_test.py
@@ -266,20 +266,21 @@
     assert not arrivals_faults("DRAIN", 3.1, left=left, unstable=[(0.5, 1.5)]), "the store was away"
 
 
-def retry_faults(retries, requests=200, at=lambda number: 10.0, **world):
+def retry_faults(retries, requests=200, seconds=9.0, at=lambda number: 19.0, **world):
     """What the judge says of retries, of the requests that callers sent from 10 s on."""
-    calls = [call(id=f"r{n}", sent_at=10.0 + n * 9.0 / requests) for n in range(requests)]
+    calls = [call(id=f"r{n}", sent_at=10.0 + n * seconds / requests) for n in range(requests)]
     arrivals = [{"id": f"r{n}", "life": 1, "service": "plain", "at": calls[n]["sent_at"]} for n in range(requests)]
-    arrivals += [{"id": f"r{n % requests}", "life": 2, "service": "plain", "at": 19.0 + at(n)} for n in range(retries)]
+    arrivals += [{"id": f"r{n % requests}", "life": 2, "service": "plain", "at": at(n)} for n in range(retries)]
     return judge.judge(calls, [], [], dict(WORLD, revoked={}, arrivals=arrivals, **world))["BUDGET"]
 
 
 def check_judge_of_retries():
     allowed = int(judge.RETRY_RATIO * 200 + judge.RETRY_SLACK)
     assert retry_faults(allowed + 1) and not retry_faults(allowed), "a share of the requests, and the slack"
-    assert retry_faults(allowed + 1, requests=199) and retry_faults(allowed, requests=194), "fewer requests"
-    assert not retry_faults(2 * allowed, at=lambda number: 10.5 * (number % 2)), "in two windows"
-    assert retry_faults(2 * allowed, at=lambda number: 5.0 * (number % 2)), "in two halves of one window"
+    assert retry_faults(allowed, requests=194) and not retry_faults(allowed - 2, requests=194), "fewer requests"
+    longer = {"requests": 400, "seconds": 20.0}
+    assert not retry_faults(2 * allowed, at=lambda number: 19.0 + 10.5 * (number % 2), **longer), "in two windows"
+    assert retry_faults(2 * allowed, at=lambda number: 19.0 + 5.0 * (number % 2), **longer), "in halves of one window"
     struck = {node: [(0.0, 60.0)] for node in range(2)}
     assert retry_faults(allowed + 1, struck=struck), "no node is excused"
 
