--- /dev/null
+++ b/test/process/rejects_soak_test.py
@@ -0,0 +1,13 @@
+#!/usr/bin/env python3
+"""Seeds of the fault soak in which engines reject most requests beside all other faults: the retries of all gateways
+stay within their budget.
+"""
+import scenarios
+
+SECONDS = 25
+PLAYS = ((1103, 20), (1104, 5))  # seed, gateways
+
+
+if __name__ == "__main__":
+    scenarios.play_soaks([("--seed", seed, "--seconds", SECONDS, "--nodes", nodes, "--rejects", 1)
+                          for seed, nodes in PLAYS])
