--- a/test/gateway/retry_budgets_test.cpp
+++ b/test/gateway/retry_budgets_test.cpp
@@ -143,7 +143,7 @@
     deployment.restarts = {18, 20.5, 23};
   }
   SUBCASE("some nodes, each second") {
-    for (double second = 15; second < 40; ++second) {
+    for (int second = 15; second < 40; ++second) {
       deployment.restarts.push_back(second);
     }
     deployment.restartedShare = 0.3;
