Scenarios of process tests share what makes their world and starts their callers

Seven tests repeated the same lines for starting gateways, waiting until they serve and starting callers; retry_budget_test would have been the eighth.

--- a/test/process/engine_brittle_test.py
+++ b/test/process/engine_brittle_test.py
@@ -23,25 +23,16 @@
 PAUSE_SECONDS = 0.05
 
 
-class Scenario:
+class Scenario(scenarios.Scenario):
     def __init__(self, build):
-        options = soak.parse([build, "--nodes", str(NODES), "--poison", "0"])
-        self.world = soak.World(options)
-        self.world.start_nodes(options)
-        print(f"logs in {self.world.folder}", flush=True)
-        self.world.wait_until_served()
-        for engine in self.world.engines:
-            engine.event_seconds = BUSY_EVENT_SECONDS
-        self.callers = []
+        super().__init__(build, NODES)
+        self.set_event_seconds(BUSY_EVENT_SECONDS)
         time.sleep(judge.CONTACT_SECONDS)  # All gateways are in touch when the story begins.
 
     def call_with(self, count, service=soak.MODELS):
         """Starts callers that ask for this service all the while, and come back when they are told to."""
         kinds = [kind for kind, entry in soak.KINDS.items() if entry[2] == service]
-        first = len(self.callers)
-        for number in range(first, first + count):
-            self.callers.append(threading.Thread(target=self.keep_calling, args=(number, kinds), daemon=True))
-            self.callers[-1].start()
+        self.start_callers(count, self.keep_calling, kinds)
 
     def keep_calling(self, number, kinds):
         draw = random.Random(number)
@@ -61,9 +52,6 @@
         print(f"{service}, {survives}: {len(falls)} falls, served {share:.3f} of {len(calls)}", flush=True)
         return share
 
-    def end(self):
-        scenarios.end_and_judge(self.world, self.callers)
-
 
 def engines_have_room_for_all(scenario):
     """There are more places than callers, so nobody need be refused."""
--- a/test/process/engine_limit_test.py
+++ b/test/process/engine_limit_test.py
@@ -7,8 +7,6 @@
 usage: engine_limit_test.py BUILD_FOLDER [NAME]
 """
 import bisect
-import random
-import threading
 import time
 
 import scenarios
@@ -28,21 +26,13 @@
 AGAIN_SECONDS = 2.0  # After its limit ended an engine has its former share.
 
 
-class Scenario:
-    def __init__(self, build, nodes=NODES, callers=CALLERS):
-        options = soak.parse([build, "--nodes", str(nodes), "--poison", "0"])
-        self.world = soak.World(options)
-        self.world.start_nodes(options)
-        print(f"logs in {self.world.folder}", flush=True)
-        self.world.wait_until_served()
-        for engine in self.world.engines:  # Callers that wait for slow streams would ask for little.
-            engine.event_seconds = soak.standin.EVENT_SECONDS
-        self.callers = [threading.Thread(target=self.world.keep_calling, args=(number,), daemon=True)
-                        for number in range(callers)]
-        for caller in self.callers:
-            caller.start()
+class Scenario(scenarios.Scenario):
+    def __init__(self, build):
+        super().__init__(build, NODES)
+        # Callers that wait for slow streams would ask for little.
+        self.set_event_seconds(soak.standin.EVENT_SECONDS)
+        self.start_callers(CALLERS)
         time.sleep(judge.CONTACT_SECONDS)  # All gateways are in touch when the story begins.
-        self.draw = random.Random(7)
 
     def engines_of(self, service, count=None):
         return [each for each in self.world.engines if each.service == service][:count]
@@ -92,9 +82,6 @@
     def served_share(self, calls):
         return sum(call["status"] == 200 for call in calls) / max(1, len(calls))
 
-    def end(self):
-        scenarios.end_and_judge(self.world, self.callers)
-
 
 def state(engines, text):
     for engine in engines:
--- a/test/process/engine_partition_test.py
+++ b/test/process/engine_partition_test.py
@@ -9,7 +9,6 @@
 usage: engine_partition_test.py BUILD_FOLDER [NAME]
 """
 import itertools
-import random
 import threading
 import time
 
@@ -27,21 +26,12 @@
 VERSION_SECONDS = 8.0
 
 
-class Scenario:
+class Scenario(scenarios.Scenario):
     def __init__(self, build):
-        options = soak.parse([build, "--nodes", str(NODES), "--poison", "0"])
-        self.world = soak.World(options)
-        self.world.start_nodes(options)
-        print(f"logs in {self.world.folder}", flush=True)
-        self.world.wait_until_served()
-        for engine in self.world.engines:
-            engine.event_seconds = soak.standin.EVENT_SECONDS
-        self.callers = [threading.Thread(target=self.world.keep_calling, args=(number,), daemon=True)
-                        for number in range(CALLERS)]
-        for caller in self.callers:
-            caller.start()
+        super().__init__(build, NODES)
+        self.set_event_seconds(soak.standin.EVENT_SECONDS)
+        self.start_callers(CALLERS)
         time.sleep(judge.CONTACT_SECONDS)  # All gateways are in touch when the story begins.
-        self.draw = random.Random(7)
 
     def start_cut(self, nodes, way, seconds=CUT_SECONDS):
         cutting = threading.Thread(target=self.world.cut_off, args=(nodes, way, seconds))
@@ -68,9 +58,6 @@
         assert again >= SERVED_SHARE, f"{again:.3f} served after the end"
         return there
 
-    def end(self):
-        scenarios.end_and_judge(self.world, self.callers)
-
 
 def connections_hang(scenario):
     scenario.cut(2, partition.HANG)
--- a/test/process/engine_parts_test.py
+++ b/test/process/engine_parts_test.py
@@ -23,18 +23,10 @@
 SERVED_SHARE = 0.95
 
 
-class Scenario:
+class Scenario(scenarios.Scenario):
     def __init__(self, build):
-        options = soak.parse([build, "--nodes", str(NODES), "--poison", "0", "--zones", "2"])
-        self.world = soak.World(options)
-        self.world.start_nodes(options)
-        print(f"logs in {self.world.folder}", flush=True)
-        self.world.wait_until_served()
-        self.draw = random.Random(7)
-        self.callers = [threading.Thread(target=self.world.keep_calling, args=(number,), daemon=True)
-                        for number in range(CALLERS)]
-        for caller in self.callers:
-            caller.start()
+        super().__init__(build, NODES, "--zones", "2")
+        self.start_callers(CALLERS)
         time.sleep(2 * judge.CONTACT_SECONDS)  # All gateways are in touch, and calm is on record.
 
     def send_bad(self, is_first=False, seconds=BAD_SECONDS):
@@ -49,7 +41,7 @@
     def end(self):
         for part, crashed in judge.crashes_of_parts(self.world.seen_by_judge()).items():
             print(f"part {part}: {len(crashed)} engines ended in {crashed[-1] - crashed[0]:.1f} s", flush=True)
-        scenarios.end_and_judge(self.world, self.callers)
+        super().end()
 
 
 def join(threads):
--- a/test/process/engine_versions_test.py
+++ b/test/process/engine_versions_test.py
@@ -24,24 +24,15 @@
 STRIKES, STRIKE_PAUSE_SECONDS = 18, 0.4
 
 
-class Scenario:
+class Scenario(scenarios.Scenario):
     def __init__(self, build):
-        options = soak.parse([build, "--nodes", str(NODES), "--poison", "0", "--versions", "1"])
-        self.world = soak.World(options)
-        self.draw = random.Random(7)
-        self.world.start_nodes(options)
-        print(f"logs in {self.world.folder}", flush=True)
-        self.world.wait_until_served()
+        super().__init__(build, NODES, "--versions", "1")
         self.slow_down()
-        self.callers = [threading.Thread(target=self.keep_streaming, args=(number,), daemon=True)
-                        for number in range(CALLERS)]
-        for caller in self.callers:
-            caller.start()
+        self.start_callers(CALLERS, self.keep_streaming)
         time.sleep(judge.CONTACT_SECONDS)  # All gateways are in touch when the story begins.
 
     def slow_down(self):
-        for engine in self.world.engines:
-            engine.event_seconds = EVENT_SECONDS
+        self.set_event_seconds(EVENT_SECONDS)
 
     def keep_streaming(self, number):
         draw = random.Random(number)
@@ -70,7 +61,7 @@
         new = [call for call in streams if not call["after"]]
         print(f"{len(new)} streams, {judge.went_on_share(new):.3f} began; {len(taken_up)} taken up, "
               f"{judge.went_on_share(taken_up):.3f} went on; {judge.two_versions(self.world.calls)}", flush=True)
-        scenarios.end_and_judge(self.world, self.callers)
+        super().end()
 
 
 def engines_crash(scenario):
--- a/test/process/old_weights_test.py
+++ b/test/process/old_weights_test.py
@@ -31,25 +31,18 @@
 WATCHED_SECONDS = judge.VERSION_SECONDS + 4
 
 
-class Scenario:
+class Scenario(scenarios.Scenario):
     """A world in which callers stream through every gateway all the time."""
 
     def __init__(self, build):
-        options = soak.parse([build, "--nodes", str(NODES), "--poison", "0"])
-        self.world = soak.World(options)
-        self.world.start_nodes(options)
-        print(f"logs in {self.world.folder}", flush=True)
+        super().__init__(build, NODES)
         self.models = [each for each in self.world.engines if each.service == soak.MODELS]
-        self.world.wait_until_served()
         # Engines are ordered by a gateway that has settled: it has the turn when the story begins.
         self.world.weights_named()
         self.world.wait_until_moved()
         for engine in self.models:
             engine.event_seconds = EVENT_SECONDS
-        self.callers = [threading.Thread(target=self.stream, args=(number,), daemon=True)
-                        for number in range(STREAMS_OF_A_NODE * NODES)]
-        for caller in self.callers:
-            caller.start()
+        self.start_callers(STREAMS_OF_A_NODE * NODES, self.stream)
         time.sleep(soak.standin.EVENTS * EVENT_SECONDS)
 
     def stream(self, number):
@@ -64,9 +57,6 @@
         for engine in self.models:
             engine.fault = "stubborn"
 
-    def end(self):
-        scenarios.end_and_judge(self.world, self.callers)
-
 
 def moves_go_on_while_all_gateways_stop(scenario):
     """With every gateway told to stop, those that still live move the engines: the last of them
--- a/test/process/poison_request_test.py
+++ b/test/process/poison_request_test.py
@@ -26,21 +26,13 @@
 AT_ONCE = 2  # Scenarios beside each other: each waits for most of its time.
 
 
-class Scenario:
+class Scenario(scenarios.Scenario):
     """A world with callers beside the poison requests; each scenario is judged like a soak."""
 
     def __init__(self, build):
-        options = soak.parse([build, "--nodes", str(NODES), "--poison", "1"])
-        self.world = soak.World(options)
-        self.world.start_nodes(options)
-        print(f"logs in {self.world.folder}", flush=True)
-        self.world.wait_until_served()
+        super().__init__(build, NODES, "--poison", "1")
         time.sleep(judge.CONTACT_SECONDS)  # All gateways are in touch when the story begins.
-        self.callers = [threading.Thread(target=self.world.keep_calling, args=(number,), daemon=True)
-                        for number in range(CALLERS)]
-        for caller in self.callers:
-            caller.start()
-        self.draw = random.Random(7)
+        self.start_callers(CALLERS)
 
     def ask(self, poisons, seconds, patience=soak.CALLER_SECONDS):
         """One caller a poison request asks again after each failure, at any gateway."""
@@ -64,7 +56,7 @@
 
     def end(self):
         try:
-            scenarios.end_and_judge(self.world, self.callers)
+            super().end()
         finally:
             ends = [len(self.crashes_of(poison)) for poison in self.world.poisons]
             print(f"engines ended under each request: {ends}", flush=True)
--- a/test/process/retry_budget_test.py
+++ b/test/process/retry_budget_test.py
@@ -8,10 +8,11 @@
 import threading
 import time
 
-import engine_limit_test
 import scenarios
 from scenarios import judge  # Makes the soak's folder known.
 
+import soak
+
 NODES, CALLERS = 7, 24
 AT_ONCE = 2
 REJECTED_SHARE = 0.95
@@ -22,15 +23,17 @@
 
 
 def make(build):
-    scenario = engine_limit_test.Scenario(build, NODES, CALLERS)
+    scenario = scenarios.Scenario(build, NODES)
+    scenario.set_event_seconds(soak.standin.EVENT_SECONDS)
     scenario.world.pause_seconds = PAUSE_SECONDS
+    scenario.start_callers(CALLERS)
     return scenario
 
 
 def reject_while(scenario, disturb):
     """Engines reject most requests; `disturb` gets the time at which they began."""
     world = scenario.world
-    time.sleep(judge.RETRY_WINDOW_SECONDS)
+    time.sleep(judge.CONTACT_SECONDS + judge.RETRY_WINDOW_SECONDS)
     world.reject(world.engines, REJECTED_SHARE)
     start = time.monotonic()
     disturb(start)
--- a/test/process/scenarios.py
+++ b/test/process/scenarios.py
@@ -3,8 +3,10 @@
 """
 import concurrent.futures
 import pathlib
+import random
 import subprocess
 import sys
+import threading
 import time
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
@@ -12,6 +14,7 @@
 sys.path.insert(0, str(SOAK_FOLDER))
 
 import judge  # noqa: E402  (the path above comes first)
+import soak  # noqa: E402
 
 
 PATIENCE_SECONDS = 40
@@ -27,6 +30,36 @@
     raise AssertionError(f"in vain: {what}")
 
 
+class Scenario:
+    """A world of real gateways that serve when it is made, for a story of faults; it is judged like a soak."""
+
+    def __init__(self, build, nodes, *more_options):
+        options = soak.parse([build, "--nodes", str(nodes), "--poison", "0", *more_options])
+        self.world = soak.World(options)
+        self.world.start_nodes(options)
+        print(f"logs in {self.world.folder}", flush=True)
+        self.world.wait_until_served()
+        self.callers = []
+        self.draw = random.Random(7)
+
+    def set_event_seconds(self, seconds):
+        """Sets the time that engines take for each event of a stream."""
+        for engine in self.world.engines:
+            engine.event_seconds = seconds
+
+    def start_callers(self, count, keep_calling=None, *arguments):
+        """Starts callers. keep_calling: what each does with its number and the arguments until the world stops; by
+        default it asks for anything all the while."""
+        first = len(self.callers)
+        for number in range(first, first + count):
+            self.callers.append(threading.Thread(target=keep_calling or self.world.keep_calling,
+                                                 args=(number, *arguments), daemon=True))
+            self.callers[-1].start()
+
+    def end(self):
+        end_and_judge(self.world, self.callers)
+
+
 def end_and_judge(world, callers):
     """Ends callers and gateways. Raises where a rule was broken."""
     world.stopping.set()
