SlidingCount: a window of no time does not divide by zero

The users' settings name the window of the retry budget; 0 would have ended the gateway at the first request, where the former budget allowed nothing beyond its slack. Found by reading; the test fails before with a division by zero.

--- a/src/admission/retry_budget.h
+++ b/src/admission/retry_budget.h
@@ -13,10 +13,11 @@
 
 namespace fernmoor {
 
-/// Over all processes, the retries in a time of the length `window` are at most
-///   savedAlways * processes that run at its start + savedPerRequest * requests in the window
-///   before
-///   + earnedPerRequest * requests in it + earnedPerSecond * processes * window.
+/// Over all processes, the retries in a time of the length `window` are at most the sum of
+///   savedAlways * the number of processes that run at its start,
+///   savedPerRequest * the requests in the window before it,
+///   earnedPerRequest * the requests in it,
+///   earnedPerSecond * the seconds in it * the number of processes that run at once.
 struct RetryBudgetOptions {
   double earnedPerRequest = 0;  ///< Tokens added by each request.
   double earnedPerSecond = 0;   ///< Tokens added in each second, for light traffic.
--- a/src/admission/sliding_count.h
+++ b/src/admission/sliding_count.h
@@ -2,6 +2,7 @@
 /// Counts events of a sliding window in constant memory.
 #pragma once
 
+#include <algorithm>
 #include <array>
 #include <cstdint>
 
@@ -13,7 +14,8 @@
 /// includes an event that has left the window. Not thread-safe.
 class SlidingCount {
  public:
-  explicit SlidingCount(Duration window) : slotLength_(window / kSlots) {}
+  /// @param window rounded up to ten microseconds.
+  explicit SlidingCount(Duration window) : slotLength_(std::max(Duration(1), window / kSlots)) {}
 
   void add(Time now);
   /// @return the number of events in the window that ends now.
--- a/test/admission/retry_budget_test.cpp
+++ b/test/admission/retry_budget_test.cpp
@@ -25,6 +25,9 @@
   }
   CHECK(count.countAt(at(34.0)) == 5);
   CHECK(count.countAt(at(1000)) == 0);
+  SlidingCount ofNoTime{Duration(0)};
+  ofNoTime.add(kStart);
+  CHECK(ofNoTime.countAt(at(1)) == 0);
   count.add(at(1000));
   CHECK(count.countAt(at(900)) == 1);  // The clock of another thread was read a little earlier.
 }
