A run that stays on a silent engine shows whether that engine has ended

Cause, as far as traced: a gateway leaves a silent engine only if its retry budget allows another send. Without, the request stays, and the run was not kept for the check whether the engine has ended until the request's own end, seconds later.

The run is now kept from the silence limit on, as if its request had left. The new case of forwarder_quarantine_test fails before (no run kept while the engine is silent) and passes now.

--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -86,6 +86,9 @@
   }
   retryCharged_ = services_.budget.tryRetry(request_.pool, now);
   staysWithEngine_ = !retryCharged_;
+  if (staysWithEngine_) {
+    recordCutOff();  // Whether the engine has ended must not depend on the budget.
+  }
   return staysWithEngine_;
 }
 
--- a/test/gateway/forwarder_quarantine_test.cpp
+++ b/test/gateway/forwarder_quarantine_test.cpp
@@ -201,6 +201,25 @@
   CHECK(world.quarantine.crashes.size() == 2);
 }
 
+TEST_CASE("a run that stays on a silent back end for want of budget shows whether that has ended") {
+  ForwarderWorld world(0);
+  world.row.repetition = Repetition::kRepeatable;
+  size_t runsWhileSilent = 0;
+  world.add("a", [&](Poco::Net::StreamSocket& socket, const std::string&) {
+    const Time until = world.clock.now() + 10 * kSilence;
+    while (world.cutOffRuns.size() == 0 && world.clock.now() < until) {
+      std::this_thread::yield();
+    }
+    runsWhileSilent = world.cutOffRuns.size();
+    say(socket, answer("200 OK", "body", "Id: r1\r\n"));
+    return true;
+  });
+  world.serve();
+  CHECK(runsWhileSilent == 1);
+  CHECK(world.caller.finished);
+  CHECK(world.quarantine.crashes.empty());
+}
+
 TEST_CASE("a run whose caller disconnected is recorded as a crash once its silent back end ended") {
   ForwarderWorld world;
   world.add("a", [&](Poco::Net::StreamSocket& socket, const std::string&) {
