Retry budget: a node that may be cut off uses the part of the slack that its seeds stand for

Operators' bound on repeats could be exceeded: nodes that are started inside a network partition know their own side only, and each side divided the whole slack among its nodes; nodes that knew nobody took an eighth each. Class: a bound divided by a count of nodes that a start begins anew.

Now, until a node has run for as long as vanished nodes are remembered (60 s), its share of the slack is multiplied by the part of its seeds that it knows. A seed lies on one side of a partition, so that the parts of all sides add up to 1. No message, no state. The line of the retry budget tells the nodes and seeds that are known.

--- a/src/admission/limit_role.cpp
+++ b/src/admission/limit_role.cpp
@@ -194,6 +194,12 @@
   return std::max<size_t>(1, nodes_.size());
 }
 
+size_t LimitRole::knownAmong(const std::vector<NodeId>& nodes) const {
+  const RankedLock lock(mutex_);
+  return static_cast<size_t>(std::count_if(nodes.begin(), nodes.end(),
+                                           [this](NodeId node) { return nodes_.count(node) > 0; }));
+}
+
 double LimitRole::reachableShare() const {
   const RankedLock lock(mutex_);
   return reachableShare_;
--- a/src/admission/limit_role.h
+++ b/src/admission/limit_role.h
@@ -42,6 +42,8 @@
   /// @return the number of nodes that share the limits: this one, those that are live, and those
   ///         that vanished lately without leaving.
   size_t knownNodes() const;
+  /// @return the number of these nodes that are among the known ones.
+  size_t knownAmong(const std::vector<NodeId>& nodes) const;
 
   void onMessage(NodeLife from, const proto::Envelope& envelope, Time now,
                  MessageSender& sender) override;
--- a/src/gateway/retry_budgets.cpp
+++ b/src/gateway/retry_budgets.cpp
@@ -19,18 +19,21 @@
 
 }  // namespace
 
-RetryBudgetOptions budgetOfNode(const RetryBounds& bounds, size_t nodes) {
+RetryBudgetOptions budgetOfNode(const RetryBounds& bounds, const KnownNodes& known) {
   RetryBudgetOptions options = splitRatio(bounds.ratio * kUsedShare);
   options.window = bounds.window;
-  const double share = bounds.slack / static_cast<double>(std::max(kMinAssumedNodes, nodes));
+  const auto nodes = static_cast<double>(std::max(kMinAssumedNodes, known.count));
+  const double share = bounds.slack * known.part() / nodes;
   // With less than one token, a node with light traffic could never retry.
   options.savedAlways = std::max(share * kUsedShare, std::min(share, 1.0));
   return options;
 }
 
 RetryBudgets::ServiceBudget& RetryBudgets::budgetOf(const std::string& service) {
-  const RetryBudgetOptions options = budgetOfNode(bounds_, countNodes_());
+  const KnownNodes known = knownNodes_();
+  const RetryBudgetOptions options = budgetOfNode(bounds_, known);
   ServiceBudget& use = budgets_.try_emplace(service, options).first->second;
+  use.known = known;
   use.budget.setSavedAlways(options.savedAlways);
   return use;
 }
@@ -63,7 +66,9 @@
               " refused for " + std::to_string(counts.requests - use.logged.requests) +
               " requests since the last line; " + std::to_string(counts.granted) + ", " +
               std::to_string(counts.refused) + " and " + std::to_string(counts.requests) +
-              " since the start",
+              " since the start; " + std::to_string(use.known.count) + " nodes and " +
+              std::to_string(use.known.knownSeeds) + " of " + std::to_string(use.known.seeds) +
+              " seeds are known",
           fields);
   use.logged = counts;
   use.loggedAt = now;
--- a/src/gateway/retry_budgets.h
+++ b/src/gateway/retry_budgets.h
@@ -22,9 +22,21 @@
   double slack = 0;           ///< Retries per window beside the ratio.
 };
 
-/// @param nodes number of nodes that share the bound.
+/// What a node knows of the nodes that share a bound.
+struct KnownNodes {
+  size_t count = 1;  ///< Including this one and those that vanished lately.
+  size_t seeds = 0;  ///< Nodes that this one was told to join; 0: it is sure to know all nodes.
+  size_t knownSeeds = 0;  ///< Of the seeds.
+
+  /// @return the part of a bound that the known nodes may use together. In a network partition each
+  ///         seed is known on one side only, so that the parts of all sides add up to 1.
+  double part() const {
+    return seeds == 0 ? 1 : static_cast<double>(knownSeeds) / static_cast<double>(seeds);
+  }
+};
+
 /// @return the budget of one node.
-RetryBudgetOptions budgetOfNode(const RetryBounds& bounds, size_t nodes);
+RetryBudgetOptions budgetOfNode(const RetryBounds& bounds, const KnownNodes& known);
 
 /// The budget of one service at this node, for metrics.
 struct RetryBudgetState {
@@ -37,10 +49,10 @@
 /// Thread-safe.
 class RetryBudgets {
  public:
-  /// @param countNodes returns the number of nodes that share the bounds; called on the threads of
-  ///        the other methods.
-  RetryBudgets(RetryBounds bounds, std::function<size_t()> countNodes)
-      : bounds_(bounds), countNodes_(std::move(countNodes)) {}
+  /// @param knownNodes returns what is known of the nodes that share the bounds; called on the
+  ///        threads of the other methods.
+  RetryBudgets(RetryBounds bounds, std::function<KnownNodes()> knownNodes)
+      : bounds_(bounds), knownNodes_(std::move(knownNodes)) {}
 
   /// Counts a request's first attempt at the service.
   void countRequest(const std::string& service, Time now);
@@ -59,8 +71,9 @@
   struct ServiceBudget {
     explicit ServiceBudget(const RetryBudgetOptions& options) : budget(options) {}
     RetryBudget budget;
-    Counts counts;  ///< Since the program started.
-    Counts logged;  ///< `counts` when the latest line was logged.
+    KnownNodes known;  ///< By which the slack was divided last.
+    Counts counts;     ///< Since the program started.
+    Counts logged;     ///< `counts` when the latest line was logged.
     Time loggedAt;
   };
 
@@ -69,7 +82,7 @@
   static void logUse(const std::string& service, ServiceBudget& use, Time now);
 
   const RetryBounds bounds_;
-  const std::function<size_t()> countNodes_;
+  const std::function<KnownNodes()> knownNodes_;
   std::mutex mutex_;
   std::map<std::string, ServiceBudget> budgets_;
 };
--- a/src/peers/limit_directory.h
+++ b/src/peers/limit_directory.h
@@ -52,6 +52,8 @@
   double reachableShare() const { return role_.reachableShare(); }
   /// @return number of nodes that share the limits, including those that are absent for now.
   size_t knownNodes() const { return role_.knownNodes(); }
+  /// @return number of these nodes that are among them.
+  size_t knownAmong(const std::vector<NodeId>& nodes) const { return role_.knownAmong(nodes); }
 
  private:
   /// @return false if no answer arrived in time.
--- a/src/peers/peer_plane.cpp
+++ b/src/peers/peer_plane.cpp
@@ -14,6 +14,15 @@
 /// Delay before binding the address of the previous incarnation is retried.
 constexpr Duration kRebindDelay{100000};
 
+std::vector<NodeId> nodeIdsOf(const std::vector<SocketAddress>& addresses) {
+  std::vector<NodeId> ids;
+  ids.reserve(addresses.size());
+  for (const SocketAddress& address : addresses) {
+    ids.push_back(nodeIdOf(address));
+  }
+  return ids;
+}
+
 }  // namespace
 
 NodeId nodeIdOf(const SocketAddress& address) {
@@ -34,6 +43,8 @@
                      quarantine::QuarantineTable& quarantined, BackendSet& backends)
     : options_(std::move(options)),
       clock_(clock),
+      startedAt_(clock.now()),
+      seeds_(nodeIdsOf(options_.seeds)),
       mirrorRole_(nodeIdOf(options_.listen), mirror, wanted, revisionTimes, clock.now()),
       parts_(nodeIdOf(options_.listen), clock, *this),
       loads_(nodeIdOf(options_.listen), clock, *this, &backends),
@@ -123,6 +134,16 @@
   reachesNoEngine_ = reachesNone;
 }
 
+gateway::KnownNodes PeerPlane::knownNodes() const {
+  gateway::KnownNodes known;
+  known.count = limits_.knownNodes();
+  if (clock_.now() < startedAt_ + options_.knobs.limitAbsentMemory) {
+    known.seeds = seeds_.size();
+    known.knownSeeds = limits_.knownAmong(seeds_);
+  }
+  return known;
+}
+
 std::vector<gateway::PeerNode> PeerPlane::others() const {
   std::vector<gateway::PeerNode> nodes;
   const std::shared_ptr<IncarnationState> current = currentIncarnation();
--- a/src/peers/peer_plane.h
+++ b/src/peers/peer_plane.h
@@ -16,6 +16,7 @@
 #include "common/message_sender.h"
 #include "common/metrics.h"
 #include "gateway/peer_choice.h"
+#include "gateway/retry_budgets.h"
 #include "membership/membership_role.h"
 #include "peers/limit_directory.h"
 #include "peers/load_directory.h"
@@ -67,6 +68,9 @@
   ///         callers.
   std::vector<gateway::PeerNode> others() const override;
   MemberCounts memberCounts() const;
+  /// @return the nodes that share what is bounded for all nodes together. Seeds that this node has
+  ///         not met since its start count as cut off for as long as vanished nodes are remembered.
+  gateway::KnownNodes knownNodes() const;
   /// Bytes exchanged with other nodes in this incarnation, including the overhead of the wire
   /// format.
   uint64_t bytesSent() const;
@@ -91,6 +95,8 @@
 
   PeerOptions options_;
   const Clock& clock_;
+  const Time startedAt_;
+  const std::vector<NodeId> seeds_;
   MirrorRole mirrorRole_;
   PartDirectory parts_;
   LoadDirectory loads_;
--- a/test/gateway/forwarder_world.h
+++ b/test/gateway/forwarder_world.h
@@ -412,7 +412,7 @@
       : wanted(WeightBounds{}),
         connections(ConnectOptions{}),
         budget(RetryBounds{retriesPerRequest, std::chrono::seconds(10), 10 * retriesPerRequest},
-               [] { return size_t{1}; }),
+               [] { return KnownNodes{}; }),
         reach(
             clock, backends,
             [this](const BackendListing& engine) {
--- a/test/gateway/retry_budgets_test.cpp
+++ b/test/gateway/retry_budgets_test.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <memory>
+#include <optional>
 #include <vector>
 
 #include "common/random.h"
@@ -34,6 +35,10 @@
   double restartedShare = 1;     ///< Of the nodes.
   /// Clients of each node move to the next one after this many seconds; 0: they are spread evenly.
   double herdSeconds = 0;
+  /// All nodes are started inside a cut: those from this one on are on the other side.
+  std::optional<size_t> firstOfOtherSide;
+  /// The nodes that all were told to join.
+  std::vector<size_t> seeds{0, 1, 2};
 };
 
 /// Plays the requests of all clients at the budgets of the nodes, in virtual time.
@@ -85,16 +90,31 @@
     return static_cast<double>(last - first);
   }
 
-  /// @return the nodes that a node knows.
-  size_t knownTo(const Life& life) const {
-    return now_ - life.startedAt < kJoinSeconds ? 1 : deployment_.nodes;
+  bool isOnOtherSide(size_t node) const {
+    return deployment_.firstOfOtherSide && node >= *deployment_.firstOfOtherSide;
+  }
+
+  bool knows(size_t node, size_t other) const {
+    const bool hasJoined = now_ - lives_[node].startedAt >= kJoinSeconds;
+    return node == other || (hasJoined && isOnOtherSide(node) == isOnOtherSide(other));
+  }
+
+  KnownNodes knownTo(size_t node) const {
+    KnownNodes known{0, deployment_.seeds.size(), 0};
+    for (size_t other = 0; other < deployment_.nodes; ++other) {
+      known.count += knows(node, other) ? 1 : 0;
+    }
+    for (const size_t seed : deployment_.seeds) {
+      known.knownSeeds += knows(node, seed) ? 1 : 0;
+    }
+    return known;
   }
 
   void start(size_t node, double now) {
     Life& life = lives_[node];
     life.startedAt = now;
     const RetryBounds bounds{kRatio, fromSeconds(kWindowSeconds), deployment_.slack};
-    life.budgets = std::make_unique<RetryBudgets>(bounds, [this, &life] { return knownTo(life); });
+    life.budgets = std::make_unique<RetryBudgets>(bounds, [this, node] { return knownTo(node); });
   }
 
   void restart(double now) {
@@ -164,6 +184,29 @@
   CHECK(static_cast<double>(play.retries()) >= 0.05 * static_cast<double>(play.requests()));
 }
 
+TEST_CASE(
+    "the retries of all nodes stay within their bound while both sides of a cut are restarted") {
+  Deployment deployment;
+  SUBCASE("7 nodes") {}
+  SUBCASE("26 nodes") {
+    deployment = Deployment{26, 100, 150, {}};
+  }
+  SUBCASE("73 nodes") {
+    deployment = Deployment{73, 186, 320, {}};
+  }
+  SUBCASE("380 nodes") {
+    deployment = Deployment{380, 700, 1000, {}};
+  }
+  deployment.firstOfOtherSide = deployment.nodes / 2;
+  const std::vector<size_t> onBothSides{0, 1, deployment.nodes - 1};
+  const std::vector<size_t> onOneSide{0, 1, 2};
+  for (const std::vector<size_t>& seeds : {onBothSides, onOneSide}) {
+    CAPTURE(seeds.back());
+    deployment.seeds = seeds;
+    CHECK(RetryPlay(deployment).worstExcess() <= 0);
+  }
+}
+
 TEST_CASE("the retries of many nodes with light traffic stay within their bound") {
   Deployment deployment{985, 1040, 150, {}};
   SUBCASE("no restart") {}
@@ -187,12 +230,14 @@
 TEST_CASE("nodes save as many retries together as the slack allows") {
   for (const size_t nodes : {size_t{1}, size_t{7}, size_t{8}, size_t{26}, size_t{985}}) {
     const RetryBounds bounds{kRatio, std::chrono::seconds(10), 1040};
-    const double all = budgetOfNode(bounds, nodes).savedAlways * static_cast<double>(nodes);
+    const double all =
+        budgetOfNode(bounds, KnownNodes{nodes}).savedAlways * static_cast<double>(nodes);
     CHECK(all <= bounds.slack);
-    CHECK(budgetOfNode(bounds, nodes).savedAlways >= 1);
+    CHECK(budgetOfNode(bounds, KnownNodes{nodes}).savedAlways >= 1);
   }
   // Fewer than one for each node: none may always retry.
-  CHECK(budgetOfNode(RetryBounds{kRatio, std::chrono::seconds(10), 100}, 1000).savedAlways <= 0.1);
+  CHECK(budgetOfNode(RetryBounds{kRatio, std::chrono::seconds(10), 100}, KnownNodes{1000})
+            .savedAlways <= 0.1);
 }
 
 }  // namespace fernmoor::gateway
--- a/test/platform/ingress_test.cpp
+++ b/test/platform/ingress_test.cpp
@@ -49,7 +49,7 @@
       : wanted(WeightBounds{}),
         engine(answerAsEngine),
         connections(ConnectOptions{}),
-        budget(gateway::RetryBounds{}, [] { return size_t{1}; }),
+        budget(gateway::RetryBounds{}, [] { return gateway::KnownNodes{}; }),
         reach(
             clock, backends, [](const BackendListing&) { return false; }, [](bool) {}, 1),
         cutOffRuns(
