A partitioned node hands on requests whose key it cannot verify itself

The first checked the key although the other one checks it again, and the refusal of the other one for its own old table was passed on as if it concerned the service.

Now a partitioned node verifies a key only for a request that it sends to an engine itself, and a node whose table is too old tells the node that handed the request on that it may ask another one at once, as partitioned nodes do. A revoked key is refused as before: the node that asks an engine verifies it.

--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -79,6 +79,10 @@
   /// @param request moved in by the caller, as its body may be long.
   void serve(IncomingRequest request, CallerChannel& caller);
 
+  /// @return whether requests are handed to other nodes, which verify their keys, because this one
+  ///         reaches no engine.
+  bool handsRequestsOn() const { return services_.reach.state() == ReachState::kPartitioned; }
+
  private:
   friend class RequestRun;
 
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -212,11 +212,10 @@
   return mayRunElsewhere() ? Next::kTryAnother : Next::kGiveUp;
 }
 
-RequestRun::Next RequestRun::tryOnce() {
+RequestRun::Next RequestRun::tryOnce(const std::optional<PeerNode>& peer) {
   if (!mayGoOnSomewhere()) {
     return Next::kGiveUp;
   }
-  const std::optional<PeerNode> peer = nextPeer();
   return peer ? tryPeer(*peer) : tryEngine();
 }
 
@@ -387,7 +386,8 @@
 }
 
 bool RequestRun::isKeyVerified() const {
-  return services_.table.view().isFresh(services_.clock.now(), forwarder_.options_.keyFreshness);
+  return !request_.tenant || headSent_ ||
+         services_.table.view().isFresh(services_.clock.now(), forwarder_.options_.keyFreshness);
 }
 
 void RequestRun::run() {
@@ -405,7 +405,8 @@
   }
   Next next = Next::kTryAnother;
   while (next == Next::kTryAnother) {
-    if (request_.tenant && !headSent_ && !isKeyVerified()) {
+    const std::optional<PeerNode> peer = nextPeer();
+    if (!peer && !isKeyVerified()) {  // Another node verifies the key itself.
       rejectUnverifiedKey();
       return;
     }
@@ -420,7 +421,7 @@
       next = Next::kGiveUp;
       break;
     }
-    next = tryOnce();
+    next = tryOnce(peer);
   }
   recordAttemptEnd(BackendVerdict::kNeutral, AttemptEnd::kBroken);
   if (next == Next::kGiveUp) {
--- a/src/gateway/request_run.h
+++ b/src/gateway/request_run.h
@@ -46,7 +46,8 @@
     std::string body;
   };
 
-  Next tryOnce();
+  /// @param peer the node to hand the request to; std::nullopt: it is sent to an engine.
+  Next tryOnce(const std::optional<PeerNode>& peer);
   Next tryEngine();
   /// @return the node to hand the request to next; std::nullopt if it is not handed on now.
   std::optional<PeerNode> nextPeer();
@@ -169,6 +170,7 @@
   bool passesLimit();
   void refuse(const Error& error);
   void rejectUnverifiedKey();
+  /// @return whether the request may be sent to an engine as its key was valid a short time ago.
   bool isKeyVerified() const;
   /// @return why an answer that is delivered now is late; nothing: it is in time.
   std::optional<LateCause> lateCause(Time now) const;
--- a/src/gateway/request_run_end.cpp
+++ b/src/gateway/request_run_end.cpp
@@ -132,7 +132,7 @@
 }
 
 void RequestRun::rejectUnverifiedKey() {
-  refuse(unverifiedKeyError(mayHaveRun_));
+  refuse(unverifiedKeyError(mayHaveRun_, request_.cameFromPeer));
   logEnd(RequestOutcome::kUnverifiedKey);
 }
 
--- a/src/gateway/send_decisions.cpp
+++ b/src/gateway/send_decisions.cpp
@@ -94,11 +94,12 @@
   return request.isRepeatable() || sinceProof <= kMaxQuietBeforeReuse;
 }
 
-Error unverifiedKeyError(bool mayHaveRun) {
+Error unverifiedKeyError(bool mayHaveRun, bool cameFromPeer) {
   return Error{
       mayHaveRun ? ErrorKind::kOutcomeUnknown : ErrorKind::kUnavailable,
       "this node cannot prove that the key is still valid; come back after the time given.",
-      mayHaveRun ? RunState::kUnknown : RunState::kNotRun, kRetryAfterUnverifiedKey};
+      mayHaveRun ? RunState::kUnknown : RunState::kNotRun,
+      cameFromPeer ? kRetryAfterOtherNode : kRetryAfterUnverifiedKey};
 }
 
 }  // namespace fernmoor::gateway
--- a/src/gateway/send_decisions.h
+++ b/src/gateway/send_decisions.h
@@ -78,7 +78,8 @@
 ///         sent, an established one only after, when the request may have run.
 bool mayReuseConnection(const IncomingRequest& request, Duration sinceProof);
 
+/// @param cameFromPeer another node handed the request on, and may ask the next one at once.
 /// @return the error if this node cannot verify that the caller's key is still valid.
-Error unverifiedKeyError(bool mayHaveRun);
+Error unverifiedKeyError(bool mayHaveRun, bool cameFromPeer);
 
 }  // namespace fernmoor::gateway
--- a/test/gateway/forwarder_peer_test.cpp
+++ b/test/gateway/forwarder_peer_test.cpp
@@ -79,6 +79,26 @@
   CHECK(world.limits.counted == 0);  // It counts at the other node.
 }
 
+TEST_CASE("a partitioned node that cannot verify a key leaves that to the node it hands on to") {
+  PartitionedWorld world;
+  IncomingRequest request = world.request();
+  request.tenant = Tenant{"sese", false, 0};
+  request.key = "key";
+  world.clock.leap = std::chrono::seconds(6);  // The table was confirmed too long ago.
+  SUBCASE("one serves the request") {
+    world.addNode(always(answer("503 Service Unavailable", "not here", kRefusal), false));
+    world.addNode(always(answer("200 OK", "x"), false));
+    world.forwarder.serve(request, world.caller);
+    CHECK(world.caller.body == "x");
+  }
+  SUBCASE("none is there, and no engine gets the request") {
+    ScriptedBackend& engine = world.add("a", always(answer("200 OK", "x"), false));
+    world.forwarder.serve(request, world.caller);
+    CHECK(engine.requests() == 0);
+    CHECK(promisesNotRun(world.caller));
+  }
+}
+
 TEST_CASE("a stream that is handed on reaches the caller event by event") {
   PartitionedWorld world;
   world.row.isStream = true;
--- a/test/platform/ingress_test.cpp
+++ b/test/platform/ingress_test.cpp
@@ -7,6 +7,7 @@
 #include <doctest/doctest.h>
 
 #include "platform/engine_protocol.h"
+#include "platform/names.h"
 #include "platform/peer_protocol.h"
 #include "test/gateway/forwarder_world.h"
 
@@ -354,6 +355,26 @@
   CHECK(world.engine.requests() == 0);
 }
 
+TEST_CASE("with a stale table a node leaves requests to other nodes that can verify them") {
+  IngressWorld world(std::chrono::seconds(5));
+  SUBCASE("a request that was handed on may go to the next node at once") {
+    const std::string handedOn = std::string(names::kHandedOn) + ": 0\r\n";
+    const std::string answer =
+        world.exchange(IngressWorld::head(handedOn + "Content-Length: 0\r\n\r\n"), true);
+    CHECK(statusOf(answer) == "HTTP/1.1 503");
+    CHECK(answer.find("Retry-After: 0.020\r\n") != std::string::npos);
+  }
+  SUBCASE("a node that reaches no engine hands it on") {
+    world.reach.noteUnreached("i-1");
+    world.reach.step();
+    world.nodes.listed.push_back(gateway::PeerNode{NodeId(1), world.engine.address(), "z", true});
+    const std::string answer =
+        world.exchange(IngressWorld::head("Connection: close\r\nContent-Length: 0\r\n\r\n"));
+    CHECK(statusOf(answer) == "HTTP/1.1 200");
+    CHECK(world.engine.lastRequest().find(names::kHandedOn) != std::string::npos);
+  }
+}
+
 TEST_CASE("a stopping node announces the close of the connection, later rejects with Retry-After") {
   IngressWorld world;
   world.work.stop(world.clock.now());
