--- a/test/platform_soak/judge.py
+++ b/test/platform_soak/judge.py
@@ -592,18 +592,19 @@
     arrivals = collections.defaultdict(list)
     for entry in world["arrivals"]:
         if entry["id"] in asked:
-            arrivals[(entry["life"], sender(entry, asked, world))].append(entry["at"])
+            arrivals[(entry["life"], sender(entry, asked, world))].append((entry["at"], entry["id"]))
     faults = []
     for entry in world["told_rest"]:
         seconds = stated_number(entry["text"])
         if seconds is None or entry["id"] not in asked:
             continue
         node = sender(entry, asked, world)
-        late = [moment for moment in arrivals[(entry["life"], node)]
+        late = [(moment, request) for moment, request in arrivals[(entry["life"], node)]
                 if entry["at"] + REST_TOLD_SECONDS < moment < entry["at"] + seconds]
-        if len(late) > REST_SENDS and not was_struck_between(world, node, entry["at"], late[REST_SENDS]):
+        if len(late) > REST_SENDS and not was_struck_between(world, node, entry["at"], late[REST_SENDS][0]):
+            later = [f"{request} {moment - entry['at']:.2f} s later" for moment, request in late]
             faults.append(f"life {entry['life']}: {len(late)} requests of node {node} in the {seconds:g} s of rest "
-                          "that it had asked for")
+                          f"that it had asked for with the answer to {entry['id']}: {', '.join(later[:8])}")
     return faults
 
 
