--- a/src/gateway/retry_budgets.h
+++ b/src/gateway/retry_budgets.h
@@ -24,9 +24,9 @@
 
 /// What a node knows of the nodes that share a bound.
 struct KnownNodes {
-  size_t count = 1;  ///< Including this one and those that vanished lately.
-  size_t seeds = 0;  ///< Nodes that this one was told to join; 0: it is sure to know all nodes.
-  size_t knownSeeds = 0;  ///< Of the seeds.
+  size_t count = 1;       ///< Including this one and those that vanished lately.
+  size_t seeds = 0;       ///< Nodes that this one was told to join; 0: no part is missing.
+  size_t knownSeeds = 0;  ///< Seeds among the known nodes.
 
   /// @return the part of a bound that the known nodes may use together. In a network partition each
   ///         seed is known on one side only, so that the parts of all sides add up to 1.
