--- a/review/2/case.py
+++ b/review/2/case.py
@@ -11,13 +11,14 @@
 sys.path.insert(0, str(FOLDER.parent / "common"))
 
 import rig  # noqa: E402
+from model_engine import EVENTS, MODEL, ModelEngine, wall_broken  # noqa: E402
 
 # Bounds of the site neerkaval-fleet.
 BOUNDS = {"contact-ms": 6000, "drain-ms": 5000, "grace-s": 8, "config-ms": 5000, "fail-closed": "true",
           "revoke-ms": 5000, "budget-ratio": 0.2, "budget-window-s": 10, "retry-slack": 1040, "lease-ms": 3000,
           "version-ms": 10000}
-HOST, PATH, POOL, MODEL = "digest.example", "/digest/", "vakku", "m0"
-HEARTBEAT, PAUSE, READ_PER_MS, EVENTS = 1.2, 3.0, 38.4, 13
+HOST, PATH, POOL = "digest.example", "/digest/", "vakku"
+HEARTBEAT, PAUSE = 1.2, 3.0
 TENANTS = {f"tenant-{number}": number < 2 for number in range(4)}  # name -> whether it is isolated
 BEGINNINGS = [("b0", 2520, "c0", 3780), ("b1", 2520, "c1", 3780)]  # shared parts, as ID, tokens, ID, tokens
 ROUTES = [{"name": "r-digest", "host": HOST, "path-prefix": PATH, "type": "stream", "timeout-ms": 5000,
@@ -27,52 +28,6 @@
              "engine": {"slots": 16, "kv-capacity": 88547, "kv-token-bytes": 163840, "models": [{"name": MODEL}]}}]
 
 
-class ModelEngine(rig.Engine):
-    """Reads prompts one after the other and keeps their parts in memory under X-Cache-Salt, as PROTOCOL.md says.
-    `uses` lists each use of kept parts: (id, tenant, part, id and tenant of the request that made it)."""
-
-    def __init__(self, *arguments, uses, **options):
-        self.uses, self.kept, self.reading = uses, {}, threading.Lock()
-        self.bare = 0
-        super().__init__(*arguments, models=[{"name": MODEL, "version": 1, "adapters": []}], born=True, **options)
-
-    def run(self, connection, start, fields, body):
-        identity, tenant = rig.value_of(fields, "X-Request-Id"), rig.value_of(fields, "X-Tenant")
-        salt = rig.value_of(fields, "X-Cache-Salt")  # None counts as one text for all
-        if rig.value_of(fields, "X-Expect-Version", "1") != "1":
-            self.send(connection, 421, [("X-Request-Id", identity)])
-            return
-        parts = [each.split(":") for each in rig.value_of(fields, "X-Prefix-Hash", "").split(",")]
-        if salt is None:
-            self.bare += 1
-            self.record(f"engine {self.id} runs {identity} of {tenant} without X-Cache-Salt")
-        with self.reading:
-            unread, chain, found = 0, (salt, MODEL), True
-            for part, tokens in parts:
-                chain += (part,)
-                found = found and chain in self.kept
-                if found:
-                    maker, made_for = self.kept[chain]
-                    self.uses.append((identity, tenant, part, maker, made_for, salt))
-                else:
-                    unread += int(tokens)
-            time.sleep(unread / READ_PER_MS / 1000)
-            chain = (salt, MODEL)
-            for part, _ in parts:
-                chain += (part,)
-                self.kept.setdefault(chain, (identity, tenant))
-        first = int(rig.value_of(fields, "Last-Event-Id", "0")) + 1
-        names = [("X-Request-Id", identity), ("X-Server-Stamp", f"{self.id}.{identity}"),
-                 ("X-Weight-Versions", "1"), ("Content-Type", "text/event-stream"),
-                 ("Transfer-Encoding", "chunked")]
-        connection.sendall(("HTTP/1.1 200 OK\r\n" + "".join(f"{n}: {v}\r\n" for n, v in names) + "\r\n").encode())
-        for number in range(first, EVENTS + 1):
-            event = f"id: {number}\ndata: {identity} {number}\n\n".encode()
-            connection.sendall(b"%x\r\n%s\r\n" % (len(event), event))
-            time.sleep(0.006)
-        connection.sendall(b"0\r\n\r\n")
-
-
 class Client(threading.Thread):
     def __init__(self, world, number, until, answers):
         super().__init__(daemon=True)
@@ -146,9 +101,7 @@
         print(f"{len(answers)} requests, {served} served; {sum(each.bare for each in engines)} ran without salt")
         if served < len(answers) / 2:
             raise rig.CannotRun("most requests were not served")
-        return [f"WALL: {identity} of {tenant} ran on part {part} that {maker} of {made_for} made, salt {salt}"
-                for identity, tenant, part, maker, made_for, salt in uses
-                if tenant != made_for and (TENANTS[tenant] or TENANTS[made_for])]
+        return wall_broken(uses, lambda tenant, _: TENANTS[tenant])
     finally:
         world.close()
 
