--- a/review/common/rig.py
+++ b/review/common/rig.py
@@ -235,8 +235,10 @@
         return spec
 
     def beat(self):
-        """Writes its entry, as an engine does about each heartbeat-ms."""
-        if self.is_up:
+        """Writes its entry, as an engine does about each heartbeat-ms. A write that changes nothing raises no
+        revision."""
+        stored = self.store.objects.get(("servers", self.id))
+        if self.is_up and (stored is None or stored["spec"] != self.entry()):
             self.store.put("servers", self.id, self.entry())
 
     def crash(self):
