--- a/review/1/case.py
+++ b/review/1/case.py
@@ -81,4 +81,4 @@
         world.close()
 
 
-rig.play(FOLDER, story)
+rig.play(sys.argv[1] if len(sys.argv) > 1 else FOLDER / "record.txt", story)
--- a/review/common/rig.py
+++ b/review/common/rig.py
@@ -30,7 +30,8 @@
 
 
 class Record:
-    """Writes what was sent, answered and run to record.txt. Thread-safe."""
+    """Writes what was sent, answered and run to a file, a line each with the milliseconds since its start.
+    Thread-safe."""
 
     def __init__(self, path):
         self.file = open(path, "w", encoding="utf-8")
@@ -38,7 +39,7 @@
 
     def __call__(self, text):
         with self.lock:
-            self.file.write(f"{time.monotonic() - self.start:8.3f} {text}\n")
+            self.file.write(f"{(time.monotonic() - self.start) * 1000:6.0f} ms {text}\n")
             self.file.flush()
 
 
@@ -317,9 +318,10 @@
         raise NotImplementedError
 
 
-def play(folder, story):
-    """Plays a case: story(record, trouble) returns what broke the rule, a list of texts. Ends the process."""
-    record = Record(pathlib.Path(folder) / "record.txt")
+def play(path, story):
+    """Plays a case: story(record, trouble) returns what broke the rule, a list of texts. What was sent, answered and run
+    is written to the file at this path. Ends the process."""
+    record = Record(path)
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record(f"TROUBLE={1 if trouble else 0}")
     try:
