Header values are bytes: encoded words are no longer decoded, and no writer ends a line early

An engine could add headers and a body to what a caller reads in the same way.

Cause: Poco 1.11 decodes the encoded words of RFC 2047 in each header that it parses. The bytes that end a line early were checked in the raw text, before that; what came out of the decoder was written to the engine as it was.

Fix, in two layers: src/http/message_head parses the raw text that takeHeader() has checked, for requests and answers, and leaves values alone; formatHead() writes no name that is no token and no value with CR, LF or NUL, so that no later parser, nor the name of a tenant or an engine in the store, can bring this back. Such a request is sent to no engine and says so in its log line. Boost.Beast's parser was weighed: it doesn't decode, but reads from buffers of its own and would bring a second type of header beside Poco's through the whole request path.

--- a/src/gateway/engine_attempt.cpp
+++ b/src/gateway/engine_attempt.cpp
@@ -1,6 +1,5 @@
 #include "gateway/engine_attempt.h"
 
-#include <Poco/Exception.h>
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/String.h>
 #include <poll.h>
@@ -8,10 +7,10 @@
 
 #include <algorithm>
 #include <cerrno>
-#include <sstream>
 #include <utility>
 
 #include "http/header_block.h"
+#include "http/message_head.h"
 
 namespace fernmoor::gateway {
 
@@ -57,7 +56,7 @@
                              const Clock& clock)
     : request_(request), plan_(plan), protocol_(protocol), pool_(pool), clock_(clock) {}
 
-std::string EngineAttempt::headText() const {
+std::optional<std::string> EngineAttempt::headText() const {
   Poco::Net::HTTPRequest head(request_.method, request_.target, Poco::Net::HTTPMessage::HTTP_1_1);
   for (const auto& header : request_.headers) {
     head.add(header.first, header.second);
@@ -68,9 +67,7 @@
     head.setContentLength64(static_cast<Poco::Int64>(request_.body.size()));
   }
   protocol_.addHeaders(request_, plan_, request_.deadline - clock_.now(), head);
-  std::ostringstream out;
-  head.write(out);
-  return out.str();
+  return formatHead(head);
 }
 
 AttemptStep EngineAttempt::writeAll(std::string_view bytes, CallerChannel& caller,
@@ -115,12 +112,15 @@
 }
 
 AttemptStep EngineAttempt::writeRequest(CallerChannel& caller, const SendLimits& limits) {
-  std::string head = headText();
+  std::optional<std::string> head = headText();
+  if (!head) {
+    return AttemptStep::kUnsendable;
+  }
   if (request_.body.size() <= kMaxCombinedBodyBytes) {
-    return writeAll(head.append(request_.body), caller, limits);
+    return writeAll(head->append(request_.body), caller, limits);
   }
   requestSent_ = false;
-  const AttemptStep step = writeAll(head, caller, limits);
+  const AttemptStep step = writeAll(*head, caller, limits);
   // The request is incomplete until its body is sent, even if the engine has answered already.
   const bool isTaken = std::exchange(requestSent_, false);
   return step == AttemptStep::kDone && isTaken ? writeAll(request_.body, caller, limits) : step;
@@ -151,17 +151,6 @@
   return step == AttemptStep::kBroken && connection_->socketReadable() ? AttemptStep::kDone : step;
 }
 
-bool EngineAttempt::parseHead(const std::string& text) {
-  try {
-    std::istringstream in(text);
-    head_.clear();
-    head_.read(in);
-    return true;
-  } catch (const Poco::Exception&) {
-    return false;
-  }
-}
-
 AttemptStep EngineAttempt::awaitHead(CallerChannel& caller, Time deadline) {
   HeaderBounds bounds;
   bounds.maxBytes = kMaxAnswerHeaderBytes;
@@ -178,7 +167,7 @@
     if (outcome == HeaderOutcome::kNothing && clock_.now() >= deadline) {
       return AttemptStep::kSilent;
     }
-    if (outcome != HeaderOutcome::kWhole || !parseHead(text)) {
+    if (outcome != HeaderOutcome::kWhole || parseAnswerHead(text, head_) != HeadOutcome::kParsed) {
       return AttemptStep::kBroken;
     }
     if (static_cast<int>(head_.getStatus()) >= kFirstFinalStatus) {
--- a/src/gateway/engine_attempt.h
+++ b/src/gateway/engine_attempt.h
@@ -22,6 +22,7 @@
   kNotSent,     ///< No byte reached the back end.
   kTooLate,     ///< The deadline passed before a byte was sent.
   kUnwanted,    ///< The back end no longer accepts requests; no byte was sent.
+  kUnsendable,  ///< A header would end its line early; no byte was sent.
   kBroken,      ///< Connection failure or invalid answer: the request may have run.
   kSilent,      ///< Nothing arrived before the deadline.
   kCallerGone,  ///< The caller disconnected.
@@ -51,7 +52,7 @@
   /// Sends the request on the open connection.
   /// @param caller watched for a disconnect while the back end accepts no bytes.
   /// @return kNotSent or kTooLate if a limit passed before the connection accepted a byte, kSilent
-  ///         if one passed later.
+  ///         if one passed later; kUnsendable if the request has no valid head for this back end.
   AttemptStep send(CallerChannel& caller, const SendLimits& limits);
   /// Waits for the final head of the answer, skipping interim (1xx) ones.
   AttemptStep awaitHead(CallerChannel& caller, Time deadline);
@@ -79,13 +80,13 @@
   void keepConnection();
 
  private:
-  std::string headText() const;
+  /// @return the head of the request; nothing if a header cannot be written.
+  std::optional<std::string> headText() const;
   AttemptStep writeRequest(CallerChannel& caller, const SendLimits& limits);
   AttemptStep writeAll(std::string_view bytes, CallerChannel& caller, const SendLimits& limits);
   /// Records how long the answer may have been unread when a wait for it ends.
   /// @param start of the wait.
   void noteWait(Time start, Duration longestWait);
-  bool parseHead(const std::string& text);
 
   const IncomingRequest& request_;
   const SendPlan& plan_;
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -18,7 +18,7 @@
 
 bool wasNotSent(AttemptStep step) {
   return step == AttemptStep::kNotSent || step == AttemptStep::kTooLate ||
-         step == AttemptStep::kUnwanted;
+         step == AttemptStep::kUnwanted || step == AttemptStep::kUnsendable;
 }
 
 bool isEventStream(const Poco::Net::HTTPResponse& head) {
@@ -189,6 +189,9 @@
     case AttemptStep::kUnwanted:
       recordAttemptEnd(BackendVerdict::kNeutral, AttemptEnd::kUnwanted);
       return Next::kTryAnother;
+    case AttemptStep::kUnsendable:
+      recordAttemptEnd(BackendVerdict::kNeutral, AttemptEnd::kUnsendable);
+      return Next::kTryAnother;
     case AttemptStep::kBroken:
       return afterBreak();
     case AttemptStep::kSilent:
--- a/src/gateway/request_run_peer.cpp
+++ b/src/gateway/request_run_peer.cpp
@@ -108,7 +108,8 @@
     return Next::kFinished;
   }
   services_.peers.avoid(*currentPeer_, services_.clock.now());
-  if (step == AttemptStep::kNotSent || step == AttemptStep::kTooLate) {
+  if (step == AttemptStep::kNotSent || step == AttemptStep::kTooLate ||
+      step == AttemptStep::kUnsendable) {
     recordAttemptEnd(BackendVerdict::kNeutral, AttemptEnd::kNotReached);
     return Next::kTryAnother;
   }
--- a/src/gateway/request_trail.cpp
+++ b/src/gateway/request_trail.cpp
@@ -20,6 +20,8 @@
       return "was reached too late";
     case AttemptEnd::kUnwanted:
       return "was not sent it, as it leaves or rests";
+    case AttemptEnd::kUnsendable:
+      return "was not sent it, as its name or the tenant's has bytes that no header may have";
     case AttemptEnd::kBroken:
       return "broke off";
     case AttemptEnd::kCrashed:
--- a/src/gateway/request_trail.h
+++ b/src/gateway/request_trail.h
@@ -23,6 +23,7 @@
   kNotReached,    ///< No connection; nothing was sent.
   kTooLate,       ///< The time for the send ended before the connection was open; nothing was sent.
   kUnwanted,      ///< The back end announced a drain or a rest meanwhile; nothing was sent.
+  kUnsendable,    ///< A header would end its line early; nothing was sent.
   kBroken,        ///< The connection or the answer broke.
   kCrashed,       ///< As kBroken, and the back end no longer accepts connections.
   kNotReachable,  ///< As kBroken, and neither that back end nor others can be reached.
