HTTP client: one parser and writer of heads, each call bounded in time and bytes

What callers saw: a client of fernmoord could add headers to the request that an application engine gets, by an encoded word in the Idempotency-Key of a repeatable request. An engine that answered a report with a chunk extension without end kept a thread and a whole processor for as long as it liked; a report without a length was read up to 64 MB.

Cause: the client read and wrote through Poco's session, which decodes header values (see docs/incidents/encoded-header-values.md), writes what it is given, skips chunk extensions without a bound, takes a body that breaks off for a whole one, and applies its timeout to each read and not to the exchange.

Fix: the client uses what the request path uses: takeHeader() and message_head for heads, BodyReader for bodies. ByteConnection::setReadBound() bounds all reads of an exchange together; a call states the time for its answer's body and the bytes that it expects (256 KB unless stated; reports 64 KB, event batches 16 MB, operators 64 MB, the store 8 MB as before). A key whose decoded text holds the end of a line gets 400.

Evidence, on the client before: 'would end its line early', 'is not decoded' and 'cut off before its stated end' fail; 'come without end' does not end within 20 s. On it now all pass, the ten endless forms each within 0.4 s. framing_test.py: without the check of the key 503 and an engine blamed, with it 400.

--- a/src/engine/engine_client.cpp
+++ b/src/engine/engine_client.cpp
@@ -12,6 +12,8 @@
 constexpr Duration kControlTimeout{1000000};
 /// Added to a long poll's wait before the connection is considered broken.
 constexpr Duration kLongPollMargin{1000000};
+/// Thousands of cache events, some hundred bytes each.
+constexpr size_t kMaxEventBatchBytes = 16U << 20U;
 
 ErrorKind kindOf(const std::string& name, int status) {
   for (const ErrorKind kind : {ErrorKind::kWrongIncarnation, ErrorKind::kWrongWeights,
@@ -219,6 +221,7 @@
   call.path = "/v1/events?incarnation=" + std::to_string(incarnation.value()) +
               "&after=" + std::to_string(after) + "&wait_ms=" + std::to_string(wait.count() / 1000);
   call.timeout = wait + kLongPollMargin;
+  call.mostAnswerBytes = kMaxEventBatchBytes;
   const auto answer = callJson(http_, call);
   if (!isOk(answer)) {
     return errorOf(answer);
--- a/src/http/byte_connection.cpp
+++ b/src/http/byte_connection.cpp
@@ -36,6 +36,27 @@
   const Poco::Timespan span(timeout.count());
   socket().setReceiveTimeout(span);
   socket().setSendTimeout(span);
+  ioTimeout_ = timeout;
+}
+
+void ByteConnection::setReadBound(std::optional<Duration> time) {
+  readUntil_.reset();
+  if (time) {
+    readUntil_ = std::chrono::steady_clock::now() + *time;
+  }
+}
+
+bool ByteConnection::awaitInput() {
+  if (!readUntil_) {
+    return true;  // The socket's own time limit holds.
+  }
+  const auto left =
+      std::chrono::duration_cast<Duration>(*readUntil_ - std::chrono::steady_clock::now());
+  if (left <= Duration(0)) {
+    return false;
+  }
+  pollfd entry{socket().impl()->sockfd(), POLLIN, 0};
+  return ::poll(&entry, 1, toPollMilliseconds(std::min(left, ioTimeout_))) > 0;
 }
 
 bool ByteConnection::socketReadable() {
@@ -96,6 +117,9 @@
 ReadOutcome ByteConnection::readSome(char* buffer, size_t capacity, size_t& count) {
   count = 0;
   try {
+    if (!hasBufferedBytes() && !awaitInput()) {
+      return ReadOutcome::kBroken;
+    }
     const int received = read(buffer, static_cast<std::streamsize>(capacity));
     if (received > 0) {
       count = static_cast<size_t>(received);
@@ -110,6 +134,9 @@
 ReadOutcome ByteConnection::readByte(char& byte) {
   if (!hasBufferedBytes()) {
     try {
+      if (!awaitInput()) {
+        return ReadOutcome::kBroken;
+      }
       refill();
     } catch (const Poco::Exception&) {
       return ReadOutcome::kBroken;
--- a/src/http/byte_connection.h
+++ b/src/http/byte_connection.h
@@ -6,7 +6,9 @@
 #include <Poco/Net/HTTPSession.h>
 #include <Poco/Net/StreamSocket.h>
 
+#include <chrono>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -46,6 +48,11 @@
   /// Bounds each blocking read and write.
   void setIoTimeout(Duration timeout);
 
+  /// Bounds all reads together, however many bytes come: later ones end as kBroken. Without one a
+  /// peer that sends a byte now and then can keep a reader for ever.
+  /// @param time from now; nothing: no such bound.
+  void setReadBound(std::optional<Duration> time);
+
   /// Start of the process at the other end in Unix ms, if it was proved; 0: not proved.
   int64_t peerStartedAt() const { return peerStartedAt_; }
   void setPeerStartedAt(int64_t startedAt) { peerStartedAt_ = startedAt; }
@@ -91,7 +98,12 @@
   bool isUnacknowledgedFor(Duration time);
 
  private:
+  /// Waits for bytes as long as the bounds of reads allow. @return whether some can be read.
+  bool awaitInput();
+
   PendingOutput* pendingOutput_ = nullptr;
+  Duration ioTimeout_ = Duration::max();
+  std::optional<std::chrono::steady_clock::time_point> readUntil_;
   int64_t peerStartedAt_ = 0;
 };
 
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -1,21 +1,22 @@
 /// @file
-/// HTTP client over Poco for back ends: kept-alive connections, JSON calls, and event streams that
-/// can be waited for together with another socket.
+/// HTTP client for back ends: kept-alive connections, JSON calls, and event streams that can be
+/// waited for together with another socket. Each call is bounded in time and in bytes, whatever the
+/// other side sends.
 #pragma once
 
 #include <Poco/JSON/Object.h>
-#include <Poco/Net/HTTPClientSession.h>
-#include <Poco/Net/HTTPRequest.h>
 
 #include <atomic>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
 
 #include "common/error.h"
 #include "common/socket_address.h"
+#include "http/message_body.h"
 
 namespace fernmoor {
 
@@ -31,9 +32,12 @@
   std::string path;
   std::string body;  ///< JSON; empty: none.
   std::vector<HttpHeader> headers;
-  Duration timeout{2000000};  ///< For connecting and for each read.
-  /// A longer answer is a failure: what is left of a cut one would be taken for the whole.
-  size_t mostAnswerBytes = 64U << 20U;
+  Duration timeout{2000000};  ///< For connecting, for the answer's head and for each read.
+  /// From the answer's head to its last byte. Does not hold for a stream.
+  Duration transferTimeout{10000000};
+  /// A longer answer is a failure: what is left of a cut one would be taken for the whole. The
+  /// default holds for short answers; a call that expects more states it.
+  size_t mostAnswerBytes = 256U << 10U;
 };
 
 /// How far a failed call got; decides whether a request may be tried again.
@@ -75,10 +79,10 @@
 class HttpConnection;
 class HttpClient;
 
-/// An open text/event-stream answer. Not thread-safe. Returns its connection when it ended well.
+/// An open text/event-stream answer. Not thread-safe.
 class EventStream {
  public:
-  EventStream(HttpClient& client, std::unique_ptr<HttpConnection> connection, std::istream& body);
+  EventStream(std::unique_ptr<HttpConnection> connection, BodyShape shape);
   ~EventStream();
   EventStream(const EventStream&) = delete;
   EventStream& operator=(const EventStream&) = delete;
@@ -91,11 +95,15 @@
  private:
   enum class Waited { kReadable, kQuiet, kInterrupted };
   Waited waitReadable(Duration timeout, const Poco::Net::Socket* other);
+  /// Takes a whole line off what was read. @return nothing while there is none.
+  std::optional<std::string> takeLine();
+  /// Reads more of the body. @return false at its end, and where it broke.
+  bool readMore();
 
-  HttpClient& client_;
   std::unique_ptr<HttpConnection> connection_;
-  std::istream& body_;
-  std::string line_;
+  BodyReader body_;
+  std::string unread_;   ///< What was read and not yet taken as a line.
+  size_t searched_ = 0;  ///< Bytes of it without the end of a line.
 };
 
 /// Outcome of opening a stream: the stream, an answer with an error status, or a failure.
@@ -114,16 +122,19 @@
   StreamOutcome open(const HttpCall& call);
 
  private:
-  friend class EventStream;
+  /// A call whose answer's head was read.
   struct Started {
     std::unique_ptr<HttpConnection> connection;
-    std::istream* body = nullptr;
+    BodyShape shape;
+    bool mayKeep = false;  ///< The connection serves another call after the body.
     int status = 0;
     std::vector<HttpHeader> headers;
   };
   std::variant<Started, HttpFailure> start(const HttpCall& call);
-  std::variant<Started, HttpFailure> startOn(std::unique_ptr<HttpConnection> connection,
-                                             const HttpCall& call);
+  static std::variant<Started, HttpFailure> startOn(std::unique_ptr<HttpConnection> connection,
+                                                    const HttpCall& call);
+  /// Reads the body of the answer.
+  HttpOutcome finish(Started& open, const HttpCall& call);
   std::unique_ptr<HttpConnection> takeIdle(const SocketAddress& address);
   /// Closes the kept connections to an address.
   void dropIdle(const SocketAddress& address);
--- a/src/node/application_handler.cpp
+++ b/src/node/application_handler.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "claim/claim_key.h"
+#include "http/message_head.h"
 #include "node/caller_socket.h"
 #include "node/completion_handler.h"
 #include "node/http_reply.h"
@@ -32,6 +33,13 @@
                RunState::kNotRun, std::nullopt};
 }
 
+Error unprintableKey() {
+  return Error{ErrorKind::kInvalidRequest,
+               std::string("the ") + kIdempotencyKeyHeader +
+                   " holds the end of a line once it is decoded; send a UUID version 7.",
+               RunState::kNotRun, std::nullopt};
+}
+
 Error runningElsewhere(Duration retryAfter) {
   return Error{ErrorKind::kConflict,
                "a request with this key is running or its outcome is not known; send it again "
@@ -100,6 +108,9 @@
   application.operation = valueOf(row)->operationPath;
   application.body = valueOf(body);
   application.idempotencyKey = request.get(kIdempotencyKeyHeader, "");
+  if (!isFieldValue(application.idempotencyKey)) {
+    return unprintableKey();
+  }
   application.repeatable =
       valueOf(row)->repeatable && request.get(kNotRepeatableHeader, "") != "true";
   application.deadline = services_.clock.now() + valueOf(row)->deadline;
--- a/src/node/application_runner.cpp
+++ b/src/node/application_runner.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr size_t kMaxEngines = 3;
+constexpr size_t kMaxAnswerBytes = 16U << 20U;
 constexpr Duration kShortestTimeout{10000};
 constexpr Duration kRetryAfter{1000000};
 constexpr int kStatusUnavailable = 503;
@@ -66,6 +67,7 @@
     call.headers.push_back({"Idempotency-Key", request.idempotencyKey});
   }
   call.timeout = std::max(kShortestTimeout, request.deadline - clock_.now());
+  call.mostAnswerBytes = kMaxAnswerBytes;
   const HttpOutcome outcome = http_.call(call);
   if (const auto* failure = std::get_if<HttpFailure>(&outcome)) {
     engines_.reportFailure(engine.id, clock_.now());
--- a/src/operator_client/operator_connection.cpp
+++ b/src/operator_client/operator_connection.cpp
@@ -11,6 +11,8 @@
 using Poco::JSON::Object;
 
 constexpr size_t kMaximumShownBytes = 200;
+/// A whole table of tens of thousands of rows.
+constexpr size_t kMaxAnswerBytes = 64U << 20U;
 
 /// Errors come as {"error": {...}} or, with more detail, as the object itself.
 Object::Ptr errorObject(const Object::Ptr& body) {
@@ -52,6 +54,7 @@
   request.body = body;
   request.headers = {{"Authorization", "Bearer " + options_.operatorKey}};
   request.timeout = options_.timeout;
+  request.mostAnswerBytes = kMaxAnswerBytes;
   const HttpOutcome outcome = client_.call(request);
   if (const auto* failure = std::get_if<HttpFailure>(&outcome)) {
     return unreachable(*failure);
--- a/test/http/http_client_test.cpp
+++ b/test/http/http_client_test.cpp
@@ -135,6 +135,52 @@
   std::thread thread_;
 };
 
+/// An answer that never ends.
+struct EndlessAnswer {
+  std::string start;
+  std::string repeated;
+};
+
+/// Takes one connection and sends an endless answer on it until the other side closes.
+class EndlessServer {
+ public:
+  EndlessServer(const EndlessAnswer& answer, Duration pause)
+      : socket_(Poco::Net::SocketAddress("127.0.0.1", 0)),
+        thread_([this, answer, pause] { serve(answer, pause); }) {}
+  SocketAddress address() const { return SocketAddress{"127.0.0.1", socket_.address().port()}; }
+  /// Waits for the connection's end. @return true.
+  bool ended() {
+    thread_.join();
+    return true;
+  }
+
+ private:
+  /// Bytes sent at once where there is no pause between them.
+  static constexpr size_t kBurstBytes = 65536;
+
+  void serve(const EndlessAnswer& answer, Duration pause) {
+    Poco::Net::StreamSocket connection = socket_.acceptConnection();
+    std::string burst = answer.repeated;
+    while (pause.count() == 0 && burst.size() < kBurstBytes) {
+      burst += answer.repeated;
+    }
+    try {
+      char buffer[4096];
+      connection.receiveBytes(buffer, sizeof(buffer));
+      connection.sendBytes(answer.start.data(), static_cast<int>(answer.start.size()));
+      while (true) {
+        connection.sendBytes(burst.data(), static_cast<int>(burst.size()));
+        std::this_thread::sleep_for(pause);
+      }
+    } catch (const Poco::Exception&) {
+      // The other side closed.
+    }
+  }
+
+  Poco::Net::ServerSocket socket_;
+  std::thread thread_;
+};
+
 }  // namespace
 
 TEST_CASE("a call that is given up is reset: its bytes do not reach the server later") {
@@ -199,4 +245,78 @@
   CHECK(std::holds_alternative<HttpAnswer>(client.call(call)));
 }
 
+TEST_CASE("a header that would end its line early is not sent") {
+  HttpClient client;
+  for (const HttpHeader& header : {HttpHeader{"Idempotency-Key", "1\r\nX-Forged: 1"},
+                                   HttpHeader{"X-Key: a\r\nX-Forged", "1"}}) {
+    PausingServer server({});
+    HttpCall call;
+    call.address = server.address();
+    call.path = "/";
+    call.headers = {header};
+    const HttpOutcome outcome = client.call(call);
+    REQUIRE(std::holds_alternative<HttpFailure>(outcome));
+    CHECK(std::get<HttpFailure>(outcome).progress == CallProgress::kNotSent);
+    Poco::Net::StreamSocket(Poco::Net::SocketAddress(server.address().host, server.address().port));
+  }
+}
+
+TEST_CASE("an encoded word in an answer's header is not decoded") {
+  PausingServer server({Duration(0)},
+                       "HTTP/1.1 200 OK\r\nX-A: =?UTF-8?Q?7?=\r\nContent-Length: 2\r\n\r\n{}");
+  HttpClient client;
+  HttpCall call;
+  call.address = server.address();
+  call.path = "/";
+  const HttpOutcome outcome = client.call(call);
+  REQUIRE(std::holds_alternative<HttpAnswer>(outcome));
+  const std::string* const value = findHeader(std::get<HttpAnswer>(outcome), "x-a");
+  REQUIRE(value != nullptr);
+  CHECK(*value == "=?UTF-8?Q?7?=");
+}
+
+TEST_CASE("an answer cut off before its stated end is a failure, not a shorter answer") {
+  for (const std::string& answer :
+       {std::string("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{}"),
+        std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n")}) {
+    PausingServer server({Duration(0)}, answer);
+    HttpClient client;
+    HttpCall call;
+    call.address = server.address();
+    call.path = "/";
+    CHECK(std::holds_alternative<HttpFailure>(client.call(call)));
+  }
+}
+
+TEST_CASE("bytes that are no answer and come without end do not keep a call beyond its bounds") {
+  const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (const EndlessAnswer& endless : {
+           EndlessAnswer{"", "x"},
+           EndlessAnswer{"HTTP/1.1 200 ", "x"},
+           EndlessAnswer{"HTTP/1.1 200 OK\r\nX-A: ", "x"},
+           EndlessAnswer{"HTTP/1.1 200 OK\r\n", "X-A: 1\r\n"},
+           EndlessAnswer{"", "HTTP/1.1 100 Continue\r\n\r\n"},
+           EndlessAnswer{"HTTP/1.1 200 OK\r\n\r\n", "x"},
+           EndlessAnswer{chunked + "2;", "x"},
+           EndlessAnswer{chunked, "0"},
+           EndlessAnswer{chunked, "1;a=b\r\nx\r\n"},
+           EndlessAnswer{chunked + "0\r\n", "X-A: 1\r\n"},
+       }) {
+    for (const Duration pause : {Duration(0), Duration(20000)}) {
+      CAPTURE(endless.start);
+      CAPTURE(endless.repeated);
+      CAPTURE(pause.count());
+      EndlessServer server(endless, pause);
+      HttpClient client;
+      HttpCall call;
+      call.address = server.address();
+      call.path = "/";
+      call.timeout = std::chrono::milliseconds(200);
+      call.transferTimeout = std::chrono::milliseconds(200);
+      CHECK(std::holds_alternative<HttpFailure>(client.call(call)));
+      CHECK(server.ended());
+    }
+  }
+}
+
 }  // namespace fernmoor
--- a/test/process/framing_test.py
+++ b/test/process/framing_test.py
@@ -1,11 +1,11 @@
 #!/usr/bin/env python3
 """Requests whose end two readers could see at different places are refused with 400, and nothing
-that follows on their connection is taken for a request."""
+that follows on their connection is taken for a request. No key adds headers to what engines get."""
 import json
 import socket
 import urllib.parse
 
-from process_testing import TENANT, check, cluster, completion_body, run
+from process_testing import PAYER, TENANT, check, cluster, completion_body, run
 
 BODY = json.dumps(completion_body("the water rises", 4, False)).encode()
 SMUGGLED = b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n"
@@ -54,6 +54,11 @@
         check(answer.startswith(b"HTTP/1.1 400 ") or answer == b"", f"{name}: {answer[:300]!r}")
         check(b"\"ok\"" not in answer, f"{name}: what followed was served: {answer[:600]!r}")
         check(answer.count(b"HTTP/1.1 ") <= 1, f"{name}: {answer[:600]!r}")
+    # A lookup may be repeated, so its key is no claim's and goes on as it is.
+    status, _, answer = cluster.call("POST", node.url + "/v1/applications/claim-lookup", {"claim": 1},
+                                     key=cluster.tenant_key(PAYER),
+                                     headers={"Idempotency-Key": "1=?UTF-8?Q?=0D=0AX-Forged:_1?="})
+    check(status == 400, f"a key whose encoded word ends a line: {status} {answer}")
     broken = request(b"Transfer-Encoding: chunked\r\n", b"zz\r\n" + BODY + b"\r\n0\r\n\r\n")
     answer = exchange(node, broken + SMUGGLED)
     check(answer.count(b"HTTP/1.1 ") <= 1, f"a broken chunk: {answer[:600]!r}")
