Entries of the store are read one by one: an unreadable one names nothing and hides no other

What callers saw: another writer's entry in the list of engines with a number beyond 64 bits, or a text that no parser takes.

Cause: an answer of the store was parsed as one text, and the parser refuses the whole of it for one value.

Fix: json_split splits an answer by quotes and brackets alone, without recursion; each entry is parsed by itself. One that can't be keeps its name and revision and names nothing, so a watch goes on and an engine of that name is no longer used.

--- a/src/common/metrics.cpp
+++ b/src/common/metrics.cpp
@@ -109,6 +109,11 @@
       storeEra_(&gauge(registry_, "fernmoor_store_era",
                        "Rises whenever the operators' store came back from an old copy.")
                      .Add({})),
+      unreadableEntries_(
+          &counter(registry_, "fernmoor_store_entries_unreadable_total",
+                   "Entries of the operators' store that cannot be read and are left "
+                   "out; each revision counts once.")
+               .Add({})),
       leavingEngines_(
           &gauge(registry_, "fernmoor_leaving_engines", "Listed engines that say that they leave.")
                .Add({})),
@@ -215,6 +220,10 @@
   setCounter(*controlReceived_, received);
 }
 
+void Metrics::setUnreadableEntries(uint64_t count) {
+  setCounter(*unreadableEntries_, count);
+}
+
 void Metrics::setRenewedRequests(uint64_t count) {
   setCounter(*renewed_, count);
 }
--- a/src/common/metrics.h
+++ b/src/common/metrics.h
@@ -144,6 +144,9 @@
   void setRetryBudget(const ServiceId& service, double left, uint64_t granted, uint64_t refused);
   /// Era of the operators' store: it rises whenever the store came back from an old copy.
   void setStoreEra(uint64_t era) { storeEra_->Set(static_cast<double>(era)); }
+  /// Entries of the store that this node could not read since the program started, each revision
+  /// counted once.
+  void setUnreadableEntries(uint64_t count);
   /// Listed engines that say that they leave, and those that asked this node for rest.
   void setWithdrawnEngines(size_t leaving, size_t resting) {
     leavingEngines_->Set(static_cast<double>(leaving));
@@ -214,6 +217,7 @@
   prometheus::Gauge* limitedEngines_;
   prometheus::Gauge* brittleEngines_;
   prometheus::Gauge* storeEra_;
+  prometheus::Counter* unreadableEntries_;
   prometheus::Gauge* leavingEngines_;
   prometheus::Gauge* restingEngines_;
   prometheus::Gauge* engineConnects_;
--- a/test/platform/mirror_decoder_test.cpp
+++ b/test/platform/mirror_decoder_test.cpp
@@ -114,6 +114,19 @@
   CHECK(world.backends.size() == 2);
 }
 
+TEST_CASE("an engine whose entry becomes unreadable is no longer named") {
+  DecoderWorld world;
+  const std::string sound =
+      R"({"service":"pool","addr":"10.1.1.1:80","zone":"z","slots":4,"state":"ready"})";
+  world.decoder.take(MirrorKind::kBackends,
+                     {MirrorEntry{"left", 2, false, sound}, MirrorEntry{"stays", 2, false, sound}},
+                     true);
+  REQUIRE(world.backends.size() == 2);
+  world.decoder.take(MirrorKind::kBackends, {MirrorEntry{"left", 3, false, ""}}, false);
+  CHECK(world.backends.size() == 1);
+  CHECK_FALSE(world.backends.find("left"));
+}
+
 TEST_CASE("an old or deleted move does not make an engine avoided") {
   DecoderWorld world;
   world.decoder.take(MirrorKind::kMoves, {MirrorEntry{"e", 7, false, "5000"}}, true);
--- a/test/platform/store_client_test.cpp
+++ b/test/platform/store_client_test.cpp
@@ -4,6 +4,8 @@
 
 #include <doctest/doctest.h>
 
+#include <atomic>
+
 #include "common/store_revision.h"
 #include "platform/list_reader.h"
 #include "test/gateway/forwarder_world.h"
@@ -207,4 +209,111 @@
   }
 }
 
+namespace {
+
+/// Texts in place of one field of an entry that a JSON parser may refuse.
+std::vector<std::string> unreadableFields() {
+  return {"100000000000000000000000000000",
+          "-100000000000000000000000000000",
+          "1e999",
+          R"("\udcff")",
+          R"("\ud800")",
+          "\"\xff\xfe\"",
+          std::string(40, '[') + std::string(40, ']'),
+          "{\"a\":" + std::string(60, '[') + std::string(60, ']') + "}",
+          std::string(20000, '[') + std::string(20000, ']'),
+          "nonsense"};
+}
+
+std::string entry(const std::string& name, const std::string& spec) {
+  return R"({"meta":{"name":")" + name + R"(","rev":5},"spec":)" + spec + "}";
+}
+
+std::vector<std::string> namesOf(const std::vector<StoreObject>& objects) {
+  std::vector<std::string> names;
+  for (const StoreObject& object : objects) {
+    names.push_back(object.name);
+  }
+  return names;
+}
+
+}  // namespace
+
+TEST_CASE("an entry that no parser takes hides no other entry of a list or a watch") {
+  const SystemClock clock;
+  for (const std::string& field : unreadableFields()) {
+    CAPTURE(field.substr(0, 60));
+    const std::string foreign = entry("b", R"({"text":"}],\"at\":1","service":)" + field + "}");
+    const std::string sound = entry("a", R"({"slots":4})");
+    const std::string last = entry("c", R"({"slots":6})");
+    {
+      ScriptedBackend store(gateway::test::always(gateway::test::answer(
+          "200 OK",
+          R"({"items":[)" + sound + "," + foreign + "," + last + R"(],"more":true,"at":70})")));
+      StoreClient client(store.address(), clock);
+      const Result<StorePage> page = client.listPage("servers", ListFreshness::kNewest, "");
+      REQUIRE(isOk(page));
+      CHECK(namesOf(valueOf(page).items) == std::vector<std::string>{"a", "b", "c"});
+      CHECK(valueOf(page).items.back().spec->getValue<int>("slots") == 6);
+      CHECK(valueOf(page).items[1].revision == 5);
+      CHECK(valueOf(page).revision == 70);
+      CHECK(valueOf(page).hasMore);
+      CHECK(valueOf(page).lastName == "c");
+      const Result<RawStoreList> list = client.listRaw("servers");
+      REQUIRE(isOk(list));
+      CHECK(isOk(findObject(valueOf(list), "c")));
+      CHECK(errorOf(findObject(valueOf(list), "b")).kind == ErrorKind::kInvalidRequest);
+    }
+    ScriptedBackend store(gateway::test::always(gateway::test::answer(
+        "200 OK", R"({"events":[{"object":)" + foreign + R"(},{"gone":true,"object":)" + last +
+                      R"(}],"at":71})")));
+    StoreClient client(store.address(), clock);
+    const Result<StoreChanges> changes = client.watch("servers", 70, Duration(0));
+    REQUIRE(isOk(changes));
+    REQUIRE(valueOf(changes).events.size() == 2);
+    CHECK(valueOf(changes).events[0].object.name == "b");
+    CHECK_FALSE(valueOf(changes).events[0].isGone);
+    CHECK(valueOf(changes).events[1].isGone);
+    CHECK(valueOf(changes).revision == 71);
+  }
+}
+
+TEST_CASE("an entry whose name or revision cannot be read hides no other entry") {
+  const SystemClock clock;
+  const std::string sound = entry("a", "{}");
+  for (const std::string& field : unreadableFields()) {
+    CAPTURE(field.substr(0, 60));
+    ScriptedBackend store(gateway::test::always(gateway::test::answer(
+        "200 OK", R"({"items":[)" + sound + R"(,{"meta":{"name":"b","rev":)" + field +
+                      R"(},"spec":{}},{"meta":{"name":)" + field + R"(,"rev":6}},{"meta":)" +
+                      field + "}," + field + R"(],"more":false,"at":70})")));
+    StoreClient client(store.address(), clock);
+    const Result<StorePage> page = client.listPage("servers", ListFreshness::kNewest, "");
+    REQUIRE(isOk(page));
+    CHECK(namesOf(valueOf(page).items) == std::vector<std::string>{"a", "b"});
+    CHECK(valueOf(page).items[1].revision == 70);
+  }
+}
+
+TEST_CASE("an unreadable entry is counted once for each of its revisions") {
+  const SystemClock clock;
+  const auto listOf = [](uint64_t revision, uint64_t at) {
+    return gateway::test::answer(
+        "200 OK", R"({"items":[{"meta":{"name":"b","rev":)" + std::to_string(revision) +
+                      R"(},"spec":{"n":1e999}}],"more":false,"at":)" + std::to_string(at) + "}");
+  };
+  std::atomic<uint64_t> at{70};
+  ScriptedBackend store([&](Poco::Net::StreamSocket& socket, const std::string&) {
+    gateway::test::say(socket, listOf(at < 72 ? 5 : 72, at));
+    return true;
+  });
+  StoreClient client(store.address(), clock);
+  for (; at < 75; ++at) {
+    const Result<StorePage> page = client.listPage("servers", ListFreshness::kNewest, "");
+    REQUIRE(isOk(page));
+    CHECK_FALSE(valueOf(page).items[0].isReadable);
+  }
+  CHECK(client.unreadableEntries() == 2);
+}
+
 }  // namespace fernmoor::platform
