Object store of fernmoord: a value that no parser takes hides no other object

What operators saw (read in the code, not reported): one row whose value held a number beyond 64 bits or a text that is no Unicode made the whole table unreadable for all nodes, and one machine of a kind that a node does not know the whole list of machines.

A machine that can't be read is left out and logged. An object without a readable name or version still fails the answer, as before: the platform breaks its protocol then, and leaving a row out would switch a service off unseen.

--- a/src/objectstore/object_store_codec.cpp
+++ b/src/objectstore/object_store_codec.cpp
@@ -7,6 +7,11 @@
 
 #include <limits>
 #include <sstream>
+#include <string_view>
+#include <vector>
+
+#include "common/log.h"
+#include "http/json_split.h"
 
 namespace fernmoor::platform_codec {
 
@@ -17,6 +22,8 @@
 using Poco::JSON::Object;
 
 constexpr size_t kMaxJsonDepth = 32;
+constexpr const char* kValue = "value";
+constexpr std::string_view kNull = "null";
 constexpr int kNotFoundStatus = 404;
 constexpr int kConflictStatus = 409;
 constexpr int kTooManyRequestsStatus = 429;
@@ -31,9 +38,9 @@
 
 /// Runs a reader and turns whatever is wrong with the body into one kind of error.
 template <class Reader>
-auto readBody(const std::string& body, Reader reader) -> Result<decltype(reader(Object::Ptr()))> {
+auto readBody(Reader reader) -> Result<decltype(reader())> {
   try {
-    return reader(parseObject(body));
+    return reader();
   } catch (const Poco::Exception& exception) {
     return Error{ErrorKind::kInternal,
                  "the platform's answer doesn't fit its protocol (" + exception.displayText() +
@@ -42,12 +49,6 @@
   }
 }
 
-std::string toJsonText(const Var& value) {
-  std::ostringstream out;
-  Poco::JSON::Stringifier::stringify(value, out);
-  return out.str();
-}
-
 Var parseValue(const std::string& text) {
   Poco::JSON::Parser parser;
   parser.setDepth(kMaxJsonDepth);
@@ -58,38 +59,68 @@
   return CollectionRevision(object.getValue<Poco::UInt64>(field));
 }
 
-Array::Ptr arrayOf(const Object& object, const std::string& field) {
-  Array::Ptr array = object.getArray(field);
-  if (array.isNull()) {
-    throw Poco::DataFormatException("no array " + field);
+/// Parses an object but for one of its members.
+Object::Ptr parseWithout(const std::vector<JsonMember>& members, std::string_view leftOut) {
+  std::string text = "{";
+  for (const JsonMember& member : members) {
+    if (member.name != leftOut) {
+      text += text.size() > 1 ? ",\"" : "\"";
+      text.append(member.name).append("\":").append(member.value);
+    }
   }
-  return array;
+  return parseObject(text + "}");
 }
 
-Object::Ptr elementOf(const Array& array, size_t index) {
-  Object::Ptr element = array.getObject(static_cast<unsigned>(index));
-  if (element.isNull()) {
+/// One object of an answer: its members but for the value, and the text of the value, unread.
+struct SplitObject {
+  Object::Ptr members;
+  std::string valueJson;
+};
+
+/// Splits the value off an object, so that one that no parser takes costs nothing but itself.
+SplitObject splitValue(std::string_view text) {
+  const auto members = splitJsonObject(text);
+  if (!members) {
     throw Poco::DataFormatException("an array's element is no object");
   }
-  return element;
+  return SplitObject{parseWithout(*members, kValue), std::string(findJsonMember(*members, kValue))};
 }
 
-PlatformObject objectFrom(const Object& object) {
+/// Reads the members of an answer beside an array, and the array's elements one by one.
+/// @param readElement takes the text of one.
+template <class ReadElement>
+Object::Ptr readArray(const std::string& body, const char* array, ReadElement readElement) {
+  const auto members = splitJsonObject(body);
+  const auto elements = members ? splitJsonArray(findJsonMember(*members, array)) : std::nullopt;
+  if (!elements) {
+    throw Poco::DataFormatException(std::string("no array ") + array);
+  }
+  for (const std::string_view element : *elements) {
+    readElement(element);
+  }
+  return parseWithout(*members, array);
+}
+
+PlatformObject objectFrom(std::string_view text) {
+  const SplitObject split = splitValue(text);
+  const Object& object = *split.members;
   PlatformObject result;
   result.name = ObjectName(object.getValue<std::string>("name"));
   result.version = revisionOf(object, "version");
-  result.valueJson = toJsonText(object.get("value"));
+  result.valueJson = split.valueJson;
   result.changeId = ChangeId(object.optValue<std::string>("change_id", ""));
   return result;
 }
 
-WatchedChange watchedChangeFrom(const Object& object) {
+WatchedChange watchedChangeFrom(std::string_view text) {
+  const SplitObject split = splitValue(text);
+  const Object& object = *split.members;
   WatchedChange change;
   change.version = revisionOf(object, "version");
   change.changeId = ChangeId(object.optValue<std::string>("change_id", ""));
   change.name = ObjectName(object.getValue<std::string>("name"));
-  if (object.has("value") && !object.isNull("value")) {
-    change.valueJson = toJsonText(object.get("value"));
+  if (!split.valueJson.empty() && split.valueJson != kNull) {
+    change.valueJson = split.valueJson;
   }
   return change;
 }
@@ -182,48 +213,50 @@
 }
 
 Result<PlatformObject> readObject(const std::string& body) {
-  return readBody(body, [](const Object::Ptr& object) { return objectFrom(*object); });
+  return readBody([&] { return objectFrom(body); });
 }
 
 Result<CollectionSnapshot> readSnapshot(const std::string& body) {
-  return readBody(body, [](const Object::Ptr& object) {
+  return readBody([&] {
     CollectionSnapshot snapshot;
-    snapshot.revision = revisionOf(*object, "revision");
-    const Array::Ptr objects = arrayOf(*object, "objects");
-    snapshot.objects.reserve(objects->size());
-    for (size_t index = 0; index < objects->size(); ++index) {
-      snapshot.objects.push_back(objectFrom(*elementOf(*objects, index)));
-    }
+    const Object::Ptr rest = readArray(body, "objects", [&](std::string_view element) {
+      snapshot.objects.push_back(objectFrom(element));
+    });
+    snapshot.revision = revisionOf(*rest, "revision");
     return snapshot;
   });
 }
 
 Result<WatchBatch> readWatchBatch(const std::string& body) {
-  return readBody(body, [](const Object::Ptr& object) {
+  return readBody([&] {
     WatchBatch batch;
-    batch.revision = revisionOf(*object, "revision");
-    batch.compacted = object->optValue<bool>("compacted", false);
-    const Array::Ptr changes = arrayOf(*object, "changes");
-    for (size_t index = 0; index < changes->size(); ++index) {
-      batch.changes.push_back(watchedChangeFrom(*elementOf(*changes, index)));
-    }
+    const Object::Ptr rest = readArray(body, "changes", [&](std::string_view element) {
+      batch.changes.push_back(watchedChangeFrom(element));
+    });
+    batch.revision = revisionOf(*rest, "revision");
+    batch.compacted = rest->optValue<bool>("compacted", false);
     return batch;
   });
 }
 
 Result<std::vector<Machine>> readMachines(const std::string& body) {
-  return readBody(body, [](const Object::Ptr& object) {
+  return readBody([&] {
     std::vector<Machine> machines;
-    const Array::Ptr entries = arrayOf(*object, "machines");
-    for (size_t index = 0; index < entries->size(); ++index) {
-      machines.push_back(machineFrom(*elementOf(*entries, index)));
-    }
+    readArray(body, "machines", [&](std::string_view element) {
+      try {
+        machines.push_back(machineFrom(*parseObject(std::string(element))));
+      } catch (const Poco::Exception& exception) {
+        logWarning("platform: a machine cannot be read and is left out (" +
+                   exception.displayText() + "); correct it in the list of machines");
+      }
+    });
     return machines;
   });
 }
 
 Result<CollectionRevision> readRevision(const std::string& body) {
-  return readBody(body, [](const Object::Ptr& object) {
+  return readBody([&] {
+    const Object::Ptr object = parseObject(body);
     return revisionOf(*object, object->has("version") ? "version" : "revision");
   });
 }
