Answers without end: given up at the deadline, counted against their engine

An engine whose events never end was refused after 256 KB, at once and without blame, and chosen again at once: it took half of all requests for as long as it lasted.

Cause: EngineAttempt::readBody() looked at the deadline only where nothing was readable, a read in the middle of a chunk's header waited up to 3 s for each byte, and interim answers had 3 s each. An event beyond the bound was told apart from a used-up memory budget by nobody.

Fix: once the deadline has passed, what has arrived is still read, 256 KB at most and without waiting, so that an answer that was ready is delivered by a process that slept; the wait for the rest of a header or chunk is one bound for all its bytes, 500 ms near the deadline; an interim answer after the deadline ends the attempt. An event beyond the bound counts as a broken answer, and the request may run again where nothing of its answer was handed on.

--- a/src/gateway/engine_attempt.cpp
+++ b/src/gateway/engine_attempt.cpp
@@ -26,8 +26,13 @@
 /// Time for which a back end that sends no Keep-Alive header keeps an idle connection at least (3
 /// s).
 constexpr Duration kDefaultKeepAlive{3000000};
-/// Longest wait for the rest of a header or chunk that has begun to arrive (3 s).
+/// Longest wait for the rest of a header or chunk that has begun to arrive (3 s), and the longest
+/// one near the request's deadline (500 ms).
 constexpr Duration kPartialMessageTimeout{3000000};
+constexpr Duration kLatePartialTimeout{500000};
+/// Bytes of a body that are read after its deadline (256 KB): what may have arrived by then in the
+/// buffers of the system.
+constexpr size_t kMaxLateBytes = 256U << 10U;
 /// Back ends cut off an answer that stays unread for some seconds. One that was unread for 1 s may
 /// be cut off for that reason, as the network's buffers may have been full before.
 constexpr Duration kMinUnreadTime{1000000};
@@ -142,6 +147,7 @@
     return AttemptStep::kTooLate;
   }
   connection_->setIoTimeout(kPartialMessageTimeout);
+  connection_->setWaitBound(std::nullopt);
   return AttemptStep::kDone;
 }
 
@@ -155,7 +161,7 @@
   HeaderBounds bounds;
   bounds.maxBytes = kMaxAnswerHeaderBytes;
   bounds.firstByteBy = deadline;
-  bounds.wholeWithin = kPartialMessageTimeout;
+  bounds.wholeWithin = partialMessageTimeout();
   std::string text;
   Time firstByteAt;
   for (int answers = 0; answers < kMaxInterimAnswers; ++answers) {
@@ -173,6 +179,9 @@
     if (static_cast<int>(head_.getStatus()) >= kFirstFinalStatus) {
       break;
     }
+    if (clock_.now() >= deadline) {
+      return AttemptStep::kSilent;
+    }
   }
   facts_ = protocol_.readAnswer(request_, head_);
   const int status = static_cast<int>(head_.getStatus());
@@ -192,6 +201,9 @@
     return AttemptStep::kDone;
   }
   const Time start = clock_.now();
+  if (!mayReadBody(start, deadline)) {
+    return AttemptStep::kSilent;
+  }
   const Duration piece = std::min(std::max(Duration(0), deadline - start), kLongestWaitPiece);
   const WaitOutcome waited = connection_->waitReadable(piece, &caller.connection());
   noteWait(start, piece);
@@ -201,13 +213,24 @@
   if (waited == WaitOutcome::kTimeout) {
     return clock_.now() >= deadline ? AttemptStep::kSilent : AttemptStep::kDone;
   }
+  // Bounds the wait for bytes between two pieces of data, as those of a chunk's header are.
+  connection_->setWaitBound(start < deadline ? partialMessageTimeout() : Duration(0));
   bytes.resize(kReadBufferBytes);
   size_t count = 0;
   const BodyProgress progress = body_->read(bytes.data(), bytes.size(), count);
   bytes.resize(count);
+  lateBytes_ += start >= deadline ? count : 0;
   return progress == BodyProgress::kBroken ? AttemptStep::kBroken : AttemptStep::kDone;
 }
 
+Duration EngineAttempt::partialMessageTimeout() const {
+  return std::clamp(request_.deadline - clock_.now(), kLatePartialTimeout, kPartialMessageTimeout);
+}
+
+bool EngineAttempt::mayReadBody(Time now, Time deadline) const {
+  return now < deadline || lateBytes_ < kMaxLateBytes;
+}
+
 void EngineAttempt::noteWait(Time start, Duration longestWait) {
   const Time now = clock_.now();
   // A wait takes longer than asked for if the process was suspended.
--- a/src/gateway/engine_attempt.h
+++ b/src/gateway/engine_attempt.h
@@ -60,7 +60,9 @@
   /// longer than the deadline.
   /// @param bytes replaced.
   /// @return kDone with data; or without data at the end of the body (see bodyComplete()) and when
-  ///         one piece of the wait has passed.
+  ///         one piece of the wait has passed. Once the deadline has passed, kSilent after some
+  ///         more data at the latest: what had arrived by then is still read, a body without end is
+  ///         not.
   AttemptStep readBody(CallerChannel& caller, Time deadline, std::string& bytes);
 
   /// @return whether open() tried to open a connection, with or without success; false if it took
@@ -84,6 +86,10 @@
   std::optional<std::string> headText() const;
   AttemptStep writeRequest(CallerChannel& caller, const SendLimits& limits);
   AttemptStep writeAll(std::string_view bytes, CallerChannel& caller, const SendLimits& limits);
+  /// @return the longest wait for the rest of a header or chunk that has begun to arrive.
+  Duration partialMessageTimeout() const;
+  /// @return whether more of the body may be read at this time.
+  bool mayReadBody(Time now, Time deadline) const;
   /// Records how long the answer may have been unread when a wait for it ends.
   /// @param start of the wait.
   void noteWait(Time start, Duration longestWait);
@@ -103,6 +109,7 @@
   AnswerFacts facts_;
   BodyShape shape_;
   std::optional<BodyReader> body_;
+  size_t lateBytes_ = 0;  ///< Of the body, read after a deadline.
 };
 
 }  // namespace fernmoor::gateway
--- a/src/gateway/request_run_relay.cpp
+++ b/src/gateway/request_run_relay.cpp
@@ -208,7 +208,7 @@
 
 bool RequestRun::mayBuffer(const EventSplitter& events) {
   const size_t bytes = events.partialBytes();
-  return bytes <= kMaxEventBytes && heldBytes_.resize(bytes > kUncountedEventBytes ? bytes : 0);
+  return heldBytes_.resize(bytes > kUncountedEventBytes ? bytes : 0);
 }
 
 RequestRun::Next RequestRun::relayStream(EngineAttempt& attempt) {
@@ -233,6 +233,11 @@
     if (!sendStreamHead(attempt) || !forwardEvents(events)) {
       return afterStep(AttemptStep::kCallerGone);
     }
+    if (events.partialBytes() > kMaxEventBytes) {
+      recordAttemptEnd(BackendVerdict::kFailed, AttemptEnd::kBroken);
+      const Next next = afterUnknownRun();
+      return headSent_ ? Next::kGiveUp : next;
+    }
     if (!mayBuffer(
             events)) {  // The budget may be used up by other requests, so the engine is not blamed.
       recordAttemptEnd(BackendVerdict::kNeutral, AttemptEnd::kBroken);
--- a/src/http/byte_connection.cpp
+++ b/src/http/byte_connection.cpp
@@ -39,22 +39,19 @@
   ioTimeout_ = timeout;
 }
 
-void ByteConnection::setReadBound(std::optional<Duration> time) {
-  readUntil_.reset();
+void ByteConnection::setWaitBound(std::optional<Duration> time) {
+  waitUntil_.reset();
   if (time) {
-    readUntil_ = std::chrono::steady_clock::now() + *time;
+    waitUntil_ = std::chrono::steady_clock::now() + *time;
   }
 }
 
 bool ByteConnection::awaitInput() {
-  if (!readUntil_) {
+  if (!waitUntil_) {
     return true;  // The socket's own time limit holds.
   }
-  const auto left =
-      std::chrono::duration_cast<Duration>(*readUntil_ - std::chrono::steady_clock::now());
-  if (left <= Duration(0)) {
-    return false;
-  }
+  const auto left = std::max(Duration(0), std::chrono::duration_cast<Duration>(
+                                              *waitUntil_ - std::chrono::steady_clock::now()));
   pollfd entry{socket().impl()->sockfd(), POLLIN, 0};
   return ::poll(&entry, 1, toPollMilliseconds(std::min(left, ioTimeout_))) > 0;
 }
--- a/src/http/byte_connection.h
+++ b/src/http/byte_connection.h
@@ -48,10 +48,10 @@
   /// Bounds each blocking read and write.
   void setIoTimeout(Duration timeout);
 
-  /// Bounds all reads together, however many bytes come: later ones end as kBroken. Without one a
-  /// peer that sends a byte now and then can keep a reader for ever.
+  /// Bounds the time for which reads wait, all together: later ones end as kBroken unless bytes are
+  /// there. Without it a peer that sends a byte now and then can keep a reader for ever.
   /// @param time from now; nothing: no such bound.
-  void setReadBound(std::optional<Duration> time);
+  void setWaitBound(std::optional<Duration> time);
 
   /// Start of the process at the other end in Unix ms, if it was proved; 0: not proved.
   int64_t peerStartedAt() const { return peerStartedAt_; }
@@ -98,12 +98,12 @@
   bool isUnacknowledgedFor(Duration time);
 
  private:
-  /// Waits for bytes as long as the bounds of reads allow. @return whether some can be read.
+  /// Waits for bytes as long as reads may. @return whether some can be read.
   bool awaitInput();
 
   PendingOutput* pendingOutput_ = nullptr;
   Duration ioTimeout_ = Duration::max();
-  std::optional<std::chrono::steady_clock::time_point> readUntil_;
+  std::optional<std::chrono::steady_clock::time_point> waitUntil_;
   int64_t peerStartedAt_ = 0;
 };
 
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -219,7 +219,7 @@
 
 void HttpClient::giveBack(std::unique_ptr<HttpConnection> connection) {
   connection->resetOnClose(false);
-  connection->setReadBound(std::nullopt);
+  connection->setWaitBound(std::nullopt);
   connection->noteIdle();
   const std::lock_guard<std::mutex> lock(mutex_);
   if (idle_.size() >= kMaxIdleConnections) {
@@ -291,14 +291,16 @@
   if (open.shape.length > call.mostAnswerBytes) {
     return tooLong(call);
   }
-  open.connection->setReadBound(call.transferTimeout);
+  const auto end = std::chrono::steady_clock::now() + call.transferTimeout;
+  open.connection->setWaitBound(call.transferTimeout);
   BodyReader reader(*open.connection, open.shape);
   HttpAnswer answer{open.status, "", std::move(open.headers)};
   answer.body.reserve(static_cast<size_t>(open.shape.length));
   char buffer[kReadBytes];
   while (!reader.complete()) {
     size_t count = 0;
-    if (reader.read(buffer, sizeof(buffer), count) == BodyProgress::kBroken) {
+    if (std::chrono::steady_clock::now() >= end ||
+        reader.read(buffer, sizeof(buffer), count) == BodyProgress::kBroken) {
       return HttpFailure{CallProgress::kAnswered, "the answer broke off or took too long"};
     }
     if (answer.body.size() + count > call.mostAnswerBytes) {
