--- a/test/platform/ingress_test.cpp
+++ b/test/platform/ingress_test.cpp
@@ -268,6 +268,23 @@
   }
 }
 
+TEST_CASE("a caller that sends a byte now and then after its rejection holds no thread for ever") {
+  IngressWorld world;
+  Poco::Net::StreamSocket socket = world.connect();
+  say(socket, IngressWorld::head("Content-Length: 100000000\r\n\r\n"));
+  constexpr int kMostBytes = 200;
+  int sent = 0;
+  try {
+    for (; sent < kMostBytes; ++sent) {
+      say(socket, "x");
+      std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    }
+  } catch (const Poco::Exception&) {
+    // The node closed the connection.
+  }
+  CHECK(sent < kMostBytes);
+}
+
 TEST_CASE("a caller that keeps sending after its rejection is disconnected eventually") {
   IngressWorld world;
   Poco::Net::StreamSocket socket;
