A read after a deadline waits for the rest of a chunk again

What callers would see: a stream broken off where a process was suspended, or had no processor time, just between two steps of a read.

Steps of a stream have deadlines of a second at most, which a suspension passes.

Fix: such a read waits for the rest of a header or chunk as before, and what bounds an answer without end is time: 500 ms of reading since the deadline passed, beside the 256 KB. A read before a deadline begins both anew.

--- a/src/gateway/engine_attempt.cpp
+++ b/src/gateway/engine_attempt.cpp
@@ -27,7 +27,7 @@
 /// s).
 constexpr Duration kDefaultKeepAlive{3000000};
 /// Longest wait for the rest of a header or chunk that has begun to arrive (3 s), and the longest
-/// one near the request's deadline (500 ms).
+/// one near the request's deadline (500 ms). For so long a body is read after its deadline.
 constexpr Duration kPartialMessageTimeout{3000000};
 constexpr Duration kLatePartialTimeout{500000};
 /// Bytes of a body that are read after its deadline (256 KB): what may have arrived by then in the
@@ -214,7 +214,7 @@
     return clock_.now() >= deadline ? AttemptStep::kSilent : AttemptStep::kDone;
   }
   // Bounds the wait for bytes between two pieces of data, as those of a chunk's header are.
-  connection_->setWaitBound(start < deadline ? partialMessageTimeout() : Duration(0));
+  connection_->setWaitBound(partialMessageTimeout());
   bytes.resize(kReadBufferBytes);
   size_t count = 0;
   const BodyProgress progress = body_->read(bytes.data(), bytes.size(), count);
@@ -227,8 +227,14 @@
   return std::clamp(request_.deadline - clock_.now(), kLatePartialTimeout, kPartialMessageTimeout);
 }
 
-bool EngineAttempt::mayReadBody(Time now, Time deadline) const {
-  return now < deadline || lateBytes_ < kMaxLateBytes;
+bool EngineAttempt::mayReadBody(Time now, Time deadline) {
+  if (now < deadline) {
+    lateSince_.reset();
+    lateBytes_ = 0;
+    return true;
+  }
+  lateSince_ = lateSince_.value_or(now);
+  return lateBytes_ < kMaxLateBytes && now - *lateSince_ < kLatePartialTimeout;
 }
 
 void EngineAttempt::noteWait(Time start, Duration longestWait) {
--- a/src/gateway/engine_attempt.h
+++ b/src/gateway/engine_attempt.h
@@ -89,7 +89,7 @@
   /// @return the longest wait for the rest of a header or chunk that has begun to arrive.
   Duration partialMessageTimeout() const;
   /// @return whether more of the body may be read at this time.
-  bool mayReadBody(Time now, Time deadline) const;
+  bool mayReadBody(Time now, Time deadline);
   /// Records how long the answer may have been unread when a wait for it ends.
   /// @param start of the wait.
   void noteWait(Time start, Duration longestWait);
@@ -109,7 +109,8 @@
   AnswerFacts facts_;
   BodyShape shape_;
   std::optional<BodyReader> body_;
-  size_t lateBytes_ = 0;  ///< Of the body, read after a deadline.
+  size_t lateBytes_ = 0;           ///< Of the body, read since the deadline passed.
+  std::optional<Time> lateSince_;  ///< First read after the deadline.
 };
 
 }  // namespace fernmoor::gateway
