--- a/review/common-2/rig.py
+++ b/review/common-2/rig.py
@@ -60,8 +60,10 @@
 
     started = []
 
-    def __init__(self, name, host, store, seeds, folder, record, zone="zone-a", extra=()):
-        self.name, self.host, self.record = name, host, record
+    def __init__(self, name, host, store, seeds, folder, record, zone="zone-a", extra=(),
+                 core=None):
+        """core: the processor that the process has to itself, as on a machine with one; None: all of them."""
+        self.name, self.host, self.record, self.core = name, host, record, core
         self.front = (host, PORTS["front"])
         self.log = pathlib.Path(folder) / f"{name}.log"
         self.settings = pathlib.Path(folder) / f"{name}.conf"
@@ -90,9 +92,13 @@
     def start(self):
         environment = {name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ}
         environment["FERNMOOR_SETTINGS"] = str(self.settings)
+        cores = os.sched_getaffinity(0)
+        own = {sorted(cores)[self.core % len(cores)]} if self.core is not None else cores
         with open(self.log, "ab") as log:
+            os.sched_setaffinity(0, own)  # Of this thread, whose child inherits it.
             self.process = subprocess.Popen([str(GATEWAY)], cwd=ROOT, stdout=log, stderr=log, stdin=subprocess.DEVNULL,
                                             env=environment)
+            os.sched_setaffinity(0, cores)
         Gateway.started.append(self)
         self.record.note(f"{self.name} started at {self.host}")
 
