--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,6 +1,8 @@
 #!/usr/bin/env python3
-"""Some callers take a while over their bodies, inside every limit of the configuration; the others send them at once."""
+"""The machines that the seeds name are lost for good while the others are killed and start again. A tenant then sends
+more than its limit to those that are left."""
 import pathlib
+import signal
 import socket
 import sys
 import tempfile
@@ -12,75 +14,94 @@
 
 import rig  # noqa: E402  (the path above comes first)
 
-NODES, QUICK, SLOW, ROUNDS = 3, 6, 6, 3
+SEEDS, LEFT = 3, 2
 SETTLE_SECONDS = 10.0  # Traffic starts so long after the machines do.
-PAUSE_SECONDS = 3.5 if rig.TROUBLE else 0.0
-DEADLINE_MS = 15000
-BODY = b"summary " * 250
+BACK_SECONDS, SEED_LAG_SECONDS, TRAFFIC_SECONDS = 1.0, 3.0, 20.0
+RATE, BURST, TOKENS = 60_000, 60_000, 1000
+WINDOW_SECONDS, OVERAGE, SLACK = 8.0, 0.1, 110_000  # quota-window-s, quota-overage and quota-slack.
+CALLERS, PER_SECOND = 8, 16.0  # At each machine that is left; each asks that often: 128,000 tokens a second a machine.
 
 
-class Caller:
-    def __init__(self, number, gateway, record, pause):
-        self.number, self.gateway, self.record, self.pause = number, gateway, record, pause
-        self.answers, self.denied = [], []
+def keep_asking(number, gateway, end):
+    turn, connection, reader = 0, None, None
+    while time.monotonic() < end:
+        turn += 1
+        try:
+            if connection is None:
+                connection = socket.create_connection(gateway.front, 2)
+                connection.settimeout(5)
+                reader = connection.makefile("rb")
+            connection.sendall(rig.request_bytes("GET", "/status/1", f"c{number}-{gateway.name}-{turn}", headers=[
+                "Api-Key: key-of-desk", f"X-Token-Count: {TOKENS - 100},100"]))
+            answer = rig.read_message(reader, True)
+            if answer is None or answer.headers.get("connection", "").lower() == "close":
+                connection = None
+        except OSError:
+            connection = None
+        time.sleep(1 / PER_SECOND)
 
-    def ask(self, request_id):
-        data = rig.request_bytes("POST", "/receipt/1", request_id, BODY, DEADLINE_MS, ["Api-Key: key-of-desk"])
-        half = len(data) - len(BODY) // 2
-        with socket.create_connection(self.gateway.front, 2) as connection:
-            connection.settimeout(DEADLINE_MS / 1000 + 1)
-            self.record.note(f"ask      {request_id} at {self.gateway.name}, pause {self.pause} s in the body")
-            connection.sendall(data[:half])
-            time.sleep(self.pause)
-            connection.sendall(data[half:])
-            answer = rig.read_message(connection.makefile("rb"), True)
-        status = answer.status() if answer is not None else None
-        stamp = answer.headers.get("x-server-stamp") if answer is not None else None
-        self.record.note(f"answer   {request_id} {status} stamp {stamp} {answer.body[:90]!r}")
-        self.answers.append(status)
-        if stamp is None and 300 <= status < 500 and status not in (408, 421, 429):
-            self.denied.append((request_id, status))
 
-    def run(self):
-        for turn in range(ROUNDS):
-            try:
-                self.ask(f"c{self.number}-{turn}")
-            except (OSError, AttributeError) as fault:
-                self.record.note(f"fault    caller {self.number}: {fault!r}")
-            time.sleep(0.2)
+def most_tokens(runs):
+    """Returns the most tokens of requests that ran in any span of the window's length."""
+    times, first, most = sorted(runs), 0, 0
+    for last, at in enumerate(times):
+        while times[first] <= at - WINDOW_SECONDS:
+            first += 1
+        most = max(most, (last - first + 1) * TOKENS)
+    return most
 
 
 def main():
     record = rig.Record(HERE)
     net, store = rig.Net(), rig.platform_store.Store()
-    rig.put_config(store, 1, [rig.route("receipt", "/receipt/", "unsafe", "desk", DEADLINE_MS)], [rig.service("desk")],
-                   tenants=[{"name": "desk-1", "api-keys": ["key-of-desk"], "priority": 1, "isolated": False}])
-    engines = [rig.Engine(f"i-{number}", net.host(5 + number), "desk", store, record) for number in range(3)]
-    folder = tempfile.mkdtemp(prefix="review-7-")
-    seeds = [net.host(20 + number) for number in range(NODES)]
-    gateways = [rig.Gateway(f"front-{number}", seeds[number], store, seeds, folder, record) for number in range(NODES)]
+    rig.put_config(store, 1, [rig.route("status", "/status/", "safe", "desk", attempts=2)], [rig.service("desk")],
+                   tenants=[{"name": "desk-1", "api-keys": ["key-of-desk"], "priority": 1, "isolated": False,
+                             "unit": "tokens", "plain-tokens": 200, "rate-per-s": RATE, "burst": BURST}])
+    engines = [rig.Engine(f"i-{number}", net.host(5 + number), "desk", store, record, slots=64) for number in range(3)]
+    folder = tempfile.mkdtemp(prefix="review-8-")
+    hosts = [net.host(20 + number) for number in range(SEEDS + LEFT)]
+    extra = [f"bounds.quota-window-s={WINDOW_SECONDS:.0f}", f"bounds.quota-overage={OVERAGE}",
+             f"bounds.quota-slack={SLACK}",
+             "contracts=base,drain,config,cost,retry,recover,kvcache,stream,engine,tenants,quota,platform"]
+    gateways = [rig.Gateway(f"front-{number}", host, store, hosts[:SEEDS], folder, record, extra=extra)
+                for number, host in enumerate(hosts)]
     for each in gateways:
         each.start()
     for each in gateways:
         each.wait_ready()
     time.sleep(SETTLE_SECONDS)
-    callers = [Caller(number, gateways[number % NODES], record, PAUSE_SECONDS if number < SLOW else 0.0)
-               for number in range(SLOW + QUICK)]
-    threads = [threading.Thread(target=each.run) for each in callers]
+    left = gateways[SEEDS:]
+    if rig.TROUBLE:
+        record.note("all machines are killed at once; those that the seeds name don't come back")
+        for each in gateways:
+            each.close()
+        time.sleep(BACK_SECONDS)
+        for each in left:
+            each.start()
+        time.sleep(SEED_LAG_SECONDS)
+        for each in left:
+            each.write_settings(hosts[SEEDS:])
+            each.signal(signal.SIGHUP)
+        record.note("the settings name the machines that are left, and SIGHUP says so")
+        for each in left:
+            each.wait_ready()
+        time.sleep(SETTLE_SECONDS)
+    start = time.monotonic()
+    threads = [threading.Thread(target=keep_asking, args=(number, each, start + TRAFFIC_SECONDS))
+               for each in left for number in range(CALLERS)]
     for each in threads:
         each.start()
     for each in threads:
         each.join()
     for each in gateways:
         each.close()
-    asked = sum(len(each.answers) for each in callers)
-    denied = sum(len(each.denied) for each in callers)
-    allowed = 5 + asked / 500
-    if sum(len(each.runs) for each in engines) == 0:
+    runs = [at for each in engines for at, _, _ in each.runs]
+    if not runs:
         rig.finish(rig.NOT_RUN, record, "no request ran")
-    rig.finish(rig.BROKEN if denied > allowed else rig.HELD, record,
-               f"DENIED: {denied} of {asked} proper requests ended with a 4xx of the gateways' own ({allowed:.2f} "
-               f"allowed); {sum(len(each.runs) for each in engines)} runs")
+    most, allowed = most_tokens(runs), (RATE * WINDOW_SECONDS + BURST) * (1 + OVERAGE) + SLACK
+    rig.finish(rig.BROKEN if most > allowed else rig.HELD, record,
+               f"QUOTA: {most} tokens of the tenant's requests ran in {WINDOW_SECONDS:.0f} s, {allowed:.0f} are allowed; "
+               f"{len(runs)} runs")
 
 
 if __name__ == "__main__":
